--- a/cmd/drill/main.go
+++ b/cmd/drill/main.go
@@ -8,8 +8,9 @@
 	"io"
 	"os"
 
-	"brookdeck.example/brookdeck/internal/wire"
-	"brookdeck.example/brookdeck/policy"
+	"sprucelane.example/sprucelane/internal/config"
+	"sprucelane.example/sprucelane/internal/wire"
+	"sprucelane.example/sprucelane/policy"
 )
 
 func main() {
@@ -61,11 +62,11 @@
 		p.lists[e.Table] = e.Entries
 		return nil
 	case wire.Born:
-		set, err := wire.Settings(e.Settings)
+		set, err := config.ParseSettings(e.Settings)
 		if err != nil {
 			return err
 		}
-		g, err := policy.New(set, e.Seed)
+		g, err := policy.New(set.Settings, e.Seed)
 		if err != nil {
 			return err
 		}
--- /dev/null
+++ b/internal/core/core.go
@@ -0,0 +1,429 @@
+// Package core owns the life of a transaction: it hands the decision module what happens, one event at a time
+// under one mutex, and carries out what the module chooses. It must never decide anything itself, know a wire,
+// or do input and output while it holds the mutex: fronts hand transactions in, a Carrier takes server-side
+// flows out, and messages to peers and log lines leave after the mutex is free.
+package core
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"sync"
+	"time"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// End tells how a server-side flow ended: every way in which a connection can end is one of these.
+type End uint8
+
+// The ends of a flow.
+const (
+	EndServed     End = iota // a whole 200 answer
+	EndErrored               // any other answer: it may have run
+	EndTurnedAway            // an answer that proves it never ran
+	EndNoConnect             // no connection came up
+	EndCutShort              // the connection broke before the last byte was written
+	EndReset                 // it broke after that, or the answer was not whole
+	EndTimedOut              // nothing came before the flow's time was over
+	EndCancelled             // called off by the module
+	EndDrained               // the pool member was told to drain or is gone: not a byte was written
+	EndOver                  // the transaction had its answer already: not a byte was written
+	EndNoSocket              // the descriptor budget is spent: not a byte was written
+	EndDenied                // the transaction's check says no: not a byte was written
+	EndUnchecked             // the check gave no verdict: not a byte was written
+	ends
+)
+
+// For each end its name in logs and counters, and what the module is told. This is the only place where ends
+// become the module's endings. What was never written whole never ran; what was written whole may have.
+var endings = [ends]struct {
+	name   string
+	ending policy.Ending
+}{
+	EndServed:     {"served", policy.Served},
+	EndErrored:    {"errored", policy.Errored},
+	EndTurnedAway: {"turned_away", policy.TurnedAway},
+	EndNoConnect:  {"no_connect", policy.NotConnected},
+	EndCutShort:   {"cut_short", policy.NotConnected},
+	EndReset:      {"reset", policy.ConnectionLost},
+	EndTimedOut:   {"timed_out", policy.TimedOut},
+	EndCancelled:  {"cancelled", policy.Cancelled},
+	EndDrained:    {"drained", policy.NeverSent},
+	EndOver:       {"over", policy.NeverSent},
+	EndNoSocket:   {"no_socket", policy.NeverSent},
+	EndDenied:     {"denied", policy.NeverSent},
+	EndUnchecked:  {"unchecked", policy.NeverSent},
+}
+
+func (e End) String() string { return endings[e].name }
+
+// Answer is a transaction's final answer.
+type Answer struct {
+	Kind       AnswerKind
+	Tried      bool          // a flow had been started
+	Waiting    bool          // of a failed one: a flow was still out, the time was over
+	RetryAfter time.Duration // of a refusal: when to come back
+	Body       []byte        // of a served one, as the pool member made it
+	Type       string        // and its content type
+}
+
+// AnswerKind tells final answers apart.
+type AnswerKind uint8
+
+// The kinds of answer.
+const (
+	Served  AnswerKind = iota
+	Refused            // trying again is harmless
+	Failed             // nothing is promised
+	Denied             // the check says no
+	Gone               // the client left: nobody to answer
+	answerKinds
+)
+
+var answerNames = [answerKinds]string{"served", "refused", "failed", "denied", "gone"}
+
+// Verdict is what a check says of a transaction's right to go on.
+type Verdict uint8
+
+// The verdicts.
+const (
+	Unknown Verdict = iota
+	Active
+	Inactive
+)
+
+// Request is what a front hands in. ID and Deadline of the embedded request are the core's to number and the
+// front's to set.
+type Request struct {
+	policy.Request
+	Message any                      // for the Carrier
+	Check   func(until Time) Verdict // asked before the first flow and again before any other; nil: no check
+}
+
+// Time is the module's clock reading.
+type Time = policy.Time
+
+// Clock gives readings from an origin that is read once, in Unix time, and monotonic from there.
+type Clock struct{ origin time.Time }
+
+// NewClock reads the origin.
+func NewClock() Clock { return Clock{time.Now()} }
+
+// Now is the time since the Unix epoch.
+func (c Clock) Now() Time { return Time(c.origin.UnixNano()) + time.Since(c.origin) }
+
+// At gives the moment of a reading.
+func (c Clock) At(t Time) time.Time { return c.origin.Add(t - Time(c.origin.UnixNano())) }
+
+// Carrier takes a server-side flow to its pool member and back. It calls Flow.Begin right before the first byte
+// and ends when Flow.Until is reached at the latest.
+type Carrier interface {
+	Carry(f *Flow) (End, Answer)
+}
+
+// Flow is one server-side flow.
+type Flow struct {
+	Server  policy.ServerID
+	Until   time.Time
+	Message any
+
+	core      *Core
+	tx        *transaction
+	no        int
+	sent      Time
+	recheck   bool
+	cancelled bool
+	conn      io.Closer
+}
+
+// Begin tells whether the first byte may still be written to a connection, which it remembers for a cancel. A
+// flow whose transaction was answered while it dialled must not reach a server.
+func (f *Flow) Begin(conn io.Closer) (End, bool) {
+	f.core.mu.Lock()
+	defer f.core.mu.Unlock()
+	if f.cancelled {
+		return EndCancelled, false
+	}
+	if f.tx.closed {
+		return EndOver, false
+	}
+	f.conn = conn
+	return 0, true
+}
+
+// Finish gives the connection back, so that a late cancel can't close what another flow uses. It tells
+// whether the flow was cancelled.
+func (f *Flow) Finish() bool {
+	f.core.mu.Lock()
+	defer f.core.mu.Unlock()
+	f.conn = nil
+	return f.cancelled
+}
+
+type transaction struct {
+	Request
+	closed bool     // has its final answer
+	flows  []*Flow  // those out, by number
+	sent   int      // flows started
+	orders chan any // *Flow or Answer
+}
+
+// Core runs one decision module.
+type Core struct {
+	Clock
+	carrier Carrier
+	tell    func(peer int, message []byte)
+
+	mu     sync.Mutex
+	module *policy.Gateway
+	orders int // room for what the module may order of one transaction
+	live   map[policy.RequestID]*transaction
+	lastID policy.RequestID
+	tells  []tell
+	lines  []string
+	counts struct {
+		taken, sent uint64
+		answered    [answerKinds]uint64
+		ended       [ends]uint64
+	}
+}
+
+type tell struct {
+	peer    int
+	message []byte
+}
+
+// New gives a core round a new module. Where tell is nil the gateway has no way to its peers.
+func New(set policy.Settings, seed uint64, clock Clock, carrier Carrier, toPeer func(int, []byte)) (*Core, error) {
+	set.Peers = set.Peers && toPeer != nil
+	module, err := policy.New(set, seed)
+	if err != nil {
+		return nil, err
+	}
+	c := &Core{Clock: clock, carrier: carrier, tell: toPeer, module: module,
+		orders: max(1, set.MaxAttempts) + 2, live: map[policy.RequestID]*transaction{}}
+	module.Attach(host{c})
+	return c, nil
+}
+
+// Serve is the life of a transaction, from when a front has read it to its one final answer. It ends early when
+// ctx does: the client has left and nobody is owed an answer.
+func (c *Core) Serve(ctx context.Context, in Request) Answer {
+	t := &transaction{Request: in, orders: make(chan any, c.orders)}
+	c.take(t)
+	if in.Check != nil { // without a right to go on it is over, and the module need not hear of it
+		if verdict := in.Check(in.Deadline); verdict != Active {
+			c.mu.Lock()
+			c.close(t)
+			c.mu.Unlock()
+			if verdict == Inactive {
+				return c.count(Answer{Kind: Denied})
+			}
+			return c.count(Answer{Kind: Refused, RetryAfter: checkAgain}) // nothing was sent: asking again is harmless
+		}
+	}
+	c.event(func(now Time) { c.module.Request(now, t.Request.Request) })
+	checked := len(t.orders) > 0 // a verdict holds for what is sent on now, not for what is held or tried again
+	for {
+		select {
+		case order := <-t.orders:
+			switch order := order.(type) {
+			case *Flow:
+				order.recheck = in.Check != nil && !checked
+				checked = false
+				go c.carry(order)
+			case Answer:
+				return c.count(order)
+			}
+		case <-ctx.Done():
+			c.leave(t)
+			for len(t.orders) > 0 { // a flow ordered meanwhile has an end to report, though it is never sent
+				if f, ok := (<-t.orders).(*Flow); ok {
+					go c.carry(f)
+				}
+			}
+			return c.count(Answer{Kind: Gone})
+		}
+	}
+}
+
+// checkAgain is when to come back after a check that gave no verdict.
+const checkAgain = time.Second
+
+// take numbers the transaction. The number is a counter: the module shifts it into timer tags, which a
+// client's own id would overflow.
+func (c *Core) take(t *transaction) {
+	c.mu.Lock()
+	c.lastID++
+	t.ID = c.lastID
+	c.live[t.ID] = t
+	c.counts.taken++
+	c.mu.Unlock()
+}
+
+func (c *Core) count(a Answer) Answer {
+	c.mu.Lock()
+	c.counts.answered[a.Kind]++
+	c.mu.Unlock()
+	return a
+}
+
+// leave tells the module that the client has left, unless the final answer crossed that.
+func (c *Core) leave(t *transaction) {
+	c.event(func(now Time) {
+		if !t.closed {
+			c.close(t)
+			c.module.ClientGone(now, t.ID)
+		}
+	})
+}
+
+// carry takes one flow to its end, which goes to the module whether or not the client still waits: what runs on
+// after the answer still tells of its pool member.
+func (c *Core) carry(f *Flow) {
+	end, answer := EndUnchecked, Answer{}
+	verdict := Active
+	if f.recheck {
+		verdict = f.tx.Check(f.tx.Deadline)
+	}
+	switch verdict {
+	case Active:
+		end, answer = c.carrier.Carry(f)
+	case Inactive:
+		end = EndDenied
+	}
+	c.event(func(now Time) {
+		t := f.tx
+		c.counts.ended[end]++
+		for i := range t.flows {
+			if t.flows[i] == f {
+				t.flows = append(t.flows[:i], t.flows[i+1:]...)
+				break
+			}
+		}
+		switch {
+		case t.closed:
+		case end == EndServed:
+			answer.Kind, answer.Tried = Served, true
+			c.final(t, answer)
+		case end == EndDenied:
+			c.final(t, Answer{Kind: Denied, Tried: true})
+		}
+		closed := t.closed
+		c.module.Outcome(now, policy.Outcome{ID: t.ID, Attempt: f.no, Server: f.Server, Elapsed: now - f.sent,
+			Ending: endings[end].ending, Closed: closed})
+		if t.closed && len(t.flows) == 0 {
+			delete(c.live, t.ID)
+		}
+	})
+}
+
+// event hands the module one event, and carries out what it ordered of the outside once the mutex is free.
+func (c *Core) event(happen func(now Time)) {
+	c.mu.Lock()
+	happen(c.Now())
+	tells, lines := c.tells, c.lines
+	c.tells, c.lines = nil, nil
+	c.mu.Unlock()
+	for _, t := range tells {
+		c.tell(t.peer, t.message)
+	}
+	for _, l := range lines {
+		log.Printf("event=module text=%q", l)
+	}
+}
+
+// final queues the one final answer. The mutex is held.
+func (c *Core) final(t *transaction, a Answer) {
+	if !t.closed {
+		c.close(t)
+		t.orders <- a
+	}
+}
+
+func (c *Core) close(t *transaction) {
+	t.closed = true
+	if len(t.flows) == 0 {
+		delete(c.live, t.ID)
+	}
+}
+
+// Servers hands a list from discovery in.
+func (c *Core) Servers(kind policy.ListKind, list []policy.ServerInfo) {
+	c.event(func(now Time) { c.module.Servers(now, kind, list) })
+}
+
+// PeerMessage hands a peer's datagram in.
+func (c *Core) PeerMessage(from int, message []byte) {
+	c.event(func(now Time) { c.module.PeerMessage(now, from, message) })
+}
+
+// Counters gives what was taken, sent and answered so far, as key=value text.
+func (c *Core) Counters() string {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	text := fmt.Sprintf("taken=%d open=%d sent=%d", c.counts.taken, len(c.live), c.counts.sent)
+	for i, n := range c.counts.answered {
+		text += fmt.Sprintf(" answered_%s=%d", answerNames[i], n)
+	}
+	for i, n := range c.counts.ended {
+		text += fmt.Sprintf(" ended_%s=%d", End(i), n)
+	}
+	return text
+}
+
+// host carries out the module's choices. Its methods are called inside the module's, with the mutex held: they
+// queue and return.
+type host struct{ c *Core }
+
+func (h host) Send(id policy.RequestID, to policy.ServerID, until Time) {
+	t := h.c.live[id]
+	if t == nil || t.closed {
+		return
+	}
+	f := &Flow{Server: to, Until: h.c.At(min(until, t.Deadline)), Message: t.Message, core: h.c, tx: t, no: t.sent,
+		sent: h.c.Now()}
+	t.sent++
+	h.c.counts.sent++
+	t.flows = append(t.flows, f)
+	t.orders <- f
+}
+
+func (h host) Refuse(id policy.RequestID, wait time.Duration) {
+	if t := h.c.live[id]; t != nil {
+		h.c.final(t, Answer{Kind: Refused, Tried: t.sent > 0, RetryAfter: wait})
+	}
+}
+
+func (h host) Fail(id policy.RequestID) {
+	if t := h.c.live[id]; t != nil {
+		h.c.final(t, Answer{Kind: Failed, Tried: t.sent > 0, Waiting: len(t.flows) > 0})
+	}
+}
+
+func (h host) Cancel(id policy.RequestID, attempt int) {
+	t := h.c.live[id]
+	if t == nil {
+		return
+	}
+	for _, f := range t.flows {
+		if f.no == attempt && !f.cancelled {
+			f.cancelled = true
+			if f.conn != nil {
+				go f.conn.Close() // not under the mutex
+			}
+		}
+	}
+}
+
+func (h host) Timer(tag uint64, after time.Duration) {
+	time.AfterFunc(after, func() { h.c.event(func(now Time) { h.c.module.Timer(now, tag) }) })
+}
+
+func (h host) Tell(peer int, message []byte) { h.c.tells = append(h.c.tells, tell{peer, message}) }
+
+func (h host) Watch() {} // discovery is always watched
+
+func (h host) Log(text string) { h.c.lines = append(h.c.lines, text) }
--- /dev/null
+++ b/internal/discovery/discovery.go
@@ -0,0 +1,315 @@
+// Package discovery owns the way from a source of pool members to the gateway's pool: the platform's watch, or
+// Consul's health and catalogue API. It keeps the stable numbers of instances and tells every change in order. It
+// must never judge a member's health or hold a change back.
+package discovery
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"net/url"
+	"strconv"
+	"time"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// List is a list of pool members in the platform's form: all of them where Reset is set, else what changed.
+type List struct {
+	Generation uint64     `json:"generation"`
+	Reset      bool       `json:"reset"`
+	Instances  []Instance `json:"instances"`
+}
+
+// Instance is one entry.
+type Instance struct {
+	ID        string  `json:"instanceId"`
+	Addr      string  `json:"hostPort"`
+	Zone      string  `json:"zone"`
+	Kind      string  `json:"machineType"`
+	Cell      int     `json:"cell"`
+	Lifecycle string  `json:"lifecycle"`
+	Weight    float64 `json:"weight"`
+	StartedMs int64   `json:"startedAtMs"`
+}
+
+var lifecycles = map[string]policy.ServerState{"up": policy.Ready, "draining": policy.Draining, "removed": policy.Gone}
+
+// Pool is told of members before the module is, so that nothing is sent to where the pool knows no way.
+type Pool interface {
+	Set(id policy.ServerID, addr string, state policy.ServerState)
+}
+
+// Roster gives every instance its number, the same for as long as it is listed, and passes lists on.
+type Roster struct {
+	pool         Pool
+	module       func(policy.ListKind, []policy.ServerInfo)
+	zones, kinds []string
+	known        map[string]*entry
+	last         policy.ServerID
+}
+
+type entry struct {
+	id   policy.ServerID
+	addr string
+}
+
+// NewRoster gives an empty roster. Zones and kinds are the names in the order of the module's numbers.
+func NewRoster(pool Pool, module func(policy.ListKind, []policy.ServerInfo), zones, kinds []string) *Roster {
+	return &Roster{pool: pool, module: module, zones: zones, kinds: kinds, known: map[string]*entry{}}
+}
+
+// Apply takes a list in. Entries that make no sense are left out and logged; the rest counts. It isn't safe for
+// concurrent use.
+func (r *Roster) Apply(kind policy.ListKind, list []Instance) {
+	infos := make([]policy.ServerInfo, 0, len(list))
+	seen := make(map[string]bool, len(list))
+	for _, in := range list {
+		state, ok := lifecycles[in.Lifecycle]
+		if _, _, err := net.SplitHostPort(in.Addr); in.ID == "" || !ok || err != nil && state != policy.Gone {
+			log.Printf("event=instance_left_out instance=%q addr=%q lifecycle=%q", in.ID, in.Addr, in.Lifecycle)
+			continue
+		}
+		e := r.known[in.ID]
+		if e == nil {
+			r.last++
+			e = &entry{id: r.last}
+			r.known[in.ID] = e
+		}
+		if in.Addr != "" {
+			e.addr = in.Addr
+		}
+		seen[in.ID] = true
+		r.pool.Set(e.id, e.addr, state)
+		infos = append(infos, policy.ServerInfo{ID: e.id, Zone: index(r.zones, in.Zone), Kind: index(r.kinds, in.Kind),
+			Cell: in.Cell, State: state, Weight: in.Weight, Since: time.Duration(in.StartedMs) * time.Millisecond})
+		if state == policy.Gone {
+			delete(r.known, in.ID)
+		}
+	}
+	if kind != policy.ListChanges {
+		for name, e := range r.known {
+			if !seen[name] {
+				r.pool.Set(e.id, e.addr, policy.Gone)
+				delete(r.known, name)
+			}
+		}
+	}
+	r.module(kind, infos)
+}
+
+func index(names []string, name string) int {
+	for i, n := range names {
+		if n == name {
+			return i
+		}
+	}
+	return len(names) // a name that the settings don't hold is like none of theirs
+}
+
+// The platform's watch. A watch that says nothing for its wait and some more has a silent agent: waits are short
+// because what a silent agent holds back counts as told two seconds after the wait.
+const (
+	watchWait  = 4 * time.Second
+	watchSlack = time.Second
+	listWait   = time.Second
+	firstPause = 50 * time.Millisecond
+	lastPause  = time.Second
+	mostList   = 8 << 20 // bytes of a list
+)
+
+// Watch follows the platform's agent until ctx ends. A list already held is continued from; after any gap the
+// whole list is asked for anew.
+func Watch(ctx context.Context, addr string, held List, r *Roster) {
+	c := &client{base: "http://" + addr, http: newHTTP()}
+	gap, pause := true, firstPause
+	after := held.Generation
+	for ctx.Err() == nil {
+		path, wait := "/v1/endpoints", listWait
+		if !gap {
+			path += fmt.Sprintf("?after=%d&wait_ms=%d", after, watchWait.Milliseconds())
+			wait = watchWait + watchSlack
+		}
+		var l List
+		_, err := c.get(ctx, path, wait, &l)
+		if err != nil {
+			if ctx.Err() == nil {
+				log.Printf("event=discovery_failed gap=%t err=%q", gap, err)
+			}
+			gap = true
+			pause = rest(ctx, pause)
+			continue
+		}
+		if gap && !l.Reset {
+			pause = rest(ctx, pause)
+			continue
+		}
+		gap, pause = false, firstPause
+		if l.Reset {
+			r.Apply(policy.ListFull, l.Instances)
+		} else if len(l.Instances) > 0 {
+			r.Apply(policy.ListChanges, l.Instances)
+		}
+		after = l.Generation
+	}
+}
+
+// rest pauses and gives the next pause, twice as long.
+func rest(ctx context.Context, pause time.Duration) time.Duration {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-ctx.Done():
+	case <-t.C:
+	}
+	return min(2*pause, lastPause)
+}
+
+// Consul names a service in a Consul agent's catalogue.
+type Consul struct {
+	Addr, Service, Tag, Token string
+}
+
+const consulWait = 10 * time.Second
+
+// consulService is what /v1/health/service/ tells of one instance; /v1/catalog/service/ tells the inner part.
+type consulService struct {
+	Node    struct{ Node, Address, Datacenter string }
+	Service struct {
+		ID, Address string
+		Port        int
+		Meta        map[string]string
+		Weights     struct{ Passing float64 }
+	}
+	Checks []struct{ Status string }
+}
+
+type consulEntry struct {
+	Node, Address, Datacenter, ServiceID, ServiceAddress string
+	ServicePort                                          int
+	ServiceMeta                                          map[string]string
+	ServiceWeights                                       struct{ Passing float64 }
+}
+
+// WatchConsul follows a service's health by blocking queries until ctx ends. An index that goes back starts the
+// query anew, an agent that fails is asked again after a growing pause, and where the health endpoint is refused
+// or missing the catalogue, which knows no health, stands in.
+func WatchConsul(ctx context.Context, at Consul, r *Roster) {
+	c := &client{base: "http://" + at.Addr, http: newHTTP(), token: at.Token}
+	index, pause, catalogue := uint64(0), firstPause, false
+	for ctx.Err() == nil {
+		q := url.Values{"index": {strconv.FormatUint(index, 10)}, "wait": {consulWait.String()}}
+		if at.Tag != "" {
+			q.Set("tag", at.Tag)
+		}
+		path, wait := "/v1/health/service/", consulWait*17/16+watchSlack // an agent adds up to a sixteenth
+		var health []consulService
+		var entries []consulEntry
+		var into any = &health
+		if catalogue {
+			path, into = "/v1/catalog/service/", &entries
+		}
+		head, err := c.get(ctx, path+url.PathEscape(at.Service)+"?"+q.Encode(), wait, into)
+		var code statusError
+		if errors.As(err, &code) && (code == http.StatusNotFound || code == http.StatusForbidden) {
+			catalogue, index = !catalogue, 0
+		}
+		if err != nil {
+			if ctx.Err() == nil {
+				log.Printf("event=consul_failed service=%q catalogue=%t err=%q", at.Service, catalogue, err)
+			}
+			index = 0 // after a gap the list is asked for at once
+			pause = rest(ctx, pause)
+			continue
+		}
+		next, err := strconv.ParseUint(head.Get("X-Consul-Index"), 10, 64)
+		if err != nil || next == 0 {
+			log.Printf("event=consul_failed service=%q err=%q", at.Service, "no X-Consul-Index")
+			index, pause = 0, rest(ctx, pause)
+		} else if pause = firstPause; next == index {
+			continue // the wait ran out
+		} else if index = next; next < index {
+			index = 0
+		}
+		list := make([]Instance, 0, len(health)+len(entries))
+		for _, h := range health {
+			list = append(list, h.instance())
+		}
+		for _, e := range entries {
+			var h consulService
+			h.Node.Node, h.Node.Address, h.Node.Datacenter = e.Node, e.Address, e.Datacenter
+			h.Service.ID, h.Service.Address, h.Service.Port = e.ServiceID, e.ServiceAddress, e.ServicePort
+			h.Service.Meta, h.Service.Weights = e.ServiceMeta, e.ServiceWeights
+			list = append(list, h.instance())
+		}
+		r.Apply(policy.ListFull, list)
+	}
+}
+
+// instance gives a service in the platform's form. A critical check, maintenance included, takes nothing new.
+func (h consulService) instance() Instance {
+	host := h.Service.Address
+	if host == "" {
+		host = h.Node.Address
+	}
+	in := Instance{ID: h.Node.Node + "/" + h.Service.ID, Addr: net.JoinHostPort(host, strconv.Itoa(h.Service.Port)),
+		Zone: h.Service.Meta["zone"], Kind: h.Service.Meta["machine_type"], Lifecycle: "up",
+		Weight: max(1, h.Service.Weights.Passing)}
+	if in.Zone == "" {
+		in.Zone = h.Node.Datacenter
+	}
+	in.Cell, _ = strconv.Atoi(h.Service.Meta["cell"])
+	in.StartedMs, _ = strconv.ParseInt(h.Service.Meta["started_at_ms"], 10, 64)
+	for _, check := range h.Checks {
+		if check.Status == "critical" || check.Status == "maintenance" {
+			in.Lifecycle = "draining"
+		}
+	}
+	return in
+}
+
+type client struct {
+	base, token string
+	http        *http.Client
+}
+
+func newHTTP() *http.Client {
+	return &http.Client{Transport: &http.Transport{MaxConnsPerHost: 2, IdleConnTimeout: time.Minute,
+		DialContext: (&net.Dialer{Timeout: listWait}).DialContext}}
+}
+
+type statusError int
+
+func (s statusError) Error() string { return "status " + strconv.Itoa(int(s)) }
+
+// get asks once, within a time: a silent agent must not hold the gateway.
+func (c *client) get(ctx context.Context, path string, within time.Duration, into any) (http.Header, error) {
+	ctx, cancel := context.WithTimeout(ctx, within)
+	defer cancel()
+	req, err := http.NewRequestWithContext(ctx, http.MethodGet, c.base+path, nil)
+	if err != nil {
+		return nil, err
+	}
+	if c.token != "" {
+		req.Header.Set("X-Consul-Token", c.token)
+	}
+	resp, err := c.http.Do(req)
+	if err != nil {
+		return nil, err
+	}
+	defer resp.Body.Close()
+	if resp.StatusCode != http.StatusOK {
+		io.Copy(io.Discard, io.LimitReader(resp.Body, 4096))
+		return nil, statusError(resp.StatusCode)
+	}
+	body, err := io.ReadAll(io.LimitReader(resp.Body, mostList))
+	if err != nil {
+		return nil, err
+	}
+	return resp.Header, json.Unmarshal(body, into)
+}
--- /dev/null
+++ b/internal/front/platform/platform.go
@@ -0,0 +1,237 @@
+// Package platform is the thin front for the platform's protocol: it reads a client's request into a
+// transaction, and writes the transaction's final answer. It must never choose an answer; what is malformed gets
+// a 4xx and reaches neither the module nor a pool member.
+package platform
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/config"
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// The platform's headers.
+const (
+	hID       = "X-Request-Id"
+	hClass    = "X-Class"
+	hTariff   = "X-Tariff"
+	hCustomer = "X-Subscriber"
+	hDeadline = "X-Deadline-Ms"
+	hWeight   = "X-Weight"
+	hRetry    = "X-Retry"
+)
+
+const (
+	maxCustomer = 1 << 33
+	maxID       = 128
+	// transit is taken off a deadline, which runs from when the client sent: the way here and back.
+	transit = 6 * time.Millisecond
+)
+
+// Front is the platform's front.
+type Front struct {
+	Core       *core.Core
+	Deployment config.Deployment
+	Ready      func() bool
+	malformed  atomic.Uint64
+}
+
+// Malformed counts the requests that were none.
+func (f *Front) Malformed() uint64 { return f.malformed.Load() }
+
+func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	arrived := f.Core.Now()
+	if r.URL.Path == "/ready" {
+		if f.Ready() {
+			io.WriteString(w, "ready\n")
+		} else {
+			http.Error(w, "not ready", http.StatusServiceUnavailable)
+		}
+		return
+	}
+	in, bad := Read(w, r, f.Deployment, arrived)
+	if bad != nil {
+		f.malformed.Add(1)
+		http.Error(w, bad.Text, bad.Code)
+		return
+	}
+	Write(w, f.Core.Serve(r.Context(), in))
+}
+
+// Bad says what is wrong with a request.
+type Bad struct {
+	Code int
+	Text string
+}
+
+func bad(text string) *Bad { return &Bad{http.StatusBadRequest, text} }
+
+// Read checks a request whole and gives its transaction.
+func Read(w http.ResponseWriter, r *http.Request, d config.Deployment, arrived core.Time) (in core.Request, no *Bad) {
+	h := r.Header
+	id := h.Get(hID)
+	if id == "" || len(id) > maxID || strings.ContainsAny(id, " \t") {
+		return in, bad(hID + ": missing or malformed")
+	}
+	path, ok := strings.CutPrefix(r.RequestURI, "/")
+	if !ok {
+		return in, bad("target: not a path")
+	}
+	name, _, _ := strings.Cut(path, "?")
+	name, _, _ = strings.Cut(name, "/")
+	if name, _ = url.PathUnescape(name); name != h.Get(hClass) {
+		return in, bad(hClass + ": not the class of the path")
+	}
+	if in.Class = d.ClassNumber(name); in.Class < 0 {
+		return in, &Bad{http.StatusNotFound, hClass + ": unknown class"}
+	}
+	class := d.Classes[in.Class]
+	if want := method(class.Effect); r.Method != want {
+		w.Header().Set("Allow", want)
+		return in, &Bad{http.StatusMethodNotAllowed, "method: this class takes " + want}
+	}
+	if in.Plan = d.PlanNumber(h.Get(hTariff)); in.Plan < 0 {
+		return in, bad(hTariff + ": unknown plan")
+	}
+	customer, err := strconv.ParseUint(h.Get(hCustomer), 16, 64)
+	if err != nil || customer >= maxCustomer {
+		return in, bad(hCustomer + ": not a customer")
+	}
+	in.Customer = policy.CustomerID(customer)
+	wait, err := strconv.ParseUint(h.Get(hDeadline), 10, 31)
+	if err != nil || wait == 0 {
+		return in, bad(hDeadline + ": not whole milliseconds above 0")
+	}
+	in.Deadline = arrived + min(time.Duration(wait)*time.Millisecond, class.Deadline) - transit
+	if !weight(h.Get(hWeight), &in, d.Gateways) {
+		return in, bad(hWeight + ": malformed")
+	}
+	in.Repeat = h.Get(hRetry) == "1"
+	body, no := Body(w, r)
+	if no != nil {
+		return in, no
+	}
+	if r.Method == http.MethodGet && len(body) > 0 {
+		return in, bad("body: this class has none")
+	}
+	header := append(make([]byte, 0, 64+len(id)), hID+": "...)
+	header = append(append(header, id...), "\r\n"...)
+	if t := h.Get("Content-Type"); t != "" {
+		header = append(append(append(header, "Content-Type: "...), t...), "\r\n"...)
+	}
+	in.Message = &pool.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: body}
+	return in, nil
+}
+
+func method(e policy.Effect) string {
+	if e == policy.Safe {
+		return http.MethodGet
+	}
+	return http.MethodPost
+}
+
+// Body reads a body of up to 64 KiB.
+func Body(w http.ResponseWriter, r *http.Request) ([]byte, *Bad) {
+	if r.ContentLength == 0 {
+		return nil, nil
+	}
+	if r.ContentLength > pool.MaxBody {
+		w.Header().Set("Connection", "close")
+		return nil, &Bad{http.StatusRequestEntityTooLarge, "body: more than 64 KiB"}
+	}
+	var body []byte
+	var err error
+	if r.ContentLength > 0 {
+		body = make([]byte, r.ContentLength)
+		_, err = io.ReadFull(r.Body, body)
+		if err == nil { // the end must be read for a client's leaving to be noticed
+			var one [1]byte
+			r.Body.Read(one[:])
+		}
+	} else {
+		body, err = io.ReadAll(http.MaxBytesReader(w, r.Body, pool.MaxBody))
+	}
+	var long *http.MaxBytesError
+	if errors.As(err, &long) {
+		return nil, &Bad{http.StatusRequestEntityTooLarge, "body: more than 64 KiB"}
+	}
+	if err != nil {
+		return nil, bad("body: not whole")
+	}
+	return body, nil
+}
+
+// weight reads what a request draws and which gateways serve its customer.
+func weight(text string, in *core.Request, gateways int) bool {
+	in.Units, in.SetSize = -1, 0
+	first := -1
+	for text != "" {
+		var part string
+		part, text, _ = strings.Cut(text, ",")
+		key, value, _ := strings.Cut(strings.TrimSpace(part), "=")
+		x, err := strconv.ParseFloat(value, 64)
+		if err != nil || !(x >= 0 && x < 1<<20) {
+			return false
+		}
+		switch key {
+		case "units":
+			in.Units = x
+		case "spread":
+			in.SetSize = int(x)
+		case "first":
+			first = int(x)
+		}
+	}
+	in.FirstDoor = first
+	return in.Units >= 0 && in.SetSize >= 1 && in.SetSize <= gateways && first >= 0 && first < gateways
+}
+
+// Write gives a client the final answer. A 429 or 503 says that asking again is harmless, so nothing else may
+// use them.
+func Write(w http.ResponseWriter, a core.Answer) {
+	h := w.Header()
+	switch a.Kind {
+	case core.Served:
+		if a.Type != "" {
+			h.Set("Content-Type", a.Type)
+		}
+		h.Set("Content-Length", strconv.Itoa(len(a.Body)))
+		w.Write(a.Body)
+	case core.Refused:
+		code := http.StatusTooManyRequests
+		if a.Tried {
+			code = http.StatusServiceUnavailable
+		}
+		h.Set("Retry-After", seconds(a.RetryAfter))
+		end(w, code)
+	case core.Denied:
+		end(w, http.StatusUnauthorized)
+	case core.Failed:
+		if a.Waiting {
+			end(w, http.StatusGatewayTimeout)
+		} else {
+			end(w, http.StatusBadGateway)
+		}
+	case core.Gone:
+		panic(http.ErrAbortHandler) // nobody to answer
+	}
+}
+
+func end(w http.ResponseWriter, code int) {
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(code)
+}
+
+// seconds writes a wait as the protocol allows it, in decimals.
+func seconds(d time.Duration) string {
+	return strconv.FormatFloat(d.Seconds(), 'f', -1, 64)
+}
--- /dev/null
+++ b/internal/peer/peer.go
@@ -0,0 +1,77 @@
+// Package peer owns the datagrams between gateways: one UDP socket on the peer address, to and from the listed
+// peers alone. It must never read or change what a message says: that is the module's.
+package peer
+
+import (
+	"errors"
+	"log"
+	"net"
+	"net/netip"
+	"time"
+)
+
+// MaxMessage is the longest datagram allowed, in bytes.
+const MaxMessage = 256
+
+// writeWait bounds a write: a datagram that the kernel won't take at once is as good as lost.
+const writeWait = 50 * time.Millisecond
+
+// Link is the gateway's way to its peers.
+type Link struct {
+	conn   *net.UDPConn
+	peers  []netip.AddrPort
+	all    netip.AddrPort
+	number map[netip.AddrPort]int
+}
+
+// Listen opens the socket. The peers are ordered by their numbers; all reaches every one of them, where valid.
+func Listen(addr netip.AddrPort, peers []netip.AddrPort, all netip.AddrPort) (*Link, error) {
+	conn, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, err
+	}
+	l := &Link{conn: conn, peers: peers, all: all, number: map[netip.AddrPort]int{}}
+	for i, p := range peers {
+		l.number[p] = i
+	}
+	return l, nil
+}
+
+// Addr is where the link listens.
+func (l *Link) Addr() netip.AddrPort { return l.conn.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+// Tell sends a message to one peer, or to all where peer is below 0. It may be lost, as any datagram.
+func (l *Link) Tell(peer int, message []byte) {
+	if len(message) > MaxMessage || peer >= len(l.peers) {
+		log.Printf("event=peer_message_dropped peer=%d bytes=%d", peer, len(message))
+		return
+	}
+	to := l.all
+	if peer >= 0 {
+		to = l.peers[peer]
+	}
+	if to.IsValid() {
+		l.conn.SetWriteDeadline(time.Now().Add(writeWait))
+		l.conn.WriteToUDPAddrPort(message, to) // a loss the module allows for
+	}
+}
+
+// Serve hands in what listed peers send, until Close. A datagram that is too long is not theirs.
+func (l *Link) Serve(take func(from int, message []byte)) {
+	buf := make([]byte, MaxMessage+1)
+	for {
+		n, from, err := l.conn.ReadFromUDPAddrPort(buf)
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		if err != nil { // an earlier datagram was refused where it went
+			continue
+		}
+		if i, ok := l.number[netip.AddrPortFrom(from.Addr().Unmap(), from.Port())]; ok && n <= MaxMessage {
+			take(i, buf[:n])
+		}
+	}
+}
+
+// Close ends Serve.
+func (l *Link) Close() error { return l.conn.Close() }
--- /dev/null
+++ b/internal/pool/pool.go
@@ -0,0 +1,411 @@
+// Package pool owns the pool members and the connections to them: it writes server-side flows on net.Conn in
+// HTTP/1.1, reuses connections, dials, and keeps the idle limits and the descriptor budget. It must never choose
+// a member, try a flow again or send anything twice: a flow that fails says how, and the module decides.
+package pool
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/tls"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// MaxBody is the longest body that either side may send.
+const MaxBody = 64 << 10
+
+// NotRun is the header with which a pool member proves that a request never ran.
+const NotRun = "X-Not-Run"
+
+const deadlineName = "X-Deadline-Ms"
+
+// Message is what a front sends on. Header is ready lines, each with its line end.
+type Message struct {
+	Method, Target, Host string
+	Header               []byte
+	Body                 []byte
+}
+
+// State is what discovery says of a member.
+type State = policy.ServerState
+
+// Options are the pool's limits.
+type Options struct {
+	Sockets     int           // connections open at once, dials included
+	ConnIdle    time.Duration // after which the member's machine closes an idle connection
+	ConnectWait time.Duration
+	TLS         *tls.Config // nil: plain TCP
+}
+
+// Pool is all members that discovery has named.
+type Pool struct {
+	opt  Options
+	stop chan struct{}
+
+	mu      sync.Mutex
+	members map[policy.ServerID]*member
+	open    int // connections, dials included
+}
+
+type member struct {
+	addr  string
+	state State
+	idle  []*conn // the one used last at the end
+}
+
+type conn struct {
+	net.Conn
+	raw   syscall.RawConn
+	in    *bufio.Reader
+	to    string
+	since time.Time // idle since
+}
+
+// New gives an empty pool that sweeps its idle connections until Close.
+func New(opt Options) *Pool {
+	p := &Pool{opt: opt, stop: make(chan struct{}), members: map[policy.ServerID]*member{}}
+	go p.sweep()
+	return p
+}
+
+// Close ends the sweeping and closes what is idle.
+func (p *Pool) Close() {
+	close(p.stop)
+	p.retire(func(*member, *conn) bool { return true })
+}
+
+// Set takes a member's address and state in. Idle connections to where it no longer is, or to a member that
+// wants nothing new, are closed.
+func (p *Pool) Set(id policy.ServerID, addr string, state State) {
+	p.mu.Lock()
+	m := p.members[id]
+	if m == nil {
+		m = &member{}
+		p.members[id] = m
+	}
+	m.addr, m.state = addr, state
+	p.mu.Unlock()
+	p.retire(func(m *member, c *conn) bool { return m.state != policy.Ready || c.to != m.addr })
+}
+
+// Ready counts the members that may be sent new work.
+func (p *Pool) Ready() int {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	n := 0
+	for _, m := range p.members {
+		if m.state == policy.Ready {
+			n++
+		}
+	}
+	return n
+}
+
+// Carry takes a flow to its member and back.
+func (p *Pool) Carry(f *core.Flow) (core.End, core.Answer) {
+	var none core.Answer
+	c, end := p.connect(f)
+	if c == nil {
+		return end, none
+	}
+	if end, ok := p.begin(f, c); !ok {
+		if end == core.EndDrained {
+			p.drop(c)
+		} else {
+			p.put(f.Server, c)
+		}
+		return end, none
+	}
+	end, answer, reuse := c.exchange(f)
+	cancelled := f.Finish()
+	if reuse && !cancelled {
+		p.put(f.Server, c)
+	} else {
+		p.drop(c)
+	}
+	if cancelled && end != core.EndServed {
+		end = core.EndCancelled
+	}
+	return end, answer
+}
+
+// begin rechecks, right before the first byte, what may have changed while the flow dialled: the member was told
+// to drain or is gone, it moved, or the transaction is over.
+func (p *Pool) begin(f *core.Flow, c *conn) (core.End, bool) {
+	p.mu.Lock()
+	m := p.members[f.Server]
+	fits := m != nil && m.state == policy.Ready && m.addr == c.to
+	p.mu.Unlock()
+	if !fits {
+		return core.EndDrained, false
+	}
+	return f.Begin(c)
+}
+
+// connect gives a connection that nothing else uses: the idle one used last, else a new one.
+func (p *Pool) connect(f *core.Flow) (*conn, core.End) {
+	for {
+		p.mu.Lock()
+		m := p.members[f.Server]
+		if m == nil || m.state != policy.Ready {
+			p.mu.Unlock()
+			return nil, core.EndDrained
+		}
+		last := len(m.idle) - 1
+		if last < 0 {
+			addr := m.addr
+			room := p.open < p.opt.Sockets
+			if room {
+				p.open++
+			}
+			p.mu.Unlock()
+			if !room && !p.spare() {
+				return nil, core.EndNoSocket
+			}
+			return p.dial(f, addr)
+		}
+		c := m.idle[last]
+		m.idle = m.idle[:last]
+		p.mu.Unlock()
+		if p.fresh(c) {
+			return c, 0
+		}
+		p.drop(c)
+	}
+}
+
+// spare makes room in the descriptor budget for one connection by closing the one that is idle the longest.
+func (p *Pool) spare() bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	var from *member
+	for _, m := range p.members {
+		if len(m.idle) > 0 && (from == nil || m.idle[0].since.Before(from.idle[0].since)) {
+			from = m
+		}
+	}
+	if from == nil {
+		return false
+	}
+	old := from.idle[0]
+	from.idle = from.idle[1:]
+	old.Close() // the new one takes its place in the count
+	return true
+}
+
+func (p *Pool) dial(f *core.Flow, addr string) (*conn, core.End) {
+	d := net.Dialer{Timeout: p.opt.ConnectWait, Deadline: f.Until, KeepAlive: -1}
+	nc, err := d.Dial("tcp", addr)
+	if err != nil {
+		p.closed()
+		return nil, core.EndNoConnect
+	}
+	c := &conn{Conn: nc, to: addr}
+	if raw, ok := nc.(syscall.Conn); ok {
+		c.raw, _ = raw.SyscallConn()
+	}
+	if p.opt.TLS != nil {
+		host, _, _ := net.SplitHostPort(addr)
+		conf := p.opt.TLS.Clone()
+		if conf.ServerName == "" {
+			conf.ServerName = host
+		}
+		t := tls.Client(nc, conf)
+		nc.SetDeadline(earliest(f.Until, time.Now().Add(p.opt.ConnectWait)))
+		if t.Handshake() != nil {
+			p.drop(c)
+			return nil, core.EndNoConnect
+		}
+		c.Conn = t
+	}
+	c.in = bufio.NewReaderSize(c.Conn, 2048)
+	return c, 0
+}
+
+func earliest(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// fresh tells whether an idle connection may still carry a request: it is younger than the limit at which its
+// peer closes it, with a margin, and neither an end nor a stray byte has come in. A request written to a
+// connection that the peer has closed may count as run, and one of an unsafe class would be lost.
+func (p *Pool) fresh(c *conn) bool {
+	if time.Since(c.since) > p.opt.ConnIdle*3/4 || c.in.Buffered() > 0 {
+		return false
+	}
+	quiet := true
+	if c.raw != nil {
+		err := c.raw.Read(func(fd uintptr) bool {
+			var b [1]byte
+			_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+			quiet = errors.Is(err, syscall.EAGAIN)
+			return true
+		})
+		quiet = quiet && err == nil
+	}
+	return quiet
+}
+
+// put keeps a connection for the next flow to its member.
+func (p *Pool) put(id policy.ServerID, c *conn) {
+	c.since = time.Now()
+	c.SetDeadline(time.Time{})
+	p.mu.Lock()
+	m := p.members[id]
+	keep := m != nil && m.state == policy.Ready && m.addr == c.to
+	if keep {
+		m.idle = append(m.idle, c)
+	}
+	p.mu.Unlock()
+	if !keep {
+		p.drop(c)
+	}
+}
+
+func (p *Pool) drop(c *conn) {
+	c.Close()
+	p.closed()
+}
+
+func (p *Pool) closed() {
+	p.mu.Lock()
+	p.open--
+	p.mu.Unlock()
+}
+
+// sweep closes idle connections that have grown old or that their peer has closed.
+func (p *Pool) sweep() {
+	tick := time.NewTicker(time.Second)
+	defer tick.Stop()
+	for {
+		select {
+		case <-p.stop:
+			return
+		case <-tick.C:
+			p.retire(func(_ *member, c *conn) bool { return !p.fresh(c) })
+		}
+	}
+}
+
+// retire closes the idle connections that are past use, and forgets members that are gone.
+func (p *Pool) retire(past func(*member, *conn) bool) {
+	var old []*conn
+	p.mu.Lock()
+	for id, m := range p.members {
+		keep := m.idle[:0]
+		for _, c := range m.idle {
+			if past(m, c) {
+				old = append(old, c)
+			} else {
+				keep = append(keep, c)
+			}
+		}
+		clear(m.idle[len(keep):])
+		if m.idle = keep; m.state == policy.Gone && len(keep) == 0 {
+			delete(p.members, id)
+		}
+	}
+	p.mu.Unlock()
+	for _, c := range old {
+		p.drop(c)
+	}
+}
+
+var buffers = sync.Pool{New: func() any { return new(bytes.Buffer) }}
+
+// exchange writes the flow's request whole and reads its answer, and tells whether the connection may be used
+// again. What counts for the end is whether the last byte was written: before that nothing ran, after it, it may
+// have.
+func (c *conn) exchange(f *core.Flow) (end core.End, a core.Answer, reuse bool) {
+	msg := f.Message.(*Message)
+	left := time.Until(f.Until)
+	if left <= 0 {
+		return core.EndOver, a, true
+	}
+	c.SetDeadline(f.Until)
+	b := buffers.Get().(*bytes.Buffer)
+	b.Reset()
+	msg.write(b, left)
+	n, err := c.Write(b.Bytes())
+	whole := n == b.Len()
+	buffers.Put(b)
+	if err != nil && !whole {
+		return core.EndCutShort, a, false
+	}
+	var resp *http.Response
+	for interim := 0; ; interim++ {
+		resp, err = http.ReadResponse(c.in, &http.Request{Method: msg.Method})
+		if err != nil {
+			return broken(err), a, false
+		}
+		if resp.StatusCode >= 200 {
+			break
+		}
+		if interim == 5 || resp.StatusCode == http.StatusSwitchingProtocols {
+			return core.EndReset, a, false
+		}
+	}
+	body, err := readBody(resp)
+	switch {
+	case err != nil:
+		return broken(err), a, false
+	case len(body) > MaxBody:
+		return core.EndErrored, a, false
+	}
+	reuse = !resp.Close && c.in.Buffered() == 0
+	switch code := resp.StatusCode; {
+	case code == http.StatusOK:
+		return core.EndServed, core.Answer{Body: body, Type: resp.Header.Get("Content-Type")}, reuse
+	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) && resp.Header.Get(NotRun) == "1":
+		return core.EndTurnedAway, a, reuse
+	}
+	return core.EndErrored, a, reuse
+}
+
+func broken(err error) core.End {
+	var late net.Error
+	if errors.As(err, &late) && late.Timeout() {
+		return core.EndTimedOut
+	}
+	return core.EndReset
+}
+
+func readBody(resp *http.Response) ([]byte, error) {
+	if n := resp.ContentLength; n >= 0 && n <= MaxBody {
+		body := make([]byte, n)
+		_, err := io.ReadFull(resp.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+}
+
+func (m *Message) write(b *bytes.Buffer, left time.Duration) {
+	b.WriteString(m.Method)
+	b.WriteByte(' ')
+	b.WriteString(m.Target)
+	b.WriteString(" HTTP/1.1\r\nHost: ")
+	b.WriteString(m.Host)
+	b.WriteString("\r\n" + deadlineName + ": ")
+	b.Write(strconv.AppendInt(b.AvailableBuffer(), max(1, left.Milliseconds()), 10))
+	b.WriteString("\r\n")
+	b.Write(m.Header)
+	if len(m.Body) > 0 || m.Method == http.MethodPost {
+		b.WriteString("Content-Length: ")
+		b.Write(strconv.AppendInt(b.AvailableBuffer(), int64(len(m.Body)), 10))
+		b.WriteString("\r\n")
+	}
+	b.WriteString("\r\n")
+	b.Write(m.Body)
+}
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -1,4 +1,4 @@
-// Package wire reads and writes the simulator's wire and maps its settings to the module's words. It decides
+// Package wire reads and writes the simulator's wire in the module's words. It decides
 // nothing.
 package wire
 
@@ -10,7 +10,7 @@
 	"math"
 	"time"
 
-	"brookdeck.example/brookdeck/policy"
+	"sprucelane.example/sprucelane/policy"
 )
 
 // Event codes.
