Add the token introspection front, checked by stories over loopback

A checker runs the questions as transactions of a core of its own: endpoints are its pool members, so the same module admits them, holds quotas, picks an endpoint and tries again. A token is asked about before the module hears of a work-order and again by the flow of any retry; nothing is kept in between.

Seen in the tests: an endpoint that stalls 10 s, 40 orders at once: 40 refusals with Retry-After, none sent on; a token revoked between try and retry: 401, the order reached its server once, turned away unrun. Also: refusals carried Retry-After 0, as internal/config/settings.go gave the module a longest wait only where the site says that clients heed it.

--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -4,12 +4,17 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"fmt"
 	"log"
+	"net/http"
+	"net/netip"
 	"os"
 	"os/signal"
 	"runtime"
 	"runtime/debug"
+	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -17,6 +22,7 @@
 	"sprucelane.example/sprucelane/internal/core"
 	"sprucelane.example/sprucelane/internal/discovery"
 	"sprucelane.example/sprucelane/internal/front"
+	"sprucelane.example/sprucelane/internal/front/introspect"
 	"sprucelane.example/sprucelane/internal/front/platform"
 	"sprucelane.example/sprucelane/internal/peer"
 	"sprucelane.example/sprucelane/internal/pool"
@@ -58,23 +64,29 @@
 		}
 		tell = link.Tell
 	}
-	decisions, err := core.New(cfg.Deployment.Settings, cfg.Seed, core.NewClock(), members, tell)
+	clock := core.NewClock()
+	decisions, err := core.New(cfg.Deployment.Settings, cfg.Seed, clock, members, tell)
 	if err != nil {
 		return err
 	}
 	roster := discovery.NewRoster(members, decisions.Servers, cfg.Deployment.Zones, cfg.Deployment.Kinds)
 	roster.Apply(policy.ListCached, cfg.Known.Instances)
 
-	var server *front.Server
-	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment,
-		Ready: func() bool { return !server.Draining() && members.Ready() > 0 }}
-	server, err = front.Listen(front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets,
-		LongestDeadline: cfg.Deployment.LongestDeadline()}, door)
-	if err != nil {
+	g := &gateway{failed: make(chan error, 2)}
+	ready := func() bool { return !g.draining.Load() && members.Ready() > 0 }
+	opt := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
+	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready}
+	if err := g.open(opt, door); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	failed := make(chan error, 1)
-	go func() { failed <- server.Serve() }()
+	g.counters = append(g.counters, func() string {
+		return fmt.Sprintf("part=gateway malformed=%d %s", door.Malformed(), decisions.Counters())
+	})
+	if cfg.Site.Introspection != nil {
+		if err := g.introspection(cfg, opt, clock, decisions, ready); err != nil {
+			return fmt.Errorf("introspection: %w", err)
+		}
+	}
 	if link != nil {
 		go link.Serve(decisions.PeerMessage)
 	}
@@ -85,25 +97,93 @@
 	}
 	log.Printf("event=started name=%s listen=%s members=%d gateways=%d", cfg.Name, cfg.Listen, members.Ready(),
 		cfg.Deployment.Gateways)
-	report := func(event string) {
-		log.Printf("event=%s name=%s malformed=%d %s", event, cfg.Name, door.Malformed(), decisions.Counters())
-	}
 	for {
 		select {
-		case err := <-failed:
-			report("counters")
+		case err := <-g.failed:
+			g.report("counters")
 			return fmt.Errorf("virtual server: %w", err)
 		case s := <-signals:
 			if s == syscall.SIGUSR1 {
-				report("counters")
+				g.report("counters")
 				continue
 			}
 			// All that was taken has its answer by its own deadline.
 			limit, cancel := context.WithTimeout(ctx, cfg.Deployment.LongestDeadline()+time.Second)
-			server.Drain(limit)
+			g.drain(limit)
 			cancel()
-			report("stopped")
+			g.report("stopped")
 			return nil
 		}
 	}
 }
+
+// gateway is what runs: its virtual servers and what they count.
+type gateway struct {
+	servers  []*front.Server
+	counters []func() string
+	draining atomic.Bool
+	failed   chan error
+}
+
+func (g *gateway) open(opt front.Options, handler http.Handler) error {
+	server, err := front.Listen(opt, handler)
+	if err != nil {
+		return err
+	}
+	g.servers = append(g.servers, server)
+	go func() {
+		if err := server.Serve(); err != nil {
+			g.failed <- err
+		}
+	}()
+	return nil
+}
+
+// introspection opens the second front, with a core of its own for the checks.
+func (g *gateway) introspection(cfg *config.Config, opt front.Options, clock core.Clock, decisions *core.Core,
+	ready func() bool) error {
+	conf := *cfg.Site.Introspection
+	var link *peer.Link
+	var tell func(int, []byte)
+	var err error
+	if conf.Link.IsValid() {
+		if link, err = peer.Listen(conf.Link, conf.Linked, netip.AddrPort{}); err != nil {
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		tell = link.Tell
+	}
+	checker, err := introspect.NewChecker(conf, cfg.Deployment, cfg.CheckSockets, ^cfg.Seed, clock, tell)
+	if err != nil {
+		return err
+	}
+	if link != nil {
+		go link.Serve(checker.PeerMessage)
+	}
+	if opt.Listen = conf.Listen; conf.CertFile != "" {
+		cert, err := tls.LoadX509KeyPair(conf.CertFile, conf.KeyFile)
+		if err != nil {
+			return fmt.Errorf("cert_file, key_file: %w", err)
+		}
+		opt.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	}
+	door := &introspect.Front{Core: decisions, Checker: checker, Deployment: cfg.Deployment, Ready: ready}
+	g.counters = append(g.counters, func() string {
+		return fmt.Sprintf("part=introspection malformed=%d %s", door.Malformed(), checker.Counters())
+	})
+	return g.open(opt, door)
+}
+
+func (g *gateway) drain(ctx context.Context) {
+	g.draining.Store(true)
+	var all sync.WaitGroup
+	for _, s := range g.servers {
+		all.Go(func() { s.Drain(ctx) })
+	}
+	all.Wait()
+}
+
+func (g *gateway) report(event string) {
+	for _, c := range g.counters {
+		log.Printf("event=%s %s", event, c())
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -29,8 +29,9 @@
 	Seed                    uint64
 	Cores                   int
 	MemoryBytes             int64
-	ClientSockets           int // of the descriptor limit, for clients
-	MemberSockets           int // and for pool members
+	ClientSockets           int // of the descriptor limit, for the clients of each virtual server
+	MemberSockets           int // for pool members
+	CheckSockets            int // and for introspection endpoints
 	PeerListen, PeersAll    netip.AddrPort
 	Peers                   []netip.AddrPort
 	Known                   discovery.List
@@ -52,8 +53,9 @@
 	Endpoints    []string          `json:"endpoints"` // URLs, all with one scheme and path
 	ClientID     string            `json:"client_id"` // the gateway's own, at the endpoints
 	ClientSecret string            `json:"client_secret"`
-	TimeoutMs    int               `json:"timeout_ms"` // of one check; a transaction's own deadline cuts it
-	Scopes       map[string]string `json:"scopes"`     // class: the scope its tokens need
+	TimeoutMs    int               `json:"timeout_ms"`    // of one check; a transaction's own deadline cuts it
+	Scopes       map[string]string `json:"scopes"`        // class: the scope its tokens need
+	AccountClaim string            `json:"account_claim"` // of a verdict: must name the customer, in hex; none: not compared
 	Realm        string            `json:"realm"`
 	Tools        []Tool            `json:"tools"`
 	PeerListen   string            `json:"peer_listen"` // the checks' own quota messages; none: each gateway holds its part
@@ -139,7 +141,6 @@
 	if sockets < 64 {
 		return nil, fmt.Errorf("limits.sockets: %d is less than the 64 that the program needs", sockets)
 	}
-	c.ClientSockets, c.MemberSockets = sockets*5/10, sockets*35/100 // the rest: discovery, peers, checks, the runtime's own
 	if f.PeerListen != "" {
 		if c.PeerListen, err = netip.ParseAddrPort(f.PeerListen); err != nil {
 			return nil, fmt.Errorf("peer_listen: %w", err)
@@ -166,6 +167,11 @@
 			return nil, fmt.Errorf("%s: %w", SiteFile, err)
 		}
 	}
+	// What is left over is for discovery, peers and the runtime's own.
+	c.ClientSockets, c.MemberSockets = sockets*50/100, sockets*35/100
+	if c.Site.Introspection != nil { // two virtual servers, and the checks have connections of their own
+		c.ClientSockets, c.MemberSockets, c.CheckSockets = sockets*30/100, sockets*20/100, sockets*12/100
+	}
 	return c, c.Site.check(c.Deployment)
 }
 
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -18,7 +18,6 @@
 		MayDuplicate  bool          `json:"may_duplicate"`
 		Peers         bool          `json:"peers"`
 		Probes        bool          `json:"probes"`
-		RetryAfter    bool          `json:"retry_after"`
 	} `json:"allowed"`
 	Costs struct {
 		CrossZone float64 `json:"cross_zone"`
@@ -103,9 +102,9 @@
 		LargestUnits: b.Extra.Largest, DrainGrace: b.Rules.StopSendingWithin,
 		WarmWithin: b.Rules.WarmWithin, Fall: b.Rules.Fall, MustAsk: b.Rules.MustAskIn,
 		ColdFrom: b.Rules.ColdFrom, FallMultiple: b.Rules.FallMultiple}
-	if b.Allowed.RetryAfter {
-		s.MaxDelay = b.Allowed.MaxRetryAfter
-	}
+	// A site that doesn't count on its clients heeding a wait still names how long one may be, and a refusal tells
+	// when to come back whether it is heeded or not.
+	s.MaxDelay = b.Allowed.MaxRetryAfter
 	for _, n := range b.Report.Names {
 		s.Reports = append(s.Reports, reports[n])
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -98,8 +98,11 @@
 // front's to set.
 type Request struct {
 	policy.Request
-	Message any                      // for the Carrier
-	Check   func(until Time) Verdict // asked before the first flow and again before any other; nil: no check
+	Message any // for the Carrier
+
+	// Check is asked before the first flow and again before any other, and tells how long to wait where it gives no
+	// verdict. Nil: no check.
+	Check func(until Time) (Verdict, time.Duration)
 }
 
 // Time is the module's clock reading.
@@ -214,14 +217,18 @@
 	t := &transaction{Request: in, orders: make(chan any, c.orders)}
 	c.take(t)
 	if in.Check != nil { // without a right to go on it is over, and the module need not hear of it
-		if verdict := in.Check(in.Deadline); verdict != Active {
+		verdict, wait := in.Check(in.Deadline)
+		if verdict != Active || ctx.Err() != nil {
 			c.mu.Lock()
 			c.close(t)
 			c.mu.Unlock()
-			if verdict == Inactive {
+			switch {
+			case ctx.Err() != nil:
+				return c.count(Answer{Kind: Gone})
+			case verdict == Inactive:
 				return c.count(Answer{Kind: Denied})
 			}
-			return c.count(Answer{Kind: Refused, RetryAfter: checkAgain}) // nothing was sent: asking again is harmless
+			return c.count(Answer{Kind: Refused, RetryAfter: wait}) // nothing was sent: asking again is harmless
 		}
 	}
 	c.event(func(now Time) { c.module.Request(now, t.Request.Request) })
@@ -249,9 +256,6 @@
 	}
 }
 
-// checkAgain is when to come back after a check that gave no verdict.
-const checkAgain = time.Second
-
 // take numbers the transaction. The number is a counter: the module shifts it into timer tags, which a
 // client's own id would overflow.
 func (c *Core) take(t *transaction) {
@@ -286,7 +290,7 @@
 	end, answer := EndUnchecked, Answer{}
 	verdict := Active
 	if f.recheck {
-		verdict = f.tx.Check(f.tx.Deadline)
+		verdict, _ = f.tx.Check(f.tx.Deadline)
 	}
 	switch verdict {
 	case Active:
--- /dev/null
+++ b/internal/front/introspect/introspect_test.go
@@ -0,0 +1,229 @@
+package introspect_test
+
+import (
+	"bytes"
+	"fmt"
+	"log"
+	"net/http"
+	"net/http/httptest"
+	"net/url"
+	"os"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/config"
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/front/introspect"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/standin"
+	"sprucelane.example/sprucelane/policy"
+)
+
+const stalled = 10 * time.Second
+
+var (
+	active  = standin.OK(`{"active":true,"scope":"read orders.write","sub":"farm-9","account":"00000000b4d65521"}`)
+	revoked = standin.OK(`{"active":false}`)
+)
+
+type site struct {
+	base         string
+	main, checks func() string
+}
+
+// open puts the front before one pool member and one endpoint.
+func open(t *testing.T, member, endpoint *standin.Peer, change func(*config.Introspection)) site {
+	d := standin.Deployment()
+	conf := config.Introspection{Endpoints: []string{endpoint.Addr}, Path: "/oauth/introspect", ClientID: "gate",
+		ClientSecret: "s:e", Timeout: 5 * time.Second, Realm: "farm", Scopes: map[string]string{"work-order": "orders.write"},
+		Tools: []config.Tool{{ID: "console", Secret: "tool secret", Account: 4, Plan: "utility"}}}
+	if change != nil {
+		change(&conf)
+	}
+	p := pool.New(pool.Options{Sockets: 200, ConnIdle: d.ConnIdle, ConnectWait: d.ConnectWait})
+	t.Cleanup(p.Close)
+	clock := core.NewClock()
+	c, err := core.New(d.Settings, 1, clock, p, nil)
+	require.NoError(t, err)
+	p.Set(1, member.Addr, policy.Ready)
+	c.Servers(policy.ListFull, []policy.ServerInfo{{ID: 1, Weight: 1}})
+	checker, err := introspect.NewChecker(conf, d, 200, 1, clock, nil)
+	require.NoError(t, err)
+	t.Cleanup(checker.Close)
+	s := httptest.NewServer(&introspect.Front{Core: c, Checker: checker, Deployment: d, Ready: func() bool { return true }})
+	t.Cleanup(s.Close)
+	return site{s.URL, c.Counters, checker.Counters}
+}
+
+func order(t *testing.T, s site, waitMs int) (*http.Response, string) {
+	return standin.Ask(t, s.base, "work-order", "utility", waitMs, "Authorization", "Bearer tok-1.~/+=")
+}
+
+func TestActiveTokenGoesOn(t *testing.T) {
+	member, endpoint := standin.New(t, standin.OK("sent")), standin.New(t, active)
+	s := open(t, member, endpoint, nil)
+	resp, body := order(t, s, 20000)
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.Equal(t, "sent", body)
+	asked := endpoint.Seen()[0]
+	id, secret, _ := asked.BasicAuth()
+	form, _ := url.ParseQuery(asked.Text)
+	assert.Equal(t, "POST /oauth/introspect gate s%3Ae tok-1.~/+=",
+		strings.Join([]string{asked.Method, asked.RequestURI, id, secret, form.Get("token")}, " "))
+	assert.Empty(t, member.Seen()[0].Header.Get("Authorization"))
+}
+
+// The endpoint stalls: every request has one answer, which says when to come back, and no work-order has run.
+func TestStalledEndpoint(t *testing.T) {
+	member, endpoint := standin.New(t, standin.OK("sent")), standin.New(t, standin.Stall(stalled))
+	s := open(t, member, endpoint, func(c *config.Introspection) { c.Timeout = 400 * time.Millisecond })
+	const n = 40
+	var answered sync.WaitGroup
+	codes := make([]int, n)
+	for i := range n {
+		answered.Go(func() {
+			resp, _ := order(t, s, 2000)
+			codes[i] = resp.StatusCode
+			assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+		})
+	}
+	answered.Wait()
+	for _, code := range codes {
+		assert.Contains(t, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, code)
+	}
+	assert.Empty(t, member.Seen())
+	assert.Contains(t, s.main(), fmt.Sprintf("taken=%d open=0 sent=0 answered_served=0 answered_refused=%d ", n, n))
+}
+
+// The stall comes between a try and its retry: the first may be refused as it never ran, and it isn't tried again.
+func TestStallBeforeRetry(t *testing.T) {
+	member, endpoint := standin.New(t, standin.NotRun(), standin.OK("sent")), standin.New(t, active, standin.Stall(stalled))
+	s := open(t, member, endpoint, func(c *config.Introspection) { c.Timeout = 200 * time.Millisecond })
+	resp, _ := order(t, s, 700)
+	assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
+	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+	assert.Len(t, member.Seen(), 1)
+	assert.Contains(t, s.main(), "answered_refused=1 ")
+}
+
+// The token is revoked between a try and its retry: the retry is never sent.
+func TestRevokedBeforeRetry(t *testing.T) {
+	member, endpoint := standin.New(t, standin.NotRun(), standin.OK("sent")), standin.New(t, active, revoked)
+	s := open(t, member, endpoint, nil)
+	resp, _ := order(t, s, 20000)
+	assert.Equal(t, http.StatusUnauthorized, resp.StatusCode)
+	assert.Equal(t, `Bearer realm="farm", error="invalid_token"`, resp.Header.Get("WWW-Authenticate"))
+	assert.Len(t, member.Seen(), 1)
+	assert.Len(t, endpoint.Seen(), 2)
+}
+
+// A retry that is allowed asks again, and the order runs once.
+func TestRetryAsksAgain(t *testing.T) {
+	member, endpoint := standin.New(t, standin.NotRun(), standin.OK("sent")), standin.New(t, active)
+	s := open(t, member, endpoint, nil)
+	resp, _ := order(t, s, 20000)
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.Len(t, member.Seen(), 2)
+	assert.Len(t, endpoint.Seen(), 2)
+}
+
+// An order that may have run has one final answer, and it is no invitation to come back.
+func TestMayHaveRunIsNotRefused(t *testing.T) {
+	member, endpoint := standin.New(t, standin.Reset), standin.New(t, active)
+	s := open(t, member, endpoint, nil)
+	resp, _ := order(t, s, 20000)
+	assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	assert.Empty(t, resp.Header.Get("Retry-After"))
+	assert.Len(t, member.Seen(), 1)
+}
+
+// What is no verdict lets nothing pass, and whatever goes wrong, no token gets into the log.
+func TestFailsClosed(t *testing.T) {
+	var lines bytes.Buffer
+	log.SetOutput(&lines)
+	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	for name, reply := range map[string]standin.Reply{"no JSON": standin.OK("yes"), "no active": standin.OK(`{"scope":"a"}`),
+		"active is text": standin.OK(`{"active":"true"}`), "our own login is refused": standin.Says(401, "", `{"active":true}`),
+		"error": standin.Says(500, "", `{"active":true}`), "reset": standin.Reset} {
+		member := standin.New(t, standin.OK("sent"))
+		s := open(t, member, standin.New(t, reply), nil)
+		resp, _ := order(t, s, 20000)
+		assert.Contains(t, []int{429, 503}, resp.StatusCode, name)
+		assert.NotEmpty(t, resp.Header.Get("Retry-After"), name)
+		assert.Empty(t, member.Seen(), name)
+	}
+	log.SetOutput(os.Stderr) // from here on nothing else writes to lines
+	assert.Contains(t, lines.String(), "event=introspection_malformed")
+	assert.NotContains(t, lines.String(), "tok-1")
+}
+
+func TestBearerErrors(t *testing.T) {
+	member := standin.New(t, standin.OK("sent"))
+	for _, c := range []struct {
+		name, header, reply string
+		code                int
+		want                string
+	}{
+		{"none", "", "", 401, `Bearer realm="farm"`},
+		{"other scheme", "Basic abc", "", 401, `Bearer realm="farm"`},
+		{"empty", "Bearer ", "", 400, `Bearer realm="farm", error="invalid_request"`},
+		{"two words", "Bearer a b", "", 400, `Bearer realm="farm", error="invalid_request"`},
+		{"past", "Bearer a", `{"active":true,"exp":1}`, 401, `Bearer realm="farm", error="invalid_token"`},
+		{"not yet", "Bearer a", `{"active":true,"nbf":99999999999}`, 401, `Bearer realm="farm", error="invalid_token"`},
+		{"scope", "bearer a", `{"active":true,"scope":"read"}`, 403,
+			`Bearer realm="farm", error="insufficient_scope", scope="orders.write"`},
+		{"account", "Bearer a", `{"active":true,"scope":"orders.write","account":"07"}`, 403,
+			`Bearer realm="farm", error="insufficient_scope"`},
+	} {
+		s := open(t, member, standin.New(t, standin.OK(c.reply)), func(c *config.Introspection) { c.AccountClaim = "account" })
+		resp, _ := standin.Ask(t, s.base, "work-order", "utility", 20000, "Authorization", c.header)
+		assert.Equal(t, c.code, resp.StatusCode, c.name)
+		assert.Equal(t, c.want, resp.Header.Get("WWW-Authenticate"), c.name)
+	}
+	assert.Empty(t, member.Seen())
+}
+
+func TestTools(t *testing.T) {
+	form := url.Values{"token": {"tok"}}
+	for _, c := range []struct {
+		name, id, secret string
+		form             url.Values
+		reply            standin.Reply
+		code             int
+		want             string
+	}{
+		{"active", "console", "tool secret", form, standin.OK(`{"active":true,"sub":"farm-9"}`), 200, `{"active":true,"sub":"farm-9"}`},
+		{"unknown", "console", "tool secret", form, standin.OK(`{"active":false,"sub":"farm-9"}`), 200, `{"active":false}`},
+		{"no login", "", "", form, active, 401, `{"error":"invalid_client"}`},
+		{"wrong secret", "console", "x", form, active, 401, `{"error":"invalid_client"}`},
+		{"wrong tool", "other", "tool secret", form, active, 401, `{"error":"invalid_client"}`},
+		{"no token", "console", "tool secret", url.Values{}, active, 400, `{"error":"invalid_request"}`},
+		{"no verdict", "console", "tool secret", form, standin.Stall(stalled), 503, ""},
+	} {
+		endpoint := standin.New(t, c.reply)
+		s := open(t, standin.New(t, standin.OK("")), endpoint, func(c *config.Introspection) { c.Timeout = time.Second })
+		resp, body := standin.Form(t, s.base+"/introspect", c.id, c.secret, c.form)
+		assert.Equal(t, c.code, resp.StatusCode, c.name)
+		assert.Equal(t, c.want, body, c.name)
+		assert.Equal(t, c.code == 503, resp.Header.Get("Retry-After") != "", c.name)
+		if c.code/100 == 4 {
+			assert.Empty(t, endpoint.Seen(), c.name)
+		}
+	}
+}
+
+// A customer beyond its quota doesn't reach the endpoint more often than its quota allows either.
+func TestChecksKeepQuotas(t *testing.T) {
+	member, endpoint := standin.New(t, standin.OK("sent")), standin.New(t, active)
+	s := open(t, member, endpoint, nil)
+	for range 20 {
+		standin.Ask(t, s.base, "work-order", "tiny", 20000, "Authorization", "Bearer a")
+	}
+	assert.Less(t, len(endpoint.Seen()), 20)
+	assert.Contains(t, s.main(), "taken=20 open=0 ")
+}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -51,11 +51,7 @@
 func (f *Front) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	arrived := f.Core.Now()
 	if r.URL.Path == "/ready" {
-		if f.Ready() {
-			io.WriteString(w, "ready\n")
-		} else {
-			http.Error(w, "not ready", http.StatusServiceUnavailable)
-		}
+		Ready(w, f.Ready())
 		return
 	}
 	in, bad := Read(w, r, f.Deployment, arrived)
@@ -67,6 +63,15 @@
 	Write(w, f.Core.Serve(r.Context(), in))
 }
 
+// Ready answers the question whether the gateway can serve.
+func Ready(w http.ResponseWriter, ready bool) {
+	if !ready {
+		http.Error(w, "not ready", http.StatusServiceUnavailable)
+		return
+	}
+	io.WriteString(w, "ready\n")
+}
+
 // Bad says what is wrong with a request.
 type Bad struct {
 	Code int
--- /dev/null
+++ b/internal/front/platform/platform_test.go
@@ -0,0 +1,142 @@
+package platform_test
+
+import (
+	"context"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/front/platform"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/standin"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// gateway puts a whole gateway before some pool members and gives its address.
+func gateway(t *testing.T, members ...*standin.Peer) (string, *core.Core) {
+	d := standin.Deployment()
+	p := pool.New(pool.Options{Sockets: 50, ConnIdle: d.ConnIdle, ConnectWait: d.ConnectWait})
+	t.Cleanup(p.Close)
+	c, err := core.New(d.Settings, 1, core.NewClock(), p, nil)
+	require.NoError(t, err)
+	var list []policy.ServerInfo
+	for i, m := range members {
+		p.Set(policy.ServerID(i+1), m.Addr, policy.Ready)
+		list = append(list, policy.ServerInfo{ID: policy.ServerID(i + 1), Weight: 1})
+	}
+	c.Servers(policy.ListFull, list)
+	s := httptest.NewServer(&platform.Front{Core: c, Deployment: d, Ready: func() bool { return p.Ready() > 0 }})
+	t.Cleanup(s.Close)
+	return s.URL, c
+}
+
+func TestServedUnchanged(t *testing.T) {
+	m := standin.New(t, standin.OK("crew sent"))
+	base, _ := gateway(t, m)
+	resp, body := standin.Ask(t, base, "work-order", "utility", 20000)
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.Equal(t, "crew sent", body)
+	got := m.Seen()[0]
+	assert.Equal(t, "/work-order/site%2F9?unit=4", got.RequestURI)
+	assert.Equal(t, "crew=7", got.Text)
+	assert.Equal(t, "9b1f03aa5c7e2d41", got.Header.Get("X-Request-Id"))
+	assert.NotEmpty(t, got.Header.Get("X-Deadline-Ms"))
+}
+
+// What was written whole and then broke may have run: an unsafe class is neither tried again nor told to come back.
+func TestUnsafeResetIsNotRepeated(t *testing.T) {
+	a, b := standin.New(t, standin.Reset), standin.New(t, standin.Reset)
+	base, _ := gateway(t, a, b)
+	resp, _ := standin.Ask(t, base, "work-order", "utility", 20000)
+	assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
+	assert.Empty(t, resp.Header.Get("Retry-After"))
+	assert.Equal(t, 1, len(a.Seen())+len(b.Seen()))
+}
+
+// A 500 may have run as well, and so may a 503 that doesn't prove otherwise.
+func TestUnsafeErrorIsNotRepeated(t *testing.T) {
+	for _, code := range []int{500, 503} {
+		m := standin.New(t, standin.Says(code, "", ""))
+		base, _ := gateway(t, m)
+		resp, _ := standin.Ask(t, base, "work-order", "utility", 20000)
+		assert.Equal(t, http.StatusBadGateway, resp.StatusCode)
+		assert.Len(t, m.Seen(), 1)
+	}
+}
+
+func TestTurnedAwayIsTriedElsewhere(t *testing.T) {
+	m := standin.New(t, standin.NotRun(), standin.OK("done"))
+	base, _ := gateway(t, m)
+	resp, body := standin.Ask(t, base, "work-order", "utility", 20000)
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	assert.Equal(t, "done", body)
+	assert.Len(t, m.Seen(), 2)
+}
+
+// A member that takes a request and says nothing: the client hears so before it gives up, and only then.
+func TestSilentMember(t *testing.T) {
+	m := standin.New(t, standin.Stall(time.Hour))
+	base, _ := gateway(t, m)
+	resp, _ := standin.Ask(t, base, "work-order", "utility", 200)
+	assert.Equal(t, http.StatusGatewayTimeout, resp.StatusCode)
+	assert.Len(t, m.Seen(), 1)
+}
+
+// A refusal comes at once, long before the deadline, and says when to come back.
+func TestRefusalTellsWhenToComeBack(t *testing.T) {
+	m := standin.New(t, standin.OK("done"))
+	base, c := gateway(t, m)
+	for range 20 {
+		resp, _ := standin.Ask(t, base, "work-order", "tiny", 20000)
+		if resp.StatusCode != http.StatusOK {
+			assert.Equal(t, http.StatusTooManyRequests, resp.StatusCode)
+			assert.Equal(t, "1", resp.Header.Get("Retry-After"))
+		}
+	}
+	assert.Less(t, len(m.Seen()), 20)
+	assert.Contains(t, c.Counters(), "taken=20 open=0")
+}
+
+func TestClientLeaves(t *testing.T) {
+	m := standin.New(t, standin.Stall(time.Hour))
+	base, c := gateway(t, m)
+	ctx, leave := context.WithCancel(t.Context())
+	go func() {
+		for len(m.Seen()) == 0 {
+			time.Sleep(time.Millisecond)
+		}
+		leave()
+	}()
+	r, _ := http.NewRequestWithContext(ctx, http.MethodGet, base+"/health-read", nil)
+	r.Header = http.Header{"X-Request-Id": {"1"}, "X-Class": {"health-read"}, "X-Tariff": {"utility"},
+		"X-Subscriber": {"01"}, "X-Deadline-Ms": {"15000"}, "X-Weight": {"units=1,spread=1,first=0"}}
+	_, err := http.DefaultClient.Do(r)
+	require.ErrorIs(t, err, context.Canceled)
+	require.Eventually(t, func() bool { return strings.Contains(c.Counters(), "answered_gone=1") }, time.Minute,
+		time.Millisecond)
+}
+
+// What is malformed reaches neither the module nor a member.
+func TestMalformed(t *testing.T) {
+	m := standin.New(t, standin.OK("done"))
+	base, c := gateway(t, m)
+	for _, header := range [][2]string{{"X-Request-Id", ""}, {"X-Class", "health-read"}, {"X-Tariff", "gold"},
+		{"X-Subscriber", "0000000300000000"}, {"X-Deadline-Ms", "0"}, {"X-Deadline-Ms", "-4"}, {"X-Deadline-Ms", "1e3"},
+		{"X-Weight", "units=NaN,spread=1,first=0"}, {"X-Weight", "units=1,spread=9,first=0"}, {"X-Weight", ""}} {
+		resp, _ := standin.Ask(t, base, "work-order", "utility", 20000, header[0], header[1])
+		assert.Equal(t, http.StatusBadRequest, resp.StatusCode, header)
+	}
+	long, err := http.Post(base+"/work-order", "", strings.NewReader(strings.Repeat("x", pool.MaxBody+1)))
+	require.NoError(t, err)
+	long.Body.Close()
+	assert.GreaterOrEqual(t, long.StatusCode, 400)
+	assert.Less(t, long.StatusCode, 500)
+	assert.Contains(t, c.Counters(), "taken=0 ")
+	assert.Empty(t, m.Seen())
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -74,9 +74,6 @@
 	return err
 }
 
-// Draining tells whether the server is about to stop.
-func (s *Server) Draining() bool { return s.draining.Load() }
-
 // Drain goes on accepting for as long as the front sends, marks every answer as its connection's last, and gives
 // back once all that was taken is answered, or ctx is over. Idle connections are closed at once: a request that
 // crosses that comes again on a new connection, which is still taken.
--- /dev/null
+++ b/internal/pool/pool_test.go
@@ -0,0 +1,161 @@
+package pool
+
+import (
+	"context"
+	"net"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/standin"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// carrier lets a test do something before the flow goes on.
+type carrier func(f *core.Flow) (core.End, core.Answer)
+
+func (c carrier) Carry(f *core.Flow) (core.End, core.Answer) { return c(f) }
+
+func start(t *testing.T, sockets int, through func(*Pool, *core.Flow) (core.End, core.Answer),
+	members ...*standin.Peer) (*Pool, func() core.Answer) {
+	d := standin.Deployment()
+	p := New(Options{Sockets: sockets, ConnIdle: d.ConnIdle, ConnectWait: d.ConnectWait})
+	t.Cleanup(p.Close)
+	c, err := core.New(d.Settings, 1, core.NewClock(),
+		carrier(func(f *core.Flow) (core.End, core.Answer) { return through(p, f) }), nil)
+	require.NoError(t, err)
+	var list []policy.ServerInfo
+	for i, m := range members {
+		p.Set(policy.ServerID(i+1), m.Addr, policy.Ready)
+		list = append(list, policy.ServerInfo{ID: policy.ServerID(i + 1), Weight: 1})
+	}
+	c.Servers(policy.ListFull, list)
+	return p, func() core.Answer {
+		return c.Serve(context.Background(), core.Request{Message: &Message{Method: "POST", Target: "/work-order", Host: "x"},
+			Request: policy.Request{Class: 1, Units: 1, SetSize: 1, Deadline: c.Now() + 20*time.Second}})
+	}
+}
+
+func plain(p *Pool, f *core.Flow) (core.End, core.Answer) { return p.Carry(f) }
+
+func (p *Pool) idle(id policy.ServerID) []*conn {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return append([]*conn(nil), p.members[id].idle...)
+}
+
+func TestConnectionIsReused(t *testing.T) {
+	m := standin.New(t, standin.OK("a"))
+	_, ask := start(t, 9, plain, m)
+	for range 5 {
+		assert.Equal(t, core.Served, ask().Kind)
+	}
+	assert.Equal(t, 1, m.Opened())
+}
+
+// A peer that closes a connection while it is idle: what is written to it afterwards would count as run.
+func TestCloseWhileIdleIsNoticed(t *testing.T) {
+	m := standin.New(t, standin.Then(standin.OK("a")))
+	p, ask := start(t, 9, plain, m)
+	require.Equal(t, core.Served, ask().Kind)
+	require.Eventually(t, func() bool {
+		idle := p.idle(1)
+		return len(idle) == 0 || !p.fresh(idle[0]) // the close has come in
+	}, time.Minute, time.Millisecond)
+	assert.Equal(t, core.Served, ask().Kind)
+	assert.Len(t, m.Seen(), 2)
+}
+
+// Connections are retired before the peer's own limit, not at it.
+func TestOldIdleConnectionIsRetired(t *testing.T) {
+	m := standin.New(t, standin.OK("a"))
+	p, ask := start(t, 9, plain, m)
+	require.Equal(t, core.Served, ask().Kind)
+	c := p.idle(1)[0]
+	assert.True(t, p.fresh(c))
+	c.since = time.Now().Add(-p.opt.ConnIdle * 4 / 5)
+	require.Equal(t, core.Served, ask().Kind)
+	assert.Equal(t, 2, m.Opened())
+}
+
+// A drain that arrives while a flow dials: not a byte may follow, and the work goes to another member.
+func TestDrainWhileDialling(t *testing.T) {
+	a, b := standin.New(t, standin.OK("a")), standin.New(t, standin.OK("b"))
+	var drained policy.ServerID
+	_, ask := start(t, 9, func(p *Pool, f *core.Flow) (core.End, core.Answer) {
+		if drained == 0 {
+			drained = f.Server
+			c, _ := p.connect(f)
+			require.NotNil(t, c)
+			p.Set(f.Server, c.to, policy.Draining)
+			end, ok := p.begin(f, c)
+			require.False(t, ok)
+			p.drop(c)
+			return end, core.Answer{}
+		}
+		return p.Carry(f)
+	}, a, b)
+	var seen, opened int
+	assert.Equal(t, core.Served, ask().Kind)
+	for i, m := range []*standin.Peer{a, b} {
+		if policy.ServerID(i+1) == drained {
+			seen, opened = len(m.Seen()), m.Opened()
+		}
+	}
+	assert.Equal(t, 0, seen)
+	assert.LessOrEqual(t, opened, 1)
+}
+
+// A removal forgets the member; a flow on its way there must end, not crash.
+func TestRemovalWhileDialling(t *testing.T) {
+	a := standin.New(t, standin.OK("a"))
+	_, ask := start(t, 9, func(p *Pool, f *core.Flow) (core.End, core.Answer) {
+		c, _ := p.connect(f)
+		if c == nil {
+			return core.EndDrained, core.Answer{}
+		}
+		p.Set(f.Server, "", policy.Gone)
+		end, ok := p.begin(f, c)
+		require.False(t, ok)
+		p.drop(c)
+		return end, core.Answer{}
+	}, a)
+	assert.Equal(t, core.Refused, ask().Kind)
+	assert.Empty(t, a.Seen())
+}
+
+// The descriptor budget holds: an idle connection makes room for one that is needed.
+func TestDescriptorBudget(t *testing.T) {
+	a, b := standin.New(t, standin.OK("a")), standin.New(t, standin.OK("b"))
+	n := 0
+	p, ask := start(t, 1, func(p *Pool, f *core.Flow) (core.End, core.Answer) {
+		n++
+		f.Server = policy.ServerID(n%2 + 1)
+		return p.Carry(f)
+	}, a, b)
+	for range 4 {
+		require.Equal(t, core.Served, ask().Kind)
+	}
+	assert.Len(t, a.Seen(), 2)
+	assert.Len(t, b.Seen(), 2)
+	p.mu.Lock()
+	assert.Equal(t, 1, p.open)
+	p.mu.Unlock()
+}
+
+// A connection that is refused never carried anything: unsafe classes may go elsewhere.
+func TestRefusedConnection(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	dead := &standin.Peer{Addr: l.Addr().String()}
+	l.Close()
+	m := standin.New(t, standin.OK("b"))
+	_, ask := start(t, 9, plain, dead, m)
+	for range 6 {
+		assert.Equal(t, core.Served, ask().Kind)
+	}
+	assert.Len(t, m.Seen(), 6)
+}
