Stop the timers of a transaction that has its answer

Every transaction left its final timer (up to 4 s) and hedge timer (0.6 s) to run out for nothing: internal/core/core.go, host.Timer.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -167,9 +167,10 @@
 
 type transaction struct {
 	Request
-	closed bool     // has its final answer
-	flows  []*Flow  // those out, by number
-	sent   int      // flows started
+	closed bool    // has its final answer
+	flows  []*Flow // those out, by number
+	sent   int     // flows started
+	timers []*time.Timer
 	orders chan any // *Flow or Answer
 }
 
@@ -349,6 +350,10 @@
 
 func (c *Core) close(t *transaction) {
 	t.closed = true
+	for _, timer := range t.timers { // each that runs out wakes the process for nothing
+		timer.Stop()
+	}
+	t.timers = nil
 	if len(t.flows) == 0 {
 		delete(c.live, t.ID)
 	}
@@ -423,7 +428,10 @@
 }
 
 func (h host) Timer(tag uint64, after time.Duration) {
-	time.AfterFunc(after, func() { h.c.event(func(now Time) { h.c.module.Timer(now, tag) }) })
+	timer := time.AfterFunc(after, func() { h.c.event(func(now Time) { h.c.module.Timer(now, tag) }) })
+	if t := h.c.live[policy.TimerOf(tag)]; t != nil && !t.closed {
+		t.timers = append(t.timers, timer)
+	}
 }
 
 func (h host) Tell(peer int, message []byte) { h.c.tells = append(h.c.tells, tell{peer, message}) }
--- a/policy/api.go
+++ b/policy/api.go
@@ -163,3 +163,7 @@
 	Watch()                                     // ask for server lists from now on
 	Log(text string)                            // a line for the people on call
 }
+
+// TimerOf gives the request that a timer is for, 0 where it is for none. Once that has its final answer the timer
+// does nothing any more and need not come.
+func TimerOf(tag uint64) RequestID { return RequestID(tag >> tagBits) }
