--- /dev/null
+++ b/internal/config/config_test.go
@@ -0,0 +1,79 @@
+package config
+
+import (
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const platform = `{"name":"n3","listen":"127.0.0.4:8080","discovery":"127.2.0.1:8500","seed":"8c1f30d27a5be964",
+	"limits":{"cores":0.5,"memory_mb":192,"sockets":1024},"peer_listen":"127.0.0.4:7946","peers":["127.3.0.1:7946"],
+	"known":{"generation":41,"reset":true,"instances":[{"instanceId":"s-5","hostPort":"127.1.0.18:8080","lifecycle":"up"}]},
+	"settings":{"group_size":1,"zones":["a","b"],"tick":2000000,"allowed":{"conn_idle":9000000000,"max_retry_after":1000000000},
+	"services":[{"name":"work-order","objective":1200000000,"give_up":4000000000,"effect":"single_shot","worth":3}],
+	"tiers_of_service":[{"name":"utility","rate":10,"depth":10,"price":1}]}}`
+
+const site = `{"consul":{"addr":"127.0.0.1:8500","service":"monitor"},"introspection":{"listen":"127.0.0.1:9000",
+	"endpoints":["http://127.0.0.1:9443/introspect"],"client_id":"g","client_secret":"s","scopes":{"work-order":"w"},
+	"tools":[{"id":"t","secret":"s","plan":"utility"}]}}`
+
+func TestPlatformConfiguration(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	require.NoError(t, os.WriteFile(path, []byte(platform), 0o600))
+	env := map[string]string{"ROUTER_CONFIG": path, "ROUTER_LISTEN": "127.0.0.9:81"}
+	c, err := Load(func(k string) string { return env[k] }, filepath.Join(dir, "none"))
+	require.NoError(t, err)
+	assert.Equal(t, "127.0.0.9:81", c.Listen)
+	assert.Equal(t, uint64(0x8c1f30d27a5be964), c.Seed)
+	assert.Equal(t, 1, c.Cores)
+	assert.Equal(t, uint64(41), c.Known.Generation)
+	assert.Equal(t, 9*time.Second, c.Deployment.ConnIdle)
+	assert.Equal(t, 250*time.Millisecond, c.Deployment.ConnectWait)
+	assert.Equal(t, time.Second, c.Deployment.MaxDelay) // though the site doesn't say that clients heed it
+	assert.Equal(t, 4*time.Second, c.Deployment.LongestDeadline())
+	assert.LessOrEqual(t, c.ClientSockets+c.MemberSockets, 1024*9/10)
+	assert.Nil(t, c.Site.Introspection)
+}
+
+func TestSiteFile(t *testing.T) {
+	c, err := Parse([]byte(platform), []byte(site))
+	require.NoError(t, err)
+	in := c.Site.Introspection
+	assert.Equal(t, []string{"127.0.0.1:9443"}, in.Endpoints)
+	assert.Equal(t, "/introspect", in.Path)
+	assert.Equal(t, time.Second, in.Timeout)
+	assert.LessOrEqual(t, 2*c.ClientSockets+c.MemberSockets+c.CheckSockets, 1024*95/100)
+	example, err := os.ReadFile("../../deploy/sprucelane.example.json")
+	require.NoError(t, err)
+	_, err = Parse([]byte(platform), example)
+	assert.NoError(t, err)
+}
+
+func TestErrorsNameTheKey(t *testing.T) {
+	for _, c := range []struct{ from, to, key string }{
+		{`"8c1f30d27a5be964"`, `"seed"`, "seed"}, {`"memory_mb":192`, `"memory_mb":3`, "limits.memory_mb"},
+		{`"sockets":1024`, `"sockets":9`, "limits.sockets"}, {`"cores":0.5`, `"cores":-1`, "limits"},
+		{`"peer_listen":"127.0.0.4:7946"`, `"peer_listen":"x"`, "peer_listen"},
+		{`["127.3.0.1:7946"]`, `["127.3.0.1"]`, "peers[0]"}, {`["127.3.0.1:7946"]`, `["127.3.0.1:1","127.3.0.1:2"]`, "peers"},
+		{`"single_shot"`, `"odd"`, "services[0].effect"}, {`"name":"n3"`, `"name":3`, "name"},
+		{`"127.0.0.1:8500"`, `"x"`, "consul.addr"}, {`"monitor"`, `""`, "consul.service"},
+		{`"127.0.0.1:9000"`, `"x"`, "introspection.listen"}, {`"introspection":{`, `"introspection":{"key_file":"k",`, "cert_file"},
+		{`["http://127.0.0.1:9443/introspect"]`, `[]`, "introspection.endpoints"},
+		{`"http://127.0.0.1:9443/introspect"`, `"ftp://x:1/"`, "introspection.endpoints[0]"},
+		{`9443/introspect"`, `9443/a","https://127.0.0.1:9443/a"`, "introspection.endpoints[1]"},
+		{`"client_secret":"s"`, `"client_secret":""`, "client_secret"}, {`"scopes":{"work`, `"scopes":{"w`, "introspection.scopes"},
+		{`"plan":"utility"`, `"plan":"gold"`, "introspection.tools[0].plan"}, {`"id":"t"`, `"id":""`, "introspection.tools[0].id"},
+		{`"client_id":"g"`, `"client_id":"g","peer_listen":"127.0.0.1:7"`, "introspection.peers"},
+	} {
+		p, s := strings.Replace(platform, c.from, c.to, 1), strings.Replace(site, c.from, c.to, 1)
+		require.False(t, p == platform && s == site, c.from)
+		_, err := Parse([]byte(p), []byte(s))
+		assert.ErrorContains(t, err, c.key)
+	}
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -228,13 +228,17 @@
 			continue
 		}
 		next, err := strconv.ParseUint(head.Get("X-Consul-Index"), 10, 64)
-		if err != nil || next == 0 {
+		switch {
+		case err != nil || next == 0:
 			log.Printf("event=consul_failed service=%q err=%q", at.Service, "no X-Consul-Index")
 			index, pause = 0, rest(ctx, pause)
-		} else if pause = firstPause; next == index {
-			continue // the wait ran out
-		} else if index = next; next < index {
-			index = 0
+		case next == index: // the wait ran out
+			pause = firstPause
+			continue
+		case next < index: // the agent's state was lost: what it says next may be anything
+			index, pause = 0, firstPause
+		default:
+			index, pause = next, firstPause
 		}
 		list := make([]Instance, 0, len(health)+len(entries))
 		for _, h := range health {
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -115,7 +115,12 @@
 }
 
 func (l *listener) Accept() (net.Conn, error) {
+	c, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
 	l.mu.Lock()
+	defer l.mu.Unlock()
 	for len(l.conns) >= l.most && !l.shut {
 		if old := l.longestIdle(); old != nil {
 			delete(l.conns, old)
@@ -124,14 +129,8 @@
 			l.freed.Wait()
 		}
 	}
-	l.mu.Unlock()
-	c, err := l.Listener.Accept()
-	if err == nil {
-		l.mu.Lock()
-		l.conns[c] = &client{state: http.StateNew, since: time.Now()}
-		l.mu.Unlock()
-	}
-	return c, err
+	l.conns[c] = &client{state: http.StateNew, since: time.Now()}
+	return c, nil
 }
 
 func (l *listener) Close() error {
--- /dev/null
+++ b/internal/front/server_test.go
@@ -0,0 +1,107 @@
+package front
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func serve(t *testing.T, sockets int, h http.HandlerFunc) (*Server, chan error) {
+	s, err := Listen(Options{Listen: "127.0.0.1:0", Sockets: sockets, LongestDeadline: time.Minute}, h)
+	require.NoError(t, err)
+	done := make(chan error, 1)
+	go func() { done <- s.Serve() }()
+	t.Cleanup(func() { s.http.Close() })
+	return s, done
+}
+
+func dial(t *testing.T, s *Server) *caller {
+	c, err := net.Dial("tcp", s.Addr())
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return &caller{c, bufio.NewReader(c)}
+}
+
+// caller is a client's connection.
+type caller struct {
+	net.Conn
+	in *bufio.Reader
+}
+
+func (c *caller) ask(t *testing.T) {
+	_, err := io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\n\r\n")
+	require.NoError(t, err)
+}
+
+func (c *caller) answer(t *testing.T) *http.Response {
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	_, err = io.Copy(io.Discard, resp.Body)
+	require.NoError(t, err)
+	return resp
+}
+
+// On a planned restart what was taken is answered, marked as the connection's last, and so is what comes on the
+// new connections that the front still opens.
+func TestDrainAnswersAllTaken(t *testing.T) {
+	taken, free := make(chan bool, 2), make(chan bool)
+	s, done := serve(t, 9, func(http.ResponseWriter, *http.Request) { taken <- true; <-free })
+	old := dial(t, s)
+	old.ask(t)
+	<-taken
+	drained := make(chan bool)
+	go func() { s.Drain(context.Background()); close(drained) }()
+	require.Eventually(t, s.draining.Load, time.Minute, time.Millisecond)
+	late := dial(t, s)
+	late.ask(t)
+	<-taken
+	select {
+	case <-drained:
+		t.Fatal("drained with two requests open")
+	case <-done: // the listener is closed, the two requests are still open
+	}
+	close(free)
+	for _, c := range []*caller{old, late} {
+		resp := c.answer(t)
+		assert.Equal(t, http.StatusOK, resp.StatusCode)
+		assert.True(t, resp.Close)
+	}
+	<-drained
+	_, err := net.Dial("tcp", s.Addr())
+	assert.Error(t, err)
+}
+
+// At the bound on connections the one idle the longest makes room: what waits in the accept queue counts as taken.
+func TestIdleClientMakesRoom(t *testing.T) {
+	s, _ := serve(t, 2, func(http.ResponseWriter, *http.Request) {})
+	var first *caller
+	for i := range 3 {
+		c := dial(t, s)
+		c.ask(t)
+		assert.Equal(t, http.StatusOK, c.answer(t).StatusCode)
+		if i == 0 {
+			first = c
+		}
+		require.Eventually(t, func() bool { return s.listener.idle() == min(i+1, 2) }, time.Minute, time.Millisecond)
+	}
+	_, err := first.in.ReadByte()
+	assert.Equal(t, io.EOF, err)
+}
+
+func (l *listener) idle() (n int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for _, k := range l.conns {
+		if k.state == http.StateIdle {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/internal/peer/peer_test.go
@@ -0,0 +1,56 @@
+package peer
+
+import (
+	"bytes"
+	"fmt"
+	"net"
+	"net/netip"
+	"testing"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+func socket(t *testing.T) (*net.UDPConn, netip.AddrPort) {
+	c, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	return c, c.LocalAddr().(*net.UDPAddr).AddrPort()
+}
+
+// Datagrams leave from the listed address, at most 256 bytes long, and only those of listed peers count.
+func TestOnlyListedPeersCount(t *testing.T) {
+	one, oneAddr := socket(t)
+	stranger, _ := socket(t)
+	l, err := Listen(netip.MustParseAddrPort("127.0.0.1:0"), []netip.AddrPort{{}, oneAddr}, oneAddr)
+	require.NoError(t, err)
+	to := net.UDPAddrFromAddrPort(l.Addr())
+	heard, ended := make(chan string, 9), make(chan bool)
+	go func() {
+		l.Serve(func(from int, m []byte) { heard <- fmt.Sprintf("%d %s", from, m) })
+		close(ended)
+	}()
+	for _, d := range []struct {
+		from *net.UDPConn
+		text []byte
+	}{{stranger, []byte("spoof")}, {one, bytes.Repeat([]byte("x"), MaxMessage+1)}, {one, []byte("last")}} {
+		_, err := d.from.WriteTo(d.text, to)
+		require.NoError(t, err)
+	}
+	assert.Equal(t, "1 last", <-heard)
+	assert.Empty(t, heard)
+
+	l.Tell(1, bytes.Repeat([]byte("y"), MaxMessage+1))
+	l.Tell(7, []byte("nobody"))
+	l.Tell(1, []byte("one"))
+	l.Tell(-1, []byte("all"))
+	buf := make([]byte, 1000)
+	for _, want := range []string{"one", "all"} {
+		n, from, err := one.ReadFromUDPAddrPort(buf)
+		require.NoError(t, err)
+		assert.Equal(t, want, string(buf[:n]))
+		assert.Equal(t, l.Addr(), from)
+	}
+	l.Close()
+	<-ended
+}
