Checks end before the deadline, so that what never ran is refused and not failed; roots for https

Seen: in a test an endpoint stalled between a try and its retry; the order had never run, yet its client got 504 and no Retry-After. A retry that waits for its verdict is a flow out, and when the module's time ran out first it could only fail the order: internal/core/core.go, carry, asked with the transaction's whole deadline. A check now ends 25 ms sooner, the module hears that nothing was sent and refuses. A transaction without a verdict is answered by 503. New stories: 40 orders with the check's time-out beyond the client's deadline; 120 orders among stalls, revocations, lost connections and members that turn work away, runs counted at the server; an endpoint behind TLS. Configuration takes introspection.ca_file.

--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"crypto/x509"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -51,6 +52,7 @@
 	CertFile     string            `json:"cert_file"` // TLS towards clients; none: plain
 	KeyFile      string            `json:"key_file"`
 	Endpoints    []string          `json:"endpoints"` // URLs, all with one scheme and path
+	CAFile       string            `json:"ca_file"`   // PEM roots for https endpoints; none: the machine's
 	ClientID     string            `json:"client_id"` // the gateway's own, at the endpoints
 	ClientSecret string            `json:"client_secret"`
 	TimeoutMs    int               `json:"timeout_ms"`    // of one check; a transaction's own deadline cuts it
@@ -64,6 +66,7 @@
 	Timeout time.Duration    `json:"-"`
 	Path    string           `json:"-"`
 	TLS     bool             `json:"-"`
+	Roots   *x509.CertPool   `json:"-"`
 	Link    netip.AddrPort   `json:"-"`
 	Linked  []netip.AddrPort `json:"-"`
 }
@@ -241,6 +244,15 @@
 		}
 		in.TLS, in.Path, in.Endpoints[i] = tls, path, u.Host
 	}
+	if in.CAFile != "" {
+		pem, err := os.ReadFile(in.CAFile)
+		if err != nil {
+			return fmt.Errorf("introspection.ca_file: %w", err)
+		}
+		if in.Roots = x509.NewCertPool(); !in.Roots.AppendCertsFromPEM(pem) {
+			return errors.New("introspection.ca_file: holds no certificate")
+		}
+	}
 	if in.ClientID == "" || in.ClientSecret == "" {
 		return errors.New("introspection.client_id, client_secret: not set")
 	}
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -67,6 +67,7 @@
 		{`["http://127.0.0.1:9443/introspect"]`, `[]`, "introspection.endpoints"},
 		{`"http://127.0.0.1:9443/introspect"`, `"ftp://x:1/"`, "introspection.endpoints[0]"},
 		{`9443/introspect"`, `9443/a","https://127.0.0.1:9443/a"`, "introspection.endpoints[1]"},
+		{`"client_id":"g"`, `"client_id":"g","ca_file":"none"`, "introspection.ca_file"},
 		{`"client_secret":"s"`, `"client_secret":""`, "client_secret"}, {`"scopes":{"work`, `"scopes":{"w`, "introspection.scopes"},
 		{`"plan":"utility"`, `"plan":"gold"`, "introspection.tools[0].plan"}, {`"id":"t"`, `"id":""`, "introspection.tools[0].id"},
 		{`"client_id":"g"`, `"client_id":"g","peer_listen":"127.0.0.1:7"`, "introspection.peers"},
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -62,7 +62,7 @@
 // Answer is a transaction's final answer.
 type Answer struct {
 	Kind       AnswerKind
-	Tried      bool          // a flow had been started
+	Tried      bool          // a flow had been started, or a check
 	Waiting    bool          // of a failed one: a flow was still out, the time was over
 	RetryAfter time.Duration // of a refusal: when to come back
 	Body       []byte        // of a served one, as the pool member made it
@@ -212,13 +212,17 @@
 	return c, nil
 }
 
+// checkMargin is how long before the deadline a check has to end. A flow that still waits for its verdict when the
+// module's time is over looks as if it may have run, and its client could not be told that it may come back.
+const checkMargin = 25 * time.Millisecond
+
 // Serve is the life of a transaction, from when a front has read it to its one final answer. It ends early when
 // ctx does: the client has left and nobody is owed an answer.
 func (c *Core) Serve(ctx context.Context, in Request) Answer {
 	t := &transaction{Request: in, orders: make(chan any, c.orders)}
 	c.take(t)
 	if in.Check != nil { // without a right to go on it is over, and the module need not hear of it
-		verdict, wait := in.Check(in.Deadline)
+		verdict, wait := in.Check(in.Deadline - checkMargin)
 		if verdict != Active || ctx.Err() != nil {
 			c.mu.Lock()
 			c.close(t)
@@ -229,7 +233,7 @@
 			case verdict == Inactive:
 				return c.count(Answer{Kind: Denied})
 			}
-			return c.count(Answer{Kind: Refused, RetryAfter: wait}) // nothing was sent: asking again is harmless
+			return c.count(Answer{Kind: Refused, Tried: true, RetryAfter: wait}) // nothing ran: asking again is harmless
 		}
 	}
 	c.event(func(now Time) { c.module.Request(now, t.Request.Request) })
@@ -291,7 +295,7 @@
 	end, answer := EndUnchecked, Answer{}
 	verdict := Active
 	if f.recheck {
-		verdict, _ = f.tx.Check(f.tx.Deadline)
+		verdict, _ = f.tx.Check(f.tx.Deadline - checkMargin)
 	}
 	switch verdict {
 	case Active:
--- a/internal/front/introspect/introspect.go
+++ b/internal/front/introspect/introspect.go
@@ -56,7 +56,7 @@
 		Effect: policy.Safe, Worth: 1}}
 	opt := pool.Options{Sockets: sockets, ConnIdle: d.ConnIdle, ConnectWait: min(d.ConnectWait, conf.Timeout/2)}
 	if conf.TLS {
-		opt.TLS = &tls.Config{MinVersion: tls.VersionTLS12}
+		opt.TLS = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: conf.Roots}
 	}
 	k := &Checker{pool: pool.New(opt), conf: conf, host: conf.Endpoints[0], doors: d.Gateways}
 	login := url.QueryEscape(conf.ClientID) + ":" + url.QueryEscape(conf.ClientSecret)
--- a/internal/front/introspect/introspect_test.go
+++ b/internal/front/introspect/introspect_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"bytes"
+	"crypto/x509"
 	"fmt"
+	"io"
 	"log"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/url"
@@ -78,33 +81,133 @@
 	assert.Empty(t, member.Seen()[0].Header.Get("Authorization"))
 }
 
-// The endpoint stalls: every request has one answer, which says when to come back, and no work-order has run.
+// The endpoint stalls: every request has one answer, which says when to come back, and no work-order has run. The
+// check's own time-out ends the wait, or where that is longer the client's deadline.
 func TestStalledEndpoint(t *testing.T) {
-	member, endpoint := standin.New(t, standin.OK("sent")), standin.New(t, standin.Stall(stalled))
-	s := open(t, member, endpoint, func(c *config.Introspection) { c.Timeout = 400 * time.Millisecond })
-	const n = 40
+	for _, c := range []struct {
+		timeout time.Duration
+		waitMs  int
+	}{{400 * time.Millisecond, 20000}, {30 * time.Second, 1500}} {
+		member, endpoint := standin.New(t, standin.OK("sent")), standin.New(t, standin.Stall(stalled))
+		s := open(t, member, endpoint, func(in *config.Introspection) { in.Timeout = c.timeout })
+		const n = 40
+		began := time.Now()
+		var answered sync.WaitGroup
+		codes := make([]int, n)
+		for i := range n {
+			answered.Go(func() {
+				resp, _ := order(t, s, c.waitMs)
+				codes[i] = resp.StatusCode
+				assert.NotEmpty(t, resp.Header.Get("Retry-After"))
+			})
+		}
+		answered.Wait()
+		assert.Less(t, time.Since(began), stalled)
+		for _, code := range codes {
+			assert.Equal(t, http.StatusServiceUnavailable, code)
+		}
+		assert.NotEmpty(t, endpoint.Seen())
+		assert.Empty(t, member.Seen())
+		assert.Contains(t, s.main(), fmt.Sprintf("taken=%d open=0 sent=0 answered_served=0 answered_refused=%d ", n, n))
+	}
+}
+
+// Stalls, revocations, lost connections and members that turn work away, all at once: each order has one answer,
+// and the server has counted none that ran twice, nor one that the client was told had not run.
+func TestNoOrderRunsTwice(t *testing.T) {
+	var mu sync.Mutex
+	var asked, came int
+	runs := map[string]int{}
+	endpoint := standin.New(t, func(p *standin.Peer, c net.Conn, r standin.Seen) bool {
+		mu.Lock()
+		asked++
+		n := asked
+		mu.Unlock()
+		switch n % 10 {
+		case 3:
+			return revoked(p, c, r)
+		case 7:
+			return standin.Stall(stalled)(p, c, r)
+		}
+		return active(p, c, r)
+	})
+	member := standin.New(t, func(p *standin.Peer, c net.Conn, r standin.Seen) bool {
+		mu.Lock()
+		came++
+		n := came
+		if n%3 != 0 {
+			runs[r.Header.Get("X-Request-Id")]++
+		}
+		mu.Unlock()
+		switch {
+		case n%3 == 0:
+			return standin.NotRun()(p, c, r)
+		case n%7 == 0:
+			return standin.Reset(p, c, r)
+		}
+		return standin.OK("sent")(p, c, r)
+	})
+	s := open(t, member, endpoint, func(in *config.Introspection) { in.Timeout = 2 * time.Second })
+	const n = 120
 	var answered sync.WaitGroup
+	places := make(chan bool, 6)
 	codes := make([]int, n)
 	for i := range n {
 		answered.Go(func() {
-			resp, _ := order(t, s, 20000)
+			places <- true
+			defer func() { <-places }()
+			resp, _ := standin.Ask(t, s.base, "work-order", "utility", 15000, "Authorization", "Bearer t",
+				"X-Request-Id", fmt.Sprint("order-", i))
 			codes[i] = resp.StatusCode
-			assert.NotEmpty(t, resp.Header.Get("Retry-After"))
 		})
 	}
 	answered.Wait()
-	for _, code := range codes {
-		assert.Contains(t, []int{http.StatusServiceUnavailable, http.StatusTooManyRequests}, code)
+	mu.Lock()
+	defer mu.Unlock()
+	kinds := map[int]int{}
+	for i, code := range codes {
+		kinds[code]++
+		ran := runs[fmt.Sprint("order-", i)]
+		assert.LessOrEqual(t, ran, 1)
+		switch code {
+		case http.StatusOK, http.StatusBadGateway:
+			assert.Equal(t, 1, ran)
+		default: // 401, 429 and 503 say that it never ran
+			assert.Zero(t, ran, code)
+		}
+	}
+	assert.Positive(t, kinds[http.StatusOK])
+	assert.Positive(t, kinds[http.StatusUnauthorized])
+	assert.Positive(t, kinds[http.StatusBadGateway])
+	assert.Contains(t, s.main(), fmt.Sprintf("taken=%d open=0 ", n))
+}
+
+// An endpoint behind TLS is asked only where its certificate holds.
+func TestEndpointBehindTLS(t *testing.T) {
+	as := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		fmt.Fprint(w, `{"active":true,"scope":"orders.write"}`)
+	}))
+	defer as.Close()
+	as.Config.ErrorLog = log.New(io.Discard, "", 0)
+	roots := x509.NewCertPool()
+	roots.AddCert(as.Certificate())
+	for pool, code := range map[*x509.CertPool]int{roots: http.StatusOK, x509.NewCertPool(): http.StatusServiceUnavailable} {
+		member := standin.New(t, standin.OK("sent"))
+		s := open(t, member, &standin.Peer{Addr: strings.TrimPrefix(as.URL, "https://")}, func(in *config.Introspection) {
+			in.TLS, in.Roots = true, pool
+		})
+		for range 2 { // the second time on the same connection
+			resp, _ := order(t, s, 20000)
+			assert.Equal(t, code, resp.StatusCode)
+		}
 	}
-	assert.Empty(t, member.Seen())
-	assert.Contains(t, s.main(), fmt.Sprintf("taken=%d open=0 sent=0 answered_served=0 answered_refused=%d ", n, n))
 }
 
 // The stall comes between a try and its retry: the first may be refused as it never ran, and it isn't tried again.
 func TestStallBeforeRetry(t *testing.T) {
 	member, endpoint := standin.New(t, standin.NotRun(), standin.OK("sent")), standin.New(t, active, standin.Stall(stalled))
-	s := open(t, member, endpoint, func(c *config.Introspection) { c.Timeout = 2 * time.Second })
-	resp, _ := order(t, s, 5000)
+	s := open(t, member, endpoint, func(c *config.Introspection) { c.Timeout = 1500 * time.Millisecond })
+	resp, _ := order(t, s, 20000)
 	assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode)
 	assert.NotEmpty(t, resp.Header.Get("Retry-After"))
 	assert.Len(t, member.Seen(), 1)
@@ -153,7 +256,7 @@
 		member := standin.New(t, standin.OK("sent"))
 		s := open(t, member, standin.New(t, reply), nil)
 		resp, _ := order(t, s, 20000)
-		assert.Contains(t, []int{429, 503}, resp.StatusCode, name)
+		assert.Equal(t, http.StatusServiceUnavailable, resp.StatusCode, name)
 		assert.NotEmpty(t, resp.Header.Get("Retry-After"), name)
 		assert.Empty(t, member.Seen(), name)
 	}
