Close what a run has opened when it ends

Seen: a second run in one process failed, its peer address still taken; cmd/sprucelane/main.go, run, left the peer sockets, the pools and the signal channel open. Checked by running the whole-life test three times in a process.

--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -44,6 +44,7 @@
 func run(getenv func(string) string, siteFile string) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1)
+	defer signal.Stop(signals)
 	cfg, err := config.Load(getenv, siteFile)
 	if err != nil {
 		return err
@@ -56,12 +57,14 @@
 	defer stop()
 	members := pool.New(pool.Options{Sockets: cfg.MemberSockets, ConnIdle: cfg.Deployment.ConnIdle,
 		ConnectWait: cfg.Deployment.ConnectWait})
+	defer members.Close()
 	var link *peer.Link
 	var tell func(int, []byte)
 	if cfg.PeerListen.IsValid() {
 		if link, err = peer.Listen(cfg.PeerListen, cfg.Peers, cfg.PeersAll); err != nil {
 			return fmt.Errorf("peer_listen: %w", err)
 		}
+		defer link.Close()
 		tell = link.Tell
 	}
 	clock := core.NewClock()
@@ -73,6 +76,7 @@
 	roster.Apply(policy.ListCached, cfg.Known.Instances)
 
 	g := &gateway{failed: make(chan error, 2)}
+	defer g.close()
 	ready := func() bool { return !g.draining.Load() && members.Ready() > 0 }
 	opt := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
 	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready}
@@ -121,10 +125,17 @@
 type gateway struct {
 	servers  []*front.Server
 	counters []func() string
+	closers  []func()
 	draining atomic.Bool
 	failed   chan error
 }
 
+func (g *gateway) close() {
+	for _, c := range g.closers {
+		c()
+	}
+}
+
 func (g *gateway) open(opt front.Options, handler http.Handler) error {
 	server, err := front.Listen(opt, handler)
 	if err != nil {
@@ -156,7 +167,9 @@
 	if err != nil {
 		return err
 	}
+	g.closers = append(g.closers, checker.Close)
 	if link != nil {
+		g.closers = append(g.closers, func() { link.Close() })
 		go link.Serve(checker.PeerMessage)
 	}
 	if opt.Listen = conf.Listen; conf.CertFile != "" {
--- a/cmd/sprucelane/main_test.go
+++ b/cmd/sprucelane/main_test.go
@@ -41,12 +41,14 @@
 		"tiers_of_service":[{"name":"utility","rate":100,"depth":100,"price":1}]}}`), 0o600))
 	require.NoError(t, os.WriteFile(site, []byte(`{"introspection":{"listen":"`+host+`:8443",
 		"endpoints":["http://`+endpoint.Addr+`/introspect"],"client_id":"g","client_secret":"s","timeout_ms":5000}}`), 0o600))
+	defer http.DefaultClient.CloseIdleConnections()
 	ended := make(chan error, 1)
 	go func() {
 		ended <- run(func(k string) string { return map[string]string{"ROUTER_CONFIG": path}[k] }, site)
 	}()
 	for _, port := range []string{":8080", ":8443"} {
 		require.Eventually(t, func() bool {
+			assert.Empty(t, ended, "the program has ended")
 			resp, err := http.Get("http://" + host + port + "/ready")
 			if err != nil {
 				return false
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -68,7 +68,7 @@
 	c, ask := start(t, nil)
 	c.carrier = carrier(func(f *Flow) (End, Answer) {
 		_, ok := f.Begin(conn)
-		require.True(t, ok)
+		assert.True(t, ok)
 		c.event(func(Time) { host{c}.Cancel(f.tx.ID, f.no) })
 		<-conn
 		assert.True(t, f.Finish())
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -89,10 +89,10 @@
 		if drained == 0 {
 			drained = f.Server
 			c, _ := p.connect(f)
-			require.NotNil(t, c)
+			assert.NotNil(t, c)
 			p.Set(f.Server, c.to, policy.Draining)
 			end, ok := p.begin(f, c)
-			require.False(t, ok)
+			assert.False(t, ok)
 			p.drop(c)
 			return end, core.Answer{}
 		}
@@ -119,7 +119,7 @@
 		}
 		p.Set(f.Server, "", policy.Gone)
 		end, ok := p.begin(f, c)
-		require.False(t, ok)
+		assert.False(t, ok)
 		p.drop(c)
 		return end, core.Answer{}
 	}, a)
