--- a/cmd/sprucelane/main_test.go
+++ b/cmd/sprucelane/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"bytes"
 	"fmt"
 	"log"
 	"net/http"
@@ -9,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -19,10 +19,28 @@
 	"sprucelane.example/sprucelane/internal/standin"
 )
 
+// record holds log lines that are read while others are written.
+type record struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+func (r *record) Write(p []byte) (int, error) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.Write(p)
+}
+
+func (r *record) String() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.text.String()
+}
+
 // The whole program: it starts from its last known list, serves both fronts, and on SIGTERM answers what it took
-// and ends without an error, with its counters printed.
+// and ends without an error. Counters are printed on request and at the exit.
 func TestWholeLife(t *testing.T) {
-	var lines bytes.Buffer
+	var lines record
 	log.SetOutput(&lines)
 	t.Cleanup(func() { log.SetOutput(os.Stderr) })
 	member := standin.New(t, standin.OK("sent"))
@@ -60,9 +78,11 @@
 		assert.Equal(t, http.StatusOK, resp.StatusCode)
 		assert.Equal(t, "sent", body)
 	}
+	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGUSR1))
+	require.Eventually(t, func() bool { return strings.Contains(lines.String(), "event=counters part=introspection") },
+		time.Minute, time.Millisecond)
 	require.NoError(t, syscall.Kill(os.Getpid(), syscall.SIGTERM))
 	require.NoError(t, <-ended)
-	log.SetOutput(os.Stderr)
 	assert.Contains(t, lines.String(), "event=stopped part=gateway malformed=0 taken=2 open=0 sent=2 answered_served=2")
 	assert.Contains(t, lines.String(), "event=stopped part=introspection malformed=0 taken=1 open=0 sent=1 answered_served=1")
 	assert.NotContains(t, lines.String(), "tok-1")
