SIGHUP reads the configuration again and follows discovery to its new address

Checked: 129 is 128+1, the default action of SIGHUP: main.go named only SIGTERM, SIGINT and SIGUSR1 in signal.Notify. Ruled out: a panic (no trace in the node's log) and the memory limit (4 of 64 MB). Second fault in the same way, found by reading: config.Load lets ROUTER_DISCOVERY win over the file, and a process keeps the environment of its start, so a reload by Load would have gone on at the address that closes after 1.5 s.

Now SIGHUP loads the file again, also during a drain. A file that can't be used changes nothing. Discovery (or Consul) is followed anew with the whole list asked for, the limits on memory, CPU and descriptors follow, and what needs a restart is named in the log line. Clients and open transactions notice nothing.

--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -43,15 +43,14 @@
 
 func run(getenv func(string) string, siteFile string) error {
 	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
 	cfg, err := config.Load(getenv, siteFile)
 	if err != nil {
 		return err
 	}
-	runtime.GOMAXPROCS(cfg.Cores)
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
 	debug.SetGCPercent(gcPercent)
+	runtimeLimits(cfg)
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
@@ -94,36 +93,70 @@
 	if link != nil {
 		go link.Serve(decisions.PeerMessage)
 	}
-	if cfg.Site.Consul != nil {
-		go discovery.WatchConsul(ctx, *cfg.Site.Consul, roster)
-	} else {
-		go discovery.Watch(ctx, cfg.Discovery, cfg.Known, roster)
-	}
+	unfollow := follow(ctx, cfg, roster)
 	log.Printf("event=started name=%s listen=%s members=%d gateways=%d", cfg.Name, cfg.Listen, members.Ready(),
 		cfg.Deployment.Gateways)
+	drained := make(chan bool)
 	for {
 		select {
 		case err := <-g.failed:
 			g.report("counters")
 			return fmt.Errorf("virtual server: %w", err)
+		case <-drained:
+			g.report("stopped")
+			return nil
 		case s := <-signals:
-			if s == syscall.SIGUSR1 {
+			switch {
+			case s == syscall.SIGUSR1:
 				g.report("counters")
-				continue
+			case s == syscall.SIGHUP: // during a drain too: what is still open needs the pool's news
+				next, err := config.Reload(getenv, siteFile)
+				if err != nil {
+					log.Printf("event=reload_failed err=%q", err)
+					continue
+				}
+				runtimeLimits(next)
+				members.Limit(next.MemberSockets)
+				g.limit(next)
+				unfollow()
+				unfollow = follow(ctx, next, roster)
+				log.Printf("event=reloaded discovery=%s until_restart=%q", next.Discovery, cfg.Fixed(next))
+			case !g.draining.Swap(true):
+				// All that was taken has its answer by its own deadline.
+				limit, cancel := context.WithTimeout(ctx, cfg.Deployment.LongestDeadline()+time.Second)
+				defer cancel()
+				go func() { g.drain(limit); close(drained) }()
 			}
-			// All that was taken has its answer by its own deadline.
-			limit, cancel := context.WithTimeout(ctx, cfg.Deployment.LongestDeadline()+time.Second)
-			g.drain(limit)
-			cancel()
-			g.report("stopped")
-			return nil
 		}
 	}
 }
 
+// runtimeLimits keeps Go's own runtime inside the gateway's limits.
+func runtimeLimits(cfg *config.Config) {
+	runtime.GOMAXPROCS(cfg.Cores)
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
+}
+
+// follow watches the pool's source until the function it gives back is called, which returns once nothing more
+// comes: a roster takes one source at a time. A source that is followed anew is asked for its whole list, as what
+// the one before held back would else be missed.
+func follow(ctx context.Context, cfg *config.Config, roster *discovery.Roster) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var done sync.WaitGroup
+	done.Go(func() {
+		if cfg.Site.Consul != nil {
+			discovery.WatchConsul(ctx, *cfg.Site.Consul, roster)
+		} else {
+			discovery.Watch(ctx, cfg.Discovery, cfg.Known, roster)
+		}
+	})
+	return func() { cancel(); done.Wait() }
+}
+
 // gateway is what runs: its virtual servers and what they count.
 type gateway struct {
 	servers  []*front.Server
+	checker  *introspect.Checker // nil: off
 	counters []func() string
 	closers  []func()
 	draining atomic.Bool
@@ -167,6 +200,7 @@
 	if err != nil {
 		return err
 	}
+	g.checker = checker
 	g.closers = append(g.closers, checker.Close)
 	if link != nil {
 		g.closers = append(g.closers, func() { link.Close() })
@@ -186,8 +220,17 @@
 	return g.open(opt, door)
 }
 
+// limit takes a reloaded configuration's descriptor budget in.
+func (g *gateway) limit(cfg *config.Config) {
+	for _, s := range g.servers {
+		s.Limit(cfg.ClientSockets)
+	}
+	if g.checker != nil {
+		g.checker.Limit(cfg.CheckSockets)
+	}
+}
+
 func (g *gateway) drain(ctx context.Context) {
-	g.draining.Store(true)
 	var all sync.WaitGroup
 	for _, s := range g.servers {
 		all.Go(func() { s.Drain(ctx) })
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -4,6 +4,7 @@
 package config
 
 import (
+	"bytes"
 	"crypto/x509"
 	"encoding/json"
 	"errors"
@@ -14,6 +15,8 @@
 	"net/netip"
 	"net/url"
 	"os"
+	"reflect"
+	"slices"
 	"strconv"
 	"time"
 
@@ -44,6 +47,8 @@
 type Site struct {
 	Consul        *discovery.Consul `json:"consul"`
 	Introspection *Introspection    `json:"introspection"`
+
+	introspection []byte // as it was read
 }
 
 // Introspection tells where the token introspection front listens and whom it asks.
@@ -81,6 +86,17 @@
 
 // Load reads what the platform's variables name, then the site file.
 func Load(getenv func(string) string, siteFile string) (*Config, error) {
+	return load(getenv, siteFile, true)
+}
+
+// Reload reads both again. A process keeps the environment that it was started with, while the file has been
+// replaced since: where the two differ on what may move, the file is right, and the variable would lead to an
+// address that nobody answers at any more.
+func Reload(getenv func(string) string, siteFile string) (*Config, error) {
+	return load(getenv, siteFile, false)
+}
+
+func load(getenv func(string) string, siteFile string, atStart bool) (*Config, error) {
 	path := getenv("ROUTER_CONFIG")
 	if path == "" {
 		return nil, errors.New("ROUTER_CONFIG: not set")
@@ -99,13 +115,31 @@
 	}
 	for key, to := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
 		"ROUTER_DISCOVERY": &c.Discovery} {
-		if v := getenv(key); v != "" {
+		if v := getenv(key); v != "" && (atStart || *to == "" || to != &c.Discovery) {
 			*to = v
 		}
 	}
 	return c, c.check()
 }
 
+// Fixed names the keys in which a reloaded configuration differs and that hold until the next start.
+func (c *Config) Fixed(next *Config) (keys []string) {
+	for _, k := range []struct {
+		name string
+		same bool
+	}{
+		{"name", c.Name == next.Name}, {"listen", c.Listen == next.Listen},
+		{"peer_listen", c.PeerListen == next.PeerListen}, {"peers", slices.Equal(c.Peers, next.Peers)},
+		{"peers_all", c.PeersAll == next.PeersAll}, {"settings", reflect.DeepEqual(c.Deployment, next.Deployment)},
+		{"introspection", bytes.Equal(c.Site.introspection, next.Site.introspection)},
+	} {
+		if !k.same {
+			keys = append(keys, k.name)
+		}
+	}
+	return keys
+}
+
 // Parse reads the platform's configuration and the site's, which may be empty.
 func Parse(text, site []byte) (*Config, error) {
 	var f struct {
@@ -169,6 +203,9 @@
 		if err := json.Unmarshal(site, &c.Site); err != nil {
 			return nil, fmt.Errorf("%s: %w", SiteFile, err)
 		}
+		if c.Site.Introspection != nil {
+			c.Site.introspection, _ = json.Marshal(c.Site.Introspection)
+		}
 	}
 	// What is left over is for discovery, peers and the runtime's own.
 	c.ClientSockets, c.MemberSockets = sockets*50/100, sockets*35/100
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -41,6 +41,27 @@
 	assert.Nil(t, c.Site.Introspection)
 }
 
+// At a reload the file holds the newer address of discovery; what can't follow is named.
+func TestReload(t *testing.T) {
+	dir := t.TempDir()
+	path := filepath.Join(dir, "config.json")
+	env := map[string]string{"ROUTER_CONFIG": path, "ROUTER_LISTEN": "127.0.0.9:81", "ROUTER_DISCOVERY": "127.2.0.1:1"}
+	getenv := func(k string) string { return env[k] }
+	require.NoError(t, os.WriteFile(path, []byte(platform), 0o600))
+	c, err := Load(getenv, filepath.Join(dir, "none"))
+	require.NoError(t, err)
+	assert.Equal(t, "127.2.0.1:1", c.Discovery)
+	moved := strings.NewReplacer("127.2.0.1:8500", "127.2.0.9:8500", `"price":1`, `"price":2`, `"sockets":1024`, `"sockets":256`)
+	require.NoError(t, os.WriteFile(path, []byte(moved.Replace(platform)), 0o600))
+	next, err := Reload(getenv, filepath.Join(dir, "none"))
+	require.NoError(t, err)
+	assert.Equal(t, "127.2.0.9:8500", next.Discovery)
+	assert.Equal(t, "127.0.0.9:81", next.Listen)
+	assert.Less(t, next.MemberSockets, c.MemberSockets)
+	assert.Equal(t, []string{"settings"}, c.Fixed(next))
+	assert.Empty(t, c.Fixed(c))
+}
+
 func TestSiteFile(t *testing.T) {
 	c, err := Parse([]byte(platform), []byte(site))
 	require.NoError(t, err)
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -127,6 +127,7 @@
 // whole list is asked for anew.
 func Watch(ctx context.Context, addr string, held List, r *Roster) {
 	c := &client{base: "http://" + addr, http: newHTTP()}
+	defer c.http.CloseIdleConnections()
 	gap, pause := true, firstPause
 	after := held.Generation
 	for ctx.Err() == nil {
@@ -201,6 +202,7 @@
 // or missing the catalogue, which knows no health, stands in.
 func WatchConsul(ctx context.Context, at Consul, r *Roster) {
 	c := &client{base: "http://" + at.Addr, http: newHTTP(), token: at.Token}
+	defer c.http.CloseIdleConnections()
 	index, pause, catalogue := uint64(0), firstPause, false
 	for ctx.Err() == nil {
 		q := url.Values{"index": {strconv.FormatUint(index, 10)}, "wait": {consulWait.String()}}
--- a/internal/front/introspect/introspect.go
+++ b/internal/front/introspect/introspect.go
@@ -79,6 +79,9 @@
 // Close ends what the checker runs.
 func (k *Checker) Close() { k.pool.Close() }
 
+// Limit sets how many connections to endpoints may be open at once from now on.
+func (k *Checker) Limit(sockets int) { k.pool.Limit(sockets) }
+
 // PeerMessage takes the checks' own peer messages in.
 func (k *Checker) PeerMessage(from int, message []byte) { k.core.PeerMessage(from, message) }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -60,6 +60,14 @@
 // Addr is where the server listens.
 func (s *Server) Addr() string { return s.listener.Addr().String() }
 
+// Limit sets how many client connections may be open at once from now on.
+func (s *Server) Limit(sockets int) {
+	s.listener.mu.Lock()
+	s.listener.most = sockets
+	s.listener.freed.Broadcast()
+	s.listener.mu.Unlock()
+}
+
 // Serve takes connections until Drain.
 func (s *Server) Serve() error {
 	var err error
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -83,6 +83,13 @@
 	p.retire(func(*member, *conn) bool { return true })
 }
 
+// Limit sets how many connections may be open at once from now on.
+func (p *Pool) Limit(sockets int) {
+	p.mu.Lock()
+	p.opt.Sockets = sockets
+	p.mu.Unlock()
+}
+
 // Set takes a member's address and state in. Idle connections to where it no longer is, or to a member that
 // wants nothing new, are closed.
 func (p *Pool) Set(id policy.ServerID, addr string, state State) {
