Gateways that hear each other draw on one store for each customer, told 20 times a second

Ruled out: the sockets (0.0 to 0.1 ms from a request to its first attempt) and lost messages (1.2%). Wrong: customer() in policy.go capped the account at burst / n and filled it with a share of the demand that was known four times a second; the ceiling filled by rate / n from nothing at each start.

Where each round of messages reaches all others (4 gateways at most) a round goes out every 50 ms, with the intake and price limits as before, and holds for each customer of whom there is news a running count of the units let in and what the sender takes to be left. Counts survive lost messages. Peers' draws come off the own view; views meet slowly; a gateway that starts among older ones is told of all stores; when the whole fleet starts, ceilings are full. The design's rule stays: the burst first, then a refusal with chance 1 - rate / summed demand, which now hands out the last tenth of the burst. A gateway that misses a peer for a second falls back to its part, as before. What is only counted or remembered moved to known.go.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -401,3 +401,93 @@
 		t.Fatalf("%d of 20 let in", len(f.sent))
 	}
 }
+
+// Gateways that hear each other hold a customer to its quota and its ceiling as one would, though most of its
+// requests come through one of them: parts of the store that the others keep would be refused to it for nothing.
+func TestOneStoreForGatewaysThatHearEachOther(t *testing.T) {
+	s := settings()
+	s.Peers, s.PeerIntake, s.SecondCopies = true, 100, false
+	s.Plans = []Plan{{Name: "small", Rate: 4, Burst: 16, Price: 1, OverCost: 1},
+		{Name: "capped", Rate: 12, Burst: 30, Price: 1, OverCost: 1, CeilingRate: 24, CeilingBurst: 60, CeilingSlack: 8}}
+	f := newFleet(t, s, 3, 12)
+	type cust struct {
+		plan                   int
+		x, asked, in, ceiling  float64
+		quota, inside, allowed float64 // the true store, what was sent on inside it, and what one gateway would have
+		one                    float64
+	}
+	var list []*cust
+	for i := range 16 {
+		p := s.Plans[i%2]
+		list = append(list, &cust{plan: i % 2, x: []float64{0.9, 3}[i/2%2], quota: p.Burst, one: p.Burst, ceiling: p.CeilingBurst})
+	}
+	id := RequestID(0)
+	f.run(2*time.Second, func() {}) // long enough for all to have heard each other
+	f.run(30*time.Second, func() {
+		for k, c := range list {
+			p := s.Plans[c.plan]
+			c.quota = min(p.Burst, c.quota+p.Rate*fleetTick.Seconds())
+			c.one = min(p.Burst, c.one+p.Rate*fleetTick.Seconds())
+			c.ceiling = min(p.CeilingBurst, c.ceiling+p.CeilingRate*fleetTick.Seconds())
+			units := float64(1 + f.rng.IntN(4))
+			if f.rng.Float64() > c.x*p.Rate*fleetTick.Seconds()/2.5 {
+				continue
+			}
+			id++
+			n := f.nodes[[]int{0, 0, 0, 0, 0, 0, 1, 2}[f.rng.IntN(8)]]
+			n.g.Request(f.now, Request{ID: id, Customer: CustomerID(k + 1), Plan: c.plan, Deadline: f.now + 2*time.Second,
+				Units: units, SetSize: 3})
+			if c.one >= units {
+				c.one -= units
+				c.allowed += units
+			}
+			if !n.sent[id] {
+				continue
+			}
+			if c.ceiling -= units; p.CeilingRate > 0 && c.ceiling < -p.CeilingSlack {
+				t.Fatalf("customer %d: ceiling passed by %.1f", k, -c.ceiling)
+			}
+			if c.in += units; c.quota >= units {
+				c.quota -= units
+				c.inside += units
+			}
+		}
+	})
+	for k, c := range list {
+		if c.inside < 0.95*c.allowed || c.in > 1.1*c.allowed {
+			t.Errorf("customer %d of plan %d asking %.1f of its rate: %.0f units let in, %.0f of them inside the quota, one gateway allows %.0f",
+				k, c.plan, c.x, c.in, c.inside, c.allowed)
+		}
+	}
+}
+
+// A gateway that starts again among others learns what they know of each store: neither a new burst for who has
+// spent it, nor a refusal for who has not.
+func TestRestartedGatewayLearnsWhatIsLeft(t *testing.T) {
+	s := settings()
+	s.Peers, s.PeerIntake, s.SecondCopies = true, 100, false
+	s.Plans = []Plan{{Name: "p", Rate: 2, Burst: 40, Price: 1, OverCost: 1, CeilingRate: 4, CeilingBurst: 80}}
+	f := newFleet(t, s, 2, 12)
+	id := RequestID(0)
+	ask := func(n *node, customer CustomerID) bool {
+		id++
+		n.g.Request(f.now, Request{ID: id, Customer: customer, Deadline: f.now + 2*time.Second, Units: 1, SetSize: 2})
+		return n.sent[id]
+	}
+	f.run(6*time.Second, func() { ask(f.nodes[0], 1); ask(f.nodes[1], 1) })
+	ask(f.nodes[0], 2)
+	f.nodes[1].boot(s, 12)
+	f.run(500*ms, func() {})
+	spent, spared := 0, 0
+	for range 10 {
+		if ask(f.nodes[1], 1) {
+			spent++
+		}
+		if ask(f.nodes[1], 2) {
+			spared++
+		}
+	}
+	if spent > 6 || spared < 9 {
+		t.Fatalf("of 10 each: %d for who has spent its burst, %d for who has not", spent, spared)
+	}
+}
--- /dev/null
+++ b/policy/known.go
@@ -0,0 +1,181 @@
+// What a gateway knows of its customers and its peers: the records, how they are made and forgotten, and the figures
+// drawn from them. Nothing here may admit or refuse, send or tell.
+package policy
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// New checks the settings and gives a gateway that knows nothing yet. The seed is its only randomness.
+func New(set Settings, seed uint64) (*Gateway, error) {
+	if err := set.check(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		requests: map[RequestID]*request{}, byID: map[ServerID]*server{}, byName: map[CustomerID]*customer{},
+		byShort: map[uint64]*customer{},
+		typical: make([]mean, len(set.Classes)), retries: retryStore, copies: 1,
+		late:    make([]mean, len(set.Classes)),
+		peerAge: make([]time.Duration, set.Gateways), peerHeard: make([]Time, set.Gateways),
+		lives: make([]int, set.Gateways), toldAt: make([]Time, set.Gateways)}
+	total := 0.0
+	for _, c := range set.Classes {
+		for _, p := range set.Plans {
+			total += c.Worth * p.Price
+			g.groups = append(g.groups, group{v: c.Worth * p.Price, part: 1})
+		}
+	}
+	for i := range g.groups {
+		g.groups[i].v = math.Max(g.groups[i].v/math.Max(total, 1e-9), 1e-9)
+	}
+	return g, nil
+}
+
+// newCustomer makes the record of a customer that this life of the gateway has not met. What a former life let in
+// isn't known: ceilings, and accounts too once a peer is heard that is older, are taken to have filled since birth.
+func (g *Gateway) newCustomer(name uint64) *customer {
+	c := &customer{name: name, at: g.now, lastSeen: g.now, told: tally{at: g.now}}
+	c.plan, c.first, c.set = ofName(name)
+	c.told.pool[1] = 1 - fading(g.now-g.born, g.memory(c.plan)) // nothing was asked here in this life
+	c.made = byte((g.now - g.born) / time.Second)
+	p, n := g.set.Plans[c.plan], float64(c.set)
+	if g.whole(c) {
+		n = 1
+	}
+	c.account, c.ceiling = p.Burst, (g.now-g.fullSince).Seconds()*p.CeilingRate/n
+	if g.elders {
+		c.account = (g.now - g.born).Seconds() * p.Rate / n
+	}
+	if n == 1 && g.fresh() {
+		c.ceiling = p.CeilingBurst
+	}
+	if g.byShort[name] == nil {
+		g.byShort[name] = c
+	}
+	g.customers = append(g.customers, c)
+	return c
+}
+
+func (g *Gateway) serves(gateway int, c *customer) bool {
+	return ((gateway-c.first)%g.set.Gateways+g.set.Gateways)%g.set.Gateways < c.set
+}
+
+func (g *Gateway) drop(c *customer) {
+	if c.met {
+		delete(g.byName, c.id)
+	}
+	if g.byShort[c.name] == c {
+		delete(g.byShort, c.name)
+	}
+}
+
+// whole tells whether a customer's other gateways all hear of each draw at once, and this one of theirs.
+func (g *Gateway) whole(c *customer) bool {
+	if g.tellsAll() == 0 {
+		return false
+	}
+	for k := 0; k < c.set; k++ {
+		p := (c.first + k) % g.set.Gateways
+		if p != g.set.Me && (g.peerHeard[p] == 0 || g.now-g.peerHeard[p] > heardFor) {
+			return false
+		}
+	}
+	return true
+}
+
+// fresh tells whether the whole fleet has just started: then no ceiling has been drawn from before this life.
+func (g *Gateway) fresh() bool {
+	for p, at := range g.peerHeard {
+		if p != g.set.Me && at == 0 {
+			return false
+		}
+	}
+	return g.tellsAll() != 0 && !g.elders && g.fullSince == g.born
+}
+
+// tellsAll gives the set of peers, as bits, where each round of messages reaches them all; else none.
+func (g *Gateway) tellsAll() uint64 {
+	if n := g.set.Gateways; g.set.Peers && n > 1 && n-1 <= tellPeers {
+		return (1<<n - 1) &^ (1 << g.set.Me)
+	}
+	return 0
+}
+
+// memory is how long demand counts: as long as the burst lasts at the quota's rate, a second at least.
+func (g *Gateway) memory(plan int) time.Duration {
+	p := g.set.Plans[plan]
+	if p.Rate <= 0 {
+		return judgedOver
+	}
+	return max(judgedOver, time.Duration(p.Burst/p.Rate*float64(time.Second)))
+}
+
+// demand gives what is asked here and what is asked in all. A gateway that hears nobody takes the others to
+// be asked as much as itself, which holds the customer to its rate split over them.
+func (g *Gateway) demand(c *customer) (mine, all float64) {
+	memory, n := g.memory(c.plan), float64(c.set)
+	c.demand.fade(g.now, memory)
+	mine = c.demand.sum / memory.Seconds()
+	if g.deaf() {
+		return mine, mine * n
+	}
+	c.told.fade(g.now, memory, 1)
+	all = (c.told.own[0] + n*c.told.pool[0]/math.Max(c.told.pool[1], leastWeight)) / memory.Seconds()
+	return mine, math.Max(mine, all)
+}
+
+func (g *Gateway) deaf() bool { return g.now-g.heard > staleTells*tellEvery }
+
+// news notes that some peers have something to hear of a customer.
+func (g *Gateway) news(c *customer, peers uint64) {
+	for p := range g.set.Gateways {
+		if !g.serves(p, c) {
+			peers &^= 1 << p
+		}
+	}
+	if c.untold == 0 && peers != 0 {
+		g.untold = append(g.untold, c)
+	}
+	c.untold |= peers
+}
+
+// hearUse takes in what a peer has drawn for a customer since it last told. Of a record that was not known here it
+// is what its store still lacks; to a gateway that has just started an older peer tells what is left. What a peer
+// drew while it was not heard came out of its own part.
+func (g *Gateway) hearUse(c *customer, from int, e entry, silent bool) {
+	if g.tellsAll() == 0 {
+		return
+	}
+	g.refill(c, 0)
+	burst, h := g.set.Plans[c.plan].Burst, &c.heard[from]
+	drew := usedBetween(h.used, e.used)
+	switch known := h.life == g.lives[from] && h.made == e.made; {
+	case !known && g.elders && g.now-g.born < heardFor:
+		c.account, c.ceiling, drew = e.store*burst-c.used, math.Max(c.ceiling, e.store*burst-c.used), 0
+	case silent:
+		drew = 0
+	case !known:
+		drew = math.Min(e.used, (1-e.store)*burst)
+	}
+	h.life, h.made, h.used = g.lives[from], e.made, e.used
+	c.account, c.ceiling = c.account-drew, c.ceiling-drew
+	// Views part where draws cross, and would stay apart for as long as the store is never full: the one that sees
+	// more would take all. What was not yet told there is no difference.
+	c.account += viewsMeet * (e.store*burst - (c.used - h.told) - c.account)
+	c.account = math.Max(-burst, c.account)
+}
+
+// forget drops the records of customers that are idle for so long. Where memory is full that is soon; as what
+// they drew is then forgotten, new ceilings fill from this moment only, as after a restart.
+func (g *Gateway) forget(idle time.Duration) {
+	g.customers = slices.DeleteFunc(g.customers, func(c *customer) bool {
+		old := c.out == 0 && g.now-c.lastSeen > idle
+		if old {
+			g.drop(c)
+		}
+		return old
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -6,49 +6,52 @@
 	"cmp"
 	"fmt"
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
 
 // The constants. None is read off a deployment; most are shares of a setting.
 const (
-	beatsPerAim  = 2               // overload is judged twice in the shortest aim
-	judgedOver   = time.Second     // attempts that count as recent
-	countsOver   = 4 * judgedOver  // how long the counts behind f are remembered
-	lateShare    = 0.1             // the 90th percentile passes the aim when a tenth is late
-	roomAim      = 0.65            // room is held where a tenth of the answers take this share of their aim
-	roomStart    = 4.0             // first room: attempts at a server, over all gateways
-	roomLeast    = 2.0             // and the least it shrinks to
-	leastOut     = 2.0             // attempts out here that the first rooms allow, however many gateways
-	roomFirst    = 0.6             // share of the room that the group with the top f may fill
-	paceMemory   = 4               // in shortest aims: how long a server's pace is remembered
-	overdue      = 2.0             // typical latencies after which an open attempt tells of its server's pace
-	likeness     = 0.1             // servers whose cost differs by less are alike
-	pacePrior    = 2.0             // attempts' worth of trust that a server is like the others
-	idleWork     = 1.0             // work taken to be at a server beside our own, in attempts
-	failsToEject = 2.0             // failures in memory
-	shareToEject = 0.25            // and their share
-	rowToEject   = 3               // or so many in a row, whatever was served before: a process died
-	awayFor      = 20              // in shortest aims: how long a group that was turned away goes elsewhere
-	ejectDoubles = 4               // longest ejection: aim x 2 to this
-	coldMargin   = 0.6             // of the cold budget that is used
-	retryShare   = 0.2             // further attempts for each request
-	copyShare    = 0.05            // second copies for each request: more cost a busy fleet what they win
-	retryStore   = 10.0            // further attempts that may be saved up
-	heldTurns    = 32              // a held request is tried so often in the shortest aim
-	tellEvery    = time.Second / 4 // peers are told this often at most
-	tellPeers    = 3               // and so many of them
-	tellCost     = 0.01            // and messages may cost this share of the service at most
-	toNews       = 0.75            // share of the messages that go where news is waited for
-	tellBytes    = 128             // bytes that a message is worth sending for
-	staleTells   = 10              // unheard for so many times tellEvery, peers are taken to be silent
-	intakeShare  = 0.5             // of a peer's intake that all others together may use
-	leastWeight  = 0.05            // a sum over the gateways is not drawn up from a smaller part than this
-	maxCustomers = 20000           // remembered at once
-	idleAfter    = time.Minute     // a customer is forgotten
-	tellAbove    = 0.5             // of the rate: a customer that may ask this much in all is busy
-	debtShare    = 0.3             // of the local burst that chance may let in ahead of the refill
+	beatsPerAim  = 2                // overload is judged twice in the shortest aim
+	judgedOver   = time.Second      // attempts that count as recent
+	countsOver   = 4 * judgedOver   // how long the counts behind f are remembered
+	lateShare    = 0.1              // the 90th percentile passes the aim when a tenth is late
+	roomAim      = 0.65             // room is held where a tenth of the answers take this share of their aim
+	roomStart    = 4.0              // first room: attempts at a server, over all gateways
+	roomLeast    = 2.0              // and the least it shrinks to
+	leastOut     = 2.0              // attempts out here that the first rooms allow, however many gateways
+	roomFirst    = 0.6              // share of the room that the group with the top f may fill
+	paceMemory   = 4                // in shortest aims: how long a server's pace is remembered
+	overdue      = 2.0              // typical latencies until an open attempt tells of its server's pace
+	likeness     = 0.1              // servers whose cost differs by less are alike
+	pacePrior    = 2.0              // attempts' worth of trust that a server is like the others
+	idleWork     = 1.0              // work taken to be at a server beside our own, in attempts
+	failsToEject = 2.0              // failures in memory
+	shareToEject = 0.25             // and their share
+	rowToEject   = 3                // or so many in a row, whatever was served before: a process died
+	awayFor      = 20               // in shortest aims: how long a group that was turned away goes elsewhere
+	ejectDoubles = 4                // longest ejection: aim x 2 to this
+	coldMargin   = 0.6              // of the cold budget that is used
+	retryShare   = 0.2              // further attempts for each request
+	copyShare    = 0.05             // second copies for each request: more cost a busy fleet what they win
+	retryStore   = 10.0             // further attempts that may be saved up
+	heldTurns    = 32               // a held request is tried so often in the shortest aim
+	tellEvery    = time.Second / 4  // peers are told this often at most, where each has many
+	tellNews     = time.Second / 20 // and of draws where all hear all
+	heardFor     = 4 * tellEvery    // a peer that was told so may be taken to know, and to be known
+	tellPeers    = 3                // and so many of them
+	tellCost     = 0.01             // and messages may cost this share of the service at most
+	toNews       = 0.75             // share of the messages that go where news is waited for
+	tellBytes    = 128              // bytes that a message is worth sending for
+	staleTells   = 10               // unheard for so many times tellEvery, peers are taken to be silent
+	intakeShare  = 0.5              // of a peer's intake that all others together may use
+	leastWeight  = 0.05             // a sum over the gateways is not drawn up from a smaller part than this
+	maxCustomers = 20000            // remembered at once
+	idleAfter    = time.Minute      // a customer is forgotten
+	tellAbove    = 0.5              // of the rate: a customer that may ask this much in all is busy
+	lastOfBurst  = 0.1              // of a store drawn on together goes by chance
+	viewsMeet    = 0.03             // of the way, with each message, what two see of a store draws together
+	debtShare    = 0.3              // of the local burst that chance may let in ahead of the refill
 )
 
 const (
@@ -61,30 +64,6 @@
 	tagBits = 3
 )
 
-// New checks the settings and gives a gateway that knows nothing yet. The seed is its only randomness.
-func New(set Settings, seed uint64) (*Gateway, error) {
-	if err := set.check(); err != nil {
-		return nil, err
-	}
-	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		requests: map[RequestID]*request{}, byID: map[ServerID]*server{}, byName: map[CustomerID]*customer{},
-		byShort: map[uint64]*customer{},
-		typical: make([]mean, len(set.Classes)), retries: retryStore, copies: 1,
-		late:    make([]mean, len(set.Classes)),
-		peerAge: make([]time.Duration, set.Gateways), peerHeard: make([]Time, set.Gateways)}
-	total := 0.0
-	for _, c := range set.Classes {
-		for _, p := range set.Plans {
-			total += c.Worth * p.Price
-			g.groups = append(g.groups, group{v: c.Worth * p.Price, part: 1})
-		}
-	}
-	for i := range g.groups {
-		g.groups[i].v = math.Max(g.groups[i].v/math.Max(total, 1e-9), 1e-9)
-	}
-	return g, nil
-}
-
 // Attach names the host that carries the actions out. It comes before the first event.
 func (g *Gateway) Attach(h Host) { g.host = h }
 
@@ -152,11 +131,9 @@
 
 // ---- Quota ----
 
-// customer finds or makes the record of a request's customer. What a former life of this gateway let in isn't
-// known: ceilings, and accounts too once a peer is heard that is older, are taken to have filled since birth.
+// customer finds or makes the record of a request's customer and counts what it asks.
 func (g *Gateway) customer(in Request) *customer {
 	c := g.byName[in.Customer]
-	p := g.set.Plans[in.Plan]
 	n := max(1, min(in.SetSize, g.set.Gateways))
 	in.FirstDoor = (in.FirstDoor%g.set.Gateways + g.set.Gateways) % g.set.Gateways
 	name := tellName(in.Customer, in.Plan, in.FirstDoor, n)
@@ -168,60 +145,42 @@
 		if c = g.byShort[name]; c == nil || c.met {
 			c = g.newCustomer(name)
 		}
-		c.id, c.met, c.at = in.Customer, true, g.now
+		c.id, c.met = in.Customer, true
 		g.byName[in.Customer] = c
-		c.account = p.Burst
-		if g.elders {
-			c.account = (g.now - g.born).Seconds() * p.Rate / float64(n)
-		}
-		c.ceiling = (g.now - g.fullSince).Seconds() * p.CeilingRate / float64(n)
 	} else if c.name != name && g.byShort[name] == nil { // its set or plan has changed
 		delete(g.byShort, c.name)
 		g.byShort[name], c.name = c, name
 	}
 	c.set, c.first, c.plan, c.lastSeen = n, in.FirstDoor, in.Plan, g.now
-	mine, all := g.demand(c)
-	dt := (g.now - c.at).Seconds() // it fills with the own share of the rate, or what the others leave of it
-	fill := math.Max(p.Rate*mine/math.Max(all, 1e-9), p.Rate-all+mine)
-	most := p.Burst / float64(n)
-	if g.deaf() { // held to its part alone, a gateway may save up one request
-		most = math.Max(most, in.Units)
-	}
-	c.account = math.Min(most, c.account+dt*fill)
-	c.ceiling = math.Min(p.CeilingBurst/float64(n), c.ceiling+dt*p.CeilingRate/float64(n))
+	g.refill(c, in.Units)
 	c.demand.add(g.now, g.memory(in.Plan), 0)
-	c.demand.sum, c.told.own[0], c.at = c.demand.sum+in.Units, c.told.own[0]+in.Units, g.now
+	c.demand.sum, c.told.own[0] = c.demand.sum+in.Units, c.told.own[0]+in.Units
+	g.news(c, g.tellsAll())
 	return c
 }
 
-// memory is how long demand counts: as long as the burst lasts at the quota's rate, a second at least.
-func (g *Gateway) memory(plan int) time.Duration {
-	p := g.set.Plans[plan]
-	if p.Rate <= 0 {
-		return judgedOver
-	}
-	return max(judgedOver, time.Duration(p.Burst/p.Rate*float64(time.Second)))
-}
-
-// demand gives what is asked here and what is asked in all. A gateway that hears nobody takes the others to
-// be asked as much as itself, which holds the customer to its rate split over them.
-func (g *Gateway) demand(c *customer) (mine, all float64) {
-	memory, n := g.memory(c.plan), float64(c.set)
-	c.demand.fade(g.now, memory)
-	mine = c.demand.sum / memory.Seconds()
-	if g.deaf() {
-		return mine, mine * n
+// refill brings the quota's store and the ceiling's up to date. Gateways that all hear each other draw on
+// one store and tell each other what they drew; else each has its part, which fills with its share of demand.
+func (g *Gateway) refill(c *customer, units float64) {
+	p, n := g.set.Plans[c.plan], float64(c.set)
+	mine, all := g.demand(c)
+	fill := math.Max(p.Rate*mine/math.Max(all, 1e-9), p.Rate-all+mine)
+	most := p.Burst / n
+	if g.whole(c) {
+		fill, most, n = p.Rate, p.Burst, 1
+	} else if g.deaf() { // held to its part alone, a gateway may save up one request
+		most = math.Max(most, units)
 	}
-	c.told.fade(g.now, memory, 1)
-	all = (c.told.own[0] + n*c.told.pool[0]/math.Max(c.told.pool[1], leastWeight)) / memory.Seconds()
-	return mine, math.Max(mine, all)
+	dt := math.Max(0, (g.now - c.at).Seconds())
+	c.account = math.Max(-p.Burst, math.Min(most, c.account+dt*fill))
+	c.ceiling = math.Min(p.CeilingBurst/n, c.ceiling+dt*p.CeilingRate/n)
+	c.at = g.now
 }
 
-func (g *Gateway) deaf() bool { return g.now-g.heard > staleTells*tellEvery }
-
 // withinQuota is the design's rule: the burst first; beyond it a refusal with chance 1 - rate / summed
-// demand. The chance shrinks with the account's debt, so that refill and chance don't give the same rate out
-// twice.
+// demand. Of a store that is drawn on together the last part goes by that chance, so that draws which cross
+// on the way don't pass the quota. Of a part alone the chance shrinks with the account's debt, so that refill
+// and chance don't give the same rate out twice.
 func (g *Gateway) withinQuota(r *request) bool {
 	c, p := r.cust, g.set.Plans[r.Plan]
 	mine, all := g.demand(c)
@@ -234,10 +193,14 @@
 			return false
 		}
 	}
-	if p.Rate <= 0 || c.account >= r.Units*g.rng.Float64() {
+	last, whole := lastOfBurst*p.Burst, g.whole(c)
+	if p.Rate <= 0 || whole && c.account >= r.Units+last || !whole && c.account >= r.Units*g.rng.Float64() {
 		return true
 	}
 	chance := math.Min(1, p.Rate/math.Max(all, 1e-9))
+	if whole { // as much again as the middle of the last part would give, where the store holds it at all
+		return c.account >= r.Units && g.rng.Float64() < chance*2*c.account/last
+	}
 	debt := math.Max(0, -c.account) / math.Max(debtShare*p.Burst/float64(c.set), r.Units)
 	return g.rng.Float64() < chance*(1-math.Min(1, debt))
 }
@@ -575,7 +538,10 @@
 		r.held = true
 		return
 	}
-	g.putOut(&attempt{req: r, server: s, sent: g.now})
+	if g.putOut(&attempt{req: r, server: s, sent: g.now}); r.attempts == 1 {
+		r.cust.used += r.Units
+		g.news(r.cust, g.tellsAll())
+	}
 	if g.warmth(s) < 1 {
 		s.sends = append(s.sends, g.now)
 		s.turn--
@@ -778,6 +744,9 @@
 func (g *Gateway) cadence() (every time.Duration, bytes int) {
 	k := float64(min(g.set.Gateways-1, tellPeers))
 	every, bytes = tellEvery, messageBytes
+	if g.tellsAll() != 0 {
+		every = tellNews
+	}
 	if g.set.PeerIntake > 0 {
 		every = max(every, time.Duration(k/(intakeShare*g.set.PeerIntake)*float64(time.Second)))
 	}
@@ -797,27 +766,41 @@
 	every, bytes := g.cadence()
 	g.host.Timer(tagTell, every)
 	peers := g.partners()
-	for len(peers) > 0 {
+	for ; len(peers) > 0; peers = peers[1:] {
 		var list [sections][]entry
+		to := peers[0]
+		full := g.now-g.toldAt[to] >= tellEvery
 		for i := range g.groups {
 			t := &g.groups[i].told
 			t.fade(g.now, countsOver, 0)
-			told := t.split(float64(len(peers)), float64(g.set.Gateways))
-			list[ofGroups] = append(list[ofGroups], entry{uint64(i), told})
+			if full {
+				told := t.split(float64(len(peers)), float64(g.set.Gateways))
+				list[ofGroups] = append(list[ofGroups], entry{name: uint64(i), mass: told})
+			}
 		}
-		room := bytes - messageHead - sections - len(list[ofGroups])*entryBytes(ofGroups)
-		for _, c := range g.busiest(peers[0], room/entryBytes(ofCustomers)) {
+		room := bytes - messageHead - sections - len(g.groups)*entryBytes(ofGroups)
+		for _, c := range g.busiest(to, room/entryBytes(ofCustomers)) {
 			left := 0.0
 			for _, p := range peers {
 				if g.serves(p, c) {
 					left++
 				}
 			}
-			list[ofCustomers] = append(list[ofCustomers], entry{c.name, c.told.split(left, float64(c.set))})
+			g.refill(c, 0)
+			list[ofCustomers] = append(list[ofCustomers], entry{c.name, c.told.split(left, float64(c.set)),
+				c.made, c.used, c.account / math.Max(g.set.Plans[c.plan].Burst, 1e-9)})
+			if c.untold &^= 1 << to; to < len(c.heard) {
+				c.heard[to].told = c.used
+			}
+		}
+		if full || len(list[ofCustomers]) > 0 {
+			g.host.Tell(to, packMessage(g.now-g.born, g.elders, list))
+		}
+		if full {
+			g.toldAt[to] = g.now
 		}
-		g.host.Tell(peers[0], packMessage(g.now-g.born, list))
-		peers = peers[1:]
 	}
+	g.untold = slices.DeleteFunc(g.untold, func(c *customer) bool { return c.untold == 0 })
 }
 
 // partners picks whom to tell: for each a customer of whom there is news, by chance, and one of its gateways.
@@ -829,6 +812,12 @@
 		}
 	}
 	var peers []int
+	if g.tellsAll() != 0 {
+		for k := 1; k < g.set.Gateways; k++ {
+			peers = append(peers, (g.set.Me+k)%g.set.Gateways)
+		}
+		return peers
+	}
 	for k := min(g.set.Gateways-1, tellPeers); len(peers) < k; {
 		p := g.rng.IntN(g.set.Gateways)
 		if len(news) > 0 && g.rng.Float64() < toNews {
@@ -846,14 +835,21 @@
 // their rate, for all we know.
 func (g *Gateway) busiest(peer, most int) []*customer {
 	var busy []*customer
-	for _, c := range g.customers {
+	list := g.customers
+	if g.tellsAll() != 0 {
+		list = g.untold
+	}
+	for _, c := range list {
 		p, memory := g.set.Plans[c.plan], g.memory(c.plan)
 		if p.Rate <= 0 || c.set < 2 || !g.serves(peer, c) {
 			continue
 		}
 		c.told.fade(g.now, memory, 1)
 		asked := float64(c.set) * (c.told.own[0] + c.told.pool[0]/math.Max(c.told.pool[1], leastWeight))
-		if c.rank = asked * p.Price; asked > tellAbove*p.Rate*memory.Seconds() {
+		if c.rank = asked * p.Price; g.tellsAll() != 0 {
+			c.rank = c.told.own[0] * p.Price // all in turn
+		}
+		if c.untold>>peer&1 == 1 || g.tellsAll() == 0 && asked > tellAbove*p.Rate*memory.Seconds() {
 			busy = append(busy, c)
 		}
 	}
@@ -865,15 +861,22 @@
 // late.
 func (g *Gateway) PeerMessage(now Time, from int, m []byte) {
 	g.tick(now)
-	age, list, ok := unpackMessage(m)
+	age, elders, list, ok := unpackMessage(m)
 	if !ok || from < 0 || from >= g.set.Gateways || from == g.set.Me {
 		return
 	}
-	if last := g.peerAge[from]; g.peerHeard[from] != 0 && age <= last && last-age < staleTells*tellEvery {
+	last, silent := g.peerAge[from], g.peerHeard[from] != 0 && now-g.peerHeard[from] > heardFor
+	if g.peerHeard[from] != 0 && age <= last && last-age < staleTells*tellEvery {
 		return
 	}
+	if age < last || g.peerHeard[from] == 0 { // another life, which knows nothing yet: it hears of all
+		g.lives[from]++
+		for _, c := range g.customers {
+			g.news(c, 1<<from&g.tellsAll())
+		}
+	}
 	g.peerAge[from], g.peerHeard[from], g.heard = age, now, now
-	g.elders = g.elders || age > now-g.born+staleTells*tellEvery
+	g.elders = g.elders || elders || age > now-g.born+staleTells*tellEvery
 	for _, e := range list[ofGroups] {
 		if e.name < uint64(len(g.groups)) {
 			g.groups[e.name].told.take(now, countsOver, 0, e.mass)
@@ -891,18 +894,7 @@
 		if g.serves(g.set.Me, c) && g.serves(from, c) {
 			e.mass[1] = math.Min(e.mass[1], 1) // no peer alone may thin a sum out
 			c.told.take(now, g.memory(c.plan), 1, e.mass)
+			g.hearUse(c, from, e, silent)
 		}
 	}
 }
-
-// forget drops the records of customers that are idle for so long. Where memory is full that is soon; as what
-// they drew is then forgotten, new ceilings fill from this moment only, as after a restart.
-func (g *Gateway) forget(idle time.Duration) {
-	g.customers = slices.DeleteFunc(g.customers, func(c *customer) bool {
-		old := c.out == 0 && g.now-c.lastSeen > idle
-		if old {
-			g.drop(c)
-		}
-		return old
-	})
-}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -262,8 +262,8 @@
 // message is a peer's share that says a customer of two gateways asks so much there; repeated, the shares add up.
 func message(age time.Duration, id CustomerID, demand float64) []byte {
 	var list [sections][]entry
-	list[ofCustomers] = []entry{{tellName(id, 0, 0, 2), [2]float64{demand / 2, 0.5}}}
-	return packMessage(age, list)
+	list[ofCustomers] = []entry{{name: tellName(id, 0, 0, 2), mass: [2]float64{demand / 2, 0.5}}}
+	return packMessage(age, false, list)
 }
 
 // exchange is what a lone gateway hears from a live peer at which a customer asks so much: an honest instance
@@ -283,12 +283,14 @@
 
 func (x *exchange) step(near *fake, every time.Duration) {
 	x.f.until(near.now)
-	if x.units > 0 {
+	for left := x.units * every.Seconds(); left > 0; left -= 1 {
 		x.id++
-		x.f.ask(x.id, func(r *Request) {
-			r.Customer, r.SetSize, r.Units = 5, 2, x.units*every.Seconds()
-		})
+		x.f.ask(x.id, func(r *Request) { r.Customer, r.SetSize, r.Units = 5, 2, math.Min(left, 1) })
+	}
+	for _, s := range x.f.sent {
+		x.f.done(s, Served, ms)
 	}
+	x.f.sent = nil
 	for _, m := range near.told {
 		x.f.g.PeerMessage(x.f.now, 0, m)
 	}
@@ -382,7 +384,7 @@
 		if len(m) > messageBytes {
 			t.Fatalf("message of %d bytes", len(m))
 		}
-		_, list, ok := unpackMessage(m)
+		_, _, list, ok := unpackMessage(m)
 		if !ok {
 			t.Fatal("a message that can't be read")
 		}
--- a/policy/state.go
+++ b/policy/state.go
@@ -17,8 +17,10 @@
 const (
 	messageBytes = 256
 	messageHead  = 5
-	wireVersion  = 2
-	massSteps    = 8 // steps of a mass byte in a doubling
+	wireVersion  = 3
+	withElders   = 0x80 // on the version: the sender's fleet is older than itself
+	usedSteps    = 16   // steps of a count of units drawn
+	massSteps    = 8    // steps of a mass byte in a doubling
 )
 
 const (
@@ -31,18 +33,31 @@
 var (
 	nameBytes   = [sections]int{1, 6}
 	entryMasses = [sections]int{2, 2}
+	entryUse    = [sections]int{0, 4} // when the record was made, units drawn and the store
 )
 
 type entry struct {
-	name uint64
-	mass [2]float64
+	name  uint64
+	mass  [2]float64
+	made  byte    // changes where a record is made anew, and its count of units starts anew
+	used  float64 // units drawn, as a count that wraps round
+	store float64 // what the sender takes to be left or owed, as a share of the burst
 }
 
-func entryBytes(section int) int { return nameBytes[section] + entryMasses[section] }
+func entryBytes(section int) int {
+	return nameBytes[section] + entryMasses[section] + entryUse[section]
+}
+
+// usedBetween gives the units drawn between two counts.
+func usedBetween(from, to float64) float64 {
+	return float64(uint16(int64(to*usedSteps))-uint16(int64(from*usedSteps))) / usedSteps
+}
 
-func packMessage(age time.Duration, list [sections][]entry) []byte {
+func packMessage(age time.Duration, elders bool, list [sections][]entry) []byte {
 	m := make([]byte, messageHead, messageBytes)
-	m[0] = wireVersion
+	if m[0] = wireVersion; elders {
+		m[0] |= withElders
+	}
 	binary.BigEndian.PutUint32(m[1:], uint32(min(age/time.Millisecond, math.MaxUint32)))
 	for k := range list {
 		m = append(m, byte(len(list[k])))
@@ -54,20 +69,25 @@
 				step := math.Round(massSteps*math.Log2(math.Max(e.mass[i], 1e-9))) + 128
 				m = append(m, byte(math.Max(0, math.Min(255, step))))
 			}
+			if entryUse[k] > 0 {
+				m = binary.BigEndian.AppendUint16(append(m, e.made), uint16(int64(e.used*usedSteps)))
+				m = append(m, byte(int8(math.Round(127*math.Max(-1, math.Min(1, e.store))))))
+			}
 		}
 	}
 	return m
 }
 
-func unpackMessage(m []byte) (age time.Duration, list [sections][]entry, ok bool) {
-	if len(m) < messageHead || len(m) > messageBytes || m[0] != wireVersion {
-		return 0, list, false
+func unpackMessage(m []byte) (age time.Duration, elders bool, list [sections][]entry, ok bool) {
+	if len(m) < messageHead || len(m) > messageBytes || m[0]&^withElders != wireVersion {
+		return 0, false, list, false
 	}
+	elders = m[0]&withElders != 0
 	age = time.Duration(binary.BigEndian.Uint32(m[1:])) * time.Millisecond
 	m = m[messageHead:]
 	for k := range list {
 		if len(m) < 1 || len(m) < 1+int(m[0])*entryBytes(k) {
-			return 0, list, false
+			return 0, false, list, false
 		}
 		n := int(m[0])
 		m = m[1:]
@@ -81,11 +101,15 @@
 					e.mass[i] = math.Exp2((float64(b) - 128) / massSteps)
 				}
 			}
+			if at := nameBytes[k] + entryMasses[k]; entryUse[k] > 0 {
+				e.made, e.store = m[at], float64(int8(m[at+3]))/127
+				e.used = float64(binary.BigEndian.Uint16(m[at+1:])) / usedSteps
+			}
 			m = m[entryBytes(k):]
 			list[k] = append(list[k], e)
 		}
 	}
-	return age, list, len(m) == 0
+	return age, elders, list, len(m) == 0
 }
 
 // tally holds figures that the gateways add up by push-sum: what is put in here is own until it is told; pool is
@@ -185,6 +209,18 @@
 	name     uint64
 	lastSeen Time
 	rank     float64 // scratch of busiest
+	made     byte    // when the record was made
+	used     float64 // units first sent on from here
+	untold   uint64  // the peers that have not been told of the last of it, as bits
+	heard    [tellPeers + 1]heardUse
+}
+
+// heardUse is what a peer has told of its draws for a customer, and been told.
+type heardUse struct {
+	life int // of the peer
+	made byte
+	used float64
+	told float64
 }
 
 type group struct {
@@ -259,8 +295,11 @@
 	lastCut   Time
 	peerAge   []time.Duration // as each last told
 	peerHeard []Time
-	heard     Time // when any peer was last heard
-	elders    bool // a peer is much older
+	heard     Time        // when any peer was last heard
+	elders    bool        // a peer is much older, or has heard of one that is
+	untold    []*customer // of whom peers have something to hear
+	lives     []int       // of each peer, as heard
+	toldAt    []Time      // when each was last told all
 	watching  bool
 	rewatch   time.Duration
 	holding   bool
@@ -380,27 +419,3 @@
 }
 
 func (g *Gateway) present() int { return g.listed(func(*server) bool { return true }) }
-
-func (g *Gateway) newCustomer(name uint64) *customer {
-	c := &customer{name: name, at: g.now, lastSeen: g.now, told: tally{at: g.now}}
-	c.plan, c.first, c.set = ofName(name)
-	c.told.pool[1] = 1 - fading(g.now-g.born, g.memory(c.plan)) // nothing was asked here in this life
-	if g.byShort[name] == nil {
-		g.byShort[name] = c
-	}
-	g.customers = append(g.customers, c)
-	return c
-}
-
-func (g *Gateway) serves(gateway int, c *customer) bool {
-	return ((gateway-c.first)%g.set.Gateways+g.set.Gateways)%g.set.Gateways < c.set
-}
-
-func (g *Gateway) drop(c *customer) {
-	if c.met {
-		delete(g.byName, c.id)
-	}
-	if g.byShort[c.name] == c {
-		delete(g.byShort, c.name)
-	}
-}
