Take answers up to 1 MiB, cut off endless heads, learn at what idle time kept connections break

Ruled out: clients that leave (their flows go on), bytes that arrive behind an answer later (none of 102). Wrong: exchange() called any body over MaxBody errored; http.ReadResponse read heads of any length; fresh() went by the settings' idle time alone; a reset kept connection counted against its member.

Bodies up to 1 MiB are read whole under a budget of an eighth of the memory limit, which they hold until the client has them. Heads end at 16 KiB. The pool counts by idle time how many kept connections break at once: after the first in a tenth, requests that must not run twice take a new connection, after two all do, and it is forgotten in some seconds. Such an end is core.EndStale and no sign of a member's health.

--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -54,8 +54,8 @@
 
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	members := pool.New(pool.Options{Sockets: cfg.MemberSockets, ConnIdle: cfg.Deployment.ConnIdle,
-		ConnectWait: cfg.Deployment.ConnectWait})
+	members := pool.New(pool.Options{Sockets: cfg.MemberSockets, LongAnswers: cfg.LongAnswers,
+		ConnIdle: cfg.Deployment.ConnIdle, ConnectWait: cfg.Deployment.ConnectWait})
 	defer members.Close()
 	var link *peer.Link
 	var tell func(int, []byte)
@@ -116,7 +116,7 @@
 					continue
 				}
 				runtimeLimits(next)
-				members.Limit(next.MemberSockets)
+				members.Limit(next.MemberSockets, next.LongAnswers)
 				g.limit(next)
 				unfollow()
 				unfollow = follow(ctx, next, roster)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -33,9 +33,10 @@
 	Seed                    uint64
 	Cores                   int
 	MemoryBytes             int64
-	ClientSockets           int // of the descriptor limit, for the clients of each virtual server
-	MemberSockets           int // for pool members
-	CheckSockets            int // and for introspection endpoints
+	ClientSockets           int   // of the descriptor limit, for the clients of each virtual server
+	MemberSockets           int   // for pool members
+	CheckSockets            int   // and for introspection endpoints
+	LongAnswers             int64 // bytes of memory that unusually long answers may hold at once
 	PeerListen, PeersAll    netip.AddrPort
 	Peers                   []netip.AddrPort
 	Known                   discovery.List
@@ -174,6 +175,7 @@
 	if c.MemoryBytes < 32<<20 {
 		return nil, fmt.Errorf("limits.memory_mb: %v is less than the 32 that the program needs", f.Limits.MemoryMB)
 	}
+	c.LongAnswers = c.MemoryBytes / 8
 	sockets := int(orElse(float64(f.Limits.Sockets), 1024))
 	if sockets < 64 {
 		return nil, fmt.Errorf("limits.sockets: %d is less than the 64 that the program needs", sockets)
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -26,6 +26,7 @@
 	EndNoConnect             // no connection came up
 	EndCutShort              // the connection broke before the last byte was written
 	EndReset                 // it broke after that, or the answer was not whole
+	EndStale                 // a kept connection broke at once: it had been gone, which tells nothing of the member
 	EndTimedOut              // nothing came before the flow's time was over
 	EndCancelled             // called off by the module
 	EndDrained               // the pool member was told to drain or is gone: not a byte was written
@@ -48,6 +49,7 @@
 	EndNoConnect:  {"no_connect", policy.NotConnected},
 	EndCutShort:   {"cut_short", policy.NotConnected},
 	EndReset:      {"reset", policy.ConnectionLost},
+	EndStale:      {"stale", policy.Cancelled}, // it may have run
 	EndTimedOut:   {"timed_out", policy.TimedOut},
 	EndCancelled:  {"cancelled", policy.Cancelled},
 	EndDrained:    {"drained", policy.NeverSent},
@@ -67,6 +69,14 @@
 	RetryAfter time.Duration // of a refusal: when to come back
 	Body       []byte        // of a served one, as the pool member made it
 	Type       string        // and its content type
+	Free       func()        // where not nil, gives the body's memory back once it is written or dropped
+}
+
+// Drop gives back what the answer holds.
+func (a Answer) Drop() {
+	if a.Free != nil {
+		a.Free()
+	}
 }
 
 // AnswerKind tells final answers apart.
@@ -252,8 +262,11 @@
 		case <-ctx.Done():
 			c.leave(t)
 			for len(t.orders) > 0 { // a flow ordered meanwhile has an end to report, though it is never sent
-				if f, ok := (<-t.orders).(*Flow); ok {
-					go c.carry(f)
+				switch order := (<-t.orders).(type) {
+				case *Flow:
+					go c.carry(order)
+				case Answer:
+					order.Drop()
 				}
 			}
 			return c.count(Answer{Kind: Gone})
@@ -314,6 +327,7 @@
 		}
 		switch {
 		case t.closed:
+			answer.Drop()
 		case end == EndServed:
 			answer.Kind, answer.Tried = Served, true
 			c.final(t, answer)
--- a/internal/front/introspect/introspect.go
+++ b/internal/front/introspect/introspect.go
@@ -28,6 +28,9 @@
 	"sprucelane.example/sprucelane/policy"
 )
 
+// maxVerdicts bounds the bytes that unusually long verdicts hold at once.
+const maxVerdicts = 1 << 20
+
 // Checker asks the endpoints. The questions are transactions of their own core, whose pool members are the
 // endpoints: the same module admits them, holds their customers' quotas, picks the endpoint and tries again.
 type Checker struct {
@@ -54,7 +57,7 @@
 	set := d.Settings
 	set.Classes = []policy.Class{{Name: "introspection", Aim: conf.Timeout / 2, Deadline: conf.Timeout,
 		Effect: policy.Safe, Worth: 1}}
-	opt := pool.Options{Sockets: sockets, ConnIdle: d.ConnIdle, ConnectWait: min(d.ConnectWait, conf.Timeout/2)}
+	opt := pool.Options{Sockets: sockets, LongAnswers: maxVerdicts, ConnIdle: d.ConnIdle, ConnectWait: min(d.ConnectWait, conf.Timeout/2)}
 	if conf.TLS {
 		opt.TLS = &tls.Config{MinVersion: tls.VersionTLS12, RootCAs: conf.Roots}
 	}
@@ -80,7 +83,7 @@
 func (k *Checker) Close() { k.pool.Close() }
 
 // Limit sets how many connections to endpoints may be open at once from now on.
-func (k *Checker) Limit(sockets int) { k.pool.Limit(sockets) }
+func (k *Checker) Limit(sockets int) { k.pool.Limit(sockets, maxVerdicts) }
 
 // PeerMessage takes the checks' own peer messages in.
 func (k *Checker) PeerMessage(from int, message []byte) { k.core.PeerMessage(from, message) }
@@ -95,6 +98,7 @@
 	a := k.core.Serve(r.Context(), core.Request{Request: who, Message: &pool.Message{Method: http.MethodPost,
 		Target: k.conf.Path, Host: k.host, Header: k.header,
 		Body: []byte("token=" + url.QueryEscape(token) + "&token_type_hint=access_token")}})
+	defer a.Drop()
 	if a.Kind != core.Served {
 		return v, nil, max(a.RetryAfter, k.conf.Timeout)
 	}
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -203,6 +203,7 @@
 // Write gives a client the final answer. A 429 or 503 says that asking again is harmless, so nothing else may
 // use them.
 func Write(w http.ResponseWriter, a core.Answer) {
+	defer a.Drop()
 	h := w.Header()
 	switch a.Kind {
 	case core.Served:
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -9,6 +9,8 @@
 	"crypto/tls"
 	"errors"
 	"io"
+	"math"
+	"math/bits"
 	"net"
 	"net/http"
 	"strconv"
@@ -20,8 +22,13 @@
 	"sprucelane.example/sprucelane/policy"
 )
 
-// MaxBody is the longest body that either side may send.
-const MaxBody = 64 << 10
+const (
+	// MaxBody is the longest body that a client may send, and of an answer what needs no leave of the budget.
+	MaxBody = 64 << 10
+	// maxAnswer is the longest answer that is taken. One may claim any length and go on for ever.
+	maxAnswer = 1 << 20
+	maxHead   = 16 << 10 // of an answer, with what stands before it
+)
 
 // NotRun is the header with which a pool member proves that a request never ran.
 const NotRun = "X-Not-Run"
@@ -41,9 +48,11 @@
 // Options are the pool's limits.
 type Options struct {
 	Sockets     int           // connections open at once, dials included
+	LongAnswers int64         // bytes that answers longer than MaxBody may hold at once
 	ConnIdle    time.Duration // after which the member's machine closes an idle connection
 	ConnectWait time.Duration
-	TLS         *tls.Config // nil: plain TCP
+	StaleWithin time.Duration // a kept connection that had been gone breaks so soon; 0: the standard
+	TLS         *tls.Config   // nil: plain TCP
 }
 
 // Pool is all members that discovery has named.
@@ -53,7 +62,9 @@
 
 	mu      sync.Mutex
 	members map[policy.ServerID]*member
-	open    int // connections, dials included
+	open    int   // connections, dials included
+	long    int64 // bytes of long answers that are held
+	ages    ages
 }
 
 type member struct {
@@ -66,12 +77,29 @@
 	net.Conn
 	raw   syscall.RawConn
 	in    *bufio.Reader
+	left  int64 // bytes that may still be read
 	to    string
+	used  bool
 	since time.Time // idle since
 }
 
+// Read is the reader's way to the connection: what a peer sends without an end must not fill the memory.
+func (c *conn) Read(b []byte) (int, error) {
+	if c.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := c.Conn.Read(b[:min(int64(len(b)), c.left)])
+	c.left -= int64(n)
+	return n, err
+}
+
+var errTooLong = errors.New("too long")
+
 // New gives an empty pool that sweeps its idle connections until Close.
 func New(opt Options) *Pool {
+	if opt.StaleWithin == 0 {
+		opt.StaleWithin = staleWithin
+	}
 	p := &Pool{opt: opt, stop: make(chan struct{}), members: map[policy.ServerID]*member{}}
 	go p.sweep()
 	return p
@@ -83,10 +111,10 @@
 	p.retire(func(*member, *conn) bool { return true })
 }
 
-// Limit sets how many connections may be open at once from now on.
-func (p *Pool) Limit(sockets int) {
+// Limit sets from now on how many connections may be open at once, and what long answers may hold.
+func (p *Pool) Limit(sockets int, longAnswers int64) {
 	p.mu.Lock()
-	p.opt.Sockets = sockets
+	p.opt.Sockets, p.opt.LongAnswers = sockets, longAnswers
 	p.mu.Unlock()
 }
 
@@ -132,7 +160,11 @@
 		}
 		return end, none
 	}
-	end, answer, reuse := c.exchange(f)
+	idle, used := time.Since(c.since), c.used
+	end, answer, reuse := c.exchange(p, f)
+	if used {
+		p.ages.learn(idle, end == core.EndStale)
+	}
 	cancelled := f.Finish()
 	if reuse && !cancelled {
 		p.put(f.Server, c)
@@ -183,7 +215,7 @@
 		c := m.idle[last]
 		m.idle = m.idle[:last]
 		p.mu.Unlock()
-		if p.fresh(c) {
+		if p.fresh(c) && !p.ages.doubtful(time.Since(c.since), f.Message.(*Message).Method) {
 			return c, 0
 		}
 		p.drop(c)
@@ -234,7 +266,7 @@
 		}
 		c.Conn = t
 	}
-	c.in = bufio.NewReaderSize(c.Conn, 2048)
+	c.in = bufio.NewReaderSize(c, 2048)
 	return c, 0
 }
 
@@ -335,8 +367,10 @@
 // exchange writes the flow's request whole and reads its answer, and tells whether the connection may be used
 // again. What counts for the end is whether the last byte was written: before that nothing ran, after it, it may
 // have.
-func (c *conn) exchange(f *core.Flow) (end core.End, a core.Answer, reuse bool) {
+func (c *conn) exchange(p *Pool, f *core.Flow) (end core.End, a core.Answer, reuse bool) {
 	msg := f.Message.(*Message)
+	used := c.used
+	c.used = true
 	left := time.Until(f.Until)
 	if left <= 0 {
 		return core.EndOver, a, true
@@ -351,6 +385,14 @@
 	if err != nil && !whole {
 		return core.EndCutShort, a, false
 	}
+	c.left = maxHead
+	written := time.Now()
+	if _, err := c.in.Peek(1); err != nil {
+		if end = broken(err); end == core.EndReset && used && time.Since(written) < p.opt.StaleWithin {
+			end = core.EndStale
+		}
+		return end, a, false
+	}
 	var resp *http.Response
 	for interim := 0; ; interim++ {
 		resp, err = http.ReadResponse(c.in, &http.Request{Method: msg.Method})
@@ -364,17 +406,17 @@
 			return core.EndReset, a, false
 		}
 	}
-	body, err := readBody(resp)
-	switch {
-	case err != nil:
+	body, free, err := p.readBody(c, resp)
+	if err != nil {
 		return broken(err), a, false
-	case len(body) > MaxBody:
-		return core.EndErrored, a, false
 	}
 	reuse = !resp.Close && c.in.Buffered() == 0
 	switch code := resp.StatusCode; {
 	case code == http.StatusOK:
-		return core.EndServed, core.Answer{Body: body, Type: resp.Header.Get("Content-Type")}, reuse
+		return core.EndServed, core.Answer{Body: body, Type: resp.Header.Get("Content-Type"), Free: free}, reuse
+	}
+	free()
+	switch code := resp.StatusCode; {
 	case (code == http.StatusServiceUnavailable || code == http.StatusGatewayTimeout) && resp.Header.Get(NotRun) == "1":
 		return core.EndTurnedAway, a, reuse
 	}
@@ -389,13 +431,115 @@
 	return core.EndReset
 }
 
-func readBody(resp *http.Response) ([]byte, error) {
-	if n := resp.ContentLength; n >= 0 && n <= MaxBody {
-		body := make([]byte, n)
-		_, err := io.ReadFull(resp.Body, body)
-		return body, err
+// readBody reads an answer's body whole. One that is longer than most is read while the budget for these has room:
+// its bytes are held until free is called.
+func (p *Pool) readBody(c *conn, resp *http.Response) (body []byte, free func(), err error) {
+	n := resp.ContentLength
+	c.left += max(n, 0)
+	if n >= 0 && n <= MaxBody {
+		body = make([]byte, n)
+		_, err = io.ReadFull(resp.Body, body)
+		return body, func() {}, err
+	}
+	if n > maxAnswer {
+		return nil, nil, errTooLong
+	}
+	if n < 0 { // chunked, or up to the connection's end
+		c.left += 2 * MaxBody // chunks have heads
+		if body, err = io.ReadAll(io.LimitReader(resp.Body, MaxBody+1)); err != nil || len(body) <= MaxBody {
+			return body, func() {}, err
+		}
+		c.left += 2 * maxAnswer
+		n = maxAnswer
+	}
+	if !p.hold(n) {
+		return nil, nil, errTooLong
+	}
+	free = sync.OnceFunc(func() { p.hold(-n) })
+	if resp.ContentLength >= 0 {
+		body = make([]byte, n)
+		_, err = io.ReadFull(resp.Body, body)
+	} else {
+		var rest []byte
+		rest, err = io.ReadAll(io.LimitReader(resp.Body, maxAnswer+1-int64(len(body))))
+		if body = append(body, rest...); err == nil && len(body) > maxAnswer {
+			err = errTooLong
+		}
+	}
+	if err != nil {
+		free()
+		return nil, nil, err
+	}
+	return body, free, nil
+}
+
+// hold takes bytes out of the budget for long answers, or gives them back.
+func (p *Pool) hold(n int64) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if n > 0 && p.long+n > p.opt.LongAnswers {
+		return false
+	}
+	p.long += n
+	return true
+}
+
+// ages learns how long a connection may stand idle before something on the way forgets it. Peers are told to close
+// an idle connection at a known time, but some break it earlier, and only at the next request: that one may have
+// run, for all this side can tell. For ranges of idle time that each are twice the one before, it counts the
+// requests written to kept connections and those broken at once, and forgets both with time.
+type ages struct {
+	mu     sync.Mutex
+	counts [14]struct{ used, broken float64 }
+	faded  time.Time
+}
+
+const (
+	staleWithin  = 25 * time.Millisecond
+	shortestAge  = 16 * time.Millisecond
+	agesFade     = 7 * time.Second // until a count is a third
+	brokenShare  = 0.1             // of the requests: so many would be lost in any case
+	brokenSafe   = 1.2             // requests that may be repeated find out whether it is still so
+	brokenUnsafe = 0.4
+)
+
+func (a *ages) at(idle time.Duration) int {
+	return min(bits.Len64(uint64(max(idle, 0)/shortestAge)), len(a.counts)-1)
+}
+
+func (a *ages) fade() {
+	now := time.Now()
+	f := math.Exp(-float64(now.Sub(a.faded)) / float64(agesFade))
+	a.faded = now
+	for i := range a.counts {
+		a.counts[i].used *= f
+		a.counts[i].broken *= f
+	}
+}
+
+func (a *ages) learn(idle time.Duration, broke bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.fade()
+	c := &a.counts[a.at(idle)]
+	if c.used++; broke {
+		c.broken++
+	}
+}
+
+// doubtful tells whether a connection idle for so long is better left to the past.
+func (a *ages) doubtful(idle time.Duration, method string) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	c, most := &a.counts[a.at(idle)], brokenSafe
+	if c.broken == 0 {
+		return false
+	}
+	a.fade()
+	if method != http.MethodGet {
+		most = brokenUnsafe
 	}
-	return io.ReadAll(io.LimitReader(resp.Body, MaxBody+1))
+	return c.broken > most && c.broken > brokenShare*c.used
 }
 
 func (m *Message) write(b *bytes.Buffer, left time.Duration) {
