Judge units, sets, open ids and framing in the front; a malformed request ends its connection

Checked: small raw stories against a gateway (two lengths, half a body, the id of an open request, silent connections at the bound); each fails on the old lines.

What is malformed now gets its 4xx as the connection's last answer; chunks get 411; units must be within the settings' largest, the set must hold this gateway, an id that is open on this gateway gets 409. A head has 2.5 s, a body too. At the bound, connections silent for 0.25 s make room when none is idle.

--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -78,7 +78,7 @@
 	defer g.close()
 	ready := func() bool { return !g.draining.Load() && members.Ready() > 0 }
 	opt := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
-	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready}
+	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready, Open: &g.ids}
 	if err := g.open(opt, door); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
@@ -157,6 +157,7 @@
 type gateway struct {
 	servers  []*front.Server
 	checker  *introspect.Checker // nil: off
+	ids      platform.Open
 	counters []func() string
 	closers  []func()
 	draining atomic.Bool
@@ -213,7 +214,8 @@
 		}
 		opt.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
 	}
-	door := &introspect.Front{Core: decisions, Checker: checker, Deployment: cfg.Deployment, Ready: ready}
+	door := &introspect.Front{Core: decisions, Checker: checker, Deployment: cfg.Deployment, Ready: ready,
+		Open: &g.ids}
 	g.counters = append(g.counters, func() string {
 		return fmt.Sprintf("part=introspection malformed=%d %s", door.Malformed(), checker.Counters())
 	})
--- a/internal/front/introspect/introspect.go
+++ b/internal/front/introspect/introspect.go
@@ -119,6 +119,7 @@
 	Checker    *Checker
 	Deployment config.Deployment
 	Ready      func() bool
+	Open       *platform.Open
 	malformed  atomic.Uint64
 }
 
@@ -151,12 +152,13 @@
 		f.refuse(w, no.Code, no.Text)
 		return
 	}
-	in, no := platform.Read(w, r, f.Deployment, arrived)
+	in, no := platform.Read(w, r, f.Deployment, f.Open, arrived)
 	if no != nil {
 		f.malformed.Add(1)
-		http.Error(w, no.Text, no.Code)
+		no.Write(w)
 		return
 	}
+	defer f.Open.Leave(r)
 	scope := f.Checker.conf.Scopes[f.Deployment.Classes[in.Class].Name]
 	var reason atomic.Int32
 	var asked atomic.Bool
@@ -264,6 +266,7 @@
 	}
 	body, no := platform.Body(w, r)
 	if no != nil {
+		h.Set("Connection", "close")
 		f.oauthError(w, no.Code, "invalid_request")
 		return
 	}
--- a/internal/front/introspect/introspect_test.go
+++ b/internal/front/introspect/introspect_test.go
@@ -22,6 +22,7 @@
 	"sprucelane.example/sprucelane/internal/config"
 	"sprucelane.example/sprucelane/internal/core"
 	"sprucelane.example/sprucelane/internal/front/introspect"
+	"sprucelane.example/sprucelane/internal/front/platform"
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/standin"
 	"sprucelane.example/sprucelane/policy"
@@ -58,7 +59,8 @@
 	checker, err := introspect.NewChecker(conf, d, 200, 1, clock, nil)
 	require.NoError(t, err)
 	t.Cleanup(checker.Close)
-	s := httptest.NewServer(&introspect.Front{Core: c, Checker: checker, Deployment: d, Ready: func() bool { return true }})
+	s := httptest.NewServer(&introspect.Front{Core: c, Checker: checker, Deployment: d, Open: &platform.Open{},
+		Ready: func() bool { return true }})
 	t.Cleanup(s.Close)
 	return site{s.URL, c.Counters, checker.Counters}
 }
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -10,6 +10,7 @@
 	"net/url"
 	"strconv"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -33,6 +34,8 @@
 const (
 	maxCustomer = 1 << 33
 	maxID       = 128
+	// bodyWait is how long a body may take: one that never comes whole is owed an end soon.
+	bodyWait = 2500 * time.Millisecond
 	// transit is taken off a deadline, which runs from when the client sent: the way here and back.
 	transit = 6 * time.Millisecond
 )
@@ -42,9 +45,17 @@
 	Core       *core.Core
 	Deployment config.Deployment
 	Ready      func() bool
+	Open       *Open
 	malformed  atomic.Uint64
 }
 
+// Open holds the ids of the requests that are open, whichever front they came through. A request under the id of
+// another that is open would reach a pool member as a second copy of that one.
+type Open struct{ ids sync.Map }
+
+// Leave forgets the id of a request that Read has let in.
+func (o *Open) Leave(r *http.Request) { o.ids.Delete(r.Header.Get(hID)) }
+
 // Malformed counts the requests that were none.
 func (f *Front) Malformed() uint64 { return f.malformed.Load() }
 
@@ -54,12 +65,13 @@
 		Ready(w, f.Ready())
 		return
 	}
-	in, bad := Read(w, r, f.Deployment, arrived)
+	in, bad := Read(w, r, f.Deployment, f.Open, arrived)
 	if bad != nil {
 		f.malformed.Add(1)
-		http.Error(w, bad.Text, bad.Code)
+		bad.Write(w)
 		return
 	}
+	defer f.Open.Leave(r)
 	Write(w, f.Core.Serve(r.Context(), in))
 }
 
@@ -78,15 +90,26 @@
 	Text string
 }
 
+// Write answers with it and ends the connection: where such a request ends can't be relied on, and what follows it
+// could be another hidden in its body.
+func (b *Bad) Write(w http.ResponseWriter) {
+	w.Header().Set("Connection", "close")
+	http.Error(w, b.Text, b.Code)
+}
+
 func bad(text string) *Bad { return &Bad{http.StatusBadRequest, text} }
 
-// Read checks a request whole and gives its transaction.
-func Read(w http.ResponseWriter, r *http.Request, d config.Deployment, arrived core.Time) (in core.Request, no *Bad) {
+// Read checks a request whole and gives its transaction, whose id is open until Leave.
+func Read(w http.ResponseWriter, r *http.Request, d config.Deployment, open *Open, arrived core.Time) (in core.Request,
+	no *Bad) {
 	h := r.Header
 	id := h.Get(hID)
 	if id == "" || len(id) > maxID || strings.ContainsAny(id, " \t") {
 		return in, bad(hID + ": missing or malformed")
 	}
+	if len(r.TransferEncoding) > 0 {
+		return in, &Bad{http.StatusLengthRequired, "Transfer-Encoding: a body comes with its length"}
+	}
 	path, ok := strings.CutPrefix(r.RequestURI, "/")
 	if !ok {
 		return in, bad("target: not a path")
@@ -117,7 +140,7 @@
 		return in, bad(hDeadline + ": not whole milliseconds above 0")
 	}
 	in.Deadline = arrived + min(time.Duration(wait)*time.Millisecond, class.Deadline) - transit
-	if !weight(h.Get(hWeight), &in, d.Gateways) {
+	if !weight(h.Get(hWeight), &in, d) {
 		return in, bad(hWeight + ": malformed")
 	}
 	in.Repeat = h.Get(hRetry) == "1"
@@ -128,6 +151,9 @@
 	if r.Method == http.MethodGet && len(body) > 0 {
 		return in, bad("body: this class has none")
 	}
+	if _, taken := open.ids.LoadOrStore(id, true); taken {
+		return in, &Bad{http.StatusConflict, hID + ": that of an open request"}
+	}
 	header := append(make([]byte, 0, 64+len(id)), hID+": "...)
 	header = append(append(header, id...), "\r\n"...)
 	if t := h.Get("Content-Type"); t != "" {
@@ -144,17 +170,22 @@
 	return http.MethodPost
 }
 
-// Body reads a body of up to 64 KiB.
+// Body reads a body of up to 64 KiB. One that comes in chunks is its connection's last: where it brought a length
+// too, which net/http forgets, others on the way may not agree where it ends.
 func Body(w http.ResponseWriter, r *http.Request) ([]byte, *Bad) {
 	if r.ContentLength == 0 {
 		return nil, nil
 	}
 	if r.ContentLength > pool.MaxBody {
-		w.Header().Set("Connection", "close")
 		return nil, &Bad{http.StatusRequestEntityTooLarge, "body: more than 64 KiB"}
 	}
 	var body []byte
 	var err error
+	if len(r.TransferEncoding) > 0 {
+		w.Header().Set("Connection", "close")
+	}
+	wait := http.NewResponseController(w)
+	wait.SetReadDeadline(time.Now().Add(bodyWait))
 	if r.ContentLength > 0 {
 		body = make([]byte, r.ContentLength)
 		_, err = io.ReadFull(r.Body, body)
@@ -172,13 +203,14 @@
 	if err != nil {
 		return nil, bad("body: not whole")
 	}
+	wait.SetReadDeadline(time.Time{}) // what comes next is an end or the next request, and may take long
 	return body, nil
 }
 
-// weight reads what a request draws and which gateways serve its customer.
-func weight(text string, in *core.Request, gateways int) bool {
-	in.Units, in.SetSize = -1, 0
-	first := -1
+// weight reads what a request draws and which gateways serve its customer, this one among them. What is out of range
+// would spoil the account of the customer it names.
+func weight(text string, in *core.Request, d config.Deployment) bool {
+	spread, first := 0.0, -1.0
 	for text != "" {
 		var part string
 		part, text, _ = strings.Cut(text, ",")
@@ -191,13 +223,16 @@
 		case "units":
 			in.Units = x
 		case "spread":
-			in.SetSize = int(x)
+			spread = x
 		case "first":
-			first = int(x)
+			first = x
 		}
 	}
-	in.FirstDoor = first
-	return in.Units >= 0 && in.SetSize >= 1 && in.SetSize <= gateways && first >= 0 && first < gateways
+	in.SetSize, in.FirstDoor = int(spread), int(first)
+	return in.Units > 0 && (d.LargestUnits <= 0 || in.Units <= d.LargestUnits) &&
+		float64(in.SetSize) == spread && in.SetSize >= 1 && in.SetSize <= d.Gateways &&
+		float64(in.FirstDoor) == first && in.FirstDoor >= 0 && in.FirstDoor < d.Gateways &&
+		(d.Me-in.FirstDoor+d.Gateways)%d.Gateways < in.SetSize
 }
 
 // Write gives a client the final answer. A 429 or 503 says that asking again is harmless, so nothing else may
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -2,6 +2,9 @@
 
 import (
 	"context"
+	"fmt"
+	"io"
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"strings"
@@ -31,7 +34,7 @@
 		list = append(list, policy.ServerInfo{ID: policy.ServerID(i + 1), Weight: 1})
 	}
 	c.Servers(policy.ListFull, list)
-	s := httptest.NewServer(&platform.Front{Core: c, Deployment: d, Ready: func() bool { return p.Ready() > 0 }})
+	s := httptest.NewServer(&platform.Front{Core: c, Deployment: d, Open: &platform.Open{}, Ready: func() bool { return p.Ready() > 0 }})
 	t.Cleanup(s.Close)
 	return s.URL, c
 }
@@ -39,7 +42,7 @@
 func TestServedUnchanged(t *testing.T) {
 	m := standin.New(t, standin.OK("crew sent"))
 	base, _ := gateway(t, m)
-	resp, body := standin.Ask(t, base, "work-order", "utility", 20000)
+	resp, body := standin.Ask(t, base, "work-order", "utility", 20000, "X-Request-Id", "9b1f03aa5c7e2d41")
 	assert.Equal(t, http.StatusOK, resp.StatusCode)
 	assert.Equal(t, "crew sent", body)
 	got := m.Seen()[0]
@@ -128,7 +131,9 @@
 	base, c := gateway(t, m)
 	for _, header := range [][2]string{{"X-Request-Id", ""}, {"X-Class", "health-read"}, {"X-Tariff", "gold"},
 		{"X-Subscriber", "0000000300000000"}, {"X-Deadline-Ms", "0"}, {"X-Deadline-Ms", "-4"}, {"X-Deadline-Ms", "1e3"},
-		{"X-Weight", "units=NaN,spread=1,first=0"}, {"X-Weight", "units=1,spread=9,first=0"}, {"X-Weight", ""}} {
+		{"X-Weight", "units=NaN,spread=1,first=0"}, {"X-Weight", "units=1,spread=9,first=0"}, {"X-Weight", ""},
+		{"X-Weight", "units=9,spread=1,first=0"}, {"X-Weight", "units=0,spread=1,first=0"},
+		{"X-Weight", "units=1,spread=1.5,first=0"}, {"X-Weight", "units=1,spread=1"}} {
 		resp, _ := standin.Ask(t, base, "work-order", "utility", 20000, header[0], header[1])
 		assert.Equal(t, http.StatusBadRequest, resp.StatusCode, header)
 	}
@@ -140,3 +145,62 @@
 	assert.Contains(t, c.Counters(), "taken=0 ")
 	assert.Empty(t, m.Seen())
 }
+
+// raw sends bytes on a connection of their own and reads all that comes back until its end.
+func raw(t *testing.T, base, text string) string {
+	c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	require.NoError(t, err)
+	defer c.Close()
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+	require.NoError(t, c.SetReadDeadline(time.Now().Add(time.Minute)))
+	got, err := io.ReadAll(c)
+	require.NoError(t, err)
+	return string(got)
+}
+
+const head = "POST /work-order HTTP/1.1\r\nHost: x\r\nX-Request-Id: 7\r\nX-Class: work-order\r\nX-Tariff: utility\r\n" +
+	"X-Subscriber: 01\r\nX-Deadline-Ms: 15000\r\nX-Weight: units=1,spread=1,first=0\r\n"
+
+// A request with two lengths may hide another in its body: neither goes on, and the connection ends.
+func TestHiddenRequest(t *testing.T) {
+	m := standin.New(t, standin.OK("done"))
+	base, c := gateway(t, m)
+	hidden := strings.Replace(head, "Id: 7", "Id: 8", 1) + "Content-Length: 0\r\n\r\n"
+	got := raw(t, base, head+fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(hidden), hidden))
+	assert.True(t, strings.HasPrefix(got, "HTTP/1.1 411 "), got)
+	assert.Equal(t, 1, strings.Count(got, "HTTP/1.1 "))
+	assert.Contains(t, c.Counters(), "taken=0 ")
+	assert.Empty(t, m.Seen())
+}
+
+// A body that never comes whole is not waited for until the deadline.
+func TestHalfABody(t *testing.T) {
+	m := standin.New(t, standin.OK("done"))
+	base, _ := gateway(t, m)
+	got := raw(t, base, head+"Content-Length: 9\r\n\r\nhalf")
+	assert.True(t, strings.HasPrefix(got, "HTTP/1.1 400 "), got)
+	assert.Empty(t, m.Seen())
+}
+
+// The id of an open request, brought by another, would look like a second copy of it.
+func TestIdOfAnOpenRequest(t *testing.T) {
+	seen := make(chan bool)
+	m := standin.New(t, func(p *standin.Peer, c net.Conn, r standin.Seen) bool {
+		<-seen
+		return standin.OK("done")(p, c, r)
+	})
+	base, _ := gateway(t, m)
+	first := make(chan int)
+	go func() {
+		resp, _ := standin.Ask(t, base, "work-order", "utility", 20000, "X-Request-Id", "7")
+		first <- resp.StatusCode
+	}()
+	require.Eventually(t, func() bool { return len(m.Seen()) == 1 }, time.Minute, time.Millisecond)
+	resp, _ := standin.Ask(t, base, "health-read", "utility", 20000, "X-Request-Id", "7")
+	assert.Equal(t, http.StatusConflict, resp.StatusCode)
+	close(seen)
+	assert.Equal(t, http.StatusOK, <-first)
+	resp, _ = standin.Ask(t, base, "health-read", "utility", 20000, "X-Request-Id", "7")
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -15,13 +15,15 @@
 )
 
 const (
-	headerWait  = 5 * time.Second
+	headerWait  = 2500 * time.Millisecond // a client that says nothing or not all is left, and owed that within 3 s
 	idleWait    = 2 * time.Minute
 	answerSlack = 5 * time.Second // beyond the longest deadline, for a slow client to send and read
 	maxHeader   = 16 << 10
 
 	// acceptOn is how long new connections are taken after SIGTERM: the front goes on sending them for up to 0.4 s.
 	acceptOn = 600 * time.Millisecond
+	// newGrace is how long a new connection may say nothing before it makes room for others at the bound.
+	newGrace = 250 * time.Millisecond
 	// settle is how long an accepted connection that has sent nothing is waited for once the listener is closed.
 	settle = 100 * time.Millisecond
 )
@@ -106,8 +108,9 @@
 	}
 }
 
-// listener bounds the connections open at once. At the bound the client that is idle the longest makes room: a
-// request in the accept queue counts as taken, so it must not wait for long.
+// listener bounds the connections open at once. At the bound the client that is idle the longest makes room, else
+// the one that has said nothing for the longest: a request in the accept queue counts as taken, so it must not wait
+// for long, and connections opened by the hundred in silence must not keep it there.
 type listener struct {
 	net.Listener
 	most  int
@@ -130,11 +133,14 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for len(l.conns) >= l.most && !l.shut {
-		if old := l.longestIdle(); old != nil {
-			delete(l.conns, old)
-			old.Close()
+		if old := l.longest(http.StateIdle, 0); old != nil {
+			l.leave(old)
+		} else if old := l.longest(http.StateNew, newGrace); old != nil {
+			l.leave(old)
 		} else {
+			wake := time.AfterFunc(newGrace, l.freed.Broadcast)
 			l.freed.Wait()
+			wake.Stop()
 		}
 	}
 	l.conns[c] = &client{state: http.StateNew, since: time.Now()}
@@ -149,15 +155,22 @@
 	return l.Listener.Close()
 }
 
-func (l *listener) longestIdle() (old net.Conn) {
+// longest gives the connection that has been in a state for the longest, if for more than some time.
+func (l *listener) longest(state http.ConnState, more time.Duration) (old net.Conn) {
+	before := time.Now().Add(-more)
 	for c, k := range l.conns {
-		if k.state == http.StateIdle && (old == nil || k.since.Before(l.conns[old].since)) {
-			old = c
+		if k.state == state && k.since.Before(before) {
+			old, before = c, k.since
 		}
 	}
 	return old
 }
 
+func (l *listener) leave(c net.Conn) {
+	delete(l.conns, c)
+	c.Close()
+}
+
 // state follows net/http's word on each connection.
 func (l *listener) state(c net.Conn, state http.ConnState) {
 	if t, ok := c.(*tls.Conn); ok {
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -95,6 +95,17 @@
 	assert.Equal(t, io.EOF, err)
 }
 
+// So do connections that say nothing: opened by the hundred they must not keep those out that ask.
+func TestSilentClientsMakeRoom(t *testing.T) {
+	s, _ := serve(t, 3, func(http.ResponseWriter, *http.Request) {})
+	for range 9 {
+		dial(t, s)
+	}
+	c := dial(t, s)
+	c.ask(t)
+	assert.Equal(t, http.StatusOK, c.answer(t).StatusCode)
+}
+
 func (l *listener) idle() (n int) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"net/url"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -158,6 +159,8 @@
 		ConnIdle: 30 * second, ConnectWait: 5 * second}
 }
 
+var asked atomic.Uint64
+
 // Ask puts a client's request as the platform words it, with further headers, and gives the answer and its body.
 func Ask(t testing.TB, base, class, plan string, waitMs int, header ...string) (*http.Response, string) {
 	method, body := http.MethodGet, ""
@@ -168,7 +171,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for key, value := range map[string]string{"X-Request-Id": "9b1f03aa5c7e2d41", "X-Class": class, "X-Tariff": plan,
+	for key, value := range map[string]string{"X-Request-Id": fmt.Sprintf("%016x", asked.Add(1)), "X-Class": class, "X-Tariff": plan,
 		"X-Subscriber": "00000000b4d65521", "X-Deadline-Ms": fmt.Sprint(waitMs), "X-Weight": "units=2,spread=1,first=0"} {
 		r.Header.Set(key, value)
 	}
