Most of the fleet keeps the whole store while one gateway is down

Wrong: whole() in known.go fell to parts as soon as any of a customer's gateways was silent; newCustomer() filled accounts from birth though all that had been drawn from was known after a second.

A gateway that hears most of the fleet keeps drawing on the whole store; one that doesn't keeps to its part. Fleets of two still fall back to halves.

--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -18,6 +18,7 @@
 	wheel map[Time][]func()
 	bytes int
 	told  int
+	cut   func(from, to int) bool // nil: no link is
 }
 
 type node struct {
@@ -67,7 +68,7 @@
 func (n *node) Tell(peer int, m []byte) {
 	n.f.told++
 	n.f.bytes += len(m)
-	if n.f.rng.Float64() < n.f.loss {
+	if n.f.rng.Float64() < n.f.loss || n.f.cut != nil && n.f.cut(n.me, peer) {
 		return
 	}
 	m = append([]byte(nil), m...)
@@ -491,3 +492,43 @@
 		t.Fatalf("of 10 each: %d for who has spent its burst, %d for who has not", spent, spared)
 	}
 }
+
+// While one gateway of four is down the others use all of the quota, its part too. Should it only be cut off, both
+// sides together stay under one and a half of the quota, and so under any ceiling that the site has.
+func TestOneGatewayOfFourUnheard(t *testing.T) {
+	for name, down := range map[string]bool{"down": true, "cut off": false} {
+		s := settings()
+		s.Peers, s.PeerIntake, s.SecondCopies = true, 100, false
+		s.Plans = []Plan{{Name: "p", Rate: 12, Burst: 30, Price: 1, OverCost: 1, CeilingRate: 20, CeilingBurst: 51, CeilingSlack: 8}}
+		f := newFleet(t, s, 4, 12)
+		id, in, ceiling := RequestID(0), 0.0, 51.0
+		ask := func() {
+			ceiling = min(51, ceiling+20*fleetTick.Seconds())
+			if f.rng.Float64() > 36*fleetTick.Seconds() {
+				return
+			}
+			n := f.nodes[f.rng.IntN(4)]
+			if id++; down && f.cut != nil && n.me == 3 {
+				return
+			}
+			n.g.Request(f.now, Request{ID: id, Deadline: f.now + 2*time.Second, Units: 1, SetSize: 4})
+			if n.sent[id] {
+				in++
+				if ceiling--; ceiling < -8 {
+					t.Fatalf("%s: the ceiling is passed by %.0f", name, -ceiling)
+				}
+			}
+		}
+		f.run(6*time.Second, ask)
+		f.cut = func(from, to int) bool { return from == 3 || to == 3 }
+		if down {
+			f.nodes[3].life++
+		}
+		f.run(2*time.Second, ask)
+		in = 0
+		f.run(20*time.Second, ask)
+		if most := map[bool]float64{true: 1.1, false: 1.5}[down]; in < 0.95*240 || in > most*240 {
+			t.Errorf("%s: %.0f units let in, the quota allows 240", name, in)
+		}
+	}
+}
--- a/policy/known.go
+++ b/policy/known.go
@@ -46,7 +46,7 @@
 		n = 1
 	}
 	c.account, c.ceiling = p.Burst, (g.now-g.fullSince).Seconds()*p.CeilingRate/n
-	if g.elders {
+	if g.elders && (n > 1 || g.now-g.born < heardFor) { // later, all that was drawn from has been heard of
 		c.account = (g.now - g.born).Seconds() * p.Rate / n
 	}
 	if n == 1 && g.fresh() {
@@ -72,18 +72,24 @@
 	}
 }
 
-// whole tells whether a customer's other gateways all hear of each draw at once, and this one of theirs.
+// whole tells whether the store of a customer is drawn on together: all its gateways hear of each draw at once, or
+// this one and most of the fleet do. Those cut off keep to their parts meanwhile, so that a half more than the quota is
+// drawn at the worst; those that are down draw nothing, and what is theirs must not lie idle.
 func (g *Gateway) whole(c *customer) bool {
 	if g.tellsAll() == 0 {
 		return false
 	}
-	for k := 0; k < c.set; k++ {
-		p := (c.first + k) % g.set.Gateways
-		if p != g.set.Me && (g.peerHeard[p] == 0 || g.now-g.peerHeard[p] > heardFor) {
-			return false
+	all, heard := true, 1
+	for p, at := range g.peerHeard {
+		switch {
+		case p == g.set.Me:
+		case at != 0 && g.now-at <= heardFor:
+			heard++
+		case g.serves(p, c):
+			all = false
 		}
 	}
-	return true
+	return all || 2*heard > g.set.Gateways
 }
 
 // fresh tells whether the whole fleet has just started: then no ceiling has been drawn from before this life.
