--- a/policy/api.go
+++ b/policy/api.go
@@ -140,6 +140,32 @@
 	NeverSent
 )
 
+// Prior is what is guessed of a server before this gateway has seen it answer. It never makes a server usable.
+type Prior struct {
+	ID     ServerID
+	Since  Time    // the life it is for
+	Pace   float64 // latency over the typical one of each class: 1 is like the others
+	Weight float64 // in attempts: how many of them the guess counts for
+	Room   float64 // attempts of ours that the server may hold; 0: not known
+	Cold   bool    // others are at work on its cold budget
+}
+
+// Observation is what this gateway has itself seen of a listed server.
+type Observation struct {
+	ID        ServerID
+	Since     Time
+	Answers   float64       // that count for the pace, fading
+	Pace      float64       // latency over the typical one of each class; 0 where nothing counts
+	Answered  Time          // when it last answered with a 200; 0: never
+	Out       int           // attempts out
+	Overdue   int           // of them such as take much longer than is typical
+	Silent    time.Duration // how long the oldest of these has been out, where nothing came since; 0: not silent
+	Ejected   time.Duration // how long it stays ejected
+	Room      float64       // attempts that it may hold; 0: not known
+	Warmth    float64       // least share of its capacity that it has
+	ColdSends int           // attempts sent in the last window of the cold rule
+}
+
 // Outcome is the end of one attempt.
 type Outcome struct {
 	ID      RequestID
--- a/policy/known.go
+++ b/policy/known.go
@@ -1,41 +1,16 @@
-// What a gateway knows of its customers and its peers: the records, how they are made and forgotten, and the figures
-// drawn from them. Nothing here may admit or refuse, send or tell.
+// What a gateway knows of its customers and its peers: the records, how they are made and forgotten, and the
+// figures drawn from them. Nothing here may admit or refuse, send or tell.
 package policy
 
 import (
 	"math"
-	"math/rand/v2"
 	"slices"
 	"time"
 )
 
-// New checks the settings and gives a gateway that knows nothing yet. The seed is its only randomness.
-func New(set Settings, seed uint64) (*Gateway, error) {
-	if err := set.check(); err != nil {
-		return nil, err
-	}
-	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
-		requests: map[RequestID]*request{}, byID: map[ServerID]*server{}, byName: map[CustomerID]*customer{},
-		byShort: map[uint64]*customer{},
-		typical: make([]mean, len(set.Classes)), retries: retryStore, copies: 1,
-		late:    make([]mean, len(set.Classes)),
-		peerAge: make([]time.Duration, set.Gateways), peerHeard: make([]Time, set.Gateways),
-		lives: make([]int, set.Gateways), toldAt: make([]Time, set.Gateways)}
-	total := 0.0
-	for _, c := range set.Classes {
-		for _, p := range set.Plans {
-			total += c.Worth * p.Price
-			g.groups = append(g.groups, group{v: c.Worth * p.Price, part: 1})
-		}
-	}
-	for i := range g.groups {
-		g.groups[i].v = math.Max(g.groups[i].v/math.Max(total, 1e-9), 1e-9)
-	}
-	return g, nil
-}
-
-// newCustomer makes the record of a customer that this life of the gateway has not met. What a former life let in
-// isn't known: ceilings, and accounts too once a peer is heard that is older, are taken to have filled since birth.
+// newCustomer makes the record of a customer that this life of the gateway has not met. What a former life
+// let in isn't known: ceilings, and accounts too once a peer is heard that is older, are taken to have filled
+// since birth.
 func (g *Gateway) newCustomer(name uint64) *customer {
 	c := &customer{name: name, at: g.now, lastSeen: g.now, told: tally{at: g.now}}
 	c.plan, c.first, c.set = ofName(name)
@@ -49,7 +24,8 @@
 	if g.elders && (n > 1 || g.now-g.born < heardFor) { // later, all that was drawn from has been heard of
 		c.account = (g.now - g.born).Seconds() * p.Rate / n
 	}
-	if n == 1 && g.fresh() {
+	// Where the whole fleet has just started no ceiling has been drawn from before this life.
+	if n == 1 && g.tellsAll() != 0 && !g.elders && g.fullSince == g.born && !slices.Contains(g.peerHeard, 0) {
 		c.ceiling = p.CeilingBurst
 	}
 	if g.byShort[name] == nil {
@@ -59,47 +35,20 @@
 	return c
 }
 
-func (g *Gateway) serves(gateway int, c *customer) bool {
-	return ((gateway-c.first)%g.set.Gateways+g.set.Gateways)%g.set.Gateways < c.set
-}
-
-func (g *Gateway) drop(c *customer) {
-	if c.met {
-		delete(g.byName, c.id)
-	}
-	if g.byShort[c.name] == c {
-		delete(g.byShort, c.name)
-	}
-}
-
-// whole tells whether the store of a customer is drawn on together: all its gateways hear of each draw at once, or
-// this one and most of the fleet do. Those cut off keep to their parts meanwhile, so that a half more than the quota is
-// drawn at the worst; those that are down draw nothing, and what is theirs must not lie idle.
+// whole tells whether the store of a customer is drawn on together: all its gateways hear of each draw at
+// once, or this one and most of the fleet do. Those cut off keep to their parts meanwhile, so that a half
+// more than the quota is drawn at the worst; those that are down draw nothing, and what is theirs must not
+// lie idle.
 func (g *Gateway) whole(c *customer) bool {
-	if g.tellsAll() == 0 {
-		return false
-	}
-	all, heard := true, 1
+	all, heard := true, 0
 	for p, at := range g.peerHeard {
-		switch {
-		case p == g.set.Me:
-		case at != 0 && g.now-at <= heardFor:
+		if at != 0 && g.now-at <= heardFor {
 			heard++
-		case g.serves(p, c):
+		} else if g.serves(p, c) {
 			all = false
 		}
 	}
-	return all || 2*heard > g.set.Gateways
-}
-
-// fresh tells whether the whole fleet has just started: then no ceiling has been drawn from before this life.
-func (g *Gateway) fresh() bool {
-	for p, at := range g.peerHeard {
-		if p != g.set.Me && at == 0 {
-			return false
-		}
-	}
-	return g.tellsAll() != 0 && !g.elders && g.fullSince == g.born
+	return g.tellsAll() != 0 && (all || 2*heard > g.set.Gateways)
 }
 
 // tellsAll gives the set of peers, as bits, where each round of messages reaches them all; else none.
@@ -110,15 +59,6 @@
 	return 0
 }
 
-// memory is how long demand counts: as long as the burst lasts at the quota's rate, a second at least.
-func (g *Gateway) memory(plan int) time.Duration {
-	p := g.set.Plans[plan]
-	if p.Rate <= 0 {
-		return judgedOver
-	}
-	return max(judgedOver, time.Duration(p.Burst/p.Rate*float64(time.Second)))
-}
-
 // demand gives what is asked here and what is asked in all. A gateway that hears nobody takes the others to
 // be asked as much as itself, which holds the customer to its rate split over them.
 func (g *Gateway) demand(c *customer) (mine, all float64) {
@@ -148,9 +88,9 @@
 	c.untold |= peers
 }
 
-// hearUse takes in what a peer has drawn for a customer since it last told. Of a record that was not known here it
-// is what its store still lacks; to a gateway that has just started an older peer tells what is left. What a peer
-// drew while it was not heard came out of its own part.
+// hearUse takes in what a peer has drawn for a customer since it last told. Of a record that was not known
+// here it is what its store still lacks; to a gateway that has just started an older peer tells what is left.
+// What a peer drew while it was not heard came out of its own part.
 func (g *Gateway) hearUse(c *customer, from int, e entry, silent bool) {
 	if g.tellsAll() == 0 {
 		return
@@ -168,8 +108,8 @@
 	}
 	h.life, h.made, h.used = g.lives[from], e.made, e.used
 	c.account, c.ceiling = c.account-drew, c.ceiling-drew
-	// Views part where draws cross, and would stay apart for as long as the store is never full: the one that sees
-	// more would take all. What was not yet told there is no difference.
+	// Views part where draws cross, and would stay apart for as long as the store is never full: the one that
+	// sees more would take all. What was not yet told there is no difference.
 	c.account += viewsMeet * (e.store*burst - (c.used - h.told) - c.account)
 	c.account = math.Max(-burst, c.account)
 }
@@ -179,8 +119,11 @@
 func (g *Gateway) forget(idle time.Duration) {
 	g.customers = slices.DeleteFunc(g.customers, func(c *customer) bool {
 		old := c.out == 0 && g.now-c.lastSeen > idle
-		if old {
-			g.drop(c)
+		if old && c.met {
+			delete(g.byName, c.id)
+		}
+		if old && g.byShort[c.name] == c {
+			delete(g.byShort, c.name)
 		}
 		return old
 	})
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -66,11 +66,8 @@
 	tagBits = 3
 )
 
-// Attach names the host that carries the actions out. It comes before the first event.
-func (g *Gateway) Attach(h Host) { g.host = h }
-
 func (g *Gateway) tick(now Time) {
-	g.now = now
+	g.now, g.peerHeard[g.set.Me] = now, now
 	if !g.started {
 		g.started, g.born, g.fullSince, g.lastCut, g.heard = true, now, now, now-judgedOver, now
 		for i := range g.typical {
@@ -109,15 +106,15 @@
 	g.copies = math.Min(copyShare*retryStore/retryShare, g.copies+copyShare)
 	g.asked.add(now, staleTells*tellEvery, 1)
 	r.over = !g.withinQuota(r)
-	grp := &g.groups[g.groupOf(r)]
-	plan := g.set.Plans[in.Plan]
-	if (r.over && (plan.OverWorth <= plan.OverCost || g.pressed || len(g.cuts) > 0)) || grp.cut ||
-		!g.underCeiling(r) {
-		g.host.Refuse(in.ID, g.wait(r))
-		return
-	}
-	if left := g.roomFor()*grp.part - g.load(); left < 1 && g.rng.Float64() >= left {
-		g.full = g.full || grp.part >= 1
+	grp, plan := &g.groups[g.groupOf(r)], g.set.Plans[in.Plan]
+	// Rule 5 is kept with no help from others: an own share of rate and store, and a new life starts with
+	// what has filled since its birth, as the former life may have spent all it had.
+	no := plan.CeilingRate > 0 && r.cust.ceiling < in.Units || grp.cut ||
+		r.over && (plan.OverWorth <= plan.OverCost || g.pressed || len(g.cuts) > 0)
+	if left := g.roomFor()*grp.part - g.load(); !no && left < 1 && g.rng.Float64() >= left {
+		g.full, no = g.full || grp.part >= 1, true
+	}
+	if no {
 		g.host.Refuse(in.ID, g.wait(r))
 		return
 	}
@@ -207,12 +204,6 @@
 	return g.rng.Float64() < chance*(1-math.Min(1, debt))
 }
 
-// underCeiling keeps rule 5 with no help from others: an own share of rate and store, and a new life starts
-// with what has filled since its birth, as the former life may have spent all it had.
-func (g *Gateway) underCeiling(r *request) bool {
-	return g.set.Plans[r.Plan].CeilingRate <= 0 || r.cust.ceiling >= r.Units
-}
-
 func (g *Gateway) draw(r *request, sign float64) {
 	if !r.over {
 		r.cust.account -= sign * r.Units
@@ -252,8 +243,7 @@
 	} else if g.calm++; len(g.cuts) > 0 && g.calm >= beatsPerAim {
 		g.calm = 0
 		last := g.cuts[len(g.cuts)-1]
-		g.cuts = g.cuts[:len(g.cuts)-1]
-		g.groups[last].cut = false
+		g.cuts, g.groups[last].cut = g.cuts[:len(g.cuts)-1], false
 		g.host.Log(fmt.Sprintf("lift %s", g.groupName(last)))
 	}
 	g.forget(idleAfter)
@@ -321,18 +311,14 @@
 func (g *Gateway) score() []float64 {
 	f, r := make([]float64, len(g.groups)), make([]float64, len(g.groups))
 	q, sumR, sumQ := make([]float64, len(g.groups)), 0.0, 0.0
-	for i := range g.groups {
-		t := &g.groups[i].told
-		t.fade(g.now, countsOver, 0)
-		q[i] = t.own[groupQ] + float64(g.set.Gateways)*t.pool[groupQ]
-		r[i] = t.own[groupR] + float64(g.set.Gateways)*t.pool[groupR]
-		sumQ += q[i]
-	}
 	for _, a := range g.open {
 		r[g.groupOf(a.req)] += min(g.now-a.sent, g.set.Classes[a.req.Class].Deadline).Seconds()
 	}
-	for _, x := range r {
-		sumR += x
+	for i := range g.groups {
+		t := &g.groups[i].told
+		t.fade(g.now, countsOver, 0)
+		q[i], r[i] = t.all(groupQ, g.set.Gateways), r[i]+t.all(groupR, g.set.Gateways)
+		sumQ, sumR = sumQ+q[i], sumR+r[i]
 	}
 	for i := range g.groups {
 		if q[i] >= 0.5 {
@@ -382,8 +368,7 @@
 func (g *Gateway) Servers(now Time, kind ListKind, list []ServerInfo) {
 	g.tick(now)
 	if kind == ListFailed {
-		g.rewatch = min(max(2*g.rewatch, g.beat()), max(g.set.MustAsk/4, g.beat()))
-		g.watching = false
+		g.watching, g.rewatch = false, min(max(2*g.rewatch, g.beat()), max(g.set.MustAsk/4, g.beat()))
 		g.host.Timer(tagWatch, g.rewatch)
 		return
 	}
@@ -396,15 +381,13 @@
 	for _, in := range list {
 		s := g.byID[in.ID]
 		if s == nil {
-			s = &server{turn: g.rng.Float64(), turnAt: now}
-			g.byID[in.ID] = s
-			g.servers = append(g.servers, s)
-		} else if in.Since != s.Since {
-			// another process now
+			s = &server{}
+			g.byID[in.ID], g.servers = s, append(g.servers, s)
+		}
+		if in.Since != s.Since || s.turnAt == 0 { // another process now
 			*s = server{out: s.out, lost: s.lost, sends: s.sends, turn: g.rng.Float64(), turnAt: now}
 		}
-		s.ServerInfo = in
-		s.listed = in.State == Ready
+		s.ServerInfo, s.listed = in, in.State == Ready
 	}
 	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
 		old := !s.listed && s.out == 0 && (len(s.sends) == 0 || now-s.sends[len(s.sends)-1] > g.set.Fall)
@@ -419,8 +402,7 @@
 // pick gives the usable server with the least expected wait for a request, nil where there is none.
 func (g *Gateway) pick(r *request) *server {
 	trust := 2*g.listed(g.ejected) <= g.present() // when most look bad the fault is elsewhere: judge none
-	var best *server
-	least := 0.0
+	best, least := (*server)(nil), 0.0
 	for round := 0; round < 2 && best == nil; round++ {
 		for _, s := range g.servers {
 			if !s.listed || !g.mayRunOn(r, s) || (trust && g.ejected(s)) || !g.coldRoom(s) {
@@ -458,6 +440,23 @@
 	return cost
 }
 
+// Learn takes priors of servers in, each for one life of its server. They move guesses, of pace and of room,
+// and may delay a cold turn. What is listed, what may run where and every budget stay as they were.
+func (g *Gateway) Learn(now Time, list []Prior) {
+	g.tick(now)
+	for _, p := range list {
+		if s := g.byID[p.ID]; s != nil && s.listed && s.Since == p.Since && p.Pace*p.Weight > 0 {
+			s.pace = mean{sum: p.Pace * p.Weight, n: p.Weight, at: now}
+			if p.Room > 0 {
+				s.room = p.Room
+			}
+			if p.Cold {
+				s.turn = math.Min(s.turn, 0)
+			}
+		}
+	}
+}
+
 // ---- Health ----
 
 func (g *Gateway) ejected(s *server) bool {
@@ -466,18 +465,13 @@
 
 // judge counts an attempt's end for or against its server.
 func (g *Gateway) judge(s *server, failed bool) {
-	memory := 4 * paceMemory * g.shortAim()
-	if !failed {
-		s.fails.add(g.now, memory, 0)
-		s.row = 0
-		if s.ejections > 0 && g.now >= s.ejectedUntil {
-			s.ejections--
-			s.fails = mean{at: g.now}
+	s.fails.count(g.now, 4*paceMemory*g.shortAim(), failed)
+	if s.row++; !failed {
+		if s.row, s.answered = 0, g.now; s.ejections > 0 && g.now >= s.ejectedUntil {
+			s.ejections, s.fails = s.ejections-1, mean{at: g.now}
 		}
 		return
 	}
-	s.fails.add(g.now, memory, 1)
-	s.row++
 	if g.now >= s.ejectedUntil && (s.ejections > 0 || s.row >= rowToEject ||
 		(s.fails.sum >= failsToEject && s.fails.sum >= shareToEject*s.fails.n)) {
 		s.ejectedUntil = g.now + g.shortAim()<<min(s.ejections, ejectDoubles)
@@ -510,16 +504,15 @@
 	for len(s.sends) > 0 && g.now-s.sends[0] > g.set.Fall {
 		s.sends = s.sends[1:]
 	}
-	sum, n := 0.0, 0.0
+	var warm mean
 	for _, t := range g.servers {
 		if t.listed && g.warmth(t) >= 1 {
 			t.done.fade(g.now, 2*g.set.Fall)
-			sum += t.done.sum
-			n++
+			warm.sum, warm.n = warm.sum+t.done.sum, warm.n+1
 		}
 	}
-	if n > 0 {
-		g.perServer = sum / n / 2 // answers in a window of Fall
+	if warm.n > 0 {
+		g.perServer = warm.sum / warm.n / 2 // answers in a window of Fall
 	}
 	budget := math.Max(coldMargin*g.set.FallMultiple*w*g.perServer, 1/float64(g.set.Gateways))
 	if budget < 1 { // all that have a turn take it: it is for what the server can do, not for what it bears
@@ -563,13 +556,10 @@
 // harmless.
 func (g *Gateway) mayRunOn(r *request, s *server) bool {
 	c := g.set.Classes[r.Class]
-	if c.Effect == Safe {
-		return true
-	}
 	for _, a := range slices.Concat(r.mayHave, r.out) {
-		if c.Effect == Unsafe || g.now-a.sent >= c.Window-2*g.set.Tick ||
-			c.Scope == ScopeZone && a.server.Zone != s.Zone ||
-			c.Scope == ScopeCell && a.server.Cell != s.Cell {
+		t := a.server
+		if c.Effect == Unsafe || c.Effect == Keyed && (g.now-a.sent >= c.Window-2*g.set.Tick ||
+			c.Scope == ScopeZone && t.Zone != s.Zone || c.Scope == ScopeCell && t.Cell != s.Cell) {
 			return false
 		}
 	}
@@ -586,9 +576,7 @@
 	}
 	s, class := a.server, g.set.Classes[r.Class]
 	took := max(o.Elapsed, 0)
-	grp := &g.groups[g.groupOf(r)]
-	ratio := took.Seconds() / g.typicalOf(r.Class)
-	late := took > class.Aim
+	ratio, late := took.Seconds()/g.typicalOf(r.Class), took > class.Aim
 	switch o.Ending {
 	case Served:
 		for _, b := range g.open {
@@ -617,7 +605,7 @@
 	quick := (o.Ending == Errored || o.Ending == TurnedAway) && !late // tells nothing of the load
 	if o.Ending != NeverSent && o.Ending != Cancelled && !quick {
 		g.count(a, late)
-		grp.told.own[groupR] += min(took, class.Deadline).Seconds()
+		g.groups[g.groupOf(r)].told.own[groupR] += min(took, class.Deadline).Seconds()
 	}
 	if o.Ending == Served && o.Units > 0 && !r.over {
 		r.cust.account -= o.Units - r.Units
@@ -777,21 +765,17 @@
 			t := &g.groups[i].told
 			t.fade(g.now, countsOver, 0)
 			if full {
-				told := t.split(float64(len(peers)), float64(g.set.Gateways))
-				list[ofGroups] = append(list[ofGroups], entry{name: uint64(i), mass: told})
+				list[ofGroups] = append(list[ofGroups],
+					entry{name: uint64(i), mass: t.split(float64(len(peers)), float64(g.set.Gateways))})
 			}
 		}
 		room := bytes - messageHead - sections - len(g.groups)*entryBytes(ofGroups)
 		for _, c := range g.busiest(to, room/entryBytes(ofCustomers)) {
-			left := 0.0
-			for _, p := range peers {
-				if g.serves(p, c) {
-					left++
-				}
-			}
+			others := slices.DeleteFunc(slices.Clone(peers), func(p int) bool { return !g.serves(p, c) })
 			g.refill(c, 0)
-			list[ofCustomers] = append(list[ofCustomers], entry{c.name, c.told.split(left, float64(c.set)),
-				c.made, c.used, c.account / math.Max(g.set.Plans[c.plan].Burst, 1e-9)})
+			left, burst := float64(len(others)), math.Max(g.set.Plans[c.plan].Burst, 1e-9)
+			list[ofCustomers] = append(list[ofCustomers],
+				entry{c.name, c.told.split(left, float64(c.set)), c.made, c.used, c.account / burst})
 			if c.untold &^= 1 << to; to < len(c.heard) {
 				c.heard[to].told = c.used
 			}
@@ -808,19 +792,12 @@
 
 // partners picks whom to tell: for each a customer of whom there is news, by chance, and one of its gateways.
 func (g *Gateway) partners() []int {
-	var news []*customer
-	for _, c := range g.customers {
-		if c.set > 1 && c.told.own[0] > 0 {
-			news = append(news, c)
-		}
-	}
 	var peers []int
-	if g.tellsAll() != 0 {
-		for k := 1; k < g.set.Gateways; k++ {
-			peers = append(peers, (g.set.Me+k)%g.set.Gateways)
-		}
-		return peers
+	for k := 1; k < g.set.Gateways && g.tellsAll() != 0; k++ {
+		peers = append(peers, (g.set.Me+k)%g.set.Gateways)
 	}
+	quiet := func(c *customer) bool { return c.set < 2 || c.told.own[0] <= 0 }
+	news := slices.DeleteFunc(slices.Clone(g.customers), quiet)
 	for k := min(g.set.Gateways-1, tellPeers); len(peers) < k; {
 		p := g.rng.IntN(g.set.Gateways)
 		if len(news) > 0 && g.rng.Float64() < toNews {
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -990,3 +990,31 @@
 		t.Fatalf("%d let in after one answer", n)
 	}
 }
+
+// A prior is for one life of a listed server. It moves the guesses of pace and of room and nothing else.
+func TestPriorsMoveGuessesOnly(t *testing.T) {
+	s := settings()
+	s.SecondCopies = false
+	f := start(t, s, 3)
+	f.g.Servers(f.now, ListChanges, []ServerInfo{{ID: 3, State: Draining, Weight: 1}})
+	f.g.Learn(f.now, []Prior{{ID: 1, Pace: 30, Weight: 4}, {ID: 2, Since: 5 * time.Second, Pace: 30, Weight: 9},
+		{ID: 3, Pace: 0.1, Weight: 9}, {ID: 9, Pace: 0.1, Weight: 9}, {ID: 2, Pace: math.NaN(), Weight: 1, Room: 7}})
+	for id := RequestID(1); id <= 4; id++ {
+		f.ask(id, func(*Request) {})
+	}
+	for _, x := range f.sent {
+		if x.to != 2 { // 1 is said to be slow, 3 drains, and what was said of 2 was of another life or no number
+			t.Errorf("request %d went to server %d", x.id, x.to)
+		}
+	}
+	if len(f.sent) != 4 || len(f.g.servers) != 2 {
+		t.Errorf("%d sent, %d servers known", len(f.sent), len(f.g.servers))
+	}
+	if list := f.g.Observe(f.now); len(list) != 2 || list[0].Pace != 30 || list[1].Out != 4 || list[1].Answered != 0 {
+		t.Errorf("observed %+v", list)
+	}
+	f.until(f.now + 10*time.Second)
+	if list := f.g.Observe(f.now); list[0].Answers > 1 { // a guess fades as what was seen does
+		t.Errorf("after 10 s the prior still counts %.1f answers", list[0].Answers)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -134,6 +134,9 @@
 	}
 }
 
+// all estimates what all n gateways hold of a figure together.
+func (t *tally) all(figure, n int) float64 { return t.own[figure] + float64(n)*t.pool[figure] }
+
 // split takes out what one peer is told, where so many are still to be told and n gateways share the figures.
 // Of what is own each of the n should end with an equal part; the pool is split evenly with those told.
 func (t *tally) split(left, n float64) (told [2]float64) {
@@ -195,6 +198,7 @@
 	turnAt       Time
 	room         float64 // attempts of ours that it may hold, 0: not yet known
 	row          int     // failures since it last served
+	answered     Time    // when it last served
 }
 
 type customer struct {
@@ -309,6 +313,34 @@
 	holding   bool
 }
 
+// New checks the settings and gives a gateway that knows nothing yet. The seed is its only randomness.
+func New(set Settings, seed uint64) (*Gateway, error) {
+	if err := set.Check(); err != nil {
+		return nil, err
+	}
+	g := &Gateway{set: set, rng: rand.New(rand.NewPCG(seed, seed^0x9e3779b97f4a7c15)),
+		requests: map[RequestID]*request{}, byID: map[ServerID]*server{}, byName: map[CustomerID]*customer{},
+		byShort: map[uint64]*customer{},
+		typical: make([]mean, len(set.Classes)), retries: retryStore, copies: 1,
+		late:    make([]mean, len(set.Classes)),
+		peerAge: make([]time.Duration, set.Gateways), peerHeard: make([]Time, set.Gateways),
+		lives: make([]int, set.Gateways), toldAt: make([]Time, set.Gateways)}
+	total := 0.0
+	for _, c := range set.Classes {
+		for _, p := range set.Plans {
+			total += c.Worth * p.Price
+			g.groups = append(g.groups, group{v: c.Worth * p.Price, part: 1})
+		}
+	}
+	for i := range g.groups {
+		g.groups[i].v = math.Max(g.groups[i].v/math.Max(total, 1e-9), 1e-9)
+	}
+	return g, nil
+}
+
+// Attach names the host that carries the actions out. It comes before the first event.
+func (g *Gateway) Attach(h Host) { g.host = h }
+
 // takeOut removes a request's open attempt from all that counts it, nil where there is none.
 func (g *Gateway) takeOut(r *request, no int) *attempt {
 	if r == nil {
@@ -354,6 +386,43 @@
 
 func (s *server) load() float64 { return float64(s.out - s.lost) }
 
+// Observe gives what this gateway has seen of each listed server, in the order of the list.
+func (g *Gateway) Observe(now Time) []Observation {
+	g.tick(now)
+	list := make([]Observation, 0, len(g.servers))
+	for _, s := range g.servers {
+		if !s.listed {
+			continue
+		}
+		s.pace.fade(now, paceMemory*g.shortAim())
+		o := Observation{ID: s.ID, Since: s.Since, Answers: s.pace.n, Answered: s.answered, Out: s.out,
+			Ejected: max(0, s.ejectedUntil-now), Room: s.room, Warmth: g.warmth(s)}
+		if s.pace.n > 0 {
+			o.Pace = s.pace.sum / s.pace.n
+		}
+		for _, t := range s.sends {
+			if now-t <= g.set.Fall {
+				o.ColdSends++
+			}
+		}
+		list = append(list, o)
+	}
+	at := make(map[*server]*Observation, len(list))
+	for i := range list {
+		at[g.byID[list[i].ID]] = &list[i]
+	}
+	for _, a := range g.open {
+		o, out := at[a.server], now-a.sent
+		if o == nil || a.req.streaming || a.passed >= passedBy || out.Seconds() <= overdue*g.typicalOf(a.req.Class) {
+			continue
+		}
+		if o.Overdue++; a.sent >= o.Answered {
+			o.Silent = max(o.Silent, out)
+		}
+	}
+	return list
+}
+
 // Streaming tells that a response has begun: no deadline runs any more.
 func (g *Gateway) Streaming(now Time, id RequestID, attempt int) {
 	g.tick(now)
@@ -366,7 +435,8 @@
 	return math.Exp(-float64(age) / float64(memory))
 }
 
-func (s Settings) check() error {
+// Check tells what is wrong with the settings, by key.
+func (s Settings) Check() error {
 	if len(s.Classes) == 0 {
 		return errors.New("settings: classes: none given")
 	}
@@ -445,3 +515,16 @@
 }
 
 func (g *Gateway) present() int { return g.listed(func(*server) bool { return true }) }
+
+func (g *Gateway) serves(gateway int, c *customer) bool {
+	return ((gateway-c.first)%g.set.Gateways+g.set.Gateways)%g.set.Gateways < c.set
+}
+
+// memory is how long demand counts: as long as the burst lasts at the quota's rate, a second at least.
+func (g *Gateway) memory(plan int) time.Duration {
+	p := g.set.Plans[plan]
+	if p.Rate <= 0 {
+		return judgedOver
+	}
+	return max(judgedOver, time.Duration(p.Burst/p.Rate*float64(time.Second)))
+}
