sprucelane is a command with serve, check and version, and logs through log/slog

Commands stand on cobra, a bare start serves as before, every flag has an environment variable. check reads all that serve reads and names every fault by file and key (the configuration gathers them instead of stopping at the first; a key that the operators' file doesn't know is one); what can't be used exits with 2. Log lines go through log/slog, as key=value text or JSON. The counters are attributes, which the tests read as before.

--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -1,247 +1,80 @@
-// Command sprucelane is one gateway of the fleet. This file owns the wiring and the signals; it must never look
-// into a request or a list.
+// Command sprucelane is one gateway of the fleet, and its operators' commands. This file owns the commands and their
+// flags; it must never do their work.
 package main
 
 import (
-	"context"
-	"crypto/tls"
 	"fmt"
-	"log"
-	"net/http"
-	"net/netip"
+	"log/slog"
 	"os"
-	"os/signal"
-	"runtime"
-	"runtime/debug"
-	"sync"
-	"sync/atomic"
-	"syscall"
-	"time"
 
+	"github.com/spf13/cobra"
+
+	"sprucelane.example/sprucelane/internal/cli"
 	"sprucelane.example/sprucelane/internal/config"
-	"sprucelane.example/sprucelane/internal/core"
-	"sprucelane.example/sprucelane/internal/discovery"
-	"sprucelane.example/sprucelane/internal/front"
-	"sprucelane.example/sprucelane/internal/front/introspect"
-	"sprucelane.example/sprucelane/internal/front/platform"
-	"sprucelane.example/sprucelane/internal/peer"
-	"sprucelane.example/sprucelane/internal/pool"
-	"sprucelane.example/sprucelane/policy"
+	"sprucelane.example/sprucelane/internal/logging"
 )
 
-const (
-	memoryShare = 0.75 // of the memory limit that the heap keeps to; the rest is stacks and the runtime's own
-	gcPercent   = 400  // the live heap is a few MB: collecting less often costs little memory
-)
+const envPrefix = "SPRUCELANE"
 
 func main() {
-	log.SetFlags(log.Ldate | log.Lmicroseconds)
-	if err := run(os.Getenv, config.SiteFile); err != nil {
-		log.Fatalf("event=failed err=%q", err)
-	}
+	os.Exit(cli.Main(commands(os.Getenv), func(err error) { slog.Error("failed", "err", err) }))
 }
 
-func run(getenv func(string) string, siteFile string) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1, syscall.SIGHUP)
-	defer signal.Stop(signals)
-	cfg, err := config.Load(getenv, siteFile)
-	if err != nil {
-		return err
-	}
-	debug.SetGCPercent(gcPercent)
-	runtimeLimits(cfg)
-
-	ctx, stop := context.WithCancel(context.Background())
-	defer stop()
-	members := pool.New(pool.Options{Sockets: cfg.MemberSockets, LongAnswers: cfg.LongAnswers,
-		ConnIdle: cfg.Deployment.ConnIdle, ConnectWait: cfg.Deployment.ConnectWait})
-	defer members.Close()
-	var link *peer.Link
-	var tell func(int, []byte)
-	if cfg.PeerListen.IsValid() {
-		if link, err = peer.Listen(cfg.PeerListen, cfg.Peers, cfg.PeersAll); err != nil {
-			return fmt.Errorf("peer_listen: %w", err)
-		}
-		defer link.Close()
-		tell = link.Tell
-	}
-	clock := core.NewClock()
-	decisions, err := core.New(cfg.Deployment.Settings, cfg.Seed, clock, members, tell)
-	if err != nil {
-		return err
-	}
-	roster := discovery.NewRoster(members, decisions.Servers, cfg.Deployment.Zones, cfg.Deployment.Kinds)
-	roster.Apply(policy.ListCached, cfg.Known.Instances)
-
-	g := &gateway{failed: make(chan error, 2)}
-	defer g.close()
-	ready := func() bool { return !g.draining.Load() && members.Ready() > 0 }
-	opt := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
-	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready, Open: &g.ids}
-	if err := g.open(opt, door); err != nil {
-		return fmt.Errorf("listen: %w", err)
-	}
-	g.counters = append(g.counters, func() string {
-		return fmt.Sprintf("part=gateway malformed=%d %s", door.Malformed(), decisions.Counters())
-	})
-	if cfg.Site.Introspection != nil {
-		if err := g.introspection(cfg, opt, clock, decisions, ready); err != nil {
-			return fmt.Errorf("introspection: %w", err)
-		}
-	}
-	if link != nil {
-		go link.Serve(decisions.PeerMessage)
-	}
-	unfollow := follow(ctx, cfg, roster)
-	log.Printf("event=started name=%s listen=%s members=%d gateways=%d", cfg.Name, cfg.Listen, members.Ready(),
-		cfg.Deployment.Gateways)
-	drained := make(chan bool)
-	for {
-		select {
-		case err := <-g.failed:
-			g.report("counters")
-			return fmt.Errorf("virtual server: %w", err)
-		case <-drained:
-			g.report("stopped")
+// commands builds the command line. A bare start serves.
+func commands(getenv func(string) string) *cobra.Command {
+	var site, format, level string
+	env := cli.Env(envPrefix, getenv)
+	run := func(*cobra.Command, []string) error { return serve(getenv, site) }
+	root := &cobra.Command{
+		Use:   "sprucelane",
+		Short: "One gateway of a fleet that holds quotas over all of them together",
+		Long: `One gateway of a fleet that holds quotas over all of them together.
+
+Without a command it serves. What it serves is told by the file that ROUTER_CONFIG names, by ROUTER_NAME,
+ROUTER_LISTEN and ROUTER_DISCOVERY, and by the operators' file (--site). Every flag has a variable: SPRUCELANE_ and the
+flag's name in capitals, as SPRUCELANE_LOG_FORMAT.`,
+		Args:              cobra.NoArgs,
+		CompletionOptions: cobra.CompletionOptions{HiddenDefaultCmd: true},
+		PersistentPreRunE: func(cmd *cobra.Command, args []string) error {
+			if err := env(cmd, args); err != nil {
+				return err
+			}
+			if err := logging.Set(os.Stderr, format, level); err != nil {
+				return cli.Coded{Code: cli.Usage, Err: err}
+			}
 			return nil
-		case s := <-signals:
-			switch {
-			case s == syscall.SIGUSR1:
-				g.report("counters")
-			case s == syscall.SIGHUP: // during a drain too: what is still open needs the pool's news
-				next, err := config.Reload(getenv, siteFile)
+		},
+		RunE: run,
+	}
+	flags := root.PersistentFlags()
+	flags.StringVar(&site, "site", config.SiteFile, "the operators' own `file`; without it what it holds is off")
+	flags.StringVar(&format, "log-format", "text", "`form` of log lines: text (key=value) or json")
+	flags.StringVar(&level, "log-level", "info", "least `level` that is logged: debug, info, warn or error")
+	root.AddCommand(
+		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, as a bare start does", Args: cobra.NoArgs, RunE: run},
+		&cobra.Command{
+			Use:   "check",
+			Short: "Read all configuration and say what is wrong with it, by key",
+			Long: `Reads all configuration as serve would and opens nothing. Prints a line for every fault, with the key, and exits
+with 2 where there is one; prints what the gateway would be and exits with 0 where there is none.`,
+			Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				cfg, err := config.Load(getenv, site)
+				for _, fault := range config.Faults(err) {
+					fmt.Fprintln(cmd.OutOrStdout(), fault)
+				}
 				if err != nil {
-					log.Printf("event=reload_failed err=%q", err)
-					continue
+					return cli.Coded{Code: cli.Usage, Err: fmt.Errorf("configuration: %d faults", len(config.Faults(err)))}
 				}
-				runtimeLimits(next)
-				members.Limit(next.MemberSockets, next.LongAnswers)
-				g.limit(next)
-				unfollow()
-				unfollow = follow(ctx, next, roster)
-				log.Printf("event=reloaded discovery=%s until_restart=%q", next.Discovery, cfg.Fixed(next))
-			case !g.draining.Swap(true):
-				// All that was taken has its answer by its own deadline.
-				limit, cancel := context.WithTimeout(ctx, cfg.Deployment.LongestDeadline()+time.Second)
-				defer cancel()
-				go func() { g.drain(limit); close(drained) }()
-			}
-		}
-	}
-}
-
-// runtimeLimits keeps Go's own runtime inside the gateway's limits.
-func runtimeLimits(cfg *config.Config) {
-	runtime.GOMAXPROCS(cfg.Cores)
-	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
-}
-
-// follow watches the pool's source until the function it gives back is called, which returns once nothing more
-// comes: a roster takes one source at a time. A source that is followed anew is asked for its whole list, as what
-// the one before held back would else be missed.
-func follow(ctx context.Context, cfg *config.Config, roster *discovery.Roster) func() {
-	ctx, cancel := context.WithCancel(ctx)
-	var done sync.WaitGroup
-	done.Go(func() {
-		if cfg.Site.Consul != nil {
-			discovery.WatchConsul(ctx, *cfg.Site.Consul, roster)
-		} else {
-			discovery.Watch(ctx, cfg.Discovery, cfg.Known, roster)
-		}
-	})
-	return func() { cancel(); done.Wait() }
-}
-
-// gateway is what runs: its virtual servers and what they count.
-type gateway struct {
-	servers  []*front.Server
-	checker  *introspect.Checker // nil: off
-	ids      platform.Open
-	counters []func() string
-	closers  []func()
-	draining atomic.Bool
-	failed   chan error
-}
-
-func (g *gateway) close() {
-	for _, c := range g.closers {
-		c()
-	}
-}
-
-func (g *gateway) open(opt front.Options, handler http.Handler) error {
-	server, err := front.Listen(opt, handler)
-	if err != nil {
-		return err
-	}
-	g.servers = append(g.servers, server)
-	go func() {
-		if err := server.Serve(); err != nil {
-			g.failed <- err
-		}
-	}()
-	return nil
-}
-
-// introspection opens the second front, with a core of its own for the checks.
-func (g *gateway) introspection(cfg *config.Config, opt front.Options, clock core.Clock, decisions *core.Core,
-	ready func() bool) error {
-	conf := *cfg.Site.Introspection
-	var link *peer.Link
-	var tell func(int, []byte)
-	var err error
-	if conf.Link.IsValid() {
-		if link, err = peer.Listen(conf.Link, conf.Linked, netip.AddrPort{}); err != nil {
-			return fmt.Errorf("peer_listen: %w", err)
-		}
-		tell = link.Tell
-	}
-	checker, err := introspect.NewChecker(conf, cfg.Deployment, cfg.CheckSockets, ^cfg.Seed, clock, tell)
-	if err != nil {
-		return err
-	}
-	g.checker = checker
-	g.closers = append(g.closers, checker.Close)
-	if link != nil {
-		g.closers = append(g.closers, func() { link.Close() })
-		go link.Serve(checker.PeerMessage)
-	}
-	if opt.Listen = conf.Listen; conf.CertFile != "" {
-		cert, err := tls.LoadX509KeyPair(conf.CertFile, conf.KeyFile)
-		if err != nil {
-			return fmt.Errorf("cert_file, key_file: %w", err)
-		}
-		opt.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
-	}
-	door := &introspect.Front{Core: decisions, Checker: checker, Deployment: cfg.Deployment, Ready: ready,
-		Open: &g.ids}
-	g.counters = append(g.counters, func() string {
-		return fmt.Sprintf("part=introspection malformed=%d %s", door.Malformed(), checker.Counters())
-	})
-	return g.open(opt, door)
-}
-
-// limit takes a reloaded configuration's descriptor budget in.
-func (g *gateway) limit(cfg *config.Config) {
-	for _, s := range g.servers {
-		s.Limit(cfg.ClientSockets)
-	}
-	if g.checker != nil {
-		g.checker.Limit(cfg.CheckSockets)
-	}
-}
-
-func (g *gateway) drain(ctx context.Context) {
-	var all sync.WaitGroup
-	for _, s := range g.servers {
-		all.Go(func() { s.Drain(ctx) })
-	}
-	all.Wait()
-}
-
-func (g *gateway) report(event string) {
-	for _, c := range g.counters {
-		log.Printf("event=%s %s", event, c())
-	}
+				fmt.Fprintln(cmd.OutOrStdout(), cfg.Summary())
+				return nil
+			},
+		},
+		&cobra.Command{Use: "version", Short: "Print the program's version", Args: cobra.NoArgs,
+			RunE: func(cmd *cobra.Command, _ []string) error {
+				_, err := fmt.Fprintln(cmd.OutOrStdout(), "sprucelane", cli.Version())
+				return err
+			}},
+	)
+	return root
 }
--- a/cmd/sprucelane/main_test.go
+++ b/cmd/sprucelane/main_test.go
@@ -2,7 +2,6 @@
 
 import (
 	"fmt"
-	"log"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -16,6 +15,8 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"sprucelane.example/sprucelane/internal/cli"
+	"sprucelane.example/sprucelane/internal/logging"
 	"sprucelane.example/sprucelane/internal/standin"
 )
 
@@ -41,8 +42,8 @@
 // and ends without an error. On SIGHUP it reads its configuration again and serves on. Counters are printed on request and at the exit.
 func TestWholeLife(t *testing.T) {
 	var lines record
-	log.SetOutput(&lines)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	require.NoError(t, logging.Set(&lines, "text", "info"))
+	t.Cleanup(func() { logging.Set(os.Stderr, "text", "info") })
 	member := standin.New(t, standin.OK("sent"))
 	endpoint := standin.New(t, standin.OK(`{"active":true}`))
 	agent := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) { <-r.Context().Done() }))
@@ -63,7 +64,7 @@
 	defer http.DefaultClient.CloseIdleConnections()
 	ended := make(chan error, 1)
 	go func() {
-		ended <- run(func(k string) string {
+		ended <- serve(func(k string) string {
 			return map[string]string{"ROUTER_CONFIG": path, "ROUTER_DISCOVERY": old}[k]
 		}, site)
 	}()
@@ -110,6 +111,49 @@
 	assert.NotContains(t, lines.String(), "tok-1")
 }
 
-func TestFaultsNameTheKey(t *testing.T) {
-	assert.ErrorContains(t, run(func(string) string { return "" }, ""), "ROUTER_CONFIG")
+// execute runs one command of the program in an environment and gives its exit code and what it printed.
+func execute(env map[string]string, args ...string) (int, string) {
+	var out strings.Builder
+	root := commands(func(k string) string { return env[k] })
+	root.SetArgs(args)
+	root.SetOut(&out)
+	return cli.Main(root, func(err error) { fmt.Fprintln(&out, "failed:", err) }), out.String()
+}
+
+// What can't be used ends the program with 2 and names the flag, the variable or the key; check names every fault.
+func TestCommandsNameWhatIsWrong(t *testing.T) {
+	t.Cleanup(func() { logging.Set(os.Stderr, "text", "info") })
+	dir := t.TempDir()
+	path, site := filepath.Join(dir, "config.json"), filepath.Join(dir, "site.json")
+	require.NoError(t, os.WriteFile(path, []byte(`{"listen":"x","discovery":"127.0.0.1:1","seed":"z","limits":{"sockets":3},
+		"settings":{"group_size":1}}`), 0o600))
+	require.NoError(t, os.WriteFile(site, []byte(`{"consul":{"addr":"y"}}`), 0o600))
+	env := map[string]string{"ROUTER_CONFIG": path}
+	code, text := execute(env, "check", "--site", site)
+	assert.Equal(t, cli.Usage, code)
+	for _, key := range []string{path + ": seed:", "limits.sockets:", path + ": settings: classes", "listen:", site + ": consul.addr:",
+		site + ": consul.service:"} {
+		assert.Contains(t, text, key)
+	}
+	require.NoError(t, os.WriteFile(site, []byte(`{"consull":{}}`), 0o600))
+	_, text = execute(env, "check", "--site", site)
+	assert.Contains(t, text, "consull")
+	for _, c := range []struct {
+		env  string
+		args []string
+		want string
+	}{
+		{"", []string{"check", "--sight", "x"}, "--sight"}, {"", []string{"--log-format", "xml"}, "log-format"},
+		{"loud", nil, "log-level"}, {"", []string{"serf"}, "serf"},
+	} {
+		code, text = execute(map[string]string{"SPRUCELANE_LOG_LEVEL": c.env}, c.args...)
+		assert.Contains(t, text, c.want)
+		assert.NotZero(t, code, c.want)
+	}
+	code, text = execute(nil, "serve")
+	assert.Equal(t, cli.Usage, code)
+	assert.Contains(t, text, "ROUTER_CONFIG")
+	code, text = execute(nil, "version")
+	assert.Zero(t, code)
+	assert.Contains(t, text, "sprucelane ")
 }
--- /dev/null
+++ b/cmd/sprucelane/serve.go
@@ -0,0 +1,246 @@
+// This file owns the wiring of a gateway and the signals; it must never look into a request or a list.
+package main
+
+import (
+	"context"
+	"crypto/tls"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"net/netip"
+	"os"
+	"os/signal"
+	"runtime"
+	"runtime/debug"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/cli"
+	"sprucelane.example/sprucelane/internal/config"
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/discovery"
+	"sprucelane.example/sprucelane/internal/front"
+	"sprucelane.example/sprucelane/internal/front/introspect"
+	"sprucelane.example/sprucelane/internal/front/platform"
+	"sprucelane.example/sprucelane/internal/peer"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/policy"
+)
+
+const (
+	memoryShare = 0.75 // of the memory limit that the heap keeps to; the rest is stacks and the runtime's own
+	gcPercent   = 400  // the live heap is a few MB: collecting less often costs little memory
+)
+
+// serve runs a gateway until SIGTERM or a failure.
+func serve(getenv func(string) string, siteFile string) error {
+	signals := make(chan os.Signal, 4)
+	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	cfg, err := config.Load(getenv, siteFile)
+	if err != nil {
+		return cli.Coded{Code: cli.Usage, Err: err}
+	}
+	debug.SetGCPercent(gcPercent)
+	runtimeLimits(cfg)
+
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	members := pool.New(pool.Options{Sockets: cfg.MemberSockets, LongAnswers: cfg.LongAnswers,
+		ConnIdle: cfg.Deployment.ConnIdle, ConnectWait: cfg.Deployment.ConnectWait})
+	defer members.Close()
+	var link *peer.Link
+	var tell func(int, []byte)
+	if cfg.PeerListen.IsValid() {
+		if link, err = peer.Listen(cfg.PeerListen, cfg.Peers, cfg.PeersAll); err != nil {
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		defer link.Close()
+		tell = link.Tell
+	}
+	clock := core.NewClock()
+	decisions, err := core.New(cfg.Deployment.Settings, cfg.Seed, clock, members, tell)
+	if err != nil {
+		return err
+	}
+	roster := discovery.NewRoster(members, decisions.Servers, cfg.Deployment.Zones, cfg.Deployment.Kinds)
+	roster.Apply(policy.ListCached, cfg.Known.Instances)
+
+	g := &gateway{failed: make(chan error, 2)}
+	defer g.close()
+	ready := func() bool { return !g.draining.Load() && members.Ready() > 0 }
+	opt := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
+	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready, Open: &g.ids}
+	if err := g.open(opt, door); err != nil {
+		return fmt.Errorf("listen: %w", err)
+	}
+	g.counters = append(g.counters, func() core.Counts {
+		return part("gateway", door.Malformed(), decisions.Counters())
+	})
+	if cfg.Site.Introspection != nil {
+		if err := g.introspection(cfg, opt, clock, decisions, ready); err != nil {
+			return fmt.Errorf("introspection: %w", err)
+		}
+	}
+	if link != nil {
+		go link.Serve(decisions.PeerMessage)
+	}
+	unfollow := follow(ctx, cfg, roster)
+	slog.Info("started", "name", cfg.Name, "listen", cfg.Listen, "members", members.Ready(),
+		"gateways", cfg.Deployment.Gateways)
+	drained := make(chan bool)
+	for {
+		select {
+		case err := <-g.failed:
+			g.report("counters")
+			return fmt.Errorf("virtual server: %w", err)
+		case <-drained:
+			g.report("stopped")
+			return nil
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGUSR1:
+				g.report("counters")
+			case s == syscall.SIGHUP: // during a drain too: what is still open needs the pool's news
+				next, err := config.Reload(getenv, siteFile)
+				if err != nil {
+					slog.Error("reload_failed", "err", err)
+					continue
+				}
+				runtimeLimits(next)
+				members.Limit(next.MemberSockets, next.LongAnswers)
+				g.limit(next)
+				unfollow()
+				unfollow = follow(ctx, next, roster)
+				slog.Info("reloaded", "discovery", next.Discovery, "until_restart", cfg.Fixed(next))
+			case !g.draining.Swap(true):
+				// All that was taken has its answer by its own deadline.
+				limit, cancel := context.WithTimeout(ctx, cfg.Deployment.LongestDeadline()+time.Second)
+				defer cancel()
+				go func() { g.drain(limit); close(drained) }()
+			}
+		}
+	}
+}
+
+// runtimeLimits keeps Go's own runtime inside the gateway's limits.
+func runtimeLimits(cfg *config.Config) {
+	runtime.GOMAXPROCS(cfg.Cores)
+	debug.SetMemoryLimit(int64(memoryShare * float64(cfg.MemoryBytes)))
+}
+
+// follow watches the pool's source until the function it gives back is called, which returns once nothing more
+// comes: a roster takes one source at a time. A source that is followed anew is asked for its whole list, as what
+// the one before held back would else be missed.
+func follow(ctx context.Context, cfg *config.Config, roster *discovery.Roster) func() {
+	ctx, cancel := context.WithCancel(ctx)
+	var done sync.WaitGroup
+	done.Go(func() {
+		if cfg.Site.Consul != nil {
+			discovery.WatchConsul(ctx, *cfg.Site.Consul, roster)
+		} else {
+			discovery.Watch(ctx, cfg.Discovery, cfg.Known, roster)
+		}
+	})
+	return func() { cancel(); done.Wait() }
+}
+
+// gateway is what runs: its virtual servers and what they count.
+type gateway struct {
+	servers  []*front.Server
+	checker  *introspect.Checker // nil: off
+	ids      platform.Open
+	counters []func() core.Counts
+	closers  []func()
+	draining atomic.Bool
+	failed   chan error
+}
+
+func (g *gateway) close() {
+	for _, c := range g.closers {
+		c()
+	}
+}
+
+func (g *gateway) open(opt front.Options, handler http.Handler) error {
+	server, err := front.Listen(opt, handler)
+	if err != nil {
+		return err
+	}
+	g.servers = append(g.servers, server)
+	go func() {
+		if err := server.Serve(); err != nil {
+			g.failed <- err
+		}
+	}()
+	return nil
+}
+
+// introspection opens the second front, with a core of its own for the checks.
+func (g *gateway) introspection(cfg *config.Config, opt front.Options, clock core.Clock, decisions *core.Core,
+	ready func() bool) error {
+	conf := *cfg.Site.Introspection
+	var link *peer.Link
+	var tell func(int, []byte)
+	var err error
+	if conf.Link.IsValid() {
+		if link, err = peer.Listen(conf.Link, conf.Linked, netip.AddrPort{}); err != nil {
+			return fmt.Errorf("peer_listen: %w", err)
+		}
+		tell = link.Tell
+	}
+	checker, err := introspect.NewChecker(conf, cfg.Deployment, cfg.CheckSockets, ^cfg.Seed, clock, tell)
+	if err != nil {
+		return err
+	}
+	g.checker = checker
+	g.closers = append(g.closers, checker.Close)
+	if link != nil {
+		g.closers = append(g.closers, func() { link.Close() })
+		go link.Serve(checker.PeerMessage)
+	}
+	if opt.Listen = conf.Listen; conf.CertFile != "" {
+		cert, err := tls.LoadX509KeyPair(conf.CertFile, conf.KeyFile)
+		if err != nil {
+			return fmt.Errorf("cert_file, key_file: %w", err)
+		}
+		opt.TLS = &tls.Config{Certificates: []tls.Certificate{cert}, MinVersion: tls.VersionTLS12}
+	}
+	door := &introspect.Front{Core: decisions, Checker: checker, Deployment: cfg.Deployment, Ready: ready,
+		Open: &g.ids}
+	g.counters = append(g.counters, func() core.Counts {
+		return part("introspection", door.Malformed(), checker.Counters())
+	})
+	return g.open(opt, door)
+}
+
+// part names whose counters they are.
+func part(name string, malformed uint64, counts core.Counts) core.Counts {
+	return append(core.Counts{slog.String("part", name), slog.Uint64("malformed", malformed)}, counts...)
+}
+
+// limit takes a reloaded configuration's descriptor budget in.
+func (g *gateway) limit(cfg *config.Config) {
+	for _, s := range g.servers {
+		s.Limit(cfg.ClientSockets)
+	}
+	if g.checker != nil {
+		g.checker.Limit(cfg.CheckSockets)
+	}
+}
+
+func (g *gateway) drain(ctx context.Context) {
+	var all sync.WaitGroup
+	for _, s := range g.servers {
+		all.Go(func() { s.Drain(ctx) })
+	}
+	all.Wait()
+}
+
+func (g *gateway) report(event string) {
+	for _, c := range g.counters {
+		slog.LogAttrs(context.Background(), slog.LevelInfo, event, c()...)
+	}
+}
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -110,17 +110,66 @@
 	if err != nil && !errors.Is(err, fs.ErrNotExist) {
 		return nil, fmt.Errorf("%s: %w", siteFile, err)
 	}
-	c, err := Parse(text, site)
-	if err != nil {
-		return nil, fmt.Errorf("%s: %w", path, err)
-	}
+	var all faults
+	c := parse(text, site, faultsOf(&all, path), faultsOf(&all, siteFile))
 	for key, to := range map[string]*string{"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen,
 		"ROUTER_DISCOVERY": &c.Discovery} {
 		if v := getenv(key); v != "" && (atStart || *to == "" || to != &c.Discovery) {
 			*to = v
 		}
 	}
-	return c, c.check()
+	c.check(&all)
+	return c, all.err()
+}
+
+// faults gathers all that is wrong, so that it can be mended in one go.
+type faults struct {
+	where string // the file that it stands in
+	list  []error
+	into  *faults
+}
+
+func faultsOf(all *faults, file string) *faults { return &faults{where: file, into: all} }
+
+// add keeps a fault, whose text begins with the key; none is nil.
+func (f *faults) add(err error) {
+	switch {
+	case err == nil:
+	case f.into != nil:
+		f.into.add(fmt.Errorf("%s: %w", f.where, err))
+	default:
+		f.list = append(f.list, err)
+	}
+}
+
+func (f *faults) addf(format string, values ...any) { f.add(fmt.Errorf(format, values...)) }
+
+func (f *faults) err() error { return errors.Join(f.list...) }
+
+// Faults gives the faults that an error of Load, Reload or Parse holds, each beginning with its file, if it stands in
+// one, and its key.
+func Faults(err error) (list []error) {
+	if joined, ok := err.(interface{ Unwrap() []error }); ok {
+		return joined.Unwrap()
+	}
+	if err != nil {
+		list = append(list, err)
+	}
+	return list
+}
+
+// Summary tells in a line what the configuration makes.
+func (c *Config) Summary() string {
+	text := fmt.Sprintf("name=%s listen=%s discovery=%s gateways=%d classes=%d plans=%d known=%d memory_mb=%d client_sockets=%d member_sockets=%d",
+		c.Name, c.Listen, c.Discovery, c.Deployment.Gateways, len(c.Deployment.Classes), len(c.Deployment.Plans),
+		len(c.Known.Instances), c.MemoryBytes>>20, c.ClientSockets, c.MemberSockets)
+	if c.Site.Consul != nil {
+		text += " consul=" + c.Site.Consul.Addr
+	}
+	if c.Site.Introspection != nil {
+		text += " introspection=" + c.Site.Introspection.Listen
+	}
+	return text
 }
 
 // Fixed names the keys in which a reloaded configuration differs and that hold until the next start.
@@ -143,6 +192,13 @@
 
 // Parse reads the platform's configuration and the site's, which may be empty.
 func Parse(text, site []byte) (*Config, error) {
+	var all faults
+	c := parse(text, site, &all, faultsOf(&all, SiteFile))
+	return c, all.err()
+}
+
+// parse keeps what is wrong with the platform's and with the site's configuration, and gives what could be read.
+func parse(text, site []byte, wrong, siteWrong *faults) *Config {
 	var f struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -159,51 +215,47 @@
 		Known      discovery.List  `json:"known"`
 		Settings   json.RawMessage `json:"settings"`
 	}
+	c := &Config{}
 	if err := json.Unmarshal(text, &f); err != nil {
-		return nil, err
+		wrong.add(err)
+		return c
 	}
-	c := &Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Known: f.Known}
+	c.Name, c.Listen, c.Discovery, c.Known = f.Name, f.Listen, f.Discovery, f.Known
 	var err error
 	if c.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
-		return nil, fmt.Errorf("seed: not 64 bits in hex: %q", f.Seed)
+		wrong.addf("seed: not 64 bits in hex: %q", f.Seed)
 	}
 	if !(f.Limits.Cores >= 0) || !(f.Limits.MemoryMB >= 0) || f.Limits.Sockets < 0 {
-		return nil, errors.New("limits: cores, memory_mb and sockets must not be negative")
+		wrong.addf("limits: cores, memory_mb and sockets must not be negative")
 	}
 	c.Cores = max(1, int(math.Ceil(orElse(f.Limits.Cores, 1))))
 	c.MemoryBytes = int64(orElse(f.Limits.MemoryMB, 192) * (1 << 20))
 	if c.MemoryBytes < 32<<20 {
-		return nil, fmt.Errorf("limits.memory_mb: %v is less than the 32 that the program needs", f.Limits.MemoryMB)
+		wrong.addf("limits.memory_mb: %v is less than the 32 that the program needs", f.Limits.MemoryMB)
 	}
 	c.LongAnswers = c.MemoryBytes / 8
 	sockets := int(orElse(float64(f.Limits.Sockets), 1024))
 	if sockets < 64 {
-		return nil, fmt.Errorf("limits.sockets: %d is less than the 64 that the program needs", sockets)
-	}
-	if f.PeerListen != "" {
-		if c.PeerListen, err = netip.ParseAddrPort(f.PeerListen); err != nil {
-			return nil, fmt.Errorf("peer_listen: %w", err)
-		}
-	}
-	if c.Peers, err = addrs("peers", f.Peers); err != nil {
-		return nil, err
-	}
-	if f.PeersAll != "" {
-		if c.PeersAll, err = netip.ParseAddrPort(f.PeersAll); err != nil {
-			return nil, fmt.Errorf("peers_all: %w", err)
-		}
+		wrong.addf("limits.sockets: %d is less than the 64 that the program needs", sockets)
 	}
-	if c.Deployment, err = ParseSettings(f.Settings); err != nil {
-		return nil, err
+	c.PeerListen = addr(wrong, "peer_listen", f.PeerListen)
+	c.Peers = addrs(wrong, "peers", f.Peers)
+	c.PeersAll = addr(wrong, "peers_all", f.PeersAll)
+	if c.Deployment, err = ParseSettings(f.Settings); err == nil {
+		err = c.Deployment.Check()
 	}
-	if len(c.Peers) > 0 && len(c.Peers) != c.Deployment.Gateways {
-		return nil, fmt.Errorf("peers: %d addresses for settings.group_size %d", len(c.Peers), c.Deployment.Gateways)
+	wrong.add(err)
+	if len(f.Peers) > 0 && len(f.Peers) != c.Deployment.Gateways {
+		wrong.addf("peers: %d addresses for settings.group_size %d", len(f.Peers), c.Deployment.Gateways)
 	}
 	c.Deployment.ConnIdle = time.Duration(orElse(float64(c.Deployment.ConnIdle), float64(30*time.Second)))
 	c.Deployment.ConnectWait = time.Duration(orElse(float64(c.Deployment.ConnectWait), float64(250*time.Millisecond)))
 	if len(site) > 0 {
-		if err := json.Unmarshal(site, &c.Site); err != nil {
-			return nil, fmt.Errorf("%s: %w", SiteFile, err)
+		strict := json.NewDecoder(bytes.NewReader(site)) // a key that was mistyped would be off without a word
+		strict.DisallowUnknownFields()
+		if err := strict.Decode(&c.Site); err != nil {
+			siteWrong.add(err)
+			return c
 		}
 		if c.Site.Introspection != nil {
 			c.Site.introspection, _ = json.Marshal(c.Site.Introspection)
@@ -214,7 +266,8 @@
 	if c.Site.Introspection != nil { // two virtual servers, and the checks have connections of their own
 		c.ClientSockets, c.MemberSockets, c.CheckSockets = sockets*30/100, sockets*20/100, sockets*12/100
 	}
-	return c, c.Site.check(c.Deployment)
+	c.Site.check(c.Deployment, siteWrong)
+	return c
 }
 
 func orElse(x, standard float64) float64 {
@@ -224,79 +277,86 @@
 	return standard
 }
 
-func addrs(key string, texts []string) ([]netip.AddrPort, error) {
-	var out []netip.AddrPort
-	for i, t := range texts {
-		a, err := netip.ParseAddrPort(t)
-		if err != nil {
-			return nil, fmt.Errorf("%s[%d]: %w", key, i, err)
+// addr reads an address, the zero value where none is given.
+func addr(wrong *faults, key, text string) (a netip.AddrPort) {
+	if text != "" {
+		var err error
+		if a, err = netip.ParseAddrPort(text); err != nil {
+			wrong.addf("%s: %w", key, err)
 		}
-		out = append(out, a)
 	}
-	return out, nil
+	return a
 }
 
-// check looks at what the environment may have changed.
-func (c *Config) check() error {
-	if _, _, err := net.SplitHostPort(c.Listen); err != nil {
-		return fmt.Errorf("listen: %w", err)
+func addrs(wrong *faults, key string, texts []string) (list []netip.AddrPort) {
+	for i, t := range texts {
+		if t == "" {
+			t = " " // empty is no address here
+		}
+		list = append(list, addr(wrong, fmt.Sprintf("%s[%d]", key, i), t))
 	}
-	if c.Site.Consul != nil {
-		return nil
+	return list
+}
+
+func hostPort(wrong *faults, key, text string) {
+	if _, _, err := net.SplitHostPort(text); err != nil {
+		wrong.addf("%s: %w", key, err)
 	}
-	if _, _, err := net.SplitHostPort(c.Discovery); err != nil {
-		return fmt.Errorf("discovery: %w", err)
+}
+
+// check looks at what the environment may have changed.
+func (c *Config) check(wrong *faults) {
+	hostPort(wrong, "listen", c.Listen)
+	if c.Site.Consul == nil {
+		hostPort(wrong, "discovery", c.Discovery)
 	}
-	return nil
 }
 
-func (s *Site) check(d Deployment) error {
+func (s *Site) check(d Deployment, wrong *faults) {
 	if c := s.Consul; c != nil {
-		if _, _, err := net.SplitHostPort(c.Addr); err != nil {
-			return fmt.Errorf("consul.addr: %w", err)
-		}
+		hostPort(wrong, "consul.addr", c.Addr)
 		if c.Service == "" {
-			return errors.New("consul.service: not set")
+			wrong.addf("consul.service: not set")
 		}
 	}
-	in := s.Introspection
-	if in == nil {
-		return nil
-	}
-	if _, _, err := net.SplitHostPort(in.Listen); err != nil {
-		return fmt.Errorf("introspection.listen: %w", err)
+	if s.Introspection != nil {
+		s.Introspection.check(d, wrong)
 	}
+}
+
+func (in *Introspection) check(d Deployment, wrong *faults) {
+	hostPort(wrong, "introspection.listen", in.Listen)
 	if (in.CertFile == "") != (in.KeyFile == "") {
-		return errors.New("introspection.cert_file, key_file: both or none")
+		wrong.addf("introspection.cert_file, key_file: both or none")
 	}
 	if len(in.Endpoints) == 0 {
-		return errors.New("introspection.endpoints: none given")
+		wrong.addf("introspection.endpoints: none given")
 	}
 	for i, e := range in.Endpoints {
 		u, err := url.Parse(e)
 		if err != nil || u.Scheme != "http" && u.Scheme != "https" || u.Port() == "" || u.RawQuery != "" {
-			return fmt.Errorf("introspection.endpoints[%d]: not a URL of the form http://host:port/path", i)
+			wrong.addf("introspection.endpoints[%d]: not a URL of the form http://host:port/path", i)
+			continue
 		}
 		tls, path := u.Scheme == "https", u.EscapedPath()
 		if i > 0 && (tls != in.TLS || path != in.Path) {
-			return fmt.Errorf("introspection.endpoints[%d]: scheme and path must be those of the first", i)
+			wrong.addf("introspection.endpoints[%d]: scheme and path must be those of the first", i)
 		}
 		in.TLS, in.Path, in.Endpoints[i] = tls, path, u.Host
 	}
 	if in.CAFile != "" {
 		pem, err := os.ReadFile(in.CAFile)
 		if err != nil {
-			return fmt.Errorf("introspection.ca_file: %w", err)
-		}
-		if in.Roots = x509.NewCertPool(); !in.Roots.AppendCertsFromPEM(pem) {
-			return errors.New("introspection.ca_file: holds no certificate")
+			wrong.addf("introspection.ca_file: %w", err)
+		} else if in.Roots = x509.NewCertPool(); !in.Roots.AppendCertsFromPEM(pem) {
+			wrong.addf("introspection.ca_file: holds no certificate")
 		}
 	}
 	if in.ClientID == "" || in.ClientSecret == "" {
-		return errors.New("introspection.client_id, client_secret: not set")
+		wrong.addf("introspection.client_id, client_secret: not set")
 	}
 	if in.TimeoutMs < 0 {
-		return errors.New("introspection.timeout_ms: must not be negative")
+		wrong.addf("introspection.timeout_ms: must not be negative")
 	}
 	in.Timeout = time.Duration(orElse(float64(in.TimeoutMs), 1000)) * time.Millisecond
 	if in.Realm == "" {
@@ -304,30 +364,23 @@
 	}
 	for class := range in.Scopes {
 		if d.ClassNumber(class) < 0 {
-			return fmt.Errorf("introspection.scopes: settings know no class %q", class)
+			wrong.addf("introspection.scopes: settings know no class %q", class)
 		}
 	}
 	for i, t := range in.Tools {
 		if t.ID == "" || t.Secret == "" {
-			return fmt.Errorf("introspection.tools[%d].id, secret: not set", i)
+			wrong.addf("introspection.tools[%d].id, secret: not set", i)
 		}
 		if d.PlanNumber(t.Plan) < 0 {
-			return fmt.Errorf("introspection.tools[%d].plan: settings know no plan %q", i, t.Plan)
+			wrong.addf("introspection.tools[%d].plan: settings know no plan %q", i, t.Plan)
 		}
 	}
-	var err error
 	if in.PeerListen != "" {
-		if in.Link, err = netip.ParseAddrPort(in.PeerListen); err != nil {
-			return fmt.Errorf("introspection.peer_listen: %w", err)
-		}
-		if in.Linked, err = addrs("introspection.peers", in.Peers); err != nil {
-			return err
-		}
-		if len(in.Linked) != d.Gateways {
-			return fmt.Errorf("introspection.peers: %d addresses for settings.group_size %d", len(in.Linked), d.Gateways)
+		in.Link = addr(wrong, "introspection.peer_listen", in.PeerListen)
+		if in.Linked = addrs(wrong, "introspection.peers", in.Peers); len(in.Linked) != d.Gateways {
+			wrong.addf("introspection.peers: %d addresses for settings.group_size %d", len(in.Linked), d.Gateways)
 		}
 	}
-	return nil
 }
 
 // ClassNumber gives the number of a class, -1 where there is none of that name.
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -6,9 +6,9 @@
 
 import (
 	"context"
-	"fmt"
 	"io"
-	"log"
+	"log/slog"
+	"strings"
 	"sync"
 	"time"
 
@@ -350,7 +350,7 @@
 		c.tell(t.peer, t.message)
 	}
 	for _, l := range lines {
-		log.Printf("event=module text=%q", l)
+		slog.Info("module", "text", l)
 	}
 }
 
@@ -394,18 +394,34 @@
 	c.event(func(now Time) { c.module.PeerMessage(now, from, message) })
 }
 
-// Counters gives what was taken, sent and answered so far, as key=value text.
-func (c *Core) Counters() string {
+// Counts are counters by name, ready to be logged.
+type Counts []slog.Attr
+
+// String gives them as key=value text.
+func (c Counts) String() string {
+	var text strings.Builder
+	for i, a := range c {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(a.String())
+	}
+	return text.String()
+}
+
+// Counters gives what was taken, sent and answered so far.
+func (c *Core) Counters() Counts {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	text := fmt.Sprintf("taken=%d open=%d sent=%d", c.counts.taken, len(c.live), c.counts.sent)
+	counts := Counts{slog.Uint64("taken", c.counts.taken), slog.Int("open", len(c.live)),
+		slog.Uint64("sent", c.counts.sent)}
 	for i, n := range c.counts.answered {
-		text += fmt.Sprintf(" answered_%s=%d", answerNames[i], n)
+		counts = append(counts, slog.Uint64("answered_"+answerNames[i], n))
 	}
 	for i, n := range c.counts.ended {
-		text += fmt.Sprintf(" ended_%s=%d", End(i), n)
+		counts = append(counts, slog.Uint64("ended_"+endings[i].name, n))
 	}
-	return text
+	return counts
 }
 
 // host carries out the module's choices. Its methods are called inside the module's, with the mutex held: they
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -90,5 +90,5 @@
 func TestPanicFreesTheMutex(t *testing.T) {
 	c, _ := start(t, nil)
 	assert.Panics(t, func() { c.event(func(Time) { panic("x") }) })
-	assert.Contains(t, c.Counters(), "taken=0")
+	assert.Contains(t, c.Counters().String(), "taken=0")
 }
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -9,7 +9,7 @@
 	"errors"
 	"fmt"
 	"io"
-	"log"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
@@ -72,7 +72,7 @@
 	for _, in := range list {
 		state, ok := lifecycles[in.Lifecycle]
 		if _, _, err := net.SplitHostPort(in.Addr); in.ID == "" || !ok || err != nil && state != policy.Gone {
-			log.Printf("event=instance_left_out instance=%q addr=%q lifecycle=%q", in.ID, in.Addr, in.Lifecycle)
+			slog.Warn("instance_left_out", "instance", in.ID, "addr", in.Addr, "lifecycle", in.Lifecycle)
 			continue
 		}
 		e := r.known[in.ID]
@@ -140,7 +140,7 @@
 		_, err := c.get(ctx, path, wait, &l)
 		if err != nil {
 			if ctx.Err() == nil {
-				log.Printf("event=discovery_failed gap=%t err=%q", gap, err)
+				slog.Warn("discovery_failed", "gap", gap, "err", err)
 			}
 			gap = true
 			pause = rest(ctx, pause)
@@ -223,7 +223,7 @@
 		}
 		if err != nil {
 			if ctx.Err() == nil {
-				log.Printf("event=consul_failed service=%q catalogue=%t err=%q", at.Service, catalogue, err)
+				slog.Warn("consul_failed", "service", at.Service, "catalogue", catalogue, "err", err)
 			}
 			index = 0 // after a gap the list is asked for at once
 			pause = rest(ctx, pause)
@@ -232,7 +232,7 @@
 		next, err := strconv.ParseUint(head.Get("X-Consul-Index"), 10, 64)
 		switch {
 		case err != nil || next == 0:
-			log.Printf("event=consul_failed service=%q err=%q", at.Service, "no X-Consul-Index")
+			slog.Warn("consul_failed", "service", at.Service, "err", "no X-Consul-Index")
 			index, pause = 0, rest(ctx, pause)
 		case next == index: // the wait ran out
 			pause = firstPause
--- a/internal/front/introspect/introspect.go
+++ b/internal/front/introspect/introspect.go
@@ -11,7 +11,7 @@
 	"encoding/base64"
 	"encoding/json"
 	"io"
-	"log"
+	"log/slog"
 	"mime"
 	"net/http"
 	"net/url"
@@ -89,7 +89,7 @@
 func (k *Checker) PeerMessage(from int, message []byte) { k.core.PeerMessage(from, message) }
 
 // Counters tells of the checks.
-func (k *Checker) Counters() string { return k.core.Counters() }
+func (k *Checker) Counters() core.Counts { return k.core.Counters() }
 
 // ask puts one question, answered before until. A body comes only with a verdict that parsed.
 func (k *Checker) ask(r *http.Request, who policy.Request, token string, until core.Time) (v verdict, body []byte, wait time.Duration) {
@@ -103,7 +103,7 @@
 		return v, nil, max(a.RetryAfter, k.conf.Timeout)
 	}
 	if json.Unmarshal(a.Body, &v) != nil || v.Active == nil || json.Unmarshal(a.Body, &v.claims) != nil {
-		log.Printf("event=introspection_malformed bytes=%d", len(a.Body))
+		slog.Warn("introspection_malformed", "bytes", len(a.Body))
 		return verdict{}, nil, k.conf.Timeout
 	}
 	now := k.core.Now().Seconds() // an endpoint that leaves the times to us
--- a/internal/front/introspect/introspect_test.go
+++ b/internal/front/introspect/introspect_test.go
@@ -23,6 +23,7 @@
 	"sprucelane.example/sprucelane/internal/core"
 	"sprucelane.example/sprucelane/internal/front/introspect"
 	"sprucelane.example/sprucelane/internal/front/platform"
+	"sprucelane.example/sprucelane/internal/logging"
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/standin"
 	"sprucelane.example/sprucelane/policy"
@@ -62,7 +63,7 @@
 	s := httptest.NewServer(&introspect.Front{Core: c, Checker: checker, Deployment: d, Open: &platform.Open{},
 		Ready: func() bool { return true }})
 	t.Cleanup(s.Close)
-	return site{s.URL, c.Counters, checker.Counters}
+	return site{s.URL, func() string { return c.Counters().String() }, func() string { return checker.Counters().String() }}
 }
 
 func order(t *testing.T, s site, waitMs int) (*http.Response, string) {
@@ -250,8 +251,8 @@
 // What is no verdict lets nothing pass, and whatever goes wrong, no token gets into the log.
 func TestFailsClosed(t *testing.T) {
 	var lines bytes.Buffer
-	log.SetOutput(&lines)
-	t.Cleanup(func() { log.SetOutput(os.Stderr) })
+	require.NoError(t, logging.Set(&lines, "text", "info"))
+	t.Cleanup(func() { logging.Set(os.Stderr, "text", "info") })
 	for name, reply := range map[string]standin.Reply{"no JSON": standin.OK("yes"), "no active": standin.OK(`{"scope":"a"}`),
 		"active is text": standin.OK(`{"active":"true"}`), "our own login is refused": standin.Says(401, "", `{"active":true}`),
 		"error": standin.Says(500, "", `{"active":true}`), "reset": standin.Reset} {
@@ -262,7 +263,7 @@
 		assert.NotEmpty(t, resp.Header.Get("Retry-After"), name)
 		assert.Empty(t, member.Seen(), name)
 	}
-	log.SetOutput(os.Stderr) // from here on nothing else writes to lines
+	logging.Set(os.Stderr, "text", "info") // from here on nothing else writes to lines
 	assert.Contains(t, lines.String(), "event=introspection_malformed")
 	assert.NotContains(t, lines.String(), "tok-1")
 }
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -103,7 +103,7 @@
 		}
 	}
 	assert.Less(t, len(m.Seen()), 20)
-	assert.Contains(t, c.Counters(), "taken=20 open=0")
+	assert.Contains(t, c.Counters().String(), "taken=20 open=0")
 }
 
 func TestClientLeaves(t *testing.T) {
@@ -121,7 +121,7 @@
 		"X-Subscriber": {"01"}, "X-Deadline-Ms": {"15000"}, "X-Weight": {"units=1,spread=1,first=0"}}
 	_, err := http.DefaultClient.Do(r)
 	require.ErrorIs(t, err, context.Canceled)
-	require.Eventually(t, func() bool { return strings.Contains(c.Counters(), "answered_gone=1") }, time.Minute,
+	require.Eventually(t, func() bool { return strings.Contains(c.Counters().String(), "answered_gone=1") }, time.Minute,
 		time.Millisecond)
 }
 
@@ -142,7 +142,7 @@
 	long.Body.Close()
 	assert.GreaterOrEqual(t, long.StatusCode, 400)
 	assert.Less(t, long.StatusCode, 500)
-	assert.Contains(t, c.Counters(), "taken=0 ")
+	assert.Contains(t, c.Counters().String(), "taken=0 ")
 	assert.Empty(t, m.Seen())
 }
 
@@ -170,7 +170,7 @@
 	got := raw(t, base, head+fmt.Sprintf("Content-Length: %d\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n%s", 5+len(hidden), hidden))
 	assert.True(t, strings.HasPrefix(got, "HTTP/1.1 411 "), got)
 	assert.Equal(t, 1, strings.Count(got, "HTTP/1.1 "))
-	assert.Contains(t, c.Counters(), "taken=0 ")
+	assert.Contains(t, c.Counters().String(), "taken=0 ")
 	assert.Empty(t, m.Seen())
 }
 
--- a/internal/peer/peer.go
+++ b/internal/peer/peer.go
@@ -4,7 +4,7 @@
 
 import (
 	"errors"
-	"log"
+	"log/slog"
 	"net"
 	"net/netip"
 	"time"
@@ -43,7 +43,7 @@
 // Tell sends a message to one peer, or to all where peer is below 0. It may be lost, as any datagram.
 func (l *Link) Tell(peer int, message []byte) {
 	if len(message) > MaxMessage || peer >= len(l.peers) {
-		log.Printf("event=peer_message_dropped peer=%d bytes=%d", peer, len(message))
+		slog.Error("peer_message_dropped", "peer", peer, "bytes", len(message))
 		return
 	}
 	to := l.all
