--- a/Makefile
+++ b/Makefile
@@ -11,6 +11,6 @@
 	@bad=$$(gofmt -l .); [ -z "$$bad" ] || { echo "not formatted: $$bad"; exit 1; }
 	go vet ./...
 
-# The platform's variables (ROUTER_CONFIG at least) must be set.
+# With the platform's variables one gateway; without them a demonstration on loopback.
 run: build
-	exec bin/sprucelane
+	@if [ -n "$$ROUTER_CONFIG" ]; then exec bin/sprucelane; else exec bin/sprucelab demo; fi
