A new gateway learns from its peers which pool members stall, how fast and how warm they are

A gateway that starts knows nothing of which members hang, and learns it by losing an attempt on each.

internal/knowledge holds facts, each one gateway's sighting of one member in one life, with its age, observer and hands; it weighs them by age, by how deaf or blind the observer was, and against its own sightings, and gives priors. They move the module's guesses of pace and room. Peers' word never lists a member and makes suspects of a third at most.

gRPC (api/sprucelane/v1/knowledge.proto) carries them, in a program of its own, sprucelane-link, that serve runs as a child where the operators' file has knowledge on.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
-# Build, test, lint and run. CI (.ci/run) runs lint and test.
-.PHONY: build test lint run
+# Build, test, lint, run, generate and measure. CI (.ci/run) runs lint and test; measurements are no part of it.
+.PHONY: build test lint run generate measure-learning
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -14,3 +14,11 @@
 # With the platform's variables one gateway; without them a demonstration on loopback.
 run: build
 	@if [ -n "$$ROUTER_CONFIG" ]; then exec bin/sprucelane; else exec bin/sprucelab demo; fi
+
+# The code made from api/*.proto, which is committed.
+generate:
+	go run ./internal/tools/protogen api sprucelane/v1/knowledge.proto
+
+# What a new gateway gains by learning from a peer. SHORT=1 takes under 50 s.
+measure-learning: build
+	bin/sprucelab learning
--- a/cmd/sprucelab/main.go
+++ b/cmd/sprucelab/main.go
@@ -8,6 +8,7 @@
 	"os"
 	"os/signal"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"time"
 
@@ -37,7 +38,7 @@
 		beside = filepath.Join(filepath.Dir(self), beside)
 	}
 	root.PersistentFlags().StringVar(&binary, "gateway", beside, "the gateway's `program`")
-	root.AddCommand(demoCommand(&binary), loadCommand(&binary), costCommand(&binary),
+	root.AddCommand(demoCommand(&binary), loadCommand(&binary), costCommand(&binary), learningCommand(&binary),
 		&cobra.Command{Use: "version", Short: "Print the program's version", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "sprucelab", cli.Version())
@@ -110,3 +111,13 @@
 	cmd.Flags().DurationVar(&length, "for", 10*time.Second, "how long the load lasts")
 	return cmd
 }
+
+// short tells whether a measurement is to keep under fifty seconds.
+func short() bool { return os.Getenv("SHORT") != "" && os.Getenv("SHORT") != "0" }
+
+// figures words a measurement's last line.
+type figures struct{ text strings.Builder }
+
+func (f *figures) add(key, format string, value any) {
+	fmt.Fprintf(&f.text, " %s="+format, key, value)
+}
--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -3,14 +3,17 @@
 package main
 
 import (
+	"errors"
 	"fmt"
 	"log/slog"
 	"os"
+	"os/exec"
 
 	"github.com/spf13/cobra"
 
 	"sprucelane.example/sprucelane/internal/cli"
 	"sprucelane.example/sprucelane/internal/config"
+	"sprucelane.example/sprucelane/internal/knowledge/helper"
 	"sprucelane.example/sprucelane/internal/logging"
 )
 
@@ -22,9 +25,9 @@
 
 // commands builds the command line. A bare start serves.
 func commands(getenv func(string) string) *cobra.Command {
-	var site, format, level string
+	var site, format, level, program string
 	env := cli.Env(envPrefix, getenv)
-	run := func(*cobra.Command, []string) error { return serve(getenv, site) }
+	run := func(*cobra.Command, []string) error { return serve(getenv, site, program) }
 	root := &cobra.Command{
 		Use:   "sprucelane",
 		Short: "One gateway of a fleet that holds quotas over all of them together",
@@ -48,9 +51,11 @@
 	}
 	flags := root.PersistentFlags()
 	flags.StringVar(&site, "site", config.SiteFile, "the operators' own `file`; without it what it holds is off")
+	flags.StringVar(&program, "link-program", helper.Beside(), "the `program` that links gateways where knowledge is on")
 	flags.StringVar(&format, "log-format", "text", "`form` of log lines: text (key=value) or json")
 	flags.StringVar(&level, "log-level", "info", "least `level` that is logged: debug, info, warn or error")
 	root.AddCommand(
+		knowledgeCommand(&program),
 		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, as a bare start does", Args: cobra.NoArgs, RunE: run},
 		&cobra.Command{
 			Use:   "check",
@@ -78,3 +83,22 @@
 	)
 	return root
 }
+
+// knowledgeCommand hands over to the link program, which speaks the peers' wire.
+func knowledgeCommand(program *string) *cobra.Command {
+	return &cobra.Command{
+		Use:                "knowledge --peer ADDR",
+		Short:              "Print what a gateway knows of the pool members",
+		Long:               "Prints what a gateway knows of the pool members. The link program does it: --help tells its flags.",
+		DisableFlagParsing: true,
+		RunE: func(cmd *cobra.Command, args []string) error {
+			run := exec.Command(*program, append([]string{"knowledge"}, args...)...)
+			run.Stdin, run.Stdout, run.Stderr = os.Stdin, cmd.OutOrStdout(), os.Stderr
+			err := run.Run()
+			if ended := (*exec.ExitError)(nil); errors.As(err, &ended) {
+				return cli.Coded{Code: ended.ExitCode(), Err: fmt.Errorf("%s: %w", *program, err)}
+			}
+			return err
+		},
+	}
+}
--- a/cmd/sprucelane/main_test.go
+++ b/cmd/sprucelane/main_test.go
@@ -66,7 +66,7 @@
 	go func() {
 		ended <- serve(func(k string) string {
 			return map[string]string{"ROUTER_CONFIG": path, "ROUTER_DISCOVERY": old}[k]
-		}, site)
+		}, site, "")
 	}()
 	for _, port := range []string{":8080", ":8443"} {
 		require.Eventually(t, func() bool {
--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -24,6 +24,9 @@
 	"sprucelane.example/sprucelane/internal/front"
 	"sprucelane.example/sprucelane/internal/front/introspect"
 	"sprucelane.example/sprucelane/internal/front/platform"
+	"sprucelane.example/sprucelane/internal/knowledge"
+	"sprucelane.example/sprucelane/internal/knowledge/helper"
+	"sprucelane.example/sprucelane/internal/knowledge/pipe"
 	"sprucelane.example/sprucelane/internal/peer"
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/policy"
@@ -35,7 +38,7 @@
 )
 
 // serve runs a gateway until SIGTERM or a failure.
-func serve(getenv func(string) string, siteFile string) error {
+func serve(getenv func(string) string, siteFile, program string) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
@@ -70,7 +73,7 @@
 
 	g := &gateway{failed: make(chan error, 2)}
 	defer g.close()
-	ready := func() bool { return !g.draining.Load() && members.Ready() > 0 }
+	ready := func() bool { return !g.draining.Load() && g.learnt.Load() && members.Ready() > 0 }
 	opt := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
 	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready, Open: &g.ids}
 	if err := g.open(opt, door); err != nil {
@@ -84,6 +87,7 @@
 			return fmt.Errorf("introspection: %w", err)
 		}
 	}
+	g.knowledge(cfg, program, clock, decisions, roster)
 	if link != nil {
 		go link.Serve(decisions.PeerMessage)
 	}
@@ -154,6 +158,7 @@
 	ids      platform.Open
 	counters []func() core.Counts
 	closers  []func()
+	learnt   atomic.Bool // as far as the start waits for
 	draining atomic.Bool
 	failed   chan error
 }
@@ -216,6 +221,28 @@
 	return g.open(opt, door)
 }
 
+// knowledge opens the exchange with peers of what is known of the pool members, where the site's file has it on. The
+// gateway is ready once it has heard its peers, or has waited for them as long as it is told to.
+func (g *gateway) knowledge(cfg *config.Config, program string, clock core.Clock, decisions *core.Core, roster *discovery.Roster) {
+	conf := cfg.Site.Knowledge
+	if conf == nil {
+		g.learnt.Store(true)
+		return
+	}
+	h := helper.Open(program, pipe.Hello{Me: knowledge.Observer{Name: cfg.Name, Birth: uint64(clock.Now() / time.Millisecond)},
+		Listen: conf.Listen, Peers: conf.Peers, Plain: conf.Plain, CertFile: conf.CertFile, KeyFile: conf.KeyFile,
+		CAFile: conf.CAFile, ServerName: conf.ServerName, SuspectShare: conf.SuspectShare,
+		RoomMost: helper.RoomMost(cfg.Deployment.Gateways)}, &helper.Gateway{Core: decisions, Roster: roster})
+	g.closers = append(g.closers, h.Close)
+	g.counters = append(g.counters, func() core.Counts {
+		return append(core.Counts{slog.String("part", "knowledge")}, h.Counters()...)
+	})
+	go func() {
+		h.Learnt(conf.Wait)
+		g.learnt.Store(true)
+	}()
+}
+
 // part names whose counters they are.
 func part(name string, malformed uint64, counts core.Counts) core.Counts {
 	return append(core.Counts{slog.String("part", name), slog.Uint64("malformed", malformed)}, counts...)
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
 	"errors"
@@ -48,8 +49,9 @@
 type Site struct {
 	Consul        *discovery.Consul `json:"consul"`
 	Introspection *Introspection    `json:"introspection"`
+	Knowledge     *Knowledge        `json:"knowledge"`
 
-	introspection []byte // as it was read
+	introspection, knowledge []byte // as they were read
 }
 
 // Introspection tells where the token introspection front listens and whom it asks.
@@ -77,6 +79,22 @@
 	Linked  []netip.AddrPort `json:"-"`
 }
 
+// Knowledge tells where this gateway's peers may ask what it knows of pool members, and which peers it asks.
+type Knowledge struct {
+	Listen       string   `json:"listen"`    // empty: nobody can ask
+	Peers        []string `json:"peers"`     // empty: nobody is asked
+	CertFile     string   `json:"cert_file"` // of this gateway, towards those that ask and those it asks
+	KeyFile      string   `json:"key_file"`
+	CAFile       string   `json:"ca_file"`       // PEM roots of the peers' certificates
+	ServerName   string   `json:"server_name"`   // that the peers' certificates hold; empty: the host of their address
+	Plain        bool     `json:"plain"`         // no TLS at all
+	WaitMs       *int     `json:"wait_ms"`       // that the start waits for peers at most; none: 300
+	SuspectShare float64  `json:"suspect_share"` // of the members that peers' word may make suspects; 0: a third
+
+	Wait           time.Duration `json:"-"`
+	Server, Client *tls.Config   `json:"-"` // nil: plain
+}
+
 // Tool is one of the user's tools that may ask about tokens.
 type Tool struct {
 	ID      string `json:"id"`
@@ -169,6 +187,9 @@
 	if c.Site.Introspection != nil {
 		text += " introspection=" + c.Site.Introspection.Listen
 	}
+	if k := c.Site.Knowledge; k != nil {
+		text += fmt.Sprintf(" knowledge=%s peers=%d", k.Listen, len(k.Peers))
+	}
 	return text
 }
 
@@ -182,6 +203,7 @@
 		{"peer_listen", c.PeerListen == next.PeerListen}, {"peers", slices.Equal(c.Peers, next.Peers)},
 		{"peers_all", c.PeersAll == next.PeersAll}, {"settings", reflect.DeepEqual(c.Deployment, next.Deployment)},
 		{"introspection", bytes.Equal(c.Site.introspection, next.Site.introspection)},
+		{"knowledge", bytes.Equal(c.Site.knowledge, next.Site.knowledge)},
 	} {
 		if !k.same {
 			keys = append(keys, k.name)
@@ -260,6 +282,12 @@
 		if c.Site.Introspection != nil {
 			c.Site.introspection, _ = json.Marshal(c.Site.Introspection)
 		}
+		if c.Site.Knowledge != nil {
+			c.Site.knowledge, _ = json.Marshal(c.Site.Knowledge)
+			if c.Name == "" {
+				wrong.addf("name: not set, though knowledge is on")
+			}
+		}
 	}
 	// What is left over is for discovery, peers and the runtime's own.
 	c.ClientSockets, c.MemberSockets = sockets*50/100, sockets*35/100
@@ -322,6 +350,9 @@
 	if s.Introspection != nil {
 		s.Introspection.check(d, wrong)
 	}
+	if s.Knowledge != nil {
+		s.Knowledge.check(wrong)
+	}
 }
 
 func (in *Introspection) check(d Deployment, wrong *faults) {
@@ -383,6 +414,63 @@
 	}
 }
 
+const learnWait = 300 // ms
+
+func (k *Knowledge) check(wrong *faults) {
+	if k.Listen == "" && len(k.Peers) == 0 {
+		wrong.addf("knowledge.listen, peers: neither is given")
+	}
+	if k.Listen != "" {
+		hostPort(wrong, "knowledge.listen", k.Listen)
+	}
+	for i, p := range k.Peers {
+		hostPort(wrong, fmt.Sprintf("knowledge.peers[%d]", i), p)
+	}
+	if k.Wait = learnWait * time.Millisecond; k.WaitMs != nil {
+		k.Wait = time.Duration(*k.WaitMs) * time.Millisecond
+	}
+	if k.Wait < 0 || k.Wait > 10*time.Second {
+		wrong.addf("knowledge.wait_ms: must be 0 to 10000")
+	}
+	if !(k.SuspectShare >= 0 && k.SuspectShare <= 0.5) {
+		wrong.addf("knowledge.suspect_share: must be 0 to 0.5")
+	}
+	if k.Plain {
+		if k.CertFile != "" || k.KeyFile != "" || k.CAFile != "" {
+			wrong.addf("knowledge.plain: true, though cert_file, key_file or ca_file are given")
+		}
+		return
+	}
+	var err error
+	if k.Server, k.Client, err = MutualTLS(k.CertFile, k.KeyFile, k.CAFile, k.ServerName); err != nil {
+		wrong.addf("knowledge.%w", err)
+	}
+}
+
+// MutualTLS reads a certificate with its key and the roots for the other side's, for both directions. Errors begin
+// with the key that is wrong.
+func MutualTLS(certFile, keyFile, caFile, serverName string) (server, client *tls.Config, err error) {
+	if certFile == "" || keyFile == "" || caFile == "" {
+		return nil, nil, errors.New("cert_file, key_file, ca_file: all three are needed, unless plain is true")
+	}
+	cert, err := tls.LoadX509KeyPair(certFile, keyFile)
+	if err != nil {
+		return nil, nil, fmt.Errorf("cert_file, key_file: %w", err)
+	}
+	pem, err := os.ReadFile(caFile)
+	if err != nil {
+		return nil, nil, fmt.Errorf("ca_file: %w", err)
+	}
+	roots := x509.NewCertPool()
+	if !roots.AppendCertsFromPEM(pem) {
+		return nil, nil, errors.New("ca_file: holds no certificate")
+	}
+	server = &tls.Config{Certificates: []tls.Certificate{cert}, ClientCAs: roots, ClientAuth: tls.RequireAndVerifyClientCert,
+		MinVersion: tls.VersionTLS13}
+	client = &tls.Config{Certificates: []tls.Certificate{cert}, RootCAs: roots, ServerName: serverName, MinVersion: tls.VersionTLS13}
+	return server, client, nil
+}
+
 // ClassNumber gives the number of a class, -1 where there is none of that name.
 func (d Deployment) ClassNumber(name string) int {
 	for i, c := range d.Classes {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -389,6 +389,16 @@
 	c.event(func(now Time) { c.module.Servers(now, kind, list) })
 }
 
+// Learn shows what the module has seen of the pool members and hands it the priors that come back, in one step. The
+// mutex is held meanwhile: what weighs must do no input or output.
+func (c *Core) Learn(weigh func(now Time, seen []policy.Observation) []policy.Prior) {
+	c.event(func(now Time) {
+		if priors := weigh(now, c.module.Observe(now)); len(priors) > 0 {
+			c.module.Learn(now, priors)
+		}
+	})
+}
+
 // PeerMessage hands a peer's datagram in.
 func (c *Core) PeerMessage(from int, message []byte) {
 	c.event(func(now Time) { c.module.PeerMessage(now, from, message) })
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -14,6 +14,7 @@
 	"net/http"
 	"net/url"
 	"strconv"
+	"sync"
 	"time"
 
 	"sprucelane.example/sprucelane/policy"
@@ -50,23 +51,65 @@
 	pool         Pool
 	module       func(policy.ListKind, []policy.ServerInfo)
 	zones, kinds []string
-	known        map[string]*entry
 	last         policy.ServerID
+
+	mu    sync.Mutex // not held while a list is passed on
+	known map[string]*entry
+	heard time.Time
 }
 
 type entry struct {
-	id   policy.ServerID
-	addr string
+	id        policy.ServerID
+	addr      string
+	startedMs int64
+}
+
+// Life is one listed instance in its present life.
+type Life struct {
+	Instance  string
+	StartedMs int64
+}
+
+// Lives names what is listed, by number.
+func (r *Roster) Lives() map[policy.ServerID]Life {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	lives := make(map[policy.ServerID]Life, len(r.known))
+	for name, e := range r.known {
+		lives[e.id] = Life{name, e.startedMs}
+	}
+	return lives
+}
+
+// Spoke notes that the source has answered, whether it had news or none.
+func (r *Roster) Spoke() {
+	r.mu.Lock()
+	r.heard = time.Now()
+	r.mu.Unlock()
+}
+
+// Silent is how long the source has said nothing.
+func (r *Roster) Silent() time.Duration {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return time.Since(r.heard)
 }
 
 // NewRoster gives an empty roster. Zones and kinds are the names in the order of the module's numbers.
 func NewRoster(pool Pool, module func(policy.ListKind, []policy.ServerInfo), zones, kinds []string) *Roster {
-	return &Roster{pool: pool, module: module, zones: zones, kinds: kinds, known: map[string]*entry{}}
+	return &Roster{pool: pool, module: module, zones: zones, kinds: kinds, known: map[string]*entry{}, heard: time.Now()}
 }
 
 // Apply takes a list in. Entries that make no sense are left out and logged; the rest counts. It isn't safe for
 // concurrent use.
 func (r *Roster) Apply(kind policy.ListKind, list []Instance) {
+	r.module(kind, r.take(kind, list))
+}
+
+// take brings what is known up to date and gives the list in the module's words.
+func (r *Roster) take(kind policy.ListKind, list []Instance) []policy.ServerInfo {
+	r.mu.Lock()
+	defer r.mu.Unlock()
 	infos := make([]policy.ServerInfo, 0, len(list))
 	seen := make(map[string]bool, len(list))
 	for _, in := range list {
@@ -84,7 +127,7 @@
 		if in.Addr != "" {
 			e.addr = in.Addr
 		}
-		seen[in.ID] = true
+		e.startedMs, seen[in.ID] = in.StartedMs, true
 		r.pool.Set(e.id, e.addr, state)
 		infos = append(infos, policy.ServerInfo{ID: e.id, Zone: index(r.zones, in.Zone), Kind: index(r.kinds, in.Kind),
 			Cell: in.Cell, State: state, Weight: in.Weight, Since: time.Duration(in.StartedMs) * time.Millisecond})
@@ -100,7 +143,7 @@
 			}
 		}
 	}
-	r.module(kind, infos)
+	return infos
 }
 
 func index(names []string, name string) int {
@@ -150,6 +193,7 @@
 			pause = rest(ctx, pause)
 			continue
 		}
+		r.Spoke()
 		gap, pause = false, firstPause
 		if l.Reset {
 			r.Apply(policy.ListFull, l.Instances)
@@ -235,6 +279,7 @@
 			slog.Warn("consul_failed", "service", at.Service, "err", "no X-Consul-Index")
 			index, pause = 0, rest(ctx, pause)
 		case next == index: // the wait ran out
+			r.Spoke()
 			pause = firstPause
 			continue
 		case next < index: // the agent's state was lost: what it says next may be anything
@@ -253,6 +298,7 @@
 			h.Service.Meta, h.Service.Weights = e.ServiceMeta, e.ServiceWeights
 			list = append(list, h.instance())
 		}
+		r.Spoke()
 		r.Apply(policy.ListFull, list)
 	}
 }
--- /dev/null
+++ b/internal/knowledge/helper/gateway.go
@@ -0,0 +1,87 @@
+package helper
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/discovery"
+	"sprucelane.example/sprucelane/internal/knowledge"
+	"sprucelane.example/sprucelane/internal/knowledge/pipe"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// Prior is what the link program guesses of a member.
+type Prior = knowledge.Prior
+
+// Snapshot tells, for each life shown, its number and how often it had answered.
+type Snapshot map[knowledge.Life]shown
+
+type shown struct {
+	number policy.ServerID
+	served int
+}
+
+// Gateway stands on a gateway's core and roster: it turns the module's numbers into instances and lives, and back.
+type Gateway struct {
+	Core   *core.Core
+	Roster *discovery.Roster
+}
+
+const roomAhead, blankRoom = 4.0, 4.0
+
+// RoomMost is the most room that a peer's word may give at one of so many gateways: some times that of a blank start.
+func RoomMost(gateways int) float64 { return roomAhead * blankRoom / float64(max(gateways, 1)) }
+
+// Seen implements Teachable.
+func (g *Gateway) Seen() (state pipe.State, at Snapshot) {
+	names := g.Roster.Lives()
+	at, state.Deaf = make(Snapshot, len(names)), g.Roster.Silent()
+	g.Core.Learn(func(now core.Time, seen []policy.Observation) []policy.Prior {
+		answered, waiting := core.Time(0), time.Duration(0)
+		for _, o := range seen {
+			name, ok := names[o.ID]
+			if !ok || since(name.StartedMs) != o.Since { // listed after the names were asked for
+				continue
+			}
+			life := knowledge.Life(name)
+			at[life] = shown{o.ID, o.Served}
+			s := knowledge.Sighting{Life: life, Stalled: o.Silent, Ejected: o.Ejected, Lost: o.Overdue, Pace: o.Pace,
+				Answers: o.Answers, Answered: -1, Room: o.Room, Warmth: o.Warmth, Cold: o.ColdSends}
+			if o.Served > 0 {
+				s.Answered = now - o.Answered
+			}
+			state.Own = append(state.Own, s)
+			answered, waiting = max(answered, o.Answered), max(waiting, o.Silent)
+		}
+		state.Blind = min(waiting, now-answered) // a gateway of which nothing is asked is not blind for want of answers
+		return nil
+	})
+	return state, at
+}
+
+func since(startedMs int64) core.Time { return time.Duration(startedMs) * time.Millisecond }
+
+// Teach implements Teachable. A prior for a member that has answered since it was shown comes too late.
+func (g *Gateway) Teach(priors []Prior, at Snapshot) (late int) {
+	if len(priors) == 0 {
+		return 0
+	}
+	g.Core.Learn(func(_ core.Time, seen []policy.Observation) []policy.Prior {
+		served := make(map[policy.ServerID]int, len(seen))
+		for _, o := range seen {
+			served[o.ID] = o.Served
+		}
+		list := make([]policy.Prior, 0, len(priors))
+		for _, p := range priors {
+			s, ok := at[p.Life]
+			if now, listed := served[s.number]; !ok || !listed || now != s.served {
+				late++
+				continue
+			}
+			list = append(list, policy.Prior{ID: s.number, Since: since(p.StartedMs), Pace: p.Pace, Weight: p.Weight, Room: p.Room,
+				Cold: p.Cold})
+		}
+		return list
+	})
+	return late
+}
--- /dev/null
+++ b/internal/knowledge/link/link.go
@@ -0,0 +1,367 @@
+// Package link carries what gateways know of pool members from one to another, over gRPC: it tells what the book of
+// this gateway holds, and hears peers. It must never judge a fact, or let a peer take more than its bounds in memory, calls or time.
+package link
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+	"google.golang.org/grpc/status"
+
+	pb "sprucelane.example/sprucelane/api/sprucelane/v1"
+	"sprucelane.example/sprucelane/internal/knowledge"
+	"sprucelane.example/sprucelane/internal/knowledge/pipe"
+)
+
+// The bounds of the wire.
+const (
+	MostFacts   = 20000   // in a message
+	mostBytes   = 4 << 20 // of a message
+	mostCalls   = 32      // readers at once
+	cadence     = 250 * time.Millisecond
+	heartbeat   = time.Second     // a message comes this often at least
+	silentAfter = 4 * heartbeat   // a teller that says nothing for so long is called anew
+	sendWait    = 5 * time.Second // for a reader that takes nothing
+	firstPause  = 100 * time.Millisecond
+	lastPause   = 5 * time.Second
+)
+
+// Options are an exchange's settings.
+type Options struct {
+	Me     knowledge.Observer
+	Book   knowledge.Options
+	Listen string   // where peers ask; empty: they can't
+	Peers  []string // whom to ask; empty: nobody
+	TLS    *TLS     // nil: plain
+	Now    func() knowledge.Time
+}
+
+// TLS is the identity of a gateway and the roots of its peers'. Both sides show a certificate.
+type TLS struct{ Server, Client *tls.Config }
+
+// Exchange is one gateway's part in the exchange of knowledge.
+type Exchange struct {
+	pb.UnimplementedKnowledgeServer
+	opt      Options
+	listener net.Listener
+	server   *grpc.Server
+	stop     context.CancelFunc
+	ctx      context.Context
+	done     sync.WaitGroup
+	first    chan struct{} // closed when every peer has told its picture or failed
+	calls    chan struct{}
+
+	mu      sync.Mutex
+	book    *knowledge.Book
+	own     []knowledge.Sighting // as last updated
+	deaf    time.Duration
+	blind   time.Duration
+	priors  uint64
+	suspect uint64
+	heard   uint64 // messages
+	broken  uint64 // calls that ended in an error
+	refused uint64 // messages of a form that this program doesn't read, or out of bounds
+	waiting int    // peers of which nothing has come yet
+}
+
+// Open starts the exchange for a gateway that has seen this much: it listens where it is told to, and asks its peers.
+func Open(opt Options, own []knowledge.Sighting) (*Exchange, error) {
+	opt.Book.Me = opt.Me
+	e := &Exchange{opt: opt, book: knowledge.New(opt.Book), first: make(chan struct{}),
+		calls: make(chan struct{}, mostCalls), waiting: len(opt.Peers)}
+	e.ctx, e.stop = context.WithCancel(context.Background())
+	if len(opt.Peers) == 0 {
+		close(e.first)
+	}
+	if opt.Listen != "" {
+		var err error
+		if e.listener, err = net.Listen("tcp", opt.Listen); err != nil {
+			return nil, fmt.Errorf("listen: %w", err)
+		}
+		server := []grpc.ServerOption{grpc.MaxRecvMsgSize(1 << 12), grpc.MaxConcurrentStreams(mostCalls),
+			grpc.ConnectionTimeout(sendWait), grpc.KeepaliveParams(keepalive.ServerParameters{Time: 10 * time.Second, Timeout: sendWait})}
+		if opt.TLS != nil {
+			server = append(server, grpc.Creds(credentials.NewTLS(opt.TLS.Server)))
+		}
+		e.server = grpc.NewServer(server...)
+		pb.RegisterKnowledgeServer(e.server, e)
+		e.done.Go(func() { e.server.Serve(e.listener) })
+	}
+	e.Update(own, 0, 0)
+	for _, p := range opt.Peers {
+		e.done.Go(func() { e.ask(p) })
+	}
+	return e, nil
+}
+
+// Addr is where the exchange listens; empty: nowhere.
+func (e *Exchange) Addr() string {
+	if e.listener == nil {
+		return ""
+	}
+	return e.listener.Addr().String()
+}
+
+// Close ends the exchange.
+func (e *Exchange) Close() {
+	e.stop()
+	if e.server != nil {
+		e.server.Stop()
+	}
+	e.done.Wait()
+}
+
+// Learnt is closed once each peer has told its picture or failed once.
+func (e *Exchange) Learnt() <-chan struct{} { return e.first }
+
+// Update takes in what the gateway itself has seen of the members that are listed, and gives the priors that follow.
+// Deaf and blind are how long it has been without word from discovery and without an answer.
+func (e *Exchange) Update(own []knowledge.Sighting, deaf, blind time.Duration) []knowledge.Prior {
+	listed := make([]knowledge.Life, len(own))
+	for i, s := range own {
+		listed[i] = s.Life
+	}
+	now := e.opt.Now()
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.own, e.deaf, e.blind = own, deaf, blind
+	e.book.List(listed)
+	e.book.Saw(now, own, deaf, blind)
+	return e.priorsOf(now)
+}
+
+// Priors gives the priors that follow from what has been heard since the last Update.
+func (e *Exchange) Priors() []knowledge.Prior {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return e.priorsOf(e.opt.Now())
+}
+
+func (e *Exchange) priorsOf(now knowledge.Time) []knowledge.Prior {
+	list := e.book.Priors(now, e.own)
+	e.priors += uint64(len(list))
+	for _, p := range list {
+		if p.Suspect {
+			e.suspect++
+		}
+	}
+	return list
+}
+
+// Watch tells a peer what is known, and what changes.
+func (e *Exchange) Watch(req *pb.WatchRequest, to grpc.ServerStreamingServer[pb.Picture]) error {
+	select {
+	case e.calls <- struct{}{}:
+		defer func() { <-e.calls }()
+	default:
+		return status.Error(codes.ResourceExhausted, "too many readers")
+	}
+	if req.GetVersion() < oldest {
+		return status.Errorf(codes.FailedPrecondition, "version: %d is older than %d", req.GetVersion(), oldest)
+	}
+	most := MostFacts
+	if n := int(req.GetMostFacts()); n > 0 && n < most {
+		most = n
+	}
+	began, told := time.Now(), time.Time{}
+	after, whole := uint64(0), true
+	beat := time.NewTicker(cadence)
+	defer beat.Stop()
+	for {
+		e.mu.Lock()
+		facts, version := e.book.Tell(e.opt.Now(), after, most)
+		p := &pb.Picture{Version: Version, Oldest: oldest, Teller: e.opt.Me.Name, TellerLife: e.opt.Me.Birth, Whole: whole,
+			ElapsedMs: ms(time.Since(began)), DeafMs: ms(e.deaf), BlindMs: ms(e.blind)}
+		e.mu.Unlock()
+		for i := range facts {
+			p.Facts = append(p.Facts, toWire(&facts[i]))
+		}
+		if whole || len(p.Facts) > 0 || time.Since(told) >= heartbeat {
+			if err := e.send(to, p); err != nil {
+				return err
+			}
+			after, whole, told = version, false, time.Now()
+		}
+		select {
+		case <-beat.C:
+		case <-to.Context().Done():
+			return nil
+		case <-e.ctx.Done():
+			return status.Error(codes.Unavailable, "this gateway ends")
+		}
+	}
+}
+
+// send gives a reader so long to take a message.
+func (e *Exchange) send(to grpc.ServerStreamingServer[pb.Picture], p *pb.Picture) error {
+	sent := make(chan error, 1)
+	go func() { sent <- to.Send(p) }()
+	wait := time.NewTimer(sendWait)
+	defer wait.Stop()
+	select {
+	case err := <-sent:
+		return err
+	case <-wait.C:
+		return status.Error(codes.DeadlineExceeded, "the reader takes nothing") // which ends the Send too
+	case <-e.ctx.Done():
+		return status.Error(codes.Unavailable, "this gateway ends")
+	}
+}
+
+// Dial opens a connection to a peer, which comes up when it is first used.
+func Dial(addr string, conf *TLS) (*grpc.ClientConn, error) {
+	creds := insecure.NewCredentials()
+	if conf != nil {
+		creds = credentials.NewTLS(conf.Client)
+	}
+	return grpc.NewClient("passthrough:///"+addr, grpc.WithTransportCredentials(creds), grpc.WithDisableRetry(),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(mostBytes)),
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: sendWait}))
+}
+
+// ask hears one peer until the exchange ends, over one call after another.
+func (e *Exchange) ask(peer string) {
+	pause, once := firstPause, sync.OnceFunc(e.came)
+	for e.ctx.Err() == nil {
+		began := time.Now()
+		err := e.hear(peer, once)
+		once()
+		if e.ctx.Err() != nil {
+			return
+		}
+		e.mu.Lock()
+		e.broken++
+		e.mu.Unlock()
+		slog.Debug("knowledge_call_ended", "peer", peer, "err", err)
+		if time.Since(began) > lastPause {
+			pause = firstPause
+		}
+		wait := time.NewTimer(pause/2 + rand.N(pause))
+		select {
+		case <-wait.C:
+		case <-e.ctx.Done():
+			wait.Stop()
+			return
+		}
+		pause = min(2*pause, lastPause)
+	}
+}
+
+// came notes that a peer has told its picture, or failed.
+func (e *Exchange) came() {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	if e.waiting--; e.waiting == 0 {
+		close(e.first)
+	}
+}
+
+var errSilent = errors.New("the peer says nothing")
+
+// hear makes one call, until it ends or the peer falls silent.
+func (e *Exchange) hear(peer string, first func()) error {
+	conn, err := Dial(peer, e.opt.TLS)
+	if err != nil {
+		return err
+	}
+	defer conn.Close()
+	ctx, cancel := context.WithCancelCause(e.ctx)
+	defer cancel(nil)
+	silence := time.AfterFunc(silentAfter, func() { cancel(errSilent) })
+	defer silence.Stop()
+	began := time.Now()
+	call, err := pb.NewKnowledgeClient(conn).Watch(ctx, &pb.WatchRequest{Version: Version, Reader: e.opt.Me.Name, MostFacts: MostFacts})
+	if err != nil {
+		return err
+	}
+	var lag lag
+	for {
+		p, err := call.Recv()
+		if err != nil {
+			return cmpErr(context.Cause(ctx), err)
+		}
+		silence.Reset(silentAfter)
+		e.take(p, lag.of(time.Since(began), duration(p.GetElapsedMs())))
+		if p.GetWhole() {
+			first()
+		}
+	}
+}
+
+func cmpErr(cause, err error) error {
+	if cause != nil {
+		return cause
+	}
+	return err
+}
+
+// lag tells how late messages of one call come: what has piled up on the way would else pass for fresh. The way's
+// shortest time is taken for none.
+type lag struct {
+	least time.Duration
+	known bool
+}
+
+func (l *lag) of(here, there time.Duration) time.Duration {
+	way := here - there
+	if !l.known || way < l.least {
+		l.least, l.known = way, true
+	}
+	return way - l.least
+}
+
+// take hands a message's facts to the book.
+func (e *Exchange) take(p *pb.Picture, late time.Duration) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	e.heard++
+	if p.GetOldest() > Version || p.GetVersion() < oldest || len(p.GetFacts()) > MostFacts {
+		e.refused++
+		return
+	}
+	e.book.Hear(e.opt.Now(), FromWire(p, late))
+}
+
+// Counters tells of the exchange.
+func (e *Exchange) Counters() []pipe.Counter {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	facts, observers := e.book.Size()
+	list := []pipe.Counter{{Name: "facts", Value: uint64(facts)}, {Name: "observers", Value: uint64(observers)},
+		{Name: "messages", Value: e.heard}, {Name: "messages_refused", Value: e.refused}, {Name: "calls_broken", Value: e.broken},
+		{Name: "priors", Value: e.priors}, {Name: "priors_suspect", Value: e.suspect}}
+	for i, n := range e.book.Counts() {
+		list = append(list, pipe.Counter{Name: "facts_" + knowledge.Drop(i).String(), Value: n})
+	}
+	return list
+}
+
+// Picture asks a gateway once for all that it knows.
+func Picture(ctx context.Context, addr string, conf *TLS, reader string) (*pb.Picture, error) {
+	conn, err := Dial(addr, conf)
+	if err != nil {
+		return nil, err
+	}
+	defer conn.Close()
+	call, err := pb.NewKnowledgeClient(conn).Watch(ctx, &pb.WatchRequest{Version: Version, Reader: reader})
+	if err != nil {
+		return nil, err
+	}
+	p, err := call.Recv()
+	if err == nil && p.GetOldest() > Version {
+		err = fmt.Errorf("%s speaks version %d, for readers of %d and later: this program is %d", addr, p.GetVersion(), p.GetOldest(), Version)
+	}
+	return p, err
+}
--- a/policy/api.go
+++ b/policy/api.go
@@ -157,6 +157,7 @@
 	Answers   float64       // that count for the pace, fading
 	Pace      float64       // latency over the typical one of each class; 0 where nothing counts
 	Answered  Time          // when it last answered with a 200; 0: never
+	Served    int           // how often it did
 	Out       int           // attempts out
 	Overdue   int           // of them such as take much longer than is typical
 	Silent    time.Duration // how long the oldest of these has been out, where nothing came since; 0: not silent
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -467,7 +467,7 @@
 func (g *Gateway) judge(s *server, failed bool) {
 	s.fails.count(g.now, 4*paceMemory*g.shortAim(), failed)
 	if s.row++; !failed {
-		if s.row, s.answered = 0, g.now; s.ejections > 0 && g.now >= s.ejectedUntil {
+		if s.row, s.answered, s.served = 0, g.now, s.served+1; s.ejections > 0 && g.now >= s.ejectedUntil {
 			s.ejections, s.fails = s.ejections-1, mean{at: g.now}
 		}
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -199,6 +199,7 @@
 	room         float64 // attempts of ours that it may hold, 0: not yet known
 	row          int     // failures since it last served
 	answered     Time    // when it last served
+	served       int     // and how often it did
 }
 
 type customer struct {
@@ -395,7 +396,7 @@
 			continue
 		}
 		s.pace.fade(now, paceMemory*g.shortAim())
-		o := Observation{ID: s.ID, Since: s.Since, Answers: s.pace.n, Answered: s.answered, Out: s.out,
+		o := Observation{ID: s.ID, Since: s.Since, Answers: s.pace.n, Answered: s.answered, Served: s.served, Out: s.out,
 			Ejected: max(0, s.ejectedUntil-now), Room: s.room, Warmth: g.warmth(s)}
 		if s.pace.n > 0 {
 			o.Pace = s.pace.sum / s.pace.n
