Learning is tested by its hard cases and documented; start-up learning by datagrams

The issue names what must not happen when a peer is stale, wrong, dead, silent, of another version or back from a circle.

--- /dev/null
+++ b/cmd/sprucelane-link/main_test.go
@@ -0,0 +1,107 @@
+package main
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/cli"
+	"sprucelane.example/sprucelane/internal/knowledge"
+	"sprucelane.example/sprucelane/internal/knowledge/pipe"
+)
+
+// gateway is the other end of an exchange.
+type gateway struct {
+	t   *testing.T
+	end *pipe.End
+	out io.Closer
+}
+
+func start(t *testing.T, name string, own []knowledge.Sighting, peers ...string) *gateway {
+	in, toChild := io.Pipe()
+	fromChild, out := io.Pipe()
+	done := make(chan error, 1)
+	go func() { done <- exchange(context.Background(), in, out); out.Close() }()
+	g := &gateway{t, pipe.New(fromChild, toChild), toChild}
+	t.Cleanup(func() {
+		toChild.Close()
+		go io.Copy(io.Discard, fromChild)
+		assert.NoError(t, <-done)
+	})
+	require.NoError(t, g.end.Say(pipe.Hello{Me: knowledge.Observer{Name: name, Birth: 1}, Listen: "127.0.0.1:0", Peers: peers, Plain: true}))
+	require.NoError(t, g.end.Say(pipe.State{Own: own}))
+	return g
+}
+
+func (g *gateway) hear() (n pipe.News) {
+	g.t.Helper()
+	require.NoError(g.t, g.end.Hear(&n))
+	return n
+}
+
+func sightings(stalled string) (list []knowledge.Sighting) {
+	for _, id := range []string{"m-1", "m-2", "m-3", "m-4"} {
+		s := knowledge.Sighting{Life: knowledge.Life{Instance: id, StartedMs: 1764590400000}, Answered: -1, Warmth: 0.5}
+		if stalled != "" {
+			if s.Answered, s.Pace, s.Answers = 0, 1, 9; id == stalled {
+				s.Answered, s.Lost, s.Stalled = 5*time.Second, 3, 4*time.Second
+			}
+		}
+		list = append(list, s)
+	}
+	return list
+}
+
+// Two gateways' link programs, end to end: what one sees is a prior of the other before it says that it has learnt, and
+// anyone may print it.
+func TestExchange(t *testing.T) {
+	a := start(t, "g0", sightings("m-2"))
+	addr := a.hear().Addr
+	b := start(t, "g1", sightings(""), addr)
+	var n pipe.News
+	for n = b.hear(); !n.Learnt; n = b.hear() {
+		require.NoError(t, b.end.Say(pipe.State{Own: sightings("")}))
+	}
+	for len(n.Priors) < 4 { // a state that crossed the picture is answered first
+		require.NoError(t, b.end.Say(pipe.State{Own: sightings("")}))
+		n = b.hear()
+	}
+	assert.True(t, n.Priors[1].Suspect)
+	assert.False(t, n.Priors[0].Suspect)
+
+	run := func(args ...string) (int, string) {
+		var out bytes.Buffer
+		root := commands(func(string) string { return "" })
+		root.SetArgs(append([]string{"knowledge"}, args...))
+		root.SetOut(&out)
+		return cli.Main(root, func(err error) { out.WriteString(err.Error()) }), out.String()
+	}
+	code, text := run("--peer", addr, "--plain")
+	assert.Zero(t, code)
+	assert.Regexp(t, `m-2 +\S+ \S+ +g0 +0 `, text)
+	code, text = run("--peer", addr, "--plain", "--json")
+	assert.Zero(t, code)
+	var fact struct {
+		Instance string
+		Lost     int
+	}
+	require.NoError(t, json.Unmarshal([]byte(strings.Split(text, "\n")[1]), &fact))
+	assert.Equal(t, "m-2", fact.Instance)
+	assert.Equal(t, 3, fact.Lost)
+	for _, c := range []struct {
+		args []string
+		want string
+		code int
+	}{{nil, "peer", cli.Usage}, {[]string{"--peer", addr}, "cert_file", cli.Usage}, {[]string{"--peer", "127.0.0.1:1", "--plain"}, "127.0.0.1:1", 1}} {
+		code, text = run(c.args...)
+		assert.Equal(t, c.code, code, c.want)
+		assert.Contains(t, text, c.want)
+	}
+}
--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -25,9 +25,10 @@
 
 // commands builds the command line. A bare start serves.
 func commands(getenv func(string) string) *cobra.Command {
-	var site, format, level, program string
+	var opt options
+	var format, level string
 	env := cli.Env(envPrefix, getenv)
-	run := func(*cobra.Command, []string) error { return serve(getenv, site, program) }
+	run := func(*cobra.Command, []string) error { return serve(getenv, opt) }
 	root := &cobra.Command{
 		Use:   "sprucelane",
 		Short: "One gateway of a fleet that holds quotas over all of them together",
@@ -50,12 +51,13 @@
 		RunE: run,
 	}
 	flags := root.PersistentFlags()
-	flags.StringVar(&site, "site", config.SiteFile, "the operators' own `file`; without it what it holds is off")
-	flags.StringVar(&program, "link-program", helper.Beside(), "the `program` that links gateways where knowledge is on")
+	flags.StringVar(&opt.site, "site", config.SiteFile, "the operators' own `file`; without it what it holds is off")
+	flags.BoolVar(&opt.datagrams, "learn-by-datagram", false, "ask the peers, once started, what they know of the pool members")
+	flags.StringVar(&opt.program, "link-program", helper.Beside(), "the `program` that links gateways where knowledge is on")
 	flags.StringVar(&format, "log-format", "text", "`form` of log lines: text (key=value) or json")
 	flags.StringVar(&level, "log-level", "info", "least `level` that is logged: debug, info, warn or error")
 	root.AddCommand(
-		knowledgeCommand(&program),
+		knowledgeCommand(&opt.program),
 		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, as a bare start does", Args: cobra.NoArgs, RunE: run},
 		&cobra.Command{
 			Use:   "check",
@@ -64,7 +66,7 @@
 with 2 where there is one; prints what the gateway would be and exits with 0 where there is none.`,
 			Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
-				cfg, err := config.Load(getenv, site)
+				cfg, err := config.Load(getenv, opt.site)
 				for _, fault := range config.Faults(err) {
 					fmt.Fprintln(cmd.OutOrStdout(), fault)
 				}
--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -25,6 +25,7 @@
 	"sprucelane.example/sprucelane/internal/front/introspect"
 	"sprucelane.example/sprucelane/internal/front/platform"
 	"sprucelane.example/sprucelane/internal/knowledge"
+	"sprucelane.example/sprucelane/internal/knowledge/datagram"
 	"sprucelane.example/sprucelane/internal/knowledge/helper"
 	"sprucelane.example/sprucelane/internal/knowledge/pipe"
 	"sprucelane.example/sprucelane/internal/peer"
@@ -37,12 +38,19 @@
 	gcPercent   = 400  // the live heap is a few MB: collecting less often costs little memory
 )
 
+// options are what the command line says.
+type options struct {
+	site      string // the operators' file
+	program   string // that links gateways
+	datagrams bool   // whether a new gateway learns by datagrams
+}
+
 // serve runs a gateway until SIGTERM or a failure.
-func serve(getenv func(string) string, siteFile, program string) error {
+func serve(getenv func(string) string, opt options) error {
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
-	cfg, err := config.Load(getenv, siteFile)
+	cfg, err := config.Load(getenv, opt.site)
 	if err != nil {
 		return cli.Coded{Code: cli.Usage, Err: err}
 	}
@@ -74,22 +82,26 @@
 	g := &gateway{failed: make(chan error, 2)}
 	defer g.close()
 	ready := func() bool { return !g.draining.Load() && g.learnt.Load() && members.Ready() > 0 }
-	opt := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
+	listen := front.Options{Listen: cfg.Listen, Sockets: cfg.ClientSockets, LongestDeadline: cfg.Deployment.LongestDeadline()}
 	door := &platform.Front{Core: decisions, Deployment: cfg.Deployment, Ready: ready, Open: &g.ids}
-	if err := g.open(opt, door); err != nil {
+	if err := g.open(listen, door); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	g.counters = append(g.counters, func() core.Counts {
 		return part("gateway", door.Malformed(), decisions.Counters())
 	})
 	if cfg.Site.Introspection != nil {
-		if err := g.introspection(cfg, opt, clock, decisions, ready); err != nil {
+		if err := g.introspection(cfg, listen, clock, decisions, ready); err != nil {
 			return fmt.Errorf("introspection: %w", err)
 		}
 	}
-	g.knowledge(cfg, program, clock, decisions, roster)
+	g.knowledge(cfg, opt.program, clock, decisions, roster)
 	if link != nil {
-		go link.Serve(decisions.PeerMessage)
+		take := decisions.PeerMessage
+		if opt.datagrams && cfg.Deployment.Peers && cfg.Deployment.Gateways > 1 {
+			take = g.datagrams(ctx, cfg, link, clock, decisions, roster)
+		}
+		go link.Serve(take)
 	}
 	unfollow := follow(ctx, cfg, roster)
 	slog.Info("started", "name", cfg.Name, "listen", cfg.Listen, "members", members.Ready(),
@@ -108,7 +120,7 @@
 			case s == syscall.SIGUSR1:
 				g.report("counters")
 			case s == syscall.SIGHUP: // during a drain too: what is still open needs the pool's news
-				next, err := config.Reload(getenv, siteFile)
+				next, err := config.Reload(getenv, opt.site)
 				if err != nil {
 					slog.Error("reload_failed", "err", err)
 					continue
@@ -243,6 +255,28 @@
 	}()
 }
 
+// datagrams lets a gateway that has just started ask its peers what they know, in the datagrams that there are. What
+// comes in is theirs or the module's by its first byte.
+func (g *gateway) datagrams(ctx context.Context, cfg *config.Config, link *peer.Link, clock core.Clock, decisions *core.Core,
+	roster *discovery.Roster) func(int, []byte) {
+	d := cfg.Deployment
+	exchange := datagram.New(&helper.Gateway{Core: decisions, Roster: roster}, link.Tell, clock.Now, d.Me, d.Gateways,
+		helper.RoomMost(d.Gateways))
+	g.counters = append(g.counters, func() core.Counts {
+		c := exchange.Counters()
+		return core.Counts{slog.String("part", "datagrams"), slog.Uint64("asked", c.Asked), slog.Uint64("answered", c.Answered),
+			slog.Uint64("heard", c.Heard), slog.Uint64("odd", c.Odd), slog.Uint64("priors", c.Priors)}
+	})
+	go exchange.Run(ctx)
+	return func(from int, m []byte) {
+		if datagram.Is(m) {
+			exchange.Take(from, m)
+		} else {
+			decisions.PeerMessage(from, m)
+		}
+	}
+}
+
 // part names whose counters they are.
 func part(name string, malformed uint64, counts core.Counts) core.Counts {
 	return append(core.Counts{slog.String("part", name), slog.Uint64("malformed", malformed)}, counts...)
--- /dev/null
+++ b/internal/knowledge/datagram/datagram_test.go
@@ -0,0 +1,126 @@
+package datagram
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/knowledge"
+	"sprucelane.example/sprucelane/internal/knowledge/helper"
+	"sprucelane.example/sprucelane/internal/knowledge/pipe"
+)
+
+func state(n int, stalled int) (s pipe.State) {
+	for i := range n {
+		x := knowledge.Sighting{Life: knowledge.Life{Instance: fmt.Sprintf("s-%d", i), StartedMs: int64(i)}, Answered: 100 * time.Millisecond,
+			Pace: 1.1, Answers: float64(i), Room: 3}
+		if i < stalled {
+			x.Answered, x.Lost, x.Stalled, x.Pace = 4*time.Second, 3, 4*time.Second, 9
+		}
+		s.Own = append(s.Own, x)
+	}
+	return s
+}
+
+func TestPicturesRoundTripAsFarAsTheyFit(t *testing.T) {
+	for _, n := range []int{0, 5, 14, 400} {
+		s := state(n, min(n, 2))
+		s.Deaf = 3 * time.Second
+		m := Pack(s)
+		assert.LessOrEqual(t, len(m), mostBytes)
+		facts, ok := Unpack(m, knowledge.Observer{Name: "1"}, 1, s.Own)
+		require.True(t, ok)
+		assert.Len(t, facts, min(n, 28))
+		if n > 0 {
+			assert.Equal(t, 3, facts[0].Lost) // the worst first
+			assert.InDelta(t, 4, facts[0].Stalled.Seconds(), 0.2)
+			assert.InDelta(t, 3, facts[0].Deaf.Seconds(), 0.2)
+			assert.InDelta(t, 1.1, facts[len(facts)-1].Pace, 0.06)
+			assert.InDelta(t, 3, facts[len(facts)-1].Room, 0.15)
+			assert.InDelta(t, 0.1, facts[len(facts)-1].Answered.Seconds(), 0.01)
+		}
+	}
+	facts, ok := Unpack(Pack(state(5, 1)), knowledge.Observer{}, 1, state(2, 0).Own) // three are not listed here
+	assert.True(t, ok)
+	assert.Len(t, facts, 2)
+	_, ok = Unpack([]byte{kindPicture, form, 0, 0, 1}, knowledge.Observer{}, 1, nil)
+	assert.False(t, ok)
+}
+
+// gateway is shown and taught.
+type gateway struct {
+	mu     sync.Mutex
+	state  pipe.State
+	taught []knowledge.Prior
+}
+
+func (g *gateway) Seen() (pipe.State, helper.Snapshot) { return g.state, nil }
+func (g *gateway) Teach(list []knowledge.Prior, _ helper.Snapshot) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.taught = list
+	return 0
+}
+
+// A gateway that has just started asks, one that has run answers, and one that has just started too has nothing to say.
+func TestNewGatewayAsks(t *testing.T) {
+	began := time.Now()
+	now := func() knowledge.Time { return time.Hour + time.Since(began) }
+	var ends [3]*Exchange
+	tell := func(me int) func(int, []byte) {
+		return func(to int, m []byte) { ends[to].Take(me, m) }
+	}
+	old := &gateway{state: state(6, 1)}
+	blank := &gateway{state: state(6, 0)}
+	for i := range blank.state.Own {
+		blank.state.Own[i].Answered, blank.state.Own[i].Pace = -1, 0
+	}
+	for i, g := range []*gateway{old, blank, {}} {
+		ends[i] = New(g, tell(i), now, i, 3, 5)
+	}
+	ends[0].born = 0 // long ago
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { ends[1].Run(ctx); close(done) }()
+	require.Eventually(t, func() bool {
+		blank.mu.Lock()
+		defer blank.mu.Unlock()
+		return len(blank.taught) == 6 && blank.taught[0].Suspect && !blank.taught[1].Suspect
+	}, time.Minute, time.Millisecond)
+	cancel()
+	<-done
+	assert.Zero(t, ends[2].Counters().Answered)
+	assert.NotZero(t, ends[0].Counters().Answered)
+	heard := ends[1].Counters().Heard
+	for _, m := range [][]byte{nil, {kindPicture}, {kindPicture, 9, 0, 0}, make([]byte, 999), {3, 0, 0}} {
+		ends[1].Take(0, m)
+	}
+	ends[1].Take(7, Pack(old.state))
+	assert.Equal(t, heard, ends[1].Counters().Heard)
+	assert.Equal(t, uint64(1), ends[1].Counters().Odd)
+}
+
+func FuzzUnpack(f *testing.F) {
+	f.Add(Pack(state(4, 1)))
+	f.Fuzz(func(t *testing.T, m []byte) {
+		own := state(4, 0).Own
+		facts, _ := Unpack(m, knowledge.Observer{Name: "1"}, 1, own)
+		b := knowledge.New(knowledge.Options{Me: knowledge.Observer{Name: "0"}})
+		var listed []knowledge.Life
+		for i := range own {
+			listed, own[i].Answered = append(listed, own[i].Life), -1
+		}
+		b.List(listed)
+		b.Hear(time.Hour, facts)
+		for _, p := range b.Priors(time.Hour, own) {
+			if !(p.Pace > 0 && p.Pace < 100 && p.Weight > 0 && p.Room >= 0) {
+				t.Fatalf("%+v", p)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/knowledge/helper/helper_test.go
@@ -0,0 +1,154 @@
+package helper
+
+import (
+	"fmt"
+	"io"
+	"os"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/discovery"
+	"sprucelane.example/sprucelane/internal/knowledge"
+	"sprucelane.example/sprucelane/internal/knowledge/pipe"
+	"sprucelane.example/sprucelane/internal/standin"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// The test's own program stands in for the link program: what it does follows from the name it was given in Hello.
+func TestMain(m *testing.M) {
+	if len(os.Args) > 1 && os.Args[1] == "exchange" {
+		child()
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func child() {
+	end := pipe.New(os.Stdin, os.Stdout)
+	var hello pipe.Hello
+	if end.Hear(&hello) != nil {
+		return
+	}
+	for {
+		var s pipe.State
+		if end.Hear(&s) != nil {
+			return
+		}
+		switch hello.Me.Name {
+		case "garbage":
+			fmt.Print("this is no message at all, whatever is expected here, for as long as it takes")
+			return
+		case "dies":
+			return
+		case "silent":
+			io.Copy(io.Discard, os.Stdin)
+			return
+		}
+		news := pipe.News{Learnt: true, Addr: "here", Counters: []pipe.Counter{{Name: "facts", Value: uint64(len(s.Own))}}}
+		for _, o := range s.Own {
+			news.Priors = append(news.Priors, knowledge.Prior{Life: o.Life, Pace: 5, Weight: 3, Room: 2})
+		}
+		if end.Say(news) != nil {
+			return
+		}
+	}
+}
+
+// taught is a gateway that notes what it is taught.
+type taught struct {
+	mu    sync.Mutex
+	times int
+}
+
+func (g *taught) Seen() (pipe.State, Snapshot) {
+	return pipe.State{Own: []knowledge.Sighting{{Life: knowledge.Life{Instance: "a"}, Answered: -1}}}, Snapshot{}
+}
+
+func (g *taught) Teach(list []Prior, _ Snapshot) int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if len(list) > 0 {
+		g.times++
+	}
+	return 0
+}
+
+func (g *taught) count() int {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.times
+}
+
+func open(t *testing.T, program, name string, g Teachable) *Helper {
+	h := Open(program, pipe.Hello{Me: knowledge.Observer{Name: name, Birth: 1}}, g)
+	t.Cleanup(h.Close)
+	return h
+}
+
+func TestStatesGoOutAndPriorsComeBack(t *testing.T) {
+	g := &taught{}
+	h := open(t, os.Args[0], "good", g)
+	h.Learnt(time.Minute)
+	require.Eventually(t, func() bool { return g.count() >= 2 }, time.Minute, time.Millisecond)
+	assert.Equal(t, "here", h.Addr())
+	assert.Contains(t, fmt.Sprint(h.Counters()), "facts=1")
+}
+
+// Whatever the child does, nothing is taught and the start waits no longer than it is told to.
+func TestChildrenThatFail(t *testing.T) {
+	for _, name := range []string{"garbage", "dies", "missing"} {
+		program := os.Args[0]
+		if name == "missing" {
+			program = "/no/such/program"
+		}
+		g := &taught{}
+		h := open(t, program, name, g)
+		h.Learnt(time.Hour) // ends as soon as it is known that nothing comes
+		require.Eventually(t, func() bool {
+			h.mu.Lock()
+			defer h.mu.Unlock()
+			return h.starts >= 2
+		}, time.Minute, time.Millisecond, name)
+		assert.Zero(t, g.count(), name)
+	}
+	h := open(t, os.Args[0], "silent", &taught{})
+	h.Learnt(time.Millisecond)
+	h.Close() // and it ends though it says nothing
+}
+
+// A gateway shows what it has seen by instance and life, and takes priors for what it has not seen since.
+func TestNumbersAndLives(t *testing.T) {
+	d := standin.Deployment()
+	c, err := core.New(d.Settings, 1, core.NewClock(), carrier{}, nil)
+	require.NoError(t, err)
+	r := discovery.NewRoster(addresses{}, c.Servers, nil, nil)
+	r.Apply(policy.ListFull, []discovery.Instance{{ID: "a", Addr: "127.0.0.1:1", Lifecycle: "up", StartedMs: 5},
+		{ID: "b", Addr: "127.0.0.1:2", Lifecycle: "up"}, {ID: "c", Addr: "127.0.0.1:3", Lifecycle: "draining"}})
+	g := &Gateway{Core: c, Roster: r}
+	state, at := g.Seen()
+	require.Len(t, state.Own, 2)
+	a, b := knowledge.Life{Instance: "a", StartedMs: 5}, knowledge.Life{Instance: "b"}
+	assert.Equal(t, a, state.Own[0].Life)
+	assert.Equal(t, time.Duration(-1), state.Own[1].Answered)
+	assert.Zero(t, state.Blind)
+	late := g.Teach([]Prior{{Life: a, Pace: 7, Weight: 2}, {Life: knowledge.Life{Instance: "a"}, Pace: 9, Weight: 9},
+		{Life: knowledge.Life{Instance: "c"}, Pace: 9, Weight: 9}}, at)
+	assert.Equal(t, 2, late)
+	state, _ = g.Seen()
+	assert.InDelta(t, 7, state.Own[0].Pace, 0.01)
+	at[b] = shown{at[b].number, 3} // it has answered since
+	assert.Equal(t, 1, g.Teach([]Prior{{Life: b, Pace: 9, Weight: 9}}, at))
+}
+
+type carrier struct{}
+
+func (carrier) Carry(*core.Flow) (core.End, core.Answer) { return core.EndReset, core.Answer{} }
+
+type addresses struct{}
+
+func (addresses) Set(policy.ServerID, string, policy.ServerState) {}
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -10,12 +10,15 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/config"
+	"sprucelane.example/sprucelane/internal/logging"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -209,3 +212,31 @@
 	}
 	return resp, string(text)
 }
+
+// Lines holds log lines that are read while others are written.
+type Lines struct {
+	mu   sync.Mutex
+	text strings.Builder
+}
+
+// Log makes the program's log lines go to new Lines until the test ends.
+func Log(t testing.TB) *Lines {
+	l := &Lines{}
+	if err := logging.Set(l, "text", "info"); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { logging.Set(os.Stderr, "text", "info") })
+	return l
+}
+
+func (l *Lines) Write(p []byte) (int, error) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.Write(p)
+}
+
+func (l *Lines) String() string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.text.String()
+}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1018,3 +1018,42 @@
 		t.Errorf("after 10 s the prior still counts %.1f answers", list[0].Answers)
 	}
 }
+
+// Over random histories of lists and priors, nothing is ever sent to a server that the last list doesn't hold as up.
+func TestPriorsNeverMakeAServerUsable(t *testing.T) {
+	for seed := range uint64(60) {
+		rng := rand.New(rand.NewPCG(seed, 9))
+		f := start(t, settings(), 0)
+		up, id := map[ServerID]bool{}, RequestID(0)
+		for range 200 {
+			switch rng.IntN(4) {
+			case 0:
+				var list []ServerInfo
+				for s := ServerID(1); s <= 6; s++ {
+					state := ServerState(rng.IntN(3))
+					up[s] = state == Ready
+					list = append(list, ServerInfo{ID: s, Weight: 1, State: state, Since: Time(rng.IntN(2)) * f.now})
+				}
+				f.g.Servers(f.now, ListFull, list)
+			case 1:
+				var list []Prior
+				for range 6 {
+					list = append(list, Prior{ID: ServerID(rng.IntN(9)), Since: Time(rng.IntN(2)) * f.now, Pace: rng.ExpFloat64(),
+						Weight: 10 * rng.Float64(), Room: 100 * rng.Float64(), Cold: rng.IntN(2) == 0})
+				}
+				f.g.Learn(f.now, list)
+			case 2:
+				f.until(f.now + Time(rng.IntN(300))*ms)
+			default:
+				sent := len(f.sent)
+				id++
+				f.ask(id, nil)
+				for _, x := range f.sent[sent:] {
+					if !up[x.to] {
+						t.Fatalf("seed %d: request %d went to server %d, which is not up", seed, x.id, x.to)
+					}
+				}
+			}
+		}
+	}
+}
