What a warm member can do is remembered through an outage, so cold ones are not starved

After an outage of all members the gateways sent each of them one attempt in some seconds for as long as they were cold, whatever was asked: in the laboratory 1 to 4 answers a second came back over 16 s where the members could do 20 to 60. A trace of the guard showed tries let in and neither sent nor lost: held in the module, for want of a cold budget. That goes by what a warm server answers here, which was only looked at while another was cold and some were warm. With all cold at once it was 0, and each server got its turn alone.

The figure is followed on each beat now and falls slowly.

--- /dev/null
+++ b/internal/core/storm.go
@@ -0,0 +1,155 @@
+package core
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/storm"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// guard is the core's side of the storm module: it is handed what happens, under the core's mutex, and what it gives
+// out is queued like the decision module's orders. A nil one lets all pass.
+type guard struct {
+	*storm.Guard
+	aims         []time.Duration
+	me, gateways int
+	phase        storm.Phase
+}
+
+// Damp makes the core damp storms. It comes before the first transaction.
+func (c *Core) Damp(set policy.Settings, opt storm.Options) {
+	opt.Me, opt.Gateways = set.Me, set.Gateways
+	g := &guard{me: set.Me, gateways: set.Gateways}
+	for _, class := range set.Classes {
+		g.aims = append(g.aims, class.Aim)
+		opt.Classes = append(opt.Classes, storm.Class{Aim: class.Aim, Worth: class.Worth, Unsafe: class.Effect == policy.Unsafe})
+	}
+	for _, p := range set.Plans {
+		opt.Prices = append(opt.Prices, p.Price)
+	}
+	if set.MaxDelay > 0 && (opt.MostWait <= 0 || set.MaxDelay < opt.MostWait) {
+		opt.MostWait = set.MaxDelay // the clients' own limit
+	}
+	g.Guard = storm.New(opt)
+	c.mu.Lock()
+	c.guard = g
+	c.mu.Unlock()
+}
+
+// Beat keeps the storm module's time until ctx ends.
+func (c *Core) Beat(ctx context.Context) {
+	beat := time.NewTicker(storm.Tick)
+	defer beat.Stop()
+	for {
+		select {
+		case <-beat.C:
+			c.event(func(now Time) { c.beat(now) })
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (c *Core) beat(now Time) {
+	g := c.guard
+	var seen storm.Members
+	for _, o := range c.module.Observe(now) {
+		seen.Listed++
+		seen.Warmth += o.Warmth
+		seen.Overdue += o.Overdue
+	}
+	seen.Warmth /= math.Max(float64(seen.Listed), 1)
+	word := g.Beat(now, seen)
+	for p := range g.gateways {
+		if p != g.me && word != nil && c.tell != nil {
+			c.tells = append(c.tells, tell{p, word})
+		}
+	}
+	if f := g.Figures(); f.Phase != g.phase {
+		g.phase = f.Phase
+		c.lines = append(c.lines, fmt.Sprintf("storm %s sure=%.2f limit=%.1f usual=%.1f warmth=%.2f", f.Phase, f.Sure, f.Limit, f.Usual,
+			seen.Warmth))
+	}
+}
+
+// StormMessage hands a peer's word on a storm in.
+func (c *Core) StormMessage(from int, message []byte) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard != nil {
+		c.guard.Hear(c.Now(), from, message)
+	}
+}
+
+// Connect tells whether a new connection may be taken.
+func (c *Core) Connect() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard == nil || c.guard.Connect(c.Now())
+}
+
+// StormCounters gives what the storm module has counted.
+func (c *Core) StormCounters() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard == nil {
+		return nil
+	}
+	f := c.guard.Figures()
+	return Counts{slog.String("phase", f.Phase.String()), slog.Float64("sure", math.Round(100*f.Sure)/100),
+		slog.Float64("limit", math.Round(10*f.Limit)/10), slog.Float64("usual", math.Round(10*f.Usual)/10), slog.Uint64("storms", f.Storms),
+		slog.Uint64("refused", f.Refused), slog.Uint64("refused_retries", f.RefusedRetries), slog.Uint64("repeats", f.Repeats),
+		slog.Uint64("connections_closed", f.Connections), slog.Uint64("falls", f.Falls), slog.Uint64("heard", f.Heard), slog.Uint64("odd", f.Odd)}
+}
+
+// damped asks the storm module whether a transaction may go on. One that may not ends here: the decision module never
+// hears of it, and it draws nothing.
+func (c *Core) damped(t *transaction) (refused bool, wait time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.guard == nil {
+		return false, 0
+	}
+	t.arrival = storm.Arrival{Account: uint64(t.Customer), Class: t.Class, Plan: t.Plan, Units: t.Units, Marked: t.Repeat}
+	v := c.guard.Arrive(c.Now(), t.arrival)
+	if !v.Admit {
+		c.close(t)
+	}
+	return !v.Admit, v.Wait
+}
+
+// refused gives the wait that a refusal names.
+func (c *Core) refused(t *transaction, wait time.Duration) time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.guard.refused(c.Now(), t, wait)
+}
+
+func (g *guard) refused(now Time, t *transaction, wait time.Duration) time.Duration {
+	if g == nil {
+		return wait
+	}
+	return g.Refused(now, t.arrival, wait)
+}
+
+func (g *guard) failed(now Time, t *transaction) {
+	if g != nil {
+		g.Failed(now, t.arrival)
+	}
+}
+
+func (g *guard) attempt(now Time, f *Flow, end End) {
+	switch {
+	case g == nil:
+	case end == EndServed && now-f.sent <= g.aims[f.tx.Class]:
+		g.Attempt(now, storm.InTime)
+	case end == EndServed:
+		g.Attempt(now, storm.Late)
+	case endings[end].lost:
+		g.Attempt(now, storm.Lost)
+	}
+}
--- /dev/null
+++ b/internal/lab/storm.go
@@ -0,0 +1,219 @@
+package lab
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"slices"
+	"sync"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/lab/load"
+	"sprucelane.example/sprucelane/internal/standin/members"
+)
+
+// Storm is the plan of the measurement of retry storms: all members are stopped for a while and come back cold, while
+// clients that want to be served come back again and again.
+type Storm struct {
+	Binary   string
+	Seeds    []uint64
+	Models   []load.Model
+	Heeds    float64
+	Parallel int
+	Members  int
+	Load     float64 // of what all members can do when warm
+	Warm     time.Duration
+	Outage   time.Duration
+	After    time.Duration
+	Patience time.Duration
+	Progress io.Writer
+}
+
+// StormRun is what one arm of one seed and model came to.
+type StormRun struct {
+	Seed       uint64
+	Model      string
+	Damped     bool
+	Back       time.Duration // from the restore until goodput stays above 0.95 of what it was; After: never
+	Goodput    float64       // before the outage: share of the worth asked for that was served in time
+	Worth      float64       // served after the restore at whatever time, over what was served in as long before
+	PeakCold   float64       // most that a cold member was sent, over what it could bear
+	Fell       int           // members that were sent more than they could bear
+	Spread     float64       // returns after the restore: the busiest 250 ms over the mean
+	Tries      float64       // a request
+	Twice      uint64
+	Unanswered int // tries that had no answer at all
+}
+
+// stormSpec is a member of the measurement: slow, so that few requests make a storm.
+func stormSpec() members.Spec {
+	s := members.Default()
+	s.Cores, s.Speed, s.Queue = 2, 1, 24
+	s.Work.Mean = 400 * time.Millisecond
+	s.WarmWithin = 16 * time.Second
+	return s
+}
+
+const damped, undamped = true, false
+
+// Run plays every model and seed, damped and not, side by side.
+func (p Storm) Run(ctx context.Context) ([]StormRun, error) {
+	var mu sync.Mutex
+	var runs []StormRun
+	var first error
+	slots := make(chan struct{}, max(1, p.Parallel))
+	var all sync.WaitGroup
+	for _, seed := range p.Seeds {
+		for _, m := range p.Models {
+			all.Go(func() {
+				slots <- struct{}{}
+				defer func() { <-slots }()
+				var arms sync.WaitGroup
+				for _, damp := range []bool{undamped, damped} {
+					arms.Go(func() {
+						run, err := p.play(ctx, seed, m, damp)
+						mu.Lock()
+						defer mu.Unlock()
+						if err != nil {
+							if first == nil {
+								first = fmt.Errorf("seed %d, %s: %w", seed, m.Name, err)
+							}
+							return
+						}
+						runs = append(runs, run)
+						fmt.Fprintf(p.Progress, "seed=%d model=%-9s damped=%-5t back=%5.1fs worth=%.3f peak_cold=%.2f fell=%d spread=%.1f tries=%.1f twice=%d unanswered=%d\n",
+							seed, m.Name, damp, run.Back.Seconds(), run.Worth, run.PeakCold, run.Fell, run.Spread, run.Tries, run.Twice, run.Unanswered)
+					})
+				}
+				arms.Wait()
+			})
+		}
+	}
+	all.Wait()
+	return runs, first
+}
+
+func (p Storm) play(ctx context.Context, seed uint64, model load.Model, damp bool) (run StormRun, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	spec := stormSpec()
+	rate := p.Load * float64(p.Members) * spec.Capacity()
+	asks := PlatformLoad(seed, rate, 60, 3)
+	for i := range asks.Plans { // quotas are not the subject
+		asks.Plans[i].Rate, asks.Plans[i].Burst = 1000, 10000
+	}
+	model.Patience = p.Patience
+	asks.Model, asks.Heeds = &model, p.Heeds
+	for i := range asks.Classes {
+		asks.Classes[i].Aim, asks.Classes[i].Deadline = 3*time.Second, 6*time.Second
+	}
+	site, err := Open(Plan{Binary: p.Binary, Seed: seed, Gateways: 3, Members: p.Members, Spec: spec, Delay: 500 * time.Millisecond,
+		Load: asks, Peers: true, MostWait: 8 * time.Second})
+	if err != nil {
+		return run, err
+	}
+	defer site.Close()
+	var file map[string]any
+	if damp {
+		file = map[string]any{"storm": map[string]any{}}
+	}
+	for n := range 3 {
+		if _, err := site.StartGateway(n, file); err != nil {
+			return run, err
+		}
+	}
+	script := make(chan error, 1)
+	var restored time.Duration
+	go func() {
+		script <- func() error {
+			if err := Sleep(ctx, p.Warm); err != nil {
+				return err
+			}
+			for _, id := range site.MemberIDs() { // the list doesn't know
+				site.Member(id).Stop()
+			}
+			if err := Sleep(ctx, p.Outage); err != nil {
+				return err
+			}
+			for _, id := range site.MemberIDs() {
+				if err := site.Restart(id); err != nil {
+					return err
+				}
+			}
+			restored = time.Since(site.Began)
+			return nil
+		}()
+	}()
+	site.Run(ctx, p.Warm+p.Outage+p.After)
+	if err := <-script; err != nil {
+		return run, err
+	}
+	run = StormRun{Seed: seed, Model: model.Name, Damped: damp}
+	records := site.Generator.Records()
+	run.reckon(records, site.Load.Classes, p.Warm, restored, p.After)
+	run.Spread = spread(site.Generator.Returns(), restored)
+	site.mu.Lock()
+	for _, m := range site.members {
+		a := m.Account()
+		run.PeakCold = max(run.PeakCold, a.PeakCold*spec.FallMultiple)
+		if a.ColdBroken > 0 {
+			run.Fell++
+		}
+	}
+	site.mu.Unlock()
+	run.Twice = site.Ledger.Twice()
+	return run, nil
+}
+
+// reckon draws the figures of goodput from the records. Goodput is the share of the worth of first tries meant for a
+// stretch of time that was served within the aim: measured against what was asked in the same stretch, so that neither
+// a busy moment nor the backlog of the outage passes for recovery.
+func (r *StormRun) reckon(records []load.Record, classes []load.Class, warm, restored, after time.Duration) {
+	const settle, window, step = 3 * time.Second, 4 * time.Second, 500 * time.Millisecond
+	share := func(from, to time.Duration) float64 {
+		return load.Summarise(records, classes, func(x load.Record) bool { return x.At >= from && x.At < to }).Share()
+	}
+	tries, before, later := 0, 0.0, 0.0
+	for _, x := range records {
+		tries += x.Tries
+		if x.End == load.GivenUp || x.End == load.Broken {
+			r.Unanswered++
+		}
+		if x.End != load.Served {
+			continue
+		}
+		if x.Done() >= settle && x.Done() < warm {
+			before += x.Worth
+		} else if x.Done() >= restored && x.Done() < restored+after {
+			later += x.Worth
+		}
+	}
+	r.Tries = float64(tries) / float64(max(len(records), 1))
+	r.Worth = later / after.Seconds() / (before / (warm - settle).Seconds())
+	r.Goodput = share(settle, warm)
+	for at := restored; at+window <= restored+after; at += step {
+		if share(at, at+window) < backShare*r.Goodput {
+			r.Back = at + window - restored
+		}
+	}
+}
+
+// backShare is the part of the goodput before the outage at which service counts as back.
+const backShare = 0.95
+
+// spread is the busiest quarter of a second of returns over the mean, in the ten seconds from a moment on.
+func spread(returns []load.Return, from time.Duration) float64 {
+	const step, over = 250 * time.Millisecond, 10 * time.Second
+	buckets := make([]float64, over/step)
+	sum := 0.0
+	for _, r := range returns {
+		if i := int((r.At - from) / step); r.At >= from && i < len(buckets) {
+			buckets[i]++
+			sum++
+		}
+	}
+	if sum == 0 {
+		return 0
+	}
+	return slices.Max(buckets) / (sum / float64(len(buckets)))
+}
--- /dev/null
+++ b/internal/storm/storm_test.go
@@ -0,0 +1,346 @@
+package storm
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+)
+
+const second = time.Second
+
+// stormy plays an outage of all members and gives when service was back, damped or not.
+func stormy(name string, seed uint64, damped bool, heeds float64) (*world, time.Duration) {
+	w := newWorld(seed, 3, 12, 0.6)
+	w.damped, w.model, w.heeds = damped, models[name], heeds
+	w.play(20*second, 1)
+	usual := w.share(worldFrom+5*second, w.now)
+	w.stop(w.all()...)
+	w.play(20*second, 1)
+	w.restore(w.all()...)
+	restored := w.now
+	w.play(70*second, 1)
+	return w, w.back(restored, restored+60*second, usual)
+}
+
+// Whatever the clients do, service is back within one and a half times the members' warm-up, and no later than without.
+func TestComesBackForEveryClientModel(t *testing.T) {
+	for name := range models {
+		for _, heeds := range []float64{0, 0.5, 1} { // clients that ignore Retry-After, and that honour it all together
+			var damped, undamped time.Duration
+			for seed := range uint64(3) {
+				w, back := stormy(name, seed, true, heeds)
+				_, without := stormy(name, seed, false, heeds)
+				damped, undamped = damped+back/3, undamped+without/3
+				assert.LessOrEqual(t, back, warmIn*3/2, "%s, %.1f heed, seed %d", name, heeds, seed)
+				assert.Less(t, w.coldPeak, 4.0, name)
+				assert.Equal(t, []Phase{Outage, Recovery, Calm}, w.phases[max(0, len(w.phases)-3):], "%s, %.1f heed, seed %d", name, heeds, seed)
+			}
+			assert.LessOrEqual(t, damped, undamped+2*second, "%s, %.1f heed", name, heeds)
+			t.Logf("%s, %.1f heed: back after %v, without %v", name, heeds, damped, undamped)
+		}
+	}
+}
+
+func TestOutageThatComesBack(t *testing.T) {
+	w := newWorld(1, 3, 12, 0.6)
+	w.play(20*second, 1)
+	usual := w.share(worldFrom+5*second, w.now)
+	w.stop(w.all()...)
+	w.play(15*second, 1)
+	w.restore(w.all()...)
+	w.play(5*second, 1)
+	w.stop(w.all()...)
+	w.play(10*second, 1)
+	w.restore(w.all()...)
+	restored := w.now
+	w.play(50*second, 1)
+	assert.Equal(t, []Phase{Outage, Recovery, Outage, Recovery, Calm}, w.phases[max(0, len(w.phases)-5):])
+	assert.LessOrEqual(t, w.back(restored, restored+45*second, usual), warmIn*3/2)
+}
+
+// Discovery lists all members as up, and all of them take work and answer nothing: the attempts that are out tell.
+func TestMembersThatAnswerNothing(t *testing.T) {
+	w := newWorld(1, 3, 12, 0.6)
+	w.play(20*second, 1)
+	for i := range w.members {
+		w.members[i].hung = true
+	}
+	w.play(5*second, 1)
+	p, sure := w.guards[1].Now()
+	assert.Equal(t, Outage, p)
+	assert.Greater(t, sure, 0.5)
+	assert.Less(t, w.guards[1].Figures().Limit, 0.2*w.usual/3)
+}
+
+// One room of two is gone: what is left is served, and that is no outage.
+func TestOutageOfOneRoom(t *testing.T) {
+	shares := map[bool]float64{}
+	for _, damped := range []bool{true, false} {
+		w := newWorld(2, 3, 12, 0.6)
+		w.damped, w.model = damped, models["immediate"]
+		w.play(20*second, 1)
+		w.stop(0, 1, 2, 3, 4, 5)
+		gone := w.now
+		w.play(20*second, 1)
+		shares[damped] = w.share(gone+5*second, w.now-2*second)
+		if damped {
+			assert.NotContains(t, w.phases, Outage)
+		}
+		w.restore(0, 1, 2, 3, 4, 5)
+		restored := w.now
+		w.play(40*second, 1)
+		if damped {
+			assert.Greater(t, w.share(restored+25*second, w.now-3*second), 0.95)
+		}
+	}
+	assert.GreaterOrEqual(t, shares[true], shares[false]-0.02) // half the members can do 0.83 of what is asked
+}
+
+// A gateway started in the middle of the storm knows of it from its peers, and one that hears nobody finds it out.
+func TestGatewayRestartedInTheStorm(t *testing.T) {
+	for _, cut := range []bool{false, true} {
+		w := newWorld(3, 3, 12, 0.6)
+		w.play(20*second, 1)
+		w.stop(w.all()...)
+		w.play(10*second, 1)
+		w.restore(w.all()...)
+		w.play(2*second, 1)
+		w.cut = cut
+		w.boot(2)
+		w.play(second, 1)
+		p, _ := w.guards[2].Now()
+		if !cut {
+			assert.NotEqual(t, Calm, p)
+			assert.Greater(t, w.guards[2].rate(), 5.0) // and what is usual
+		}
+		w.play(40*second, 1)
+		p, _ = w.guards[2].Now()
+		assert.Equal(t, Calm, p, "%+v %+v", w.guards[2].Figures(), w.guards[2].recent())
+		assert.Greater(t, w.share(w.now-15*second, w.now-3*second), 0.9)
+	}
+}
+
+// Retries come through another gateway than the first try, under a fresh id and without a mark: account, class and
+// units tell them, as peers say what has failed.
+func TestRetriesThroughAnotherGateway(t *testing.T) {
+	w := newWorld(4, 3, 12, 0.6)
+	w.marks, w.accounts = false, 2000
+	w.play(20*second, 1)
+	before := w.repeats
+	w.stop(w.all()...)
+	w.play(10*second, 1)
+	w.restore(w.all()...)
+	w.play(10*second, 1)
+	known, missed := w.repeats[0]-before[0], w.repeats[1]-before[1]
+	assert.Greater(t, float64(known), 0.6*float64(known+missed))
+	assert.NotZero(t, missed)
+}
+
+// What is usual on busy days is no storm.
+func TestNoFalseAlarms(t *testing.T) {
+	for name, day := range map[string]func(*world){
+		"a peak":        func(w *world) { w.play(20*second, 1.6) },
+		"a long peak":   func(w *world) { w.play(10*second, 1.2); w.play(30*second, 1.55); w.play(10*second, 0.4) },
+		"nothing asked": func(w *world) { w.play(20*second, 0.01); w.play(20*second, 1) },
+		"a hot customer": func(w *world) { // whose tries beyond the quota are refused, and come again at once
+			w.play(20*second, 1)
+			for range 4000 {
+				w.run(w.now + 3*time.Millisecond)
+				a := Arrival{Account: 7, Class: 1, Plan: 1, Units: 2, Marked: w.rng.IntN(2) == 0}
+				g := w.guards[w.rng.IntN(3)]
+				if g.Arrive(w.now, a).Admit {
+					g.Refused(w.now, a, second)
+				}
+			}
+			w.play(10*second, 1)
+		},
+		"a deploy of the clients": func(w *world) { // all connect anew at once, and what was open is asked for again
+			w.play(20*second, 1)
+			for range 2000 {
+				assert.True(w.test(), w.guards[w.rng.IntN(3)].Connect(w.now))
+			}
+			for range 40 {
+				w.ask(Arrival{Account: w.rng.Uint64N(60), Class: 1, Units: 1})
+			}
+			w.play(20*second, 1)
+		},
+		"one slow member": func(w *world) {
+			w.play(20*second, 1)
+			w.members[3].free = w.now + 10*second
+			w.play(20*second, 1)
+		},
+		"a member just started at the peak": func(w *world) {
+			w.play(20*second, 1)
+			w.play(2*second, 1.4)
+			w.restore(5)
+			w.play(20*second, 1.4)
+			assert.Less(w.test(), w.coldPeak, 4.0)
+		},
+		"two members gone": func(w *world) { w.play(20*second, 1); w.stop(1, 2); w.play(20*second, 1) },
+		"pauses": func(w *world) {
+			for range 20 {
+				for i := range 4 {
+					w.members[i].free = max(w.members[i].free, w.now) + 400*time.Millisecond
+				}
+				w.play(2*second, 1)
+			}
+		},
+	} {
+		for seed := range uint64(4) {
+			w := newWorld(seed, 3, 12, 0.6)
+			w.t = t
+			w.play(5*second, 1)
+			day(w)
+			for _, g := range w.guards {
+				assert.Zero(t, g.Figures().Storms, "%s, seed %d", name, seed)
+			}
+		}
+	}
+}
+
+// A clock that stood still for 3 s, or a process that did, is no outage, and ends none.
+func TestClockThatStandsStill(t *testing.T) {
+	w := newWorld(5, 1, 12, 0.6)
+	w.play(20*second, 1)
+	g := w.guards[0]
+	for range 30 {
+		g.Attempt(w.now, Lost) // what all ended when the process went on
+	}
+	g.Beat(w.now+3*second, Members{Listed: 12, Warmth: 1, Overdue: 40})
+	p, _ := g.Now()
+	assert.Equal(t, Calm, p)
+}
+
+// A utility account that asks for five times its quota in the storm takes no more than its like: what it asks beyond is
+// refused by quota and, coming again, counts as a retry.
+func TestHotAccountInTheStorm(t *testing.T) {
+	shares := map[bool]float64{}
+	for _, hot := range []bool{false, true} {
+		w := newWorld(6, 3, 12, 0.6)
+		w.play(20*second, 1)
+		w.stop(w.all()...)
+		w.play(10*second, 1)
+		w.restore(w.all()...)
+		restored := w.now
+		if hot {
+			var ask func()
+			ask = func() {
+				a := Arrival{Account: 9999, Class: 1, Plan: 1, Units: 4}
+				g := w.guards[w.rng.IntN(3)]
+				if g.Arrive(w.now, a).Admit {
+					g.Refused(w.now, a, second) // its quota is spent
+				}
+				if w.now < restored+30*second {
+					w.after(20*time.Millisecond, ask)
+				}
+			}
+			w.after(0, ask)
+		}
+		w.play(40*second, 1)
+		shares[hot] = w.share(restored+10*second, restored+35*second)
+	}
+	assert.Greater(t, shares[true], shares[false]-0.1)
+}
+
+// Five thousand connections in one second: no more are taken than a second's worth and what may come at once.
+func TestConnectionsInAStorm(t *testing.T) {
+	w := newWorld(7, 1, 12, 0.6)
+	w.play(20*second, 1)
+	w.stop(w.all()...)
+	w.play(5*second, 1)
+	taken := 0
+	for range 5000 {
+		w.run(w.now + second/5000)
+		if w.guards[0].Connect(w.now) {
+			taken++
+		}
+	}
+	assert.InDelta(t, 200, taken, 60)
+	assert.NotZero(t, w.guards[0].Figures().Connections)
+}
+
+// Those who heed what they are told come back spread over the time there is, and none is told to wait longer than the
+// clients' limit or less than a moment.
+func TestPromisesAreSpread(t *testing.T) {
+	w := newWorld(8, 3, 12, 0.6)
+	w.play(20*second, 1)
+	w.stop(w.all()...)
+	w.play(4*second, 1)
+	slot := map[int64]int{}
+	for range 600 {
+		g := w.guards[w.rng.IntN(3)]
+		wait := g.Refused(w.now, Arrival{Account: w.rng.Uint64(), Class: 1}, second)
+		assert.GreaterOrEqual(t, wait, leastWait)
+		assert.LessOrEqual(t, wait, 8*second)
+		slot[int64((w.now+wait)/slotLength)]++
+		w.run(w.now + 2*time.Millisecond)
+	}
+	most := 0
+	for _, n := range slot {
+		most = max(most, n)
+	}
+	assert.Less(t, float64(most), 2.5*600/float64(len(slot)))
+	assert.Greater(t, len(slot), 20)
+	g := New(Options{MostWait: 300 * time.Millisecond})
+	g.begin(worldFrom)
+	g.enter(worldFrom, Outage)
+	for range 100 {
+		assert.LessOrEqual(t, g.promise(worldFrom), 300*time.Millisecond)
+	}
+}
+
+// First tries come before retries, dear ones before cheap ones, and what must not run twice before what may.
+func TestWhoComesFirst(t *testing.T) {
+	g := New(Options{Classes: classes, Prices: []float64{1.2, 1.6}})
+	last := -1.0
+	for _, c := range []struct {
+		class, plan int
+		retry       bool
+	}{{1, 1, false}, {1, 0, false}, {0, 1, false}, {0, 0, false}, {1, 1, true}, {0, 0, true}} {
+		r := g.reserve(Arrival{Class: c.class, Plan: c.plan}, c.retry)
+		assert.Greater(t, r, last, "%+v", c)
+		assert.Less(t, r, 1.0)
+		last = r
+	}
+	assert.NotPanics(t, func() { g.reserve(Arrival{Class: 9, Plan: -1}, false) })
+}
+
+func TestWordsRoundTrip(t *testing.T) {
+	w := Word{Phase: Recovery, Sure: 0.5, Seq: 9, Firsts: 30, Repeats: 300, InTime: 12, Bad: 1, Limit: 17, Usual: 33}
+	w.Promised[3] = 21
+	w.Failed.put(12345678901234567)
+	got, ok := Unpack(w.Pack())
+	assert.True(t, ok)
+	assert.Equal(t, Recovery, got.Phase)
+	assert.InDelta(t, 300, got.Repeats, 15)
+	assert.InDelta(t, 21, got.Promised[3], 1)
+	assert.True(t, got.Failed.has(12345678901234567))
+	assert.False(t, got.Failed.has(76543210987654321))
+	for range 1000 {
+		w.Failed.put(rand.Uint64())
+	}
+	assert.False(t, w.Failed.has(12345678901234567)) // full: it says nothing
+	assert.LessOrEqual(t, len(w.Pack()), 128)
+}
+
+func FuzzHear(f *testing.F) {
+	w := Word{Phase: Outage, Sure: 1}
+	f.Add(w.Pack())
+	f.Fuzz(func(t *testing.T, m []byte) {
+		g := New(Options{Gateways: 2, Classes: classes, Prices: []float64{1}})
+		g.Hear(worldFrom, 1, m)
+		for i := range 40 {
+			now := worldFrom + Time(i)*Tick
+			v := g.Arrive(now, Arrival{Account: 1})
+			if v.Wait < 0 || v.Wait > longestWait {
+				t.Fatal(v.Wait)
+			}
+			g.Beat(now, Members{Listed: 1, Warmth: 1})
+			if !(g.limit >= 0 && g.limit < 1e9) {
+				t.Fatal(g.limit)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/storm/world_test.go
@@ -0,0 +1,327 @@
+package storm
+
+import (
+	"container/heap"
+	"math"
+	"math/rand/v2"
+	"testing"
+	"time"
+)
+
+// world plays gateways with guards before members, in virtual time: each member is one queue that serves in turn, and a
+// gateway sends what its guard lets in to the shorter of two queues. What a decision module would add is left out.
+type world struct {
+	now     Time
+	rng     *rand.Rand
+	events  events
+	serial  int
+	guards  []*Guard
+	life    []int
+	damped  bool
+	members []member
+	usual   float64 // first tries a second
+	cut     bool    // gateways don't hear each other
+
+	model    model
+	heeds    float64
+	marks    bool
+	patience time.Duration
+	accounts int
+
+	asked, inTime []float64 // worth of first tries, by the second that they were meant for
+	phases        []Phase   // of the first guard, as they came
+	returns       []Time
+	repeats       [2]int // retries that guards took for such, and did not
+	coldPeak      float64
+	t             *testing.T
+}
+
+func (w *world) test() *testing.T { return w.t }
+
+type member struct {
+	up, hung bool
+	started  Time
+	free     Time
+	sends    []Time
+}
+
+type model struct {
+	first  time.Duration
+	factor float64
+	most   time.Duration
+	jitter float64
+}
+
+var models = map[string]model{
+	"immediate": {100 * time.Millisecond, 1, 100 * time.Millisecond, 0}, "fixed": {time.Second, 1, time.Second, 0},
+	"doubling": {200 * time.Millisecond, 2, 5 * time.Second, 0}, "jittered": {200 * time.Millisecond, 2, 5 * time.Second, 1},
+}
+
+const (
+	aim       = 1200 * time.Millisecond
+	deadline  = 4 * time.Second
+	capacity  = 10.0 // a second, of a warm member
+	warmIn    = 16 * time.Second
+	coldFrom  = 0.18
+	worldFrom = time.Hour
+)
+
+var classes = []Class{{Aim: aim, Worth: 1}, {Aim: aim, Worth: 3, Unsafe: true}}
+
+func newWorld(seed uint64, gateways, members int, load float64) *world {
+	w := &world{now: worldFrom, rng: rand.New(rand.NewPCG(seed, 1)), usual: load * float64(members) * capacity, damped: true,
+		model: models["fixed"], heeds: 0.5, marks: true, patience: 15 * time.Second, accounts: 60}
+	for range members {
+		w.members = append(w.members, member{up: true})
+	}
+	w.guards, w.life = make([]*Guard, gateways), make([]int, gateways)
+	for i := range gateways {
+		w.boot(i)
+	}
+	return w
+}
+
+// boot starts a gateway's guard, or starts it anew.
+func (w *world) boot(i int) {
+	w.life[i]++
+	life := w.life[i]
+	w.guards[i] = New(Options{Me: i, Gateways: len(w.guards), Seed: uint64(i), Classes: classes, Prices: []float64{1.2, 1.6},
+		MostWait: 8 * time.Second, ConnectionsPerS: 200})
+	var beat func()
+	beat = func() {
+		if w.life[i] != life {
+			return
+		}
+		w.after(Tick, beat)
+		seen := Members{}
+		for k := range w.members {
+			m := &w.members[k]
+			seen.Listed++
+			seen.Warmth += w.warmth(m)
+			if m.hung && len(m.sends) > 0 && w.now-m.sends[0] > aim/2 {
+				seen.Overdue += len(m.sends)
+			}
+		}
+		seen.Warmth /= float64(max(seen.Listed, 1))
+		word := w.guards[i].Beat(w.now, seen)
+		if p, _ := w.guards[i].Now(); i == 0 && (len(w.phases) == 0 || w.phases[len(w.phases)-1] != p) {
+			w.phases = append(w.phases, p)
+		}
+		for to := range w.guards {
+			if to != i && word != nil && !w.cut {
+				w.after(5*time.Millisecond, func() { w.guards[to].Hear(w.now, i, word) })
+			}
+		}
+	}
+	w.after(time.Duration(w.rng.Int64N(int64(Tick))), beat)
+}
+
+func (w *world) warmth(m *member) float64 {
+	if m.started == 0 || w.now-m.started >= warmIn {
+		return 1
+	}
+	return coldFrom + (1-coldFrom)*(w.now-m.started).Seconds()/warmIn.Seconds()
+}
+
+// client is one piece of work with all its tries.
+type client struct {
+	arrival Arrival
+	at      Time
+	tries   int
+	heeds   bool
+	gateway int
+}
+
+// play lets first tries come for so long, at a multiple of what is usual.
+func (w *world) play(length time.Duration, times float64) {
+	end := w.now + length
+	var next func()
+	next = func() {
+		if w.now >= end {
+			return
+		}
+		w.ask(Arrival{Account: uint64(w.rng.IntN(w.accounts)), Class: w.rng.IntN(2), Plan: w.rng.IntN(2), Units: float64(1 + w.rng.IntN(4))})
+		w.after(time.Duration(w.rng.ExpFloat64()/(times*w.usual)*float64(time.Second)), next)
+	}
+	w.after(0, next)
+	w.run(end)
+}
+
+func (w *world) run(until Time) {
+	for len(w.events) > 0 && w.events[0].at < until {
+		e := heap.Pop(&w.events).(event)
+		w.now = e.at
+		e.do()
+	}
+	w.now = until
+}
+
+func (w *world) ask(a Arrival) {
+	c := &client{arrival: a, at: w.now, heeds: w.rng.Float64() < w.heeds, gateway: w.rng.IntN(len(w.guards))}
+	w.worth(&w.asked, c)
+	w.try(c)
+}
+
+func (w *world) worth(to *[]float64, c *client) {
+	s := int((c.at - worldFrom) / time.Second)
+	for len(*to) <= s {
+		*to = append(*to, 0)
+	}
+	(*to)[s] += classes[c.arrival.Class].Worth * []float64{1.2, 1.6}[c.arrival.Plan]
+}
+
+func (w *world) try(c *client) {
+	c.tries++
+	c.arrival.Marked = w.marks && c.tries > 1
+	g, life, v := w.guards[c.gateway], w.life[c.gateway], Verdict{Admit: true}
+	if w.damped {
+		v = g.Arrive(w.now, c.arrival)
+		if c.tries > 1 {
+			w.repeats[map[bool]int{true: 0, false: 1}[v.Retry]]++
+		}
+	}
+	if !v.Admit {
+		w.again(c, v.Wait)
+		return
+	}
+	done := func(end End) {
+		if w.damped && w.life[c.gateway] == life {
+			g.Attempt(w.now, end)
+			if end == Lost {
+				v.Wait = g.Refused(w.now, c.arrival, time.Second)
+			}
+		}
+		if end == Lost {
+			w.again(c, v.Wait)
+			return
+		}
+		if w.now-c.at <= aim {
+			w.worth(&w.inTime, c)
+		}
+	}
+	m := w.pick()
+	switch {
+	case m == nil || !m.up:
+		w.after(time.Millisecond, func() { done(Lost) })
+	case m.hung:
+		m.sends = append(m.sends, w.now)
+		w.after(deadline, func() { m.sends = m.sends[1:]; done(Lost) })
+	default:
+		if u := w.warmth(m); u < 1 {
+			m.sends = append(m.sends, w.now)
+			for w.now-m.sends[0] > time.Second {
+				m.sends = m.sends[1:]
+			}
+			w.coldPeak = math.Max(w.coldPeak, float64(len(m.sends)-1)/(capacity*u))
+		}
+		m.free = max(m.free, w.now) + time.Duration(w.rng.ExpFloat64()/(capacity*w.warmth(m))*float64(time.Second))
+		took := m.free - w.now
+		switch {
+		case took > deadline: // the work is done all the same, for nobody
+			w.after(deadline, func() { done(Lost) })
+		case took > aim:
+			w.after(took, func() { done(Late) })
+		default:
+			w.after(took, func() { done(InTime) })
+		}
+	}
+}
+
+// pick gives the shorter queue of two that are up, as far as a few tries find one.
+func (w *world) pick() (best *member) {
+	for range 3 {
+		m := &w.members[w.rng.IntN(len(w.members))]
+		if best == nil || !best.up || m.up && m.free < best.free {
+			best = m
+		}
+	}
+	return best
+}
+
+func (w *world) again(c *client, wait time.Duration) {
+	pause := time.Duration(math.Min(w.model.first.Seconds()*math.Pow(w.model.factor, float64(c.tries-1)), w.model.most.Seconds()) *
+		(1 - w.model.jitter*w.rng.Float64()) * float64(time.Second))
+	heeded := c.heeds && wait > 0
+	if heeded {
+		pause = wait
+	}
+	if w.now+pause-c.at > w.patience {
+		return
+	}
+	w.after(pause, func() {
+		if heeded {
+			w.returns = append(w.returns, w.now)
+		}
+		c.gateway = w.rng.IntN(len(w.guards))
+		w.try(c)
+	})
+}
+
+func (w *world) stop(members ...int) {
+	for _, i := range members {
+		w.members[i].up = false
+	}
+}
+
+// restore brings members back, cold and with empty queues.
+func (w *world) restore(members ...int) {
+	for _, i := range members {
+		w.members[i] = member{up: true, started: w.now, free: w.now}
+	}
+}
+
+func (w *world) all() (list []int) {
+	for i := range w.members {
+		list = append(list, i)
+	}
+	return list
+}
+
+// share is the part of the worth meant for a stretch of time that was served in time.
+func (w *world) share(from, to Time) float64 {
+	asked, served := 0.0, 0.0
+	for s := int((from - worldFrom) / time.Second); s < int((to-worldFrom)/time.Second) && s < len(w.asked); s++ {
+		asked += w.asked[s]
+		if s < len(w.inTime) {
+			served += w.inTime[s]
+		}
+	}
+	return served / math.Max(asked, 1e-9)
+}
+
+// back is how long after a moment the share served in time is back for good at 0.95 of what it was.
+func (w *world) back(from, to Time, usual float64) time.Duration {
+	back := time.Duration(0)
+	for at := from; at+4*time.Second <= to; at += time.Second {
+		if w.share(at, at+4*time.Second) < 0.95*usual {
+			back = at + 4*time.Second - from
+		}
+	}
+	return back
+}
+
+type event struct {
+	at     Time
+	serial int
+	do     func()
+}
+
+type events []event
+
+func (e events) Len() int { return len(e) }
+func (e events) Less(i, j int) bool {
+	return e[i].at < e[j].at || e[i].at == e[j].at && e[i].serial < e[j].serial
+}
+func (e events) Swap(i, j int) { e[i], e[j] = e[j], e[i] }
+func (e *events) Push(x any)   { *e = append(*e, x.(event)) }
+func (e *events) Pop() any {
+	old := *e
+	x := old[len(old)-1]
+	*e = old[:len(old)-1]
+	return x
+}
+
+func (w *world) after(d time.Duration, do func()) {
+	w.serial++
+	heap.Push(&w.events, event{w.now + d, w.serial, do})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -34,6 +34,7 @@
 	awayFor      = 20               // in shortest aims: how long a group that was turned away goes elsewhere
 	ejectDoubles = 4                // longest ejection: aim x 2 to this
 	coldMargin   = 0.6              // of the cold budget that is used
+	provenFades  = 0.997            // each beat, of what a warm server was seen to do
 	retryShare   = 0.2              // further attempts for each request
 	copyShare    = 0.05             // second copies for each request: more cost a busy fleet what they win
 	retryStore   = 10.0             // further attempts that may be saved up
@@ -228,6 +229,7 @@
 		}
 	}
 	f := g.score()
+	g.proven()
 	g.shareRoom(f)
 	g.pressed, g.full = g.full, false
 	for i := range g.late { // a fleet with little to do is late by its own tails: no cut can help it
@@ -433,11 +435,10 @@
 			}
 		}
 	}
-	cost := sum / n * (s.load() + idleWork) / g.warmth(s)
 	if s.turn >= 1 && g.warmth(s) < 1 { // some servers warm by the work they do
-		cost = 0
+		return 0
 	}
-	return cost
+	return sum / n * (s.load() + idleWork) / g.warmth(s)
 }
 
 // Learn takes priors of servers in, each for one life of its server. They move guesses, of pace and of room,
@@ -447,9 +448,7 @@
 	for _, p := range list {
 		if s := g.byID[p.ID]; s != nil && s.listed && s.Since == p.Since && p.Pace*p.Weight > 0 {
 			s.pace = mean{sum: p.Pace * p.Weight, n: p.Weight, at: now}
-			if p.Room > 0 {
-				s.room = p.Room
-			}
+			s.room = cmp.Or(p.Room, s.room)
 			if p.Cold {
 				s.turn = math.Min(s.turn, 0)
 			}
@@ -492,6 +491,19 @@
 	return from + (1-from)*math.Max(0, age.Seconds())/g.set.WarmWithin.Seconds()
 }
 
+// proven follows what a warm server answers here in a window of Fall. What was done before an outage can be
+// done after it, so it falls slowly, and it is followed whether or not a server is cold.
+func (g *Gateway) proven() {
+	var warm mean
+	for _, s := range g.servers {
+		if s.listed && g.warmth(s) >= 1 {
+			s.done.fade(g.now, 2*g.set.Fall)
+			warm.sum, warm.n = warm.sum+s.done.sum, warm.n+1
+		}
+	}
+	g.perServer = math.Max(provenFades*g.perServer, warm.sum/math.Max(warm.n, 1)/2)
+}
+
 // coldRoom keeps rule 4: within any window a cold server gets at most its multiple of what it can do, going
 // by what a warm one answers here, a low guess. A share below one attempt comes as a turn, at a time of its
 // own so that hundreds of gateways don't send at once, and is gone after half a window, so that turns don't
@@ -504,16 +516,6 @@
 	for len(s.sends) > 0 && g.now-s.sends[0] > g.set.Fall {
 		s.sends = s.sends[1:]
 	}
-	var warm mean
-	for _, t := range g.servers {
-		if t.listed && g.warmth(t) >= 1 {
-			t.done.fade(g.now, 2*g.set.Fall)
-			warm.sum, warm.n = warm.sum+t.done.sum, warm.n+1
-		}
-	}
-	if warm.n > 0 {
-		g.perServer = warm.sum / warm.n / 2 // answers in a window of Fall
-	}
 	budget := math.Max(coldMargin*g.set.FallMultiple*w*g.perServer, 1/float64(g.set.Gateways))
 	if budget < 1 { // all that have a turn take it: it is for what the server can do, not for what it bears
 		budget /= math.Max(1, coldMargin*g.set.FallMultiple)
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -1057,3 +1057,40 @@
 		}
 	}
 }
+
+// All servers restart at once, after an outage in which nothing was answered: each is sent what its warmth allows by
+// what it did before, and not the little that a gateway would send which has never seen any of them work.
+func TestAllServersColdAfterAnOutage(t *testing.T) {
+	s := settings()
+	s.SecondCopies, s.Gateways = false, 4
+	f := start(t, s, 4)
+	id := RequestID(0)
+	step := func(answered bool) (sent int) {
+		before := len(f.sent)
+		id++
+		f.ask(id, func(r *Request) { r.SetSize = 4 })
+		f.until(f.now + 50*ms)
+		for _, x := range f.sent[before:] {
+			if answered {
+				f.done(x, Served, 50*ms)
+			}
+		}
+		return len(f.sent) - before
+	}
+	for range 200 { // ten seconds, five a second at each server
+		step(true)
+	}
+	f.until(f.now + 20*time.Second)
+	var list []ServerInfo
+	for i := 1; i <= 4; i++ {
+		list = append(list, ServerInfo{ID: ServerID(i), Weight: 1, Since: f.now})
+	}
+	f.g.Servers(f.now, ListFull, list)
+	sent := 0
+	for range 100 {
+		sent += step(true)
+	}
+	if sent < 20 || sent > 4*5*10 {
+		t.Errorf("%d sent to four cold servers in 5 s", sent)
+	}
+}
