--- /dev/null
+++ b/internal/core/storm_test.go
@@ -0,0 +1,96 @@
+package core_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/standin"
+	"sprucelane.example/sprucelane/internal/storm"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// gone is a member that is not there, until it is.
+type gone struct{ back chan struct{} }
+
+func (g gone) Carry(f *core.Flow) (core.End, core.Answer) {
+	select {
+	case <-g.back:
+		return core.EndServed, core.Answer{Body: []byte("done")}
+	default:
+		return core.EndNoConnect, core.Answer{}
+	}
+}
+
+// In an outage what is refused is refused at once and names a wait, the decision module hears of a few tries only, and
+// peers are told; when the members are back all is let in again.
+func TestOutageIsDamped(t *testing.T) {
+	standin.Log(t)
+	d := standin.Deployment()
+	d.Gateways, d.Peers = 2, true
+	words := make(chan []byte, 1000)
+	members := gone{make(chan struct{})}
+	c, err := core.New(d.Settings, 1, core.NewClock(), members, func(_ int, m []byte) {
+		if m[0] == storm.Kind {
+			words <- append([]byte(nil), m...)
+		}
+	})
+	require.NoError(t, err)
+	c.Damp(d.Settings, storm.Options{})
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	go c.Beat(ctx)
+	c.Servers(policy.ListFull, []policy.ServerInfo{{ID: 1, Weight: 1}, {ID: 2, Weight: 1}})
+	ask := func() core.Answer {
+		in := core.Request{}
+		in.Customer, in.Class, in.Units, in.SetSize, in.Deadline = 7, 1, 1, 2, c.Now()+20*time.Second
+		return c.Serve(context.Background(), in)
+	}
+	phase := func() string { return c.StormCounters()[0].Value.String() }
+	require.Eventually(t, func() bool {
+		a := ask()
+		assert.NotEqual(t, core.Served, a.Kind)
+		return phase() == "outage"
+	}, time.Minute, 5*time.Millisecond)
+	word, ok := storm.Unpack(<-words)
+	assert.True(t, ok)
+	assert.Equal(t, storm.Outage, word.Phase)
+	refused := 0
+	for range 200 {
+		began := time.Now()
+		if a := ask(); a.Kind == core.Refused && !a.Tried {
+			refused++
+			assert.Positive(t, a.RetryAfter)
+			assert.LessOrEqual(t, a.RetryAfter, d.MaxDelay)
+			assert.Less(t, time.Since(began), 10*time.Second) // at once, as far as the machine lets it
+		}
+	}
+	assert.Greater(t, refused, 150)
+	// Another gateway, just started, hears of it.
+	e, err := core.New(d.Settings, 2, core.NewClock(), members, func(int, []byte) {})
+	require.NoError(t, err)
+	e.Damp(policy.Settings{Me: 1, Gateways: 2, Classes: d.Classes, Plans: d.Plans}, storm.Options{})
+	go e.Beat(ctx)
+	require.Eventually(t, func() bool {
+		select {
+		case m := <-words:
+			e.StormMessage(0, m)
+		default:
+		}
+		return e.StormCounters()[0].Value.String() == "outage"
+	}, time.Minute, time.Millisecond)
+	e.StormMessage(0, []byte{storm.Kind, 9})
+	assert.True(t, e.Connect())
+	close(members.back)
+	served := 0
+	require.Eventually(t, func() bool {
+		if ask().Kind == core.Served {
+			served++
+		}
+		return served > 50 && phase() != "outage"
+	}, time.Minute, 2*time.Millisecond)
+}
--- a/internal/front/server_test.go
+++ b/internal/front/server_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -116,3 +117,30 @@
 	}
 	return n
 }
+
+// In a storm connections come faster than they can be served: those that are not admitted are closed before a byte of
+// them is read, hold no place, and those that are get their answer.
+func TestConnectionsThatAreNotAdmitted(t *testing.T) {
+	var came, served atomic.Int32
+	s, err := Listen(Options{Listen: "127.0.0.1:0", Sockets: 64, LongestDeadline: time.Minute,
+		Admit: func() bool { return came.Add(1)%10 == 0 }}, http.HandlerFunc(func(http.ResponseWriter, *http.Request) { served.Add(1) }))
+	require.NoError(t, err)
+	go s.Serve()
+	t.Cleanup(func() { s.http.Close() })
+	answered := 0
+	for range 500 {
+		c, err := net.Dial("tcp", s.Addr())
+		if err != nil { // closed before this side knew that it was open
+			continue
+		}
+		c.SetDeadline(time.Now().Add(time.Minute))
+		io.WriteString(c, "GET / HTTP/1.1\r\nHost: x\r\nConnection: close\r\n\r\n") // may break: it was closed
+		if resp, err := http.ReadResponse(bufio.NewReader(c), nil); err == nil {
+			answered++
+			resp.Body.Close()
+		}
+		c.Close()
+	}
+	assert.Equal(t, 50, answered)
+	assert.Equal(t, int32(50), served.Load())
+}
--- a/internal/knowledge/helper/helper.go
+++ b/internal/knowledge/helper/helper.go
@@ -144,7 +144,8 @@
 	if err := end.Say(h.hello); err != nil {
 		return err
 	}
-	news, failed := make(chan pipe.News), make(chan error, 1)
+	news, failed, over := make(chan pipe.News), make(chan error, 1), make(chan struct{})
+	defer close(over)
 	go func() {
 		for {
 			var n pipe.News
@@ -154,8 +155,7 @@
 			}
 			select {
 			case news <- n:
-			case <-ctx.Done():
-				failed <- ctx.Err()
+			case <-over:
 				return
 			}
 		}
--- a/internal/lab/load/load.go
+++ b/internal/lab/load/load.go
@@ -319,6 +319,9 @@
 	}
 }
 
+// Reconnect closes the connections that are idle: the next tries open new ones.
+func (g *Generator) Reconnect() { g.client.CloseIdleConnections() }
+
 // Records gives what has ended so far.
 func (g *Generator) Records() []Record {
 	g.mu.Lock()
--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -59,7 +59,7 @@
 	outageLeast   = 8.0              // attempts that must have ended badly
 	outageTicks   = 3                // for so many ticks
 	backShare     = 0.3              // of the attempts that end well, at least, when it is over
-	backLeast     = 2.0              // and so many of them
+	backLeast     = 2.0              // and so many of them; or so many in a row, however long they take
 	stormRise     = 1.3              // arrivals over the usual
 	stormRepeats  = 0.3              // share of repeats
 	stormBad      = 0.3              // share of attempts that end badly, or late
@@ -181,7 +181,8 @@
 	served   float64 // answers in time a second in calm
 	known    Time    // how long calm has taught what is usual
 	members  Members
-	streak   [3]int // ticks that pointed to outage, storm and calm
+	streak   [3]int  // ticks that pointed to outage, storm and calm
+	proof    float64 // attempts in a row that ended in time
 	limit    float64
 	fell     Time
 	tokens   float64
@@ -323,6 +324,9 @@
 // Attempt takes the end of an attempt in.
 func (g *Guard) Attempt(now Time, end End) {
 	g.begin(now)
+	if g.proof++; end != InTime {
+		g.proof = 0
+	}
 	switch end {
 	case InTime:
 		g.tick.InTime++
@@ -466,7 +470,7 @@
 			g.learnUsual(here)
 		}
 	case Outage:
-		if all.InTime >= backLeast && served >= backShare*(served+all.Lost) {
+		if g.proof >= backLeast || all.InTime >= backLeast && served >= backShare*(served+all.Lost) {
 			g.enter(now, Recovery)
 		}
 	case Recovery:
@@ -500,7 +504,7 @@
 	if g.phase == Calm {
 		g.figures.Storms++
 	}
-	g.phase, g.since, g.streak = p, now, [3]int{}
+	g.phase, g.since, g.streak, g.proof = p, now, [3]int{}, 0
 	switch p {
 	case Outage:
 		g.limit = math.Max(leastRate, probeShare*g.rate())
--- a/internal/storm/world_test.go
+++ b/internal/storm/world_test.go
@@ -18,6 +18,7 @@
 	guards  []*Guard
 	life    []int
 	damped  bool
+	other   []damper // another way of damping, for each gateway; nil: the guards
 	members []member
 	usual   float64 // first tries a second
 	cut     bool    // gateways don't hear each other
@@ -174,6 +175,9 @@
 	c.tries++
 	c.arrival.Marked = w.marks && c.tries > 1
 	g, life, v := w.guards[c.gateway], w.life[c.gateway], Verdict{Admit: true}
+	if w.other != nil {
+		v = Verdict{Admit: w.other[c.gateway].admit(c.arrival.Marked), Wait: time.Second}
+	}
 	if w.damped {
 		v = g.Arrive(w.now, c.arrival)
 		if c.tries > 1 {
@@ -185,6 +189,9 @@
 		return
 	}
 	done := func(end End) {
+		if w.other != nil {
+			w.other[c.gateway].ended(end)
+		}
 		if w.damped && w.life[c.gateway] == life {
 			g.Attempt(w.now, end)
 			if end == Lost {
@@ -325,3 +332,45 @@
 	w.serial++
 	heap.Push(&w.events, event{w.now + d, w.serial, do})
 }
+
+// damper is one of the ways that were considered.
+type damper interface {
+	admit(retry bool) bool
+	ended(End)
+}
+
+// budget lets retries in for a share of the first tries, and all of those (Finagle's and Envoy's retry budgets).
+type budget struct{ tokens float64 }
+
+func (b *budget) admit(retry bool) bool {
+	if !retry {
+		b.tokens = math.Min(10, b.tokens+0.2)
+		return true
+	}
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
+func (b *budget) ended(End) {}
+
+// concurrency bounds what is out at once, one more for as many in time and a tenth less for each that is not (adaptive
+// concurrency, by additive increase and multiplicative decrease).
+type concurrency struct{ limit, out float64 }
+
+func (c *concurrency) admit(bool) bool {
+	if c.out >= math.Max(1, c.limit) {
+		return false
+	}
+	c.out++
+	return true
+}
+
+func (c *concurrency) ended(end End) {
+	if c.out--; end == InTime {
+		c.limit += 1 / math.Max(1, c.limit)
+	} else {
+		c.limit = math.Max(1, 0.9*c.limit)
+	}
+}
