--- /dev/null
+++ b/cmd/sprucelab/sim.go
@@ -0,0 +1,81 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"sprucelane.example/sprucelane/internal/cli"
+	"sprucelane.example/sprucelane/internal/emulator"
+)
+
+func simCommand() *cobra.Command {
+	var gateways, members int
+	var seed uint64
+	var load float64
+	var length time.Duration
+	var troubles []string
+	var course bool
+	cmd := &cobra.Command{
+		Use:   "sim",
+		Short: "Play one scenario in virtual time",
+		Long: `Plays one scenario in the model of internal/emulator: the real decision modules before modelled members, links, discovery
+and clients. The same flags give the same run to the byte. A broken rule ends it with 1, the seed, the moment and the
+request's story. A trouble is kind:at:for:part, as hang:5s:10s:0.2; kinds are hang, stop, pause, drain and restart.`,
+		Example: `  sprucelab sim --gateways 3 --members 12 --trouble hang:5s:10s:0.2 --trouble restart:20s:10s:1
+  sprucelab sim --gateways 100 --members 1000 --load 0.6 --for 10s`,
+		Args: cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			s := emulator.Platform(seed, gateways, members, load, length)
+			for _, text := range troubles {
+				t, err := trouble(text)
+				if err != nil {
+					return cli.Coded{Code: cli.Usage, Err: fmt.Errorf("trouble: %q: %w", text, err)}
+				}
+				s.Troubles = append(s.Troubles, t)
+			}
+			began := time.Now()
+			r, err := emulator.Play(s)
+			if broken := (*emulator.Broken)(nil); err != nil && !errors.As(err, &broken) {
+				return cli.Coded{Code: cli.Usage, Err: err}
+			}
+			out := cmd.OutOrStdout()
+			if course {
+				for i, share := range r.Seconds {
+					fmt.Fprintf(out, "second=%d share=%.3f\n", i, share)
+				}
+			}
+			fmt.Fprintf(out, "SIM seed=%d share=%.4f tries=%d served=%d refused=%d failed=%d lost=%d sends=%d peak_cold=%.2f digest=%s\n", seed,
+				r.Share(), r.Tries, r.Served, r.Refused, r.Failed, r.Lost, r.Sends, r.PeakCold, r.Digest)
+			fmt.Fprintf(cmd.ErrOrStderr(), "%v of virtual time in %v\n", length, time.Since(began).Round(time.Millisecond))
+			return err
+		},
+	}
+	f := cmd.Flags()
+	f.IntVar(&gateways, "gateways", 3, "gateways")
+	f.IntVar(&members, "members", 12, "pool members")
+	f.Uint64Var(&seed, "seed", 1, "what all chance follows from")
+	f.Float64Var(&load, "load", 0.5, "first tries, of what all members can do")
+	f.DurationVar(&length, "for", 30*time.Second, "how long clients ask, in virtual time")
+	f.StringArrayVar(&troubles, "trouble", nil, "`kind:at:for:part`, any number of times")
+	f.BoolVar(&course, "course", false, "print the share served in time in each second too")
+	return cmd
+}
+
+// trouble reads kind:at:for:part.
+func trouble(text string) (t emulator.Trouble, err error) {
+	parts := strings.Split(text, ":")
+	if len(parts) != 4 {
+		return t, errors.New("not kind:at:for:part")
+	}
+	t.Kind = emulator.Kind(parts[0])
+	var first, second, third error
+	t.At, first = time.ParseDuration(parts[1])
+	t.For, second = time.ParseDuration(parts[2])
+	t.Part, third = strconv.ParseFloat(parts[3], 64)
+	return t, errors.Join(first, second, third)
+}
--- /dev/null
+++ b/internal/emulator/gateway.go
@@ -0,0 +1,193 @@
+package emulator
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// gateway is a host of the real decision module: it carries its orders out over the model's links. Its assumptions:
+// decisions take no time; a message to a member or a peer takes the link's time with up to half as much again by chance;
+// a gateway that is killed loses what it has taken, and its peers and the front know at once that it is down.
+type gateway struct {
+	r    *run
+	me   int
+	up   bool
+	life int
+	mod  *policy.Gateway
+	open map[policy.RequestID]*live
+	told map[policy.ServerID]Time // members that it was told to send nothing new to
+}
+
+type live struct {
+	q     *request
+	sent  int
+	flows map[int]Time
+}
+
+func (g *gateway) boot() {
+	set := g.r.Settings
+	set.Me, set.Gateways = g.me, g.r.Gateways
+	mod, err := policy.New(set, g.r.Seed<<20|uint64(g.life)<<10|uint64(g.me))
+	if err != nil {
+		panic(err) // the scenario was checked
+	}
+	g.mod, g.up, g.open, g.told = mod, true, map[policy.RequestID]*live{}, map[policy.ServerID]Time{}
+	g.life++
+	mod.Attach(g)
+	var list []policy.ServerInfo
+	for _, m := range g.r.members {
+		list = append(list, policy.ServerInfo{ID: m.id, State: m.state, Weight: 1, Since: m.started})
+		if m.state != policy.Ready {
+			g.told[m.id] = g.r.e.now
+		}
+	}
+	mod.Servers(g.r.e.now, policy.ListFull, list)
+}
+
+// restart kills the gateway and starts it again half a second later.
+func (g *gateway) restart() {
+	g.up = false
+	g.life++
+	for _, l := range g.open {
+		if !l.q.final {
+			l.q.lost = true
+			g.r.Lost++
+		}
+	}
+	g.r.e.After(500*time.Millisecond, g.boot)
+}
+
+func (g *gateway) told1(info policy.ServerInfo) {
+	if info.State == policy.Ready {
+		delete(g.told, info.ID)
+	} else if _, ok := g.told[info.ID]; !ok {
+		g.told[info.ID] = g.r.e.now
+	}
+	g.mod.Servers(g.r.e.now, policy.ListChanges, []policy.ServerInfo{info})
+}
+
+func (g *gateway) ask(q *request) {
+	q.note(g.r.e.now, "taken")
+	g.open[q.ID] = &live{q: q, flows: map[int]Time{}}
+	g.r.mark('a', uint64(q.ID), uint64(g.me))
+	g.mod.Request(g.r.e.now, q.Request)
+}
+
+// later lets something happen to this life of the gateway.
+func (g *gateway) later(d time.Duration, do func()) {
+	life := g.life
+	g.r.e.After(d, func() {
+		if g.up && g.life == life {
+			do()
+		}
+	})
+}
+
+func (g *gateway) way() time.Duration {
+	return g.r.Link + time.Duration(g.r.links.Float64()*float64(g.r.Link)/2)
+}
+
+// Send implements policy.Host.
+func (g *gateway) Send(id policy.RequestID, to policy.ServerID, until policy.Time) {
+	l := g.open[id]
+	if l == nil || l.q.final {
+		return
+	}
+	no, m, now, life := l.sent, g.r.members[to-1], g.r.e.now, g.life
+	l.sent++
+	l.flows[no] = now
+	g.r.Sends++
+	l.q.note(now, "sent")
+	g.r.mark('s', uint64(id), uint64(to))
+	end := func(how policy.Ending) {
+		if _, out := l.flows[no]; !out {
+			return
+		}
+		delete(l.flows, no)
+		if how == policy.Served && !l.q.final {
+			g.final(l, "served")
+		}
+		g.r.mark('e', uint64(id), uint64(how))
+		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.final})
+		g.close(id, l)
+	}
+	g.r.e.After(g.way(), func() { // under way it reaches the member even if the gateway dies
+		g.r.arrives(g, m, l.q)
+		m.take(func(how policy.Ending) {
+			if g.life == life { // else its connection went with the life that opened it
+				g.later(g.way(), func() { end(how) })
+			}
+		})
+	})
+	g.later(until-now, func() { end(policy.TimedOut) })
+}
+
+func (g *gateway) close(id policy.RequestID, l *live) {
+	if l.q.final && len(l.flows) == 0 {
+		delete(g.open, id)
+		delete(g.r.all, id)
+	}
+}
+
+func (g *gateway) final(l *live, how string) {
+	g.r.answered(l.q, how)
+	g.r.mark('f', uint64(l.q.ID), uint64(how[0]))
+	switch how {
+	case "served":
+		g.r.Served++
+		if g.r.e.now-l.q.at <= g.r.Settings.Classes[l.q.Class].Aim && l.q.worth > 0 {
+			g.r.InTime += l.q.worth
+			g.r.second(&g.r.served, l.q)
+		}
+	case "refused":
+		g.r.Refused++
+	default:
+		g.r.Failed++
+	}
+}
+
+// Refuse implements policy.Host.
+func (g *gateway) Refuse(id policy.RequestID, _ time.Duration) {
+	if l := g.open[id]; l != nil && !l.q.final {
+		g.final(l, "refused")
+		g.later(0, func() { g.close(id, l) })
+	}
+}
+
+// Fail implements policy.Host.
+func (g *gateway) Fail(id policy.RequestID) {
+	if l := g.open[id]; l != nil && !l.q.final {
+		g.final(l, "failed")
+		g.later(0, func() { g.close(id, l) })
+	}
+}
+
+// Cancel implements policy.Host: the member works on, and its answer tells of it all the same.
+func (g *gateway) Cancel(policy.RequestID, int) {}
+
+// Timer implements policy.Host.
+func (g *gateway) Timer(tag uint64, after time.Duration) {
+	mod := g.mod
+	g.later(after, func() { mod.Timer(g.r.e.now, tag) })
+}
+
+// Tell implements policy.Host.
+func (g *gateway) Tell(peer int, message []byte) {
+	for to, p := range g.r.gateways {
+		if to == g.me || peer >= 0 && to != peer || g.r.links.Float64() < g.r.Loss {
+			continue
+		}
+		g.r.e.After(g.way(), func() {
+			if p.up {
+				p.mod.PeerMessage(g.r.e.now, g.me, message)
+			}
+		})
+	}
+}
+
+// Watch implements policy.Host: lists are always told.
+func (g *gateway) Watch() {}
+
+// Log implements policy.Host.
+func (g *gateway) Log(string) {}
--- /dev/null
+++ b/internal/emulator/member.go
@@ -0,0 +1,121 @@
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// member is a server with cores and a queue in one life after another. Its assumptions: a request takes its work over
+// the core's speed and the share of its capacity that the member has when the work begins; cores serve in the order in
+// which requests came; a pause holds all that is at work; a hang swallows what is there and what comes; what a gateway
+// gives up is worked on all the same.
+type member struct {
+	e       *Engine
+	spec    MemberSpec
+	id      policy.ServerID
+	rng     *rand.Rand
+	life    int
+	up      bool
+	hung    bool
+	started Time // of a cold start; 0: long ago
+	state   policy.ServerState
+	busy    int
+	queue   []*job
+	paused  Time // until then
+
+	sends []Time // within the window of the cold rule
+}
+
+// MemberSpec is what a member can do.
+type MemberSpec struct {
+	Cores      int
+	Speed      float64
+	Queue      int
+	Work       time.Duration // mean
+	Sigma      float64       // of its logarithm
+	ColdFrom   float64
+	WarmWithin time.Duration
+}
+
+// Capacity is how many requests a second a warm one answers.
+func (s MemberSpec) Capacity() float64 { return float64(s.Cores) * s.Speed / s.Work.Seconds() }
+
+type job struct {
+	work time.Duration
+	done func(policy.Ending)
+}
+
+func (m *member) warmth() float64 {
+	if m.started == 0 || m.e.now-m.started >= m.spec.WarmWithin {
+		return 1
+	}
+	return m.spec.ColdFrom + (1-m.spec.ColdFrom)*(m.e.now-m.started).Seconds()/m.spec.WarmWithin.Seconds()
+}
+
+// take lets a request in at its last byte. Done is called when its answer leaves, never where it is swallowed.
+func (m *member) take(done func(policy.Ending)) {
+	work := time.Duration(m.spec.Work.Seconds() * math.Exp(m.spec.Sigma*m.rng.NormFloat64()-m.spec.Sigma*m.spec.Sigma/2) * float64(time.Second))
+	switch {
+	case !m.up:
+		done(policy.NotConnected)
+	case m.hung:
+	case m.busy >= m.spec.Cores && len(m.queue) >= m.spec.Queue:
+		done(policy.TurnedAway)
+	default:
+		m.queue = append(m.queue, &job{work, done})
+		m.serve()
+	}
+}
+
+// serve puts waiting requests on free cores.
+func (m *member) serve() {
+	for m.up && !m.hung && m.busy < m.spec.Cores && len(m.queue) > 0 {
+		j := m.queue[0]
+		m.queue = m.queue[1:]
+		m.busy++
+		took := time.Duration(float64(j.work) / (m.spec.Speed * m.warmth()))
+		m.finish(j, m.life, took+max(0, m.paused-m.e.now))
+	}
+}
+
+// finish ends a request's work, later by the pauses that came meanwhile.
+func (m *member) finish(j *job, life int, left time.Duration) {
+	began := m.e.now
+	m.e.After(left, func() {
+		if m.life != life || m.hung {
+			return
+		}
+		if late := m.paused - m.e.now; late > 0 && m.paused > began+left {
+			m.finish(j, life, late)
+			return
+		}
+		m.busy--
+		j.done(policy.Served)
+		m.serve()
+	})
+}
+
+// stop ends the member's process; what it held is reset.
+func (m *member) stop() {
+	m.up, m.busy = false, 0
+	m.life++
+	m.queue = nil
+}
+
+// start begins another life, cold.
+func (m *member) start() {
+	m.life++
+	m.up, m.hung, m.busy, m.started, m.queue, m.sends = true, false, 0, m.e.now, nil, nil
+}
+
+// hang lets the member swallow all until resume, which begins with empty hands.
+func (m *member) hang() { m.hung = true }
+
+func (m *member) resume() {
+	m.hung, m.busy = false, 0
+	m.life++
+	m.queue = nil
+}
--- /dev/null
+++ b/internal/emulator/rules.go
@@ -0,0 +1,103 @@
+package emulator
+
+import (
+	"fmt"
+	"time"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// Broken is a rule that a run broke: the run ends there.
+type Broken struct {
+	Rule  string
+	Seed  uint64
+	At    time.Duration // since the beginning of the run
+	Trace []string      // what became of the request
+}
+
+func (b *Broken) Error() string {
+	text := fmt.Sprintf("rule broken: %s, seed %d, at %v", b.Rule, b.Seed, b.At)
+	for _, t := range b.Trace {
+		text += "\n  " + t
+	}
+	return text
+}
+
+// The rules' figures, with the slack that sockets have.
+const (
+	drainGrace = 250 * time.Millisecond
+	window     = time.Second
+	multiple   = 4.0
+	coldSlack  = 1.0 // requests: of two that come together neither gateway can know
+)
+
+// breaks notes a broken rule, the first of a run.
+func (r *run) breaks(rule string, q *request) {
+	if r.broken == nil {
+		r.broken = &Broken{Rule: rule, Seed: r.Seed, At: r.e.now - Origin}
+		if q != nil {
+			r.broken.Trace = q.trace
+		}
+	}
+}
+
+// arrives checks what a member is sent against the rules on drains, cold members and second runs.
+func (r *run) arrives(g *gateway, m *member, q *request) {
+	if told, ok := g.told[m.id]; ok && r.e.now-told > drainGrace+2*r.Link {
+		r.breaks("new work to a member that drains or is gone", q)
+	}
+	if q.unsafe && m.up {
+		if q.ran++; q.ran > 1 {
+			r.breaks("an unsafe request reached members twice", q)
+		}
+	}
+	if w := m.warmth(); w < 1 && m.up {
+		m.sends = append(m.sends, r.e.now)
+		for r.e.now-m.sends[0] > window {
+			m.sends = m.sends[1:]
+		}
+		most := multiple * w * m.spec.Capacity() * window.Seconds()
+		if r.PeakCold = max(r.PeakCold, (float64(len(m.sends))-coldSlack)/most*multiple); float64(len(m.sends)) > most+coldSlack {
+			r.breaks("a cold member was sent more than it can bear", q)
+		}
+	}
+}
+
+// answered checks that a request has one final answer, in time.
+func (r *run) answered(q *request, how string) {
+	q.note(r.e.now, "answered: "+how)
+	switch {
+	case q.final:
+		r.breaks("two final answers", q)
+	case r.e.now > q.deadline+2*r.Link:
+		r.breaks("an answer after the deadline", q)
+	}
+	q.final = true
+}
+
+// over checks that nothing taken is left without an answer at a run's end.
+func (r *run) over() {
+	for _, q := range r.all {
+		if !q.final && !q.lost {
+			r.breaks("no final answer", q)
+		}
+	}
+}
+
+type request struct {
+	policy.Request
+	at       Time
+	deadline Time
+	unsafe   bool
+	worth    float64
+	ran      int
+	final    bool
+	lost     bool // its gateway died, which is no rule
+	trace    []string
+}
+
+func (q *request) note(now Time, text string) {
+	if len(q.trace) < 32 {
+		q.trace = append(q.trace, fmt.Sprintf("%v %s", now-Origin, text))
+	}
+}
--- /dev/null
+++ b/internal/emulator/run.go
@@ -0,0 +1,294 @@
+package emulator
+
+import (
+	"crypto/sha256"
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"hash"
+	"math/rand/v2"
+	"time"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// Scenario is a whole run's plan. All that happens follows from it.
+type Scenario struct {
+	Seed     uint64
+	Gateways int
+	Members  int
+	Spec     MemberSpec
+	SlowPart float64 // share of the members whose cores run at three quarters of the speed
+	Load     float64 // first tries, of what all members can do
+	Accounts int
+	Length   time.Duration // clients ask for so long; the run goes on until all is answered
+
+	Link      time.Duration // one way, to members and between gateways
+	Loss      float64       // of messages between gateways
+	Discovery time.Duration // until a change of the list is told
+	Settings  policy.Settings
+
+	Troubles []Trouble
+}
+
+// Trouble is something that goes wrong.
+type Trouble struct {
+	At, For time.Duration
+	Kind    Kind
+	Part    float64 // share of the members, or of the gateways
+}
+
+// Kind tells troubles apart.
+type Kind string
+
+// The kinds of trouble.
+const (
+	Hang    Kind = "hang"    // members take work and answer none
+	Stop    Kind = "stop"    // members' processes end and start again, cold, while the list has them up
+	Pause   Kind = "pause"   // members stand still for a moment each second
+	Drain   Kind = "drain"   // members are told to drain, and are listed again afterwards
+	Restart Kind = "restart" // gateways are killed and start again, knowing nothing, one after another
+)
+
+// Kinds are all of them.
+var Kinds = []Kind{Hang, Stop, Pause, Drain, Restart}
+
+// Result is what a run came to.
+type Result struct {
+	Offered, InTime float64   // worth
+	Seconds         []float64 // share of the worth offered in each second that was served in time
+	Tries           int
+	Served, Refused int
+	Failed, Lost    int
+	Sends           int
+	PeakCold        float64 // most that a cold member was sent in a second, over what it could do
+	Digest          string  // of all that happened, in order
+}
+
+// Share is the worth served in time over that offered.
+func (r Result) Share() float64 { return r.InTime / max(r.Offered, 1e-9) }
+
+// Check tells what is wrong with a scenario, by key.
+func (s Scenario) Check() error {
+	switch {
+	case s.Gateways < 1:
+		return errors.New("gateways: must be 1 or more")
+	case s.Members < 1:
+		return errors.New("members: must be 1 or more")
+	case s.Spec.Cores < 1 || !(s.Spec.Speed > 0) || s.Spec.Work <= 0:
+		return errors.New("spec: cores, speed and work must be above 0")
+	case !(s.Load > 0):
+		return errors.New("load: must be above 0")
+	case s.Accounts < 1:
+		return errors.New("accounts: must be 1 or more")
+	case s.Length <= 0:
+		return errors.New("length: must be above 0")
+	}
+	for i, t := range s.Troubles {
+		if !known(t.Kind) || !(t.Part > 0 && t.Part <= 1) || t.At < 0 || t.For < 0 {
+			return fmt.Errorf("troubles[%d]: kind one of %v, part above 0 and at most 1, times not below 0", i, Kinds)
+		}
+	}
+	set := s.Settings
+	set.Me, set.Gateways = 0, s.Gateways
+	return set.Check()
+}
+
+func known(k Kind) bool {
+	for _, x := range Kinds {
+		if x == k {
+			return true
+		}
+	}
+	return false
+}
+
+type run struct {
+	Scenario
+	Result
+	e        *Engine
+	members  []*member
+	gateways []*gateway
+	all      map[policy.RequestID]*request
+	served   []float64 // by second
+	offered  []float64
+	last     policy.RequestID
+	broken   *Broken
+	digest   hash.Hash
+	links    *rand.Rand
+}
+
+// Play plays a scenario to its end, or to the first broken rule.
+func Play(s Scenario) (Result, error) {
+	if err := s.Check(); err != nil {
+		return Result{}, err
+	}
+	r := &run{Scenario: s, e: NewEngine(s.Seed), all: map[policy.RequestID]*request{}, digest: sha256.New()}
+	r.links = r.e.Stream("links")
+	slow := r.e.Stream("members")
+	for i := range s.Members {
+		spec := s.Spec
+		if slow.Float64() < s.SlowPart {
+			spec.Speed *= 0.75
+		}
+		r.members = append(r.members, &member{e: r.e, spec: spec, id: policy.ServerID(i + 1), up: true,
+			rng: r.e.Stream(fmt.Sprintf("member %d", i))})
+	}
+	for i := range s.Gateways {
+		r.gateways = append(r.gateways, &gateway{r: r, me: i})
+		r.gateways[i].boot()
+	}
+	for i, t := range s.Troubles {
+		r.e.After(t.At, func() { r.begin(t, r.e.Stream(fmt.Sprintf("trouble %d", i))) })
+	}
+	r.clients()
+	longest := time.Duration(0)
+	for _, c := range s.Settings.Classes {
+		longest = max(longest, c.Deadline)
+	}
+	for end := Origin + s.Length + longest + time.Second; r.e.now < end && r.broken == nil; {
+		r.e.Run(min(r.e.now+time.Second, end))
+	}
+	if r.broken == nil {
+		r.over()
+	}
+	for i := range r.offered {
+		r.Seconds = append(r.Seconds, r.served[i]/max(r.offered[i], 1e-9))
+	}
+	r.Digest = fmt.Sprintf("%x", r.digest.Sum(nil)[:8])
+	if r.broken != nil {
+		return r.Result, r.broken
+	}
+	return r.Result, nil
+}
+
+// mark puts what happened into the digest.
+func (r *run) mark(kind byte, who uint64, what uint64) {
+	var b [25]byte
+	b[0] = kind
+	binary.BigEndian.PutUint64(b[1:], uint64(r.e.now))
+	binary.BigEndian.PutUint64(b[9:], who)
+	binary.BigEndian.PutUint64(b[17:], what)
+	r.digest.Write(b[:])
+}
+
+// clients lets first tries come as a Poisson process, each to a gateway of its account's set.
+func (r *run) clients() {
+	rng := r.e.Stream("clients")
+	rate := 0.0
+	for _, m := range r.members {
+		rate += r.Load * m.spec.Capacity()
+	}
+	spread := min(r.Gateways, 4)
+	type account struct {
+		plan, first int
+		at          Time
+		store       float64
+	}
+	accounts := make([]account, r.Accounts)
+	for i := range accounts {
+		accounts[i] = account{plan: rng.IntN(len(r.Settings.Plans)), first: rng.IntN(r.Gateways), at: Origin}
+		accounts[i].store = r.Settings.Plans[accounts[i].plan].Burst
+	}
+	var next func()
+	next = func() {
+		if r.e.now >= Origin+r.Length {
+			return
+		}
+		r.e.After(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), next)
+		id := rng.IntN(len(accounts))
+		a := &accounts[id]
+		plan, class := r.Settings.Plans[a.plan], rng.IntN(len(r.Settings.Classes))
+		c := r.Settings.Classes[class]
+		units := 1 + float64(rng.IntN(4))
+		r.last++
+		q := &request{Request: policy.Request{ID: r.last, Class: class, Plan: a.plan, Customer: policy.CustomerID(id + 1),
+			Units: units, SetSize: spread, FirstDoor: a.first}, at: r.e.now, unsafe: c.Effect == policy.Unsafe,
+			worth: c.Worth * plan.Price * units}
+		q.deadline = r.e.now + c.Deadline
+		q.Deadline = q.deadline
+		r.Tries++
+		a.store, a.at = min(plan.Burst, a.store+(r.e.now-a.at).Seconds()*plan.Rate), r.e.now
+		if inside := plan.Rate <= 0 || a.store >= units; inside {
+			a.store -= units
+			r.Offered += q.worth
+			r.second(&r.offered, q)
+			r.second(&r.served, nil)
+		} else {
+			q.worth = 0
+		}
+		door := (a.first + rng.IntN(spread)) % r.Gateways
+		for k := 0; k < spread && !r.gateways[door].up; k++ { // the front knows which are down
+			door = (a.first + (door-a.first+1+r.Gateways)%spread) % r.Gateways
+		}
+		if !r.gateways[door].up {
+			q.lost = true
+			r.Lost++
+			return
+		}
+		r.all[q.ID] = q
+		r.gateways[door].ask(q)
+	}
+	r.e.After(0, next)
+}
+
+// second adds a request's worth to the second that it was asked in.
+func (r *run) second(to *[]float64, q *request) {
+	at := int((r.e.now - Origin) / time.Second)
+	if q != nil {
+		at = int((q.at - Origin) / time.Second)
+	}
+	for len(*to) <= at {
+		*to = append(*to, 0)
+	}
+	if q != nil {
+		(*to)[at] += q.worth
+	}
+}
+
+// struck draws a share of so many, at least one.
+func struck(rng *rand.Rand, n int, part float64) []int {
+	return rng.Perm(n)[:max(1, int(part*float64(n)+0.5))]
+}
+
+// begin lets a trouble begin, and end.
+func (r *run) begin(t Trouble, rng *rand.Rand) {
+	if t.Kind == Restart {
+		for k, i := range struck(rng, r.Gateways, t.Part) {
+			r.e.After(time.Duration(k)*t.For/time.Duration(r.Gateways), r.gateways[i].restart)
+		}
+		return
+	}
+	for _, i := range struck(rng, r.Members, t.Part) {
+		m := r.members[i]
+		switch t.Kind {
+		case Hang:
+			m.hang()
+			r.e.After(t.For, m.resume)
+		case Stop:
+			m.stop()
+			r.e.After(t.For, func() { m.start(); r.list(m) })
+		case Pause:
+			for at := time.Duration(0); at < t.For; at += time.Second {
+				r.e.After(at, func() { m.paused = r.e.now + 200*time.Millisecond + time.Duration(rng.IntN(300))*time.Millisecond })
+			}
+		case Drain:
+			m.state = policy.Draining
+			r.list(m)
+			r.e.After(t.For, func() { m.state = policy.Ready; r.list(m) })
+		}
+	}
+}
+
+// list tells every gateway of a member's entry, late.
+func (r *run) list(m *member) {
+	info := policy.ServerInfo{ID: m.id, State: m.state, Weight: 1, Since: m.started}
+	for _, g := range r.gateways {
+		life := g.life
+		r.e.After(r.Discovery, func() {
+			if g.up && g.life == life {
+				g.told1(info)
+			}
+		})
+	}
+}
