A rush of new connections is a sign of a storm where nothing else tells retries

Controllers that connect anew all at once, mark nothing and come under an account each look like first tries, so that a storm of them was not seen without an outage. Connections are learnt as usual in calm; three times as many and 20 more, with more asked than usual and three tenths of the attempts ending badly, count as retries do.

--- a/internal/storm/storm.go
+++ b/internal/storm/storm.go
@@ -62,6 +62,8 @@
 	backLeast     = 2.0              // and so many of them; or so many in a row, however long they take
 	stormRise     = 1.3              // arrivals over the usual
 	stormRepeats  = 0.3              // share of repeats
+	rushRise      = 3.0              // connections over the usual
+	rushLeast     = 20.0             // and so many more
 	stormBad      = 0.3              // share of attempts that end badly, or late
 	stormTicks    = 4                // for so many ticks
 	probeShare    = 0.1              // of the usual rate that is let in during an outage, to see its end
@@ -179,6 +181,7 @@
 	at       int
 	usual    float64 // arrivals a second in calm
 	served   float64 // answers in time a second in calm
+	opened   float64 // connections a second in calm
 	known    Time    // how long calm has taught what is usual
 	members  Members
 	streak   [3]int  // ticks that pointed to outage, storm and calm
@@ -451,7 +454,8 @@
 	served := all.InTime + all.Late
 	dead := lost >= outageLeast && served <= outageShare*(served+lost)
 	repeats := here.Repeats / math.Max(here.asked(), 1)
-	swamped := g.known > usualAfter && here.asked() > stormRise*g.usual && repeats > stormRepeats &&
+	rush := here.Connections > rushRise*g.opened+rushLeast // controllers that all connect anew may mark nothing
+	swamped := g.known > usualAfter && here.asked() > stormRise*g.usual && (repeats > stormRepeats || rush) &&
 		here.bad() > stormBad && here.Late+here.Lost >= outageLeast
 	outage, storm := g.count(0, dead), g.count(1, swamped)
 	switch g.phase {
@@ -498,6 +502,7 @@
 		f = 1 - Tick.Seconds()/g.known.Seconds()
 	}
 	g.usual, g.served = f*g.usual+(1-f)*here.asked(), f*g.served+(1-f)*here.InTime
+	g.opened = f*g.opened + (1-f)*here.Connections
 }
 
 func (g *Guard) enter(now Time, p Phase) {
--- a/internal/storm/storm_test.go
+++ b/internal/storm/storm_test.go
@@ -221,6 +221,26 @@
 	}
 }
 
+// Controllers that all connect anew and mark nothing, each under an account of its own: no try can be told for a retry,
+// but with so many new connections, more asked than is usual and much that ends badly it is a storm all the same.
+func TestRushOfConnections(t *testing.T) {
+	for _, rush := range []bool{true, false} {
+		w := newWorld(11, 1, 12, 0.6)
+		w.play(20*second, 1)
+		w.stop(0, 1, 2, 3, 4, 5, 6)
+		for range 4000 {
+			if rush {
+				w.guards[0].Connect(w.now)
+			}
+			if v := w.guards[0].Arrive(w.now, Arrival{Account: w.rng.Uint64(), Class: 1, Units: 1}); v.Admit {
+				w.guards[0].Attempt(w.now, map[bool]End{true: Lost, false: InTime}[w.rng.IntN(2) == 0])
+			}
+			w.run(w.now + second/1000)
+		}
+		assert.Equal(t, rush, w.guards[0].Figures().Storms > 0)
+	}
+}
+
 // A clock that stood still for 3 s, or a process that did, is no outage, and ends none.
 func TestClockThatStandsStill(t *testing.T) {
 	w := newWorld(5, 1, 12, 0.6)
