--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -30,11 +30,13 @@
 	hDeadline = "X-Deadline-Ms"
 	hWeight   = "X-Weight"
 	hRetry    = "X-Retry"
+	hKey      = "Idempotency-Key"
 )
 
 const (
 	maxCustomer = 1 << 33
 	maxID       = 128
+	maxKey      = 255
 	// transit is taken off a deadline, which runs from when the client sent: the way here and back.
 	transit = 6 * time.Millisecond
 )
@@ -184,6 +186,11 @@
 	if !weight(h.Get(hWeight), &in, d) {
 		return in, nil, bad(hWeight + ": malformed")
 	}
+	keys := h.Values(hKey)
+	if len(keys) > 1 || class.Effect == policy.Keyed && len(keys) == 0 ||
+		len(keys) == 1 && (keys[0] == "" || len(keys[0]) > maxKey) {
+		return in, nil, bad(hKey + ": not the one that a keyed class needs")
+	}
 	in.Repeat = h.Get(hRetry) == "1"
 	if body, no = ReadBody(w, r, budget, time.Now().Add(time.Duration(wait)*time.Millisecond)); no != nil {
 		return in, nil, no
@@ -198,6 +205,9 @@
 	}
 	header := append(make([]byte, 0, 64+len(id)), hID+": "...)
 	header = append(append(header, id...), "\r\n"...)
+	for _, key := range keys {
+		header = append(append(append(header, hKey+": "...), key...), "\r\n"...)
+	}
 	if t := h.Get("Content-Type"); t != "" {
 		header = append(append(append(header, "Content-Type: "...), t...), "\r\n"...)
 	}
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -58,6 +58,33 @@
 	assert.NotEmpty(t, got.Header.Get("X-Deadline-Ms"))
 }
 
+// A keyed class's key reaches each member that is tried as the client sent it; without it a member would run a repeat.
+func TestKeyPassesThrough(t *testing.T) {
+	const key = "5c0f6e1a2b3d4c59a8b7c6d5e4f30211"
+	m := standin.New(t, standin.Reset, standin.OK("read"))
+	base, _ := gateway(t, m)
+	resp, _ := standin.Ask(t, base, "meter-batch", "utility", 20000, "Idempotency-Key", key)
+	assert.Equal(t, http.StatusOK, resp.StatusCode)
+	require.Len(t, m.Seen(), 2)
+	for _, got := range m.Seen() {
+		assert.Equal(t, []string{key}, got.Header.Values("Idempotency-Key"))
+	}
+}
+
+// Without its key, or with two, a keyed request is the client's fault: which repeats a member would drop can't be told.
+func TestKeyedClassNeedsOneKey(t *testing.T) {
+	m := standin.New(t, standin.OK("read"))
+	base, c := gateway(t, m)
+	head := strings.ReplaceAll(head, "work-order", "meter-batch") + "Content-Length: 0\r\n"
+	for _, keys := range []string{"", "Idempotency-Key: \r\n", "Idempotency-Key: a\r\nIdempotency-Key: a\r\n",
+		"Idempotency-Key: " + strings.Repeat("k", 300) + "\r\n"} {
+		got := raw(t, base, head+keys+"\r\n")
+		assert.True(t, strings.HasPrefix(got, "HTTP/1.1 400 "), got)
+	}
+	assert.Contains(t, c.Counters().String(), "taken=0 ")
+	assert.Empty(t, m.Seen())
+}
+
 // What was written whole and then broke may have run: an unsafe class is neither tried again nor told to come back.
 func TestUnsafeResetIsNotRepeated(t *testing.T) {
 	a, b := standin.New(t, standin.Reset), standin.New(t, standin.Reset)
--- a/internal/standin/standin.go
+++ b/internal/standin/standin.go
@@ -156,7 +156,9 @@
 		MaxDelay: second, LargestUnits: 8, Cancel: true,
 		Classes: []policy.Class{
 			{Name: "health-read", Aim: 2 * second, Deadline: 20 * second, Worth: 1},
-			{Name: "work-order", Aim: 2 * second, Deadline: 20 * second, Effect: policy.Unsafe, Worth: 3}},
+			{Name: "work-order", Aim: 2 * second, Deadline: 20 * second, Effect: policy.Unsafe, Worth: 3},
+			{Name: "meter-batch", Aim: 2 * second, Deadline: 20 * second, Effect: policy.Keyed, Scope: policy.ScopeCell,
+				Window: 8 * second, Worth: 2}},
 		Plans: []policy.Plan{{Name: "utility", Rate: 1e6, Burst: 1e6, Price: 1}, {Name: "tiny", Rate: 0.001, Burst: 2,
 			Price: 1, OverCost: 1}}},
 		ConnIdle: 30 * second, ConnectWait: 5 * second}
@@ -167,7 +169,7 @@
 // Ask puts a client's request as the platform words it, with further headers, and gives the answer and its body.
 func Ask(t testing.TB, base, class, plan string, waitMs int, header ...string) (*http.Response, string) {
 	method, body := http.MethodGet, ""
-	if class == "work-order" {
+	if class != "health-read" {
 		method, body = http.MethodPost, "crew=7"
 	}
 	r, err := http.NewRequest(method, base+"/"+class+"/site%2F9?unit=4", bytes.NewBufferString(body))
@@ -178,6 +180,9 @@
 		"X-Subscriber": "00000000b4d65521", "X-Deadline-Ms": fmt.Sprint(waitMs), "X-Weight": "units=2,spread=1,first=0"} {
 		r.Header.Set(key, value)
 	}
+	if class == "meter-batch" {
+		r.Header.Set("Idempotency-Key", fmt.Sprintf("%032x", asked.Load()))
+	}
 	for i := 0; i+1 < len(header); i += 2 {
 		r.Header.Set(header[i], header[i+1])
 	}
