Settle true units: X-True-Cost counts in the end, once, wherever the account is kept

Seen: no answer's X-True-Cost was read on sockets, so quotas stayed with the guess (pool.answer gave Type and Length alone); in the module the difference was taken off the local store only, and peers and homes never heard of it (Outcome). Change: the pool hands the figure on, policy.trueUp settles it once where the account is kept (near: told with the draws, whose count only rises; at home: a message of nine bytes); garbage, negative, infinite and huge figures count as not told. The ceiling goes by the guess. Tests: settled once, late answers, both directions at near peers and homes, odd figures on a socket.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -81,6 +81,7 @@
 	Rest       io.ReadCloser // what follows; nil: Body is all. An error but the end means that the answer is broken
 	Length     int64         // of all where there is a rest, -1 where nobody knows yet
 	Type       string        // and its content type
+	Units      float64       // of a served one: what it drew by the member's word; 0: not told
 	Free       func()        // where not nil, gives the body's memory back once it is written or dropped
 }
 
@@ -399,7 +400,7 @@
 		}
 		closed := t.closed
 		t.era.module.Outcome(now, policy.Outcome{ID: t.ID, Attempt: f.no, Server: f.Server, Elapsed: now - f.sent,
-			Ending: endings[end].ending, Closed: closed, Spent: f.Spent})
+			Ending: endings[end].ending, Closed: closed, Spent: f.Spent, Units: answer.Units})
 		if t.closed && len(t.flows) == 0 {
 			c.forget(t)
 		}
--- a/internal/front/platform/platform_test.go
+++ b/internal/front/platform/platform_test.go
@@ -139,6 +139,23 @@
 	assert.Contains(t, c.Counters().String(), "taken=20 open=0")
 }
 
+// What a request drew is its good answer's to tell: a quota of two units is spent by one guess of two, and not where the
+// answer says that it was less. A figure that is none counts as not told.
+func TestTrueCostSettlesTheQuota(t *testing.T) {
+	for told, spent := range map[string]bool{"X-True-Cost: 0.01\r\n": false, "X-True-Cost: 2\r\n": true, "": true,
+		"X-True-Cost: -7\r\n": true, "X-True-Cost: nan\r\n": true, "X-True-Cost: 1e300\r\n": true} {
+		m := standin.New(t, standin.Says(http.StatusOK, told, "done"))
+		base, _ := gateway(t, m)
+		served := 0
+		for range 6 {
+			if resp, _ := standin.Ask(t, base, "work-order", "tiny", 20000); resp.StatusCode == http.StatusOK {
+				served++
+			}
+		}
+		assert.Equal(t, spent, served < 3, "%q: %d served", told, served)
+	}
+}
+
 func TestClientLeaves(t *testing.T) {
 	m := standin.New(t, standin.Stall(time.Hour))
 	base, c := gateway(t, m)
--- a/internal/pool/exchange.go
+++ b/internal/pool/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"os"
@@ -216,6 +217,15 @@
 		resp.Header.Get(NotRun) == "1"
 }
 
+// units reads how much a request drew; a figure that is none counts as not told.
+func units(text string) float64 {
+	x, err := strconv.ParseFloat(text, 64)
+	if err != nil || !(x > 0 && x <= math.MaxUint16) {
+		return 0
+	}
+	return x
+}
+
 // answer reads an answer, to its end or as far as it is held back.
 func (c *conn) answer(p *Pool, f *core.Flow, msg *Message) (end core.End, a core.Answer, reuse bool) {
 	var resp *http.Response
@@ -243,7 +253,7 @@
 		}
 		return core.EndErrored, a, b.clean()
 	}
-	a.Type, a.Length = resp.Header.Get("Content-Type"), resp.ContentLength
+	a.Type, a.Length, a.Units = resp.Header.Get("Content-Type"), resp.ContentLength, units(resp.Header.Get(TrueCost))
 	most := int64(MaxLong)
 	if p.opt.Whole {
 		most = MaxWhole
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -21,6 +21,9 @@
 	"sprucelane.example/sprucelane/policy"
 )
 
+// TrueCost is the header with which a good answer tells how many units its request drew, where that is settled afterwards.
+const TrueCost = "X-True-Cost"
+
 // NotRun is the header with which a pool member proves that a request never ran.
 const NotRun = "X-Not-Run"
 
--- a/policy/fleet_test.go
+++ b/policy/fleet_test.go
@@ -33,6 +33,7 @@
 	log      []string
 	received int
 	life     int
+	true     float64 // units that answers tell
 }
 
 const fleetTick = 5 * ms
@@ -49,7 +50,7 @@
 	life, took := n.life, max(n.took, n.f.slow[to])
 	n.f.at(took, func() {
 		if n.life == life {
-			n.g.Outcome(n.f.now, Outcome{ID: id, Attempt: no, Server: to, Elapsed: took, Ending: Served, Closed: true})
+			n.g.Outcome(n.f.now, Outcome{ID: id, Attempt: no, Server: to, Elapsed: took, Ending: Served, Closed: true, Units: n.true})
 		}
 	})
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -49,9 +49,7 @@
 	leastWeight  = 0.05             // a sum over the gateways is not drawn up from a smaller part than this
 	maxCustomers = 20000            // remembered at once
 	idleAfter    = time.Minute      // a customer is forgotten
-	lastOfBurst  = 0.1              // of a store drawn on together goes by chance
 	viewsMeet    = 0.03             // of the way, with each message, what two see of a store draws together
-	debtShare    = 0.3              // of the local burst that chance may let in ahead of the refill
 )
 
 const (
@@ -181,49 +179,30 @@
 
 // refill brings the quota's store and the ceiling's part up to date. What isn't drawn on together is parts.
 func (g *Gateway) refill(c *customer, units float64) {
-	p := g.set.Plans[c.plan]
-	mine, all := g.demand(c)
-	fill := math.Max(p.Rate*mine/math.Max(all, 1e-9), p.Rate-all+mine)
-	most := p.Burst / float64(c.set)
-	if g.whole(c) {
-		fill, most = p.Rate, p.Burst
-	} else if g.deaf() { // held to its part alone, a gateway may save up one request
-		most = math.Max(most, units)
-	}
-	dt := math.Max(0, (g.now - c.at).Seconds())
-	c.account = math.Max(-p.Burst, math.Min(most-c.coming, c.account+dt*fill)) // not what is to come
+	if !g.deaf() { // held to its part alone, a gateway may save up one request
+		units = 0
+	}
 	if !c.begun && g.allNew() {
 		c.begun, c.ceiling.Left = true, c.ceiling.Left+g.share(c).Burst
 	}
+	c.account = g.view(c).Fill(g.set.Plans[c.plan].quota(), g.now-c.at, c.coming, units)
 	c.ceiling.Fill(g.share(c), g.now-c.at, c.coming)
 	c.at = g.now
 }
 
-// withinQuota is the design's rule: the burst first; beyond it a refusal with chance 1 - rate / summed
-// demand. Of a store drawn on together the last part goes by that chance, as draws cross. Of a part
-// alone it shrinks with the account's debt, so that refill and chance don't give the same rate out twice.
+// withinQuota tells whether a request is inside its customer's quota, by what is known here.
 func (g *Gateway) withinQuota(r *request) bool {
-	c, p := r.cust, g.set.Plans[r.Plan]
-	mine, all := g.demand(c)
+	c, p, v := r.cust, g.set.Plans[r.Plan], g.view(r.cust)
 	if p.Open > 0 {
 		share := 1 / float64(c.set)
 		if p.Rate > 0 {
-			share = mine / math.Max(all, 1e-9)
+			share = v.Mine / math.Max(v.All, 1e-9)
 		}
 		if float64(c.out) >= math.Max(1, float64(p.Open)*share) {
 			return false
 		}
 	}
-	last, whole := lastOfBurst*p.Burst, g.whole(c)
-	if p.Rate <= 0 || whole && c.account >= r.Units+last || !whole && c.account >= r.Units*g.rng.Float64() {
-		return true
-	}
-	chance := math.Min(1, p.Rate/math.Max(all, 1e-9))
-	if whole { // as much again as the middle of the last part would give, where the store holds it at all
-		return c.account >= r.Units && g.rng.Float64() < chance*2*c.account/last
-	}
-	debt := math.Max(0, -c.account) / math.Max(debtShare*p.Burst/float64(c.set), r.Units)
-	return g.rng.Float64() < chance*(1-math.Min(1, debt))
+	return v.Covers(p.quota(), r.Units, g.rng.Float64)
 }
 
 // home gives the gateway that keeps the store of a customer whose set is too wide to share it: each request
@@ -610,7 +589,7 @@
 		return
 	}
 	if g.putOut(&attempt{req: r, server: s, sent: g.now}); r.attempts == 1 {
-		r.cust.used += r.Units
+		r.cust.drew(r.Units)
 		g.news(r.cust, g.near...)
 	}
 	g.groups[g.groupOf(r)].told.own[groupQ]++
@@ -679,8 +658,8 @@
 		g.count(a, late)
 		g.groups[g.groupOf(r)].told.own[groupR] += min(took, class.Deadline).Seconds()
 	}
-	if o.Ending == Served && o.Units > 0 && !r.over {
-		r.cust.account -= o.Units - r.Units
+	if o.Ending == Served {
+		g.trueUp(r, o.Units)
 	}
 	if o.Closed || o.Ending == Served || r.closed {
 		g.finish(r)
@@ -861,6 +840,9 @@
 			g.host.Tell(from, packAnswer(q.token, c.inside))
 		}
 	}
+	if name, units, ok := unpackSettle(m); ok {
+		g.settleAtHome(from, name, units)
+	}
 	if token, inside, ok := unpackAnswer(m); ok && g.asks[token] != nil && g.asks[token].home == from {
 		g.settle(g.asks[token], inside)
 	}
--- /dev/null
+++ b/policy/settle_test.go
@@ -0,0 +1,79 @@
+package policy
+
+import (
+	"math"
+	"testing"
+	"time"
+)
+
+// The quota counts in the end what a request's first good answer tells, once, and only where it can be. The ceiling goes by
+// the guess.
+func TestTrueUnitsAreSettledOnce(t *testing.T) {
+	s := settings()
+	s.LargestUnits = 6
+	s.Plans = []Plan{{Name: "club", Rate: 0.001, Burst: 40, Price: 1, OverCost: 1, CeilingRate: 1, CeilingBurst: 60}}
+	for _, c := range []struct {
+		told []float64
+		left float64
+	}{{[]float64{5}, 35}, {[]float64{1}, 39}, {[]float64{0}, 38}, {[]float64{5, 5}, 35}, {[]float64{math.NaN()}, 38},
+		{[]float64{-4}, 38}, {[]float64{math.Inf(1)}, 38}, {[]float64{1e6}, 38}} {
+		f := start(t, s, 2)
+		f.until(f.now + 100*time.Second)
+		f.ask(1, func(r *Request) { r.Customer, r.Units = 5, 2 })
+		r, before, ceiling := f.g.requests[1], 0.0, 0.0
+		if before, ceiling = f.left(5); math.Abs(before-38) > 0.01 {
+			t.Fatalf("%v left after a guess of 2", before)
+		}
+		f.g.Outcome(f.now, Outcome{ID: 1, Server: f.sent[0].to, Elapsed: ms, Ending: Served, Closed: true, Units: c.told[0]})
+		for _, units := range c.told[1:] { // as a second copy's answer would
+			f.g.trueUp(r, units)
+		}
+		if left, after := f.left(5); math.Abs(left-c.left) > 0.01 || after != ceiling {
+			t.Errorf("told %v: %v left, should be %v; ceiling %v, was %v", c.told, left, c.left, after, ceiling)
+		}
+	}
+}
+
+// An answer that comes after its client has left settles all the same.
+func TestTrueUnitsOfALateAnswer(t *testing.T) {
+	s := settings()
+	s.LargestUnits, s.SecondCopies = 6, false
+	s.Plans = []Plan{{Name: "club", Rate: 0.001, Burst: 40, Price: 1, OverCost: 1}}
+	f := start(t, s, 2)
+	f.ask(1, func(r *Request) { r.Customer, r.Units = 5, 2 })
+	f.g.ClientGone(f.now, 1)
+	f.g.Outcome(f.now, Outcome{ID: 1, Server: f.sent[0].to, Elapsed: ms, Ending: Served, Closed: true, Units: 5})
+	if left, _ := f.left(5); math.Abs(left-35) > 0.01 {
+		t.Errorf("%v left of 40 where 5 were drawn", left)
+	}
+}
+
+// Where gateways share a store the others hear of what was settled, in both directions; where the account has a home, the
+// home does.
+func TestTrueUnitsReachTheOthers(t *testing.T) {
+	s := settings()
+	s.Peers, s.PeerIntake, s.SecondCopies, s.LargestUnits = true, 100, false, 6
+	s.Plans = []Plan{{Name: "club", Rate: 0.001, Burst: 200, Price: 1, OverCost: 1}}
+	for name, set := range map[string]int{"near": 2, "home": 10} {
+		for _, units := range []float64{1, 5} {
+			f := newFleet(t, s, 10, 4)
+			f.loss = 0
+			f.run(time.Second, func() {})
+			for id := RequestID(1); id <= 20; id++ {
+				n := f.nodes[0]
+				n.true = units
+				n.g.Request(f.now, Request{ID: id, Customer: 77, Deadline: f.now + 2*time.Second, Units: 3, SetSize: set})
+				f.run(100*ms, func() {})
+			}
+			f.run(time.Second, func() {})
+			c := f.nodes[1].g.byShort[tellName(77, 0, 0, set)]
+			if set > tellPeers+1 {
+				home := f.nodes[0].g.byName[77]
+				c = f.nodes[f.nodes[0].g.homeOf(home, 0)].g.byShort[atHome(home.name, f.nodes[0].g.homeOf(home, 0))]
+			}
+			if c == nil || math.Abs(c.account-(200-20*units)) > 6 {
+				t.Errorf("%s: %+v left of 200 where 20 times %v were drawn", name, c.account, units)
+			}
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -140,9 +140,10 @@
 }
 
 // A question about one request: kind, token, units and the customer's name. The answer: kind, token, yes or no.
+// What an answer tells in place of the guess: kind, the units more in sixteenths, signed, and the customer's name.
 const (
-	askKind, answerKind   = 0x41, 0x42
-	askBytes, answerBytes = 13, 6
+	askKind, answerKind, settleKind    = 0x41, 0x42, 0x43
+	askBytes, answerBytes, settleBytes = 13, 6, 9
 )
 
 // question is what a customer's home is asked about one request.
@@ -186,6 +187,18 @@
 	return binary.BigEndian.Uint32(m[1:]), m[answerBytes-1] == 1, true
 }
 
+func packSettle(name uint64, more float64) []byte {
+	steps := int16(math.Max(math.MinInt16, math.Min(math.MaxInt16, math.Round(more*usedSteps))))
+	return append(binary.BigEndian.AppendUint16([]byte{settleKind}, uint16(steps)), binary.BigEndian.AppendUint64(nil, name)[2:]...)
+}
+
+func unpackSettle(m []byte) (name uint64, more float64, ok bool) {
+	if len(m) != settleBytes || m[0] != settleKind {
+		return 0, 0, false
+	}
+	return binary.BigEndian.Uint64(append([]byte{0, 0}, m[3:]...)), float64(int16(binary.BigEndian.Uint16(m[1:]))) / usedSteps, true
+}
+
 // tally holds figures that the gateways add up by push-sum: what is put in here is own until it is told; pool is
 // this gateway's part of what all put in. All fade with one memory. A weight, where there is one, is the last of
 // the pool's figures: it fills towards 1, so figure / weight is the mean over the gateways.
@@ -241,6 +254,7 @@
 	closed    bool
 	streaming bool
 	over      bool
+	settled   bool // its true units are known
 	drawn     bool
 	waits     bool   // it is held and was never sent
 	kept      bool   // its units come out of the ceiling that its home keeps
@@ -313,13 +327,22 @@
 	name     uint64
 	lastSeen Time
 	made     byte                      // when the record was made
-	used     float64                   // units first sent on from here
+	used     float64                   // units first sent on from here, which only rises
+	back     float64                   // units that were fewer than guessed, to be taken off what is used next
 	question question                  // the last that a peer asked here
 	inside   bool                      // and its answer
 	untold   uint64                    // the peers that have not been told of the last of it, as bits by slot
 	heard    [2*tellPeers + 1]heardUse // by slot
 }
 
+// drew counts units as used; below 0: that so many were not.
+func (c *customer) drew(units float64) {
+	c.back -= units
+	if c.back < 0 {
+		c.used, c.back = c.used-c.back, 0
+	}
+}
+
 // under tells whether units stay below a hard ceiling.
 func (c *customer) under(p Plan, units float64) bool {
 	return p.CeilingRate <= 0 || c.ceiling.Left >= units
@@ -595,7 +618,8 @@
 	if age, elders, list, ok = unpackMessage(m, g.means); !ok {
 		_, question := unpackAsk(m, 0)
 		_, _, answer := unpackAnswer(m)
-		if !question && !answer {
+		_, _, settles := unpackSettle(m)
+		if !question && !answer && !settles {
 			g.odd++
 		}
 	}
@@ -803,6 +827,14 @@
 // shared tells whether a customer's set is small enough for its gateways to be near each other.
 func (g *Gateway) shared(c *customer) bool { return len(g.near) > 0 && c.set <= tellPeers+1 }
 
+func (p Plan) quota() ledger.Quota { return ledger.Quota{Rate: p.Rate, Burst: p.Burst} }
+
+// view gives how this gateway sees a customer's store.
+func (g *Gateway) view(c *customer) ledger.View {
+	mine, all := g.demand(c)
+	return ledger.View{Left: c.account, Mine: mine, All: all, N: c.set, Whole: g.whole(c)}
+}
+
 // share gives what a record's part of the ceiling is of.
 func (g *Gateway) share(c *customer) ledger.Share {
 	p, n := g.set.Plans[c.plan], float64(c.set)*g.keepers(c)
@@ -1099,7 +1131,7 @@
 	g.tick(now)
 	if first {
 		c := g.customer(in)
-		c.used += in.Units
+		c.drew(in.Units)
 		g.draw(&request{Request: in, cust: c, home: g.home(c)}, 1)
 	}
 	g.sentTo(g.byID[to])
