--- a/policy/policy.go
+++ b/policy/policy.go
@@ -114,8 +114,11 @@
 	if left := room + g.chance(room) - g.load(); !no && within && left < 1 && g.rng.Float64() >= left {
 		g.full, no = g.full || grp.part >= 1 && !asks, true // what is asked about may be beyond its quota
 	}
-	tooLong := g.pressed && g.expect(r)*g.pace > g.set.Classes[in.Class].Aim.Seconds() // whoever takes it
-	if no || tooLong {
+	// What would be late whoever takes it makes room at once. What is like its class is the cuts' affair.
+	if x := g.expect(r); g.pressed && x*g.pace > g.set.Classes[in.Class].Aim.Seconds() {
+		no = no || x > (1+likeness)*g.typicalOf(in.Class)
+	}
+	if no {
 		g.giveUp(r)
 		return
 	}
@@ -246,16 +249,6 @@
 	return c
 }
 
-func (g *Gateway) draw(r *request, sign float64) {
-	r.drawn = sign > 0
-	if !r.over && r.home < 0 {
-		r.cust.account -= sign * r.Units
-	}
-	if !r.kept {
-		r.cust.ceiling.Left -= sign * r.Units
-	}
-}
-
 // ---- Overload ----
 
 // onBeat moves the cuts: RUDA's top group goes while a class's 90th percentile misses its aim, one more each
@@ -577,7 +570,7 @@
 
 // ---- Attempts ----
 
-// dispatch sends a request on, or holds it while no server may take it.
+// dispatch sends a request on, or holds it.
 func (g *Gateway) dispatch(r *request) {
 	s := g.pick(r)
 	if r.hold(s == nil && r.attempts == 0); s == nil {
--- a/policy/state.go
+++ b/policy/state.go
@@ -582,6 +582,17 @@
 	return a
 }
 
+// draw takes a request's units off what they come out of, or gives them back.
+func (g *Gateway) draw(r *request, sign float64) {
+	r.drawn = sign > 0
+	if !r.over && r.home < 0 {
+		r.cust.account -= sign * r.Units
+	}
+	if !r.kept {
+		r.cust.ceiling.Left -= sign * r.Units
+	}
+}
+
 func (g *Gateway) putOut(a *attempt) {
 	r := a.req
 	a.no, a.open = r.attempts, len(g.open)
