Read members' load reports; a process that ends answers all before it is killed

Need: X-Load was never read on sockets (pool.answer), and nothing used reports; SIGKILL comes 3.7 s after SIGTERM while a request of Fraser Valley's may have 10 s, and serve's end waited for the longest deadline (End within longest + 1 s). Change: reports are parsed by the settings' words; work done by the servers' own word over time is the width, below which no room shrinks. At the end core.GiveUp has the module give each open request the answer that it permits.

--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -65,7 +65,7 @@
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	bodies, answers := buffers.New(cfg.Buffers/2), buffers.New(cfg.Buffers/2)
-	members := pool.New(pool.Options{Sockets: cfg.MemberSockets, Answers: answers,
+	members := pool.New(pool.Options{Sockets: cfg.MemberSockets, Answers: answers, LoadFields: cfg.Deployment.LoadFields(),
 		ConnIdle: cfg.Deployment.ConnIdle, ConnectWait: cfg.Deployment.ConnectWait})
 	defer members.Close()
 	g := &gateway{failed: make(chan error, 3), state: service.New(), cfg: cfg, members: members, bodies: bodies, answers: answers}
@@ -193,8 +193,10 @@
 				if err := g.reload(ctx, cfg, getenv, opt.site); err != nil {
 					slog.Error("reload_failed", "err", err)
 				}
-			default: // all that was taken has its answer by its own deadline
-				if g.state.End(time.Now(), g.longest()+time.Second) {
+			default: // all that was taken has its answer by its own deadline, or by when this process is to be gone
+				answers, ends := service.EndWithin(g.longest())
+				if g.state.End(time.Now(), ends) {
+					time.AfterFunc(answers, g.decisions.GiveUp)
 					go func() { g.end(); close(ended) }()
 				}
 			}
--- a/internal/config/settings.go
+++ b/internal/config/settings.go
@@ -115,6 +115,20 @@
 		"recent_ms": "latency_ms", "throughput": "qps", "errors_per_s": "eps"}
 )
 
+// LoadFields gives the place in a load report of each field that members may name, by either of its words.
+func (d Deployment) LoadFields() map[string]int {
+	fields := map[string]int{}
+	for i, name := range d.Reports {
+		fields[name] = i
+		for wire, word := range reports {
+			if word == name {
+				fields[wire] = i
+			}
+		}
+	}
+	return fields
+}
+
 // ParseSettings maps the settings object to the module's words, for the gateway and the adapter alike. Keys it
 // does not know are ignored.
 func ParseSettings(text []byte) (Deployment, error) {
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -82,6 +82,7 @@
 	Length     int64         // of all where there is a rest, -1 where nobody knows yet
 	Type       string        // and its content type
 	Units      float64       // of a served one: what it drew by the member's word; 0: not told
+	Report     []float32     // the member's load, by the settings' fields, NaN where not told; nil: none came
 	Free       func()        // where not nil, gives the body's memory back once it is written or dropped
 }
 
@@ -400,7 +401,7 @@
 		}
 		closed := t.closed
 		t.era.module.Outcome(now, policy.Outcome{ID: t.ID, Attempt: f.no, Server: f.Server, Elapsed: now - f.sent,
-			Ending: endings[end].ending, Closed: closed, Spent: f.Spent, Units: answer.Units})
+			Ending: endings[end].ending, Closed: closed, Spent: f.Spent, Units: answer.Units, Report: answer.Report})
 		if t.closed && len(t.flows) == 0 {
 			c.forget(t)
 		}
@@ -451,6 +452,15 @@
 	}
 }
 
+// GiveUp gives all open transactions the final answer that their modules permit now: the process is about to end.
+func (c *Core) GiveUp() {
+	c.event(func(now Time) {
+		for _, e := range append([]*era{c.era}, c.past...) {
+			e.module.GiveUp(now)
+		}
+	})
+}
+
 // Servers hands a list from discovery in.
 func (c *Core) Servers(kind policy.ListKind, list []policy.ServerInfo) {
 	c.event(func(now Time) {
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -93,3 +93,28 @@
 	assert.Panics(t, func() { c.event(func(Time) { panic("x") }) })
 	assert.Contains(t, c.Counters().String(), "taken=0")
 }
+
+// Before the process is gone every open transaction gets the answer that its module permits: a refusal where asking again is
+// harmless, a failure where it may have run. What the members answer afterwards changes nothing.
+func TestGiveUpAnswersAll(t *testing.T) {
+	sent, on := make(chan bool, 2), make(chan bool)
+	c, ask := start(t, func(f *Flow) (End, Answer) {
+		sent <- true
+		<-on
+		return EndServed, Answer{}
+	})
+	answers := make(chan Answer, 2)
+	for class := range 2 {
+		go func() { answers <- ask(class, 20*time.Second) }()
+	}
+	<-sent
+	<-sent
+	begun := time.Now()
+	c.GiveUp()
+	assert.ElementsMatch(t, []AnswerKind{Refused, Failed}, []AnswerKind{(<-answers).Kind, (<-answers).Kind})
+	assert.Less(t, time.Since(begun), 10*time.Second)
+	close(on)
+	require.Eventually(t, func() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.live) == 0 }, time.Minute,
+		time.Millisecond)
+	assert.Contains(t, c.Counters().String(), "answered_served=0")
+}
--- a/internal/pool/exchange.go
+++ b/internal/pool/exchange.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"os"
 	"strconv"
+	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -41,6 +42,7 @@
 	// that has come before its request was whole.
 	earlyWait = 100 * time.Millisecond
 	maxHead   = 16 << 10 // of an answer, with what stands before it
+	maxReport = 1 << 10  // of a load report
 	mostSmall = 4 << 10  // of a body that goes out with its head
 	sizeLine  = 6        // bytes that a chunk's head takes at most, for a piece
 	lastChunk = "0\r\n\r\n"
@@ -217,6 +219,27 @@
 		resp.Header.Get(NotRun) == "1"
 }
 
+// report reads a load report. A field that is missing or no number is NaN, and one that nobody knows is passed over; nil:
+// nothing is known.
+func report(text string, fields map[string]int) (list []float32) {
+	if text == "" || len(fields) == 0 || len(text) > maxReport {
+		return nil
+	}
+	for part := range strings.SplitSeq(text, ",") {
+		name, value, _ := strings.Cut(part, "=")
+		at, known := fields[strings.TrimSpace(name)]
+		x, err := strconv.ParseFloat(strings.TrimSpace(value), 32)
+		if !known || err != nil || !(x >= 0 && x <= math.MaxFloat32) {
+			continue
+		}
+		for len(list) <= at {
+			list = append(list, float32(math.NaN()))
+		}
+		list[at] = float32(x)
+	}
+	return list
+}
+
 // units reads how much a request drew; a figure that is none counts as not told.
 func units(text string) float64 {
 	x, err := strconv.ParseFloat(text, 64)
@@ -241,6 +264,7 @@
 			return core.EndReset, a, false
 		}
 	}
+	a.Report = report(resp.Header.Get(Load), p.opt.LoadFields)
 	b := &body{c: c, p: p, to: f.Server, resp: resp}
 	b.in, b.ready = bodyOf(c.in, resp)
 	if resp.StatusCode != http.StatusOK { // what it says is of no use, but is read for the connection's sake
--- a/internal/pool/exchange_test.go
+++ b/internal/pool/exchange_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"io"
+	"math"
 	"net"
 	"net/http"
 	"strings"
@@ -535,3 +536,64 @@
 		}
 	})
 }
+
+// Load reports name their fields in any order and form; what is missing or none is no figure, and what nobody knows counts
+// for nothing.
+func TestLoadReports(t *testing.T) {
+	fields := map[string]int{"inflight": 0, "outstanding": 0, "latency_ms": 1}
+	nan := float32(math.NaN())
+	for text, want := range map[string][]float32{
+		"":                                 nil,
+		"util=0.61":                        nil,
+		"latency_ms=38.5":                  {nan, 38.5},
+		"latency_ms=38.5,inflight=7":       {7, 38.5},
+		" outstanding = 7 , queue=2":       {7},
+		"latency_ms=,inflight=-1":          nil,
+		"latency_ms=nan,inflight=inf":      nil,
+		"latency_ms=1e300,inflight=3,=,,":  {3},
+		"latency_ms":                       nil,
+		strings.Repeat("inflight=1,", 200): nil,
+	} {
+		got := report(text, fields)
+		assert.Len(t, got, len(want), text)
+		for i := range want {
+			if want[i] == want[i] {
+				assert.Equal(t, want[i], got[i], text)
+			} else {
+				assert.True(t, got[i] != got[i], text)
+			}
+		}
+	}
+	assert.Nil(t, report("latency_ms=38.5", nil))
+}
+
+// FuzzReport: whatever a member says of its load, no figure is negative or endless, and none has a place that there isn't.
+func FuzzReport(f *testing.F) {
+	f.Add("latency_ms=38.5,inflight=7")
+	f.Add("=,latency_ms=0x1p9,,inflight=1_0")
+	f.Fuzz(func(t *testing.T, text string) {
+		list := report(text, map[string]int{"inflight": 0, "latency_ms": 1})
+		assert.LessOrEqual(t, len(list), 2)
+		for _, x := range list {
+			assert.False(t, x < 0 || math.IsInf(float64(x), 0))
+		}
+		assert.False(t, units(text) < 0 || units(text) > math.MaxUint16)
+	})
+}
+
+// An answer of any kind may bring a report, and only a good one tells what its request drew.
+func TestAnswersTellLoadAndUnits(t *testing.T) {
+	for code, units := range map[int]float64{200: 2.5, 500: 0} {
+		m := standin.New(t, standin.Says(code, "X-Load: latency_ms=38.5\r\nX-True-Cost: 2.5\r\n", "x"))
+		var got core.Answer
+		_, ask := start(t, 2, func(p *Pool, f *core.Flow) (core.End, core.Answer) {
+			p.opt.LoadFields = map[string]int{"latency_ms": 0}
+			end, a := p.Carry(f)
+			got = a
+			return end, a
+		}, m)
+		ask()
+		assert.Equal(t, []float32{38.5}, got.Report)
+		assert.Equal(t, units, got.Units)
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -24,6 +24,9 @@
 // TrueCost is the header with which a good answer tells how many units its request drew, where that is settled afterwards.
 const TrueCost = "X-True-Cost"
 
+// Load is the header of a member's load report: name=value, separated by commas, in any order.
+const Load = "X-Load"
+
 // NotRun is the header with which a pool member proves that a request never ran.
 const NotRun = "X-Not-Run"
 
@@ -39,8 +42,9 @@
 	Whole       bool            // answers are read whole, up to MaxWhole
 	ConnIdle    time.Duration   // after which the member's machine closes an idle connection
 	ConnectWait time.Duration
-	StaleWithin time.Duration // a kept connection that had been gone breaks so soon; 0: the standard
-	TLS         *tls.Config   // nil: plain TCP
+	StaleWithin time.Duration  // a kept connection that had been gone breaks so soon; 0: the standard
+	TLS         *tls.Config    // nil: plain TCP
+	LoadFields  map[string]int // place of each field of members' load reports; nil: there are none
 }
 
 // Pool is all members that discovery has named.
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -35,6 +35,22 @@
 	settle = 100 * time.Millisecond
 )
 
+// The platform kills a process no sooner after it asked for its end than the longest deadline, of which longestCounted
+// counts at most, and killedAfter. Answers are out by so much before that.
+const (
+	longestCounted = 3 * time.Second
+	killedAfter    = 700 * time.Millisecond
+	answeredBefore = 150 * time.Millisecond
+)
+
+// EndWithin gives, from the asking for the end on, when what is still open gets its final answer, and when the process
+// ends whatever is open, where clients wait for so long at most. A request that may take longer than a process that
+// ends is left is not waited for: its client is told so while it can still be told.
+func EndWithin(longest time.Duration) (answers, ends time.Duration) {
+	killed := min(longest, longestCounted) + killedAfter
+	return killed - answeredBefore, killed - answeredBefore/3
+}
+
 // State is a gateway's state of service. It is safe for concurrent use.
 type State struct {
 	mu      sync.Mutex
--- a/internal/service/service_test.go
+++ b/internal/service/service_test.go
@@ -106,6 +106,18 @@
 	assert.True(t, s.MayEnd(at(IdleGrace/2), 0), "the front comes to the other process")
 }
 
+// What is open has its answer before the platform kills the process: so much after the longest deadline, of which three
+// seconds count at most; and what was taken last has its own deadline where that is short.
+func TestEndWithin(t *testing.T) {
+	for longest, killed := range map[time.Duration]time.Duration{time.Second: 1700 * time.Millisecond,
+		3 * time.Second: 3700 * time.Millisecond, 10 * time.Second: 3700 * time.Millisecond} {
+		answers, ends := EndWithin(longest)
+		assert.Less(t, answers, ends)
+		assert.Less(t, ends, killed)
+		assert.Greater(t, answers, min(longest, 2900*time.Millisecond)+500*time.Millisecond)
+	}
+}
+
 func TestChangedWakes(t *testing.T) {
 	s := New()
 	for _, change := range []func(){s.Started, func() { s.Drain(time.Now()) }, func() { s.Undrain() }, func() { s.HandOver(time.Now()) }, s.TakeBack,
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -36,6 +36,7 @@
 	ejectDoubles = 4                // longest ejection: aim x 2 to this
 	coldMargin   = 0.6              // of the cold budget that is used
 	provenFades  = 0.997            // each beat, of what a warm server was seen to do
+	widthOver    = 2 * judgedOver   // how long work that was done counts for a server's width
 	retryShare   = 0.2              // further attempts for each request
 	copyShare    = 0.05             // second copies for each request: more cost a busy fleet what they win
 	comeAgain    = 8                // of the aim: refused clients are told to ask again so soon
@@ -267,6 +268,7 @@
 	}
 	f := g.score()
 	g.proven()
+	g.learnWidth()
 	g.pace = g.meanPace()
 	g.shareRoom(f)
 	g.pressed, g.full = g.full, false
@@ -305,7 +307,7 @@
 	if s.room == 0 {
 		s.room = math.Max(roomStart/float64(g.set.Gateways), leastOut/math.Max(float64(g.present()), 1))
 	}
-	s.room = math.Max(s.room, roomLeast/float64(g.set.Gateways))
+	s.room = math.Max(s.room, math.Max(roomLeast, g.width)/float64(g.set.Gateways))
 	return s.room
 }
 
@@ -616,6 +618,7 @@
 	s, class := a.server, g.set.Classes[r.Class]
 	g.noteEnd(s, o.Ending)
 	took := max(o.Elapsed, 0)
+	s.reported(g, o.Report)
 	ratio, late := took.Seconds()/g.expect(r), took > class.Aim
 	switch o.Ending {
 	case Served:
@@ -626,6 +629,7 @@
 		}
 		g.learnRoom(a, took)
 		g.learnLength(r, took)
+		g.worked.add(now, widthOver, math.Min(took.Seconds(), g.service(a)))
 		s.pace.add(now, paceMemory*g.shortAim(), ratio)
 		s.done.add(now, 2*g.set.Fall, 1)
 		if w := g.warmth(s); w < 1 { // where it is slower than that explains, its turns are too many
--- a/policy/state.go
+++ b/policy/state.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"slices"
@@ -323,6 +324,8 @@
 	out          int
 	others       float64 // attempts that other gateways are taken to have out there
 	lost         int     // of them lost on the way
+	service      float64 // by its own word: how long a request takes without waiting, in seconds; 0: not told
+	serviceAt    Time    // when that came
 	pace         mean    // attempt latency over its class's mean
 	fails        mean    // 1 for a failed attempt, 0 for a served one
 	spoilt       mean    // the same, of those that may have run
@@ -460,6 +463,30 @@
 	g.typical[r.Class].add(g.now, memory, length)
 }
 
+// reported takes a server's load report in.
+func (s *server) reported(g *Gateway, report []float32) {
+	if i := slices.Index(g.set.Reports, "latency_ms"); i >= 0 && i < len(report) && report[i] > 0 && report[i] <= 1e6 {
+		s.service, s.serviceAt = float64(report[i])/1000, g.now
+	}
+}
+
+// service gives how long an attempt takes at its server without waiting, in seconds, by the server's word of the requests
+// that it had lately; 0: not known.
+func (g *Gateway) service(a *attempt) float64 {
+	if g.now-a.server.serviceAt > widthOver || g.usual.n < 1 {
+		return 0
+	}
+	return a.server.service * g.expect(a.req) * g.usual.n / g.usual.sum
+}
+
+// learnWidth follows how many attempts a server was seen at work on at once: what was done in a time, by the servers' own
+// word of how long it takes, over that time. A shared slow-down leaves it as it is.
+func (g *Gateway) learnWidth() {
+	g.worked.fade(g.now, widthOver)
+	busy := float64(g.set.Gateways) * g.worked.sum / widthOver.Seconds()
+	g.width = math.Max(provenFades*g.width, busy/math.Max(1, float64(g.present())))
+}
+
 // meanPace gives the pace of all listed servers together, of late.
 func (g *Gateway) meanPace() float64 {
 	all := mean{}
@@ -494,6 +521,9 @@
 	groups    []group              // class * plans + plan
 	typical   []mean               // mean latency of a class
 	bySize    []fit                // and by a request's units
+	usual     mean                 // expected length of what is sent, over all
+	worked    mean                 // seconds of work that servers have done for this gateway
+	width     float64              // attempts that a server was seen at work on at once
 	pace      float64              // of all servers, as of the last beat
 	pressed   bool
 	full      bool
@@ -602,6 +632,7 @@
 	g.open = append(g.open, a)
 	a.server.out++
 	r.cust.out++
+	g.usual.add(g.now, countsOver, g.expect(r))
 	if r.Coming {
 		g.place(a, false)
 		r.cust.coming += r.Units
@@ -772,6 +803,16 @@
 	}
 }
 
+// GiveUp gives every open request its final answer, as at its deadline. What streams goes on.
+func (g *Gateway) GiveUp(now Time) {
+	g.tick(now)
+	for _, id := range slices.Sorted(maps.Keys(g.requests)) {
+		if r := g.requests[id]; r != nil && !r.closed && !r.streaming {
+			g.giveUp(r)
+		}
+	}
+}
+
 // untimed tells whether an attempt has no time to be held against it.
 func (a *attempt) untimed() bool { return a.req.streaming || a.req.Coming }
 
--- /dev/null
+++ b/policy/width_test.go
@@ -0,0 +1,61 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// Servers that tell how long they work on a request are known to work on four at once. Where something they all depend on
+// makes them several times slower, answers are late however few are out; the room must not shrink below the four, or cores
+// stand idle on top of it. Without reports nobody can know that.
+func TestSharedSlowdownLeavesTheCoresBusy(t *testing.T) {
+	for _, reports := range []bool{true, false} {
+		s := settings()
+		s.SecondCopies = false
+		if s.Classes[0].Aim = time.Second; reports {
+			s.Reports = []string{"inflight", "latency_ms"}
+		}
+		f := start(t, s, 3)
+		id, slow := RequestID(0), 1.0
+		const cores, work = 4, 150 * ms
+		free := map[ServerID][]Time{1: make([]Time, cores), 2: make([]Time, cores), 3: make([]Time, cores)}
+		due, seen := map[send]Time{}, 0
+		step := func() {
+			id++
+			f.ask(id, nil)
+			f.until(f.now + 10*ms)
+			for ; seen < len(f.sent); seen++ { // the first free core takes it
+				x, best := f.sent[seen], 0
+				for k, at := range free[x.to] {
+					if at < free[x.to][best] {
+						best = k
+					}
+				}
+				free[x.to][best] = max(f.now, free[x.to][best]) + time.Duration(slow*float64(work))
+				due[x] = free[x.to][best]
+			}
+			for _, x := range f.sent[max(0, seen-500):] {
+				if at, out := due[x]; out && at <= f.now {
+					delete(due, x)
+					f.g.Outcome(f.now, Outcome{ID: x.id, Attempt: x.no, Server: x.to, Elapsed: f.now - x.at, Ending: Served, Closed: true,
+						Report: []float32{0, float32(slow * work.Seconds() * 1000)}})
+				}
+			}
+		}
+		for range 1000 {
+			step()
+		}
+		slow = 5
+		least := 100.0
+		for k := range 1000 {
+			step()
+			if k > 300 {
+				least = min(least, f.g.roomFor())
+			}
+		}
+		t.Logf("reports %v: width %.1f, room %.1f at least", reports, f.g.width, least)
+		if got := least >= 3*3; got != reports {
+			t.Errorf("reports %v: room for %.1f at least on 12 cores", reports, least)
+		}
+	}
+}
