A lost attempt is ended for another elsewhere where no second copy may be out

Lines at fault: policy.dispatch sets a timer for a second copy only, which is not allowed there, and nothing else ends an attempt before its deadline. Chosen: only what later ones have passed, after five times.

--- a/policy/known.go
+++ b/policy/known.go
@@ -76,32 +76,6 @@
 
 func (g *Gateway) deaf() bool { return g.now-g.heard > staleTells*tellEvery }
 
-// trueUp settles, once and where the account is kept, what a request draws by its answer in place of the
-// guess. An answer's word that can't be is left, and the ceiling goes by the guess.
-func (g *Gateway) trueUp(r *request, units float64) {
-	more := units - r.Units
-	if r.settled || r.over || !(units > 0 && units <= math.Max(g.set.LargestUnits, r.Units)) || more == 0 {
-		return
-	}
-	if r.settled = true; r.home < 0 {
-		r.cust.account -= more
-		r.cust.drew(more)
-		g.news(r.cust, g.near...)
-	} else if r.home == g.set.Me {
-		g.settleAtHome(g.set.Me, r.cust.name, more)
-	} else {
-		g.host.Tell(r.home, packSettle(r.cust.name, more))
-	}
-}
-
-// settleAtHome takes in that a request of a customer at home here drew more, or less, than was guessed.
-func (g *Gateway) settleAtHome(from int, name uint64, more float64) {
-	_, first, set := ofName(name)
-	if c := g.record(atHome(name, g.set.Me)); c != nil && g.serves(from, &customer{first: first, set: set}) {
-		c.account -= math.Max(-g.set.LargestUnits, math.Min(g.set.LargestUnits, more))
-	}
-}
-
 // hearUse takes in what a peer has drawn for a customer since it last told. Of a record that was not known
 // here it is what its store still lacks; to a gateway that has just started an older peer tells what is left.
 // What a peer drew while it was not heard came out of its own part, whenever it tells of it.
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -38,6 +38,7 @@
 	provenFades  = 0.997            // each beat, of what a warm server was seen to do
 	widthOver    = 2 * judgedOver   // how long work that was done counts for a server's width
 	retryShare   = 0.2              // further attempts for each request
+	lostAfter    = 5.0              // times what it should take: by chance once in a hundred and fifty
 	copyShare    = 0.05             // second copies for each request: more cost a busy fleet what they win
 	comeAgain    = 8                // of the aim: refused clients are told to ask again so soon
 	retryStore   = 10.0             // further attempts that may be saved up
@@ -116,8 +117,8 @@
 		g.full, no = g.full || grp.part >= 1 && !asks, true // what is asked about may be beyond its quota
 	}
 	// What would be late whoever takes it makes room at once. What is like its class is the cuts' affair.
-	if x := g.expect(r); g.pressed && x*g.pace > g.set.Classes[in.Class].Aim.Seconds() {
-		no = no || x > (1+likeness)*g.typicalOf(in.Class)
+	if g.pressed && g.need(r) > g.set.Classes[in.Class].Aim {
+		no = no || g.expect(r) > (1+likeness)*g.typicalOf(in.Class)
 	}
 	if no {
 		g.giveUp(r)
@@ -536,19 +537,6 @@
 	return from + (1-from)*math.Max(0, age.Seconds())/g.set.WarmWithin.Seconds()
 }
 
-// proven follows what a warm server answers here in a window of Fall. What was done before an outage can be
-// done after it, so it falls slowly, and it is followed whether or not a server is cold.
-func (g *Gateway) proven() {
-	var warm mean
-	for _, s := range g.servers {
-		if s.listed && g.warmth(s) >= 1 {
-			s.done.fade(g.now, 2*g.set.Fall)
-			warm.sum, warm.n = warm.sum+s.done.sum, warm.n+1
-		}
-	}
-	g.perServer = math.Max(provenFades*g.perServer, warm.sum/math.Max(warm.n, 1)/2)
-}
-
 // coldRoom keeps rule 4: within any window a cold server gets at most its multiple of what it can do, going
 // by what a warm one answers here. A share below one attempt comes as a turn, at a time of its own as there
 // may be hundreds of gateways, and is gone after half a window.
@@ -590,6 +578,9 @@
 	g.host.Send(r.ID, s.ID, r.Deadline)
 	if g.set.SecondCopies && r.attempts == 1 && !g.set.Classes[r.Class].Stream {
 		g.host.Timer(uint64(r.ID)<<tagBits|tagHedge, g.set.Classes[r.Class].Aim/2)
+	} else if !g.set.SecondCopies && g.set.Cancel && !g.set.Classes[r.Class].Stream &&
+		g.set.Classes[r.Class].Effect != Unsafe {
+		g.host.Timer(uint64(r.ID)<<tagBits|tagHedge, lostAfter*g.need(r))
 	}
 }
 
@@ -737,6 +728,22 @@
 	g.dispatch(r)
 }
 
+// abandon ends a request's only attempt for another elsewhere, where no second copy may be out beside it:
+// later ones have passed it and it takes far longer than it should, so its connection fell silent, or its
+// server has it no more. While nobody has passed it, it is looked at again.
+func (g *Gateway) abandon(r *request) {
+	left := r.arrived + g.set.Classes[r.Class].Aim - g.now
+	if r.Coming || len(r.out) != 1 || r.attempts >= g.set.MaxAttempts || g.retries < 1 || left < g.need(r) {
+		return
+	}
+	a := r.out[0]
+	if wait := a.sent + lostAfter*g.need(r) - g.now; wait > 0 || a.passed < passedBy {
+		g.host.Timer(uint64(r.ID)<<tagBits|tagHedge, max(wait, g.need(r)/2, g.set.Tick))
+	} else if s := g.pick(r); s != nil && !r.wasTried(s) {
+		g.host.Cancel(r.ID, a.no)
+	}
+}
+
 // pump tries held requests again, oldest first.
 func (g *Gateway) pump() {
 	list := g.held
@@ -774,8 +781,10 @@
 	case kind == tagFinal && (r.Coming && len(r.out) > 0 || now < r.Deadline-2*g.set.Tick): // put off
 	case kind == tagFinal:
 		g.giveUp(r)
-	case kind == tagHedge:
+	case kind == tagHedge && g.set.SecondCopies:
 		g.hedge(r)
+	case kind == tagHedge:
+		g.abandon(r)
 	case kind == tagAsk && g.asks[r.token] == r:
 		g.ask(r)
 	}
--- a/policy/policy_test.go
+++ b/policy/policy_test.go
@@ -24,6 +24,7 @@
 	log    []string
 	trace  []string
 	watch  int
+	gaveUp []send // attempts cancelled
 }
 
 type send struct {
@@ -61,11 +62,17 @@
 }
 func (f *fake) Refuse(id RequestID, _ time.Duration) { f.end(id, "refused") }
 func (f *fake) Fail(id RequestID)                    { f.end(id, "failed") }
-func (f *fake) Cancel(RequestID, int)                {}
-func (f *fake) Timer(tag uint64, d time.Duration)    { f.timers = append(f.timers, timer{tag, f.now + d}) }
-func (f *fake) Tell(_ int, m []byte)                 { f.told = append(f.told, m); f.note(fmt.Sprint("tell ", m)) }
-func (f *fake) Watch()                               { f.watch++ }
-func (f *fake) Log(s string)                         { f.log = append(f.log, s) }
+func (f *fake) Cancel(id RequestID, no int) {
+	for _, s := range f.sent {
+		if s.id == id && s.no == no {
+			f.gaveUp = append(f.gaveUp, s)
+		}
+	}
+}
+func (f *fake) Timer(tag uint64, d time.Duration) { f.timers = append(f.timers, timer{tag, f.now + d}) }
+func (f *fake) Tell(_ int, m []byte)              { f.told = append(f.told, m); f.note(fmt.Sprint("tell ", m)) }
+func (f *fake) Watch()                            { f.watch++ }
+func (f *fake) Log(s string)                      { f.log = append(f.log, s) }
 
 // until lets time pass, timers firing on the way.
 func (f *fake) until(at Time) {
--- a/policy/state.go
+++ b/policy/state.go
@@ -487,6 +487,50 @@
 	g.width = math.Max(provenFades*g.width, busy/math.Max(1, float64(g.present())))
 }
 
+// proven follows what a warm server answers here in a window of Fall. What was done before an outage can be
+// done after it, so it falls slowly, and it is followed whether or not a server is cold.
+func (g *Gateway) proven() {
+	var warm mean
+	for _, s := range g.servers {
+		if s.listed && g.warmth(s) >= 1 {
+			s.done.fade(g.now, 2*g.set.Fall)
+			warm.sum, warm.n = warm.sum+s.done.sum, warm.n+1
+		}
+	}
+	g.perServer = math.Max(provenFades*g.perServer, warm.sum/math.Max(warm.n, 1)/2)
+}
+
+// trueUp settles, once and where the account is kept, what a request draws by its answer in place of the
+// guess. An answer's word that can't be is left, and the ceiling goes by the guess.
+func (g *Gateway) trueUp(r *request, units float64) {
+	more := units - r.Units
+	if r.settled || r.over || !(units > 0 && units <= math.Max(g.set.LargestUnits, r.Units)) || more == 0 {
+		return
+	}
+	if r.settled = true; r.home < 0 {
+		r.cust.account -= more
+		r.cust.drew(more)
+		g.news(r.cust, g.near...)
+	} else if r.home == g.set.Me {
+		g.settleAtHome(g.set.Me, r.cust.name, more)
+	} else {
+		g.host.Tell(r.home, packSettle(r.cust.name, more))
+	}
+}
+
+// settleAtHome takes in that a request of a customer at home here drew more, or less, than was guessed.
+func (g *Gateway) settleAtHome(from int, name uint64, more float64) {
+	_, first, set := ofName(name)
+	if c := g.record(atHome(name, g.set.Me)); c != nil && g.serves(from, &customer{first: first, set: set}) {
+		c.account -= math.Max(-g.set.LargestUnits, math.Min(g.set.LargestUnits, more))
+	}
+}
+
+// need gives how long a request's attempt should take now, by its units and the pace of all servers.
+func (g *Gateway) need(r *request) time.Duration {
+	return time.Duration(g.expect(r) * math.Max(1, g.pace) * float64(time.Second))
+}
+
 // meanPace gives the pace of all listed servers together, of late.
 func (g *Gateway) meanPace() float64 {
 	all := mean{}
