Attempts at members that fell silent hold no room; deployments drawn at random

Lines at fault: policy.lose wants three later answers, Request counts all that is out. Ruled out: ejections (none left at 5 s), cold budgets, cuts (none), the list. Change: what is out for five times what it should take, at a member from which nothing has come for as long, holds no place, and its member has room for one until something comes. The model gains effects, scopes and windows as rules, true units, reports, cancels, clients that come again, slow and shrinking fleets, and a plain policy; sprucelab deployments and make measure-deployments hold the modules against it. Its count of unsafe requests that reach members twice took one that a full member turned away for run; mended.

--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint, run, generate and measure. CI (.ci/run) runs lint and test; measurements are no part of it.
-.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade
+.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade measure-deployments
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -30,3 +30,7 @@
 # What an upgrade costs clients, quotas and memory, against a restart. SHORT=1 takes under 50 s.
 measure-upgrade: build
 	bin/sprucelab upgrade
+
+# Deployments drawn at random keep the rules, and serve no less than a plain policy. SHORT=1 takes under 50 s.
+measure-deployments: build
+	bin/sprucelab deployments
--- /dev/null
+++ b/internal/emulator/deployments.go
@@ -0,0 +1,86 @@
+package emulator
+
+import (
+	"fmt"
+	"math"
+	"math/rand/v2"
+	"time"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// This file owns deployments drawn at random from all that the platform's settings allow, for the question whether the
+// program works for one that nobody has thought of. What it draws must follow from the seed alone.
+
+// between draws evenly, or evenly in the logarithm where low is above 0 and high is ten times as much.
+func between(rng *rand.Rand, low, high float64) float64 {
+	if low > 0 && high >= 10*low {
+		return low * math.Exp(rng.Float64()*math.Log(high/low))
+	}
+	return low + rng.Float64()*(high-low)
+}
+
+func span(rng *rand.Rand, low, high float64) time.Duration {
+	return time.Duration(between(rng, low, high) * float64(time.Second))
+}
+
+// Drawn gives a deployment of up to so many gateways with its load, its clients and its troubles.
+func Drawn(seed uint64, gateways int) Scenario {
+	rng := rand.New(rand.NewPCG(seed, 0xdeb107))
+	coin := func(p float64) bool { return rng.Float64() < p }
+	s := Scenario{Seed: seed, Gateways: 1 + rng.IntN(gateways), Members: 3 + rng.IntN(18), SlowPart: between(rng, 0, 0.5),
+		Load: between(rng, 0.2, 1.1), Hot: between(rng, 0, 0.3), Rooms: 1 + rng.IntN(4), Cells: 1 + rng.IntN(4), Length: 5 * time.Second,
+		Link: span(rng, 0.0002, 0.02), Loss: between(rng, 0, 0.06), Discovery: span(rng, 0.1, 3), Retries: rng.IntN(3), Honour: rng.Float64()}
+	s.Accounts = 3 + rng.IntN(3*s.Members)
+	set := policy.Settings{Tick: time.Duration(1+rng.IntN(5)) * time.Millisecond, MaxAttempts: 1 + rng.IntN(4), SecondCopies: coin(0.4),
+		Peers: coin(0.8), Cancel: coin(0.7), MaxDelay: span(rng, 0, 2), PeerIntake: between(rng, 20, 200), LargestUnits: 8,
+		DrainGrace: drainGrace, Fall: window, FallMultiple: multiple, MustAsk: 10 * time.Second,
+		ColdFrom: between(rng, 0.15, 0.5), WarmWithin: span(rng, 2, 16)}
+	if coin(0.5) {
+		set.Reports = [][]string{{"latency_ms"}, {"inflight", "queue"}, {"queue", "latency_ms"}}[rng.IntN(3)]
+	}
+	if coin(0.5) {
+		s.GuessCV = between(rng, 0.2, 0.7)
+	}
+	s.BySize = coin(0.5)
+	work := span(rng, 0.02, 0.3)
+	for i := range 1 + rng.IntN(6) {
+		aim := max(span(rng, 0.2, 5), 3*work)
+		set.Classes = append(set.Classes, policy.Class{Name: fmt.Sprint("class-", i), Aim: aim, Deadline: min(time.Minute, time.Duration(float64(aim)*between(rng, 1.2, 6))),
+			Effect: policy.Effect(rng.IntN(3)), Scope: policy.Scope(rng.IntN(3)), Window: span(rng, 0.5, 10), Worth: between(rng, 0.5, 4),
+			LateWorth: between(rng, 0, 0.3)})
+	}
+	perAccount := 2.5 * s.Load * float64(s.Members) * 4 / work.Seconds() / float64(s.Accounts)
+	for i := range 1 + rng.IntN(5) {
+		p := policy.Plan{Name: fmt.Sprint("plan-", i), Price: between(rng, 0.5, 2), OverWorth: between(rng, 0, 0.2), OverCost: between(rng, 0, 1.2)}
+		if coin(0.8) {
+			p.Rate = perAccount * between(rng, 0.5, 4)
+			p.Burst = p.Rate*between(rng, 1, 5) + set.LargestUnits
+		}
+		if coin(0.3) || p.Rate == 0 && coin(0.7) {
+			p.Open = 1 + rng.IntN(12)
+		}
+		if p.Rate > 0 && coin(0.5) {
+			x := between(rng, 1.4, 2.6)
+			p.CeilingRate, p.CeilingBurst = x*p.Rate, x*p.Burst
+			p.CeilingSlack = max(set.LargestUnits, p.CeilingBurst/10)
+		}
+		set.Plans = append(set.Plans, p)
+		s.Spread = append(s.Spread, 1+rng.IntN(s.Gateways))
+	}
+	s.Spec = MemberSpec{Cores: 1 + rng.IntN(8), Speed: between(rng, 0.8, 1.2), Queue: 4 + rng.IntN(60), Work: work, Sigma: between(rng, 0.1, 0.8),
+		ColdFrom: set.ColdFrom, WarmWithin: set.WarmWithin}
+	for range rng.IntN(4) {
+		k := Kinds[rng.IntN(len(Kinds))]
+		t := Trouble{At: span(rng, 0, 3), For: span(rng, 0.3, 3), Kind: k, Part: between(rng, 0.05, 0.6), Size: between(rng, 1.5, 6)}
+		if k == Shrink {
+			t.Part = min(t.Part, 0.5)
+		}
+		if k == Slow && coin(0.5) || k == Restart && coin(0.3) {
+			t.Part = 1
+		}
+		s.Troubles = append(s.Troubles, t)
+	}
+	s.Settings = set
+	return s
+}
--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -96,7 +96,7 @@
 		},
 		"no final answer": func(r *run, _ *gateway, q *request) { r.all[q.ID] = q; r.over() },
 		"an unsafe request reached members twice": func(r *run, g *gateway, q *request) {
-			q.unsafe = true
+			q.effect = policy.Unsafe
 			r.arrives(g, r.members[0], q)
 			r.arrives(g, r.members[1], q)
 		},
@@ -136,7 +136,7 @@
 	m := &member{e: e, spec: spec, id: 1, up: true, rng: e.Stream("m")}
 	var ends []policy.Ending
 	var at []time.Duration
-	ask := func() { m.take(func(how policy.Ending) { ends, at = append(ends, how), append(at, e.now-Origin) }) }
+	ask := func() { m.take(1, func(how policy.Ending) { ends, at = append(ends, how), append(at, e.now-Origin) }) }
 	ask()
 	ask()
 	ask() // one at work, one waits, one too many
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -18,7 +18,7 @@
 	me   int
 	up   bool
 	life int
-	mod  *policy.Gateway
+	mod  module
 	open map[policy.RequestID]*live
 	told map[policy.ServerID]Time // members that it was told to send nothing new to
 
@@ -41,14 +41,22 @@
 	q     *request
 	sent  int
 	flows map[int]Time
+	ends  map[int]func(policy.Ending)
 }
 
 func (g *gateway) boot() {
 	set := g.r.Settings
 	set.Me, set.Gateways, set.Zone = g.me, g.r.Gateways, g.room
-	mod, err := policy.New(set, g.r.Seed<<20|uint64(g.life)<<10|uint64(g.me))
-	if err != nil {
-		panic(err) // the scenario was checked
+	seed := g.r.Seed<<20 | uint64(g.life)<<10 | uint64(g.me)
+	var mod module
+	if g.r.Plain {
+		mod = newPlain(set, seed)
+	} else {
+		real, err := policy.New(set, seed)
+		if err != nil {
+			panic(err) // the scenario was checked
+		}
+		mod = real
 	}
 	g.mod, g.up, g.open, g.told = mod, true, map[policy.RequestID]*live{}, map[policy.ServerID]Time{}
 	g.life++
@@ -118,6 +126,9 @@
 		if !l.q.final {
 			l.q.lost = true
 			g.r.Lost++
+			for range l.flows {
+				g.r.holds(l.q, -1)
+			}
 		}
 	}
 	g.r.e.After(500*time.Millisecond, g.boot)
@@ -130,7 +141,7 @@
 
 func (g *gateway) ask(q *request) {
 	q.note(g.r.e.now, "taken")
-	g.open[q.ID] = &live{q: q, flows: map[int]Time{}}
+	g.open[q.ID] = &live{q: q, flows: map[int]Time{}, ends: map[int]func(policy.Ending){}}
 	g.r.mark('a', uint64(q.ID), uint64(g.me))
 	g.mod.Request(g.r.e.now, q.Request)
 }
@@ -163,19 +174,30 @@
 	if no == 0 {
 		g.r.draws(l.q)
 	}
+	g.r.sends(l.q, no, m, len(l.flows)-1)
+	g.r.holds(l.q, 1)
 	g.r.mark('s', uint64(id), uint64(to))
 	end := func(how policy.Ending) {
 		if _, out := l.flows[no]; !out {
 			return
 		}
 		delete(l.flows, no)
+		g.r.holds(l.q, -1)
+		if how == policy.TurnedAway || how == policy.NotConnected {
+			l.q.never(no)
+		}
+		units := 0.0
+		if how == policy.Served {
+			units = l.q.told()
+		}
 		if how == policy.Served && !l.q.final {
 			g.final(l, "served")
 		}
 		g.r.mark('e', uint64(id), uint64(how))
-		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.final})
+		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.final, Units: units, Report: g.r.report(m)})
 		g.close(id, l)
 	}
+	l.ends[no] = end
 	if g.r.apart(g.room, m.room) {
 		g.later(connectWait, func() { end(policy.NotConnected) })
 		return
@@ -189,7 +211,7 @@
 	}
 	g.r.e.After(g.way(), func() { // under way it reaches the member even if the gateway dies
 		g.r.arrives(g, m, l.q)
-		m.take(func(how policy.Ending) {
+		m.take(g.r.size(l.q), func(how policy.Ending) {
 			if g.life == life && !g.r.apart(g.room, m.room) { // else its connection went with the life that opened it
 				if how != policy.NotConnected && g.listed[to] {
 					g.idle[to] = append(g.idle[to], g.r.e.now)
@@ -214,9 +236,10 @@
 	switch how {
 	case "served":
 		g.r.Served++
-		if g.r.e.now-l.q.at <= g.r.Settings.Classes[l.q.Class].Aim && l.q.worth > 0 {
-			g.r.InTime += l.q.worth
-			g.r.second(&g.r.served, l.q)
+		if first := l.q.first; g.r.e.now-first.at <= g.r.Settings.Classes[l.q.Class].Aim && first.worth > 0 && !first.inTime {
+			first.inTime = true
+			g.r.InTime += first.worth
+			g.r.second(&g.r.served, first)
 		}
 	case "refused":
 		g.r.Refused++
@@ -226,9 +249,13 @@
 }
 
 // Refuse implements policy.Host.
-func (g *gateway) Refuse(id policy.RequestID, _ time.Duration) {
+func (g *gateway) Refuse(id policy.RequestID, wait time.Duration) {
 	if l := g.open[id]; l != nil && !l.q.final {
+		if l.q.effect != policy.Safe && len(l.q.mayHave) > 0 {
+			g.r.breaks("refused though it may have run", l.q)
+		}
 		g.final(l, "refused")
+		g.r.comesAgain(l.q, wait)
 		g.later(0, func() { g.close(id, l) })
 	}
 }
@@ -237,12 +264,19 @@
 func (g *gateway) Fail(id policy.RequestID) {
 	if l := g.open[id]; l != nil && !l.q.final {
 		g.final(l, "failed")
+		if l.q.effect == policy.Safe {
+			g.r.comesAgain(l.q, 0)
+		}
 		g.later(0, func() { g.close(id, l) })
 	}
 }
 
-// Cancel implements policy.Host: the member works on, and its answer tells of it all the same.
-func (g *gateway) Cancel(policy.RequestID, int) {}
+// Cancel implements policy.Host: the connection is closed, and the member works on.
+func (g *gateway) Cancel(id policy.RequestID, no int) {
+	if l := g.open[id]; l != nil && l.ends[no] != nil {
+		g.later(0, func() { l.ends[no](policy.Cancelled) })
+	}
+}
 
 // Timer implements policy.Host.
 func (g *gateway) Timer(tag uint64, after time.Duration) {
--- a/internal/emulator/member.go
+++ b/internal/emulator/member.go
@@ -25,7 +25,10 @@
 	state   policy.ServerState
 	busy    int
 	queue   []*job
-	paused  Time // until then
+	paused  Time    // until then
+	slower  float64 // how many times slower all of it is now; 0: not at all
+	cell    int
+	recent  float64 // mean of its latest services, in seconds, without waiting
 
 	sends []Time // within the window of the cold rule
 }
@@ -51,7 +54,7 @@
 
 // info is the member's entry in lists.
 func (m *member) info() policy.ServerInfo {
-	return policy.ServerInfo{ID: m.id, Zone: m.room, State: m.state, Weight: 1, Since: m.started}
+	return policy.ServerInfo{ID: m.id, Zone: m.room, Cell: m.cell, State: m.state, Weight: 1, Since: m.started}
 }
 
 func (m *member) warmth() float64 {
@@ -61,9 +64,14 @@
 	return m.spec.ColdFrom + (1-m.spec.ColdFrom)*(m.e.now-m.started).Seconds()/m.spec.WarmWithin.Seconds()
 }
 
-// take lets a request in at its last byte. Done is called when its answer leaves, never where it is swallowed.
-func (m *member) take(done func(policy.Ending)) {
-	work := time.Duration(m.spec.Work.Seconds() * math.Exp(m.spec.Sigma*m.rng.NormFloat64()-m.spec.Sigma*m.spec.Sigma/2) * float64(time.Second))
+// takes tells whether a request that comes now would be let in.
+func (m *member) takes() bool {
+	return m.up && (m.hung || m.busy < m.spec.Cores || len(m.queue) < m.spec.Queue)
+}
+
+// take lets a request in at its last byte, whose work is so many times the mean. Done is called when its answer leaves, never where it is swallowed.
+func (m *member) take(size float64, done func(policy.Ending)) {
+	work := time.Duration(size * m.spec.Work.Seconds() * math.Exp(m.spec.Sigma*m.rng.NormFloat64()-m.spec.Sigma*m.spec.Sigma/2) * float64(time.Second))
 	switch {
 	case !m.up:
 		done(policy.NotConnected)
@@ -82,7 +90,8 @@
 		j := m.queue[0]
 		m.queue = m.queue[1:]
 		m.busy++
-		took := time.Duration(float64(j.work) / (m.spec.Speed * m.warmth()))
+		took := time.Duration(float64(j.work) / (m.spec.Speed * m.warmth()) * max(1, m.slower))
+		m.recent += (took.Seconds() - m.recent) / 8
 		m.finish(j, m.life, took+max(0, m.paused-m.e.now))
 	}
 }
--- /dev/null
+++ b/internal/emulator/plain.go
@@ -0,0 +1,148 @@
+package emulator
+
+import (
+	"math"
+	"math/rand/v2"
+	"slices"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// module is what decides for a gateway: the real one, or the plain policy that it is held against.
+type module interface {
+	Attach(policy.Host)
+	Servers(now Time, kind policy.ListKind, list []policy.ServerInfo)
+	Request(now Time, in policy.Request)
+	Outcome(now Time, o policy.Outcome)
+	Timer(now Time, tag uint64)
+	PeerMessage(now Time, from int, m []byte)
+	Own(now Time) map[policy.ServerID]policy.Own
+	Crowd(now Time, list []policy.Load)
+}
+
+// plain is the textbook's: of two members drawn by lot the one with less out here, an even part of each quota, cap and ceiling,
+// one attempt and another where it never ran, and no word to anybody.
+type plain struct {
+	set     policy.Settings
+	host    policy.Host
+	rng     *rand.Rand
+	members []policy.ServerID
+	out     map[policy.ServerID]int
+	open    map[policy.RequestID]*plainRequest
+	parts   map[policy.CustomerID]*plainPart
+}
+
+type plainRequest struct {
+	policy.Request
+	sent, out int
+	mayHave   bool
+}
+
+type plainPart struct {
+	quota, ceiling float64
+	at             Time
+	out            int
+}
+
+func newPlain(set policy.Settings, seed uint64) *plain {
+	return &plain{set: set, rng: rand.New(rand.NewPCG(seed, 1)), out: map[policy.ServerID]int{},
+		open: map[policy.RequestID]*plainRequest{}, parts: map[policy.CustomerID]*plainPart{}}
+}
+
+func (p *plain) Attach(h policy.Host) { p.host = h }
+
+func (p *plain) Servers(_ Time, kind policy.ListKind, list []policy.ServerInfo) {
+	if kind == policy.ListFull {
+		p.members = nil
+	}
+	for _, s := range list {
+		p.members = slices.DeleteFunc(p.members, func(id policy.ServerID) bool { return id == s.ID })
+		if s.State == policy.Ready {
+			p.members = append(p.members, s.ID)
+		}
+	}
+}
+
+// inside draws a request from its account's part, where that holds it.
+func (p *plain) inside(now Time, in policy.Request) bool {
+	plan, n := p.set.Plans[in.Plan], float64(max(1, in.SetSize))
+	a := p.parts[in.Customer]
+	if a == nil {
+		a = &plainPart{plan.Burst / n, 0, now, 0}
+		p.parts[in.Customer] = a
+	}
+	d := (now - a.at).Seconds()
+	a.quota, a.at = math.Min(math.Max(plan.Burst/n, in.Units), a.quota+d*plan.Rate/n), now
+	a.ceiling = math.Min(plan.CeilingBurst/n, a.ceiling+d*plan.CeilingRate/n)
+	if plan.Rate > 0 && a.quota < in.Units || plan.CeilingRate > 0 && a.ceiling < in.Units ||
+		plan.Open > 0 && a.out >= max(1, plan.Open/max(1, in.SetSize)) {
+		return false
+	}
+	a.quota, a.ceiling = a.quota-in.Units, a.ceiling-in.Units
+	return true
+}
+
+func (p *plain) Request(now Time, in policy.Request) {
+	if !p.inside(now, in) {
+		p.host.Refuse(in.ID, p.set.MaxDelay)
+		return
+	}
+	r := &plainRequest{Request: in}
+	p.open[in.ID] = r
+	p.host.Timer(uint64(in.ID), in.Deadline-now-2*p.set.Tick)
+	p.send(r)
+}
+
+func (p *plain) send(r *plainRequest) {
+	if len(p.members) == 0 {
+		p.end(r)
+		return
+	}
+	s := p.members[p.rng.IntN(len(p.members))]
+	if t := p.members[p.rng.IntN(len(p.members))]; p.out[t] < p.out[s] {
+		s = t
+	}
+	r.sent, r.out = r.sent+1, r.out+1
+	p.out[s]++
+	p.parts[r.Customer].out++
+	p.host.Send(r.ID, s, r.Deadline)
+}
+
+func (p *plain) end(r *plainRequest) {
+	delete(p.open, r.ID)
+	if r.mayHave || r.out > 0 {
+		p.host.Fail(r.ID)
+	} else {
+		p.host.Refuse(r.ID, p.set.MaxDelay)
+	}
+}
+
+func (p *plain) Outcome(_ Time, o policy.Outcome) {
+	p.out[o.Server]--
+	r := p.open[o.ID]
+	if r == nil {
+		return
+	}
+	r.out--
+	p.parts[r.Customer].out--
+	r.mayHave = r.mayHave || o.Ending != policy.TurnedAway && o.Ending != policy.NotConnected
+	switch {
+	case o.Closed:
+		delete(p.open, r.ID)
+	case !r.mayHave && r.sent < min(2, p.set.MaxAttempts):
+		p.send(r)
+	default:
+		p.end(r)
+	}
+}
+
+func (p *plain) Timer(_ Time, tag uint64) {
+	if r := p.open[policy.RequestID(tag)]; r != nil {
+		p.parts[r.Customer].out -= r.out
+		p.end(r)
+	}
+}
+
+func (p *plain) PeerMessage(Time, int, []byte)           {}
+func (p *plain) Own(Time) map[policy.ServerID]policy.Own { return nil }
+func (p *plain) Crowd(Time, []policy.Load)               {}
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"time"
 
 	"sprucelane.example/sprucelane/policy"
@@ -46,7 +47,7 @@
 	if told, ok := g.told[m.id]; ok && r.e.now-told > drainGrace+2*r.Link {
 		r.breaks("new work to a member that drains or is gone", q)
 	}
-	if q.unsafe && m.up {
+	if q.effect == policy.Unsafe && m.takes() { // one that a member turns away, or that finds none, has not run
 		if q.ran++; q.ran > 1 {
 			r.breaks("an unsafe request reached members twice", q)
 		}
@@ -117,7 +118,13 @@
 	policy.Request
 	at       Time
 	deadline Time
-	unsafe   bool
+	effect   policy.Effect
+	tries    int       // attempts sent
+	mayHave  []attempt // those that are out or may have run
+	first    *request  // the client's first try, which its retries belong to; itself
+	again    int       // times that the client may still come again
+	inTime   bool
+	true     float64 // units that it draws in the end
 	worth    float64 // 0 where it is beyond its account's quota
 	price    float64 // worth in any case
 	ran      int
@@ -126,6 +133,41 @@
 	trace    []string
 }
 
+// attempt is one that is out, or has ended in a way that doesn't prove that it never ran.
+type attempt struct {
+	no int
+	to *member
+	at Time
+}
+
+// sends checks an attempt against the rules on further ones, before it is sent.
+func (r *run) sends(q *request, no int, m *member, out int) {
+	set := r.Settings
+	if q.tries++; q.tries > max(1, set.MaxAttempts) {
+		r.breaks("more attempts than are allowed", q)
+	}
+	if out > 0 && (!set.SecondCopies || q.effect == policy.Unsafe) {
+		r.breaks("two attempts out at once", q)
+	}
+	c := set.Classes[q.Class]
+	for _, a := range q.mayHave {
+		switch apart := c.Scope == policy.ScopeZone && a.to.room != m.room || c.Scope == policy.ScopeCell && a.to.cell != m.cell; {
+		case q.effect == policy.Unsafe:
+			r.breaks("an unsafe request is sent again though it may have run", q)
+		case q.effect == policy.Keyed && apart:
+			r.breaks("a keyed request is sent again outside of its scope", q)
+		case q.effect == policy.Keyed && r.e.now-a.at >= c.Window:
+			r.breaks("a keyed request is sent again outside of its window", q)
+		}
+	}
+	q.mayHave = append(q.mayHave, attempt{no, m, r.e.now})
+}
+
+// never notes that an attempt has been proven never to have run.
+func (q *request) never(no int) {
+	q.mayHave = slices.DeleteFunc(q.mayHave, func(a attempt) bool { return a.no == no })
+}
+
 func (q *request) note(now Time, text string) {
 	if len(q.trace) < 32 {
 		q.trace = append(q.trace, fmt.Sprintf("%v %s", now-Origin, text))
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -1,11 +1,13 @@
 package emulator
 
 import (
+	"cmp"
 	"crypto/sha256"
 	"encoding/binary"
 	"errors"
 	"fmt"
 	"hash"
+	"math"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -34,6 +36,13 @@
 	Settings  policy.Settings
 
 	Troubles []Trouble
+
+	Cells   int     // that members stand in by turns; 0: one
+	BySize  bool    // a request's work grows with its units; else it is all chance
+	GuessCV float64 // spread of what requests say they draw round what they do; 0: they know
+	Retries int     // times that a client comes again after a refusal, or a failure of what is safe
+	Honour  float64 // share of the clients that heed what refusals name
+	Plain   bool    // the plain policy decides, not the module
 }
 
 // Trouble is something that goes wrong.
@@ -41,6 +50,7 @@
 	At, For time.Duration
 	Kind    Kind
 	Part    float64 // share of the members, or of the gateways
+	Size    float64 // times slower, of slow ones; 0: three
 }
 
 // Kind tells troubles apart.
@@ -55,11 +65,13 @@
 	Restart Kind = "restart" // gateways are killed and start again, knowing nothing, one after another
 	Room    Kind = "room"    // a room is cut off from the others, its members' processes end and come back cold
 	Split   Kind = "split"   // no gateway hears another, lists come late, members hang
+	Slow    Kind = "slow"    // members are some times slower; part 1: something that all depend on
+	Shrink  Kind = "shrink"  // members drain one after another and are gone
 	Replace Kind = "replace" // members drain, and new ones with names of their own take their places, cold
 )
 
 // Kinds are all of them.
-var Kinds = []Kind{Hang, Stop, Pause, Drain, Restart, Room, Split, Replace}
+var Kinds = []Kind{Hang, Stop, Pause, Drain, Restart, Room, Split, Slow, Shrink, Replace}
 
 // Result is what a run came to.
 type Result struct {
@@ -75,6 +87,7 @@
 	MostHeard       int     // most that one gateway was told within a second
 	Dropped         int     // datagrams beyond a gateway's intake
 	State           int     // bytes of the first gateway's state at the end
+	OverCap         int     // most attempts that an account had out beyond its cap
 	OverCeiling     float64 // most that an account was beyond its hard ceiling, in units; the rule has the plan's slack
 	PeakCold        float64 // most that a cold member was sent in a second, over what it could do
 	Digest          string  // of all that happened, in order
@@ -138,6 +151,9 @@
 	lateTo   Time // lists are held back until then
 	once     policy.CustomerID
 	stores   map[policy.CustomerID]*store
+	out      map[policy.CustomerID]int
+	guesses  *rand.Rand
+	retries  *rand.Rand
 }
 
 // apart tells whether two rooms are cut off from each other.
@@ -148,8 +164,9 @@
 	if err := s.Check(); err != nil {
 		return Result{}, err
 	}
-	r := &run{Scenario: s, e: NewEngine(s.Seed), all: map[policy.RequestID]*request{}, stores: map[policy.CustomerID]*store{}, digest: sha256.New(), cut: -1}
-	r.links = r.e.Stream("links")
+	r := &run{Scenario: s, e: NewEngine(s.Seed), all: map[policy.RequestID]*request{}, stores: map[policy.CustomerID]*store{},
+		out: map[policy.CustomerID]int{}, digest: sha256.New(), cut: -1}
+	r.links, r.guesses, r.retries = r.e.Stream("links"), r.e.Stream("guesses"), r.e.Stream("retries")
 	slow := r.e.Stream("members")
 	for range s.Members {
 		r.add(slow)
@@ -174,7 +191,9 @@
 	if r.broken == nil {
 		r.over()
 	}
-	r.State = len(r.gateways[0].mod.Carry(r.e.now, 1<<30))
+	if real, ok := r.gateways[0].mod.(*policy.Gateway); ok {
+		r.State = len(real.Carry(r.e.now, 1<<30))
+	}
 	for i := range r.offered {
 		r.Seconds = append(r.Seconds, r.served[i]/max(r.offered[i], 1e-9))
 	}
@@ -191,7 +210,7 @@
 	if slow.Float64() < r.SlowPart {
 		spec.Speed *= 0.75
 	}
-	m := &member{e: r.e, spec: spec, id: policy.ServerID(i + 1), room: i % max(1, r.Rooms), up: true,
+	m := &member{e: r.e, spec: spec, id: policy.ServerID(i + 1), room: i % max(1, r.Rooms), cell: i % max(1, r.Cells), up: true, recent: spec.Work.Seconds() / spec.Speed,
 		rng: r.e.Stream(fmt.Sprintf("member %d", i))}
 	r.members = append(r.members, m)
 	return m
@@ -254,8 +273,12 @@
 		units := 1 + float64(rng.IntN(4))
 		r.last++
 		q := &request{Request: policy.Request{ID: r.last, Class: class, Plan: a.plan, Customer: customer,
-			Units: units, SetSize: a.set, FirstDoor: a.first}, at: r.e.now, unsafe: c.Effect == policy.Unsafe,
+			Units: units, SetSize: a.set, FirstDoor: a.first}, at: r.e.now, effect: c.Effect, true: units, again: r.Retries,
 			worth: c.Worth * plan.Price * units}
+		if q.first = q; r.GuessCV > 0 {
+			sigma := math.Sqrt(math.Log(1 + r.GuessCV*r.GuessCV))
+			q.Units = min(max(0.5, units*math.Exp(sigma*r.guesses.NormFloat64()-sigma*sigma/2)), max(r.Settings.LargestUnits, 0.5))
+		}
 		q.price, q.deadline = q.worth, r.e.now+c.Deadline
 		q.Deadline = q.deadline
 		r.Tries++
@@ -268,21 +291,92 @@
 		} else {
 			q.worth = 0
 		}
-		door := (a.first + rng.IntN(a.set)) % r.Gateways
-		for k := 0; k < a.set && !r.gateways[door].up; k++ { // the front knows which are down
-			door = (a.first + (door-a.first+1+r.Gateways)%a.set) % r.Gateways
-		}
-		if !r.gateways[door].up {
-			q.lost = true
-			r.Lost++
-			return
-		}
-		r.all[q.ID] = q
-		r.gateways[door].ask(q)
+		r.enter(q, rng.IntN(a.set))
 	}
 	r.e.After(0, next)
 }
 
+// enter brings a request to one of its account's gateways; the front knows which are down.
+func (r *run) enter(q *request, at int) {
+	door := (q.FirstDoor + at) % r.Gateways
+	for k := 0; k < q.SetSize && !r.gateways[door].up; k++ {
+		door = (q.FirstDoor + (door-q.FirstDoor+1+r.Gateways)%q.SetSize) % r.Gateways
+	}
+	if !r.gateways[door].up {
+		q.lost = true
+		r.Lost++
+		return
+	}
+	r.all[q.ID] = q
+	r.gateways[door].ask(q)
+}
+
+// comesAgain lets a client come again after a while, with a request of its own that belongs to its first one.
+func (r *run) comesAgain(q *request, wait time.Duration) {
+	c := r.Settings.Classes[q.Class]
+	back := time.Duration((0.05 + 0.2*r.retries.Float64()) * float64(time.Second))
+	if r.retries.Float64() >= r.Honour {
+		wait = 0
+	}
+	back = max(back, wait)
+	if q.again <= 0 || r.e.now+back >= q.first.at+c.Deadline {
+		return
+	}
+	r.e.After(back, func() {
+		r.last++
+		next := *q
+		next.ID, next.at, next.final, next.lost, next.trace, next.ran, next.tries, next.mayHave, next.again =
+			r.last, r.e.now, false, false, nil, 0, 0, nil, q.again-1
+		next.deadline = q.first.at + c.Deadline
+		next.Deadline, next.Repeat = next.deadline, true
+		r.Tries++
+		r.enter(&next, r.retries.IntN(q.SetSize))
+	})
+}
+
+// holds counts an account's attempts out, against its cap.
+func (r *run) holds(q *request, more int) {
+	r.out[q.Customer] += more
+	if most := r.Settings.Plans[q.Plan].Open; most > 0 {
+		r.OverCap = max(r.OverCap, r.out[q.Customer]-most)
+	}
+}
+
+// size gives a request's work over the mean: units are 1 to 4, evenly.
+func (r *run) size(q *request) float64 {
+	if !r.BySize {
+		return 1
+	}
+	return q.true / 2.5
+}
+
+// told gives what a good answer says that a request drew, 0 where that was known before.
+func (q *request) told() float64 {
+	if q.true == q.Units {
+		return 0
+	}
+	return q.true
+}
+
+// report gives a member's load report, as the settings want it.
+func (r *run) report(m *member) []float32 {
+	if len(r.Settings.Reports) == 0 {
+		return nil
+	}
+	list := make([]float32, len(r.Settings.Reports))
+	for i, name := range r.Settings.Reports {
+		switch name {
+		case "inflight":
+			list[i] = float32(m.busy + len(m.queue))
+		case "queue":
+			list[i] = float32(len(m.queue))
+		case "latency_ms":
+			list[i] = float32(1000 * m.recent)
+		}
+	}
+	return list
+}
+
 // second adds a request's worth to the second that it was asked in.
 func (r *run) second(to *[]float64, q *request) {
 	at := int((r.e.now - Origin) / time.Second)
@@ -299,7 +393,7 @@
 
 // struck draws a share of so many, at least one.
 func struck(rng *rand.Rand, n int, part float64) []int {
-	return rng.Perm(n)[:max(1, int(part*float64(n)+0.5))]
+	return rng.Perm(n)[:min(n, max(1, int(part*float64(n)+0.5)))]
 }
 
 // begin lets a trouble begin, and end.
@@ -331,6 +425,15 @@
 		case Split:
 			m.hang()
 			r.e.After(t.For, m.resume)
+		case Slow:
+			m.slower = cmp.Or(t.Size, 3)
+			r.e.After(t.For, func() { m.slower = 0 })
+		case Shrink:
+			r.e.After(time.Duration(k)*t.For/time.Duration(len(members)), func() {
+				m.state = policy.Draining
+				r.list(m)
+				r.e.After(drainWait, func() { m.state = policy.Gone; r.list(m); m.stop() })
+			})
 		case Replace:
 			r.e.After(time.Duration(k)*t.For/time.Duration(len(members)), func() { r.replace(m, rng) })
 		case Hang:
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -266,6 +266,9 @@
 			g.count(a, true)
 			g.lose(a)
 		}
+		if quiet := g.now - max(a.sent, a.server.answered); !a.untimed() && quiet > lostAfter*g.need(a.req) {
+			g.suspect(a)
+		}
 	}
 	f := g.score()
 	g.proven()
@@ -309,6 +312,9 @@
 		s.room = math.Max(roomStart/float64(g.set.Gateways), leastOut/math.Max(float64(g.present()), 1))
 	}
 	s.room = math.Max(s.room, math.Max(roomLeast, g.width)/float64(g.set.Gateways))
+	if s.suspects > 0 { // for one that finds out whether anything comes from there
+		return math.Min(1, s.room)
+	}
 	return s.room
 }
 
@@ -423,7 +429,8 @@
 			g.byID[in.ID], g.servers = s, append(g.servers, s)
 		}
 		if in.Since != s.Since || s.turnAt == 0 { // another process now
-			*s = server{out: s.out, lost: s.lost, sends: s.sends, turn: g.rng.Float64(), turnAt: now}
+			*s = server{out: s.out, lost: s.lost, suspects: s.suspects, sends: s.sends, turnAt: now}
+			s.turn = g.rng.Float64()
 		}
 		s.ServerInfo, s.listed = in, in.State == Ready
 	}
@@ -617,6 +624,9 @@
 			if b.server == s && b.sent < a.sent {
 				b.passed++
 			}
+			if b.server == s && b.suspect { // where a later one was quick, it is lost and not only waiting
+				g.clear(b, b.sent < a.sent && ratio < overdue)
+			}
 		}
 		g.learnRoom(a, took)
 		g.learnLength(r, took)
--- a/policy/state.go
+++ b/policy/state.go
@@ -313,6 +313,7 @@
 	sent     Time
 	open     int  // place in Gateway.open
 	passed   int  // so many sent later to its server have been answered
+	suspect  bool // it is out for far too long, and nothing has come from its server for as long
 	lost     bool // it holds no place at its server: passed and late, or its body is still coming
 	slowSeen bool // counted as slow, for the room
 	lateSeen bool // counted as late, for the aim
@@ -337,6 +338,7 @@
 	turn         float64 // 1: a cold server may be sent one attempt
 	turnAt       Time
 	room         float64 // attempts of ours that it may hold, 0: not yet known
+	suspects     int     // attempts there that are out for far too long, while nothing at all has come from there
 	row          int     // failures since it last served
 	answered     Time    // when it last served
 	served       int     // and how often it did
@@ -645,6 +647,7 @@
 	g.open[a.open].open = a.open
 	g.open = g.open[:last]
 	a.server.out--
+	g.clear(a, false)
 	g.place(a, true)
 	if r.Coming {
 		r.cust.coming -= r.Units
@@ -702,6 +705,27 @@
 	}
 }
 
+// suspect notes that an attempt is out for far too long and that nothing has come from its server for as long: it may be lost,
+// and holds no place while that is found out.
+func (g *Gateway) suspect(a *attempt) {
+	if !a.suspect && !a.lost {
+		a.suspect = true
+		a.server.suspects++
+		g.place(a, false)
+	}
+}
+
+// clear ends the suspicion of an attempt, which is lost, or holds its place again.
+func (g *Gateway) clear(a *attempt, lost bool) {
+	if a.suspect {
+		a.suspect = false
+		a.server.suspects--
+		if g.place(a, !lost); lost {
+			a.passed = max(a.passed, passedBy)
+		}
+	}
+}
+
 // lose notes that an attempt is lost, where others have passed it: what the server is at work on is the rest.
 func (g *Gateway) lose(a *attempt) {
 	if a.passed >= passedBy {
