Read the change again: short messages parsed once, one limit type, derived state dropped

PeerMessage parsed a question, a settlement or an answer, went on to parse it as a message, and unpack parsed it three times more to count odd ones: each short form returns now. hedge and abandon began with the same check, which stands in Timer. ledger.Quota and ledger.Share were one type twice: Limit. The plain policy uses ledger.Part and ledger.Slot in place of its own arithmetic. Header lines were built by three copies of one expression. The model kept attempts that its number tells, and two maps by the same key; sprucelab deployments read SHORT beside short(), which also knows SHORT=0. Two comments were behind.

--- a/cmd/sprucelab/deployments.go
+++ b/cmd/sprucelab/deployments.go
@@ -1,9 +1,9 @@
 package main
 
 import (
+	"cmp"
 	"errors"
 	"fmt"
-	"os"
 	"slices"
 
 	"github.com/spf13/cobra"
@@ -29,7 +29,7 @@
   sprucelab deployments --seed 94 --count 1`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
-			if os.Getenv("SHORT") != "" && !cmd.Flags().Changed("count") {
+			if short() && !cmd.Flags().Changed("count") {
 				count = 100
 			}
 			out := cmd.OutOrStdout()
@@ -58,7 +58,7 @@
 						r.Share(), p.Share(), s.Gateways, s.Members, r.OverCap, r.Refused, r.Failed, r.Tries)
 				}
 			}
-			slices.SortFunc(list, func(a, b drawn) int { return int(1e6 * ((a.real - a.plain) - (b.real - b.plain))) })
+			slices.SortFunc(list, func(a, b drawn) int { return cmp.Compare(a.real-a.plain, b.real-b.plain) })
 			less, mean, worst := 0, 0.0, ""
 			for i, d := range list {
 				mean += (d.real - d.plain) / float64(len(list))
--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -194,9 +194,9 @@
 					slog.Error("reload_failed", "err", err)
 				}
 			default: // all that was taken has its answer by its own deadline, or by when this process is to be gone
-				answers, ends := service.EndWithin(g.longest())
+				giveUp, ends := service.EndWithin(g.longest())
 				if g.state.End(time.Now(), ends) {
-					time.AfterFunc(answers, g.decisions.GiveUp)
+					time.AfterFunc(giveUp, g.decisions.GiveUp)
 					go func() { g.end(); close(ended) }()
 				}
 			}
--- a/internal/emulator/deployments_test.go
+++ b/internal/emulator/deployments_test.go
@@ -51,7 +51,7 @@
 func TestRulesOnFurtherAttempts(t *testing.T) {
 	a, b := &member{id: 1}, &member{id: 2, cell: 1, room: 1}
 	for rule, do := range map[string]func(r *run, q *request){
-		"more attempts than are allowed":                         func(r *run, q *request) { q.tries = 9; r.sends(q, 9, a, 0) },
+		"more attempts than are allowed":                         func(r *run, q *request) { r.sends(q, 9, a, 0) },
 		"two attempts out at once":                               func(r *run, q *request) { r.Settings.SecondCopies = false; r.sends(q, 0, a, 1) },
 		"an unsafe request is sent again though it may have run": func(r *run, q *request) { q.effect = policy.Unsafe; r.sends(q, 0, a, 0); r.sends(q, 1, b, 0) },
 		"a keyed request is sent again outside of its scope":     func(r *run, q *request) { q.effect = policy.Keyed; r.sends(q, 0, a, 0); r.sends(q, 1, b, 0) },
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -40,8 +40,7 @@
 type live struct {
 	q     *request
 	sent  int
-	flows map[int]Time
-	ends  map[int]func(policy.Ending)
+	flows map[int]func(policy.Ending) // those out, by number: what ends one
 }
 
 func (g *gateway) boot() {
@@ -141,7 +140,7 @@
 
 func (g *gateway) ask(q *request) {
 	q.note(g.r.e.now, "taken")
-	g.open[q.ID] = &live{q: q, flows: map[int]Time{}, ends: map[int]func(policy.Ending){}}
+	g.open[q.ID] = &live{q: q, flows: map[int]func(policy.Ending){}}
 	g.r.mark('a', uint64(q.ID), uint64(g.me))
 	g.mod.Request(g.r.e.now, q.Request)
 }
@@ -168,13 +167,12 @@
 	}
 	no, m, now, life := l.sent, g.r.members[to-1], g.r.e.now, g.life
 	l.sent++
-	l.flows[no] = now
 	g.r.Sends++
 	l.q.note(now, "sent")
 	if no == 0 {
 		g.r.draws(l.q)
 	}
-	g.r.sends(l.q, no, m, len(l.flows)-1)
+	g.r.sends(l.q, no, m, len(l.flows))
 	g.r.holds(l.q, 1)
 	g.r.mark('s', uint64(id), uint64(to))
 	end := func(how policy.Ending) {
@@ -197,7 +195,7 @@
 		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.final, Units: units, Report: g.r.report(m)})
 		g.close(id, l)
 	}
-	l.ends[no] = end
+	l.flows[no] = end
 	if g.r.apart(g.room, m.room) {
 		g.later(connectWait, func() { end(policy.NotConnected) })
 		return
@@ -273,8 +271,9 @@
 
 // Cancel implements policy.Host: the connection is closed, and the member works on.
 func (g *gateway) Cancel(id policy.RequestID, no int) {
-	if l := g.open[id]; l != nil && l.ends[no] != nil {
-		g.later(0, func() { l.ends[no](policy.Cancelled) })
+	if l := g.open[id]; l != nil && l.flows[no] != nil {
+		end := l.flows[no]
+		g.later(0, func() { end(policy.Cancelled) })
 	}
 }
 
--- a/internal/emulator/plain.go
+++ b/internal/emulator/plain.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"slices"
 
+	"sprucelane.example/sprucelane/internal/ledger"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -39,7 +40,7 @@
 }
 
 type plainPart struct {
-	quota, ceiling float64
+	quota, ceiling ledger.Part
 	at             Time
 	out            int
 }
@@ -68,17 +69,16 @@
 	plan, n := p.set.Plans[in.Plan], float64(max(1, in.SetSize))
 	a := p.parts[in.Customer]
 	if a == nil {
-		a = &plainPart{plan.Burst / n, 0, now, 0}
+		a = &plainPart{quota: ledger.Part{Left: plan.Burst / n}, at: now}
 		p.parts[in.Customer] = a
 	}
-	d := (now - a.at).Seconds()
-	a.quota, a.at = math.Min(math.Max(plan.Burst/n, in.Units), a.quota+d*plan.Rate/n), now
-	a.ceiling = math.Min(plan.CeilingBurst/n, a.ceiling+d*plan.CeilingRate/n)
-	if plan.Rate > 0 && a.quota < in.Units || plan.CeilingRate > 0 && a.ceiling < in.Units ||
-		plan.Open > 0 && a.out >= max(1, plan.Open/max(1, in.SetSize)) {
+	a.quota.Fill(ledger.Limit{Rate: plan.Rate / n, Burst: math.Max(plan.Burst/n, in.Units)}, now-a.at, 0)
+	a.ceiling.Fill(ledger.Limit{Rate: plan.CeilingRate / n, Burst: plan.CeilingBurst / n}, now-a.at, 0)
+	if a.at = now; plan.Rate > 0 && a.quota.Left < in.Units || plan.CeilingRate > 0 && a.ceiling.Left < in.Units ||
+		plan.Open > 0 && !ledger.Slot(plan.Open, a.out, 0, int(n), false) {
 		return false
 	}
-	a.quota, a.ceiling = a.quota-in.Units, a.ceiling-in.Units
+	a.quota.Left, a.ceiling.Left = a.quota.Left-in.Units, a.ceiling.Left-in.Units
 	return true
 }
 
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -119,7 +119,6 @@
 	at       Time
 	deadline Time
 	effect   policy.Effect
-	tries    int       // attempts sent
 	mayHave  []attempt // those that are out or may have run
 	first    *request  // the client's first try, which its retries belong to; itself
 	again    int       // times that the client may still come again
@@ -143,7 +142,7 @@
 // sends checks an attempt against the rules on further ones, before it is sent.
 func (r *run) sends(q *request, no int, m *member, out int) {
 	set := r.Settings
-	if q.tries++; q.tries > max(1, set.MaxAttempts) {
+	if no >= max(1, set.MaxAttempts) {
 		r.breaks("more attempts than are allowed", q)
 	}
 	if out > 0 && (!set.SecondCopies || q.effect == policy.Unsafe) {
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -325,8 +325,8 @@
 	r.e.After(back, func() {
 		r.last++
 		next := *q
-		next.ID, next.at, next.final, next.lost, next.trace, next.ran, next.tries, next.mayHave, next.again =
-			r.last, r.e.now, false, false, nil, 0, 0, nil, q.again-1
+		next.ID, next.at, next.final, next.lost, next.trace, next.ran, next.mayHave, next.again =
+			r.last, r.e.now, false, false, nil, 0, nil, q.again-1
 		next.deadline = q.first.at + c.Deadline
 		next.Deadline, next.Repeat = next.deadline, true
 		r.Tries++
--- a/internal/front/platform/platform.go
+++ b/internal/front/platform/platform.go
@@ -203,13 +203,12 @@
 		body.Leave()
 		return in, nil, &Bad{Code: http.StatusConflict, Text: hID + ": that of an open request"}
 	}
-	header := append(make([]byte, 0, 64+len(id)), hID+": "...)
-	header = append(append(header, id...), "\r\n"...)
+	header := line(make([]byte, 0, 64+len(id)), hID, id)
 	for _, key := range keys {
-		header = append(append(append(header, hKey+": "...), key...), "\r\n"...)
+		header = line(header, hKey, key)
 	}
 	if t := h.Get("Content-Type"); t != "" {
-		header = append(append(append(header, "Content-Type: "...), t...), "\r\n"...)
+		header = line(header, "Content-Type", t)
 	}
 	m := &pool.Message{Method: r.Method, Target: r.RequestURI, Host: r.Host, Header: header, Body: body.Kept}
 	if in.Message = m; body.More() {
@@ -219,6 +218,11 @@
 	return in, body, nil
 }
 
+// line adds a header's line.
+func line(header []byte, name, value string) []byte {
+	return append(append(append(append(header, name...), ": "...), value...), "\r\n"...)
+}
+
 func method(e policy.Effect) string {
 	if e == policy.Safe {
 		return http.MethodGet
--- a/internal/ledger/ceiling.go
+++ b/internal/ledger/ceiling.go
@@ -17,11 +17,11 @@
 	Left float64 // units; below 0 while a body that was counted is drawn
 }
 
-// Share is what one part is of: units a second, and the most units that it holds.
-type Share struct{ Rate, Burst float64 }
+// Limit is what an account, or one part of it, is given: units a second, and the most units stored.
+type Limit struct{ Rate, Burst float64 }
 
 // Fill lets a part fill for some time. What is held back of the burst is for units that count as drawn later.
-func (p *Part) Fill(s Share, d time.Duration, back float64) {
+func (p *Part) Fill(s Limit, d time.Duration, back float64) {
 	p.Left = math.Min(s.Burst-back, p.Left+math.Max(0, d.Seconds())*s.Rate)
 }
 
@@ -32,7 +32,7 @@
 // Word says what a part lacks, and grants some of it to a peer that has last told what it lacks itself. The difference
 // is split over all n parts, so that any number of givers even the parts out and none gives what it is short of. What is
 // granted is drawn here.
-func (p *Part) Word(s Share, lacks byte, n int) byte {
+func (p *Part) Word(s Limit, lacks byte, n int) byte {
 	if s.Burst <= 0 {
 		return 0
 	}
@@ -48,7 +48,7 @@
 
 // Take adds what a peer's word grants, unless it came too late, and tells what the peer lacks, and whether one of the two
 // should grant the other something: then this part is to be told of.
-func (p *Part) Take(s Share, word byte, n int, late bool) (lacks byte, uneven bool) {
+func (p *Part) Take(s Limit, word byte, n int, late bool) (lacks byte, uneven bool) {
 	lacks = word >> 4
 	if s.Burst <= 0 {
 		return 0, false
--- a/internal/ledger/ceiling_test.go
+++ b/internal/ledger/ceiling_test.go
@@ -15,7 +15,7 @@
 	rapid.Check(t, func(t *rapid.T) {
 		n := rapid.IntRange(1, 6).Draw(t, "gateways")
 		rate, burst := rapid.Float64Range(0.5, 50).Draw(t, "rate"), rapid.Float64Range(1, 120).Draw(t, "burst")
-		s := Share{Rate: rate / float64(n), Burst: burst / float64(n)}
+		s := Limit{Rate: rate / float64(n), Burst: burst / float64(n)}
 		late := rapid.Float64Range(0, 0.5).Draw(t, "late")
 		type word struct {
 			to   int
@@ -67,7 +67,7 @@
 // a quarter.
 func TestGrantsFollowTheAsking(t *testing.T) {
 	const n = 4
-	s := Share{Rate: 27.0 / n, Burst: 60.0 / n}
+	s := Limit{Rate: 27.0 / n, Burst: 60.0 / n}
 	var parts [n]Part
 	for i := range parts {
 		parts[i].Left = s.Burst
@@ -96,7 +96,7 @@
 // Words that can't be read as such change nothing that matters: any byte grants a part's burst at the most, and none to who
 // has one already.
 func TestAnyWord(t *testing.T) {
-	s := Share{Rate: 1, Burst: 16}
+	s := Limit{Rate: 1, Burst: 16}
 	for w := range 256 {
 		full, empty := Part{Left: 16}, Part{}
 		full.Take(s, byte(w), 2, false)
@@ -105,7 +105,7 @@
 		assert.Equal(t, 0.0, empty.Left)
 	}
 	none := Part{}
-	lacks, uneven := none.Take(Share{}, 255, 2, false)
+	lacks, uneven := none.Take(Limit{}, 255, 2, false)
 	assert.Equal(t, Part{}, none)
 	assert.Zero(t, lacks)
 	assert.False(t, uneven)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -570,7 +570,7 @@
 
 // ---- Attempts ----
 
-// dispatch sends a request on, or holds it.
+// dispatch sends a request on, or holds it while no server may take it.
 func (g *Gateway) dispatch(r *request) {
 	s := g.pick(r)
 	if r.hold(s == nil && r.attempts == 0); s == nil {
@@ -730,8 +730,7 @@
 
 // hedge sends a second copy of what has waited half its aim, where that is allowed and the fleet has room.
 func (g *Gateway) hedge(r *request) {
-	if r.Coming || len(r.out) != 1 || r.attempts >= g.set.MaxAttempts || g.copies < 1 ||
-		g.pressed || len(g.cuts) > 0 {
+	if g.copies < 1 || g.pressed || len(g.cuts) > 0 {
 		return
 	}
 	if s := g.pick(r); s == nil || r.wasTried(s) {
@@ -745,8 +744,7 @@
 // later ones have passed it and it takes far longer than it should, so its connection fell silent, or its
 // server has it no more. While nobody has passed it, it is looked at again.
 func (g *Gateway) abandon(r *request) {
-	left := r.arrived + g.set.Classes[r.Class].Aim - g.now
-	if r.Coming || len(r.out) != 1 || r.attempts >= g.set.MaxAttempts || g.retries < 1 || left < g.need(r) {
+	if left := r.arrived + g.set.Classes[r.Class].Aim - g.now; g.retries < 1 || left < g.need(r) {
 		return
 	}
 	a := r.out[0]
@@ -794,6 +792,7 @@
 	case kind == tagFinal && (r.Coming && len(r.out) > 0 || now < r.Deadline-2*g.set.Tick): // put off
 	case kind == tagFinal:
 		g.giveUp(r)
+	case kind == tagHedge && (r.Coming || len(r.out) != 1 || r.attempts >= g.set.MaxAttempts): // too late
 	case kind == tagHedge && g.set.SecondCopies:
 		g.hedge(r)
 	case kind == tagHedge:
@@ -861,12 +860,17 @@
 		if c := g.answer(q); c != nil {
 			g.host.Tell(from, packAnswer(q.token, c.inside))
 		}
+		return
 	}
 	if name, units, ok := unpackSettle(m); ok {
 		g.settleAtHome(from, name, units)
+		return
 	}
-	if token, inside, ok := unpackAnswer(m); ok && g.asks[token] != nil && g.asks[token].home == from {
-		g.settle(g.asks[token], inside)
+	if token, inside, ok := unpackAnswer(m); ok {
+		if r := g.asks[token]; r != nil && r.home == from {
+			g.settle(r, inside)
+		}
+		return
 	}
 	age, elders, list, ok := g.unpack(m)
 	last, before := g.peerAge[from], g.peerHeard[from] != 0
--- a/policy/state.go
+++ b/policy/state.go
@@ -327,7 +327,7 @@
 	lost         int     // of them lost on the way
 	service      float64 // by its own word: how long a request takes without waiting, in seconds; 0: not told
 	serviceAt    Time    // when that came
-	pace         mean    // attempt latency over its class's mean
+	pace         mean    // attempt latency over what such a request typically takes
 	fails        mean    // 1 for a failed attempt, 0 for a served one
 	spoilt       mean    // the same, of those that may have run
 	done         mean    // answers, as a rate
@@ -351,7 +351,7 @@
 	account  float64 // quota units left here; below zero: let in ahead of the refill
 	ceiling  ledger.Part
 	begun    bool    // its ceiling was full when the whole fleet began
-	coming   float64 // units of requests whose bodies are still coming
+	coming   float64 // units of requests whose bodies are still coming, or that are held and were never sent
 	at       Time    // when both were last filled
 	demand   mean
 	out      int // attempts
@@ -799,15 +799,10 @@
 	return n
 }
 
-// unpack is unpackMessage that counts what makes no sense in any form.
+// unpack is unpackMessage that counts what makes no sense.
 func (g *Gateway) unpack(m []byte) (age time.Duration, elders bool, list [sections][]entry, ok bool) {
 	if age, elders, list, ok = unpackMessage(m, g.means); !ok {
-		_, question := unpackAsk(m, 0)
-		_, _, answer := unpackAnswer(m)
-		_, _, settles := unpackSettle(m)
-		if !question && !answer && !settles {
-			g.odd++
-		}
+		g.odd++
 	}
 	return age, elders, list, ok
 }
@@ -1056,7 +1051,7 @@
 // shared tells whether a customer's set is small enough for its gateways to be near each other.
 func (g *Gateway) shared(c *customer) bool { return len(g.near) > 0 && c.set <= tellPeers+1 }
 
-func (p Plan) quota() ledger.Quota { return ledger.Quota{Rate: p.Rate, Burst: p.Burst} }
+func (p Plan) quota() ledger.Limit { return ledger.Limit{Rate: p.Rate, Burst: p.Burst} }
 
 // view gives how this gateway sees a customer's store.
 func (g *Gateway) view(c *customer) ledger.View {
@@ -1065,9 +1060,9 @@
 }
 
 // share gives what a record's part of the ceiling is of.
-func (g *Gateway) share(c *customer) ledger.Share {
+func (g *Gateway) share(c *customer) ledger.Limit {
 	p, n := g.set.Plans[c.plan], float64(c.set)*g.keepers(c)
-	return ledger.Share{Rate: p.CeilingRate / n, Burst: p.CeilingBurst / n}
+	return ledger.Limit{Rate: p.CeilingRate / n, Burst: p.CeilingBurst / n}
 }
 
 // lateBy tells how much later than the fastest one a peer's message has come, by its clock and this one's, which may
