The model frees a dead gateway's attempts whose requests had been answered

Found on reading the change again: gateway.restart took off an account's attempts only for requests without a final answer, so one that was answered while an attempt was out counted against the account's cap for the rest of a run. Only the figure OverCap was wrong; no rule goes by it.

--- a/internal/emulator/deployments_test.go
+++ b/internal/emulator/deployments_test.go
@@ -76,3 +76,16 @@
 	r.sends(q, 1, b, 0)
 	assert.Nil(t, r.broken, "the first was proven never to have run")
 }
+
+// With a gateway its connections end, and so do its attempts, whether or not their requests had been answered.
+func TestNothingIsOutOfAGatewayThatDied(t *testing.T) {
+	r := &run{Scenario: Platform(1, 1, 2, 0.5, second), e: NewEngine(1), out: map[policy.CustomerID]int{}}
+	g := &gateway{r: r, up: true, open: map[policy.RequestID]*live{}}
+	for id, answered := range []bool{false, true} {
+		q := &request{Request: policy.Request{Customer: 7}, final: answered}
+		g.open[policy.RequestID(id)] = &live{q: q, flows: map[int]func(policy.Ending){0: nil}}
+		r.holds(q, 1)
+	}
+	g.restart()
+	assert.Zero(t, r.out[7])
+}
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -125,9 +125,9 @@
 		if !l.q.final {
 			l.q.lost = true
 			g.r.Lost++
-			for range l.flows {
-				g.r.holds(l.q, -1)
-			}
+		}
+		for range l.flows { // also of what was answered while an attempt was out
+			g.r.holds(l.q, -1)
 		}
 	}
 	g.r.e.After(500*time.Millisecond, g.boot)
