--- a/cmd/sprucelab/deployments.go
+++ b/cmd/sprucelab/deployments.go
@@ -44,7 +44,8 @@
 				r, err := emulator.Play(s)
 				if err != nil {
 					broken++
-					fmt.Fprintln(out, err)
+					small := emulator.Minimise(s, 100, func(s emulator.Scenario) bool { _, err := emulator.Play(s); return err != nil })
+					fmt.Fprintf(out, "%v\n  it takes no more than %s\n", err, small.Brief())
 					continue
 				}
 				s.Plain = true
--- a/cmd/sprucelab/sim.go
+++ b/cmd/sprucelab/sim.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"fmt"
+	"os"
 	"strconv"
 	"strings"
 	"time"
@@ -21,6 +22,7 @@
 	var length time.Duration
 	var troubles []string
 	var course bool
+	var deployment string
 	cmd := &cobra.Command{
 		Use:   "sim",
 		Short: "Play one scenario in virtual time",
@@ -29,11 +31,29 @@
 request's story. A trouble is kind:at:for:part, as hang:5s:10s:0.2; kinds are hang, stop, pause, drain, restart, room (a room
 is lost and cut off), split (gateways don't hear each other, lists come late, members hang) and replace.`,
 		Example: `  sprucelab sim --gateways 3 --members 12 --trouble hang:5s:10s:0.2 --trouble restart:20s:10s:1
+  sprucelab sim --deployment deploy/deployments/fraser-valley.json --trouble slow:5s:8s:1
   sprucelab sim --gateways 100 --members 1000 --load 0.6 --for 10s`,
 		Args: cobra.NoArgs,
 		RunE: func(cmd *cobra.Command, _ []string) error {
 			s := emulator.Platform(seed, gateways, members, load, length)
-			s.Rooms, s.Once = rooms, once
+			if deployment != "" {
+				text, err := os.ReadFile(deployment)
+				if err == nil {
+					s, err = emulator.ReadDeployment(text, seed, length)
+				}
+				if err != nil {
+					return cli.Coded{Code: cli.Usage, Err: fmt.Errorf("%s: %w", deployment, err)}
+				}
+			}
+			for _, f := range []struct {
+				name string
+				set  func()
+			}{{"gateways", func() { s.Gateways = gateways }}, {"members", func() { s.Members = members }}, {"load", func() { s.Load = load }},
+				{"rooms", func() { s.Rooms = rooms }}, {"once", func() { s.Once = once }}} {
+				if deployment == "" || cmd.Flags().Changed(f.name) { // what a file says goes before what flags are without being given
+					f.set()
+				}
+			}
 			for _, text := range troubles {
 				t, err := trouble(text)
 				if err != nil {
@@ -64,6 +84,7 @@
 	f.IntVar(&members, "members", 12, "pool members")
 	f.IntVar(&rooms, "rooms", 1, "rooms that gateways and members stand in")
 	f.Float64Var(&once, "once", 0, "share of the first tries that are of an account that comes once")
+	f.StringVar(&deployment, "deployment", "", "a deployment's `file`: its settings, and the world beside them")
 	f.Uint64Var(&seed, "seed", 1, "what all chance follows from")
 	f.Float64Var(&load, "load", 0.5, "first tries, of what all members can do")
 	f.DurationVar(&length, "for", 30*time.Second, "how long clients ask, in virtual time")
--- /dev/null
+++ b/internal/emulator/deployment_test.go
@@ -0,0 +1,121 @@
+package emulator
+
+import (
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+func deployment(t *testing.T, name string) string {
+	text, err := os.ReadFile("../../deploy/deployments/" + name + ".json")
+	require.NoError(t, err)
+	return string(text)
+}
+
+// Both deployments that the gateway serves are settings and a world beside them. Their calm is served, and through the
+// troubles that their operators have seen no rule is broken, by the rules' figures of each.
+func TestDeploymentsOfBothOperators(t *testing.T) {
+	for _, name := range []string{"lakeshore", "fraser-valley"} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			s, err := ReadDeployment([]byte(deployment(t, name)), 1, 12*second)
+			require.NoError(t, err)
+			calm, err := Play(s)
+			require.NoError(t, err)
+			t.Logf("calm %.3f, refused %d of %d", calm.Share(), calm.Refused, calm.Tries)
+			assert.Greater(t, calm.Share(), 0.9)
+			for _, trouble := range []Trouble{{At: 2 * second, For: 6 * second, Kind: Slow, Part: 1, Size: 2.4}, {At: 2 * second, For: 9 * second, Kind: Shrink, Part: 0.4},
+				{At: 2 * second, For: 3 * second, Kind: Stop, Part: 0.3}, {At: 2 * second, For: 6 * second, Kind: Drain, Part: 0.2}, {At: 2 * second, For: 6 * second, Kind: Restart, Part: 1}} {
+				s.Troubles = []Trouble{trouble}
+				_, err := Play(s)
+				require.NoError(t, err)
+			}
+		})
+	}
+}
+
+// What a file gets wrong is named by its key.
+func TestDeploymentFilesThatCannotBe(t *testing.T) {
+	good := deployment(t, "fraser-valley")
+	for want, change := range map[string][2]string{
+		"spread_out":           {`"spread"`, `"spread_out"`},
+		"services[2].effect":   {`"guarded"`, `"guardd"`},
+		"world.classes":        {`{ "share": 0.29, "work": 0.53 },`, ``},
+		"units":                {`"units": 6`, `"units": 7`},
+		"classes[1]":           {`"share": 0.29, "work": 0.53`, `"share": 0.29, "work": -1`},
+		"plans[0]":             {`"accounts": 113`, `"accounts": 0`},
+		"settings: missing":    {`"settings"`, `"unset"`},
+		"must not be below 0":  {`"13s"`, `"-13s"`},
+		"gateways":             {`"gateways": 3`, `"gateways": 0`},
+		"allowed.max_attempts": {`"max_attempts": 4`, `"max_attempts": 0`},
+	} {
+		bad := strings.Replace(good, change[0], change[1], 1)
+		require.NotEqual(t, good, bad, want)
+		if want == "settings: missing" {
+			bad = `{"world":{}}`
+		}
+		_, err := ReadDeployment([]byte(bad), 1, second)
+		assert.ErrorContains(t, err, want)
+	}
+}
+
+// Where members warm by work, one that is asked nothing stays cold for as long as time takes.
+func TestMembersWarmByWork(t *testing.T) {
+	e := NewEngine(1)
+	m := &member{e: e, id: 1, rng: e.Stream("m"), spec: MemberSpec{Cores: 1, Speed: 1, Queue: 9, Work: 100 * time.Millisecond, ColdFrom: 0.5,
+		WarmWithin: 10 * second, WarmWork: second}}
+	m.start()
+	for range 5 {
+		m.take(1, func(policy.Ending) {})
+	}
+	e.Run(Origin + 900*time.Millisecond)
+	assert.InDelta(t, 0.75, m.warmth(), 0.01)
+	m.start()
+	assert.Equal(t, 0.5, m.warmth(), "another life begins cold")
+	e.Run(Origin + 5900*time.Millisecond)
+	assert.InDelta(t, 0.75, m.warmth(), 0.01)
+}
+
+// A load report is what was so some time ago.
+func TestReportsComeLate(t *testing.T) {
+	s := Platform(1, 1, 1, 0.1, second)
+	s.Settings.Reports, s.Report = []string{"inflight"}, Report{Every: 100 * time.Millisecond, Delay: 50 * time.Millisecond}
+	r := &run{Scenario: s, e: NewEngine(1)}
+	m := r.add(r.e.Stream("members"))
+	m.busy = 2
+	assert.Empty(t, r.shows(m))
+	r.e.Run(Origin + 200*time.Millisecond)
+	m.busy = 0
+	assert.Equal(t, []float32{2}, r.shows(m))
+	r.e.Run(Origin + 400*time.Millisecond)
+	assert.Equal(t, []float32{0}, r.shows(m))
+}
+
+// What is left of a scenario that fails is what it takes to fail.
+func TestMinimise(t *testing.T) {
+	s := Drawn(1, 6)
+	hang := Trouble{At: second, For: second, Kind: Hang, Part: 0.1}
+	s.Gateways, s.Spread, s.Troubles = 6, []int{2}, []Trouble{{Kind: Pause, Part: 1}, hang, {Kind: Drain, Part: 1}}
+	plays := 0
+	small := Minimise(s, 200, func(s Scenario) bool {
+		plays++
+		for _, t := range s.Troubles {
+			if t == hang && s.Members >= 3 {
+				return true
+			}
+		}
+		return false
+	})
+	assert.Equal(t, []Trouble{hang}, small.Troubles)
+	assert.Equal(t, 2, small.Gateways, "sets of two need them")
+	assert.Less(t, small.Members, 6)
+	assert.LessOrEqual(t, plays, 200)
+	assert.Contains(t, small.Brief(), "trouble=hang:1s:1s:0.10")
+	assert.Equal(t, s, Minimise(s, 9, func(Scenario) bool { return false }))
+}
--- a/internal/emulator/deployments.go
+++ b/internal/emulator/deployments.go
@@ -20,7 +20,7 @@
 	return low + rng.Float64()*(high-low)
 }
 
-func span(rng *rand.Rand, low, high float64) time.Duration {
+func spread(rng *rand.Rand, low, high float64) time.Duration {
 	return time.Duration(between(rng, low, high) * float64(time.Second))
 }
 
@@ -30,12 +30,12 @@
 	coin := func(p float64) bool { return rng.Float64() < p }
 	s := Scenario{Seed: seed, Gateways: 1 + rng.IntN(gateways), Members: 3 + rng.IntN(18), SlowPart: between(rng, 0, 0.5),
 		Load: between(rng, 0.2, 1.1), Hot: between(rng, 0, 0.3), Rooms: 1 + rng.IntN(4), Cells: 1 + rng.IntN(4), Length: 5 * time.Second,
-		Link: span(rng, 0.0002, 0.02), Loss: between(rng, 0, 0.06), Discovery: span(rng, 0.1, 3), Retries: rng.IntN(3), Honour: rng.Float64()}
+		Link: spread(rng, 0.0002, 0.02), Loss: between(rng, 0, 0.06), Discovery: spread(rng, 0.1, 3), Retries: rng.IntN(3), Honour: rng.Float64()}
 	s.Accounts = 3 + rng.IntN(3*s.Members)
 	set := policy.Settings{Tick: time.Duration(1+rng.IntN(5)) * time.Millisecond, MaxAttempts: 1 + rng.IntN(4), SecondCopies: coin(0.4),
-		Peers: coin(0.8), Cancel: coin(0.7), MaxDelay: span(rng, 0, 2), PeerIntake: between(rng, 20, 200), LargestUnits: 8,
-		DrainGrace: drainGrace, Fall: window, FallMultiple: multiple, MustAsk: 10 * time.Second,
-		ColdFrom: between(rng, 0.15, 0.5), WarmWithin: span(rng, 2, 16)}
+		Peers: coin(0.8), Cancel: coin(0.7), MaxDelay: spread(rng, 0, 2), PeerIntake: between(rng, 20, 200), LargestUnits: 8,
+		DrainGrace: 250 * time.Millisecond, Fall: time.Second, FallMultiple: 4, MustAsk: 10 * time.Second,
+		ColdFrom: between(rng, 0.15, 0.5), WarmWithin: spread(rng, 2, 16)}
 	if coin(0.5) {
 		set.Reports = [][]string{{"latency_ms"}, {"inflight", "queue"}, {"queue", "latency_ms"}}[rng.IntN(3)]
 	}
@@ -43,11 +43,11 @@
 		s.GuessCV = between(rng, 0.2, 0.7)
 	}
 	s.BySize = coin(0.5)
-	work := span(rng, 0.02, 0.3)
+	work := spread(rng, 0.02, 0.3)
 	for i := range 1 + rng.IntN(6) {
-		aim := max(span(rng, 0.2, 5), 3*work)
+		aim := max(spread(rng, 0.2, 5), 3*work)
 		set.Classes = append(set.Classes, policy.Class{Name: fmt.Sprint("class-", i), Aim: aim, Deadline: min(time.Minute, time.Duration(float64(aim)*between(rng, 1.2, 6))),
-			Effect: policy.Effect(rng.IntN(3)), Scope: policy.Scope(rng.IntN(3)), Window: span(rng, 0.5, 10), Worth: between(rng, 0.5, 4),
+			Effect: policy.Effect(rng.IntN(3)), Scope: policy.Scope(rng.IntN(3)), Window: spread(rng, 0.5, 10), Worth: between(rng, 0.5, 4),
 			LateWorth: between(rng, 0, 0.3)})
 	}
 	perAccount := 2.5 * s.Load * float64(s.Members) * 4 / work.Seconds() / float64(s.Accounts)
@@ -72,7 +72,7 @@
 		ColdFrom: set.ColdFrom, WarmWithin: set.WarmWithin}
 	for range rng.IntN(4) {
 		k := Kinds[rng.IntN(len(Kinds))]
-		t := Trouble{At: span(rng, 0, 3), For: span(rng, 0.3, 3), Kind: k, Part: between(rng, 0.05, 0.6), Size: between(rng, 1.5, 6)}
+		t := Trouble{At: spread(rng, 0, 3), For: spread(rng, 0.3, 3), Kind: k, Part: between(rng, 0.05, 0.6), Size: between(rng, 1.5, 6)}
 		if k == Shrink {
 			t.Part = min(t.Part, 0.5)
 		}
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -192,7 +192,7 @@
 			g.final(l, "served")
 		}
 		g.r.mark('e', uint64(id), uint64(how))
-		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.final, Units: units, Report: g.r.report(m)})
+		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.final, Units: units, Report: g.r.shows(m)})
 		g.close(id, l)
 	}
 	l.flows[no] = end
--- a/internal/emulator/member.go
+++ b/internal/emulator/member.go
@@ -28,7 +28,9 @@
 	paused  Time    // until then
 	slower  float64 // how many times slower all of it is now; 0: not at all
 	cell    int
-	recent  float64 // mean of its latest services, in seconds, without waiting
+	recent  float64       // mean of its latest services, in seconds, without waiting
+	shown   []float32     // its load as answers tell it, where that is old
+	worked  time.Duration // since its start
 
 	sends []Time // within the window of the cold rule
 }
@@ -42,6 +44,7 @@
 	Sigma      float64       // of its logarithm
 	ColdFrom   float64
 	WarmWithin time.Duration
+	WarmWork   time.Duration // after so much work it is warm, too; 0: time alone warms
 }
 
 // Capacity is how many requests a second a warm one answers.
@@ -61,7 +64,11 @@
 	if m.started == 0 || m.e.now-m.started >= m.spec.WarmWithin {
 		return 1
 	}
-	return m.spec.ColdFrom + (1-m.spec.ColdFrom)*(m.e.now-m.started).Seconds()/m.spec.WarmWithin.Seconds()
+	way := (m.e.now - m.started).Seconds() / m.spec.WarmWithin.Seconds()
+	if m.spec.WarmWork > 0 {
+		way = min(1, max(way, m.worked.Seconds()/m.spec.WarmWork.Seconds()))
+	}
+	return m.spec.ColdFrom + (1-m.spec.ColdFrom)*way
 }
 
 // takes tells whether a request that comes now would be let in.
@@ -92,6 +99,7 @@
 		m.busy++
 		took := time.Duration(float64(j.work) / (m.spec.Speed * m.warmth()) * max(1, m.slower))
 		m.recent += (took.Seconds() - m.recent) / 8
+		m.worked += j.work
 		m.finish(j, m.life, took+max(0, m.paused-m.e.now))
 	}
 }
@@ -123,7 +131,7 @@
 // start begins another life, cold.
 func (m *member) start() {
 	m.life++
-	m.up, m.hung, m.busy, m.started, m.queue, m.sends = true, false, 0, m.e.now, nil, nil
+	m.up, m.hung, m.busy, m.started, m.queue, m.sends, m.worked = true, false, 0, m.e.now, nil, nil, 0
 }
 
 // hang lets the member swallow all until resume, which begins with empty hands.
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -24,13 +24,9 @@
 	return text
 }
 
-// The rules' figures, with the slack that sockets have.
-const (
-	drainGrace = 250 * time.Millisecond
-	window     = time.Second
-	multiple   = 4.0
-	coldSlack  = 1.0 // requests: of two that come together neither gateway can know
-)
+// coldSlack is the slack of the cold rule, in requests: of two that come together neither gateway can know. The rules'
+// figures are the settings' own.
+const coldSlack = 1.0
 
 // breaks notes a broken rule, the first of a run.
 func (r *run) breaks(rule string, q *request) {
@@ -44,7 +40,7 @@
 
 // arrives checks what a member is sent against the rules on drains, cold members and second runs.
 func (r *run) arrives(g *gateway, m *member, q *request) {
-	if told, ok := g.told[m.id]; ok && r.e.now-told > drainGrace+2*r.Link {
+	if told, ok := g.told[m.id]; ok && r.e.now-told > r.Settings.DrainGrace+2*r.Link {
 		r.breaks("new work to a member that drains or is gone", q)
 	}
 	if q.effect == policy.Unsafe && m.takes() { // one that a member turns away, or that finds none, has not run
@@ -52,7 +48,8 @@
 			r.breaks("an unsafe request reached members twice", q)
 		}
 	}
-	if w := m.warmth(); w < 1 && m.up {
+	window, multiple := r.Settings.Fall, r.Settings.FallMultiple
+	if w := m.warmth(); w < 1 && m.up && window > 0 && multiple > 0 {
 		m.sends = append(m.sends, r.e.now)
 		for r.e.now-m.sends[0] > window {
 			m.sends = m.sends[1:]
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -37,7 +37,11 @@
 
 	Troubles []Trouble
 
-	Cells   int     // that members stand in by turns; 0: one
+	Cells   int        // that members stand in by turns; 0: one
+	Classes []ClassUse // how much each is asked for; nil: all alike
+	Plans   []PlanUse  // how much the accounts of each ask; nil: accounts are of a plan by lot, and ask alike
+	Units   int        // most of a request; 0: four
+	Report  Report
 	BySize  bool    // a request's work grows with its units; else it is all chance
 	GuessCV float64 // spread of what requests say they draw round what they do; 0: they know
 	Retries int     // times that a client comes again after a refusal, or a failure of what is safe
@@ -113,6 +117,22 @@
 		return errors.New("spread: one for each plan")
 	case s.Length <= 0:
 		return errors.New("length: must be above 0")
+	case s.Classes != nil && len(s.Classes) != len(s.Settings.Classes):
+		return errors.New("classes: one for each of the settings'")
+	case s.Plans != nil && len(s.Plans) != len(s.Settings.Plans):
+		return errors.New("plans: one for each of the settings'")
+	case s.Units < 0 || s.Settings.LargestUnits > 0 && float64(s.Units) > s.Settings.LargestUnits:
+		return errors.New("units: must not be below 0 nor above the settings' largest")
+	}
+	for i, c := range s.Classes {
+		if !(c.Share >= 0) || !(c.Work > 0) {
+			return fmt.Errorf("classes[%d]: share must not be below 0, work must be above 0", i)
+		}
+	}
+	for i, p := range s.Plans {
+		if !(p.Share >= 0) || p.Accounts < 1 {
+			return fmt.Errorf("plans[%d]: share must not be below 0, accounts must be 1 or more", i)
+		}
 	}
 	for i, t := range s.Troubles {
 		if !known(t.Kind) || !(t.Part > 0 && t.Part <= 1) || t.At < 0 || t.For < 0 {
@@ -213,6 +233,7 @@
 	m := &member{e: r.e, spec: spec, id: policy.ServerID(i + 1), room: i % max(1, r.Rooms), cell: i % max(1, r.Cells), up: true, recent: spec.Work.Seconds() / spec.Speed,
 		rng: r.e.Stream(fmt.Sprintf("member %d", i))}
 	r.members = append(r.members, m)
+	r.reports(m)
 	return m
 }
 
@@ -247,19 +268,42 @@
 		}
 		return a
 	}
+	firsts := []int{0} // the first account of each plan, where plans are asked for by share
 	for i := range accounts {
-		accounts[i] = begin(rng.IntN(len(r.Settings.Plans)))
+		plan := len(firsts) - 1
+		if r.Plans == nil {
+			plan = rng.IntN(len(r.Settings.Plans))
+		} else if i >= firsts[plan]+r.Plans[plan].Accounts {
+			firsts = append(firsts, i)
+			plan++
+		}
+		accounts[i] = begin(plan)
+	}
+	// who draws an account, of some in a row of which the hot ones ask ten times as much.
+	who := func(n int) int {
+		hot := int(r.Hot * float64(n))
+		id := rng.IntN(n + 9*hot)
+		if id >= n {
+			id %= hot
+		}
+		return id
+	}
+	most := 4
+	if r.Units > 0 {
+		most = r.Units
 	}
-	hot := int(r.Hot * float64(len(accounts)))
 	var next func()
 	next = func() {
 		if r.e.now >= Origin+r.Length {
 			return
 		}
 		r.e.After(time.Duration(rng.ExpFloat64()/rate*float64(time.Second)), next)
-		id := rng.IntN(len(accounts) + 9*hot)
-		if id >= len(accounts) {
-			id = id % hot
+		id := 0
+		if r.Plans == nil {
+			id = who(len(accounts))
+		} else {
+			plan := byShare(rng, r.Plans, func(p PlanUse) float64 { return p.Share })
+			id = firsts[plan] + who(r.Plans[plan].Accounts)
 		}
 		a, customer := &accounts[id], policy.CustomerID(id+1)
 		if r.Once > 0 && rng.Float64() < r.Once {
@@ -268,9 +312,14 @@
 			once := begin(a.plan)
 			a = &once
 		}
-		plan, class := r.Settings.Plans[a.plan], rng.IntN(len(r.Settings.Classes))
+		plan, class := r.Settings.Plans[a.plan], 0
+		if r.Classes == nil {
+			class = rng.IntN(len(r.Settings.Classes))
+		} else {
+			class = byShare(rng, r.Classes, func(c ClassUse) float64 { return c.Share })
+		}
 		c := r.Settings.Classes[class]
-		units := 1 + float64(rng.IntN(4))
+		units := 1 + float64(rng.IntN(most))
 		r.last++
 		q := &request{Request: policy.Request{ID: r.last, Class: class, Plan: a.plan, Customer: customer,
 			Units: units, SetSize: a.set, FirstDoor: a.first}, at: r.e.now, effect: c.Effect, true: units, again: r.Retries,
@@ -283,7 +332,7 @@
 		q.Deadline = q.deadline
 		r.Tries++
 		a.store, a.at = min(plan.Burst, a.store+(r.e.now-a.at).Seconds()*plan.Rate), r.e.now
-		if inside := plan.Rate <= 0 || a.store >= units; inside {
+		if inside := (plan.Rate <= 0 || a.store >= units) && (plan.Open <= 0 || r.out[customer] < plan.Open); inside {
 			a.store -= units
 			r.Offered += q.worth
 			r.second(&r.offered, q)
@@ -342,12 +391,16 @@
 	}
 }
 
-// size gives a request's work over the mean: units are 1 to 4, evenly.
+// size gives a request's work over the mean, by its class and where they matter by its units, which are drawn evenly.
 func (r *run) size(q *request) float64 {
-	if !r.BySize {
-		return 1
+	size := 1.0
+	if r.Classes != nil {
+		size = r.Classes[q.Class].Work
 	}
-	return q.true / 2.5
+	if r.BySize {
+		size *= q.true / (1 + float64(cmp.Or(r.Units, 4))) * 2
+	}
+	return size
 }
 
 // told gives what a good answer says that a request drew, 0 where that was known before.
@@ -377,6 +430,32 @@
 	return list
 }
 
+// reports lets a member show its load now and then, late and with some noise.
+func (r *run) reports(m *member) {
+	if r.Report.Every <= 0 || len(r.Settings.Reports) == 0 {
+		return
+	}
+	rng := r.e.Stream(fmt.Sprintf("report %d", m.id))
+	var next func()
+	next = func() {
+		shown := r.report(m)
+		for i := range shown {
+			shown[i] *= float32(math.Exp(r.Report.Noise * rng.NormFloat64()))
+		}
+		r.e.After(r.Report.Delay, func() { m.shown = shown })
+		r.e.After(r.Report.Every, next)
+	}
+	r.e.After(time.Duration(rng.Float64()*float64(r.Report.Every)), next)
+}
+
+// shows gives what a member's answer says of its load.
+func (r *run) shows(m *member) []float32 {
+	if r.Report.Every > 0 {
+		return m.shown
+	}
+	return r.report(m)
+}
+
 // second adds a request's worth to the second that it was asked in.
 func (r *run) second(to *[]float64, q *request) {
 	at := int((r.e.now - Origin) / time.Second)
