--- a/internal/emulator/emulator_test.go
+++ b/internal/emulator/emulator_test.go
@@ -1,12 +1,14 @@
 package emulator
 
 import (
+	"crypto/sha256"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"sprucelane.example/sprucelane/internal/lab/referee"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -86,47 +88,58 @@
 	assert.Greater(t, r.Share(), 0.6)
 }
 
-// Each rule is found out by the run itself, with the request's story, whatever the module says.
+// bare is a run in which nothing happens by itself.
+func bare(seed uint64) *run {
+	s := Platform(seed, 1, 2, 0.1, second)
+	return &run{Scenario: s, e: NewEngine(seed), all: map[policy.RequestID]*request{}, cut: -1, digest: sha256.New(),
+		referee: referee.New(s.Settings, seed, Origin)}
+}
+
+// What happens in a run comes to the referee, with the request's story, whatever the module says.
 func TestBrokenRulesAreFound(t *testing.T) {
 	for rule, do := range map[string]func(r *run, g *gateway, q *request){
-		"two final answers": func(r *run, _ *gateway, q *request) { r.answered(q, "served"); r.answered(q, "refused") },
-		"an answer after the deadline": func(r *run, _ *gateway, q *request) {
-			r.e.now = q.deadline + second
-			r.answered(q, "failed")
+		referee.TwoAnswers: func(_ *run, g *gateway, q *request) {
+			l := &live{q: q}
+			g.final(l, "served")
+			g.final(l, "refused")
 		},
-		"no final answer": func(r *run, _ *gateway, q *request) { r.all[q.ID] = q; r.over() },
-		"an unsafe request reached members twice": func(r *run, g *gateway, q *request) {
-			q.effect = policy.Unsafe
+		referee.LateAnswer: func(r *run, g *gateway, q *request) {
+			r.e.now = q.Deadline + second
+			g.final(&live{q: q}, "failed")
+		},
+		referee.NoAnswer: func(r *run, _ *gateway, q *request) { r.all[q.ID] = q; r.over() },
+		referee.UnsafeTwice: func(r *run, g *gateway, q *request) {
+			q.Class = 1
 			r.arrives(g, r.members[0], q)
 			r.arrives(g, r.members[1], q)
 		},
-		"new work to a member that drains or is gone": func(r *run, g *gateway, q *request) {
-			g.told[1] = r.e.now - second
+		referee.DrainKept: func(r *run, g *gateway, q *request) {
+			info := r.members[0].info()
+			info.State = policy.Draining
+			g.listed, g.idle = map[policy.ServerID]bool{}, map[policy.ServerID][]Time{}
+			g.list(info)
+			r.e.now += second
 			r.arrives(g, r.members[0], q)
 		},
-		"an account's hard ceiling is passed": func(r *run, _ *gateway, q *request) {
-			r.Settings.Plans[0].CeilingRate, r.Settings.Plans[0].CeilingBurst = 1, 5
-			q.Units = 6
-			r.draws(q)
-		},
-		"a cold member was sent more than it can bear": func(r *run, g *gateway, q *request) {
+		referee.ColdBudget: func(r *run, g *gateway, q *request) {
 			r.members[0].start()
 			for range 40 {
 				r.arrives(g, r.members[0], q)
 			}
 		},
 	} {
-		s := Platform(5, 1, 2, 0.1, second)
-		r := &run{Scenario: s, e: NewEngine(5), all: map[policy.RequestID]*request{}, cut: -1, stores: map[policy.CustomerID]*store{}}
+		r := bare(5)
 		for i := range 2 {
-			r.members = append(r.members, &member{e: r.e, spec: s.Spec, id: policy.ServerID(i + 1), up: true, rng: r.e.Stream("m")})
+			r.members = append(r.members, &member{e: r.e, spec: r.Spec, id: policy.ServerID(i + 1), up: true, rng: r.e.Stream("m")})
 		}
-		q := &request{Request: policy.Request{ID: 1}, at: r.e.now, deadline: r.e.now + second}
-		q.note(r.e.now, "taken")
-		do(r, &gateway{r: r, told: map[policy.ServerID]Time{}}, q)
-		require.NotNil(t, r.broken, rule)
-		assert.Equal(t, rule, r.broken.Rule)
-		assert.ErrorContains(t, r.broken, "seed 5")
+		q := &request{at: r.e.now}
+		q.first, q.ID, q.Deadline = q, 1, r.e.now+second
+		r.referee.Note(r.e.now, &q.Request, "taken")
+		do(r, &gateway{r: r}, q)
+		require.Error(t, r.referee.Err(), rule)
+		assert.ErrorContains(t, r.referee.Err(), rule)
+		assert.ErrorContains(t, r.referee.Err(), "seed 5")
+		assert.ErrorContains(t, r.referee.Err(), "taken")
 	}
 }
 
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -20,7 +20,6 @@
 	life int
 	mod  module
 	open map[policy.RequestID]*live
-	told map[policy.ServerID]Time // members that it was told to send nothing new to
 
 	room   int
 	board  *inflight.Board // nil: the fleet is small
@@ -57,15 +56,16 @@
 		}
 		mod = real
 	}
-	g.mod, g.up, g.open, g.told = mod, true, map[policy.RequestID]*live{}, map[policy.ServerID]Time{}
+	g.mod, g.up, g.open = mod, true, map[policy.RequestID]*live{}
 	g.life++
 	mod.Attach(g)
 	g.idle, g.listed = map[policy.ServerID][]Time{}, map[policy.ServerID]bool{}
 	g.board = inflight.New(g.me, g.r.Gateways, set.PeerIntake)
 	var list []policy.ServerInfo
 	for _, m := range g.r.members {
+		m.seen.Told(g.me, g.r.e.now, true) // as a new life it is told all anew
 		if m.state == policy.Gone {
-			g.told[m.id] = g.r.e.now
+			m.seen.Told(g.me, g.r.e.now, false)
 			continue
 		}
 		list = append(list, m.info())
@@ -79,11 +79,11 @@
 
 // list takes an entry of the list in.
 func (g *gateway) list(info policy.ServerInfo) {
-	if info.State == policy.Ready {
-		delete(g.told, info.ID)
+	takes := info.State == policy.Ready
+	g.r.members[info.ID-1].seen.Told(g.me, g.r.e.now, takes)
+	if takes {
 		g.listed[info.ID], g.moved = true, true
-	} else if _, ok := g.told[info.ID]; !ok {
-		g.told[info.ID] = g.r.e.now
+	} else {
 		delete(g.listed, info.ID)
 		delete(g.idle, info.ID)
 		g.moved = true
@@ -122,12 +122,12 @@
 	g.up = false
 	g.life++
 	for _, l := range g.open {
-		if !l.q.final {
-			l.q.lost = true
+		if !l.q.Final {
+			l.q.Lost = true
 			g.r.Lost++
 		}
 		for range l.flows { // also of what was answered while an attempt was out
-			g.r.holds(l.q, -1)
+			g.r.referee.Holds(&l.q.Request, -1)
 		}
 	}
 	g.r.e.After(500*time.Millisecond, g.boot)
@@ -139,10 +139,10 @@
 }
 
 func (g *gateway) ask(q *request) {
-	q.note(g.r.e.now, "taken")
+	g.r.referee.Note(g.r.e.now, &q.Request, "taken")
 	g.open[q.ID] = &live{q: q, flows: map[int]func(policy.Ending){}}
 	g.r.mark('a', uint64(q.ID), uint64(g.me))
-	g.mod.Request(g.r.e.now, q.Request)
+	g.mod.Request(g.r.e.now, q.Request.Request)
 }
 
 // later lets something happen to this life of the gateway.
@@ -162,37 +162,35 @@
 // Send implements policy.Host.
 func (g *gateway) Send(id policy.RequestID, to policy.ServerID, until policy.Time) {
 	l := g.open[id]
-	if l == nil || l.q.final {
+	if l == nil || l.q.Final {
 		return
 	}
 	no, m, now, life := l.sent, g.r.members[to-1], g.r.e.now, g.life
 	l.sent++
 	g.r.Sends++
-	l.q.note(now, "sent")
-	if no == 0 {
-		g.r.draws(l.q)
-	}
-	g.r.sends(l.q, no, m, len(l.flows))
-	g.r.holds(l.q, 1)
+	g.r.referee.Note(now, &l.q.Request, "sent")
+	g.r.referee.Draws(now, &l.q.Request)
+	g.r.referee.Sent(now, &l.q.Request, no, &m.seen, len(l.flows))
+	g.r.referee.Holds(&l.q.Request, 1)
 	g.r.mark('s', uint64(id), uint64(to))
 	end := func(how policy.Ending) {
 		if _, out := l.flows[no]; !out {
 			return
 		}
 		delete(l.flows, no)
-		g.r.holds(l.q, -1)
+		g.r.referee.Holds(&l.q.Request, -1)
 		if how == policy.TurnedAway || how == policy.NotConnected {
-			l.q.never(no)
+			l.q.Never(no)
 		}
 		units := 0.0
 		if how == policy.Served {
 			units = l.q.told()
 		}
-		if how == policy.Served && !l.q.final {
+		if how == policy.Served && !l.q.Final {
 			g.final(l, "served")
 		}
 		g.r.mark('e', uint64(id), uint64(how))
-		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.final, Units: units, Report: g.r.shows(m)})
+		g.mod.Outcome(g.r.e.now, policy.Outcome{ID: id, Attempt: no, Server: to, Elapsed: g.r.e.now - now, Ending: how, Closed: l.q.Final, Units: units, Report: g.r.shows(m)})
 		g.close(id, l)
 	}
 	l.flows[no] = end
@@ -222,14 +220,14 @@
 }
 
 func (g *gateway) close(id policy.RequestID, l *live) {
-	if l.q.final && len(l.flows) == 0 {
+	if l.q.Final && len(l.flows) == 0 {
 		delete(g.open, id)
 		delete(g.r.all, id)
 	}
 }
 
 func (g *gateway) final(l *live, how string) {
-	g.r.answered(l.q, how)
+	g.r.referee.Answered(g.r.e.now, &l.q.Request, how)
 	g.r.mark('f', uint64(l.q.ID), uint64(how[0]))
 	switch how {
 	case "served":
@@ -248,10 +246,8 @@
 
 // Refuse implements policy.Host.
 func (g *gateway) Refuse(id policy.RequestID, wait time.Duration) {
-	if l := g.open[id]; l != nil && !l.q.final {
-		if l.q.effect != policy.Safe && len(l.q.mayHave) > 0 {
-			g.r.breaks("refused though it may have run", l.q)
-		}
+	if l := g.open[id]; l != nil && !l.q.Final {
+		g.r.referee.Refused(g.r.e.now, &l.q.Request)
 		g.final(l, "refused")
 		g.r.comesAgain(l.q, wait)
 		g.later(0, func() { g.close(id, l) })
@@ -260,9 +256,9 @@
 
 // Fail implements policy.Host.
 func (g *gateway) Fail(id policy.RequestID) {
-	if l := g.open[id]; l != nil && !l.q.final {
+	if l := g.open[id]; l != nil && !l.q.Final {
 		g.final(l, "failed")
-		if l.q.effect == policy.Safe {
+		if g.r.effect(l.q) == policy.Safe {
 			g.r.comesAgain(l.q, 0)
 		}
 		g.later(0, func() { g.close(id, l) })
--- a/internal/emulator/member.go
+++ b/internal/emulator/member.go
@@ -5,6 +5,7 @@
 	"math/rand/v2"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/lab/referee"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -32,7 +33,7 @@
 	shown   []float32     // its load as answers tell it, where that is old
 	worked  time.Duration // since its start
 
-	sends []Time // within the window of the cold rule
+	seen referee.Member // what the rules look at
 }
 
 // MemberSpec is what a member can do.
@@ -131,7 +132,8 @@
 // start begins another life, cold.
 func (m *member) start() {
 	m.life++
-	m.up, m.hung, m.busy, m.started, m.queue, m.sends, m.worked = true, false, 0, m.e.now, nil, nil, 0
+	m.up, m.hung, m.busy, m.started, m.queue, m.worked = true, false, 0, m.e.now, nil, 0
+	m.seen.Restart()
 }
 
 // hang lets the member swallow all until resume, which begins with empty hands.
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -12,6 +12,7 @@
 	"slices"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/lab/referee"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -163,15 +164,13 @@
 	served   []float64 // by second
 	offered  []float64
 	last     policy.RequestID
-	broken   *Broken
+	referee  *referee.Referee
 	digest   hash.Hash
 	links    *rand.Rand
 	cut      int  // the room that is cut off; below 0: none
 	deaf     bool // gateways don't hear each other
 	lateTo   Time // lists are held back until then
 	once     policy.CustomerID
-	stores   map[policy.CustomerID]*store
-	out      map[policy.CustomerID]int
 	guesses  *rand.Rand
 	retries  *rand.Rand
 }
@@ -184,8 +183,9 @@
 	if err := s.Check(); err != nil {
 		return Result{}, err
 	}
-	r := &run{Scenario: s, e: NewEngine(s.Seed), all: map[policy.RequestID]*request{}, stores: map[policy.CustomerID]*store{},
-		out: map[policy.CustomerID]int{}, digest: sha256.New(), cut: -1}
+	r := &run{Scenario: s, e: NewEngine(s.Seed), all: map[policy.RequestID]*request{},
+		referee: referee.New(s.Settings, s.Seed, Origin), digest: sha256.New(), cut: -1}
+	r.referee.Way = s.Link
 	r.links, r.guesses, r.retries = r.e.Stream("links"), r.e.Stream("guesses"), r.e.Stream("retries")
 	slow := r.e.Stream("members")
 	for range s.Members {
@@ -205,12 +205,13 @@
 	for _, c := range s.Settings.Classes {
 		longest = max(longest, c.Deadline)
 	}
-	for end := Origin + s.Length + longest + time.Second; r.e.now < end && r.broken == nil; {
+	for end := Origin + s.Length + longest + time.Second; r.e.now < end && r.referee.Err() == nil; {
 		r.e.Run(min(r.e.now+time.Second, end))
 	}
-	if r.broken == nil {
+	if r.referee.Err() == nil {
 		r.over()
 	}
+	r.Beyond, r.OverCap, r.OverCeiling, r.PeakCold = r.referee.Beyond, r.referee.OverCap, r.referee.OverCeiling, r.referee.PeakCold
 	if real, ok := r.gateways[0].mod.(*policy.Gateway); ok {
 		r.State = len(real.Carry(r.e.now, 1<<30))
 	}
@@ -218,10 +219,7 @@
 		r.Seconds = append(r.Seconds, r.served[i]/max(r.offered[i], 1e-9))
 	}
 	r.Digest = fmt.Sprintf("%x", r.digest.Sum(nil)[:8])
-	if r.broken != nil {
-		return r.Result, r.broken
-	}
-	return r.Result, nil
+	return r.Result, r.referee.Err()
 }
 
 // add lets one more member begin, long ago as far as anybody knows.
@@ -232,6 +230,7 @@
 	}
 	m := &member{e: r.e, spec: spec, id: policy.ServerID(i + 1), room: i % max(1, r.Rooms), cell: i % max(1, r.Cells), up: true, recent: spec.Work.Seconds() / spec.Speed,
 		rng: r.e.Stream(fmt.Sprintf("member %d", i))}
+	m.seen.Room, m.seen.Cell = m.room, m.cell
 	r.members = append(r.members, m)
 	r.reports(m)
 	return m
@@ -321,18 +320,16 @@
 		c := r.Settings.Classes[class]
 		units := 1 + float64(rng.IntN(most))
 		r.last++
-		q := &request{Request: policy.Request{ID: r.last, Class: class, Plan: a.plan, Customer: customer,
-			Units: units, SetSize: a.set, FirstDoor: a.first}, at: r.e.now, effect: c.Effect, true: units, again: r.Retries,
-			worth: c.Worth * plan.Price * units}
+		q := &request{at: r.e.now, true: units, again: r.Retries, worth: c.Worth * plan.Price * units}
+		q.Request.Request = policy.Request{ID: r.last, Class: class, Plan: a.plan, Customer: customer, Units: units, SetSize: a.set, FirstDoor: a.first}
 		if q.first = q; r.GuessCV > 0 {
 			sigma := math.Sqrt(math.Log(1 + r.GuessCV*r.GuessCV))
 			q.Units = min(max(0.5, units*math.Exp(sigma*r.guesses.NormFloat64()-sigma*sigma/2)), max(r.Settings.LargestUnits, 0.5))
 		}
-		q.price, q.deadline = q.worth, r.e.now+c.Deadline
-		q.Deadline = q.deadline
+		q.Price, q.Deadline = q.worth, r.e.now+c.Deadline
 		r.Tries++
 		a.store, a.at = min(plan.Burst, a.store+(r.e.now-a.at).Seconds()*plan.Rate), r.e.now
-		if inside := (plan.Rate <= 0 || a.store >= units) && (plan.Open <= 0 || r.out[customer] < plan.Open); inside {
+		if inside := (plan.Rate <= 0 || a.store >= units) && (plan.Open <= 0 || r.referee.Out(customer) < plan.Open); inside {
 			a.store -= units
 			r.Offered += q.worth
 			r.second(&r.offered, q)
@@ -352,7 +349,7 @@
 		door = (q.FirstDoor + (door-q.FirstDoor+1+r.Gateways)%q.SetSize) % r.Gateways
 	}
 	if !r.gateways[door].up {
-		q.lost = true
+		q.Lost = true
 		r.Lost++
 		return
 	}
@@ -374,23 +371,13 @@
 	r.e.After(back, func() {
 		r.last++
 		next := *q
-		next.ID, next.at, next.final, next.lost, next.trace, next.ran, next.mayHave, next.again =
-			r.last, r.e.now, false, false, nil, 0, nil, q.again-1
-		next.deadline = q.first.at + c.Deadline
-		next.Deadline, next.Repeat = next.deadline, true
+		next.Request = referee.Request{Request: q.Request.Request, Price: q.Price}
+		next.ID, next.at, next.again, next.Deadline, next.Repeat = r.last, r.e.now, q.again-1, q.first.at+c.Deadline, true
 		r.Tries++
 		r.enter(&next, r.retries.IntN(q.SetSize))
 	})
 }
 
-// holds counts an account's attempts out, against its cap.
-func (r *run) holds(q *request, more int) {
-	r.out[q.Customer] += more
-	if most := r.Settings.Plans[q.Plan].Open; most > 0 {
-		r.OverCap = max(r.OverCap, r.out[q.Customer]-most)
-	}
-}
-
 // size gives a request's work over the mean, by its class and where they matter by its units, which are drawn evenly.
 func (r *run) size(q *request) float64 {
 	size := 1.0
@@ -545,7 +532,7 @@
 	r.list(m)
 	r.e.After(drainWait, func() { m.state = policy.Gone; r.list(m); m.stop() })
 	next := r.add(rng)
-	next.room = m.room
+	next.room, next.seen.Room = m.room, m.room
 	next.start()
 	r.list(next)
 }
