After a power cut of the whole site cold members are sent what they can do

At fault: coldRoom's budget followed perServer, which proven() learns from warm members alone, so a blank gateway before an all-cold fleet had one attempt in a window over all gateways until somebody was warm; dispatch held whatever had no member, as much as came, and pump tried the oldest first, so what did go out was 3.9 s old and earned nothing. Request counted no held request against the room.

Change: a cold member's budget is also what it was seen to answer here (internal/ledger/cold.go, which owns the budget now; the answers of all gateways add up to what the member does); while all are cold one is taken to do one attempt after another, by how long cold answers took; held requests count against the room, and one that can't be in time any more is refused.

--- a/policy/carry_test.go
+++ b/policy/carry_test.go
@@ -58,7 +58,7 @@
 	}
 	cold := ServerInfo{ID: 9, Weight: 1, Since: f.now}
 	f.g.Servers(f.now, ListChanges, []ServerInfo{cold})
-	f.g.byID[9].sends = []Time{f.now, f.now}
+	f.g.byID[9].cold.Sends = []Time{f.now, f.now}
 	for range 4 {
 		f.g.judge(f.g.byID[2], true)
 	}
@@ -108,7 +108,7 @@
 		if !n.g.ejected(n.g.byID[2]) || n.g.ejected(n.g.byID[1]) {
 			t.Errorf("%s: the ejected server is another", name)
 		}
-		if got := len(n.g.byID[9].sends); got != 2 || n.g.warmth(n.g.byID[9]) >= 1 {
+		if got := len(n.g.byID[9].cold.Sends); got != 2 || n.g.warmth(n.g.byID[9]) >= 1 {
 			t.Errorf("%s: %d sends to the cold server are known", name, got)
 		}
 	}
@@ -161,7 +161,7 @@
 	if account, ceiling := f.left(5); account != 80 || ceiling != 40 {
 		t.Errorf("%v and %v are left of 100 and 60, 20 drawn elsewhere", account, ceiling)
 	}
-	if got := len(f.g.byID[9].sends); got != 20 {
+	if got := len(f.g.byID[9].cold.Sends); got != 20 {
 		t.Errorf("%d sends to the cold server are known, of 20", got)
 	}
 }
--- /dev/null
+++ b/policy/held_test.go
@@ -0,0 +1,59 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// A gateway that knows nothing yet stands before servers that have all just started. What it may not send it holds, as much
+// as there is room for, and refuses the rest at once; what is held and can't be in time any more is refused, not sent. So what
+// goes out is fresh, and by its answers the gateway finds out within seconds what cold servers can do.
+func TestNothingIsSentThatWaitedTooLong(t *testing.T) {
+	s := settings()
+	s.Gateways, s.Peers, s.SecondCopies = 5, false, false
+	s.Classes[0].Aim, s.Classes[0].Deadline = time.Second, 4*time.Second
+	f := &fake{t: t, now: time.Hour, ended: map[RequestID]string{}}
+	f.g, _ = New(s, 1)
+	f.g.Attach(f)
+	var list []ServerInfo
+	for id := range 4 {
+		list = append(list, ServerInfo{ID: ServerID(id + 1), State: Ready, Since: f.now, Weight: 1})
+	}
+	f.g.Servers(f.now, ListFull, list)
+	asked, done := map[RequestID]Time{}, map[send]bool{}
+	sent := func(from Time) (n int) {
+		for _, x := range f.sent {
+			if x.at >= from {
+				n++
+			}
+		}
+		return n
+	}
+	for id := RequestID(1); f.now < time.Hour+6*time.Second; id++ {
+		asked[id] = f.now
+		f.ask(id, func(r *Request) { r.Deadline = f.now + 4*time.Second })
+		if held, room := len(f.g.held), f.g.roomFor(); float64(held) > room+f.g.chance(room)+1 {
+			t.Fatalf("%d are held where there is room for %.1f", held, f.g.roomFor())
+		}
+		f.until(f.now + 10*ms)
+		for _, x := range f.sent {
+			if !done[x] && f.now-x.at >= 150*ms {
+				done[x] = true
+				f.done(x, Served, f.now-x.at)
+			}
+		}
+	}
+	for _, x := range f.sent {
+		if waited := x.at - asked[x.id]; waited > time.Second {
+			t.Errorf("request %d was sent after it had waited %v of an aim of 1s", x.id, waited)
+		}
+	}
+	for id, how := range f.ended {
+		if how != "served" && how != "refused" {
+			t.Errorf("request %d ended as %q", id, how)
+		}
+	}
+	if n := sent(time.Hour + 5*time.Second); n < 10 { // each does some seven a second; without word of that there was one in five seconds
+		t.Errorf("%d sent in the sixth second", n)
+	}
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -35,7 +35,6 @@
 	rowToEject   = 3                // or so many in a row, whatever was served before: a process died
 	awayFor      = 20               // in shortest aims: how long a group that was turned away goes elsewhere
 	ejectDoubles = 4                // longest ejection: aim x 2 to this
-	coldMargin   = 0.6              // of the cold budget that is used
 	provenFades  = 0.997            // each beat, of what a warm server was seen to do
 	widthOver    = 2 * judgedOver   // how long work that was done counts for a server's width
 	retryShare   = 0.2              // further attempts for each request
@@ -114,7 +113,8 @@
 		r.home == g.set.Me && g.answer(question{g.set.Me, uint32(in.ID), r.cust.name, in.Units}).inside
 	no := grp.cut || r.home < 0 && !r.cust.under(g.set.Plans[in.Plan], in.Units)
 	room := g.roomFor() * grp.part
-	if left := room + g.chance(room) - g.load(); !no && within && left < 1 && g.rng.Float64() >= left {
+	left := room + g.chance(room) - g.load() - float64(len(g.held))
+	if !no && within && left < 1 && g.rng.Float64() >= left {
 		g.full, no = g.full || grp.part >= 1 && !asks, true // what is asked about may be beyond its quota
 	}
 	// What would be late whoever takes it makes room at once. What is like its class is the cuts' affair.
@@ -431,14 +431,14 @@
 			s = &server{}
 			g.byID[in.ID], g.servers = s, append(g.servers, s)
 		}
-		if in.Since != s.Since || s.turnAt == 0 { // another process now
-			*s = server{out: s.out, lost: s.lost, suspects: s.suspects, sends: s.sends, turnAt: now}
-			s.turn = g.rng.Float64()
+		if in.Since != s.Since || s.cold.At == 0 { // another process now
+			*s = server{out: s.out, lost: s.lost, suspects: s.suspects,
+				cold: ledger.Cold{Sends: s.cold.Sends, Turn: g.rng.Float64(), At: now}}
 		}
 		s.ServerInfo, s.listed = in, in.State == Ready
 	}
 	g.servers = slices.DeleteFunc(g.servers, func(s *server) bool {
-		old := !s.listed && s.out == 0 && (len(s.sends) == 0 || now-s.sends[len(s.sends)-1] > g.set.Fall)
+		old := !s.listed && s.out == 0 && !s.cold.Recent(now, g.set.Fall)
 		if old { // what a cold server was sent lately is kept, should it be listed again
 			delete(g.byID, s.ID)
 		}
@@ -481,7 +481,7 @@
 			}
 		}
 	}
-	if s.turn >= 1 && g.warmth(s) < 1 { // some servers warm by the work they do
+	if s.cold.Turn >= 1 && g.warmth(s) < 1 { // some servers warm by the work they do
 		return 0
 	}
 	return sum / n * (s.load() + s.others + idleWork) / g.warmth(s)
@@ -496,7 +496,7 @@
 			s.pace = mean{sum: p.Pace * p.Weight, n: p.Weight, at: now}
 			s.room = cmp.Or(p.Room, s.room)
 			if p.Cold {
-				s.turn = math.Min(s.turn, 0)
+				s.cold.Turn = math.Min(s.cold.Turn, 0)
 			}
 		}
 	}
@@ -547,25 +547,12 @@
 	return from + (1-from)*math.Max(0, age.Seconds())/g.set.WarmWithin.Seconds()
 }
 
-// coldRoom keeps rule 4: within any window a cold server gets at most its multiple of what it can do, going
-// by what a warm one answers here. A share below one attempt comes as a turn, at a time of its own as there
-// may be hundreds of gateways, and is gone after half a window.
+// coldRoom keeps rule 4, by what a server was seen to answer here while cold, and what a warm one answers.
 func (g *Gateway) coldRoom(s *server) bool {
 	w := g.warmth(s)
-	if w >= 1 || g.set.FallMultiple <= 0 || g.set.Fall <= 0 {
-		return true
-	}
-	for len(s.sends) > 0 && g.now-s.sends[0] > g.set.Fall {
-		s.sends = s.sends[1:]
-	}
-	budget := math.Max(coldMargin*g.set.FallMultiple*w*g.perServer, 1/float64(g.set.Gateways))
-	if budget < 1 { // all that have a turn take it: it is for what the server can do, not for what it bears
-		budget /= math.Max(1, coldMargin*g.set.FallMultiple) * math.Max(1, g.coldPace.above())
-	}
-	s.turn += budget * (g.now - s.turnAt).Seconds() / g.set.Fall.Seconds()
-	s.turn -= math.Max(0, math.Ceil(s.turn-1-budget/2))
-	s.turnAt = g.now
-	return float64(len(s.sends))+1 <= budget || len(s.sends) == 0 && s.turn >= 1
+	l := ledger.ColdLimit{Window: g.set.Fall, Multiple: g.set.FallMultiple, N: g.set.Gateways,
+		Does: math.Max(w*g.perServer, s.does(g)), Slower: g.coldPace.above()}
+	return w >= 1 || l.Window <= 0 || l.Multiple <= 0 || s.cold.Covers(g.now, l)
 }
 
 // ---- Attempts ----
@@ -638,6 +625,7 @@
 		s.done.add(now, 2*g.set.Fall, 1)
 		if w := g.warmth(s); w < 1 { // where it is slower than that explains, its turns are too many
 			g.coldPace.add(now, paceMemory*g.shortAim(), ratio*w)
+			g.coldTook.add(now, paceMemory*g.shortAim(), took.Seconds()*w)
 		}
 		g.judge(s, false)
 	case Errored, NotConnected, ConnectionLost:
@@ -760,9 +748,14 @@
 	list := g.held
 	g.held = nil
 	for _, r := range list {
-		if !r.closed {
-			g.dispatch(r)
+		if r.closed {
+			continue
 		}
+		if r.attempts == 0 && r.arrived+g.set.Classes[r.Class].Aim-g.now < g.need(r) {
+			g.giveUp(r)
+			continue
+		}
+		g.dispatch(r)
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -333,10 +333,8 @@
 	done         mean    // answers, as a rate
 	ejectedUntil Time
 	ejections    int
-	away         []Time  // until when each group goes elsewhere, as it was turned away here
-	sends        []Time  // recent sends, kept while cold
-	turn         float64 // 1: a cold server may be sent one attempt
-	turnAt       Time
+	away         []Time // until when each group goes elsewhere, as it was turned away here
+	cold         ledger.Cold
 	room         float64 // attempts of ours that it may hold, 0: not yet known
 	suspects     int     // attempts there that are out for far too long, while nothing at all has come from there
 	row          int     // failures since it last served
@@ -500,6 +498,17 @@
 		}
 	}
 	g.perServer = math.Max(provenFades*g.perServer, warm.sum/math.Max(warm.n, 1)/2)
+	if warm.n == 0 && g.coldTook.n > 0 { // all are cold: each does one attempt after another, at the least
+		one := g.set.Fall.Seconds() * g.coldTook.n / math.Max(g.coldTook.sum, 1e-4)
+		g.perServer = math.Max(g.perServer, one/float64(g.set.Gateways))
+	}
+}
+
+// does gives what a server was seen to answer here in a window of Fall, of late. What it could do it still can: one that is
+// cold only gets warmer.
+func (s *server) does(g *Gateway) float64 {
+	s.done.fade(g.now, 2*g.set.Fall)
+	return s.done.sum / 2
 }
 
 // trueUp settles, once and where the account is kept, what a request draws by its answer in place of the
@@ -580,6 +589,7 @@
 	copies    float64
 	late      []mean              // of each class: late attempts, and all
 	coldPace  mean                // latency of cold servers' answers over their classes' mean
+	coldTook  mean                // and what a warm one would have taken, in seconds
 	perServer float64             // answers of a warm server here in a window of the cold rule
 	asks      map[uint32]*request // that wait for their home's answer, by token
 	odd       int                 // messages of no known form
@@ -701,8 +711,7 @@
 // sentTo notes an attempt that counts against a cold server's budget.
 func (g *Gateway) sentTo(s *server) {
 	if s != nil && g.warmth(s) < 1 {
-		s.sends = append(s.sends, g.now)
-		s.turn--
+		s.cold.Sent(g.now)
 	}
 }
 
@@ -821,7 +830,7 @@
 		if s.pace.n > 0 {
 			o.Pace = s.pace.sum / s.pace.n
 		}
-		for _, t := range s.sends {
+		for _, t := range s.cold.Sends {
 			if now-t <= g.set.Fall {
 				o.ColdSends++
 			}
@@ -1246,11 +1255,11 @@
 	carry(x, &s.ID)
 	carry(x, &s.Zone, &s.Kind, &s.Cell, &s.ejections, &s.row, &s.served)
 	carry(x, &s.State)
-	x.times(&s.Since, &s.ejectedUntil, &s.turnAt, &s.answered)
+	x.times(&s.Since, &s.ejectedUntil, &s.cold.At, &s.answered)
 	x.flags(&s.listed)
-	x.numbers(&s.Weight, &s.turn, &s.room)
+	x.numbers(&s.Weight, &s.cold.Turn, &s.room)
 	x.means(&s.pace, &s.fails, &s.spoilt, &s.done)
-	sized(x, &s.sends, 1, func(t *Time) { x.times(t) })
+	sized(x, &s.cold.Sends, 1, func(t *Time) { x.times(t) })
 }
 
 func (x *carrier) customer(c *customer) {
