A fault rig: real gateways with links cut, stalls, kills and restarts, and a referee

Change: internal/lab/faults starts gateways as processes with a UDP relay for each ordered pair and TCP relays to members where ways are cut, does what a script says to them, and tells internal/lab/referee what members and clients saw. The same scripts play in the emulator, which has gateways that are killed, stand still, are deaf, lose datagrams or the way to members. sprucelab faults plays, lists, searches, measures and writes a report.

--- a/internal/emulator/deployments.go
+++ b/internal/emulator/deployments.go
@@ -76,6 +76,9 @@
 		if k == Shrink {
 			t.Part = min(t.Part, 0.5)
 		}
+		if k == Lossy || k == Sever {
+			t.Size = between(rng, 0.1, 0.6)
+		}
 		if k == Slow && coin(0.5) || k == Restart && coin(0.3) {
 			t.Part = 1
 		}
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -21,13 +21,16 @@
 	mod  module
 	open map[policy.RequestID]*live
 
-	room   int
-	board  *inflight.Board // nil: the fleet is small
-	listed map[policy.ServerID]bool
-	moved  bool                       // the list is another than the board's
-	idle   map[policy.ServerID][]Time // kept connections, since when
-	heard  int                        // datagrams in this second
-	second Time
+	room     int
+	board    *inflight.Board // nil: the fleet is small
+	listed   map[policy.ServerID]bool
+	moved    bool                       // the list is another than the board's
+	idle     map[policy.ServerID][]Time // kept connections, since when
+	heard    int                        // datagrams in this second
+	down     Time                       // since when it is
+	still    Time                       // until when its process is stopped
+	silentTo Time                       // until when discovery tells it nothing
+	second   Time
 }
 
 // connKept is how long an idle connection is kept.
@@ -117,9 +120,12 @@
 	g.later(g.board.Every(), g.round)
 }
 
-// restart kills the gateway and starts it again half a second later.
-func (g *gateway) restart() {
-	g.up = false
+// restart kills the gateway and starts it again so much later.
+func (g *gateway) restart(after time.Duration) {
+	if !g.up {
+		return // it is being started already
+	}
+	g.up, g.down, g.still = false, g.r.e.now, 0
 	g.life++
 	for _, l := range g.open {
 		if !l.q.Final {
@@ -130,7 +136,23 @@
 			g.r.referee.Holds(&l.q.Request, -1)
 		}
 	}
-	g.r.e.After(500*time.Millisecond, g.boot)
+	g.r.e.After(after, g.boot)
+}
+
+// stall stops the gateway's process for a while. What ends meanwhile can't be answered, which is no rule.
+func (g *gateway) stall(d time.Duration) {
+	g.still = g.r.e.now + d
+	for _, l := range g.open {
+		g.missed(l.q)
+	}
+}
+
+// missed notes that a request ends while the process stands still.
+func (g *gateway) missed(q *request) {
+	if !q.Final && !q.Lost && q.Deadline <= g.still {
+		q.Lost = true
+		g.r.Lost++
+	}
 }
 
 func (g *gateway) told1(info policy.ServerInfo) {
@@ -139,20 +161,39 @@
 }
 
 func (g *gateway) ask(q *request) {
+	if left := g.still - g.r.e.now; left > 0 {
+		if g.missed(q); q.Lost {
+			delete(g.r.all, q.ID)
+			return
+		}
+		g.r.e.After(left, func() {
+			if g.up {
+				g.ask(q)
+				return
+			}
+			q.Lost = true
+			g.r.Lost++
+		})
+		return
+	}
 	g.r.referee.Note(g.r.e.now, &q.Request, "taken")
 	g.open[q.ID] = &live{q: q, flows: map[int]func(policy.Ending){}}
 	g.r.mark('a', uint64(q.ID), uint64(g.me))
 	g.mod.Request(g.r.e.now, q.Request.Request)
 }
 
-// later lets something happen to this life of the gateway.
+// later lets something happen to this life of the gateway, once its process goes on where it stands still.
 func (g *gateway) later(d time.Duration, do func()) {
 	life := g.life
-	g.r.e.After(d, func() {
-		if g.up && g.life == life {
+	var happen func()
+	happen = func() {
+		if left := g.still - g.r.e.now; left > 0 {
+			g.r.e.After(left, happen)
+		} else if g.up && g.life == life {
 			do()
 		}
-	})
+	}
+	g.r.e.After(d, happen)
 }
 
 func (g *gateway) way() time.Duration {
@@ -194,7 +235,7 @@
 		g.close(id, l)
 	}
 	l.flows[no] = end
-	if g.r.apart(g.room, m.room) {
+	if g.r.parted(g, m) {
 		g.later(connectWait, func() { end(policy.NotConnected) })
 		return
 	}
@@ -208,7 +249,7 @@
 	g.r.e.After(g.way(), func() { // under way it reaches the member even if the gateway dies
 		g.r.arrives(g, m, l.q)
 		m.take(g.r.size(l.q), func(how policy.Ending) {
-			if g.life == life && !g.r.apart(g.room, m.room) { // else its connection went with the life that opened it
+			if g.life == life && !g.r.parted(g, m) { // else its connection went with the life that opened it
 				if how != policy.NotConnected && g.listed[to] {
 					g.idle[to] = append(g.idle[to], g.r.e.now)
 				}
@@ -227,6 +268,10 @@
 }
 
 func (g *gateway) final(l *live, how string) {
+	if l.q.Lost { // its client has gone
+		l.q.Final = true
+		return
+	}
 	g.r.referee.Answered(g.r.e.now, &l.q.Request, how)
 	g.r.mark('f', uint64(l.q.ID), uint64(how[0]))
 	switch how {
@@ -295,28 +340,36 @@
 		return
 	}
 	g.r.Told++
-	if g.r.links.Float64() < g.r.Loss || g.r.deaf || g.r.apart(g.room, p.room) {
+	if g.r.loses(g.me, p.me) || g.r.apart(g.room, p.room) {
 		return
 	}
-	g.r.e.After(g.way(), func() {
-		if !p.up {
-			return
-		}
-		if now := g.r.e.now; now-p.second >= time.Second {
-			p.second, p.heard = now, 0
-		}
-		p.heard++
-		g.r.MostHeard = max(g.r.MostHeard, p.heard)
-		if most := g.r.Settings.PeerIntake; most > 0 && float64(p.heard) > most {
-			g.r.Dropped++
-			return
-		}
-		if message[0] == inflight.Kind && p.board != nil {
-			p.board.Take(g.r.e.now, g.me, message)
-		} else {
-			p.mod.PeerMessage(g.r.e.now, g.me, message)
-		}
-	})
+	g.r.e.After(g.way(), func() { p.hears(g.me, message) })
+}
+
+// hears takes in what a peer tells, once the process goes on where it stands still, as far as its intake allows.
+func (g *gateway) hears(from int, message []byte) {
+	now := g.r.e.now
+	if left := g.still - now; left > 0 && g.up {
+		g.r.e.After(left, func() { g.hears(from, message) })
+		return
+	}
+	if !g.up {
+		return
+	}
+	if now-g.second >= time.Second {
+		g.second, g.heard = now, 0
+	}
+	g.heard++
+	g.r.MostHeard = max(g.r.MostHeard, g.heard)
+	if most := g.r.Settings.PeerIntake; most > 0 && float64(g.heard) > most {
+		g.r.Dropped++
+		return
+	}
+	if message[0] == inflight.Kind && g.board != nil {
+		g.board.Take(now, from, message)
+	} else {
+		g.mod.PeerMessage(now, from, message)
+	}
 }
 
 // Watch implements policy.Host: lists are always told.
--- a/internal/emulator/rules.go
+++ b/internal/emulator/rules.go
@@ -25,7 +25,10 @@
 	if m.up {
 		warmth = m.warmth()
 	}
-	r.referee.Arrived(r.e.now, &q.Request, g.me, &m.seen, m.takes(), warmth, m.spec.Capacity())
+	r.referee.Arrived(r.e.now, &q.Request, g.me, &m.seen, warmth, m.spec.Capacity())
+	if m.takes() {
+		r.referee.Ran(r.e.now, &q.Request)
+	}
 }
 
 // over tells the referee what is still open at a run's end.
--- a/internal/standin/agent/agent.go
+++ b/internal/standin/agent/agent.go
@@ -18,6 +18,7 @@
 
 // Agent tells a site's list.
 type Agent struct {
+	called    func(gateway int)
 	listeners []net.Listener
 	servers   []*http.Server
 
@@ -38,9 +39,10 @@
 	instance   discovery.Instance
 }
 
-// Start opens an address for each of so many gateways. What changes is told after the delay.
-func Start(gateways int, delay time.Duration) (*Agent, error) {
-	a := &Agent{entries: map[string]entry{}, changed: make(chan struct{}), delay: delay, silent: map[int]bool{},
+// Start opens an address for each of so many gateways. What changes is told after the delay. Called is told of every call;
+// nil: nobody.
+func Start(gateways int, delay time.Duration, called func(gateway int)) (*Agent, error) {
+	a := &Agent{called: called, entries: map[string]entry{}, changed: make(chan struct{}), delay: delay, silent: map[int]bool{},
 		told: map[int]map[string]time.Time{}}
 	for g := range gateways {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -133,6 +135,9 @@
 
 // serve answers one question, after a wait where it is a watch and there is nothing new.
 func (a *Agent) serve(gateway int, w http.ResponseWriter, r *http.Request) {
+	if a.called != nil {
+		a.called(gateway)
+	}
 	q := r.URL.Query()
 	after, _ := strconv.ParseUint(q.Get("after"), 10, 64)
 	wait, _ := strconv.Atoi(q.Get("wait_ms"))
