--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint, run, generate and measure. CI (.ci/run) runs lint and test; measurements are no part of it.
-.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade measure-deployments measure-faults
+.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade measure-deployments measure-faults measure-store
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -38,3 +38,7 @@
 # Scripts of cut links, stalls, kills and restarts on real gateways, beside runs without. SHORT=1 takes under 50 s.
 measure-faults: build
 	bin/sprucelab faults measure
+
+# The embedded store beside bbolt and Pebble, in a module of its own. SHORT=1 takes under 50 s.
+measure-store:
+	cd bench/store && go run .
--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -58,6 +58,7 @@
 	flags.StringVar(&level, "log-level", "info", "least `level` that is logged: debug, info, warn or error")
 	root.AddCommand(
 		knowledgeCommand(&opt.program),
+		storeCommand(),
 		&cobra.Command{Use: "serve", Short: "Serve until SIGTERM, as a bare start does", Args: cobra.NoArgs, RunE: run},
 		&cobra.Command{
 			Use:   "check",
--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -34,6 +34,8 @@
 	"sprucelane.example/sprucelane/internal/peer"
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/service"
+	"sprucelane.example/sprucelane/internal/store"
+	"sprucelane.example/sprucelane/internal/store/keep"
 	"sprucelane.example/sprucelane/internal/storm"
 	"sprucelane.example/sprucelane/policy"
 )
@@ -140,6 +142,11 @@
 		roster.Apply(policy.ListCached, cfg.Known.Instances)
 		roster.At(cfg.Known.Generation)
 	}
+	kept, err := g.keep(cfg)
+	if err != nil {
+		return fmt.Errorf("store.path: %w", err)
+	}
+	defer kept()
 	if g.checker != nil {
 		if err := g.checker.Begin(g.checks); err != nil {
 			slog.Warn("handover", "step", "checks", "err", err)
@@ -333,6 +340,39 @@
 	return g.open(opt, door)
 }
 
+// keep recalls what the former life of this gateway has kept, where the site's file has a store, and keeps on. What it gives back
+// ends that, once all is answered. A predecessor that is still ending has the folder: then what it handed over is known already.
+func (g *gateway) keep(cfg *config.Config) (end func(), err error) {
+	conf := cfg.Site.Store
+	if conf == nil {
+		return func() {}, nil
+	}
+	opt := keep.Options{Path: conf.Path, Name: cfg.Name, Store: store.Options{FlushEvery: conf.FlushEvery(), MostBytes: conf.MostBytes()}}
+	for _, p := range cfg.Deployment.Plans {
+		opt.Plans = append(opt.Plans, p.Name)
+	}
+	k, err := keep.Open(opt, g.decisions)
+	if err != nil {
+		return nil, err
+	}
+	g.counters = append(g.counters, func() core.Counts {
+		f := k.Figures()
+		counts := core.Counts{slog.String("part", "store"), slog.Uint64("epoch", f.Epoch), slog.Int("recalled", f.Recalled), slog.Int("entries", f.Entries),
+			slog.Int64("bytes", f.Bytes), slog.Uint64("writes", f.Writes), slog.Uint64("syncs", f.Syncs), slog.Int64("cut", f.Cut)}
+		if f.Failed != nil {
+			counts = append(counts, slog.String("failed", f.Failed.Error()))
+		}
+		return counts
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() {
+		defer close(done)
+		k.Run(ctx)
+	}()
+	return func() { cancel(); <-done }, nil
+}
+
 // knowledge opens the exchange with peers of what is known of the pool members, where the site's file has it on. The
 // gateway is ready once it has heard its peers, or has waited for them as long as it is told to.
 func (g *gateway) knowledge(cfg *config.Config, program string, clock core.Clock, decisions *core.Core, roster *discovery.Roster) {
--- a/internal/config/config.go
+++ b/internal/config/config.go
@@ -5,6 +5,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"crypto/tls"
 	"crypto/x509"
 	"encoding/json"
@@ -57,10 +58,26 @@
 	Introspection *Introspection    `json:"introspection"`
 	Knowledge     *Knowledge        `json:"knowledge"`
 	Storm         *Storm            `json:"storm"`
+	Store         *Store            `json:"store"`
 
 	introspection, knowledge []byte // as they were read
 }
 
+// Store is the folder that outlasts the process.
+type Store struct {
+	Path    string `json:"path"`     // made where it isn't there; of this gateway alone
+	FlushMs int    `json:"flush_ms"` // that changes wait for the disk at most; 0: 50
+	MostMB  int    `json:"most_mb"`  // of all files; 0: 256
+}
+
+// FlushEvery is how long changes wait for the disk at most.
+func (s Store) FlushEvery() time.Duration {
+	return time.Duration(cmp.Or(s.FlushMs, 50)) * time.Millisecond
+}
+
+// MostBytes is how large the folder may get.
+func (s Store) MostBytes() int64 { return int64(cmp.Or(s.MostMB, 256)) << 20 }
+
 // SameConsul tells whether the pool comes from the same place.
 func (s Site) SameConsul(o Site) bool { return reflect.DeepEqual(s.Consul, o.Consul) }
 
@@ -221,6 +238,9 @@
 	if c.Site.Storm != nil {
 		text += " storm=on"
 	}
+	if c.Site.Store != nil {
+		text += " store=" + c.Site.Store.Path
+	}
 	return text
 }
 
@@ -236,6 +256,7 @@
 		{"introspection", bytes.Equal(c.Site.introspection, next.Site.introspection)},
 		{"knowledge", bytes.Equal(c.Site.knowledge, next.Site.knowledge)},
 		{"storm", reflect.DeepEqual(c.Site.Storm, next.Site.Storm)},
+		{"store", reflect.DeepEqual(c.Site.Store, next.Site.Store)},
 	} {
 		if !k.same {
 			keys = append(keys, k.name)
@@ -325,6 +346,20 @@
 				wrong.addf("name: not set, though knowledge is on")
 			}
 		}
+		if s := c.Site.Store; s != nil {
+			if s.Path == "" {
+				siteWrong.addf("store.path: not set")
+			}
+			if s.FlushMs < 0 || s.FlushMs > 10000 {
+				siteWrong.addf("store.flush_ms: must be 0 to 10000")
+			}
+			if s.MostMB < 0 || s.MostMB > 0 && s.MostMB < 16 {
+				siteWrong.addf("store.most_mb: must be 16 or more")
+			}
+			if c.Name == "" {
+				wrong.addf("name: not set, though store is on")
+			}
+		}
 	}
 	// What is left over is for discovery, peers and the runtime's own.
 	c.ClientSockets, c.MemberSockets = sockets*50/100, sockets*35/100
--- a/internal/config/config_test.go
+++ b/internal/config/config_test.go
@@ -20,7 +20,7 @@
 
 const site = `{"consul":{"addr":"127.0.0.1:8500","service":"monitor"},"introspection":{"listen":"127.0.0.1:9000",
 	"endpoints":["http://127.0.0.1:9443/introspect"],"client_id":"g","client_secret":"s","scopes":{"work-order":"w"},
-	"tools":[{"id":"t","secret":"s","plan":"utility"}]},"knowledge":{"listen":"127.0.0.1:7950","plain":true},"storm":{"retry_share":0.1}}`
+	"tools":[{"id":"t","secret":"s","plan":"utility"}]},"knowledge":{"listen":"127.0.0.1:7950","plain":true},"storm":{"retry_share":0.1},"store":{"path":"kept"}}`
 
 func TestPlatformConfiguration(t *testing.T) {
 	dir := t.TempDir()
@@ -161,6 +161,8 @@
 		{`"plain":true`, `"plain":true,"wait_ms":-1`, "knowledge.wait_ms"}, {`"plain":true`, `"plain":true,"suspect_share":0.9`, "knowledge.suspect_share"},
 		{`"retry_share":0.1`, `"retry_share":2`, "storm.retry_share"}, {`"retry_share":0.1`, `"most_wait_ms":-1`, "storm.most_wait_ms"},
 		{`"retry_share":0.1`, `"connections_per_s":-1`, "storm.connections_per_s"},
+		{`"path":"kept"`, `"path":""`, "store.path"}, {`"path":"kept"`, `"path":"kept","flush_ms":-1`, "store.flush_ms"},
+		{`"path":"kept"`, `"path":"kept","most_mb":1`, "store.most_mb"},
 	} {
 		p, s := strings.Replace(platform, c.from, c.to, 1), strings.Replace(site, c.from, c.to, 1)
 		require.False(t, p == platform && s == site, c.from)
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/internal/recovery"
+	"sprucelane.example/sprucelane/policy"
 )
 
 // This file owns the core's side of coming back: it hands internal/recovery what happens, under the core's mutex, and does what
@@ -50,3 +51,17 @@
 		slog.String("from", c.back.From()), slog.Int("stalls", f.Stalls), slog.Int64("longest_ms", f.Longest.Milliseconds()),
 		slog.Int("lain", f.Lain), slog.Int("too_late", f.TooLate)}
 }
+
+// Uses gives what is left of the accounts that were asked for since a moment, and the moment to ask from next.
+func (c *Core) Uses(since Time) (list []policy.Use, at Time) {
+	c.event(func(now Time) { list, at = c.era.module.Uses(now, since), now })
+	return list, at
+}
+
+// Recall hands the module what the former life of this gateway has kept. It comes before the first transaction.
+func (c *Core) Recall(list []policy.Use) {
+	c.event(func(now Time) {
+		c.back.Heard(recovery.Store)
+		c.era.module.Recall(now, list)
+	})
+}
--- a/internal/lab/faults/faults_test.go
+++ b/internal/lab/faults/faults_test.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"encoding/binary"
 	"fmt"
+	"math"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -13,9 +15,12 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"sprucelane.example/sprucelane/internal/emulator"
 	"sprucelane.example/sprucelane/internal/lab/load"
 	"sprucelane.example/sprucelane/internal/lab/referee"
 	"sprucelane.example/sprucelane/internal/standin/members"
+	"sprucelane.example/sprucelane/internal/store"
+	"sprucelane.example/sprucelane/internal/store/keep"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -62,6 +67,7 @@
 		"seven in ten killed":  {"kill:2s:300ms:0.7", 7 * time.Second, 0, 0.6},
 		"killed twice":         {"kill:2s:300ms:0.25 kill:3s:300ms:0.25", 7 * time.Second, 0.3, 0.6},
 		"half stand still":     {"stall:2s:3s:0.5", 10 * time.Second, 0.1, 0.6},
+		"woken to cold":        {"stall:2s:3s:1 stop:4s:500ms:0.67", 10 * time.Second, 0, 0.5},
 		"two halves":           {"halves:2s:4s:0.5", 9 * time.Second, 0.4, 0.6},
 		"one way deaf":         {"oneway:2s:4s:0.5 loss:2s:4s:1:0.3", 9 * time.Second, 0.4, 0.6},
 		"links to members cut": {"cut:2s:3s:0.5:0.34", 8 * time.Second, 0.2, 0.6},
@@ -71,6 +77,7 @@
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			p := small(t, c.length, c.script)
+			p.Dir = t.TempDir()
 			e, err := Play(t.Context(), p)
 			require.NoError(t, err)
 			assert.Empty(t, e.Broken)
@@ -81,6 +88,13 @@
 			assert.NotZero(t, e.Peaks["datagrams"])
 			assert.NotZero(t, e.Peaks["dials"])
 			assert.NotZero(t, e.Peaks["calls"])
+			if strings.Contains(c.script, "stall") {
+				woke := 0
+				for n := range p.Gateways {
+					woke += strings.Count(p.Log(n), "event=woke stood_still_ms=3")
+				}
+				assert.NotZero(t, woke, "a process that stood still says so")
+			}
 		})
 	}
 }
@@ -144,6 +158,18 @@
 	}
 }
 
+// accounts are all that were asked for.
+func (r *rig) accounts() map[policy.CustomerID]bool {
+	list := map[policy.CustomerID]bool{}
+	for _, q := range r.requests {
+		list[q.Customer] = true
+	}
+	return list
+}
+
+// keepName gives the part of an account's name in messages that follows from the account.
+func keepName(c policy.CustomerID) uint64 { return uint64(c) * 0x9e3779b97f4a7c15 >> 48 << 32 }
+
 // A plan or a script that can't be is told by its key.
 func TestPlansThatCannotBe(t *testing.T) {
 	for key, spoil := range map[string]func(*Plan){"gateways": func(p *Plan) { p.Gateways = 0 }, "members": func(p *Plan) { p.Members = 999 },
@@ -275,3 +301,50 @@
 	assert.Equal(t, "kill:3s:2s:1", Words(small.Script))
 	assert.Greater(t, small.Lost, 0.1)
 }
+
+// A gateway under load is killed again and again. What its folder holds after each kill is held against what the members were sent,
+// account by account: never less left than there is, as the members count it, and never more by what was drawn in the moment that
+// buffered writes may lose. The next life recalls it.
+func TestUseOutlastsKills(t *testing.T) {
+	t.Parallel()
+	p := small(t, 9*time.Second, "kill:1500ms:300ms:1 kill:3s:300ms:1 kill:4530ms:300ms:1 kill:6117ms:300ms:1 kill:7640ms:300ms:1")
+	p.Gateways, p.Store, p.Dir, p.Heavy = 1, true, t.TempDir(), 0.3
+	kills, accounts := 0, 0
+	end, err := play(t.Context(), p, func(r *rig, n int) {
+		fs, err := store.Folder(r.folder(n))
+		require.NoError(t, err)
+		s, err := store.Open(fs, store.Options{})
+		require.NoError(t, err, "kill %d", kills)
+		defer s.Close()
+		kills++
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		lost := 0.0
+		require.NoError(t, s.Each([]byte("a"), func(k, v []byte) bool {
+			w := keep.Words(k, v)
+			at := referee.Time(time.UnixMilli(w["at_ms"].(int64)).Sub(r.began)) + emulator.Origin
+			now := r.now()
+			plan := r.set.Plans[binary.BigEndian.Uint64(k[1:])>>24&255]
+			kept := min(plan.Burst, w["left"].(float64)+(now-at).Seconds()*plan.Rate)
+			for c := range r.accounts() {
+				if keepName(c)>>32 == binary.BigEndian.Uint64(k[1:])>>32 {
+					left := r.referee.Left(c, now)
+					if math.IsNaN(left) { // it was asked for, and nothing has come to a member
+						left = plan.Burst
+					}
+					lost += max(0, kept-left)
+					accounts++
+					assert.GreaterOrEqual(t, kept, left-float64(8*kills), "at each kill two requests at most were drawn and had not arrived")
+				}
+			}
+			return true
+		}))
+		rate := 2.5 * p.Load * float64(p.Members) * p.Spec.Capacity() // units a second
+		assert.Less(t, lost, rate*(0.15+p.Slack.Seconds()), "kill %d", kills)
+	})
+	require.NoError(t, err)
+	assert.Empty(t, end.Broken)
+	assert.Equal(t, 5, kills)
+	assert.Greater(t, accounts, 50)
+	assert.Contains(t, p.Log(0), "from=store")
+}
--- a/internal/lab/faults/rig.go
+++ b/internal/lab/faults/rig.go
@@ -9,6 +9,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
 	"math"
 	"os"
 	"path/filepath"
@@ -47,6 +48,7 @@
 	Length   time.Duration
 	Script   []Trouble
 	Site     map[string]any // the operators' file; nil: none
+	Store    bool           // whether each gateway has a folder that outlasts its process
 	Notice   time.Duration  // after which the front knows that a gateway is dead, or that it is back
 	Slack    time.Duration  // of every limit of time: what the machine adds
 }
@@ -132,6 +134,7 @@
 	ways     map[int]func(from, to int) Way
 	severed  map[string]*Relay // by gateway and member
 	errs     []error
+	down     func(gateway int) // of tests: a gateway that was killed is about to start again
 }
 
 // span is a time in which a gateway's process could not answer.
@@ -289,7 +292,9 @@
 }
 
 // Play plays a plan on processes.
-func Play(ctx context.Context, p Plan) (End, error) {
+func Play(ctx context.Context, p Plan) (End, error) { return play(ctx, p, nil) }
+
+func play(ctx context.Context, p Plan, down func(r *rig, gateway int)) (End, error) {
 	if err := p.Check(); err != nil {
 		return End{}, err
 	}
@@ -297,6 +302,9 @@
 	defer cancel()
 	r := &rig{Plan: p, requests: map[string]*seen{}, members: map[*members.Member]*referee.Member{}, counts: map[string]map[int]int{},
 		troubled: map[int][]span{}, ways: map[int]func(int, int) Way{}, severed: map[string]*Relay{}, began: time.Now()}
+	if down != nil {
+		r.down = func(n int) { down(r, n) }
+	}
 	plan := lab.Plan{Binary: p.Binary, Dir: p.Dir, Seed: p.Seed, Gateways: p.Gateways, Members: p.Members, Spec: p.Spec, SlowPart: 0.4,
 		Delay: listDelay, Load: p.asks(), Peers: true, Control: p.has(Upgrade), Ceiling: p.Ceiling, Tap: attempts{r},
 		Called: func(int) { r.count("calls") }}
@@ -348,7 +356,7 @@
 	var starts sync.WaitGroup
 	for n := range p.Gateways {
 		starts.Go(func() {
-			if _, err := r.site.StartGateway(n, p.Site); err != nil {
+			if _, err := r.start(n); err != nil {
 				r.fail(err)
 			}
 		})
@@ -379,6 +387,22 @@
 	return r.end(), nil
 }
 
+// start starts a gateway's process.
+func (r *rig) start(n int) (time.Duration, error) {
+	file := r.Site
+	if r.Store {
+		file = maps.Clone(file)
+		if file == nil {
+			file = map[string]any{}
+		}
+		file["store"] = map[string]any{"path": r.folder(n)}
+	}
+	return r.site.StartGateway(n, file)
+}
+
+// folder is where a gateway keeps what outlasts its process.
+func (r *rig) folder(n int) string { return filepath.Join(r.site.Dir, fmt.Sprintf("store-%d", n)) }
+
 // listDelay is how late discovery tells what changes.
 const listDelay = 500 * time.Millisecond
 
--- a/internal/lab/faults/strike.go
+++ b/internal/lab/faults/strike.go
@@ -75,7 +75,7 @@
 	case Upgrade:
 		each(func(n int) error {
 			old := r.site.Gateway(n)
-			if _, err := r.site.StartGateway(n, r.Site); err != nil {
+			if _, err := r.start(n); err != nil {
 				return err
 			}
 			return old.Stop(20 * time.Second)
@@ -129,7 +129,7 @@
 		}
 	case emulator.Stop:
 		for _, id := range struck {
-			r.down(id, true)
+			r.memberDown(id, true)
 			r.site.Member(id).Stop()
 		}
 		lab.Sleep(ctx, t.For)
@@ -137,7 +137,7 @@
 			if err := r.site.Restart(id); err != nil {
 				r.fail(err)
 			}
-			r.down(id, false)
+			r.memberDown(id, false)
 		}
 		return
 	case emulator.Drain:
@@ -178,7 +178,10 @@
 	if err := lab.Sleep(ctx, max(after, r.Notice+10*time.Millisecond)); err != nil {
 		return err // it stays down: the run is over
 	}
-	_, err := r.site.StartGateway(n, r.Site)
+	if r.down != nil {
+		r.down(n)
+	}
+	_, err := r.start(n)
 	over()
 	return err
 }
@@ -189,8 +192,8 @@
 	return r.severed[fmt.Sprint(gateway, " ", member)]
 }
 
-// down lets the relays before a member do as its process does.
-func (r *rig) down(member string, down bool) {
+// memberDown lets the relays before a member do as its process does.
+func (r *rig) memberDown(member string, down bool) {
 	state := Open
 	if down {
 		state = Down
--- a/internal/lab/referee/referee.go
+++ b/internal/lab/referee/referee.go
@@ -87,6 +87,7 @@
 type store struct {
 	quota, ceiling float64
 	at             Time
+	plan           int
 }
 
 // Request is a client's try with what was seen of it.
@@ -224,7 +225,7 @@
 	p := r.Set.Plans[q.Plan]
 	s := r.stores[q.Customer]
 	if s == nil {
-		s = &store{p.Burst, p.CeilingBurst, now}
+		s = &store{p.Burst, p.CeilingBurst, now, q.Plan}
 		r.stores[q.Customer] = s
 	}
 	passed := (now - s.at).Seconds()
@@ -285,10 +286,12 @@
 	}
 }
 
-// Left gives the share of an account's quota that is left, for tests of the count itself.
-func (r *Referee) Left(c policy.CustomerID) float64 {
-	if s := r.stores[c]; s != nil {
-		return s.quota
+// Left gives what is left of an account's quota at a moment; NaN where it has drawn nothing.
+func (r *Referee) Left(c policy.CustomerID, now Time) float64 {
+	s := r.stores[c]
+	if s == nil {
+		return math.NaN()
 	}
-	return math.NaN()
+	p := r.Set.Plans[s.plan]
+	return min(p.Burst, s.quota+(now-s.at).Seconds()*p.Rate)
 }
--- a/internal/lab/referee/referee_test.go
+++ b/internal/lab/referee/referee_test.go
@@ -121,7 +121,9 @@
 	assert.Equal(t, 2.0, r.Beyond)
 	r.Draws(at+2*second, &Request{Request: policy.Request{Units: 1, Customer: 3}, Price: 2})
 	assert.Equal(t, 2.0, r.Beyond)
-	assert.Equal(t, 1.0, r.Left(3))
+	assert.Equal(t, 1.0, r.Left(3, at+2*second))
+	assert.Equal(t, 3.0, r.Left(3, at+4*second))
+	assert.Equal(t, 5.0, r.Left(3, at+40*second))
 	q := &Request{Request: policy.Request{Customer: 3}}
 	for range 3 {
 		r.Holds(q, 1)
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -64,19 +64,19 @@
 
 // Recovery is one process's. It is not safe for concurrent use.
 type Recovery struct {
-	opt      Options
-	born     Time
-	last     Time // event; 0: none yet
-	woke     Time // 0: it never stood still
-	still    time.Duration
-	told     bool // discovery has spoken since then, or since the start
-	from     [sources]bool
-	phase    Phase
-	full     Time // when it was at full service first; 0: not yet
-	stalls   int
-	longest  time.Duration
-	waited   int // requests that were taken for older than their reading
-	tooLate  int // and those of them that were refused at once
+	opt     Options
+	born    Time
+	last    Time // event; 0: none yet
+	woke    Time // 0: it never stood still
+	still   time.Duration
+	told    bool // discovery has spoken since then, or since the start
+	from    [sources]bool
+	phase   Phase
+	full    Time // when it was at full service first; 0: not yet
+	stalls  int
+	longest time.Duration
+	waited  int // requests that were taken for older than their reading
+	tooLate int // and those of them that were refused at once
 }
 
 // New gives the state of a process that begins now.
--- /dev/null
+++ b/internal/store/keep/keep_test.go
@@ -0,0 +1,185 @@
+package keep
+
+import (
+	"context"
+	"errors"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/store"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// gateway is one of which a test says what it has drawn.
+type gateway struct {
+	mu       sync.Mutex
+	now      policy.Time
+	uses     []policy.Use
+	recalled []policy.Use
+	asked    int
+}
+
+func (g *gateway) Uses(since policy.Time) (list []policy.Use, now policy.Time) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.asked++
+	g.now++
+	if since == 0 || len(g.uses) > 0 {
+		list, g.uses = g.uses, nil
+	}
+	return list, g.now
+}
+
+func (g *gateway) Recall(list []policy.Use) { g.recalled = list }
+
+func (g *gateway) drew(list ...policy.Use) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.uses = append(g.uses, list...)
+}
+
+// name gives an account's name in messages, of a plan.
+func name(account, plan uint64) uint64 { return account<<32 | plan<<24 | 2 }
+
+type site struct {
+	opt  Options
+	g    *gateway
+	k    *Keeper
+	stop func()
+}
+
+// begin begins a life of a gateway on a folder, at some moment.
+func begin(t *testing.T, path, gatewayName string, at time.Time) *site {
+	s := &site{opt: Options{Path: path, Name: gatewayName, Plans: []string{"farm", "utility"}, Now: func() time.Time { return at }}, g: &gateway{}}
+	var err error
+	s.k, err = Open(s.opt, s.g)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); s.k.Run(ctx) }()
+	s.stop = sync.OnceFunc(func() { cancel(); <-done })
+	t.Cleanup(s.stop)
+	return s
+}
+
+// What a life has drawn the next one recalls, with how long ago that was by the clock of both; plans that have another number now go by
+// their names, and what is of a plan that is gone, or an hour old, is left.
+func TestTheNextLifeRecalls(t *testing.T) {
+	path, at := filepath.Join(t.TempDir(), "store"), time.UnixMilli(1_700_000_000_000)
+	s := begin(t, path, "g0", at)
+	assert.Empty(t, s.g.recalled)
+	s.g.drew(policy.Use{Name: name(1, 0), Customer: 1, Account: 3.5}, policy.Use{Name: name(2, 1), Customer: 2, Account: -4}, policy.Use{Name: name(3, 1), Account: 7})
+	require.Eventually(t, func() bool { return s.k.Figures().Entries == 4 }, 10*time.Second, time.Millisecond)
+	s.g.drew(policy.Use{Name: name(3, 1), Account: 6})
+	s.stop()
+	next := begin(t, path, "g0", at.Add(5*time.Second))
+	require.Len(t, next.g.recalled, 3)
+	assert.Equal(t, policy.Use{Name: name(1, 0), Customer: 1, Account: 3.5, Since: 5 * time.Second, Away: 5 * time.Second}, next.g.recalled[0])
+	assert.Equal(t, -4.0, next.g.recalled[1].Account)
+	assert.Equal(t, 6.0, next.g.recalled[2].Account)
+	assert.Equal(t, 3, next.k.Figures().Recalled)
+	assert.EqualValues(t, 2, next.k.Figures().Epoch)
+	next.stop()
+	late := begin(t, path, "g0", at.Add(-time.Hour))
+	for _, u := range late.g.recalled {
+		assert.Zero(t, u.Since, "the clock was set back: nothing has filled up")
+		assert.Zero(t, u.Away)
+	}
+	late.stop()
+	g := &gateway{}
+	k, err := Open(Options{Path: path, Name: "g0", Plans: []string{"utility"}, Now: func() time.Time { return at.Add(time.Minute) }}, g)
+	require.NoError(t, err)
+	require.Len(t, g.recalled, 2)
+	assert.Equal(t, name(2, 0), g.recalled[0].Name)
+	k.s.Close()
+	g = &gateway{}
+	k, err = Open(Options{Path: path, Name: "g0", Plans: []string{"farm", "utility"}, Now: func() time.Time { return at.Add(2 * time.Hour) }}, g)
+	require.NoError(t, err)
+	assert.Empty(t, g.recalled)
+	k.s.Close()
+}
+
+// A folder of another gateway, and one that is damaged, are set aside, whole, and the gateway goes on as with none.
+func TestWhatCannotBeUsedIsSetAside(t *testing.T) {
+	dir, at := t.TempDir(), time.UnixMilli(1_700_000_000_000)
+	path := filepath.Join(dir, "store")
+	s := begin(t, path, "g0", at)
+	s.g.drew(policy.Use{Name: name(1, 0), Account: 1})
+	require.Eventually(t, func() bool { return s.k.Figures().Entries == 2 }, 10*time.Second, time.Millisecond)
+	s.stop()
+	other := begin(t, path, "g1", at.Add(time.Second))
+	assert.Empty(t, other.g.recalled)
+	assert.DirExists(t, other.k.Figures().Aside)
+	other.stop()
+	require.NoError(t, os.Remove(filepath.Join(path, "MANIFEST")))
+	again := begin(t, path, "g1", at.Add(2*time.Second))
+	assert.Empty(t, again.g.recalled)
+	assert.NotEqual(t, other.k.Figures().Aside, again.k.Figures().Aside)
+	again.stop()
+	fs, err := store.Folder(other.k.Figures().Aside)
+	require.NoError(t, err)
+	kept, err := store.Open(fs, store.Options{})
+	require.NoError(t, err)
+	assert.Equal(t, 2, kept.Counters().Entries)
+	kept.Close()
+}
+
+// A folder that a predecessor still has open is waited for beside the work, and kept in from then on; nothing is recalled of it.
+func TestPredecessorHasTheFolder(t *testing.T) {
+	path, at := filepath.Join(t.TempDir(), "store"), time.UnixMilli(1_700_000_000_000)
+	old := begin(t, path, "g0", at)
+	waits := make(chan struct{}, 100)
+	g := &gateway{}
+	k, err := Open(Options{Path: path, Name: "g0", Plans: []string{"farm"}, Waiting: func() { waits <- struct{}{} }}, g)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); k.Run(ctx) }()
+	<-waits
+	assert.Zero(t, k.Figures().Epoch)
+	old.stop()
+	require.Eventually(t, func() bool { return k.Figures().Epoch == 2 }, 20*time.Second, 10*time.Millisecond)
+	g.drew(policy.Use{Name: name(1, 0), Account: 1})
+	require.Eventually(t, func() bool { return k.Figures().Entries >= 2 }, 20*time.Second, 10*time.Millisecond)
+	assert.Empty(t, g.recalled)
+	cancel()
+	<-done
+}
+
+// A folder that can't be made is an error at the start; one that is too small ends the keeping, once and in the figures.
+func TestDiskThatIsOver(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "file")
+	require.NoError(t, os.WriteFile(file, nil, 0o600))
+	_, err := Open(Options{Path: filepath.Join(file, "store"), Name: "g0"}, &gateway{})
+	assert.Error(t, err)
+	g := &gateway{}
+	k, err := Open(Options{Path: filepath.Join(t.TempDir(), "store"), Name: "g0", Store: store.Options{MostBytes: 60}}, g)
+	require.NoError(t, err)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan struct{})
+	go func() { defer close(done); k.Run(ctx) }()
+	require.Eventually(t, func() bool { return errors.Is(k.Figures().Failed, store.ErrTooMuch) }, 10*time.Second, time.Millisecond)
+	cancel()
+	<-done
+}
+
+// What reads values takes any bytes for what they are.
+func FuzzValues(f *testing.F) {
+	f.Add(accountBytes(7), useBytes(policy.Use{Name: 7, Customer: 9, Account: -2.5}, 1_700_000_000_000))
+	f.Add([]byte(lifeKey), lifeBytes(life{"g0", 5, []string{"a", "b"}}))
+	f.Fuzz(func(t *testing.T, key, value []byte) {
+		Words(key, value)
+		if u, at, err := readUse(key, value); err == nil {
+			again, at2, err := readUse(accountBytes(u.Name), useBytes(u, at))
+			if err != nil || again != u || at2 != at {
+				t.Fatalf("%+v became %+v", u, again)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/internal/store/store_test.go
@@ -0,0 +1,579 @@
+package store_test
+
+import (
+	"encoding/binary"
+	"errors"
+	"fmt"
+	"maps"
+	"math/rand/v2"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/store"
+	"sprucelane.example/sprucelane/internal/store/faultfs"
+)
+
+// quiet is a store that writes nothing by itself.
+var quiet = store.Options{FlushEvery: time.Hour}
+
+func open(t testing.TB, fs store.FS, opt store.Options) *store.Store {
+	s, err := store.Open(fs, opt)
+	require.NoError(t, err)
+	return s
+}
+
+func put(t testing.TB, s *store.Store, d store.Durability, pairs ...string) {
+	var b store.Batch
+	for i := 0; i+1 < len(pairs); i += 2 {
+		b.Put([]byte(pairs[i]), []byte(pairs[i+1]))
+	}
+	require.NoError(t, s.Write(&b, d))
+}
+
+func all(t testing.TB, s *store.Store) map[string]string {
+	m := map[string]string{}
+	require.NoError(t, s.Each(nil, func(k, v []byte) bool { m[string(k)] = string(v); return true }))
+	return m
+}
+
+// What was written is there, newest last, after each opening, from a folder of the operating system's.
+func TestWhatIsWrittenIsThere(t *testing.T) {
+	dir := t.TempDir()
+	want := map[string]string{}
+	var id store.ID
+	for life := range 4 {
+		fs, err := store.Folder(dir)
+		require.NoError(t, err)
+		s := open(t, fs, store.Options{SegmentBytes: 2000, CheckpointBytes: 3000})
+		if life == 0 {
+			id = s.ID()
+		}
+		assert.Equal(t, id, s.ID())
+		assert.EqualValues(t, life+1, s.Epoch())
+		assert.Equal(t, want, all(t, s))
+		for i := range 60 {
+			key, value := fmt.Sprint("key-", i%17), strings.Repeat(fmt.Sprint(life, "-", i, "."), 1+i%30)
+			put(t, s, store.Durability(i%3), key, value)
+			want[key] = value
+		}
+		var b store.Batch
+		b.Delete([]byte("key-3"))
+		require.NoError(t, s.Write(&b, store.Grouped))
+		delete(want, "key-3")
+		assert.Equal(t, want, all(t, s))
+		_, ok, err := s.Get([]byte("key-3"))
+		require.NoError(t, err)
+		assert.False(t, ok)
+		require.NoError(t, s.Close())
+		require.NoError(t, s.Close(), "once is as good as twice")
+		var none store.Batch
+		none.Put([]byte("x"), nil)
+		assert.ErrorIs(t, s.Write(&none, store.Buffered), store.ErrClosed)
+	}
+}
+
+// A second process is kept out.
+func TestOneProcess(t *testing.T) {
+	fs, err := store.Folder(t.TempDir())
+	require.NoError(t, err)
+	s := open(t, fs, quiet)
+	_, err = store.Open(fs, quiet)
+	assert.ErrorIs(t, err, store.ErrLocked)
+	_, err = store.Verify(fs)
+	assert.ErrorIs(t, err, store.ErrLocked)
+	require.NoError(t, s.Close())
+	require.NoError(t, open(t, fs, quiet).Close())
+}
+
+// Limits hold: of keys, values, bytes and entries.
+func TestLimits(t *testing.T) {
+	s := open(t, faultfs.New(), store.Options{MostBytes: 3000, MostEntries: 3, FlushEvery: time.Hour})
+	write := func(key, value string) error {
+		var b store.Batch
+		b.Put([]byte(key), []byte(value))
+		return s.Write(&b, store.Buffered)
+	}
+	assert.Error(t, write("", "x"))
+	assert.Error(t, write(strings.Repeat("k", store.MostKey+1), "x"))
+	assert.Error(t, write("k", strings.Repeat("v", store.MostValue+1)))
+	assert.ErrorIs(t, write("k", strings.Repeat("v", 3000)), store.ErrTooMuch)
+	for i := range 3 {
+		require.NoError(t, write(fmt.Sprint(i), "x"))
+	}
+	assert.ErrorIs(t, write("4", "x"), store.ErrTooMuch)
+	require.NoError(t, s.Write(&store.Batch{}, store.Immediate))
+}
+
+// A compaction keeps what counts, frees the rest, and what was deleted stays so.
+func TestCompaction(t *testing.T) {
+	fs := faultfs.New()
+	s := open(t, fs, quiet)
+	want := map[string]string{}
+	for round := range 6 {
+		for i := range 40 {
+			key, value := fmt.Sprint(i), strings.Repeat(fmt.Sprint(round, ":", i, " "), 20)
+			put(t, s, store.Buffered, key, value)
+			want[key] = value
+		}
+		var b store.Batch
+		for i := range 10 {
+			b.Delete([]byte(fmt.Sprint(i)))
+			delete(want, fmt.Sprint(i))
+		}
+		require.NoError(t, s.Write(&b, store.Buffered))
+		before := s.Counters().Bytes
+		require.NoError(t, s.Compact())
+		if round > 0 {
+			assert.Less(t, s.Counters().Bytes, before)
+		}
+		assert.Equal(t, want, all(t, s))
+	}
+	assert.EqualValues(t, 30, s.Counters().Entries)
+	crashed := fs.Crash(1)
+	require.NoError(t, s.Close())
+	for _, left := range []*faultfs.FS{fs, crashed} {
+		s := open(t, left, quiet)
+		assert.Equal(t, want, all(t, s))
+		require.NoError(t, s.Close())
+	}
+}
+
+// story is a run of writes with what was promised of each.
+type story struct {
+	states []map[string]string // after so many batches
+	acked  int                 // batches that are promised to be there
+}
+
+// play writes batches until the disk ends it.
+func play(s *store.Store, rng *rand.Rand, batches int, st *story) {
+	if len(st.states) == 0 {
+		st.states = []map[string]string{{}}
+	}
+	for range batches {
+		var b store.Batch
+		state := maps.Clone(st.states[len(st.states)-1])
+		for range 1 + rng.IntN(3) {
+			key := fmt.Sprint("k", rng.IntN(12))
+			if rng.IntN(5) == 0 {
+				b.Delete([]byte(key))
+				delete(state, key)
+				continue
+			}
+			value := strings.Repeat(fmt.Sprint(len(st.states), "."), rng.IntN(60))
+			b.Put([]byte(key), []byte(value))
+			state[key] = value
+		}
+		st.states = append(st.states, state)
+		d := store.Durability(rng.IntN(3))
+		if s.Write(&b, d) != nil {
+			return
+		}
+		if d != store.Buffered {
+			st.acked = len(st.states) - 1
+		}
+		if rng.IntN(20) == 0 && s.Compact() != nil {
+			return
+		}
+	}
+}
+
+// held checks that a folder opens with what some of the batches left, in their order, all promised ones among them, and gives the story as
+// it goes on from there.
+func held(t testing.TB, fs *faultfs.FS, st story, where string) story {
+	s, err := store.Open(fs, quiet)
+	require.NoError(t, err, where)
+	got := all(t, s)
+	require.NoError(t, s.Close(), where)
+	for n := len(st.states) - 1; n >= st.acked; n-- {
+		if maps.Equal(got, st.states[n]) {
+			return story{states: st.states[:n+1], acked: n}
+		}
+	}
+	require.Failf(t, "not what was written", "%s: %d of %d batches were promised, there is %v", where, st.acked, len(st.states)-1, got)
+	return st
+}
+
+// The power is cut at every change of the disk, while batches are written, segments closed, checkpoints made and compactions done,
+// and again at every change of the recovery from that. No promised write is lost, none half there, none invented.
+func TestPowerCutAtEveryChange(t *testing.T) {
+	small := store.Options{FlushEvery: time.Hour, SegmentBytes: 1200, CheckpointBytes: 2500}
+	run := func(cut int, seed uint64) (*faultfs.FS, story, int) {
+		fs, st := faultfs.New(), story{}
+		fs.CutAt = cut
+		s, err := store.Open(fs, small)
+		if err != nil {
+			st.states = []map[string]string{{}}
+			return fs, st, fs.Ops()
+		}
+		play(s, rand.New(rand.NewPCG(seed, 1)), 30, &st)
+		if s.Close() == nil {
+			st.acked = len(st.states) - 1
+		}
+		return fs, st, fs.Ops()
+	}
+	_, _, ops := run(0, 1)
+	require.Greater(t, ops, 100)
+	for cut := 1; cut <= ops; cut++ {
+		fs, st, _ := run(cut, 1)
+		for seed := range uint64(3) {
+			where := fmt.Sprintf("cut at %d of %d, crash %d", cut, ops, seed)
+			left := fs.Crash(seed)
+			held(t, left.Clone(), st, where)
+			if cut%7 != 0 {
+				continue
+			}
+			for again := 1; again < 30; again++ { // the recovery is cut, too
+				twice := left.Clone()
+				twice.CutAt = again
+				s, err := store.Open(twice, small)
+				if err == nil {
+					s.Close()
+				}
+				held(t, twice.Crash(seed), st, fmt.Sprintf("%s, again at %d", where, again))
+			}
+		}
+	}
+}
+
+// A thousand lives that end in power cuts at random: each goes on from what the one before left.
+func TestRandomCrashes(t *testing.T) {
+	for seed := uint64(1); seed <= 50; seed++ {
+		rng := rand.New(rand.NewPCG(seed, 2))
+		fs, st := faultfs.New(), story{states: []map[string]string{{}}}
+		for life := range 20 {
+			fs.CutAt = 1 + rng.IntN(80)
+			s, err := store.Open(fs, store.Options{FlushEvery: time.Hour, SegmentBytes: 700, CheckpointBytes: 1500})
+			if err == nil {
+				play(s, rng, 1+rng.IntN(25), &st)
+				if s.Close() == nil {
+					st.acked = len(st.states) - 1
+				}
+			}
+			fs = fs.Crash(rng.Uint64())
+			next := fs.Clone()
+			st = held(t, next, st, fmt.Sprintf("seed %d, life %d", seed, life))
+			fs = next
+		}
+	}
+}
+
+// whole gives a folder after a clean end, with a checkpoint, a compaction and several segments, and what is in it.
+func whole(t testing.TB) (*faultfs.FS, map[string]string) {
+	fs := faultfs.New()
+	var st story
+	for life := range uint64(2) {
+		s := open(t, fs, store.Options{FlushEvery: time.Hour, SegmentBytes: 500, CheckpointBytes: 900})
+		play(s, rand.New(rand.NewPCG(life, 3)), 12, &st)
+		require.NoError(t, s.Close())
+	}
+	return fs, st.states[len(st.states)-1]
+}
+
+// Every file of a folder that was closed well is cut at every byte, and every byte of it flipped. It opens with all that was written,
+// or says which file is damaged; never with less, nor with anything else. Verify finds the same, and Repair makes a folder that
+// opens, with no key that was never written.
+func TestEveryByteCutAndFlipped(t *testing.T) {
+	fs, want := whole(t)
+	names, err := fs.List()
+	require.NoError(t, err)
+	refused, opened := 0, 0
+	check := func(bad *faultfs.FS, where string, repair bool) {
+		s, err := store.Open(bad.Clone(), quiet)
+		if err != nil {
+			var damage *store.Damage
+			require.ErrorAs(t, err, &damage, where)
+			refused++
+			findings, err := store.Verify(bad)
+			require.NoError(t, err, where)
+			require.True(t, func() bool {
+				for _, f := range findings {
+					if f.Bad {
+						return true
+					}
+				}
+				return false
+			}(), where)
+		} else {
+			got := map[string]string{}
+			err := s.Each(nil, func(k, v []byte) bool { got[string(k)] = string(v); return true })
+			require.NoError(t, s.Close())
+			if err == nil {
+				require.Equal(t, want, got, where)
+				opened++
+			} else { // the index is right and the record it names isn't
+				require.ErrorContains(t, err, "can't be read", where)
+				refused++
+			}
+		}
+		if !repair {
+			return
+		}
+		if _, err := store.Repair(bad); err != nil {
+			return // nothing could be read
+		}
+		s, err = store.Open(bad, quiet)
+		require.NoError(t, err, where)
+		for k := range all(t, s) {
+			require.True(t, strings.HasPrefix(k, "k"), where)
+		}
+		require.NoError(t, s.Close())
+	}
+	for _, name := range names {
+		b := fs.Bytes(name)
+		for at := range b {
+			bad := fs.Clone()
+			bad.SetBytes(name, b[:at])
+			check(bad, fmt.Sprintf("%s cut at %d of %d", name, at, len(b)), at%9 == 0)
+			bad = fs.Clone()
+			flipped := append([]byte(nil), b...)
+			flipped[at] ^= 1 << (at % 8)
+			bad.SetBytes(name, flipped)
+			check(bad, fmt.Sprintf("%s flipped at %d of %d", name, at, len(b)), at%9 == 0)
+		}
+		if strings.HasSuffix(name, ".seg") {
+			bad := fs.Clone()
+			bad.SetBytes(name, nil)
+			_, err := store.Open(bad, quiet)
+			assert.ErrorContains(t, err, "missing", name)
+		}
+	}
+	assert.NotZero(t, refused)
+	assert.NotZero(t, opened, "a checkpoint can be done without")
+}
+
+// Of a store that was killed, every byte of the segment that was written to is flipped: what had been acknowledged and was followed by
+// anything is missed, what was last can't be told from a torn write.
+func TestFlipsAfterAKill(t *testing.T) {
+	fs := faultfs.New()
+	s := open(t, fs, quiet)
+	for i := range 8 {
+		put(t, s, store.Immediate, fmt.Sprint("k", i), strings.Repeat("v", 20))
+	}
+	names, _ := fs.List()
+	last := ""
+	for _, n := range names {
+		if strings.HasSuffix(n, ".seg") {
+			last = n
+		}
+	}
+	b := fs.Bytes(last)
+	for at := range b {
+		bad := fs.Crash(1)
+		flipped := append([]byte(nil), b...)
+		flipped[at] ^= 1
+		bad.SetBytes(last, flipped)
+		s, err := store.Open(bad, quiet)
+		if err != nil {
+			var damage *store.Damage
+			require.ErrorAs(t, err, &damage)
+			continue
+		}
+		require.GreaterOrEqual(t, len(all(t, s)), 7, "byte %d", at)
+		s.Close()
+	}
+}
+
+// A disk that is full, or whose fsync fails, ends all acknowledging for good; what was acknowledged before is there.
+func TestDiskThatFails(t *testing.T) {
+	for _, kind := range []string{"full", "sync"} {
+		for at := 1; at < 60; at++ {
+			fs := faultfs.New()
+			if kind == "full" {
+				fs.FullAt = at
+			} else {
+				fs.SyncFailsAt = at
+			}
+			var st story
+			s, err := store.Open(fs, store.Options{FlushEvery: time.Hour, SegmentBytes: 600})
+			if err == nil {
+				play(s, rand.New(rand.NewPCG(uint64(at), 4)), 20, &st)
+				if s.Err() != nil {
+					var b store.Batch
+					b.Put([]byte("later"), nil)
+					assert.Error(t, s.Write(&b, store.Immediate), "nothing later is trusted")
+				}
+				s.Close()
+			} else {
+				st.states = []map[string]string{{}}
+			}
+			left := fs.Crash(uint64(at))
+			held(t, left, st, fmt.Sprint(kind, " at ", at))
+		}
+	}
+}
+
+// A disk whose fsync lies loses what it promised; nothing is invented all the same.
+func TestDiskThatLies(t *testing.T) {
+	for seed := uint64(1); seed < 40; seed++ {
+		fs := faultfs.New()
+		fs.Lies = true
+		var st story
+		s := open(t, fs, store.Options{FlushEvery: time.Hour, SegmentBytes: 600})
+		play(s, rand.New(rand.NewPCG(seed, 5)), 20, &st)
+		left, err := store.Open(fs.Crash(seed), quiet)
+		if err != nil {
+			continue // it says so
+		}
+		got := all(t, left)
+		known := false
+		for _, state := range st.states {
+			known = known || maps.Equal(got, state)
+		}
+		assert.True(t, known, "seed %d: %v", seed, got)
+		left.Close()
+		s.Close()
+	}
+}
+
+// The form of another version is refused by name, and so is a folder of another store's segments, or one whose list is lost.
+func TestOtherFolders(t *testing.T) {
+	fs, _ := whole(t)
+	names, _ := fs.List()
+	for _, name := range names {
+		b := fs.Bytes(name)
+		if len(b) < 6 || strings.HasSuffix(name, ".ckp") {
+			continue
+		}
+		later := fs.Clone()
+		binary.BigEndian.PutUint16(b[4:], 2)
+		later.SetBytes(name, b)
+		_, err := store.Open(later, quiet)
+		assert.ErrorContains(t, err, "form 2", name)
+		assert.ErrorContains(t, err, name)
+	}
+	lost := fs.Clone()
+	lost.SetBytes("MANIFEST", nil)
+	_, err := store.Open(lost, quiet)
+	assert.ErrorContains(t, err, "MANIFEST")
+	other, _ := whole(t)
+	for _, name := range names {
+		if strings.HasSuffix(name, ".seg") && other.Bytes(name) != nil {
+			mixed := fs.Clone()
+			mixed.SetBytes(name, other.Bytes(name))
+			_, err := store.Open(mixed, quiet)
+			assert.ErrorContains(t, err, "another store", name)
+		}
+	}
+}
+
+// Writers and readers side by side see one register for each key, whatever is compacted meanwhile.
+func TestLinearizable(t *testing.T) {
+	type op struct {
+		write bool
+		key   string
+		value string
+	}
+	model := porcupine.Model{
+		Partition: func(history []porcupine.Operation) [][]porcupine.Operation {
+			parts := map[string][]porcupine.Operation{}
+			for _, o := range history {
+				k := o.Input.(op).key
+				parts[k] = append(parts[k], o)
+			}
+			var list [][]porcupine.Operation
+			for _, p := range parts {
+				list = append(list, p)
+			}
+			return list
+		},
+		Init: func() any { return "" },
+		Step: func(state, in, out any) (bool, any) {
+			if o := in.(op); o.write {
+				return true, o.value
+			}
+			return out.(string) == state.(string), state
+		},
+	}
+	s := open(t, faultfs.New(), store.Options{FlushEvery: time.Millisecond, SegmentBytes: 3000, CheckpointBytes: 5000})
+	began := time.Now()
+	var mu sync.Mutex
+	var history []porcupine.Operation
+	var all sync.WaitGroup
+	for client := range 6 {
+		all.Go(func() {
+			rng := rand.New(rand.NewPCG(uint64(client), 6))
+			for i := range 150 {
+				o, out := op{write: rng.IntN(2) == 0, key: fmt.Sprint(rng.IntN(3))}, ""
+				call := time.Since(began).Nanoseconds()
+				if o.write {
+					o.value = strings.Repeat(fmt.Sprint(client, "-", i, " "), 1+rng.IntN(30))
+					var b store.Batch
+					b.Put([]byte(o.key), []byte(o.value))
+					if err := s.Write(&b, store.Durability(rng.IntN(3))); err != nil {
+						t.Error(err)
+						return
+					}
+				} else {
+					v, _, err := s.Get([]byte(o.key))
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					out = string(v)
+				}
+				mu.Lock()
+				history = append(history, porcupine.Operation{ClientId: client, Input: o, Call: call, Output: out, Return: time.Since(began).Nanoseconds()})
+				mu.Unlock()
+			}
+		})
+	}
+	all.Go(func() {
+		for range 10 {
+			if err := s.Compact(); err != nil {
+				t.Error(err)
+			}
+		}
+	})
+	all.Wait()
+	assert.True(t, porcupine.CheckOperations(model, history))
+	require.NoError(t, s.Close())
+}
+
+// What buffered writes may lose is what was written within FlushEvery.
+func TestBufferedWritesReachTheDisk(t *testing.T) {
+	fs := faultfs.New()
+	s := open(t, fs, store.Options{FlushEvery: 5 * time.Millisecond})
+	put(t, s, store.Buffered, "k1", "v")
+	require.Eventually(t, func() bool { return s.Counters().Syncs > 0 }, 10*time.Second, time.Millisecond)
+	left := open(t, fs.Crash(3), quiet)
+	assert.Equal(t, map[string]string{"k1": "v"}, all(t, left))
+	require.NoError(t, left.Close())
+	require.NoError(t, s.Close())
+}
+
+// Each stops when it is told to, and shows a prefix alone.
+func TestEach(t *testing.T) {
+	s := open(t, faultfs.New(), quiet)
+	put(t, s, store.Buffered, "a1", "", "a2", "", "b1", "")
+	var keys []string
+	require.NoError(t, s.Each([]byte("a"), func(k, _ []byte) bool { keys = append(keys, string(k)); return true }))
+	assert.Equal(t, []string{"a1", "a2"}, keys)
+	n := 0
+	require.NoError(t, s.Each(nil, func([]byte, []byte) bool { n++; return false }))
+	assert.Equal(t, 1, n)
+	assert.False(t, errors.Is(s.Err(), store.ErrClosed))
+}
+
+// What reads files takes any bytes for what they are.
+func FuzzOpen(f *testing.F) {
+	fs, _ := whole(f)
+	names, _ := fs.List()
+	for _, name := range names {
+		f.Add(name, fs.Bytes(name))
+	}
+	f.Fuzz(func(t *testing.T, name string, b []byte) {
+		bad := fs.Clone()
+		bad.SetBytes(name, b)
+		store.Verify(bad)
+		if s, err := store.Open(bad, quiet); err == nil {
+			s.Each(nil, func([]byte, []byte) bool { return true })
+			s.Close()
+		}
+	})
+}
--- /dev/null
+++ b/policy/recall_test.go
@@ -0,0 +1,72 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// What a gateway's former life has drawn is drawn still after its start: the account has what has filled since, not its burst a
+// second time; of its hard ceiling there is what has filled since the former life was last known to live. Without word of it there
+// is the burst again.
+func TestRecalledUseIsNotGivenTwice(t *testing.T) {
+	s := settings()
+	s.Plans = []Plan{{Name: "farm", Rate: 2, Burst: 20, Price: 1, OverCost: 1},
+		{Name: "utility", Rate: 2, Burst: 20, Price: 1, CeilingRate: 4, CeilingBurst: 40, CeilingSlack: 4}}
+	spend := func(f *fake, from RequestID) (in int) {
+		for id := from; id < from+60; id++ {
+			f.ask(id, func(r *Request) { r.Customer = 7 })
+			if f.ended[id] == "" {
+				in++
+			}
+		}
+		return in
+	}
+	begin := func() *fake {
+		f := &fake{t: t, now: time.Hour, ended: map[RequestID]string{}}
+		f.g, _ = New(s, 1)
+		f.g.Attach(f)
+		return f
+	}
+	open := func(f *fake) {
+		var list []ServerInfo
+		for id := range 30 {
+			list = append(list, ServerInfo{ID: ServerID(id + 1), State: Ready, Weight: 1})
+		}
+		f.g.Servers(f.now, ListFull, list)
+	}
+	f := begin()
+	open(f)
+	if in := spend(f, 1); in < 20 || in > 32 { // some go by chance beyond it
+		t.Fatalf("%d let in of a burst of 20", in)
+	}
+	kept := f.g.Uses(f.now, 0)
+	if len(kept) != 1 || kept[0].Account > 0 || kept[0].Account < -12 || kept[0].Customer != 7 {
+		t.Fatalf("kept: %+v", kept)
+	}
+	if later := f.g.Uses(f.now+time.Minute, f.now+1); len(later) != 0 {
+		t.Errorf("nothing was asked for since, and kept are %+v", later)
+	}
+	kept[0].Account, kept[0].Since, kept[0].Away = 0, 3*time.Second, 2*time.Second
+	next := begin()
+	next.g.Recall(next.now, kept)
+	open(next)
+	if in := spend(next, 100); in < 6 || in > 12 {
+		t.Errorf("%d let in three seconds after all was drawn, at two a second", in)
+	}
+	utility := kept[0].Name | 1<<24
+	next = begin()
+	next.g.Recall(next.now, []Use{{Name: utility, Account: 20, Away: 2 * time.Second}})
+	if got := next.g.byShort[utility].ceiling.Left; got != 8 {
+		t.Errorf("%v left under the ceiling two seconds after the former life's end, at four a second", got)
+	}
+	blank := begin()
+	open(blank)
+	if in := spend(blank, 100); in < 20 {
+		t.Errorf("%d let in by one that recalls nothing", in)
+	}
+	odd := begin()
+	odd.g.Recall(odd.now, []Use{{Name: 255 << 24}, {Name: 5}, {Name: kept[0].Name, Account: 1e300, Since: time.Hour}})
+	if got := odd.g.byShort[kept[0].Name].account; got != 20 {
+		t.Errorf("%v left of a burst of 20", got)
+	}
+}
