--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint, run, generate and measure. CI (.ci/run) runs lint and test; measurements are no part of it.
-.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade measure-deployments measure-faults measure-store
+.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade measure-deployments measure-faults measure-recovery measure-store
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -39,6 +39,10 @@
 measure-faults: build
 	bin/sprucelab faults measure
 
+# How a fleet comes back from restarts and standstills, at several sizes. SHORT=1 plays less.
+measure-recovery: build
+	bin/sprucelab recovery
+
 # The embedded store beside bbolt and Pebble, in a module of its own. SHORT=1 takes under 50 s.
 measure-store:
 	cd bench/store && go run .
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -35,6 +35,9 @@
 	second   Time
 }
 
+// bootTime is how long after a run's beginning the gateways' first lives are left out of what starts took.
+const bootTime = 5 * time.Second
+
 // connKept is how long an idle connection is kept.
 const connKept = 20 * time.Second
 
@@ -205,7 +208,10 @@
 	}
 	if g.back.Phase() != recovery.Full {
 		f := g.mod.Figures(g.r.e.now)
-		g.back.Look(g.r.e.now, recovery.Seen{Members: f.Listed, NearHeard: f.NearHeard, Held: f.Held})
+		first := g.back.Took() == 0
+		if g.back.Look(g.r.e.now, recovery.Seen{Members: f.Listed, NearHeard: f.NearHeard, Held: f.Held}); first && g.back.Took() > 0 && g.r.e.now > Origin+bootTime {
+			g.r.Took = append(g.r.Took, g.back.Took()+g.r.Boot)
+		}
 	}
 }
 
@@ -273,6 +279,7 @@
 	} else {
 		g.idle[to] = nil
 		g.r.Dials++
+		g.r.PeakDials = g.r.tenth[0].count(now, g.r.PeakDials)
 	}
 	g.r.e.After(g.way(), func() { // under way it reaches the member even if the gateway dies
 		g.r.arrives(g, m, l.q)
@@ -368,6 +375,7 @@
 		return
 	}
 	g.r.Told++
+	g.r.PeakTold = g.r.tenth[1].count(g.r.e.now, g.r.PeakTold)
 	if g.r.loses(g.me, p.me) || g.r.apart(g.room, p.room) {
 		return
 	}
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -64,13 +64,16 @@
 	Beyond          float64 // worth sent on beyond the quotas
 	Dials           int     // connections opened to members
 	Told            int     // datagrams that gateways sent each other
-	MostHeard       int     // most that one gateway was told within a second
-	Dropped         int     // datagrams beyond a gateway's intake
-	State           int     // bytes of the first gateway's state at the end
-	OverCap         int     // most attempts that an account had out beyond its cap
-	OverCeiling     float64 // most that an account was beyond its hard ceiling, in units; the rule has the plan's slack
-	PeakCold        float64 // most that a cold member was sent in a second, over what it could do
-	Digest          string  // of all that happened, in order
+	PeakDials       int     // most of them, over the fleet, in a tenth of a second
+	PeakTold        int
+	Took            []time.Duration // that gateways which started during the run took to full service, from their processes' start
+	MostHeard       int             // most that one gateway was told within a second
+	Dropped         int             // datagrams beyond a gateway's intake
+	State           int             // bytes of the first gateway's state at the end
+	OverCap         int             // most attempts that an account had out beyond its cap
+	OverCeiling     float64         // most that an account was beyond its hard ceiling, in units; the rule has the plan's slack
+	PeakCold        float64         // most that a cold member was sent in a second, over what it could do
+	Digest          string          // of all that happened, in order
 }
 
 // Share is the worth served in time over that offered.
@@ -133,8 +136,9 @@
 	referee  *referee.Referee
 	digest   hash.Hash
 	links    *rand.Rand
-	cut      int  // the room that is cut off; below 0: none
-	lateTo   Time // lists are held back until then
+	cut      int        // the room that is cut off; below 0: none
+	lateTo   Time       // lists are held back until then
+	tenth    [2]counted // of dials and datagrams
 	unheard  []*mute
 	severed  []*severed
 	once     policy.CustomerID
@@ -142,6 +146,18 @@
 	retries  *rand.Rand
 }
 
+// counted counts what happens in a tenth of a second.
+type counted struct{ at, n int }
+
+// count adds one, and gives the most that a tenth has had.
+func (c *counted) count(now Time, most int) int {
+	if at := int(now / (100 * time.Millisecond)); at != c.at {
+		c.at, c.n = at, 0
+	}
+	c.n++
+	return max(most, c.n)
+}
+
 // apart tells whether two rooms are cut off from each other.
 func (r *run) apart(a, b int) bool { return r.cut >= 0 && (a == r.cut) != (b == r.cut) }
 
--- a/internal/lab/faults/rig.go
+++ b/internal/lab/faults/rig.go
@@ -14,6 +14,8 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strconv"
+	"strings"
 	"sync"
 	"syscall"
 	"time"
@@ -59,13 +61,19 @@
 		Notice: 200 * time.Millisecond, Slack: 50 * time.Millisecond}
 }
 
+// The most of each: in the emulator, and as processes and stand-ins on one machine.
+const (
+	mostGateways, mostMembers   = 1000, 10000
+	mostProcesses, mostStandins = 40, 200
+)
+
 // Check tells what is wrong with a plan, by key.
 func (p Plan) Check() error {
 	switch {
-	case p.Gateways < 1 || p.Gateways > 40:
-		return errors.New("gateways: must be 1 to 40")
-	case p.Members < 1 || p.Members > 200:
-		return errors.New("members: must be 1 to 200")
+	case p.Gateways < 1 || p.Gateways > mostGateways:
+		return fmt.Errorf("gateways: must be 1 to %d", mostGateways)
+	case p.Members < 1 || p.Members > mostMembers:
+		return fmt.Errorf("members: must be 1 to %d", mostMembers)
 	case !(p.Load > 0 && p.Load <= 3):
 		return errors.New("load: must be above 0 and at most 3")
 	case p.Length <= 0 || p.Length > 10*time.Minute:
@@ -111,6 +119,7 @@
 	Broken   []string       `json:"broken"`       // rules, with their stories
 	Peaks    map[string]int `json:"peaks"`        // most in 100 ms over the fleet, of: dials, calls, datagrams
 	Totals   map[string]int `json:"totals"`
+	Took     []float64      `json:"took"` // seconds that gateways which started during the run took to full service
 }
 
 // tenth is the grain of peaks.
@@ -298,6 +307,9 @@
 	if err := p.Check(); err != nil {
 		return End{}, err
 	}
+	if p.Gateways > mostProcesses || p.Members > mostStandins {
+		return End{}, fmt.Errorf("gateways, members: at most %d and %d on processes", mostProcesses, mostStandins)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
 	r := &rig{Plan: p, requests: map[string]*seen{}, members: map[*members.Member]*referee.Member{}, counts: map[string]map[int]int{},
@@ -475,6 +487,14 @@
 			e.Peaks[what], e.Totals[what] = max(e.Peaks[what], n), e.Totals[what]+n
 		}
 	}
+	for n := range r.Gateways {
+		text, _ := os.ReadFile(filepath.Join(r.site.Dir, fmt.Sprintf("g%d", n), "log"))
+		for i, line := range strings.Split(string(text), "event=recovered took_ms=")[1:] {
+			if ms, err := strconv.Atoi(strings.Fields(line)[0]); err == nil && i > 0 { // the first is the run's own start
+				e.Took = append(e.Took, float64(ms)/1000)
+			}
+		}
+	}
 	for _, b := range r.referee.Broken {
 		e.Broken = append(e.Broken, fmt.Sprintf("%v\n  %d times; again: sprucelab faults --seed %d --script '%s'", b, r.referee.Times[b.Rule], r.Seed, e.Script))
 	}
--- a/internal/lab/faults/script.go
+++ b/internal/lab/faults/script.go
@@ -37,6 +37,8 @@
 	{"silent-drain", "discovery falls silent, and two members drain meanwhile", "silent:8s:8s:1 drain:9s:4s:0.17"},
 	{"upgrade-in-split", "gateways are upgraded while two groups don't hear each other", "halves:8s:8s:0.4 upgrade:10s:0s:0.4"},
 	{"links-cut", "two gateways lose the way to a third of the members", "cut:8s:6s:0.4:0.33"},
+	{"all-twice", "all gateways are killed, and again 3 s later", "kill:8s:300ms:1 kill:11s:300ms:1"},
+	{"one-a-second", "gateways are killed one after another", "restart:8s:10s:1"},
 	{"hang-and-kill", "two members answer nothing, and a gateway is killed meanwhile", "hang:8s:8s:0.17 kill:10s:300ms:0.2"},
 }
 
@@ -149,8 +151,11 @@
 	r, err := emulator.Play(s)
 	e := End{On: "emulator", Seed: p.Seed, Script: Words(p.Script), Share: r.Share(), Seconds: r.Seconds, Tries: r.Tries,
 		Ends:   map[string]int{"served": r.Served, "refused": r.Refused, "failed": r.Failed, "broken": r.Lost},
-		Beyond: r.Beyond / max(r.Offered, 1e-9), Ceiling: r.OverCeiling, PeakCold: r.PeakCold, Peaks: map[string]int{},
+		Beyond: r.Beyond / max(r.Offered, 1e-9), Ceiling: r.OverCeiling, PeakCold: r.PeakCold, Peaks: map[string]int{"dials": r.PeakDials, "datagrams": r.PeakTold},
 		Totals: map[string]int{"dials": r.Dials, "datagrams": r.Told}}
+	for _, d := range r.Took {
+		e.Took = append(e.Took, d.Seconds())
+	}
 	if err != nil {
 		e.Broken = append(e.Broken, fmt.Sprintf("%v\n  again: sprucelab sim --script '%s' --seed %d", err, e.Script, p.Seed))
 	}
