--- a/cmd/sprucelab/faults.go
+++ b/cmd/sprucelab/faults.go
@@ -104,6 +104,7 @@
 	f.Float64Var(&p.Ceiling, "ceiling", p.Ceiling, "hard ceilings, times the quotas; 0: none")
 	f.DurationVar(&p.Length, "for", p.Length, "how long clients ask")
 	f.DurationVar(&p.Slack, "slack", p.Slack, "of every limit of time: what the machine adds")
+	f.IntVar(&p.Sockets, "sockets", 0, "descriptors of a gateway; 0: 1024")
 	f.BoolVar(&p.Store, "store", false, "give each gateway a folder that outlasts its process")
 	f.StringVar(&p.Dir, "keep", "", "`folder` to leave the gateways' files and logs in")
 }
--- a/cmd/sprucelane/main.go
+++ b/cmd/sprucelane/main.go
@@ -53,6 +53,8 @@
 	flags := root.PersistentFlags()
 	flags.StringVar(&opt.site, "site", config.SiteFile, "the operators' own `file`; without it what it holds is off")
 	flags.BoolVar(&opt.datagrams, "learn-by-datagram", false, "ask the peers, once started, what they know of the pool members")
+	flags.DurationVar(&opt.ahead, "clock-ahead", 0, "of the laboratory: how far this clock is ahead of others'")
+	flags.MarkHidden("clock-ahead")
 	flags.StringVar(&opt.program, "link-program", helper.Beside(), "the `program` that links gateways where knowledge is on")
 	flags.StringVar(&format, "log-format", "text", "`form` of log lines: text (key=value) or json")
 	flags.StringVar(&level, "log-level", "info", "least `level` that is logged: debug, info, warn or error")
--- a/cmd/sprucelane/main_test.go
+++ b/cmd/sprucelane/main_test.go
@@ -155,7 +155,7 @@
 		want string
 	}{
 		{"", []string{"check", "--sight", "x"}, "--sight"}, {"", []string{"--log-format", "xml"}, "log-format"},
-		{"loud", nil, "log-level"}, {"", []string{"serf"}, "serf"},
+		{"", []string{"--clock-ahead", "1s"}, "clock-ahead: for the laboratory alone"}, {"loud", nil, "log-level"}, {"", []string{"serf"}, "serf"},
 	} {
 		code, text = execute(map[string]string{"SPRUCELANE_LOG_LEVEL": c.env}, c.args...)
 		assert.Contains(t, text, c.want)
--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -45,11 +45,15 @@
 	gcPercent   = 400  // the live heap is a few MB: collecting less often costs little memory
 )
 
+// laboratory names the variable without which what is for the laboratory is refused.
+const laboratory = "SPRUCELANE_LABORATORY"
+
 // options are what the command line says.
 type options struct {
-	site      string // the operators' file
-	program   string // that links gateways
-	datagrams bool   // whether a new gateway learns by datagrams
+	site      string        // the operators' file
+	program   string        // that links gateways
+	datagrams bool          // whether a new gateway learns by datagrams
+	ahead     time.Duration // of the laboratory: how far this gateway's clock is ahead of others'
 }
 
 // serve runs a gateway until SIGTERM or a failure.
@@ -57,6 +61,9 @@
 	signals := make(chan os.Signal, 4)
 	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1, syscall.SIGHUP)
 	defer signal.Stop(signals)
+	if opt.ahead != 0 && getenv(laboratory) == "" {
+		return cli.Coded{Code: cli.Usage, Err: fmt.Errorf("clock-ahead: for the laboratory alone, which sets %s", laboratory)}
+	}
 	cfg, err := config.Load(getenv, opt.site)
 	if err != nil {
 		return cli.Coded{Code: cli.Usage, Err: err}
@@ -83,7 +90,7 @@
 		defer link.Close()
 		tell, g.peers = link.Tell, link
 	}
-	clock := core.NewClock()
+	clock := core.NewClock().Ahead(opt.ahead)
 	decisions, err := core.New(cfg.Deployment.Settings, cfg.Seed, clock, members, tell)
 	if err != nil {
 		return err
--- a/internal/emulator/deployments.go
+++ b/internal/emulator/deployments.go
@@ -71,7 +71,7 @@
 	s.Spec = MemberSpec{Cores: 1 + rng.IntN(8), Speed: between(rng, 0.8, 1.2), Queue: 4 + rng.IntN(60), Work: work, Sigma: between(rng, 0.1, 0.8),
 		ColdFrom: set.ColdFrom, WarmWithin: set.WarmWithin}
 	for range rng.IntN(4) {
-		k := Kinds[rng.IntN(len(Kinds))]
+		k := Kinds[rng.IntN(len(Kinds)-1)] // but for clocks that differ: every machine reads the same
 		t := Trouble{At: spread(rng, 0, 3), For: spread(rng, 0.3, 3), Kind: k, Part: between(rng, 0.05, 0.6), Size: between(rng, 1.5, 6)}
 		if k == Shrink {
 			t.Part = min(t.Part, 0.5)
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -31,6 +31,8 @@
 	heard    int                        // datagrams in this second
 	down     Time                       // since when it is
 	still    Time                       // until when its process is stopped
+	shutTo   Time                       // until when clients don't come
+	ahead    time.Duration              // of the members' clock
 	silentTo Time                       // until when discovery tells it nothing
 	second   Time
 }
@@ -77,7 +79,7 @@
 			m.seen.Told(g.me, g.r.e.now, false)
 			continue
 		}
-		list = append(list, m.info())
+		list = append(list, g.dated(m.info()))
 		g.list(m.info())
 	}
 	mod.Servers(g.r.e.now, policy.ListFull, list)
@@ -86,6 +88,14 @@
 	}
 }
 
+// dated gives an entry as this gateway's clock has it: the model's modules all read one clock.
+func (g *gateway) dated(info policy.ServerInfo) policy.ServerInfo {
+	if info.Since != 0 {
+		info.Since = max(1, info.Since-g.ahead)
+	}
+	return info
+}
+
 // list takes an entry of the list in.
 func (g *gateway) list(info policy.ServerInfo) {
 	takes := info.State == policy.Ready
@@ -169,7 +179,7 @@
 	g.event()
 	g.back.Heard(recovery.Discovery)
 	g.list(info)
-	g.mod.Servers(g.r.e.now, policy.ListChanges, []policy.ServerInfo{info})
+	g.mod.Servers(g.r.e.now, policy.ListChanges, []policy.ServerInfo{g.dated(info)})
 }
 
 func (g *gateway) ask(q *request) {
--- a/internal/emulator/run.go
+++ b/internal/emulator/run.go
@@ -177,6 +177,13 @@
 	for i := range s.Gateways {
 		r.gateways = append(r.gateways, &gateway{r: r, me: i, room: i % max(1, s.Rooms)})
 	}
+	for i, t := range s.Troubles {
+		if t.Kind == Clock {
+			for _, k := range Struck(s.Seed, i, s.Gateways, t.Part) {
+				r.gateways[k].ahead = time.Duration(cmp.Or(t.Size, 10) * float64(time.Second))
+			}
+		}
+	}
 	for _, g := range r.gateways {
 		g.boot()
 	}
@@ -346,8 +353,10 @@
 	r.gateways[door].ask(q)
 }
 
-// knownDown tells whether the front knows that a gateway is dead.
-func (r *run) knownDown(g *gateway) bool { return !g.up && r.e.now >= g.down+r.Notice }
+// knownDown tells whether the front sends nothing to a gateway.
+func (r *run) knownDown(g *gateway) bool {
+	return !g.up && r.e.now >= g.down+r.Notice || r.e.now < g.shutTo
+}
 
 // comesAgain lets a client come again after a while, with a request of its own that belongs to its first one.
 func (r *run) comesAgain(q *request, wait time.Duration) {
--- a/internal/emulator/trouble.go
+++ b/internal/emulator/trouble.go
@@ -21,7 +21,7 @@
 	At, For time.Duration
 	Kind    Kind
 	Part    float64 // share of the members, or of the gateways
-	Size    float64 // times slower, of slow ones; 0: three. The share lost, of loss; 0: three in ten. The share of the members, of cut; 0: a third. Seconds at most, of late; 0: a fifth. The share, of twice and spoilt; 0: three in ten
+	Size    float64 // times slower, of slow ones; 0: three. The share lost, of loss; 0: three in ten. The share of the members, of cut; 0: a third. Seconds at most, of late; 0: a fifth. The share, of twice and spoilt; 0: three in ten. Seconds, of clock; 0: ten
 }
 
 // Kind tells troubles apart.
@@ -51,16 +51,18 @@
 	Late   Kind = "late"   // what gateways are told takes longer, and may be overtaken
 	Twice  Kind = "twice"  // a share of what gateways are told comes twice
 	Spoilt Kind = "spoilt" // of a share of what gateways are told a byte is changed
+	Shut   Kind = "shut"   // clients don't come to gateways, which run
+	Clock  Kind = "clock"  // gateways' clocks are ahead of the members' for all of the run
 )
 
 // Kinds are all of them.
-var Kinds = []Kind{Hang, Stop, Pause, Drain, Restart, Room, Split, Slow, Shrink, Replace, Kill, Stall, Deaf, Halves, OneWay, Lossy, Sever, Silent, Late, Twice, Spoilt}
+var Kinds = []Kind{Hang, Stop, Pause, Drain, Restart, Room, Split, Slow, Shrink, Replace, Kill, Stall, Deaf, Halves, OneWay, Lossy, Sever, Silent, Late, Twice, Spoilt, Shut, Clock}
 
 func known(k Kind) bool { return slices.Contains(Kinds, k) }
 
 // ofGateways tells whether it strikes gateways; else members.
 func (k Kind) ofGateways() bool {
-	return slices.Contains([]Kind{Restart, Kill, Stall, Deaf, Halves, OneWay, Lossy, Sever, Silent, Late, Twice, Spoilt}, k)
+	return slices.Contains([]Kind{Restart, Kill, Stall, Deaf, Halves, OneWay, Lossy, Sever, Silent, Late, Twice, Spoilt, Shut, Clock}, k)
 }
 
 // ParseTrouble reads kind:at:for:part, or kind:at:for:part:size.
@@ -211,6 +213,10 @@
 		for _, i := range who {
 			r.gateways[i].silentTo = r.e.now + t.For
 		}
+	case Shut:
+		for _, i := range who {
+			r.gateways[i].shutTo = r.e.now + t.For
+		}
 	}
 }
 
--- a/internal/lab/faults/faults_test.go
+++ b/internal/lab/faults/faults_test.go
@@ -68,6 +68,8 @@
 		"killed twice":         {"kill:2s:300ms:0.25 kill:3s:300ms:0.25", 7 * time.Second, 0.3, 0.6},
 		"half stand still":     {"stall:2s:3s:0.5", 10 * time.Second, 0.1, 0.6},
 		"woken to cold":        {"stall:2s:3s:1 stop:4s:500ms:0.67", 10 * time.Second, 0, 0.5},
+		"discovery refuses":    {"refuses:2s:3s:1 stop:2500ms:300ms:0.17", 8 * time.Second, 0.2, 0.6},
+		"clients split":        {"shut:2s:3s:0.5 halves:2s:3s:0.5", 8 * time.Second, 0.2, 0.6},
 		"two halves":           {"halves:2s:4s:0.5", 9 * time.Second, 0.4, 0.6},
 		"one way deaf":         {"oneway:2s:4s:0.5 loss:2s:4s:1:0.3", 9 * time.Second, 0.4, 0.6},
 		"links to members cut": {"cut:2s:3s:0.5:0.34", 8 * time.Second, 0.2, 0.6},
--- a/internal/lab/faults/rig.go
+++ b/internal/lab/faults/rig.go
@@ -32,8 +32,11 @@
 // Trouble is one fault of a script.
 type Trouble = emulator.Trouble
 
-// Upgrade puts a new process in a gateway's place, as operators do. Processes alone can play it.
-const Upgrade emulator.Kind = "upgrade"
+// What processes alone can play.
+const (
+	Upgrade emulator.Kind = "upgrade" // a new process in a gateway's place, as operators do
+	Refuses emulator.Kind = "refuses" // discovery turns gateways' calls away
+)
 
 // Plan of a run.
 type Plan struct {
@@ -52,6 +55,7 @@
 	Site     map[string]any // the operators' file; nil: none
 	Store    bool           // whether each gateway has a folder that outlasts its process
 	Notice   time.Duration  // after which the front knows that a gateway is dead, or that it is back
+	Sockets  int            // descriptors of a gateway; 0: 1024
 	Slack    time.Duration  // of every limit of time: what the machine adds
 }
 
@@ -82,7 +86,7 @@
 		return errors.New("spread: must be 0 to the number of gateways")
 	}
 	for i, t := range p.Script {
-		if t.Kind == Upgrade {
+		if t.Kind == Upgrade || t.Kind == Refuses {
 			t.Kind = emulator.Kill
 		}
 		if err := t.Check(); err != nil {
@@ -318,9 +322,17 @@
 		r.down = func(n int) { down(r, n) }
 	}
 	plan := lab.Plan{Binary: p.Binary, Dir: p.Dir, Seed: p.Seed, Gateways: p.Gateways, Members: p.Members, Spec: p.Spec, SlowPart: 0.4,
-		Delay: listDelay, Load: p.asks(), Peers: true, Control: p.has(Upgrade), Ceiling: p.Ceiling, Tap: attempts{r},
+		Delay: listDelay, Load: p.asks(), Peers: true, Control: p.has(Upgrade), Sockets: p.Sockets, Ceiling: p.Ceiling, Tap: attempts{r},
 		Called: func(int) { r.count("calls") }}
 	plan.Load.Watch = r
+	plan.Ahead = func(g int) (ahead time.Duration) {
+		for i, t := range p.Script {
+			if t.Kind == emulator.Clock && slices.Contains(emulator.Struck(p.Seed, i, p.Gateways, t.Part), g) {
+				ahead += time.Duration(cmp.Or(t.Size, 10) * float64(time.Second))
+			}
+		}
+		return ahead
+	}
 	plan.PeersOf = func(g int, real []string) ([]string, error) {
 		r.mu.Lock()
 		defer r.mu.Unlock()
--- a/internal/lab/faults/script.go
+++ b/internal/lab/faults/script.go
@@ -36,6 +36,8 @@
 	{"killed-twice", "a gateway is killed, and again right after it is back", "kill:8s:300ms:0.2 kill:9s:300ms:0.2"},
 	{"silent-drain", "discovery falls silent, and two members drain meanwhile", "silent:8s:8s:1 drain:9s:4s:0.17"},
 	{"upgrade-in-split", "gateways are upgraded while two groups don't hear each other", "halves:8s:8s:0.4 upgrade:10s:0s:0.4"},
+	{"discovery-refuses", "discovery turns all calls away while two members are replaced cold", "refuses:8s:8s:1 stop:9s:500ms:0.17"},
+	{"clients-split", "clients reach three of five gateways, which don't hear the others", "shut:8s:8s:0.4 halves:8s:8s:0.4"},
 	{"links-cut", "two gateways lose the way to a third of the members", "cut:8s:6s:0.4:0.33"},
 	{"all-twice", "all gateways are killed, and again 3 s later", "kill:8s:300ms:1 kill:11s:300ms:1"},
 	{"one-a-second", "gateways are killed one after another", "restart:8s:10s:1"},
@@ -65,15 +67,17 @@
 		line, _, _ = strings.Cut(line, "#")
 		for _, word := range strings.Fields(line) {
 			kind, rest, _ := strings.Cut(word, ":")
-			if kind == string(Upgrade) { // the emulator has no word for it
+			own := kind == string(Upgrade) || kind == string(Refuses)
+			if own { // the emulator has no word for it
 				kind = string(emulator.Kill)
 			}
 			t, err := emulator.ParseTrouble(kind + ":" + rest)
 			if err != nil {
 				return nil, fmt.Errorf("script: %w", err)
 			}
-			if strings.HasPrefix(word, string(Upgrade)) {
-				t.Kind = Upgrade
+			if own {
+				name, _, _ := strings.Cut(word, ":")
+				t.Kind = emulator.Kind(name)
 			}
 			list = append(list, t)
 		}
@@ -103,7 +107,10 @@
 
 // onBoth are the faults that processes and the emulator play.
 var onBoth = []emulator.Kind{emulator.Kill, emulator.Restart, emulator.Stall, emulator.Deaf, emulator.Halves, emulator.OneWay, emulator.Lossy,
-	emulator.Sever, emulator.Silent, emulator.Late, emulator.Twice, emulator.Spoilt, emulator.Hang, emulator.Stop, emulator.Drain, emulator.Pause}
+	emulator.Sever, emulator.Silent, emulator.Late, emulator.Twice, emulator.Spoilt, emulator.Shut, emulator.Clock, emulator.Hang, emulator.Stop, emulator.Drain, emulator.Pause}
+
+// drawn are those that scripts are drawn of: every machine reads the same clock.
+var drawn = slices.DeleteFunc(slices.Clone(onBoth), func(k emulator.Kind) bool { return k == emulator.Clock })
 
 // boot is what a gateway takes from its start to its first yes on loopback, some 20 ms, and the lab's own look for it.
 const boot = 25 * time.Millisecond
@@ -168,7 +175,7 @@
 		return time.Duration((low+rng.Float64()*(high-low))*10).Round(1) * 100 * time.Millisecond
 	}
 	for range 1 + rng.IntN(4) {
-		t := Trouble{Kind: onBoth[rng.IntN(len(onBoth))], At: tenths(3, length.Seconds()/2), Part: float64(1+rng.IntN(10)) / 10}
+		t := Trouble{Kind: drawn[rng.IntN(len(drawn))], At: tenths(3, length.Seconds()/2), Part: float64(1+rng.IntN(10)) / 10}
 		switch t.For = tenths(0.3, length.Seconds()/3); t.Kind {
 		case emulator.Kill, emulator.Stop:
 			t.For = tenths(0.3, 2)
--- a/internal/lab/faults/strike.go
+++ b/internal/lab/faults/strike.go
@@ -104,6 +104,21 @@
 			}
 			return w
 		})
+	case emulator.Clock: // from the start on
+	case Refuses:
+		for _, n := range gateways {
+			r.site.Agent.Refuse(n, true)
+			defer r.site.Agent.Refuse(n, false)
+		}
+	case emulator.Shut:
+		for _, n := range gateways {
+			r.site.Doors[n].Set("")
+			defer func() {
+				if p := r.site.Gateway(n); p != nil {
+					r.site.Doors[n].Set(p.Listen)
+				}
+			}()
+		}
 	case emulator.Silent:
 		for _, n := range gateways {
 			r.site.Agent.Silence(n, true)
--- a/internal/lab/gateway.go
+++ b/internal/lab/gateway.go
@@ -50,8 +50,9 @@
 	Site       map[string]any // the operators' file; nil: none
 	MemoryMB   int
 	Sockets    int
-	Control    string // the operators' address; empty: none
-	Temp       string // the folder that a gateway's processes have in common; empty: none
+	Control    string        // the operators' address; empty: none
+	Temp       string        // the folder that a gateway's processes have in common; empty: none
+	Ahead      time.Duration // of its clock
 }
 
 // StartGateway starts a gateway with a configuration of its own.
@@ -83,7 +84,10 @@
 	}
 	p := &Process{Name: s.Name, Listen: s.Listen, Control: s.Control, log: log, exited: make(chan struct{}), Started: time.Now()}
 	p.cmd = exec.Command(s.Binary, "--site", site)
-	p.cmd.Env = []string{"ROUTER_CONFIG=" + filepath.Join(dir, "config.json"), "ROUTER_NAME=" + s.Name,
+	if s.Ahead != 0 {
+		p.cmd.Args = append(p.cmd.Args, "--clock-ahead", s.Ahead.String())
+	}
+	p.cmd.Env = []string{"SPRUCELANE_LABORATORY=1", "ROUTER_CONFIG=" + filepath.Join(dir, "config.json"), "ROUTER_NAME=" + s.Name,
 		"ROUTER_LISTEN=" + s.Listen, "ROUTER_DISCOVERY=" + s.Discovery, "ROUTER_CONTROL=" + s.Control, "TMPDIR=" + s.Temp}
 	p.cmd.Stdout, p.cmd.Stderr = log, log
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // none is left behind
--- a/internal/lab/site.go
+++ b/internal/lab/site.go
@@ -37,6 +37,7 @@
 	PeersOf func(gateway int, real []string) ([]string, error) // the addresses at which a gateway finds its peers; nil: the real ones
 	Via     func(gateway int, member, addr string) string      // the address at which it finds a member; nil: the real one
 	Tap     members.Tap                                        // nil: none
+	Ahead   func(gateway int) time.Duration                    // of its clock; nil: none is
 	Called  func(gateway int)                                  // of calls to discovery; nil: nobody
 }
 
@@ -208,6 +209,9 @@
 	if s.Control { // two processes of a gateway have one each
 		setup.Control, setup.Temp = fmt.Sprintf("%s:%d", s.host, 10000+life), s.Dir
 	}
+	if s.Ahead != nil {
+		setup.Ahead = s.Ahead(n)
+	}
 	p, err := StartGateway(setup)
 	if err != nil {
 		return 0, err
--- a/internal/standin/agent/agent.go
+++ b/internal/standin/agent/agent.go
@@ -29,6 +29,7 @@
 	changed    chan struct{} // closed at the next change
 	delay      time.Duration
 	silent     map[int]bool
+	refuses    map[int]bool
 	told       map[int]map[string]time.Time
 }
 
@@ -42,7 +43,7 @@
 // Start opens an address for each of so many gateways. What changes is told after the delay. Called is told of every call;
 // nil: nobody.
 func Start(gateways int, delay time.Duration, called func(gateway int)) (*Agent, error) {
-	a := &Agent{called: called, entries: map[string]entry{}, changed: make(chan struct{}), delay: delay, silent: map[int]bool{},
+	a := &Agent{called: called, entries: map[string]entry{}, changed: make(chan struct{}), delay: delay, silent: map[int]bool{}, refuses: map[int]bool{},
 		told: map[int]map[string]time.Time{}}
 	for g := range gateways {
 		l, err := net.Listen("tcp", "127.0.0.1:0")
@@ -100,6 +101,15 @@
 	a.changed = make(chan struct{})
 }
 
+// Refuse makes the agent turn a gateway's calls away, and take them again.
+func (a *Agent) Refuse(gateway int, refuses bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.refuses[gateway] = refuses
+	close(a.changed)
+	a.changed = make(chan struct{})
+}
+
 // Told gives when a gateway was told that an instance takes nothing new; the zero time: it wasn't.
 func (a *Agent) Told(gateway int, id string) time.Time {
 	a.mu.Lock()
@@ -146,6 +156,11 @@
 		a.mu.Lock()
 		now := time.Now()
 		l, silent, changed := a.since(gateway, after, now), a.silent[gateway], a.changed
+		if a.refuses[gateway] {
+			a.mu.Unlock()
+			http.Error(w, "too many", http.StatusServiceUnavailable)
+			return
+		}
 		if !silent && (len(l.Instances) > 0 || l.Reset || !now.Before(until)) {
 			for _, in := range l.Instances {
 				if in.Lifecycle == "up" {
