Cold members' answers count while no listed member is warm

At fault: server.does gave a slow cold member that answers one gateway the next attempt of that gateway at once, in place of a turn for all. It is needed only where nobody knows what a warm member does.

--- a/policy/state.go
+++ b/policy/state.go
@@ -498,15 +498,18 @@
 		}
 	}
 	g.perServer = math.Max(provenFades*g.perServer, warm.sum/math.Max(warm.n, 1)/2)
-	if warm.n == 0 && g.coldTook.n > 0 { // all are cold: each does one attempt after another, at the least
+	if g.allCold = warm.n == 0; g.allCold && g.coldTook.n > 0 { // all are cold: each does one attempt after another, at the least
 		one := g.set.Fall.Seconds() * g.coldTook.n / math.Max(g.coldTook.sum, 1e-4)
 		g.perServer = math.Max(g.perServer, one/float64(g.set.Gateways))
 	}
 }
 
-// does gives what a server was seen to answer here in a window of Fall, of late. What it could do it still can: one that is
-// cold only gets warmer.
+// does gives what a server was seen to answer here in a window of Fall, of late, while no listed one is warm and tells what
+// warm ones do. What it could do it still can: one that is cold only gets warmer.
 func (s *server) does(g *Gateway) float64 {
+	if !g.allCold {
+		return 0
+	}
 	s.done.fade(g.now, 2*g.set.Fall)
 	return s.done.sum / 2
 }
@@ -590,6 +593,7 @@
 	late      []mean              // of each class: late attempts, and all
 	coldPace  mean                // latency of cold servers' answers over their classes' mean
 	coldTook  mean                // and what a warm one would have taken, in seconds
+	allCold   bool                // no listed server is warm, as of the last beat
 	perServer float64             // answers of a warm server here in a window of the cold rule
 	asks      map[uint32]*request // that wait for their home's answer, by token
 	odd       int                 // messages of no known form
