Operators' /ready says how far a gateway has come back; lives parsed in one place

From reading the change again: keep parsed the same message twice, Verify and Repair opened a folder in copies of the same lines.

Change: control.Server.Says; keep.parseLife; store.listed. Behaviour of the store is as it was; its tests pass unchanged.

--- a/cmd/sprucelane/main_test.go
+++ b/cmd/sprucelane/main_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"net/http"
 	"net/http/httptest"
 	"os"
@@ -97,6 +98,12 @@
 			assert.Equal(t, "moved", body)
 		}
 	}
+	said, err := http.Get("http://" + host + ":9090/ready")
+	require.NoError(t, err)
+	text2, err := io.ReadAll(said.Body)
+	said.Body.Close()
+	require.NoError(t, err)
+	assert.Equal(t, "serving recovery=full\n", string(text2))
 	// Drained, it sends clients away and answers those that come all the same; undrained, it takes them again.
 	for _, step := range []struct {
 		call  string
--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -523,6 +523,10 @@
 		return err
 	}
 	g.closers = append(g.closers, server.Close)
+	server.Says = func() string {
+		phase, _ := g.decisions.Recovery()
+		return "recovery=" + phase.String()
+	}
 	g.counters = append(g.counters, func() core.Counts {
 		c := server.Counts()
 		return core.Counts{slog.String("part", "control"), slog.String("phase", g.state.Phase().String()),
--- a/internal/front/control/control.go
+++ b/internal/front/control/control.go
@@ -27,6 +27,8 @@
 
 // Server answers operators' calls.
 type Server struct {
+	Says func() string // what the answer to /ready says beside the phase; set before Serve; nil: nothing
+
 	listener net.Listener
 	state    *service.State
 	ready    func() bool
@@ -172,6 +174,9 @@
 		yes = s.state.Undrain()
 	}
 	phase := s.state.Phase().String()
+	if r.URL.Path == "/ready" && s.Says != nil {
+		phase += " " + s.Says()
+	}
 	if r.URL.Path != "/ready" {
 		slog.Info("operator_call", "call", r.URL.Path, "done", yes, "phase", phase)
 	}
--- a/internal/store/keep/keep.go
+++ b/internal/store/keep/keep.go
@@ -319,6 +319,12 @@
 	if err != nil || !known {
 		return l, false, err
 	}
+	l, err = parseLife(value)
+	return l, true, err
+}
+
+// parseLife reads what lifeBytes has written.
+func parseLife(value []byte) (l life, err error) {
 	err = fields(value, func(n protowire.Number, number uint64, text []byte) {
 		switch n {
 		case 1:
@@ -329,7 +335,7 @@
 			l.plans = append(l.plans, string(text))
 		}
 	})
-	return l, true, err
+	return l, err
 }
 
 // fields shows a message's fields, one after another; what it doesn't know is left out.
@@ -375,16 +381,7 @@
 
 // Words gives a record as text, for dumps.
 func Words(key, value []byte) map[string]any {
-	if string(key) == lifeKey {
-		var l life
-		fields(value, func(n protowire.Number, number uint64, text []byte) {
-			switch n {
-			case 1:
-				l.name = string(text)
-			case 2:
-				l.alive = int64(number)
-			}
-		})
+	if l, err := parseLife(value); err == nil && string(key) == lifeKey {
 		return map[string]any{"kind": "life", "gateway": l.name, "alive_ms": l.alive}
 	}
 	if u, at, err := readUse(key, value); err == nil && key[0] == accountKey {
--- a/internal/store/recover.go
+++ b/internal/store/recover.go
@@ -284,16 +284,11 @@
 
 // Verify reads all of a folder without changing it, and says what is there and what is wrong. No process may have it open.
 func Verify(fs FS) ([]Finding, error) {
-	unlock, err := fs.Lock(lockName)
+	names, unlock, err := listed(fs)
 	if err != nil {
 		return nil, err
 	}
 	defer unlock()
-	names, err := fs.List()
-	if err != nil {
-		return nil, err
-	}
-	slices.Sort(names)
 	if !slices.Contains(names, manifestName) {
 		return []Finding{{File: manifestName, What: "missing", Bad: slices.ContainsFunc(names, func(n string) bool { return strings.HasSuffix(n, ".seg") })}}, nil
 	}
@@ -344,6 +339,19 @@
 	return list, nil
 }
 
+// listed locks a folder and names what is in it, in order.
+func listed(fs FS) (names []string, unlock func(), err error) {
+	if unlock, err = fs.Lock(lockName); err != nil {
+		return nil, nil, err
+	}
+	if names, err = fs.List(); err != nil {
+		unlock()
+		return nil, nil, err
+	}
+	slices.Sort(names)
+	return names, unlock, nil
+}
+
 type gap struct{ from, to int64 }
 
 // scan reads the records of a segment, over what can't be read.
@@ -369,16 +377,11 @@
 // Repair makes a folder that can be opened of one that can't: it writes all records that can be read into one new segment, and says
 // what it gave up. The damaged files stay under names that end in .damaged.
 func Repair(fs FS) ([]Finding, error) {
-	unlock, err := fs.Lock(lockName)
+	names, unlock, err := listed(fs)
 	if err != nil {
 		return nil, err
 	}
 	defer unlock()
-	names, err := fs.List()
-	if err != nil {
-		return nil, err
-	}
-	slices.Sort(names)
 	var list []Finding
 	var all []record
 	var id ID
