--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -111,6 +111,20 @@
 	size    uint32 // of the record
 }
 
+// round is one flush, which those wait for whose records it writes.
+type round struct {
+	done chan struct{} // closed when it is over
+	err  error         // of it, from then on
+}
+
+func newRound() *round { return &round{done: make(chan struct{})} }
+
+// end lets all go on who wait for it.
+func (r *round) end(err error) {
+	r.err = err
+	close(r.done)
+}
+
 // Store is an open one. It is safe for concurrent use.
 type Store struct {
 	fs     FS
@@ -129,6 +143,7 @@
 	durable  uint64 // newest on disk
 	pending  []byte // to be written at the end of the last segment
 	waiting  []*entry
+	round    *round // that will write what is pending
 	began    int64  // where pending begins in the last segment
 	next     uint64 // number of the next file
 	since    int64  // bytes since the last checkpoint
@@ -159,7 +174,7 @@
 		return nil, err
 	}
 	s := &Store{fs: fs, opt: opt.filled(), unlock: unlock, files: map[uint64]File{}, sizes: map[uint64]int64{}, live: map[uint64]int64{},
-		index: map[string]*entry{}, wake: make(chan struct{}, 1), done: make(chan struct{})}
+		index: map[string]*entry{}, wake: make(chan struct{}, 1), done: make(chan struct{}), round: newRound()}
 	s.synced = sync.NewCond(&s.mu)
 	began := time.Now()
 	if err := s.recover(true); err != nil {
@@ -224,7 +239,7 @@
 		s.counters.Asked += uint64(len(r.key) + len(r.value))
 	}
 	s.counters.Writes++
-	mine := s.seq
+	mine := s.round
 	s.mu.Unlock()
 	switch d {
 	case Buffered:
@@ -233,12 +248,8 @@
 		return s.flush()
 	}
 	s.nudge()
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	for s.durable < mine && s.failed == nil {
-		s.synced.Wait()
-	}
-	return s.failed
+	<-mine.done
+	return mine.err
 }
 
 // put makes an entry its key's newest. The mutex is held.
@@ -304,7 +315,8 @@
 		defer s.mu.Unlock()
 		return s.failed
 	}
-	pending, waiting, at, seq := s.pending, s.waiting, s.began, s.seq
+	pending, waiting, at, seq, mine := s.pending, s.waiting, s.began, s.seq, s.round
+	s.round = newRound()
 	last := s.man.segments[len(s.man.segments)-1].number
 	file := s.files[last]
 	s.pending, s.waiting, s.began = nil, nil, at+int64(len(pending))
@@ -317,9 +329,12 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if err != nil { // what of it is on the disk nobody knows, nor whether a later fsync would tell
-		return s.fail(err)
+		err = s.fail(err)
+		mine.end(err)
+		return err
 	}
 	s.flushed(int64(len(pending)), seq, waiting)
+	mine.end(nil)
 	return nil
 }
 
@@ -342,6 +357,8 @@
 	if s.failed == nil {
 		s.failed = fmt.Errorf("store: the disk failed, nothing more is acknowledged: %w", err)
 		s.synced.Broadcast()
+		s.round.end(s.failed) // what is pending is never written
+		s.round = newRound()
 	}
 	return s.failed
 }
@@ -564,6 +581,8 @@
 			return s.fail(err)
 		}
 		s.flushed(int64(len(s.pending)), s.seq, s.waiting)
+		s.round.end(nil)
+		s.round = newRound()
 		s.began += int64(len(s.pending))
 		s.pending, s.waiting, s.sizes[last] = nil, nil, s.began
 	}
