When to look how far a gateway has come is decided in recovery, for the core and the model

From reading the change again: the core and the emulator had the same throttle, each with its own clock reading; the stand-in agent woke its callers in three copies of two lines; the mesh asked twice what one check says.

Change: recovery.Due, Agent.change, one check in the mesh.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -241,7 +241,6 @@
 	tap    func(Sent)
 	guard  *guard // nil: storms are not damped
 	back   *recovery.Recovery
-	looked Time // when it last looked at what it sees
 	live   map[policy.RequestID]*transaction
 	lastID policy.RequestID
 	tells  []tell
--- a/internal/core/recovery.go
+++ b/internal/core/recovery.go
@@ -12,9 +12,6 @@
 // follows from a standstill. It must never decide what that is. Overload is judged twice in the shortest aim, so a process that runs
 // has an event as often: a pause of all of it is none of a running process.
 
-// lookEvery is how often a gateway that is not at full service looks at what it sees.
-const lookEvery = 10 * time.Millisecond
-
 // woke lets the standstill of this process be nobody's slowness. The mutex is held.
 func (c *Core) woke(now Time, still time.Duration) {
 	for _, t := range c.live {
@@ -30,10 +27,9 @@
 
 // look follows how far this process has come. The mutex is held.
 func (c *Core) look(now Time) {
-	if c.back.Phase() == recovery.Full || now-c.looked < lookEvery {
+	if !c.back.Due(now) {
 		return
 	}
-	c.looked = now
 	f := c.era.module.Figures(now)
 	first := c.back.Took() == 0
 	if c.back.Look(now, recovery.Seen{Members: f.Listed, NearHeard: f.NearHeard, Held: f.Held}); first && c.back.Took() > 0 {
--- a/internal/emulator/gateway.go
+++ b/internal/emulator/gateway.go
@@ -24,7 +24,6 @@
 
 	room     int
 	back     *recovery.Recovery
-	looked   Time            // when it last looked how far it has come
 	board    *inflight.Board // nil: the fleet is small
 	listed   map[policy.ServerID]bool
 	moved    bool                       // the list is another than the board's
@@ -38,9 +37,6 @@
 	second   Time
 }
 
-// lookEvery is how often a gateway that is not at full service looks at what it sees, as a real one does.
-const lookEvery = 10 * time.Millisecond
-
 // bootTime is how long after a run's beginning the gateways' first lives are left out of what starts took.
 const bootTime = 5 * time.Second
 
@@ -220,8 +216,7 @@
 	if still := g.back.Event(g.r.e.now); still > 0 {
 		g.mod.Woke(g.r.e.now, still)
 	}
-	if now := g.r.e.now; g.back.Phase() != recovery.Full && now-g.looked >= lookEvery {
-		g.looked = now
+	if now := g.r.e.now; g.back.Due(now) {
 		f := g.mod.Figures(now)
 		first := g.back.Took() == 0
 		if g.back.Look(g.r.e.now, recovery.Seen{Members: f.Listed, NearHeard: f.NearHeard, Held: f.Held}); first && g.back.Took() > 0 && g.r.e.now > Origin+bootTime {
--- a/internal/lab/faults/mesh.go
+++ b/internal/lab/faults/mesh.go
@@ -107,7 +107,7 @@
 	for {
 		n, sender, err := in.conn.ReadFromUDPAddrPort(buf)
 		if err != nil {
-			if ne, ok := err.(net.Error); ok && !ne.Timeout() && isClosed(err) {
+			if isClosed(err) {
 				return
 			}
 			continue // the gateway on the other side is down
--- a/internal/recovery/recovery.go
+++ b/internal/recovery/recovery.go
@@ -49,6 +49,9 @@
 	peersWait   = 3  // pauses: as long is waited for peers that don't speak
 )
 
+// lookEvery is how often a gateway that is not at full service looks at what it sees.
+const lookEvery = 10 * time.Millisecond
+
 // Options say what can't be seen.
 type Options struct {
 	Pause time.Duration // between two events; a process that runs has none so long: twice the time in which overload is judged
@@ -67,6 +70,7 @@
 	opt     Options
 	born    Time
 	last    Time // event; 0: none yet
+	looked  Time // when Due last said yes
 	woke    Time // 0: it never stood still
 	still   time.Duration
 	told    bool // discovery has spoken since then, or since the start
@@ -131,6 +135,15 @@
 	return max(0, r.woke+r.opt.Pause/settleShare-now)
 }
 
+// Due tells whether to look at what the gateway sees of itself now; to find that out costs something.
+func (r *Recovery) Due(now Time) bool {
+	if r.phase == Full || now-r.looked < lookEvery {
+		return false
+	}
+	r.looked = now
+	return true
+}
+
 // Look takes in what the gateway sees of itself, and tells whether the phase is another now.
 func (r *Recovery) Look(now Time, s Seen) (changed bool) {
 	if s.NearHeard > 0 {
--- a/internal/standin/agent/agent.go
+++ b/internal/standin/agent/agent.go
@@ -79,8 +79,7 @@
 		a.order = append(a.order, in.ID)
 	}
 	a.entries[in.ID] = entry{a.generation, time.Now(), addrs, in}
-	close(a.changed)
-	a.changed = make(chan struct{})
+	a.change()
 }
 
 // Lifecycle changes an instance's state alone.
@@ -97,8 +96,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.silent[gateway] = silent
-	close(a.changed)
-	a.changed = make(chan struct{})
+	a.change()
 }
 
 // Refuse makes the agent turn a gateway's calls away, and take them again.
@@ -106,6 +104,11 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.refuses[gateway] = refuses
+	a.change()
+}
+
+// change wakes those who wait for one. The mutex is held.
+func (a *Agent) change() {
 	close(a.changed)
 	a.changed = make(chan struct{})
 }
