A reset on the way to an answer of no stated length is no longer read as its end

Cause: the system tells of a reset once, and body.fill's look for more bytes (bufio.Peek) took that word and dropped it; the read after it was told of an end, so an answer of no stated length that had been reset looked whole (internal/pool/exchange.go, fill; pool.go, conn.Read and stirred). Ruled out: the front (what breaks after the beginning has gone out is broken towards the client, TestResetAfterTheBeginning passes without the mend) and chunks (an end inside them was an error before).

Change: how a connection has ended is kept in conn.Read, and by the look at idle ones.

TestResetIsNoEnd fails without it: the peer writes part of an answer and resets before anything is read, so the reset is there for whichever call comes second.

--- a/internal/pool/exchange_test.go
+++ b/internal/pool/exchange_test.go
@@ -11,6 +11,7 @@
 	"net/http"
 	"strings"
 	"sync"
+	"syscall"
 	"testing"
 	"time"
 
@@ -215,6 +216,53 @@
 	}
 }
 
+// A reset is no end: an answer of no stated length that is reset on the way is none, wherever the reset finds the reading of
+// it. The system tells of a reset once; who asks again is told of an end.
+func TestResetIsNoEnd(t *testing.T) {
+	for name, text := range map[string]string{
+		"head alone":  okHead + "\r\n",
+		"few bytes":   okHead + "\r\nabcde",
+		"many bytes":  okHead + "\r\n" + long(5000),
+		"1.0":         "HTTP/1.0 200 OK\r\n\r\nabcde",
+		"and a close": okHead + "Connection: close\r\n\r\nabcde",
+	} {
+		m := standin.New(t, func(_ *standin.Peer, c net.Conn, _ standin.Seen) bool {
+			c.(*net.TCPConn).SetLinger(0)
+			io.WriteString(c, text)
+			return false // what was written is read first, then the reset is there for whichever call reads next
+		})
+		p, ask := start(t, 9, plain, m)
+		for range 20 {
+			a := ask()
+			if a.Kind == core.Served {
+				_, err := all(a)
+				assert.Error(t, err, name)
+				a.Drop()
+			}
+		}
+		assert.Equal(t, 0, p.Counts().OpenNow, name)
+	}
+}
+
+// So is one that comes after the beginning of the answer has gone out.
+func TestResetAfterTheBeginning(t *testing.T) {
+	begun := make(chan bool)
+	m := standin.New(t, func(_ *standin.Peer, c net.Conn, _ standin.Seen) bool {
+		c.(*net.TCPConn).SetLinger(0)
+		io.WriteString(c, okHead+"\r\nabcde")
+		<-begun
+		return false
+	})
+	_, ask := start(t, 9, plain, m)
+	a := ask()
+	close(begun)
+	require.Equal(t, core.Served, a.Kind)
+	got, err := all(a)
+	assert.ErrorIs(t, err, syscall.ECONNRESET)
+	assert.Equal(t, "abcde", got)
+	a.Drop()
+}
+
 // What comes behind an answer belongs to nobody: its connection is not used again, whether the answer was long or short.
 func TestNoiseBehindAnAnswer(t *testing.T) {
 	for _, size := range []int{9, 300 << 10} {
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -11,6 +11,7 @@
 	"math/bits"
 	"net"
 	"net/http"
+	"os"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -98,15 +99,23 @@
 	to    string
 	used  bool
 	since time.Time // idle since
+	over  error     // how what comes in has ended
 }
 
-// Read is the reader's way to the connection: what a peer sends without an end must not fill the memory.
+// Read is the reader's way to the connection: what a peer sends without an end must not fill the memory. How the connection
+// has ended is kept: the system tells of a reset once, and of an end to whoever asks again.
 func (c *conn) Read(b []byte) (int, error) {
 	if c.left <= 0 {
 		return 0, errTooLong
 	}
+	if c.over != nil {
+		return 0, c.over
+	}
 	n, err := c.Conn.Read(b[:min(int64(len(b)), c.left)])
 	c.left -= int64(n)
+	if err != nil && !errors.Is(err, os.ErrDeadlineExceeded) {
+		c.over = err
+	}
 	return n, err
 }
 
@@ -343,7 +352,9 @@
 		err := c.raw.Read(func(fd uintptr) bool {
 			var b [1]byte
 			_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			quiet = errors.Is(err, syscall.EAGAIN)
+			if quiet = errors.Is(err, syscall.EAGAIN); !quiet && err != nil {
+				c.over = err // it is told once
+			}
 			return true
 		})
 		quiet = quiet && err == nil
