--- a/Makefile
+++ b/Makefile
@@ -1,5 +1,5 @@
 # Build, test, lint, run, generate and measure. CI (.ci/run) runs lint and test; measurements are no part of it.
-.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade measure-deployments measure-faults measure-recovery measure-store
+.PHONY: build test lint run generate measure-learning measure-storm measure-upgrade measure-deployments measure-faults measure-recovery measure-store sites
 
 build:
 	mkdir -p bin && go build -o bin/ ./cmd/...
@@ -46,3 +46,9 @@
 # The embedded store beside bbolt and Pebble, in a module of its own. SHORT=1 takes under 50 s.
 measure-store:
 	cd bench/store && go run .
+
+# The companions of deploy/sites, which the bench wants beside a site file, from the bench's own: make sites KIT=path
+sites:
+	@[ -d "$(KIT)" ] || { echo "KIT: the bench's folder, as in make sites KIT=path"; exit 2; }
+	cp -f $(KIT)/sites/real.json $(KIT)/sites/wire.json $(KIT)/sites/unlock.txt deploy/sites/
+	chmod u+w deploy/sites/real.json deploy/sites/wire.json deploy/sites/unlock.txt
