An attempt is checked again before its first byte, by a window that a standstill doesn't move

Cause: whether a keyed request may run again was asked when its attempt was chosen (policy.mayRunOn, from dispatch) and never after; where its connection came up late, the first byte went out beyond the window. From reading: Gateway.Woke moves attempt.sent by the time for which the process stood still, and the window was counted from that, so a stopped process repeated beyond it as well.

Change: core.Flow.Begin asks the module (MayBegin) right before the first byte; EndLapsed says that not a byte was written.

Tests: TestConnectionThatComesAfterTheWindow (two real connections, the second held up until the window is over) and TestStandstillLeavesTheWindow; each tried with its mend out: red.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -40,6 +40,7 @@
 	EndBodyCut               // the client's body didn't come whole: the last byte was not written
 	EndNoMemory              // the budget for bodies is spent: the last byte was not written
 	EndSpent                 // an earlier flow has taken of a body that comes by once: not a byte was written
+	EndLapsed                // its connection came when a repeat was no longer harmless: not a byte was written
 	ends
 )
 
@@ -68,6 +69,7 @@
 	EndBodyCut:    {"body_cut", policy.NeverSent, false},
 	EndNoMemory:   {"no_memory", policy.NeverSent, false},
 	EndSpent:      {"spent", policy.NeverSent, false},
+	EndLapsed:     {"lapsed", policy.NeverSent, false},
 }
 
 func (e End) String() string { return endings[e].name }
@@ -181,7 +183,8 @@
 }
 
 // Begin tells whether the first byte may still be written to a connection, which it remembers for a cancel. A
-// flow whose transaction was answered while it dialled must not reach a server.
+// flow whose transaction was answered while it dialled must not reach a server, nor may one that the module would no longer
+// send.
 func (f *Flow) Begin(conn io.Closer) (End, bool) {
 	f.core.mu.Lock()
 	defer f.core.mu.Unlock()
@@ -191,6 +194,9 @@
 	if f.tx.closed {
 		return EndOver, false
 	}
+	if !f.tx.era.module.MayBegin(f.core.Now(), f.tx.ID, f.no) {
+		return EndLapsed, false
+	}
 	f.conn = conn
 	return EndNone, true
 }
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -52,6 +52,7 @@
 type Pool struct {
 	opt  Options
 	stop chan struct{}
+	up   func(*core.Flow) // of tests, which force crossings there: a connection has come up and nothing is checked yet
 
 	connIdle, connectWait atomic.Int64 // durations
 
@@ -183,6 +184,9 @@
 	if c == nil {
 		return end, none
 	}
+	if p.up != nil {
+		p.up(f)
+	}
 	if end, ok := p.begin(f, c); !ok {
 		if end == core.EndDrained {
 			p.drop(c)
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -453,7 +453,7 @@
 	best, least := (*server)(nil), 0.0
 	for round := 0; round < 2 && best == nil; round++ {
 		for _, s := range g.servers {
-			if !s.listed || !g.mayRunOn(r, s) || (trust && g.ejected(s)) || !g.coldRoom(s) {
+			if !s.listed || !g.mayRunOn(r, s, r.attempts) || (trust && g.ejected(s)) || !g.coldRoom(s) {
 				continue
 			}
 			away := s.away != nil && s.away[g.groupOf(r)] > g.now
@@ -567,7 +567,7 @@
 		}
 		return
 	}
-	if g.putOut(&attempt{req: r, server: s, sent: g.now}); r.attempts == 1 {
+	if g.putOut(&attempt{req: r, server: s, sent: g.now, chosen: g.now}); r.attempts == 1 {
 		r.cust.drew(r.Units)
 		g.news(r.cust, g.near...)
 	}
@@ -581,18 +581,15 @@
 	}
 }
 
-// mayRunOn keeps rule 2: once an attempt may have run or is out, a further one goes only where its repeat is
+// mayRunOn keeps rule 2: once another attempt may have run or is out, one goes only where its repeat is
 // harmless.
-func (g *Gateway) mayRunOn(r *request, s *server) bool {
+func (g *Gateway) mayRunOn(r *request, s *server, no int) bool {
 	c := g.set.Classes[r.Class]
-	for _, a := range slices.Concat(r.mayHave, r.out) {
-		t := a.server
-		if c.Effect == Unsafe || c.Effect == Keyed && (g.now-a.sent >= c.Window-2*g.set.Tick ||
-			c.Scope == ScopeZone && t.Zone != s.Zone || c.Scope == ScopeCell && t.Cell != s.Cell) {
-			return false
-		}
-	}
-	return true
+	return !slices.ContainsFunc(slices.Concat(r.mayHave, r.out), func(a *attempt) bool {
+		t, past := a.server, g.now-a.chosen >= c.Window-2*g.set.Tick
+		return a.no != no && (c.Effect == Unsafe || c.Effect == Keyed && (past ||
+			c.Scope == ScopeZone && t.Zone != s.Zone || c.Scope == ScopeCell && t.Cell != s.Cell))
+	})
 }
 
 // Outcome takes the end of an attempt in.
@@ -686,7 +683,9 @@
 func (g *Gateway) again(r *request) {
 	left := r.Deadline - g.now - 2*g.set.Tick
 	if r.attempts < max(1, g.set.MaxAttempts) && g.retries >= 1 && left.Seconds() > g.expect(r) &&
-		slices.ContainsFunc(g.servers, func(s *server) bool { return s.listed && g.mayRunOn(r, s) }) {
+		slices.ContainsFunc(g.servers, func(s *server) bool {
+			return s.listed && g.mayRunOn(r, s, r.attempts)
+		}) {
 		g.retries--
 		g.dispatch(r)
 		return
--- a/policy/state.go
+++ b/policy/state.go
@@ -310,7 +310,8 @@
 	req      *request
 	no       int
 	server   *server
-	sent     Time
+	sent     Time // later by as much as nothing is held against it for
+	chosen   Time // stays: what the window for repeats is counted from
 	open     int  // place in Gateway.open
 	passed   int  // so many sent later to its server have been answered
 	suspect  bool // it is out for far too long, and nothing has come from its server for as long
@@ -644,12 +645,26 @@
 // Attach names the host that carries the actions out. It comes before the first event.
 func (g *Gateway) Attach(h Host) { g.host = h }
 
-// takeOut removes a request's open attempt from all that counts it, nil where there is none.
-func (g *Gateway) takeOut(r *request, no int) *attempt {
+// MayBegin asks of an attempt, right before its first byte, what was asked when it was chosen: its connection may have been
+// long in coming, and a repeat that was harmless then need not be so now.
+func (g *Gateway) MayBegin(now Time, id RequestID, no int) bool {
+	g.tick(now)
+	r := g.requests[id]
+	i := r.outAt(no)
+	return i >= 0 && g.mayRunOn(r, r.out[i].server, no)
+}
+
+// outAt gives the place of an open attempt among a request's, below 0 where there is none.
+func (r *request) outAt(no int) int {
 	if r == nil {
-		return nil
+		return -1
 	}
-	i := slices.IndexFunc(r.out, func(a *attempt) bool { return a.no == no })
+	return slices.IndexFunc(r.out, func(a *attempt) bool { return a.no == no })
+}
+
+// takeOut removes a request's open attempt from all that counts it, nil where there is none.
+func (g *Gateway) takeOut(r *request, no int) *attempt {
+	i := r.outAt(no)
 	if i < 0 {
 		return nil
 	}
