Whatever a call of discovery comes to, what the source had is known within six seconds

Cause, from reading: pauses after a refusal grew to MustAsk (10 s by default, 40 on some sites: Pauses.turnedAway), those after a call given up (5 s) to 1.5 s, so a change told meanwhile came up to 10 s late; Consul's calls waited 10.6 s and some before a silence was noticed. An agent that started again and counted from the beginning was believed where it was past the version held (Watch goes back to the whole list only where versions go back).

Change: calls wait 2.5 s and are given up after 3.0; pauses reach 0.9 s, and after a refusal the next call begins 5 s after the source last said anything, at the latest; the sum stands beside the constants. What a refusal's pause can't grow by is drawn from the later part of what is left, which keeps the jam of TestHerdGetsItsLists as short as it was (unchanged test). Nobody listening: the whole list is asked for. Consul waits as long as the platform's watch.

--- /dev/null
+++ b/internal/discovery/crossing_test.go
@@ -0,0 +1,130 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const drains = `{"generation":6,"reset":false,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"draining"}]}`
+
+// A member begins to drain in the moment in which the call that would tell of it goes wrong, whichever way: the module knows
+// within the six seconds after which it counts as told.
+func TestDrainIsToldThoughTheCallGoesWrong(t *testing.T) {
+	for name, wrong := range map[string]http.HandlerFunc{
+		"silent": silent,
+		"reset": func(w http.ResponseWriter, _ *http.Request) {
+			c, _, err := w.(http.Hijacker).Hijack()
+			if err == nil {
+				c.(*net.TCPConn).SetLinger(0)
+				c.Close()
+			}
+		},
+		"refused": fails(503),
+		"cut":     says("", drains[:40]),
+		"no end": func(w http.ResponseWriter, r *http.Request) {
+			fmt.Fprint(w, drains[:40])
+			w.(http.Flusher).Flush()
+			silent(w, r)
+		},
+		"not ours": says("", "<html>"),
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			h, r := roster()
+			had := make(chan time.Time, 1)
+			addr, _ := agent(t, says("", `{"generation":5,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"}]}`),
+				func(w http.ResponseWriter, r *http.Request) { had <- time.Now(); wrong(w, r) },
+				says("", drains))
+			watch(t, func(ctx context.Context) { Watch(ctx, addr, 4, false, NewPauses(1, 40*time.Second), r) })
+			h.expect(t, "pool 1 h:1 0", "module 1: 1/2/0/0", "pool 1 h:1 2", "module 0: 1/2/2/0")
+			assert.Less(t, time.Since(<-had), told)
+		})
+	}
+}
+
+// The agent ends and another begins in its place, which counts from the beginning and is past the version held here by the
+// time that it is asked: its whole list is asked for, as its changes since then are not those since the list that is known.
+func TestAgentThatStartsAgain(t *testing.T) {
+	h, r := roster()
+	ends := make(chan bool)
+	first, _ := agent(t, says("", `{"generation":5,"reset":true,"instances":[{"instanceId":"a","hostPort":"h:1","lifecycle":"up"}]}`),
+		func(_ http.ResponseWriter, r *http.Request) { close(ends); <-r.Context().Done() })
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	addr, broken := l.Addr().String(), make(chan bool)
+	go func() { // the first agent stands behind the address until it ends
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			go relay(c, first, broken)
+		}
+	}()
+	watch(t, func(ctx context.Context) { Watch(ctx, addr, 4, false, NewPauses(1, 0), r) })
+	h.expect(t, "pool 1 h:1 0", "module 1: 1/2/0/0")
+	<-ends
+	l.Close()
+	close(broken)
+	require.Eventually(t, func() bool { return r.Calls().Unanswered >= 2 }, time.Minute, time.Millisecond, "one broken, one met nobody")
+	asked := make(chan string, 9)
+	next := &httptest.Server{Config: &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		asked <- r.URL.RequestURI()
+		if len(asked) > 1 {
+			silent(w, r)
+			return
+		}
+		fmt.Fprint(w, `{"generation":9,"reset":true,"instances":[]}`)
+	})}}
+	require.Eventually(t, func() bool { next.Listener, err = net.Listen("tcp", addr); return err == nil }, time.Minute, time.Millisecond)
+	next.Start()
+	t.Cleanup(next.Close)
+	h.expect(t, "pool 1 h:1 1", "module 1:")
+	assert.Equal(t, "/v1/endpoints", <-asked)
+}
+
+// relay carries a connection to and fro until it is broken.
+func relay(c net.Conn, to string, broken chan bool) {
+	up, err := net.Dial("tcp", to)
+	if err != nil {
+		c.Close()
+		return
+	}
+	go func() { <-broken; c.Close(); up.Close() }()
+	go io.Copy(c, up)
+	io.Copy(up, c)
+}
+
+// A call that was under way when its source was left, as SIGHUP named another, is answered late: that changes nothing.
+func TestLateAnswerOfASourceThatWasLeft(t *testing.T) {
+	h, r := roster()
+	asked, late, answered := make(chan bool), make(chan bool), make(chan bool)
+	addr, _ := agent(t, says("", `{"generation":5,"reset":true,"instances":[]}`),
+		func(w http.ResponseWriter, _ *http.Request) {
+			close(asked)
+			<-late
+			fmt.Fprint(w, strings.Replace(drains, "draining", "up", 1))
+			close(answered)
+		})
+	ctx, leave := context.WithCancel(context.Background())
+	ended := make(chan bool)
+	go func() { Watch(ctx, addr, 4, false, NewPauses(1, 0), r); close(ended) }()
+	h.expect(t, "module 1:")
+	<-asked
+	leave()
+	<-ended
+	close(late)
+	<-answered
+	assert.Empty(t, h)
+	assert.Equal(t, uint64(5), r.Version())
+}
--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -17,6 +17,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"syscall"
 	"time"
 
 	"sprucelane.example/sprucelane/policy"
@@ -243,20 +244,29 @@
 	return len(names) // a name that the settings don't hold is like none of theirs
 }
 
-// The platform's watch. A watch that says nothing for its wait and some more has a silent agent: waits are short
-// because what a silent agent holds back counts as told two seconds after the wait. No call is given up sooner, as a
-// call that waits its turn at a busy source and is dropped then has cost that source a turn for nothing.
+// What a source has and could tell counts as told 6 s later, whatever call of it failed, was refused or was given up. So one
+// call that goes wrong in any way leaves time for the next, added up:
+//
+//	given up:     watchWait + watchSlack 3.0 s, the connection's coming included, and a pause of 0.9 s
+//	broken:       the same pause at the most
+//	refused:      a pause of 5 s (refusedMost), less all the time since the source last said anything, but 1 s
+//	given up and then refused: 3.9 s, and a pause of 1.1 s
+//
+// and a second is left for the answer. No call is given up sooner, as a call that waits its turn at a busy source and is
+// dropped then has cost that source a turn for nothing.
 const (
-	watchWait  = 4 * time.Second
-	watchSlack = time.Second
-	listWait   = time.Second // for a connection to come up
-	mostList   = 8 << 20     // bytes of a list
+	told       = 6 * time.Second
+	watchWait  = 2500 * time.Millisecond
+	watchSlack = 500 * time.Millisecond // in which an agent that speaks answers a wait that is over
+	listWait   = time.Second            // for a connection to come up
+	mostList   = 8 << 20                // bytes of a list
 )
 
 // Watch follows the platform's agent until ctx ends, from a version of the list that is already held. One call begins a watch, and
 // after a failure or a silence it is continued from the last version heard: where many gateways start at once a whole
 // list for each, and then a watch, is what the source can't bear. The whole list is asked for only where anew says so,
-// as what another agent told is not to be relied on, or where the versions went back.
+// as what another agent told is not to be relied on, where the versions went back, or where nobody listened: an agent that
+// starts again may count its versions from the beginning, and be past the one held here by the time that it is asked.
 func Watch(ctx context.Context, addr string, held uint64, anew bool, p *Pauses, r *Roster) {
 	c := &client{base: "http://" + addr, http: newHTTP()}
 	defer c.http.CloseIdleConnections()
@@ -273,6 +283,7 @@
 				r.Failed(err)
 				slog.Warn("discovery_failed", "anew", anew, "err", err)
 			}
+			anew = anew || errors.Is(err, syscall.ECONNREFUSED)
 			rest(ctx, p.failed(err, time.Since(asked)))
 			continue
 		}
@@ -310,8 +321,6 @@
 	Addr, Service, Tag, Token string
 }
 
-const consulWait = 10 * time.Second
-
 // consulService is what /v1/health/service/ tells of one instance; /v1/catalog/service/ tells the inner part.
 type consulService struct {
 	Node    struct{ Node, Address, Datacenter string }
@@ -339,11 +348,11 @@
 	defer c.http.CloseIdleConnections()
 	index, catalogue := uint64(0), false
 	for ctx.Err() == nil {
-		q := url.Values{"index": {strconv.FormatUint(index, 10)}, "wait": {consulWait.String()}}
+		q := url.Values{"index": {strconv.FormatUint(index, 10)}, "wait": {watchWait.String()}}
 		if at.Tag != "" {
 			q.Set("tag", at.Tag)
 		}
-		path, wait := "/v1/health/service/", consulWait*17/16+watchSlack // an agent adds up to a sixteenth
+		path, wait := "/v1/health/service/", watchWait*17/16+watchSlack // an agent adds up to a sixteenth
 		var health []consulService
 		var entries []consulEntry
 		var into any = &health
--- a/internal/discovery/pauses.go
+++ b/internal/discovery/pauses.go
@@ -12,10 +12,12 @@
 // callers away is busy, and what it works through while the queue is longer than its callers' patience helps nobody:
 // only fewer calls let it recover.
 const (
-	firstPause  = 50 * time.Millisecond
-	lastPause   = time.Second
-	busyPart    = 16 // of the time within which a source must be asked: the first pause after a refusal
-	defaultMust = 10 * time.Second
+	firstPause   = 50 * time.Millisecond
+	lastPause    = 600 * time.Millisecond // the step; pauses reach one and a half of it
+	refusedMost  = 5 * time.Second        // from when the source last said anything to the next call, after a refusal
+	refusedLeast = time.Second            // but that long may be rested in any case
+	busyPart     = 16                     // of the time within which a source must be asked: the first pause after a refusal
+	defaultMust  = 10 * time.Second
 )
 
 // Pauses tells how long to rest after a call that failed: about twice as long after each, up to a limit, and spread by
@@ -24,6 +26,7 @@
 	rng        *rand.Rand
 	must       time.Duration
 	lost, busy time.Duration // the next, of each kind
+	silent     time.Duration // since the source last said anything: calls and pauses
 }
 
 // NewPauses gives pauses that are spread by a seed. Within must at the latest a busy source is asked again.
@@ -36,14 +39,16 @@
 	return p
 }
 
-func (p *Pauses) answered() { p.lost, p.busy = firstPause, p.must/busyPart }
+func (p *Pauses) answered() { p.lost, p.busy, p.silent = firstPause, p.must/busyPart, 0 }
 
 // failed gives the pause after a call that took so long.
 func (p *Pauses) failed(err error, took time.Duration) time.Duration {
 	if errors.As(err, new(statusError)) {
 		return p.turnedAway(took)
 	}
-	return p.unreachable()
+	d := p.unreachable()
+	p.silent += took + d
+	return d
 }
 
 // unreachable spreads over half to one and a half of the step.
@@ -53,9 +58,13 @@
 	return d
 }
 
-// turnedAway spreads over all of the step, which is at least twice what the refused call had to wait for its refusal.
+// turnedAway spreads over all of the step, which is at least twice what the refused call had to wait for its refusal. What
+// the source would not tell now has to be asked for in time, all the same.
 func (p *Pauses) turnedAway(took time.Duration) time.Duration {
 	step := min(max(p.busy, 2*took), p.must)
 	p.busy = min(2*step, p.must)
-	return time.Duration(p.rng.Int64N(int64(step))) + firstPause
+	left := max(refusedMost-p.silent-took, refusedLeast) - firstPause
+	p.silent = 0
+	least := min(max(0, step-left), left*3/4) // what it can't grow by it is later in what is left
+	return least + time.Duration(p.rng.Int64N(int64(min(step, left)-least))) + firstPause
 }
