SIGTERM has room of its own among signals, and what comes after the last answers is refused

Cause, from reading: SIGTERM shared a channel of four with SIGHUP and SIGUSR1, and a signal that finds no room is dropped (serve.go): a gateway that reads its configuration while more signals come would never end. A request read after GiveUp, 0.15 s before the kill, waited for a member and was lost with the process (core.take). A client that had left before its request was decided about drew its quota and took a turn (core.Serve looked at the context only beside a check).

Change: the end has a channel of its own; after GiveUp the core refuses at once; Serve leaves a client that has gone.

TestIdleClientsHoldTheDescriptors shows that with 200 resting clients and 64 descriptors a silent discovery's return is acted on within 6 s and no more are held; nothing to mend.

--- /dev/null
+++ b/cmd/sprucelane/ending_test.go
@@ -0,0 +1,119 @@
+package main
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"path/filepath"
+	"strings"
+	"sync/atomic"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/standin"
+)
+
+// SIGTERM comes twice, amid more other signals than there is room for while the process reads a configuration that nobody
+// has written yet: it ends all the same, and what it holds is answered first.
+func TestEndAmidOtherSignals(t *testing.T) {
+	taken, free := make(chan bool), make(chan bool)
+	s := newSite(t, func(_ *standin.Peer, c net.Conn, _ standin.Seen) bool {
+		close(taken)
+		<-free
+		_, err := io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nsent")
+		return err == nil
+	})
+	p := s.start()
+	p.ready()
+	got := make(chan string, 1)
+	go func() {
+		_, body := standin.Ask(t, "http://"+s.host+":8080", "work-order", "utility", 20000)
+		got <- body
+	}()
+	<-taken
+	pipe := filepath.Join(s.dir, "pipe")
+	require.NoError(t, syscall.Mkfifo(pipe, 0o600))
+	require.NoError(t, os.Rename(s.config, s.config+".old"))
+	require.NoError(t, os.Rename(pipe, s.config)) // to read it is to wait for who writes it
+	require.NoError(t, p.Process.Signal(syscall.SIGHUP))
+	require.Eventually(t, func() bool { // it waits there
+		f, err := os.OpenFile(s.config, os.O_WRONLY|syscall.O_NONBLOCK, 0)
+		if err != nil {
+			return false
+		}
+		for range 20 {
+			p.Process.Signal(syscall.SIGUSR1)
+			p.Process.Signal(syscall.SIGHUP)
+			time.Sleep(time.Millisecond) // each is to be delivered, and not to be one with the next
+		}
+		p.Process.Signal(syscall.SIGTERM)
+		p.Process.Signal(syscall.SIGTERM)
+		time.Sleep(50 * time.Millisecond)
+		require.NoError(t, os.Rename(s.config+".old", s.config)) // for those to come
+		return f.Close() == nil
+	}, time.Minute, time.Millisecond)
+	close(free)
+	assert.Equal(t, "sent", <-got)
+	select {
+	case err := <-p.ended:
+		assert.NoError(t, err)
+	case <-time.After(time.Minute):
+		assert.Fail(t, "the process goes on after SIGTERM")
+	}
+	p.says("event=reload_failed")
+}
+
+// Idle clients hold all descriptors that clients may have while discovery is silent: what comes back when it speaks again is
+// noticed in time, and acted on, and a client that asks is served.
+func TestIdleClientsHoldTheDescriptors(t *testing.T) {
+	s := newSite(t, standin.OK("old"))
+	next := standin.New(t, standin.OK("new"))
+	var speaks atomic.Bool
+	agent := http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if !speaks.Load() || r.URL.Query().Get("after") != "4" {
+			<-r.Context().Done()
+			return
+		}
+		fmt.Fprintf(w, `{"generation":5,"reset":false,"instances":[{"instanceId":"a","hostPort":%q,"lifecycle":"removed"},
+			{"instanceId":"b","hostPort":%q,"lifecycle":"up"}]}`, s.member.Addr, next.Addr)
+	})}
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	go agent.Serve(port)
+	t.Cleanup(func() { agent.Close() })
+	text, err := os.ReadFile(s.config)
+	require.NoError(t, err)
+	_, rest, _ := strings.Cut(string(text), `"discovery":"`)
+	old, _, _ := strings.Cut(rest, `"`)
+	s.write(strings.NewReplacer(old, port.Addr().String(), `"sockets":256`, `"sockets":64`).Replace(string(text)))
+	p := s.start()
+	p.ready()
+	limit := fmt.Sprintf("/proc/%d/fd", p.Process.Pid)
+	for range 200 { // some are closed to make room
+		c, err := net.Dial("tcp", s.host+":8080")
+		require.NoError(t, err)
+		t.Cleanup(func() { c.Close() })
+	}
+	_, body := standin.Ask(t, "http://"+s.host+":8080", "work-order", "utility", 20000)
+	assert.Equal(t, "old", body)
+	held, err := os.ReadDir(limit)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(held), 64)
+	begun := time.Now()
+	speaks.Store(true)
+	require.Eventually(t, func() bool {
+		_, body := standin.Ask(t, "http://"+s.host+":8080", "work-order", "utility", 20000)
+		return body == "new"
+	}, time.Minute, 300*time.Millisecond)
+	assert.Less(t, time.Since(begun), 6*time.Second)
+	held, err = os.ReadDir(limit)
+	require.NoError(t, err)
+	assert.LessOrEqual(t, len(held), 64)
+	p.term()
+}
--- a/cmd/sprucelane/serve.go
+++ b/cmd/sprucelane/serve.go
@@ -58,9 +58,11 @@
 
 // serve runs a gateway until SIGTERM or a failure.
 func serve(getenv func(string) string, opt options) error {
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, os.Interrupt, syscall.SIGUSR1, syscall.SIGHUP)
+	signals, ends := make(chan os.Signal, 4), make(chan os.Signal, 1) // a signal that finds no room is dropped: the end has its own
+	signal.Notify(signals, syscall.SIGUSR1, syscall.SIGHUP)
+	signal.Notify(ends, syscall.SIGTERM, os.Interrupt)
 	defer signal.Stop(signals)
+	defer signal.Stop(ends)
 	if opt.ahead != 0 && getenv(laboratory) == "" {
 		return cli.Coded{Code: cli.Usage, Err: fmt.Errorf("clock-ahead: for the laboratory alone, which sets %s", laboratory)}
 	}
@@ -203,20 +205,20 @@
 		case <-ended:
 			g.report("stopped")
 			return nil
+		case <-ends: // all that was taken has its answer by its own deadline, or by when this process is to be gone
+			giveUp, within := service.EndWithin(g.longest())
+			if g.state.End(time.Now(), within) {
+				time.AfterFunc(giveUp, g.decisions.GiveUp)
+				go func() { g.end(); close(ended) }()
+			}
 		case s := <-signals:
-			switch {
-			case s == syscall.SIGUSR1:
+			if s == syscall.SIGUSR1 {
 				g.report("counters")
-			case s == syscall.SIGHUP: // during a drain too: what is still open needs the pool's news
-				if err := g.reload(ctx, cfg, getenv, opt.site); err != nil {
-					slog.Error("reload_failed", "err", err)
-				}
-			default: // all that was taken has its answer by its own deadline, or by when this process is to be gone
-				giveUp, ends := service.EndWithin(g.longest())
-				if g.state.End(time.Now(), ends) {
-					time.AfterFunc(giveUp, g.decisions.GiveUp)
-					go func() { g.end(); close(ended) }()
-				}
+				continue
+			}
+			// During a drain too: what is still open needs the pool's news.
+			if err := g.reload(ctx, cfg, getenv, opt.site); err != nil {
+				slog.Error("reload_failed", "err", err)
 			}
 		}
 	}
--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -249,6 +249,7 @@
 	back   *recovery.Recovery
 	live   map[policy.RequestID]*transaction
 	lastID policy.RequestID
+	over   bool // all was given up, and what still comes is
 	tells  []tell
 	lines  []line
 	counts struct {
@@ -315,6 +316,12 @@
 			return c.count(Answer{Kind: Refused, Tried: true, RetryAfter: c.refused(t, wait)}) // nothing ran: asking again is harmless
 		}
 	}
+	if ctx.Err() != nil { // it draws nothing and takes no turn
+		c.mu.Lock()
+		c.close(t)
+		c.mu.Unlock()
+		return c.count(Answer{Kind: Gone})
+	}
 	c.event(func(now Time) { t.era.module.Request(now, t.Request.Request) })
 	checked := len(t.orders) > 0 // a verdict holds for what is sent on now, not for what is held or tried again
 	for {
@@ -349,7 +356,7 @@
 func (c *Core) take(t *transaction) (known bool, wait time.Duration) {
 	c.event(func(now Time) {
 		c.counts.taken++
-		if t.era = c.eraOf(t.Era); t.era == nil {
+		if t.era = c.eraOf(t.Era); t.era == nil || c.over {
 			return
 		}
 		lain, settles := c.back.Asked(now, t.Deadline-now)
@@ -483,9 +490,11 @@
 	}
 }
 
-// GiveUp gives all open transactions the final answer that their modules permit now: the process is about to end.
+// GiveUp gives all open transactions the final answer that their modules permit now: the process is about to end. What is
+// taken afterwards is refused at once.
 func (c *Core) GiveUp() {
 	c.event(func(now Time) {
+		c.over = true
 		for _, e := range append([]*era{c.era}, c.past...) {
 			e.module.GiveUp(now)
 		}
