Clients' connections end with a lingering close, and are watched behind an open request

Causes, from reading and forced on real sockets: - listener.closeIdle looked for unread bytes and closed; a request that came between the two, or was read by the process and not yet known to the listener, was reset, or handed on with no way for its answer (server.go closeIdle, client.Read). - net/http closes after a last answer at once, over whatever has come behind it (conn.serve), and the reset may take the answer along. - closing the port reset what waited in its queue: at the bound on connections that was more than a moment's worth. - net/http reads one byte while a request is handled, to hear of an end; where that byte began another request it heard of no end any more, so a client that left was waited for, and sent on for. - a request that had been read behind another was dropped as the first one's answer was marked as the last. - at the bound the connection idle the longest made room though a request had come on it.

Change: client.go owns reading and ending. end() shuts the sending side, reads on for half a second (at most 256 KB, at most a sixteenth of the bound on connections at once), then closes; nothing read after that is handed on. What comes behind an open request is kept (4 KB; up to 64 KB are watched, and the connection ends after that answer) until the request is done or the end has come. The port's queue is emptied before it closes. Lingering connections and an unemptied queue keep the process.

--- /dev/null
+++ b/internal/front/crossing_test.go
@@ -0,0 +1,232 @@
+package front
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+const request = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+
+func (c *caller) say(t *testing.T, text string) {
+	_, err := io.WriteString(c, text)
+	require.NoError(t, err)
+}
+
+// open counts the connections that are neither ended nor linger.
+func (l *listener) open() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return len(l.conns)
+}
+
+// A client rests until the gateway ends its connection, and its next request crosses that: the connection is not reset, so
+// that nothing on its way is lost, nobody serves what can't be answered, and what lingers ends.
+func TestRequestThatCrossesTheCloseOfARestingConnection(t *testing.T) {
+	served := 0
+	s, _ := serve(t, 9, func(http.ResponseWriter, *http.Request) { served++ })
+	c := dial(t, s)
+	c.ask(t)
+	c.answer(t)
+	s.state.Drain(time.Now().Add(-time.Minute))
+	require.Eventually(t, func() bool { return s.listener.open() == 0 }, time.Minute, time.Millisecond)
+	for range 3 { // a reset would be there by the second
+		c.say(t, request)
+	}
+	_, err := c.in.ReadByte()
+	assert.Equal(t, io.EOF, err)
+	assert.Equal(t, 1, served)
+	require.Eventually(t, func() bool { return s.Open() == 0 }, time.Minute, time.Millisecond)
+}
+
+// The same where the process has read the request in that moment, and what decides on the close can't know yet: it is not
+// handed on, as its answer would have no way.
+func TestRequestReadAsItsConnectionIsClosed(t *testing.T) {
+	served := make(chan bool, 9)
+	s, _ := serve(t, 9, func(http.ResponseWriter, *http.Request) { served <- true })
+	c := dial(t, s)
+	c.ask(t)
+	c.answer(t)
+	<-served
+	require.Eventually(t, func() bool { return s.listener.idle() == 1 }, time.Minute, time.Millisecond)
+	read, on := make(chan bool), make(chan bool)
+	s.listener.mu.Lock()
+	s.listener.crossing = func() { read <- true; <-on }
+	s.listener.mu.Unlock()
+	c.ask(t)
+	<-read
+	s.state.Drain(time.Now().Add(-time.Minute))
+	require.Eventually(t, func() bool { return s.listener.open() == 0 }, time.Minute, time.Millisecond)
+	close(on)
+	go func() { // what lingers reads past the hook
+		for range read {
+		}
+	}()
+	_, err := c.in.ReadByte()
+	assert.Equal(t, io.EOF, err)
+	require.Eventually(t, func() bool { return s.Open() == 0 }, time.Minute, time.Millisecond)
+	assert.Empty(t, served)
+}
+
+// A last answer is followed by a close while more is on its way: the client has the whole of it, and no reset.
+func TestLastAnswerWithMoreBehindIt(t *testing.T) {
+	const size = 100 << 10
+	taken, free := make(chan bool), make(chan bool)
+	s, _ := serve(t, 9, func(w http.ResponseWriter, _ *http.Request) {
+		taken <- true
+		<-free
+		io.WriteString(w, strings.Repeat("x", size))
+	})
+	c := dial(t, s)
+	c.ask(t)
+	<-taken
+	s.state.Drain(time.Now().Add(-time.Minute)) // what comes behind is not waited for any longer
+	close(free)
+	require.Eventually(t, func() bool { return s.listener.open() == 0 }, time.Minute, time.Millisecond)
+	for range 3 {
+		c.say(t, request)
+	}
+	resp, err := http.ReadResponse(c.in, nil)
+	require.NoError(t, err)
+	body, err := io.ReadAll(resp.Body)
+	assert.NoError(t, err)
+	assert.Len(t, body, size)
+	assert.True(t, resp.Close)
+	_, err = c.in.ReadByte()
+	assert.Equal(t, io.EOF, err)
+}
+
+// The client leaves while its request is handled, and half of another stands behind that: the handler hears of it all the
+// same. It hears of no end where the other is whole and the client stays.
+func TestClientThatLeavesWithMoreBehindItsRequest(t *testing.T) {
+	for name, leaves := range map[string]func(net.Conn){
+		"closed": func(c net.Conn) { c.Close() },
+		"reset":  func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+		"stays":  nil,
+	} {
+		for _, more := range []string{"G", request[:20], request + request, strings.Repeat(request, 300)} {
+			taken, left, free := make(chan bool, 500), make(chan bool, 500), make(chan bool)
+			s, _ := serve(t, 9, func(_ http.ResponseWriter, r *http.Request) {
+				taken <- true
+				select {
+				case <-r.Context().Done():
+					left <- true
+				case <-free:
+				}
+			})
+			c := dial(t, s)
+			c.ask(t)
+			<-taken
+			c.say(t, more)
+			require.Eventually(t, func() bool { return s.listener.readAll() }, time.Minute, time.Millisecond, "what is behind has been read")
+			if leaves == nil {
+				assert.Empty(t, left, name)
+				close(free)
+				assert.Equal(t, len(more) > aheadMost, c.answer(t).Close, "what was not kept can't be answered")
+				continue
+			}
+			leaves(c.Conn)
+			select {
+			case <-left:
+			case <-time.After(10 * time.Second):
+				assert.Fail(t, "nobody has noticed", "%s behind %d bytes", name, len(more))
+				close(free)
+			}
+		}
+	}
+}
+
+// readAll tells whether something has been read behind what is handled, and nothing more waits.
+func (l *listener) readAll() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for c := range l.conns {
+		if !c.buffered() || !c.quiet() {
+			return false
+		}
+	}
+	return true
+}
+
+// SIGTERM meets a request that is handled with others read behind it: each has its answer, in order, and the last one says
+// that it is.
+func TestEndMeetsRequestsBehindOneAnother(t *testing.T) {
+	taken, free := make(chan bool, 9), make(chan bool)
+	s, _ := serve(t, 9, func(w http.ResponseWriter, r *http.Request) {
+		taken <- true
+		<-free
+		io.WriteString(w, r.URL.Path)
+	})
+	c := dial(t, s)
+	c.ask(t)
+	<-taken
+	c.say(t, strings.Replace(request, "/", "/b", 1)+strings.Replace(request, "/", "/c", 1))
+	require.Eventually(t, func() bool { return s.listener.readAll() }, time.Minute, time.Millisecond)
+	s.state.End(time.Now().Add(time.Minute), time.Hour) // its grace is not over, however slow this machine
+	close(free)
+	for _, want := range []string{"/", "/b", "/c"} {
+		resp, err := http.ReadResponse(c.in, nil)
+		require.NoError(t, err)
+		body, err := io.ReadAll(resp.Body)
+		require.NoError(t, err)
+		assert.Equal(t, want, string(body))
+		assert.Equal(t, want == "/c", resp.Close, want)
+	}
+	_, err := c.in.ReadByte()
+	assert.Equal(t, io.EOF, err)
+}
+
+// The port closes while connections wait in its queue, as there is no room for them yet: each is taken in its turn.
+func TestQueueOfAPortThatCloses(t *testing.T) {
+	taken, free := make(chan bool, 9), make(chan bool)
+	s, done := serve(t, 1, func(http.ResponseWriter, *http.Request) { taken <- true; <-free })
+	first := dial(t, s)
+	first.ask(t)
+	<-taken
+	var queue []*caller
+	for range 4 {
+		c := dial(t, s)
+		c.ask(t)
+		queue = append(queue, c)
+	}
+	s.state.End(time.Now().Add(-time.Second), time.Hour)
+	require.Eventually(t, func() bool { s.listener.mu.Lock(); defer s.listener.mu.Unlock(); return s.listener.shut }, time.Minute, time.Millisecond)
+	time.Sleep(2 * queueMost) // longer than a queue that nothing holds up is read
+	assert.Empty(t, done, "the port is still open")
+	close(free)
+	for _, c := range append(queue, first) {
+		assert.True(t, c.answer(t).Close)
+	}
+	require.NoError(t, <-done)
+	require.Eventually(t, func() bool { return s.Open() == 0 }, time.Minute, time.Millisecond)
+}
+
+// At the bound a connection on which a request has come, though nobody has read it, is not the one that makes room.
+func TestRoomIsNotMadeByOneThatAsks(t *testing.T) {
+	port, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer port.Close()
+	l := &listener{conns: map[*client]bool{}}
+	var rests net.Conn
+	for i, say := range []string{request, "", ""} {
+		far, err := net.Dial("tcp", port.Addr().String())
+		require.NoError(t, err)
+		defer far.Close()
+		near, err := port.Accept()
+		require.NoError(t, err)
+		defer near.Close()
+		l.conns[&client{Conn: near, in: l, state: http.StateIdle, since: time.Unix(int64(i), 0)}] = true
+		io.WriteString(far, say)
+		if i == 1 {
+			rests = near
+		}
+	}
+	require.Eventually(t, func() bool { return l.longest(http.StateIdle, 0).Conn == rests }, time.Minute, time.Millisecond,
+		"of those that rest the one that has for the longest")
+}
--- a/internal/front/framing.go
+++ b/internal/front/framing.go
@@ -8,7 +8,6 @@
 	"net/http"
 	"strconv"
 	"strings"
-	"time"
 )
 
 // framing follows the messages in what a client sends, byte by byte, only to know of each head whether it names both a
@@ -142,6 +141,14 @@
 	return n <= f.heads && (f.double == 0 || n < f.double) && (f.lost == 0 || n < f.lost)
 }
 
+// between tells whether all that was read ends with a message.
+func (f *framing) between() bool { return f.lost == 0 && f.at == inStart && len(f.line) == 0 }
+
+// beyond tells whether something has been read behind the nth request.
+func (f *framing) beyond(n int) bool {
+	return f.lost == 0 && (f.heads > n || f.heads == n && (f.at == inHead || f.at == inStart && len(f.line) > 0))
+}
+
 // clientKey finds a client's connection in the context of its requests.
 type clientKey struct{}
 
@@ -162,14 +169,3 @@
 	defer c.mu.Unlock()
 	return c.framing.clean(c.requests)
 }
-
-// Break ends a client's connection in the middle of an answer, so that the client can tell.
-func Break(r *http.Request) {
-	if c, _ := r.Context().Value(clientKey{}).(*client); c != nil {
-		if t, ok := c.Conn.(*net.TCPConn); ok {
-			t.SetLinger(0)
-		}
-		c.Conn.SetDeadline(time.Now())
-	}
-	panic(http.ErrAbortHandler)
-}
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -32,6 +32,8 @@
 	newGrace = 250 * time.Millisecond
 	// lookAgain is how often connections are looked at while clients are sent away.
 	lookAgain = 20 * time.Millisecond
+	// queueWait is how long nothing has to come for a port's queue to count as empty, queueMost how long it is emptied for.
+	queueWait, queueMost = 20 * time.Millisecond, 300 * time.Millisecond
 )
 
 // Server is a virtual server.
@@ -70,7 +72,7 @@
 	if opt.State == nil {
 		opt.State = service.New()
 	}
-	s := &Server{listener: &listener{Listener: inner, most: opt.Sockets, admit: opt.Admit, conns: map[*client]bool{}},
+	s := &Server{listener: &listener{Listener: inner, most: opt.Sockets, opaque: opt.TLS != nil, admit: opt.Admit, conns: map[*client]bool{}},
 		state: opt.State, closed: make(chan struct{})}
 	s.listener.freed = sync.NewCond(&s.listener.mu)
 	// A read time-out below the longest deadline would look like a client that left in the middle of its wait.
@@ -78,12 +80,12 @@
 	s.http = &http.Server{ReadHeaderTimeout: headerWait, ReadTimeout: limit, WriteTimeout: limit,
 		IdleTimeout: idleWait, MaxHeaderBytes: maxHeader, ConnState: s.listener.follow, ConnContext: keepClient, TLSConfig: opt.TLS,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			a := &answer{ResponseWriter: w, state: opt.State}
 			if c, _ := r.Context().Value(clientKey{}).(*client); c != nil {
-				c.mu.Lock()
-				c.requests++
-				c.mu.Unlock()
+				a.client = c
+				c.handles(true)
+				defer c.handles(false)
 			}
-			a := &answer{ResponseWriter: w, state: opt.State}
 			if handler.ServeHTTP(a, r); !a.headed {
 				a.WriteHeader(http.StatusOK)
 			}
@@ -118,15 +120,17 @@
 // Resume takes new connections again.
 func (s *Server) Resume() { s.listener.pause(false) }
 
-// answer marks an answer as its connection's last where clients are sent away by the time that it is written.
+// answer marks an answer as its connection's last where clients are sent away by the time that it is written. For as long as
+// idle connections are left, one behind which more has come already is not: what has been read is answered as well.
 type answer struct {
 	http.ResponseWriter
 	state  *service.State
+	client *client // nil: under TLS what has come can't be told
 	headed bool
 }
 
 func (a *answer) WriteHeader(code int) {
-	if !a.headed && a.state.Last() {
+	if !a.headed && (a.state.Last() && !(a.client.behind() && !a.state.ClosesIdle(time.Now())) || a.client.overrun()) {
 		a.Header().Set("Connection", "close")
 	}
 	if !a.headed {
@@ -199,16 +203,24 @@
 	}
 }
 
-// Open counts the connections.
+// Open counts the connections, those that linger and a port whose queue is being emptied among them.
 func (s *Server) Open() int {
-	s.listener.mu.Lock()
-	defer s.listener.mu.Unlock()
-	return len(s.listener.conns)
+	l := s.listener
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	n := len(l.conns) + len(l.lingers)
+	if l.shut && !l.closed {
+		n++
+	}
+	return n
 }
 
 // Close ends what the server runs, whatever is still owed.
 func (s *Server) Close() {
 	close(s.closed)
+	s.listener.mu.Lock()
+	s.listener.dead = true
+	s.listener.mu.Unlock()
 	s.http.Close()
 }
 
@@ -217,13 +229,20 @@
 // for long, and connections opened by the hundred in silence must not keep it there.
 type listener struct {
 	net.Listener
-	most  int
-	admit func() bool
-	mu    sync.Mutex
-	freed *sync.Cond
-	conns map[*client]bool
-	shut  bool
-	still bool // paused
+	most    int
+	opaque  bool // under TLS
+	admit   func() bool
+	mu      sync.Mutex
+	freed   *sync.Cond
+	conns   map[*client]bool
+	lingers []*client // closed towards the client, longest first; what still comes is read and thrown away
+	shut    bool      // no more are taken but what waits in the queue,
+	until   time.Time // until then at the latest
+	closed  bool      // nor that
+	still   bool      // paused
+	dead    bool      // nothing is waited for any more
+
+	crossing func() // of tests: bytes have been read, and nothing knows of them yet
 }
 
 // pause is carried out by a deadline in the past: to close the port would take what waits in its queue with it.
@@ -242,7 +261,8 @@
 	}
 }
 
-// next gives the next connection from the queue.
+// next gives the next connection from the queue. Once no more are to come it empties that, as to close the port would reset
+// what waits there.
 func (l *listener) next() (net.Conn, error) {
 	for {
 		c, err := l.Listener.Accept()
@@ -253,56 +273,16 @@
 		for l.still && !l.shut {
 			l.freed.Wait()
 		}
+		if l.shut {
+			l.closed = true
+			err = l.Listener.Close()
+			l.mu.Unlock()
+			return nil, errors.Join(net.ErrClosed, err)
+		}
 		l.mu.Unlock()
 	}
 }
 
-// client is a client's connection. What net/http says of it is not all: a head that comes slowly is read while it still
-// counts as idle.
-type client struct {
-	net.Conn
-	in    *listener
-	state http.ConnState
-	since time.Time
-	begun bool // the first bytes of a request have been read
-
-	mu       sync.Mutex
-	framing  framing
-	requests int // that have been handed to the handler
-}
-
-func (c *client) Read(b []byte) (int, error) {
-	n, err := c.Conn.Read(b)
-	if n > 0 {
-		c.in.mu.Lock()
-		c.begun = true
-		c.in.mu.Unlock()
-		c.mu.Lock()
-		c.framing.follow(b[:n])
-		c.mu.Unlock()
-	}
-	return n, err
-}
-
-// quiet tells whether nothing has come in that nobody has read yet.
-func (c *client) quiet() bool {
-	raw, ok := c.Conn.(syscall.Conn)
-	if !ok {
-		return true
-	}
-	rc, err := raw.SyscallConn()
-	if err != nil {
-		return true
-	}
-	quiet := true
-	rc.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = n <= 0 || err != nil
-	})
-	return quiet
-}
-
 func (l *listener) Accept() (net.Conn, error) {
 	c, err := l.next()
 	for err == nil && l.admit != nil && !l.admit() { // closed early and cheaply, before a byte of it is read
@@ -317,47 +297,76 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for len(l.conns) >= l.most && !l.shut {
+	for len(l.conns) >= l.most && !l.dead {
+		l.until = time.Time{} // what waits in the queue has waited for this one
 		if old := l.longest(http.StateIdle, 0); old != nil {
-			l.leave(old)
+			old.end()
 		} else if old := l.longest(http.StateNew, newGrace); old != nil {
-			l.leave(old)
+			old.end()
 		} else {
 			wake := time.AfterFunc(newGrace, l.freed.Broadcast)
 			l.freed.Wait()
 			wake.Stop()
 		}
 	}
-	k := &client{Conn: c, in: l, state: http.StateNew, since: time.Now()}
+	k := &client{Conn: c, in: l, opaque: l.opaque, state: http.StateNew, since: time.Now()}
 	l.conns[k] = true
+	if l.shut {
+		l.emptying()
+	}
 	return k, nil
 }
 
+// emptying lets the queue be read on until nothing comes for a moment. The mutex is held.
+func (l *listener) emptying() {
+	if t, ok := l.Listener.(*net.TCPListener); ok {
+		if l.until.IsZero() {
+			l.until = time.Now().Add(queueMost)
+		}
+		by := time.Now().Add(queueWait)
+		if by.After(l.until) {
+			by = l.until
+		}
+		t.SetDeadline(by)
+	}
+}
+
 func (l *listener) Close() error {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if l.shut {
+		if l.dead && !l.closed {
+			l.closed = true
+			return l.Listener.Close()
+		}
 		return nil
 	}
-	l.shut = true
+	l.shut, l.until = true, time.Time{}
 	l.freed.Broadcast()
+	if _, ok := l.Listener.(*net.TCPListener); ok && !l.still && !l.dead { // paused, the queue is another's
+		l.emptying()
+		return nil
+	}
+	l.closed = true
 	return l.Listener.Close()
 }
 
-// longest gives the connection that has been in a state for the longest, if for more than some time.
+// longest gives the connection that has been in a state for the longest, if for more than some time, and on which nothing
+// has come.
 func (l *listener) longest(state http.ConnState, more time.Duration) (old *client) {
-	before := time.Now().Add(-more)
-	for c := range l.conns {
-		if c.state == state && c.since.Before(before) {
-			old, before = c, c.since
+	before, passed := time.Now().Add(-more), map[*client]bool{}
+	for {
+		old = nil
+		for c := range l.conns {
+			if c.state == state && !c.begun && !passed[c] && c.since.Before(before) && (old == nil || c.since.Before(old.since)) {
+				old = c
+			}
+		}
+		if old == nil || old.quiet() {
+			return old
 		}
+		passed[old] = true
 	}
-	return old
-}
-
-func (l *listener) leave(c *client) {
-	delete(l.conns, c)
-	c.Close()
 }
 
 // closeIdle closes the connections on which nothing has begun, those that are new after some grace.
@@ -366,7 +375,7 @@
 	defer l.mu.Unlock()
 	for c := range l.conns {
 		if !c.begun && (c.state == http.StateIdle || c.state == http.StateNew && now.Sub(c.since) > newGrace) && c.quiet() {
-			l.leave(c)
+			c.end()
 		}
 	}
 }
@@ -385,7 +394,7 @@
 		l.freed.Signal()
 	case l.conns[c]:
 		if c.state = state; state == http.StateIdle {
-			c.since, c.begun = time.Now(), false
+			c.since, c.begun = time.Now(), c.buffered()
 			l.freed.Signal()
 		}
 	}
