--- a/internal/core/gone_test.go
+++ b/internal/core/gone_test.go
@@ -2,10 +2,13 @@
 
 import (
 	"context"
+	"io"
+	"sync/atomic"
 	"testing"
 	"time"
 
 	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
 
 	"sprucelane.example/sprucelane/policy"
 )
@@ -33,3 +36,25 @@
 	assert.Less(t, time.Since(begun), time.Minute)
 	assert.Contains(t, c.Counters().String(), "open=0")
 }
+
+// An answer comes as the deadline fires: the client has one outcome, decided in one place, and what the other holds is given
+// back once.
+func TestAnswerThatComesAsTheDeadlineFires(t *testing.T) {
+	answered := make(chan bool)
+	var freed, closed atomic.Int32
+	c, ask := start(t, func(f *Flow) (End, Answer) {
+		f.Begin(io.NopCloser(nil))
+		<-answered // the deadline has fired, and the flow doesn't know
+		return EndServed, Answer{Rest: closes{&closed}, Free: func() { freed.Add(1) }}
+	})
+	assert.Equal(t, Failed, ask(1, 300*time.Millisecond).Kind)
+	close(answered)
+	require.Eventually(t, func() bool { c.mu.Lock(); defer c.mu.Unlock(); return len(c.live) == 0 }, time.Minute, time.Millisecond)
+	require.Eventually(t, func() bool { return freed.Load() == 1 && closed.Load() == 1 }, time.Minute, time.Millisecond)
+	assert.Contains(t, c.Counters().String(), "answered_served=0 answered_refused=0 answered_failed=1")
+}
+
+type closes struct{ n *atomic.Int32 }
+
+func (closes) Read([]byte) (int, error) { return 0, io.EOF }
+func (c closes) Close() error           { c.n.Add(1); return nil }
--- /dev/null
+++ b/internal/front/platform/leaving_test.go
@@ -0,0 +1,52 @@
+package platform_test
+
+import (
+	"io"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/standin"
+)
+
+const read = "GET /health-read HTTP/1.1\r\nHost: x\r\nX-Request-Id: 7\r\nX-Class: health-read\r\nX-Tariff: utility\r\n" +
+	"X-Subscriber: 01\r\nX-Deadline-Ms: 15000\r\nX-Weight: units=1,spread=1,first=0\r\n\r\n"
+
+// asks sends a request and gives the connection, for its client to leave by.
+func asks(t *testing.T, base, text string) net.Conn {
+	c, err := net.Dial("tcp", strings.TrimPrefix(base, "http://"))
+	require.NoError(t, err)
+	t.Cleanup(func() { c.Close() })
+	_, err = io.WriteString(c, text)
+	require.NoError(t, err)
+	return c
+}
+
+func says(t *testing.T, c *core.Core, count string) {
+	require.Eventually(t, func() bool { return strings.Contains(c.Counters().String(), count) }, time.Minute, time.Millisecond, count)
+}
+
+// A client leaves while its first attempt is out, which then breaks: none follows, though the class may be repeated.
+func TestClientLeavesBetweenAttempts(t *testing.T) {
+	out, breaks := make(chan bool), make(chan bool)
+	m := standin.New(t, func(p *standin.Peer, c net.Conn, r standin.Seen) bool {
+		close(out)
+		<-breaks
+		return standin.Reset(p, c, r)
+	}, standin.OK("again"))
+	base, c := gateway(t, m)
+	client := asks(t, base, read)
+	<-out
+	client.Close()
+	says(t, c, "answered_gone=1")
+	close(breaks)
+	says(t, c, "open=0")
+	says(t, c, "ended_reset=1")
+	assert.Len(t, m.Seen(), 1)
+	assert.Contains(t, c.Counters().String(), "sent=1")
+}
--- a/internal/pool/crossing_test.go
+++ b/internal/pool/crossing_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"io"
+	"net"
 	"testing"
 	"time"
 
@@ -41,3 +43,80 @@
 	assert.Len(t, m.Seen(), 1)
 	assert.Contains(t, c.Counters().String(), "ended_lapsed=1")
 }
+
+// What nobody asked for comes on a kept connection, or its end, in the moment in which that has been chosen: a whole answer,
+// half a line of one, a close. Nothing is written there, and nobody takes it for an answer; a new connection has the request.
+func TestUnaskedBytesOnAConnectionThatIsChosen(t *testing.T) {
+	for name, comes := range map[string]func(net.Conn){
+		"a second answer": func(c net.Conn) { io.WriteString(c, okHead+"Content-Length: 5\r\n\r\nother") },
+		"half a line":     func(c net.Conn) { io.WriteString(c, "HTTP/1.1 2") },
+		"a close":         func(c net.Conn) { c.Close() },
+		"a reset":         func(c net.Conn) { c.(*net.TCPConn).SetLinger(0); c.Close() },
+	} {
+		conns := make(chan net.Conn, 2)
+		m := standin.New(t, func(_ *standin.Peer, c net.Conn, _ standin.Seen) bool {
+			conns <- c
+			_, err := io.WriteString(c, okHead+"Content-Length: 3\r\n\r\nown")
+			return err == nil
+		})
+		p, ask := start(t, 9, plain, m)
+		require.Equal(t, core.Served, ask().Kind, name)
+		asks := 0
+		p.up = func(f *core.Flow) {
+			if asks++; asks == 1 {
+				comes(<-conns)
+				// It is on loopback, and so it is there; whoever looks now would see it.
+			}
+		}
+		a := ask()
+		assert.Equal(t, core.Served, a.Kind, name)
+		assert.Equal(t, "own", string(a.Body), name)
+		assert.Len(t, m.Seen(), 2, name)
+		assert.Equal(t, 2, m.Opened(), name)
+		assert.Equal(t, Counts{Opened: 2, OpenedPastUse: 1, OpenNow: 1, IdleNow: 1}, p.Counts(), name)
+	}
+}
+
+// A connection comes up when its attempt has no use for it any more: its client has left, the process gives all up, or its
+// member is to get nothing new. Not a byte goes out, and the connection is there for the next, unless the member drains.
+func TestConnectionThatComesTooLate(t *testing.T) {
+	for name, story := range map[string]struct {
+		happens func(p *Pool, c *core.Core, leave func())
+		kind    core.AnswerKind
+		kept    int
+	}{
+		"the client left":  {func(_ *Pool, _ *core.Core, leave func()) { leave() }, core.Gone, 1},
+		"all was given up": {func(_ *Pool, c *core.Core, _ func()) { c.GiveUp() }, core.Failed, 1},
+		"its member drains": {func(p *Pool, c *core.Core, _ func()) {
+			p.Set(1, "127.0.0.1:1", policy.Draining)
+			c.Servers(policy.ListChanges, []policy.ServerInfo{{ID: 1, State: policy.Draining}})
+		}, core.Refused, 0},
+	} {
+		m := standin.New(t, standin.OK("late"))
+		d := standin.Deployment()
+		p := New(Options{Sockets: 9, StaleWithin: time.Minute, ConnIdle: d.ConnIdle, ConnectWait: d.ConnectWait})
+		t.Cleanup(p.Close)
+		c, err := core.New(d.Settings, 1, core.NewClock(), p, nil)
+		require.NoError(t, err)
+		p.Set(1, m.Addr, policy.Ready)
+		c.Servers(policy.ListFull, []policy.ServerInfo{{ID: 1, Weight: 1}})
+		ctx, leave := context.WithCancel(context.Background())
+		answered, on := make(chan bool), make(chan bool)
+		p.up = func(*core.Flow) {
+			story.happens(p, c, leave)
+			if story.kind != core.Refused { // which comes of this flow's end
+				<-answered
+			}
+			close(on)
+		}
+		a := c.Serve(ctx, core.Request{Message: &Message{Method: "POST", Target: "/work-order", Host: "x"},
+			Request: policy.Request{Class: 1, Units: 1, SetSize: 1, Deadline: c.Now() + 2*time.Second}})
+		close(answered)
+		<-on
+		assert.Equal(t, story.kind, a.Kind, name)
+		require.Eventually(t, func() bool { n := p.Counts(); return n.IdleNow == story.kept && n.OpenNow == story.kept }, time.Minute,
+			time.Millisecond, name)
+		assert.Empty(t, m.Seen(), name)
+		leave()
+	}
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,7 +99,7 @@
 	left  int64 // bytes that may still be read
 	to    string
 	used  bool
-	since time.Time // idle since
+	since time.Time // idle since; zero: it never was
 	over  error     // how what comes in has ended
 }
 
@@ -179,21 +179,9 @@
 
 // Carry takes a flow to its member and back.
 func (p *Pool) Carry(f *core.Flow) (core.End, core.Answer) {
-	var none core.Answer
-	c, end := p.connect(f)
+	c, end := p.reach(f)
 	if c == nil {
-		return end, none
-	}
-	if p.up != nil {
-		p.up(f)
-	}
-	if end, ok := p.begin(f, c); !ok {
-		if end == core.EndDrained {
-			p.drop(c)
-		} else {
-			p.put(f.Server, c)
-		}
-		return end, none
+		return end, core.Answer{}
 	}
 	idle, used := time.Since(c.since), c.used
 	end, answer, reuse := c.exchange(p, f)
@@ -204,7 +192,7 @@
 	switch {
 	case answer.Rest != nil && cancelled: // it broke under the answer's beginning
 		answer.Drop()
-		return core.EndCancelled, none
+		return core.EndCancelled, core.Answer{}
 	case answer.Rest != nil: // has the connection until it ends
 		return end, answer
 	case reuse && !cancelled:
@@ -218,6 +206,36 @@
 	return end, answer
 }
 
+// reach gives a connection on which the first byte may be written now. On a kept one nothing must have come in by then: it
+// would be taken for the beginning of the answer.
+func (p *Pool) reach(f *core.Flow) (*conn, core.End) {
+	for past := false; ; past = true {
+		c, end := p.connect(f, past)
+		if c == nil {
+			return nil, end
+		}
+		if p.up != nil {
+			p.up(f)
+		}
+		if end, ok := p.begin(f, c); !ok {
+			if end == core.EndDrained {
+				p.drop(c)
+			} else {
+				p.put(f.Server, c)
+			}
+			return nil, end
+		}
+		if c.since.IsZero() {
+			return c, core.EndNone
+		}
+		if !c.stirred() {
+			p.note(func(n *Counts) { n.Reused++ })
+			return c, core.EndNone
+		}
+		p.drop(c)
+	}
+}
+
 // begin rechecks, right before the first byte, what may have changed while the flow dialled: the member was told
 // to drain or is gone, it moved, or the transaction is over.
 func (p *Pool) begin(f *core.Flow, c *conn) (core.End, bool) {
@@ -231,9 +249,10 @@
 	return f.Begin(c)
 }
 
-// connect gives a connection that nothing else uses: the idle one used last, else a new one.
-func (p *Pool) connect(f *core.Flow) (*conn, core.End) {
-	for past := false; ; past = true {
+// connect gives a connection that nothing else uses: the idle one used last, else a new one. Past tells that there was an idle
+// one past use already.
+func (p *Pool) connect(f *core.Flow, past bool) (*conn, core.End) {
+	for ; ; past = true {
 		p.mu.Lock()
 		m := p.members[f.Server]
 		if m == nil || m.state != policy.Ready {
@@ -270,8 +289,7 @@
 		c := m.idle[last]
 		m.idle = m.idle[:last]
 		p.mu.Unlock()
-		if p.fresh(c) && !p.ages.doubtful(time.Since(c.since), f.Message.(*Message).Method) {
-			p.note(func(n *Counts) { n.Reused++ })
+		if p.young(c) && !p.ages.doubtful(time.Since(c.since), f.Message.(*Message).Method) {
 			return c, core.EndNone
 		}
 		p.drop(c)
@@ -342,8 +360,10 @@
 // fresh tells whether an idle connection may still carry a request: it is younger than the limit at which its
 // peer closes it, with a margin, and neither an end nor a stray byte has come in. A request written to a
 // connection that the peer has closed may count as run, and one of an unsafe class would be lost.
-func (p *Pool) fresh(c *conn) bool {
-	return time.Since(c.since) <= time.Duration(p.connIdle.Load())*3/4 && !c.stirred()
+func (p *Pool) fresh(c *conn) bool { return p.young(c) && !c.stirred() }
+
+func (p *Pool) young(c *conn) bool {
+	return time.Since(c.since) <= time.Duration(p.connIdle.Load())*3/4
 }
 
 // stirred tells whether anything has come in that nobody has read, an end included.
--- a/internal/pool/pool_test.go
+++ b/internal/pool/pool_test.go
@@ -90,7 +90,7 @@
 	_, ask := start(t, 9, func(p *Pool, f *core.Flow) (core.End, core.Answer) {
 		if drained == 0 {
 			drained = f.Server
-			c, _ := p.connect(f)
+			c, _ := p.connect(f, false)
 			assert.NotNil(t, c)
 			p.Set(f.Server, c.to, policy.Draining)
 			end, ok := p.begin(f, c)
@@ -115,7 +115,7 @@
 func TestRemovalWhileDialling(t *testing.T) {
 	a := standin.New(t, standin.OK("a"))
 	_, ask := start(t, 9, func(p *Pool, f *core.Flow) (core.End, core.Answer) {
-		c, _ := p.connect(f)
+		c, _ := p.connect(f, false)
 		if c == nil {
 			return core.EndDrained, core.Answer{}
 		}
--- a/policy/window_test.go
+++ b/policy/window_test.go
@@ -21,3 +21,26 @@
 	assert.Len(t, f.sent, 1)
 	assert.Equal(t, "failed", f.ended[1])
 }
+
+// A client leaves while its request is held for a cold member's turn: when the turn comes it is another's.
+func TestHeldRequestWhoseClientLeft(t *testing.T) {
+	s := settings()
+	s.Gateways, s.FallMultiple, s.SecondCopies = 3, 0.001, false
+	f := start(t, s, 0)
+	f.g.Servers(f.now, ListFull, []ServerInfo{{ID: 1, Weight: 1, Since: f.now}})
+	f.g.byID[1].cold.Turn = 0
+	for id := range RequestID(3) {
+		f.ask(id+1, func(r *Request) { r.Deadline = f.now + time.Minute; r.Class = 0 })
+	}
+	held := 0
+	for id := RequestID(1); id <= 3; id++ {
+		if f.ended[id] == "" {
+			held++
+			f.g.ClientGone(f.now, id)
+		}
+	}
+	require.Positive(t, held, "what can't be sent yet is held")
+	f.g.byID[1].cold.Turn = 1
+	f.until(f.now + 100*ms)
+	assert.Empty(t, f.sent)
+}
