The lingering close outlasts net/http's own time limits

Cause, found reading the change again: where net/http's idle timer or its limit for heads ended a connection, that limit still stood on it, so the lingering reading met it at once and the connection was closed over what came (client.linger). Change: a limit that is met there is taken off; the half second is the linger's own. Test: TestRequestThatCrossesATimer (idle timer, head that doesn't come whole), red with the mend out.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -232,7 +232,11 @@
 	var piece [512]byte
 	for all := 0; all < lingerMost; {
 		n, err := c.Conn.Read(piece[:])
-		if all += n; err != nil {
+		all += n
+		if errors.Is(err, os.ErrDeadlineExceeded) { // net/http's: its idle timer may be what ended the connection
+			err = c.Conn.SetReadDeadline(time.Time{})
+		}
+		if err != nil {
 			break
 		}
 	}
--- a/internal/front/crossing_test.go
+++ b/internal/front/crossing_test.go
@@ -46,6 +46,30 @@
 	require.Eventually(t, func() bool { return s.Open() == 0 }, time.Minute, time.Millisecond)
 }
 
+// So it is where the idle timer ends the connection, or the one for a head that doesn't come whole.
+func TestRequestThatCrossesATimer(t *testing.T) {
+	for _, begins := range []string{"", "GET"} {
+		s, err := Listen(Options{Listen: "127.0.0.1:0", Sockets: 9, LongestDeadline: time.Minute},
+			http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+		require.NoError(t, err)
+		s.http.IdleTimeout, s.http.ReadHeaderTimeout = 50*time.Millisecond, 50*time.Millisecond
+		go s.Serve()
+		t.Cleanup(s.Close)
+		c := dial(t, s)
+		c.ask(t)
+		c.answer(t)
+		c.say(t, begins)
+		require.Eventually(t, func() bool { return s.listener.open() == 0 }, time.Minute, time.Millisecond)
+		time.Sleep(20 * time.Millisecond) // what lingers is at it
+		for range 3 {
+			c.say(t, request)
+		}
+		_, err = io.ReadAll(c.in)
+		assert.NoError(t, err)
+		require.Eventually(t, func() bool { return s.Open() == 0 }, time.Minute, time.Millisecond)
+	}
+}
+
 // The same where the process has read the request in that moment, and what decides on the close can't know yet: it is not
 // handed on, as its answer would have no way.
 func TestRequestReadAsItsConnectionIsClosed(t *testing.T) {
