A value on its way to the disk is no longer forgotten when its key is written again

Cause, by reading: Store.put drops the value before an entry where that is not yet durable; while a flush is under way it is about to be, and a checkpoint made next holds neither it nor the newer one, which is not on disk (put, flushLocked, checkpointOf). Ruled out: Compact and rotate (they write what came meanwhile themselves). Whether that one failure was this crossing is not shown; no other was found.

Change: Store.flushing, the newest on its way, stands beside durable in that check.

--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -141,6 +141,7 @@
 	index    map[string]*entry
 	seq      uint64 // newest given out
 	durable  uint64 // newest on disk
+	flushing uint64 // newest on its way there, or on disk
 	pending  []byte // to be written at the end of the last segment
 	waiting  []*entry
 	round    *round // that will write what is pending
@@ -259,7 +260,7 @@
 			return
 		}
 		s.live[old.where.segment] -= int64(old.where.size)
-		if e.prev = old; old.seq > s.durable { // two of which neither is on disk: the older one never matters
+		if e.prev = old; old.seq > max(s.durable, s.flushing) { // neither is on disk or on its way: the older one never matters
 			e.prev = old.prev
 		}
 	}
@@ -319,7 +320,7 @@
 	s.round = newRound()
 	last := s.man.segments[len(s.man.segments)-1].number
 	file := s.files[last]
-	s.pending, s.waiting, s.began = nil, nil, at+int64(len(pending))
+	s.pending, s.waiting, s.began, s.flushing = nil, nil, at+int64(len(pending)), seq
 	s.sizes[last] = s.began
 	s.mu.Unlock()
 	_, err := file.WriteAt(pending, at)
