One place ends a transaction that may not go on; TLS reads take the common way

From reading the change again: core.Serve closed a transaction in two blocks that looked at the client's context one after the other; client.Read had a copy of its end for TLS; listener.Close cleared a time that nothing had set; a comment in the store said more than holds. Change: one block each, behaviour as before. Tests of core, front, platform and introspect with the race detector: green, unchanged.

--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -301,26 +301,22 @@
 	if refused, wait := c.damped(t); refused {
 		return c.count(Answer{Kind: Refused, RetryAfter: wait})
 	}
-	if in.Check != nil { // without a right to go on it is over, and the module need not hear of it
-		verdict, wait := in.Check(in.Deadline - checkMargin)
-		if verdict != Active || ctx.Err() != nil {
-			c.mu.Lock()
-			c.close(t)
-			c.mu.Unlock()
-			switch {
-			case ctx.Err() != nil:
-				return c.count(Answer{Kind: Gone})
-			case verdict == Inactive:
-				return c.count(Answer{Kind: Denied})
-			}
-			return c.count(Answer{Kind: Refused, Tried: true, RetryAfter: c.refused(t, wait)}) // nothing ran: asking again is harmless
-		}
+	verdict, wait := Active, time.Duration(0)
+	if in.Check != nil {
+		verdict, wait = in.Check(in.Deadline - checkMargin)
 	}
-	if ctx.Err() != nil { // it draws nothing and takes no turn
+	// Without a right to go on, or a client, it is over, and the module need not hear of it: it draws nothing and takes no turn.
+	if gone := ctx.Err() != nil; gone || verdict != Active {
 		c.mu.Lock()
 		c.close(t)
 		c.mu.Unlock()
-		return c.count(Answer{Kind: Gone})
+		switch {
+		case gone:
+			return c.count(Answer{Kind: Gone})
+		case verdict == Inactive:
+			return c.count(Answer{Kind: Denied})
+		}
+		return c.count(Answer{Kind: Refused, Tried: true, RetryAfter: c.refused(t, wait)}) // nothing ran: asking again is harmless
 	}
 	c.event(func(now Time) { t.era.module.Request(now, t.Request.Request) })
 	checked := len(t.orders) > 0 // a verdict holds for what is sent on now, not for what is held or tried again
--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -49,13 +49,6 @@
 // further request begins with, it would hear of no end after that. So such a byte waits here, with those behind it, until
 // the request has been handled, or the end has come first.
 func (c *client) Read(b []byte) (int, error) {
-	if c.opaque {
-		n, err := c.Conn.Read(b)
-		if err = c.came(n, err); err != nil {
-			n = 0
-		}
-		return n, err
-	}
 	n, err := c.takeAhead(b)
 	if n == 0 && err == nil {
 		n, err = c.Conn.Read(b)
@@ -71,9 +64,11 @@
 	if err = c.came(n, err); err != nil {
 		n = 0
 	}
-	c.mu.Lock()
-	c.framing.follow(b[:n])
-	c.mu.Unlock()
+	if !c.opaque {
+		c.mu.Lock()
+		c.framing.follow(b[:n])
+		c.mu.Unlock()
+	}
 	return n, err
 }
 
@@ -95,7 +90,7 @@
 func (c *client) keeps(b []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if !c.framing.between() || !c.handled && c.framing.heads <= c.requests {
+	if c.opaque || !c.framing.between() || !c.handled && c.framing.heads <= c.requests {
 		return false
 	}
 	c.ahead = slices.Insert(c.ahead, 0, b[0])
@@ -153,7 +148,7 @@
 func (c *client) buffered() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return !c.opaque && (len(c.ahead) > 0 || c.framing.beyond(c.requests))
+	return len(c.ahead) > 0 || c.framing.beyond(c.requests) // under TLS neither is ever so
 }
 
 // behind tells whether something has come there, read or not.
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -341,7 +341,7 @@
 		}
 		return nil
 	}
-	l.shut, l.until = true, time.Time{}
+	l.shut = true
 	l.freed.Broadcast()
 	if _, ok := l.Listener.(*net.TCPListener); ok && !l.still && !l.dead { // paused, the queue is another's
 		l.emptying()
--- a/internal/store/store.go
+++ b/internal/store/store.go
@@ -141,7 +141,7 @@
 	index    map[string]*entry
 	seq      uint64 // newest given out
 	durable  uint64 // newest on disk
-	flushing uint64 // newest on its way there, or on disk
+	flushing uint64 // newest that a flush has taken along
 	pending  []byte // to be written at the end of the last segment
 	waiting  []*entry
 	round    *round // that will write what is pending
