--- /dev/null
+++ b/internal/protocol/messages.go
@@ -0,0 +1,181 @@
+// Package protocol owns the messages that control, gateways and batch processes exchange, as gob carries them. It must never
+// hold behaviour beyond what a message says of itself.
+//
+// A gateway or batch process keeps one connection to a control process (its home, in its zone where there is one) and sends a
+// Poll every PollInterval; the answer is an Update. Where something changes in between, control pushes an Update. Versions
+// in a Poll say what the asker has, so that an Update holds only what is newer.
+package protocol
+
+import (
+	"time"
+
+	"encoding/gob"
+)
+
+// PollInterval is how often a gateway or batch process polls its home.
+const PollInterval = 400 * time.Millisecond
+
+// Poll is what a gateway or batch process tells its home control process, and what it has.
+type Poll struct {
+	Process       Process
+	Sequence      uint64 // of this connection's polls; comes back in the Update that answers
+	Configuration uint64 // index of the configuration in force here, 0: none
+	Servers       uint64 // version of the list of servers held here, 0: none
+	Members       uint64 // version of the list of processes held here, 0: none
+	Ready         bool
+	Batch         *BatchReport // of batch processes
+}
+
+// Process identifies a gateway or a batch process of one life.
+type Process struct {
+	Node        string
+	Role        string // RoleGateway or RoleBatch
+	Zone        string
+	IP          string
+	Incarnation string // of a batch process: kept with its disk; of a gateway: of its process
+}
+
+// The roles that poll.
+const (
+	RoleGateway = "gateway"
+	RoleBatch   = "batch"
+	RoleControl = "control"
+)
+
+// Update is control's answer to a Poll, or a push. Nil parts are unchanged.
+type Update struct {
+	Sequence uint64 // of the Poll that is answered; 0: a push, which renews nothing
+
+	// Fresh tells that control vouches for what it sends: all that was acknowledged longer ago than Age, counted back from
+	// when the Poll was answered, is in Configuration (here, or held already). It is what leases of keys count from.
+	Fresh bool
+	Age   time.Duration
+
+	Configuration *ConfigurationUpdate
+	Servers       *ServerList
+	Members       *MemberList
+	Store         *StoreGrant // for batch processes
+}
+
+// ConfigurationUpdate leads to a newer configuration: by the orders that follow the asker's, or whole.
+type ConfigurationUpdate struct {
+	Index uint64 // of the configuration after it
+	Whole []byte // the document in JSON; nil: Steps apply to what the asker has
+	Steps []ConfigurationStep
+}
+
+// ConfigurationStep is one acknowledged change.
+type ConfigurationStep struct {
+	Index uint64
+	Patch bool   // Body is a PATCH, else a whole document
+	Body  []byte // JSON as the operator sent it
+}
+
+// ServerList is the platform's list. Version rises with each change of content and is comparable only under one Source.
+type ServerList struct {
+	Version uint64
+	Source  string // the control process that numbered it
+	Servers []Server
+}
+
+// Server is a server of a service, in one incarnation.
+type Server struct {
+	ID       string
+	Backend  string
+	Address  string
+	Zone     string
+	Slots    int
+	Draining bool
+	Cold     time.Duration // how much longer it stays slow, as of when the list was read
+	Stage    string
+}
+
+// MemberList is the processes of the system that control hears.
+type MemberList struct {
+	Version  uint64
+	Control  []ControlMember
+	Gateways []Process
+	Stores   StoreView
+	// QuotaAddress is where grants of quota are asked for (control's port of the allocator), empty where there is none now.
+	QuotaAddress string
+}
+
+// ControlMember is a control process.
+type ControlMember struct {
+	Node, Zone, IP string
+}
+
+// StoreView is the agreed set of batch processes; it is part of the chain's state. Epoch rises with each change.
+type StoreView struct {
+	Epoch   uint64
+	Members []StoreMember
+}
+
+// StoreMember is a batch process in the agreed set.
+type StoreMember struct {
+	Process
+	State StoreState
+}
+
+// StoreState tells what a member of the set may do.
+type StoreState int
+
+// The states of a store.
+const (
+	StoreActive   StoreState = iota // holds batch jobs and takes new ones
+	StoreRetiring                   // hands over all that it holds, takes nothing new
+	StoreRetired                    // holds nothing that others need; may be taken away
+)
+
+// StoreGrant is a batch process's right to act in a store view.
+type StoreGrant struct {
+	Epoch  uint64
+	Member bool          // it is in the view of that epoch
+	Lease  time.Duration // from when the Poll was sent, by the asker's clock
+}
+
+// BatchReport is what a batch process tells of itself.
+type BatchReport struct {
+	Epoch       uint64 // of the store view that it works in
+	Settled     uint64 // highest epoch for which all that it should hold or hand over is done
+	BatchJobs   int
+	FreeBytes   int64
+	DrainedDown bool // retiring: nothing is left here that others don't hold on f + 1 disks
+}
+
+// QuotaRequest asks the allocator for tokens of tenants.
+type QuotaRequest struct {
+	Process Process
+	Demands []QuotaDemand
+}
+
+// QuotaDemand is one tenant's.
+type QuotaDemand struct {
+	Tenant string
+	Rate   float64 // requests a second that come here, refused ones included
+	Want   float64 // tokens wanted now
+}
+
+// QuotaReply grants tokens, and with them the right to spend at FallbackRate for FallbackFor where the allocator falls silent.
+type QuotaReply struct {
+	Grants       []QuotaGrant
+	ExpiresAfter time.Duration // from when the request was sent, by the asker's clock
+	FallbackFor  time.Duration // from when the request was sent, by the asker's clock; 0: none
+}
+
+// QuotaGrant is one tenant's.
+type QuotaGrant struct {
+	Tenant       string
+	Tokens       float64
+	FallbackRate float64       // tokens a second
+	RetryAfter   time.Duration // when more will be there, where less was granted than wanted
+}
+
+// Batch processes and gateways exchange the messages in batch.go, on the batch port.
+
+func init() {
+	gob.Register(Poll{})
+	gob.Register(Update{})
+	gob.Register(QuotaRequest{})
+	gob.Register(QuotaReply{})
+}
