--- /dev/null
+++ b/coord/transport/codec.go
@@ -0,0 +1,172 @@
+package transport
+
+import (
+	"bytes"
+	"encoding/binary"
+	"encoding/gob"
+	"fmt"
+	"io"
+	"reflect"
+)
+
+const (
+	// maxTypeName bounds the name of a type on the wire, in bytes.
+	maxTypeName = 512
+	// maxTypes bounds the types that one direction of a connection may name.
+	maxTypes = 4096
+)
+
+// encoder appends values to a buffer. It remembers which types the peer knows.
+type encoder struct {
+	out     *bytes.Buffer
+	gob     *gob.Encoder
+	numbers map[reflect.Type]uint64
+	// fresh is true until a value has been encoded: the peer must forget all types before it.
+	fresh bool
+}
+
+// newEncoder returns an encoder that appends to out.
+func newEncoder(out *bytes.Buffer) *encoder {
+	e := &encoder{out: out}
+	e.reset()
+	return e
+}
+
+// reset forgets which types the peer knows.
+func (e *encoder) reset() {
+	e.gob = gob.NewEncoder(e.out)
+	e.numbers = make(map[reflect.Type]uint64)
+	e.fresh = true
+}
+
+// encode appends a message. After an error the buffer holds a part of it, and reset must be called.
+func (e *encoder) encode(message any) error {
+	e.fresh = false
+	if message == nil {
+		e.out.WriteByte(0)
+		return nil
+	}
+	kind := reflect.TypeOf(message)
+	if err := e.encodeType(kind); err != nil {
+		return err
+	}
+	if isEmpty(kind) {
+		return nil
+	}
+	return e.gob.Encode(message)
+}
+
+// encodeType appends the number of a type, and its name at the first use.
+func (e *encoder) encodeType(kind reflect.Type) error {
+	var scratch [binary.MaxVarintLen64]byte
+	if number, known := e.numbers[kind]; known {
+		e.out.Write(binary.AppendUvarint(scratch[:0], number))
+		return nil
+	}
+	name, ok := registered.Load().names[kind]
+	if !ok {
+		return fmt.Errorf("type %s is not registered", kind)
+	}
+	if len(name) > maxTypeName || len(e.numbers) >= maxTypes {
+		return fmt.Errorf("type %s: name too long or too many types", kind)
+	}
+	number := uint64(len(e.numbers) + 1)
+	e.numbers[kind] = number
+	e.out.Write(binary.AppendUvarint(scratch[:0], number))
+	e.out.Write(binary.AppendUvarint(scratch[:0], uint64(len(name))))
+	e.out.WriteString(name)
+	return nil
+}
+
+// decoder reads values from payloads. It remembers the types that the peer has named.
+type decoder struct {
+	in    *bytes.Reader
+	gob   *gob.Decoder
+	types []reflect.Type
+}
+
+// newDecoder returns a decoder that knows no types yet.
+func newDecoder() *decoder {
+	d := &decoder{in: bytes.NewReader(nil)}
+	d.reset()
+	return d
+}
+
+// reset forgets all types that the peer has named.
+func (d *decoder) reset() {
+	d.gob = gob.NewDecoder(d.in)
+	d.types = d.types[:0]
+}
+
+// decode returns the message in a payload. The payload may be used again afterwards.
+func (d *decoder) decode(payload []byte) (any, error) {
+	d.in.Reset(payload)
+	kind, err := d.decodeType()
+	if err != nil {
+		return nil, err
+	}
+	if kind == nil {
+		return nil, d.expectEnd()
+	}
+	value := reflect.New(kind)
+	if !isEmpty(kind) {
+		if err := d.gob.DecodeValue(value); err != nil {
+			return nil, err
+		}
+	}
+	if err := d.expectEnd(); err != nil {
+		return nil, err
+	}
+	return value.Elem().Interface(), nil
+}
+
+// expectEnd reports bytes that follow a value.
+func (d *decoder) expectEnd() error {
+	if d.in.Len() != 0 {
+		return fmt.Errorf("%d bytes after the value", d.in.Len())
+	}
+	return nil
+}
+
+// decodeType reads the number of a type, and its name at the first use. It returns nil for no value.
+func (d *decoder) decodeType() (reflect.Type, error) {
+	number, err := binary.ReadUvarint(d.in)
+	if err != nil {
+		return nil, err
+	}
+	if number == 0 {
+		return nil, nil
+	}
+	if number <= uint64(len(d.types)) {
+		return d.types[number-1], nil
+	}
+	if number != uint64(len(d.types))+1 || number > maxTypes {
+		return nil, fmt.Errorf("type number %d out of order", number)
+	}
+	name, err := d.decodeName()
+	if err != nil {
+		return nil, err
+	}
+	kind, ok := registered.Load().types[name]
+	if !ok {
+		return nil, fmt.Errorf("type %q is not registered", name)
+	}
+	d.types = append(d.types, kind)
+	return kind, nil
+}
+
+// decodeName reads the name of a type.
+func (d *decoder) decodeName() (string, error) {
+	length, err := binary.ReadUvarint(d.in)
+	if err != nil {
+		return "", err
+	}
+	if length > maxTypeName {
+		return "", fmt.Errorf("type name of %d bytes", length)
+	}
+	name := make([]byte, length)
+	if _, err := io.ReadFull(d.in, name); err != nil {
+		return "", err
+	}
+	return string(name), nil
+}
--- /dev/null
+++ b/coord/transport/hello.go
@@ -0,0 +1,146 @@
+package transport
+
+import (
+	"encoding/binary"
+	"fmt"
+	"io"
+	"math"
+	"time"
+)
+
+const (
+	helloMagic   = "SPL"
+	helloVersion = 1
+	// maxHello bounds the body of a hello in bytes.
+	maxHello = 4096
+)
+
+// helloStatus tells whether the sender takes the connection.
+type helloStatus byte
+
+const (
+	helloAccepted helloStatus = iota
+	helloOtherSystem
+	helloRefused
+)
+
+// hello is what each side says first.
+type hello struct {
+	status    helloStatus
+	heartbeat time.Duration
+	identity  Identity
+}
+
+// write sends the hello.
+func (h hello) write(out io.Writer) error {
+	body := []byte{byte(h.status)}
+	body = binary.BigEndian.AppendUint32(body, milliseconds(h.heartbeat))
+	for _, text := range h.identity.fields() {
+		body = binary.BigEndian.AppendUint16(body, uint16(min(len(*text), math.MaxUint16)))
+		body = append(body, *text...)
+	}
+	if len(body) > maxHello {
+		return fmt.Errorf("%w: identity of %d bytes", ErrFrameTooLarge, len(body))
+	}
+	message := append([]byte(helloMagic), helloVersion)
+	message = binary.BigEndian.AppendUint16(message, uint16(len(body)))
+	_, err := out.Write(append(message, body...))
+	return err
+}
+
+// readHello reads what the peer says first.
+func readHello(in io.Reader) (hello, error) {
+	var start [len(helloMagic) + 1]byte
+	if _, err := io.ReadFull(in, start[:]); err != nil {
+		return hello{}, err
+	}
+	if string(start[:len(helloMagic)]) != helloMagic {
+		return hello{}, ErrNotTransport
+	}
+	if version := start[len(helloMagic)]; version != helloVersion {
+		return hello{}, fmt.Errorf("%w: %d", ErrVersion, version)
+	}
+	var size [2]byte
+	if _, err := io.ReadFull(in, size[:]); err != nil {
+		return hello{}, err
+	}
+	length := int(binary.BigEndian.Uint16(size[:]))
+	if length > maxHello {
+		return hello{}, fmt.Errorf("%w: hello of %d bytes", ErrFrameTooLarge, length)
+	}
+	body := make([]byte, length)
+	if _, err := io.ReadFull(in, body); err != nil {
+		return hello{}, err
+	}
+	return parseHello(body)
+}
+
+// parseHello reads the body of a hello.
+func parseHello(body []byte) (hello, error) {
+	if len(body) < 5 {
+		return hello{}, fmt.Errorf("%w: short hello", ErrCorrupt)
+	}
+	parsed := hello{status: helloStatus(body[0])}
+	parsed.heartbeat = time.Duration(binary.BigEndian.Uint32(body[1:])) * time.Millisecond
+	body = body[5:]
+	for _, text := range parsed.identity.fields() {
+		if len(body) < 2 {
+			return hello{}, fmt.Errorf("%w: short hello", ErrCorrupt)
+		}
+		length := int(binary.BigEndian.Uint16(body))
+		body = body[2:]
+		if len(body) < length {
+			return hello{}, fmt.Errorf("%w: short hello", ErrCorrupt)
+		}
+		*text = string(body[:length])
+		body = body[length:]
+	}
+	return parsed, nil
+}
+
+// fields returns the strings of an identity in the order of the wire.
+func (i *Identity) fields() []*string {
+	return []*string{&i.System, &i.Node, &i.Role, &i.Zone, &i.Address, &i.Incarnation}
+}
+
+// judge returns why a peer is refused, as a status for it and an error for this side.
+func (o *Options) judge(peer Identity) (helloStatus, error) {
+	if peer.System != o.Identity.System {
+		return helloOtherSystem, fmt.Errorf("%w: %q", ErrOtherSystem, peer.System)
+	}
+	if o.Admit == nil {
+		return helloAccepted, nil
+	}
+	if err := o.Admit(peer); err != nil {
+		return helloRefused, fmt.Errorf("%w: %w", ErrRefused, err)
+	}
+	return helloAccepted, nil
+}
+
+// statusError returns the error for a status that the peer sent.
+func statusError(status helloStatus) error {
+	switch status {
+	case helloAccepted:
+		return nil
+	case helloOtherSystem:
+		return ErrOtherSystem
+	default:
+		return fmt.Errorf("%w by the peer", ErrRefused)
+	}
+}
+
+// agreedHeartbeat returns the shorter of two heartbeats, where zero is none.
+func agreedHeartbeat(one, other time.Duration) time.Duration {
+	if one <= 0 {
+		return other
+	}
+	if other <= 0 {
+		return one
+	}
+	return min(one, other)
+}
+
+// milliseconds returns a duration in whole milliseconds that fit the wire.
+func milliseconds(duration time.Duration) uint32 {
+	return uint32(min(max(duration.Milliseconds(), 0), math.MaxInt32))
+}
--- /dev/null
+++ b/coord/transport/link.go
@@ -0,0 +1,310 @@
+package transport
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// writeChunk is the progress in bytes that renews the deadline of a write.
+	writeChunk = 256 << 10
+	// readBuffer is the size in bytes of a connection's read buffer.
+	readBuffer = 8 << 10
+)
+
+// link is one connection after its handshake, the same at both ends: a queue of encoded frames with its writer, a
+// reader, and pings.
+type link struct {
+	connection net.Conn
+	options    *Options
+	remote     Identity
+	heartbeat  time.Duration
+	reader     frameReader
+	decoder    *decoder
+	done       chan struct{} // closed once the link has ended
+
+	mutex    sync.Mutex
+	encoder  *encoder
+	pending  *bytes.Buffer // whole frames not yet handed to the network
+	frames   int           // the number of frames in pending
+	queued   uint64        // frames ever queued
+	handed   uint64        // frames ever handed to the network
+	lastSend time.Time
+	writing  bool  // the writer holds frames that it took from pending
+	closing  bool  // set by close: write what is pending, then end
+	cause    error // why the link ended; nil while it stands
+	pinger   *time.Timer
+	wake     chan struct{} // tells the writer of pending frames, holds one
+}
+
+// newLink starts the writer of a connection whose handshake is done.
+func newLink(connection net.Conn, in *bufio.Reader, options *Options, peer hello) *link {
+	pending := &bytes.Buffer{}
+	l := &link{
+		connection: connection,
+		options:    options,
+		remote:     peer.identity,
+		heartbeat:  agreedHeartbeat(options.Heartbeat, peer.heartbeat),
+		decoder:    newDecoder(),
+		encoder:    newEncoder(pending),
+		pending:    pending,
+		done:       make(chan struct{}),
+		wake:       make(chan struct{}, 1),
+		lastSend:   time.Now(),
+	}
+	l.reader = frameReader{in: in, limit: options.MaxFrame}
+	go l.writeLoop()
+	if l.heartbeat > 0 {
+		l.mutex.Lock()
+		l.pinger = time.AfterFunc(l.heartbeat, l.ping)
+		l.mutex.Unlock()
+	}
+	return l
+}
+
+// send queues a message and returns the number of its frame.
+func (l *link) send(kind frameKind, call uint32, message any) (uint64, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.cause != nil {
+		return 0, notConnected(l.cause)
+	}
+	if l.closing {
+		return 0, notConnected(ErrClosed)
+	}
+	if l.frames >= l.options.Queue || l.pending.Len() > l.options.MaxFrame {
+		return 0, ErrQueueFull
+	}
+	if err := l.encodeFrame(kind, call, message); err != nil {
+		return 0, err
+	}
+	l.frames++
+	l.queued++
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+	return l.queued, nil
+}
+
+// encodeFrame appends a frame to pending, or leaves it as it was. The caller holds the mutex.
+func (l *link) encodeFrame(kind frameKind, call uint32, message any) error {
+	start := l.pending.Len()
+	if kind == framePing {
+		appendHeader(l.pending, kind, false, call)
+		return nil
+	}
+	appendHeader(l.pending, kind, l.encoder.fresh, call)
+	err := l.encoder.encode(message)
+	size := l.pending.Len() - start - frameHeader
+	if err != nil {
+		err = fmt.Errorf("%w: %w", ErrEncode, err)
+	} else if size > l.options.MaxFrame {
+		err = fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
+	}
+	if err != nil {
+		l.pending.Truncate(start)
+		l.encoder.reset()
+		return err
+	}
+	setLength(l.pending.Bytes()[start:])
+	return nil
+}
+
+// wasHanded tells whether any byte of a frame may have reached the network.
+func (l *link) wasHanded(number uint64) bool {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return number <= l.handed
+}
+
+// ping sends a ping if nothing else was sent for a heartbeat, and sets the timer anew.
+func (l *link) ping() {
+	l.mutex.Lock()
+	if l.cause != nil {
+		l.mutex.Unlock()
+		return
+	}
+	idle := time.Since(l.lastSend)
+	next := l.heartbeat - idle
+	if next <= 0 {
+		next = l.heartbeat
+	}
+	l.pinger.Reset(next)
+	l.mutex.Unlock()
+	if idle >= l.heartbeat {
+		_, _ = l.send(framePing, 0, nil)
+	}
+}
+
+// writeLoop writes pending frames, all that wait with one system call, until the link ends.
+func (l *link) writeLoop() {
+	var batch []byte
+	for {
+		select {
+		case <-l.wake:
+		case <-l.done:
+			return
+		}
+		if cap(batch) > keepBuffer {
+			batch = nil
+		}
+		var last bool
+		batch, last = l.takePending(batch)
+		if err := l.write(batch); err != nil {
+			l.end(err)
+			return
+		}
+		l.mutex.Lock()
+		l.writing = false
+		l.mutex.Unlock()
+		if last {
+			l.end(ErrClosed)
+			return
+		}
+	}
+}
+
+// takePending returns all frames that wait and marks them as handed to the network; spare becomes the memory of the
+// next ones. It tells whether the link is to end after them.
+func (l *link) takePending(spare []byte) ([]byte, bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.cause != nil {
+		return nil, true
+	}
+	batch := l.pending.Bytes()
+	*l.pending = *bytes.NewBuffer(spare[:0])
+	l.frames = 0
+	l.writing = len(batch) > 0
+	l.handed = l.queued
+	l.lastSend = time.Now()
+	return batch, l.closing
+}
+
+// write writes bytes with a deadline that progress renews.
+func (l *link) write(batch []byte) error {
+	for len(batch) > 0 {
+		chunk := batch[:min(len(batch), writeChunk)]
+		if err := l.connection.SetWriteDeadline(time.Now().Add(l.options.WriteTimeout)); err != nil {
+			return err
+		}
+		if _, err := l.connection.Write(chunk); err != nil {
+			if errors.Is(err, os.ErrDeadlineExceeded) {
+				return fmt.Errorf("%w: %w", ErrStalled, err)
+			}
+			return err
+		}
+		batch = batch[len(chunk):]
+	}
+	return nil
+}
+
+// receive returns the next frame that isn't a ping, with its message.
+func (l *link) receive() (frame, any, error) {
+	for {
+		received, err := l.reader.next()
+		if err != nil {
+			return frame{}, nil, silence(err)
+		}
+		if received.kind == framePing {
+			continue
+		}
+		if received.reset {
+			l.decoder.reset()
+		}
+		message, err := l.decoder.decode(received.payload)
+		if err != nil {
+			return frame{}, nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
+		}
+		return received, message, nil
+	}
+}
+
+// close ends the link once all that is pending was written, without waiting for it.
+func (l *link) close() {
+	l.mutex.Lock()
+	l.closing = true
+	empty := l.pending.Len() == 0 && !l.writing
+	l.mutex.Unlock()
+	if empty {
+		l.end(ErrClosed)
+		return
+	}
+	select {
+	case l.wake <- struct{}{}:
+	default:
+	}
+}
+
+// end closes the connection. The first cause stays.
+func (l *link) end(cause error) {
+	l.mutex.Lock()
+	if l.cause != nil {
+		l.mutex.Unlock()
+		return
+	}
+	l.cause = cause
+	if l.pinger != nil {
+		l.pinger.Stop()
+	}
+	*l.pending = bytes.Buffer{}
+	l.mutex.Unlock()
+	_ = l.connection.Close()
+	close(l.done)
+}
+
+// endCause returns why the link ended.
+func (l *link) endCause() error {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.cause
+}
+
+// lateRead is how long a read is tried again after its time ran out: where this process itself stood still, the
+// bytes may have come meanwhile.
+const lateRead = 20 * time.Millisecond
+
+// timedReader reads from a connection and bounds each wait for bytes.
+type timedReader struct {
+	connection net.Conn
+	limit      time.Duration // zero for none
+}
+
+// Read reads what has arrived.
+func (r *timedReader) Read(buffer []byte) (int, error) {
+	if r.limit <= 0 {
+		return r.connection.Read(buffer)
+	}
+	count, err := r.readWithin(buffer, r.limit)
+	if count == 0 && errors.Is(err, os.ErrDeadlineExceeded) {
+		return r.readWithin(buffer, lateRead)
+	}
+	return count, err
+}
+
+// readWithin reads what has arrived or arrives in time.
+func (r *timedReader) readWithin(buffer []byte, limit time.Duration) (int, error) {
+	if err := r.connection.SetReadDeadline(time.Now().Add(limit)); err != nil {
+		return 0, err
+	}
+	return r.connection.Read(buffer)
+}
+
+// silence returns ErrSilent for a wait that ran out.
+func silence(err error) error {
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		return fmt.Errorf("%w: %w", ErrSilent, err)
+	}
+	if errors.Is(err, io.ErrUnexpectedEOF) {
+		return fmt.Errorf("%w: connection ended within a frame", io.ErrUnexpectedEOF)
+	}
+	return err
+}
--- /dev/null
+++ b/coord/transport/server.go
@@ -0,0 +1,189 @@
+package transport
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"sync"
+	"time"
+)
+
+// acceptPause is how long a server waits after a failed accept, such as one without a free descriptor.
+const acceptPause = 50 * time.Millisecond
+
+// Handler handles the messages of a session. Requests (Client.Call) each run on a goroutine of their own, up to
+// Options.Queue at once in a session; the reply or the error goes back to the caller. One-way messages (Client.Send)
+// run in order on the goroutine that reads the connection: the handler must return soon from them, and must not wait
+// there for other messages of the same session. Their replies are dropped and their errors are logged.
+// The context ends with the session.
+type Handler func(ctx context.Context, session *Session, message any) (reply any, err error)
+
+// Server accepts connections and serves their messages.
+type Server struct {
+	listener net.Listener
+	options  Options
+	handler  Handler
+	done     chan struct{}
+
+	mutex       sync.Mutex
+	closed      bool
+	connections map[net.Conn]struct{} // those in their handshake
+	sessions    map[*Session]struct{}
+}
+
+// Serve accepts connections from the listener until the server is closed.
+func Serve(listener net.Listener, options Options, handler Handler) *Server {
+	s := &Server{
+		listener:    listener,
+		options:     options.withDefaults(),
+		handler:     handler,
+		done:        make(chan struct{}),
+		connections: make(map[net.Conn]struct{}),
+		sessions:    make(map[*Session]struct{}),
+	}
+	go s.accept()
+	return s
+}
+
+// Addr returns the address that the server listens on.
+func (s *Server) Addr() net.Addr {
+	return s.listener.Addr()
+}
+
+// Close ends the listener and all sessions. Messages that were queued are still written, within
+// Options.WriteTimeout. It doesn't wait for handlers that run; their contexts end.
+func (s *Server) Close() {
+	s.mutex.Lock()
+	if s.closed {
+		s.mutex.Unlock()
+		return
+	}
+	s.closed = true
+	sessions := make([]*Session, 0, len(s.sessions))
+	for session := range s.sessions {
+		sessions = append(sessions, session)
+	}
+	for connection := range s.connections {
+		_ = connection.Close()
+	}
+	s.mutex.Unlock()
+	close(s.done)
+	_ = s.listener.Close()
+	for _, session := range sessions {
+		session.Close()
+	}
+	for _, session := range sessions {
+		<-session.Closed()
+	}
+}
+
+// accept takes connections until the server is closed.
+func (s *Server) accept() {
+	for {
+		connection, err := s.listener.Accept()
+		if err == nil {
+			go s.serve(connection)
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
+			return
+		}
+		s.options.Log("accept failed", err, "")
+		select {
+		case <-time.After(acceptPause):
+		case <-s.done:
+			return
+		}
+	}
+}
+
+// serve carries one connection from its handshake to its end.
+func (s *Server) serve(connection net.Conn) {
+	remote := connection.RemoteAddr().String()
+	if !s.track(connection) {
+		_ = connection.Close()
+		return
+	}
+	timed := &timedReader{connection: connection}
+	in := bufio.NewReaderSize(timed, readBuffer)
+	peer, err := s.greet(connection, in)
+	if err != nil {
+		s.untrack(connection)
+		_ = connection.Close()
+		s.options.Log("handshake refused", err, remote)
+		return
+	}
+	session := newSession(newLink(connection, in, &s.options, peer))
+	timed.limit = silentHeartbeats * session.link.heartbeat
+	if !s.adopt(connection, session) {
+		session.link.end(ErrClosed)
+		return
+	}
+	s.options.Log("session opened", nil, remote)
+	err = session.read(s.handler)
+	session.link.end(err)
+	session.finish()
+	s.mutex.Lock()
+	delete(s.sessions, session)
+	s.mutex.Unlock()
+	s.options.Log("session ended", session.link.endCause(), remote)
+}
+
+// greet reads the client's hello and answers it.
+func (s *Server) greet(connection net.Conn, in *bufio.Reader) (hello, error) {
+	if err := connection.SetDeadline(time.Now().Add(handshakeTimeout)); err != nil {
+		return hello{}, err
+	}
+	if err := tuneSocket(connection, s.options.UserTimeout); err != nil {
+		return hello{}, err
+	}
+	own := hello{heartbeat: s.options.Heartbeat, identity: s.options.Identity}
+	peer, err := readHello(in)
+	if errors.Is(err, ErrVersion) {
+		own.status = helloRefused
+		_ = own.write(connection)
+	}
+	if err != nil {
+		return hello{}, err
+	}
+	status, refusal := s.options.judge(peer.identity)
+	own.status = status
+	if err := own.write(connection); err != nil {
+		return hello{}, err
+	}
+	if refusal != nil {
+		return hello{}, refusal
+	}
+	return peer, connection.SetDeadline(time.Time{})
+}
+
+// track notes a connection in its handshake. It returns false if the server is closed.
+func (s *Server) track(connection net.Conn) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.closed {
+		return false
+	}
+	s.connections[connection] = struct{}{}
+	return true
+}
+
+// untrack forgets a connection whose handshake failed.
+func (s *Server) untrack(connection net.Conn) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.connections, connection)
+}
+
+// adopt turns a tracked connection into a session. It returns false if the server is closed.
+func (s *Server) adopt(connection net.Conn, session *Session) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	delete(s.connections, connection)
+	if s.closed {
+		return false
+	}
+	s.sessions[session] = struct{}{}
+	return true
+}
--- /dev/null
+++ b/coord/transport/session.go
@@ -0,0 +1,122 @@
+package transport
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"sync/atomic"
+)
+
+// Session is the server's side of one connection.
+type Session struct {
+	link    *link
+	context context.Context
+	cancel  context.CancelFunc
+	atWork  atomic.Int64 // requests in their handler
+
+	mutex    sync.Mutex
+	finished bool
+	onClose  []func()
+}
+
+// newSession returns the session of a link.
+func newSession(l *link) *Session {
+	ctx, cancel := context.WithCancel(context.Background())
+	return &Session{link: l, context: ctx, cancel: cancel}
+}
+
+// Remote returns the identity that the client sent.
+func (s *Session) Remote() Identity {
+	return s.link.remote
+}
+
+// Push queues a one-way message to the client. Messages arrive in the order of the calls. The error is one of
+// ErrNotConnected, ErrQueueFull, ErrFrameTooLarge and ErrEncode; nil doesn't mean that it arrived.
+func (s *Session) Push(message any) error {
+	_, err := s.link.send(frameOneWay, 0, message)
+	return err
+}
+
+// Closed returns a channel that is closed once the connection has ended.
+func (s *Session) Closed() <-chan struct{} {
+	return s.link.done
+}
+
+// Close ends the session once the messages queued so far are written. It doesn't wait.
+func (s *Session) Close() {
+	s.link.close()
+}
+
+// OnClose has a function called after the session has ended, or at once if it has. Functions run in the order of
+// the calls.
+func (s *Session) OnClose(run func()) {
+	s.mutex.Lock()
+	if !s.finished {
+		s.onClose = append(s.onClose, run)
+		s.mutex.Unlock()
+		return
+	}
+	s.mutex.Unlock()
+	run()
+}
+
+// finish ends the context and calls the functions given to OnClose.
+func (s *Session) finish() {
+	s.cancel()
+	s.mutex.Lock()
+	s.finished = true
+	functions := s.onClose
+	s.onClose = nil
+	s.mutex.Unlock()
+	for _, run := range functions {
+		run()
+	}
+}
+
+// read hands messages to the handler until the connection ends.
+func (s *Session) read(handler Handler) error {
+	for {
+		received, message, err := s.link.receive()
+		if err != nil {
+			return err
+		}
+		switch received.kind {
+		case frameRequest:
+			s.request(handler, received.call, message)
+		case frameOneWay:
+			if _, err := handler(s.context, s, message); err != nil {
+				s.link.options.Log("one-way message failed", err, s.link.remote.Node)
+			}
+		default:
+			return fmt.Errorf("%w: kind %d from a client", ErrCorrupt, received.kind)
+		}
+	}
+}
+
+// request runs the handler for a request on a goroutine of its own, or refuses it where too many run.
+func (s *Session) request(handler Handler, call uint32, message any) {
+	if s.atWork.Add(1) > int64(s.link.options.Queue) {
+		s.atWork.Add(-1)
+		s.reply(call, nil, Coded(CodeBusy, "too many requests at work in this session"))
+		return
+	}
+	go func() {
+		defer s.atWork.Add(-1)
+		reply, err := handler(s.context, s, message)
+		s.reply(call, reply, err)
+	}()
+}
+
+// reply sends what a request led to. Where it can't be sent, the connection ends, so that the caller isn't left to
+// wait for it.
+func (s *Session) reply(call uint32, reply any, failure error) {
+	var err error
+	if failure != nil {
+		_, err = s.link.send(frameFailure, call, remoteErrorOf(failure))
+	} else {
+		_, err = s.link.send(frameReply, call, reply)
+	}
+	if err != nil {
+		s.link.end(fmt.Errorf("reply not sent: %w", err))
+	}
+}
