--- a/internal/core/core.go
+++ b/internal/core/core.go
@@ -182,6 +182,12 @@
 	conn      io.Closer
 }
 
+// To gives the pool member that the flow goes to.
+func (f *Flow) To() policy.ServerID { return f.Server }
+
+// By gives the moment at which the flow ends at the latest.
+func (f *Flow) By() time.Time { return f.Until }
+
 // Begin tells whether the first byte may still be written to a connection, which it remembers for a cancel. A
 // flow whose transaction was answered while it dialled must not reach a server, nor may one that the module would no longer
 // send.
--- a/internal/pool/chunks.go
+++ b/internal/pool/chunks.go
@@ -81,11 +81,16 @@
 	return err
 }
 
+// linesBefore counts the lines that stand before what a read gives next.
+var linesBefore = [...]int{atSize: 1, atData: 0, atDataEnd: 2, atTrailer: 1}
+
 // ready tells whether a read would have something to go on with at once.
 func (c *chunks) ready() bool {
-	lines := map[chunkPart]int{atData: 0, atDataEnd: 2, atSize: 1, atTrailer: 1}[c.at]
+	if c.at == atEnd {
+		return true
+	}
 	there, _ := c.in.Peek(c.in.Buffered())
-	return c.at == atEnd || len(there) > 0 && bytes.Count(there, []byte{'\n'}) >= lines
+	return len(there) > 0 && bytes.Count(there, []byte{'\n'}) >= linesBefore[c.at]
 }
 
 // bodyOf gives an answer's body, of which a read gives what there is, and tells whether there is something.
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -99,8 +99,9 @@
 	left  int64 // bytes that may still be read
 	to    string
 	used  bool
-	since time.Time // idle since; zero: it never was
-	over  error     // how what comes in has ended
+	since time.Time     // idle since; zero: it never was
+	keep  time.Duration // the member's word on how long it leaves this one idle; 0: none
+	over  error         // how what comes in has ended
 }
 
 // Read is the reader's way to the connection: what a peer sends without an end must not fill the memory. How the connection
@@ -153,13 +154,27 @@
 // Set takes a member's address and state in. Idle connections to where it no longer is, or to a member that
 // wants nothing new, are closed.
 func (p *Pool) Set(id policy.ServerID, addr string, state State) {
+	p.Apply([]Change{{ID: id, Address: addr, State: state}})
+}
+
+// Change is a member's address and state from now on.
+type Change struct {
+	ID      policy.ServerID
+	Address string
+	State   State
+}
+
+// Apply takes the changes of a whole list in at once, as Set does those of one member.
+func (p *Pool) Apply(changes []Change) {
 	p.mu.Lock()
-	m := p.members[id]
-	if m == nil {
-		m = &member{}
-		p.members[id] = m
+	for _, change := range changes {
+		m := p.members[change.ID]
+		if m == nil {
+			m = &member{}
+			p.members[change.ID] = m
+		}
+		m.addr, m.state = change.Address, change.State
 	}
-	m.addr, m.state = addr, state
 	p.mu.Unlock()
 	p.retire(func(m *member, c *conn) bool { return m.state != policy.Ready || c.to != m.addr })
 }
@@ -208,20 +223,20 @@
 
 // reach gives a connection on which the first byte may be written now. On a kept one nothing must have come in by then: it
 // would be taken for the beginning of the answer.
-func (p *Pool) reach(f *core.Flow) (*conn, core.End) {
+func (p *Pool) reach(f flow) (*conn, core.End) {
 	for past := false; ; past = true {
 		c, end := p.connect(f, past)
 		if c == nil {
 			return nil, end
 		}
-		if p.up != nil {
-			p.up(f)
+		if carried, ok := f.(*core.Flow); ok && p.up != nil {
+			p.up(carried)
 		}
 		if end, ok := p.begin(f, c); !ok {
 			if end == core.EndDrained {
 				p.drop(c)
 			} else {
-				p.put(f.Server, c)
+				p.put(f.To(), c)
 			}
 			return nil, end
 		}
@@ -238,9 +253,9 @@
 
 // begin rechecks, right before the first byte, what may have changed while the flow dialled: the member was told
 // to drain or is gone, it moved, or the transaction is over.
-func (p *Pool) begin(f *core.Flow, c *conn) (core.End, bool) {
+func (p *Pool) begin(f flow, c *conn) (core.End, bool) {
 	p.mu.Lock()
-	m := p.members[f.Server]
+	m := p.members[f.To()]
 	fits := m != nil && m.state == policy.Ready && m.addr == c.to
 	p.mu.Unlock()
 	if !fits {
@@ -251,10 +266,10 @@
 
 // connect gives a connection that nothing else uses: the idle one used last, else a new one. Past tells that there was an idle
 // one past use already.
-func (p *Pool) connect(f *core.Flow, past bool) (*conn, core.End) {
+func (p *Pool) connect(f flow, past bool) (*conn, core.End) {
 	for ; ; past = true {
 		p.mu.Lock()
-		m := p.members[f.Server]
+		m := p.members[f.To()]
 		if m == nil || m.state != policy.Ready {
 			p.mu.Unlock()
 			return nil, core.EndDrained
@@ -289,7 +304,7 @@
 		c := m.idle[last]
 		m.idle = m.idle[:last]
 		p.mu.Unlock()
-		if p.young(c) && !p.ages.doubtful(time.Since(c.since), f.Message.(*Message).Method) {
+		if p.young(c) && !p.ages.doubtful(time.Since(c.since), methodOf(f)) {
 			return c, core.EndNone
 		}
 		p.drop(c)
@@ -321,8 +336,8 @@
 	p.mu.Unlock()
 }
 
-func (p *Pool) dial(f *core.Flow, addr string) (*conn, core.End) {
-	d := net.Dialer{Timeout: time.Duration(p.connectWait.Load()), Deadline: f.Until, KeepAlive: -1}
+func (p *Pool) dial(f flow, addr string) (*conn, core.End) {
+	d := net.Dialer{Timeout: time.Duration(p.connectWait.Load()), Deadline: f.By(), KeepAlive: -1}
 	nc, err := d.Dial("tcp", addr)
 	if err != nil {
 		p.closed()
@@ -339,7 +354,7 @@
 			conf.ServerName = host
 		}
 		t := tls.Client(nc, conf)
-		nc.SetDeadline(earliest(f.Until, time.Now().Add(time.Duration(p.connectWait.Load()))))
+		nc.SetDeadline(earliest(f.By(), time.Now().Add(time.Duration(p.connectWait.Load()))))
 		if t.Handshake() != nil {
 			p.drop(c)
 			return nil, core.EndNoConnect
@@ -363,7 +378,11 @@
 func (p *Pool) fresh(c *conn) bool { return p.young(c) && !c.stirred() }
 
 func (p *Pool) young(c *conn) bool {
-	return time.Since(c.since) <= time.Duration(p.connIdle.Load())*3/4
+	limit := time.Duration(p.connIdle.Load())
+	if c.keep > 0 {
+		limit = min(limit, c.keep)
+	}
+	return time.Since(c.since) <= limit*3/4
 }
 
 // stirred tells whether anything has come in that nobody has read, an end included.
