--- /dev/null
+++ b/internal/gateway/subscription/subscription.go
@@ -0,0 +1,260 @@
+// Package subscription owns what a gateway knows from control: it keeps a connection to one control process, its home, polls it
+// and takes in what that pushes, and holds the configuration, the list of servers and that of processes as immutable snapshots
+// that are swapped whole. It must never let a configuration go back, nor count a lease from anything but the sending of a poll.
+package subscription
+
+import (
+	"context"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+const (
+	// answerWait is how long a home may take to come up or to answer.
+	answerWait = 700 * time.Millisecond
+	// unsureMost is how long a home may go without vouching for what it says.
+	unsureMost = 600 * time.Millisecond
+	// unsurePoll is the time between polls while it doesn't.
+	unsurePoll = 120 * time.Millisecond
+	// changePause is the time between two homes, where one after the other doesn't do.
+	changePause = 60 * time.Millisecond
+	// soonest is the least time between polls that somebody waits for.
+	soonest = 50 * time.Millisecond
+)
+
+// Options are a subscription's fixed parts.
+type Options struct {
+	Settings  *node.Settings
+	Process   protocol.Process
+	Transport transport.Options
+	Servers   *servers.Registry
+	Ready     func() bool // told to control with each poll
+	Log       zerolog.Logger
+}
+
+// Subscription holds what is known. It is safe for concurrent use.
+type Subscription struct {
+	opt   Options
+	lease *Lease
+	wake  chan struct{}
+
+	configuration atomic.Pointer[configuration.Snapshot]
+	members       atomic.Pointer[protocol.MemberList]
+	fresh         atomic.Int64 // nanoseconds after origin: when the last poll was sent that control vouched for
+	origin        time.Time
+
+	mu    sync.Mutex
+	homes *Homes
+	whole bool // the next poll asks for the whole configuration
+	freed chan struct{}
+}
+
+// New gives a subscription; Run keeps it.
+func New(opt Options) *Subscription {
+	now := time.Now()
+	s := &Subscription{opt: opt, lease: NewLease(opt.Settings.Bounds.Closed, opt.Settings.Bounds.Revoke, now),
+		wake: make(chan struct{}, 1), origin: now, homes: NewHomes(opt.Process.Node, opt.Process.Zone), freed: make(chan struct{})}
+	s.fresh.Store(-1 << 62)
+	s.Seed(opt.Settings)
+	return s
+}
+
+// Seed takes the seeds of other settings in.
+func (s *Subscription) Seed(settings *node.Settings) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.homes.Seed(settings.SeedHosts())
+}
+
+// Configuration gives the configuration in force, or nil before the first.
+func (s *Subscription) Configuration() *configuration.Snapshot { return s.configuration.Load() }
+
+// Members gives the processes of the system, or nil before the first list.
+func (s *Subscription) Members() *protocol.MemberList { return s.members.Load() }
+
+// Holds tells whether a first byte may go to a server now, as far as keys are concerned.
+func (s *Subscription) Holds(now time.Time) bool { return s.lease.Holds(now) }
+
+// FreshSince tells whether control has vouched for all that was known, in the answer to a poll that was sent at a moment or later.
+func (s *Subscription) FreshSince(moment time.Time) bool {
+	return s.fresh.Load() >= int64(moment.Sub(s.origin))
+}
+
+// Complete tells whether all is known that is needed for serving.
+func (s *Subscription) Complete(now time.Time) bool {
+	return s.Configuration() != nil && s.opt.Servers.Current() != nil && s.Holds(now)
+}
+
+// Await asks control at once, and waits until it has vouched for what is known at a moment no earlier than now, or until by.
+func (s *Subscription) Await(ctx context.Context, now, by time.Time) bool {
+	timer := time.NewTimer(time.Until(by))
+	defer timer.Stop()
+	for {
+		s.mu.Lock()
+		freed := s.freed
+		s.mu.Unlock()
+		if s.FreshSince(now) {
+			return true
+		}
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+		select {
+		case <-freed:
+		case <-timer.C:
+			return false
+		case <-ctx.Done():
+			return false
+		}
+	}
+}
+
+// Run keeps the subscription until the context ends.
+func (s *Subscription) Run(ctx context.Context) {
+	for ctx.Err() == nil {
+		s.mu.Lock()
+		ip := s.homes.Next(time.Now())
+		s.mu.Unlock()
+		if ip != "" {
+			reason := s.serve(ctx, ip)
+			s.mu.Lock()
+			s.homes.Failed(ip, time.Now())
+			s.mu.Unlock()
+			s.opt.Log.Debug().Str("home", ip).Str("reason", reason).Msg("home_left")
+		}
+		sleep(ctx, changePause)
+	}
+}
+
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+// serve subscribes to one control process for as long as that does, and gives the reason why it doesn't any more.
+func (s *Subscription) serve(ctx context.Context, ip string) string {
+	connected := make(chan bool, 16)
+	client := transport.NewClient(s.opt.Settings.EndpointAt(ip, node.PortControl), s.opt.Transport,
+		func(message any) {
+			if update, ok := message.(protocol.Update); ok {
+				s.take(&update)
+			}
+		},
+		func(up bool) {
+			select {
+			case connected <- up:
+			default:
+			}
+		})
+	defer client.Close()
+	timer := time.NewTimer(answerWait)
+	defer timer.Stop()
+	select {
+	case <-connected:
+	case <-timer.C:
+		return "no connection"
+	case <-ctx.Done():
+		return "end"
+	}
+	s.opt.Log.Debug().Str("home", ip).Msg("home_found")
+	return s.poll(ctx, client, connected)
+}
+
+func (s *Subscription) poll(ctx context.Context, client *transport.Client, connected <-chan bool) string {
+	vouched := time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for sequence := uint64(1); ; sequence++ {
+		sent := time.Now()
+		update, err := s.ask(ctx, client, sequence)
+		if err != nil {
+			return err.Error()
+		}
+		pause := protocol.PollInterval
+		if update.Fresh {
+			vouched = sent
+			s.vouched(sent, update.Age)
+		} else {
+			pause = unsurePoll
+			if time.Since(vouched) > unsureMost {
+				return "unsure"
+			}
+		}
+		if s.needsWhole() {
+			pause = soonest
+		}
+		timer.Reset(time.Until(sent.Add(pause)))
+		select {
+		case <-timer.C:
+		case <-s.wake:
+			sleep(ctx, time.Until(sent.Add(soonest)))
+		case <-connected:
+			return "connection ended"
+		case <-ctx.Done():
+			return "end"
+		}
+	}
+}
+
+// ask polls once, and takes the answer in.
+func (s *Subscription) ask(ctx context.Context, client *transport.Client, sequence uint64) (*protocol.Update, error) {
+	ctx, cancel := context.WithTimeout(ctx, answerWait)
+	defer cancel()
+	reply, err := client.Call(ctx, s.question(sequence))
+	if err != nil {
+		return nil, err
+	}
+	update, ok := reply.(protocol.Update)
+	if !ok {
+		return nil, errAnswer
+	}
+	s.take(&update)
+	return &update, nil
+}
+
+func (s *Subscription) question(sequence uint64) protocol.Poll {
+	poll := protocol.Poll{Process: s.opt.Process, Sequence: sequence, Ready: s.opt.Ready()}
+	if held := s.configuration.Load(); held != nil && !s.needsWhole() {
+		poll.Configuration = held.Index
+	}
+	if table := s.opt.Servers.Current(); table != nil {
+		poll.Servers = table.Version
+	}
+	if members := s.members.Load(); members != nil {
+		poll.Members = members.Version
+	}
+	return poll
+}
+
+// vouched takes in that all which was acknowledged longer than age before an answer is known here.
+func (s *Subscription) vouched(sent time.Time, age time.Duration) {
+	if s.needsWhole() {
+		return // what was sent could not be put in force
+	}
+	s.lease.Renew(sent, age)
+	s.fresh.Store(int64(sent.Sub(s.origin)))
+	s.mu.Lock()
+	close(s.freed)
+	s.freed = make(chan struct{})
+	s.mu.Unlock()
+}
+
+func (s *Subscription) needsWhole() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.whole
+}
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -94,15 +94,24 @@
 	return net.JoinHostPort(ip, strconv.Itoa(s.Port(use)))
 }
 
-// SeedEndpoints gives the seeds' addresses for a use.
-func (s *Settings) SeedEndpoints(use PortUse) []string {
+// SeedHosts gives the seeds' IPs.
+func (s *Settings) SeedHosts() []string {
 	list := make([]string, 0, len(s.Seeds))
 	for _, seed := range s.Seeds {
 		host, _, err := net.SplitHostPort(seed)
 		if err != nil {
 			continue // the check has named it
 		}
-		list = append(list, s.EndpointAt(host, use))
+		list = append(list, host)
+	}
+	return list
+}
+
+// SeedEndpoints gives the seeds' addresses for a use.
+func (s *Settings) SeedEndpoints(use PortUse) []string {
+	list := s.SeedHosts()
+	for i, host := range list {
+		list[i] = s.EndpointAt(host, use)
 	}
 	return list
 }
--- a/internal/protocol/batch.go
+++ b/internal/protocol/batch.go
@@ -1,6 +1,6 @@
 package protocol
 
-import "encoding/gob"
+import "sprucelane.example/sprucelane/coord/transport"
 
 // BatchCall is a client's call for a batch job, as a gateway hands it to a batch process after it has checked route and key.
 // Any batch process may be asked: it answers, or names who owns the batch job.
@@ -37,6 +37,6 @@
 }
 
 func init() {
-	gob.Register(BatchCall{})
-	gob.Register(BatchAnswer{})
+	transport.Register(BatchCall{})
+	transport.Register(BatchAnswer{})
 }
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -9,7 +9,7 @@
 import (
 	"time"
 
-	"encoding/gob"
+	"sprucelane.example/sprucelane/coord/transport"
 )
 
 // PollInterval is how often a gateway or batch process polls its home.
@@ -174,8 +174,8 @@
 // Batch processes and gateways exchange the messages in batch.go, on the batch port.
 
 func init() {
-	gob.Register(Poll{})
-	gob.Register(Update{})
-	gob.Register(QuotaRequest{})
-	gob.Register(QuotaReply{})
+	transport.Register(Poll{})
+	transport.Register(Update{})
+	transport.Register(QuotaRequest{})
+	transport.Register(QuotaReply{})
 }
