--- /dev/null
+++ b/internal/configuration/check.go
@@ -0,0 +1,124 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+
+	"sprucelane.example/sprucelane/internal/node"
+)
+
+// checkItem checks what can be told of one item alone.
+func (p *parser) checkItem(value any, element span, path string) {
+	switch one := value.(type) {
+	case Route:
+		p.checkRoute(&one, element, path)
+	case Tenant:
+		if one.RatePerSec < 0 {
+			p.addf(path+".rate-per-s", element.offset, "must not be below 0")
+		}
+		if one.Burst < 0 {
+			p.addf(path+".burst", element.offset, "must not be below 0")
+		}
+	}
+}
+
+func (p *parser) checkRoute(route *Route, element span, path string) {
+	if !strings.HasPrefix(route.PathPrefix, "/") || !strings.HasSuffix(route.PathPrefix, "/") {
+		p.addf(path+".path-prefix", element.offset, "%q must begin and end with a slash", route.PathPrefix)
+	}
+	if route.Hostname == "" {
+		p.addf(path+".hostname", element.offset, "is missing or empty")
+	}
+	if route.TimeoutMs < 0 || route.TimeoutMs == 0 && hasMember(element.raw, "timeout-ms") {
+		p.addf(path+".timeout-ms", element.offset, "must be above 0")
+	}
+	if route.MaxAttempts < 0 {
+		p.addf(path+".max-attempts", element.offset, "must not be below 0")
+	}
+	p.checkWeights(route, element, path)
+}
+
+func hasMember(raw []byte, key string) bool {
+	var members map[string]json.RawMessage
+	if json.Unmarshal(raw, &members) != nil {
+		return false
+	}
+	_, found := members[key]
+	return found
+}
+
+func (p *parser) checkWeights(route *Route, element span, path string) {
+	if len(route.TrafficSplit) == 0 {
+		return
+	}
+	sum := 0.0
+	for i, split := range route.TrafficSplit {
+		if split.Weight < 0 {
+			p.addf(fmt.Sprintf("%s.traffic-split[%d].weight", path, i), element.offset, "must not be below 0")
+		}
+		sum += split.Weight
+	}
+	if sum <= 0 {
+		p.addf(path+".traffic-split", element.offset, "the weights add up to 0")
+	}
+}
+
+// checkWhole checks what spans several items of a document.
+func checkWhole(document *Document, findings *node.Findings) {
+	checkServices(document, findings)
+	checkPlaces(document, findings)
+	checkKeys(document, findings)
+}
+
+func checkServices(document *Document, findings *node.Findings) {
+	known := make(map[string]bool, len(document.Backends))
+	for i := range document.Backends {
+		known[document.Backends[i].Name] = true
+	}
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		path := fmt.Sprintf("routes[%d] %q", i, route.Name)
+		if route.Backend != "" && !known[route.Backend] {
+			findings.Addf(path+".backend", "no service is named %q", route.Backend)
+		}
+		if route.Backend == "" && len(route.TrafficSplit) == 0 {
+			findings.Addf(path+".backend", "the route names no service")
+		}
+		for j, split := range route.TrafficSplit {
+			if !known[split.Backend] {
+				findings.Addf(fmt.Sprintf("%s.traffic-split[%d].backend", path, j), "no service is named %q", split.Backend)
+			}
+		}
+	}
+}
+
+func checkPlaces(document *Document, findings *node.Findings) {
+	type place struct{ host, prefix string }
+	holders := make(map[place]string, len(document.Routes))
+	for i := range document.Routes {
+		route := &document.Routes[i]
+		at := place{normalHost(route.Hostname), route.PathPrefix}
+		if other, taken := holders[at]; taken {
+			findings.Addf(fmt.Sprintf("routes[%d] %q", i, route.Name), "has the host and prefix of route %q", other)
+			continue
+		}
+		holders[at] = route.Name
+	}
+}
+
+// checkKeys finds tenants that share a key. The key itself is not told: findings go to logs.
+func checkKeys(document *Document, findings *node.Findings) {
+	holders := make(map[string]string, 2*len(document.Tenants))
+	for i := range document.Tenants {
+		tenant := &document.Tenants[i]
+		for j, key := range tenant.APIKeys {
+			if other, taken := holders[key]; taken && other != tenant.Name {
+				place := fmt.Sprintf("tenants[%d] %q.api-keys[%d]", i, tenant.Name, j)
+				findings.Addf(place, "is a key of tenant %q too", other)
+				continue
+			}
+			holders[key] = tenant.Name
+		}
+	}
+}
--- /dev/null
+++ b/internal/configuration/split.go
@@ -0,0 +1,138 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"fmt"
+
+	"sprucelane.example/sprucelane/internal/node"
+)
+
+// span is one value of a JSON text that is known to be well formed, with its place in it.
+type span struct {
+	key    string // of a member of an object
+	raw    json.RawMessage
+	offset int // of raw in the whole text
+}
+
+// wellFormed lets encoding/json scan a text whole without building anything.
+type wellFormed struct{}
+
+func (*wellFormed) UnmarshalJSON([]byte) error { return nil }
+
+// checkText finds out whether a text is one whole JSON value.
+func checkText(text []byte, findings *node.Findings) bool {
+	err := json.Unmarshal(text, &wellFormed{})
+	if err == nil {
+		return true
+	}
+	offset := len(text)
+	var syntax *json.SyntaxError
+	if errors.As(err, &syntax) {
+		offset = int(syntax.Offset)
+	}
+	findings.Addf(textPlace(text, offset), "cannot be read: %v", err)
+	return false
+}
+
+// textPlace gives the line and column of an offset, counted from 1.
+func textPlace(text []byte, offset int) string {
+	offset = min(max(offset, 0), len(text))
+	line := 1 + bytes.Count(text[:offset], []byte("\n"))
+	column := offset - bytes.LastIndexByte(text[:offset], '\n')
+	return fmt.Sprintf("line %d, column %d", line, column)
+}
+
+// splitObject gives the members of an object in their order. The text must be well formed.
+func splitObject(raw []byte, offset int) ([]span, bool) {
+	at := skipSpace(raw, 0)
+	if at == len(raw) || raw[at] != '{' {
+		return nil, false
+	}
+	var members []span
+	for at = skipSpace(raw, at+1); raw[at] != '}'; at = skipSeparator(raw, at) {
+		end := valueEnd(raw, at)
+		var key string
+		if err := json.Unmarshal(raw[at:end], &key); err != nil {
+			return nil, false
+		}
+		at = skipSpace(raw, skipSpace(raw, end)+1) // the colon
+		end = valueEnd(raw, at)
+		members = append(members, span{key: key, raw: raw[at:end:end], offset: offset + at})
+		at = end
+	}
+	return members, true
+}
+
+// splitArray gives the elements of an array. The text must be well formed.
+func splitArray(raw []byte, offset int) ([]span, bool) {
+	at := skipSpace(raw, 0)
+	if at == len(raw) || raw[at] != '[' {
+		return nil, false
+	}
+	var elements []span
+	for at = skipSpace(raw, at+1); raw[at] != ']'; at = skipSeparator(raw, at) {
+		end := valueEnd(raw, at)
+		elements = append(elements, span{raw: raw[at:end:end], offset: offset + at})
+		at = end
+	}
+	return elements, true
+}
+
+func skipSpace(raw []byte, at int) int {
+	for at < len(raw) && (raw[at] == ' ' || raw[at] == '\t' || raw[at] == '\n' || raw[at] == '\r') {
+		at++
+	}
+	return at
+}
+
+func skipSeparator(raw []byte, at int) int {
+	at = skipSpace(raw, at)
+	if raw[at] == ',' {
+		at = skipSpace(raw, at+1)
+	}
+	return at
+}
+
+// valueEnd gives the end of the value that begins at an offset.
+func valueEnd(raw []byte, at int) int {
+	switch raw[at] {
+	case '"':
+		return stringEnd(raw, at)
+	case '{', '[':
+		return nestedEnd(raw, at)
+	}
+	for at < len(raw) && !bytes.ContainsRune([]byte(",]} \t\r\n"), rune(raw[at])) {
+		at++
+	}
+	return at
+}
+
+func stringEnd(raw []byte, at int) int {
+	for at++; raw[at] != '"'; at++ {
+		if raw[at] == '\\' {
+			at++
+		}
+	}
+	return at + 1
+}
+
+func nestedEnd(raw []byte, at int) int {
+	depth := 0
+	for {
+		switch raw[at] {
+		case '"':
+			at = stringEnd(raw, at)
+			continue
+		case '{', '[':
+			depth++
+		case '}', ']':
+			depth--
+		}
+		at++
+		if depth == 0 {
+			return at
+		}
+	}
+}
--- /dev/null
+++ b/internal/configuration/state.go
@@ -0,0 +1,161 @@
+package configuration
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// historySize is how many taken orders are remembered, so that one that is sent again gets its answer again.
+const historySize = 4096
+
+// State is the configuration in force and the orders that led to it. It is a deterministic function of the orders applied,
+// so that replicas agree. It isn't safe for concurrent use; the Version that it gives is.
+type State struct {
+	current *Version
+	taken   map[Digest]bool
+	order   []taken // oldest first
+	steps   steps
+}
+
+// taken is a remembered order.
+type taken struct {
+	Digest  Digest
+	IfMatch uint64
+}
+
+// NewState gives the state before the first configuration.
+func NewState() *State {
+	return &State{current: &Version{}, taken: map[Digest]bool{}}
+}
+
+// Current gives the version in force. Its Generation is 0 before the first.
+func (s *State) Current() *Version { return s.current }
+
+// Taken tells whether exactly this order was taken before.
+func (s *State) Taken(order Order) bool { return s.taken[order.Digest()] }
+
+// Apply carries an order out as the one with an index in the chain. The caller doesn't change the order's body afterwards.
+func (s *State) Apply(index uint64, order Order) Result {
+	result, next := s.evaluate(index, order)
+	if next == nil {
+		return result
+	}
+	s.current = next
+	s.remember(taken{Digest: order.Digest(), IfMatch: order.IfMatch})
+	s.steps.add(protocol.ConfigurationStep{Index: index, Patch: order.Patch, Body: order.Body})
+	return result
+}
+
+// Evaluate tells what would come of an order now, and changes nothing.
+func (s *State) Evaluate(order Order) Result {
+	result, _ := s.evaluate(s.current.Index+1, order)
+	return result
+}
+
+func (s *State) evaluate(index uint64, order Order) (Result, *Version) {
+	generation := s.current.Generation
+	if s.taken[order.Digest()] {
+		return Result{Status: StatusTaken, Generation: generation, Repeated: true}, nil
+	}
+	if order.IfMatch != generation {
+		return Result{Status: s.mismatch(order), Generation: generation}, nil
+	}
+	next, err := s.build(index, order)
+	if err != nil {
+		return Result{Status: StatusInvalid, Generation: generation, Findings: asFindings(err)}, nil
+	}
+	return Result{Status: StatusTaken, Generation: next.Generation}, next
+}
+
+// mismatch tells a stale order from one that may have been taken before what is remembered.
+func (s *State) mismatch(order Order) Status {
+	if len(s.order) == historySize && order.IfMatch < s.order[0].IfMatch {
+		return StatusUnsure
+	}
+	return StatusStale
+}
+
+func (s *State) build(index uint64, order Order) (*Version, error) {
+	next, err := s.successor(index, order)
+	if err != nil {
+		return nil, err
+	}
+	if next.Generation <= s.current.Generation {
+		var findings node.Findings
+		findings.Addf(memberGeneration, "%d is not above the current one, %d", next.Generation, s.current.Generation)
+		return nil, findings
+	}
+	return next, nil
+}
+
+func (s *State) successor(index uint64, order Order) (*Version, error) {
+	if !order.Patch {
+		return ParseDocument(order.Body, index)
+	}
+	patch, err := ParsePatch(order.Body)
+	if err != nil {
+		return nil, err
+	}
+	if s.current.Generation == 0 {
+		return nil, node.Findings{{Place: "If-Match", Text: "there is no configuration to change yet"}}
+	}
+	return s.current.Apply(patch, index)
+}
+
+func asFindings(err error) node.Findings {
+	if findings, ok := err.(node.Findings); ok {
+		return findings
+	}
+	return node.Findings{{Text: err.Error()}}
+}
+
+func (s *State) remember(one taken) {
+	if len(s.order) == historySize {
+		delete(s.taken, s.order[0].Digest)
+		s.order = append(s.order[:0], s.order[1:]...)
+	}
+	s.order = append(s.order, one)
+	s.taken[one.Digest] = true
+}
+
+// image is the form of a State in a snapshot of the chain.
+type image struct {
+	Index    uint64
+	Document []byte // empty: none yet
+	Taken    []taken
+}
+
+// Encode gives the state's form for a snapshot of the chain.
+func (s *State) Encode() ([]byte, error) {
+	form := image{Index: s.current.Index, Taken: s.order}
+	if s.current.Generation > 0 {
+		form.Document = s.current.JSON()
+	}
+	var out bytes.Buffer
+	err := gob.NewEncoder(&out).Encode(form)
+	return out.Bytes(), err
+}
+
+// DecodeState reads what Encode gave.
+func DecodeState(raw []byte) (*State, error) {
+	var form image
+	if err := gob.NewDecoder(bytes.NewReader(raw)).Decode(&form); err != nil {
+		return nil, fmt.Errorf("configuration's state: %w", err)
+	}
+	s := NewState()
+	if len(form.Document) > 0 {
+		version, err := ParseDocument(form.Document, form.Index)
+		if err != nil {
+			return nil, fmt.Errorf("configuration's state: %w", err)
+		}
+		s.current = version
+	}
+	for _, one := range form.Taken {
+		s.remember(one)
+	}
+	return s, nil
+}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -60,6 +60,7 @@
 // ConfigurationUpdate leads to a newer configuration: by the orders that follow the asker's, or whole.
 type ConfigurationUpdate struct {
 	Index uint64 // of the configuration after it
+	From  uint64 // of the configuration that Steps apply to; steps up to the asker's own are passed over
 	Whole []byte // the document in JSON; nil: Steps apply to what the asker has
 	Steps []ConfigurationStep
 }
