--- /dev/null
+++ b/internal/configuration/order_test.go
@@ -0,0 +1,145 @@
+package configuration
+
+import (
+	"encoding/json"
+	"fmt"
+	"strings"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+const firstDocument = `{"generation":7, "routes":[
+ {"name":"r1","hostname":"a.example","path-prefix":"/x/","route-type":"streaming","timeout-ms":3000,"backend":"b1","max-attempts":2,"later":[1, 2]},
+ {"name":"r2","hostname":"a.example","path-prefix":"/y/","route-type":"batch","timeout-ms":4000,"traffic-split":[{"backend":"b1","weight":90},{"backend":"b1","weight":10}],"max-attempts":1}],
+ "backends":[{"name":"b1","health-path":"/healthz","max-conns":190.0,"engine":{"slots":16,"kv-bytes":327680}}],
+ "limits":{"max-header-bytes":16384,"max-body-bytes":4194304},
+ "tenants":[{"name":"t1","api-keys":["k1","k2"],"priority":1,"rate-per-s":61,"burst":61}], "novel":{"a":1.50}}`
+
+func apply(s *State, index, ifMatch uint64, patch bool, body string) Result {
+	return s.Apply(index, Order{IfMatch: ifMatch, Patch: patch, Body: []byte(body)})
+}
+
+func same(t *testing.T, got []byte, want string) {
+	var a, b any
+	So(json.Unmarshal(got, &a), ShouldBeNil)
+	So(json.Unmarshal([]byte(want), &b), ShouldBeNil)
+	So(a, ShouldResemble, b)
+}
+
+func TestOrders(t *testing.T) {
+	Convey("A first document is taken and read back as it was sent", t, func() {
+		s := NewState()
+		So(apply(s, 1, 0, false, firstDocument).Status, ShouldEqual, StatusTaken)
+		same(t, s.Current().JSON(), firstDocument)
+		So(string(s.Current().JSON()), ShouldContainSubstring, `"novel":{"a":1.50}`)
+		So(s.Current().Document().Backends[0].MaxConns, ShouldEqual, 190)
+
+		Convey("the same order gets the same answer, however often, and after others", func() {
+			So(apply(s, 2, 0, false, firstDocument).Status, ShouldEqual, StatusTaken)
+			So(s.Current().Index, ShouldEqual, 1)
+			So(apply(s, 3, 7, true, `{"generation":9}`).Status, ShouldEqual, StatusTaken)
+			again := apply(s, 4, 0, false, firstDocument)
+			So(again.Status, ShouldEqual, StatusTaken)
+			So(again.Repeated, ShouldBeTrue)
+			So(again.Generation, ShouldEqual, 9)
+			So(s.Current().Generation, ShouldEqual, 9)
+		})
+		Convey("other bytes, another method or another base are other orders", func() {
+			So(apply(s, 2, 0, false, firstDocument+" ").Status, ShouldEqual, StatusStale)
+			So(apply(s, 2, 0, true, firstDocument).Status, ShouldEqual, StatusStale)
+			So(apply(s, 2, 7, false, firstDocument).Status, ShouldEqual, StatusInvalid)
+			So(apply(s, 2, 8, true, `{"generation":9}`).Status, ShouldEqual, StatusStale)
+		})
+		Convey("a patch puts in, replaces in place and removes by name", func() {
+			patch := `{"generation":12,"upsert":{"routes":[{"name":"r3","hostname":"b.example","path-prefix":"/","timeout-ms":1,"backend":"b1"},
+				{"name":"r1","hostname":"a.example","path-prefix":"/z/","timeout-ms":5,"backend":"b1"}],"limits":{"max-body-bytes":5}},
+				"delete":{"routes":["r2","never"],"tenants":["t1"]}}`
+			So(apply(s, 2, 7, true, patch).Status, ShouldEqual, StatusTaken)
+			same(t, s.Current().JSON(), `{"generation":12,"routes":[
+				{"name":"r1","hostname":"a.example","path-prefix":"/z/","timeout-ms":5,"backend":"b1"},
+				{"name":"r3","hostname":"b.example","path-prefix":"/","timeout-ms":1,"backend":"b1"}],
+				"backends":[{"name":"b1","health-path":"/healthz","max-conns":190,"engine":{"slots":16,"kv-bytes":327680}}],
+				"limits":{"max-body-bytes":5},"tenants":[],"novel":{"a":1.5}}`)
+			snapshot := s.Current().Snapshot()
+			So(snapshot.RouteFor("A.example:80", "/z/1").Name, ShouldEqual, "r1")
+			So(snapshot.RouteFor("a.example", "/y/1"), ShouldBeNil)
+			So(snapshot.TenantFor("k1"), ShouldBeNil)
+			So(snapshot.Limits.MaxBodyBytes, ShouldEqual, 5)
+		})
+		Convey("a state that is written and read again goes on as the same", func() {
+			apply(s, 3, 7, true, `{"generation":9,"delete":{"routes":["r2"]}}`)
+			raw, err := s.Encode()
+			So(err, ShouldBeNil)
+			other, err := DecodeState(raw)
+			So(err, ShouldBeNil)
+			So(other.Current().JSON(), ShouldResemble, s.Current().JSON())
+			So(other.Current().Index, ShouldEqual, 3)
+			So(apply(other, 5, 0, false, firstDocument).Repeated, ShouldBeTrue)
+		})
+		Convey("an order as old as what is no longer remembered gets no verdict", func() {
+			generation := uint64(7)
+			for i := range uint64(historySize + 1) {
+				So(apply(s, 10+i, generation, true, fmt.Sprintf(`{"generation":%d}`, generation+1)).Status, ShouldEqual, StatusTaken)
+				generation++
+			}
+			So(apply(s, 9000, 0, false, firstDocument).Status, ShouldEqual, StatusUnsure)
+			So(apply(s, 9000, generation-1, true, `{"generation":1}`).Status, ShouldEqual, StatusStale)
+		})
+	})
+}
+
+func TestInvalid(t *testing.T) {
+	change := func(old, replacement string) string {
+		changed := strings.Replace(firstDocument, old, replacement, 1)
+		if changed == firstDocument {
+			t.Fatalf("%q is not in the document", old)
+		}
+		return changed
+	}
+	cases := map[string]struct{ body, place, text string }{
+		"cut short":                {firstDocument[:len(firstDocument)-20], "line 6", "cannot be read"},
+		"empty":                    {"", "line 1, column 1", "cannot be read"},
+		"more behind":              {firstDocument + "{}", "line 6", "cannot be read"},
+		"no object":                {"[1]", "line 1, column 1", "must be an object"},
+		"unknown service":          {change(`"backend":"b1","max`, `"backend":"b9","max`), `routes[0] "r1".backend`, `"b9"`},
+		"unknown service in split": {change(`{"backend":"b1","weight":10}`, `{"backend":"b8","weight":10}`), `routes[1] "r2".traffic-split[1].backend`, `"b8"`},
+		"no service":               {change(`"backend":"b1","max`, `"max`), `routes[0] "r1".backend`, "names no service"},
+		"same place":               {change(`"hostname":"a.example","path-prefix":"/y/"`, `"hostname":"A.example","path-prefix":"/x/"`), `routes[1] "r2"`, `"r1"`},
+		"no weight":                {change(`"weight":90},{"backend":"b1","weight":10}`, `"weight":0},{"backend":"b1","weight":0}`), "traffic-split", "add up to 0"},
+		"no timeout":               {change(`"timeout-ms":3000`, `"timeout-ms":0`), "timeout-ms", "above 0"},
+		"generation missing":       {change(`"generation":7, `, ``), "generation", "missing"},
+		"generation of 0":          {change(`"generation":7, `, `"generation":0,`), "generation", "above 0"},
+		"generation twice":         {change(`"generation":7, `, `"generation":7,"generation":8,`), "generation", "twice"},
+		"a key of two tenants":     {change(`"tenants":[`, `"tenants":[{"name":"t0","api-keys":["k2"]},`), `tenants[1] "t1".api-keys[1]`, `"t0"`},
+		"a name twice":             {change(`"name":"r2"`, `"name":"r1"`), "routes[1].name", "routes[0]"},
+		"a name missing":           {change(`"name":"r2",`, ``), "routes[1]", "name"},
+		"a wrong type":             {change(`"max-attempts":2`, `"max-attempts":"2"`), `routes[0] "r1"`, "whole number"},
+		"no list":                  {`{"generation":7,"routes":[],"backends":{}}`, "backends", "must be a list"},
+		"no routes":                {`{"generation":7,"backends":[]}`, "routes", "missing"},
+	}
+	for name, one := range cases {
+		Convey(name+" is found with its place", t, func() {
+			s := NewState()
+			result := apply(s, 1, 0, false, one.body)
+			So(result.Status, ShouldEqual, StatusInvalid)
+			So(result.Findings.Error(), ShouldContainSubstring, one.place)
+			So(result.Findings.Error(), ShouldContainSubstring, one.text)
+			So(s.Current().Generation, ShouldEqual, 0)
+		})
+	}
+	Convey("All findings come together", t, func() {
+		body := strings.NewReplacer(`"timeout-ms":3000`, `"timeout-ms":0`, `"path-prefix":"/y/"`, `"path-prefix":"/y"`, `"weight":10`, `"weight":-1`).Replace(firstDocument)
+		So(apply(NewState(), 1, 0, false, body).Findings, ShouldHaveLength, 3)
+	})
+	Convey("A patch that leaves a route without its service is refused whole", t, func() {
+		s := NewState()
+		apply(s, 1, 0, false, firstDocument)
+		result := apply(s, 2, 7, true, `{"generation":8,"delete":{"backends":["b1"],"routes":["r1"]}}`)
+		So(result.Status, ShouldEqual, StatusInvalid)
+		same(t, s.Current().JSON(), firstDocument)
+	})
+	Convey("A patch before the first document is refused", t, func() {
+		So(apply(NewState(), 1, 0, true, `{"generation":8}`).Status, ShouldEqual, StatusInvalid)
+	})
+}
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -17,12 +17,12 @@
 type State struct {
 	current *Version
 	taken   map[Digest]bool
-	order   []taken // oldest first
+	order   []takenOrder // oldest first
 	steps   steps
 }
 
-// taken is a remembered order.
-type taken struct {
+// takenOrder is a remembered order.
+type takenOrder struct {
 	Digest  Digest
 	IfMatch uint64
 }
@@ -45,7 +45,7 @@
 		return result
 	}
 	s.current = next
-	s.remember(taken{Digest: order.Digest(), IfMatch: order.IfMatch})
+	s.remember(takenOrder{Digest: order.Digest(), IfMatch: order.IfMatch})
 	s.steps.add(protocol.ConfigurationStep{Index: index, Patch: order.Patch, Body: order.Body})
 	return result
 }
@@ -113,7 +113,7 @@
 	return node.Findings{{Text: err.Error()}}
 }
 
-func (s *State) remember(one taken) {
+func (s *State) remember(one takenOrder) {
 	if len(s.order) == historySize {
 		delete(s.taken, s.order[0].Digest)
 		s.order = append(s.order[:0], s.order[1:]...)
@@ -126,7 +126,7 @@
 type image struct {
 	Index    uint64
 	Document []byte // empty: none yet
-	Taken    []taken
+	Taken    []takenOrder
 }
 
 // Encode gives the state's form for a snapshot of the chain.
