--- /dev/null
+++ b/internal/gateway/admission/load_test.go
@@ -0,0 +1,158 @@
+package admission
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// queueModel is a service that works on a fixed number of tokens a second, first come first served.
+type queueModel struct {
+	perSecond float64
+	free      time.Duration // when its queue is empty
+}
+
+// serve gives the latency of a request that comes now.
+func (q *queueModel) serve(now time.Duration, cost float64) time.Duration {
+	q.free = max(q.free, now) + time.Duration(cost/q.perSecond*float64(second))
+	return q.free - now
+}
+
+// outcome counts what became of requests.
+type outcome struct{ offered, served, inTime float64 }
+
+func (o *outcome) share() float64 { return o.served / max(1, o.offered) }
+
+// world is gateways with their own admission before one queue.
+type world struct {
+	random    *rand.Rand
+	gateways  []*Admission
+	queue     queueModel
+	admission bool
+	returning []arrival
+}
+
+// arrival is a request that comes, or comes back.
+type arrival struct {
+	at, first     time.Duration
+	route, tenant int
+	cost          float64
+}
+
+const meanCost = 1000.0
+
+func TestRandomLoads(t *testing.T) {
+	snapshot := testSnapshot([]int{0, 0, 2}, []int{0, 1})
+	const (
+		gateways = 8
+		deadline = 4 * second
+		target   = 200 * millisecond
+	)
+	// run plays seconds of load, as a share of the capacity by second, and counts by route, tenant priority and the largest tenth.
+	run := func(seed uint64, loads []float64, admit bool) (routes [3]outcome, tenants [2]outcome, largest, all outcome) {
+		w := &world{random: rand.New(rand.NewPCG(seed, 5)), queue: queueModel{perSecond: 150 * meanCost}, admission: admit}
+		for i := range gateways {
+			w.gateways = append(w.gateways, newAdmission(snapshot, seed*100+uint64(i)))
+		}
+		now := time.Duration(0)
+		for now < time.Duration(len(loads))*second {
+			rate := 150 * loads[int(now/second)]
+			now += time.Duration(w.random.ExpFloat64() / rate * float64(second))
+			next := arrival{at: now, first: now, cost: min(8, w.random.ExpFloat64()) * meanCost}
+			if pick := w.random.Float64(); pick < 0.2 {
+				next.route = 1
+			} else if pick < 0.4 {
+				next.route = 2
+			}
+			next.tenant = w.random.IntN(2)
+			due := []arrival{next}
+			for i := 0; i < len(w.returning); i++ {
+				if w.returning[i].at <= now {
+					due = append(due, w.returning[i])
+					w.returning = append(w.returning[:i], w.returning[i+1:]...)
+					i--
+				}
+			}
+			for _, one := range due {
+				gateway := w.gateways[w.random.IntN(gateways)]
+				route := &snapshot.Routes[one.route]
+				backlog := max(0, w.queue.free-now)
+				gateway.Load(now, backendName, min(1, backlog.Seconds()/0.1), false)
+				decision := Decision{Admit: true}
+				if admit {
+					decision = gateway.Admit(now, route, &snapshot.Tenants[one.tenant],
+						Request{PromptTokens: int(one.cost), Remaining: deadline - (now - one.first)})
+				}
+				back := one.first != one.at
+				counts := []*outcome{&routes[one.route], &tenants[one.tenant], &all}
+				if one.cost > 2.3*meanCost {
+					counts = append(counts, &largest)
+				}
+				for _, count := range counts {
+					if !back {
+						count.offered++
+					}
+				}
+				if !decision.Admit {
+					if !back {
+						one.at = now + decision.RetryAfter
+						w.returning = append(w.returning, one)
+					}
+					continue
+				}
+				latency := w.queue.serve(now, one.cost)
+				gateway.Sent(now, route.Name)
+				gateway.Attempt(now, route.Name, latency)
+				for _, count := range counts {
+					count.served++
+					if now+latency-one.first <= target {
+						count.inTime++
+					}
+				}
+			}
+		}
+		return routes, tenants, largest, all
+	}
+
+	Convey("Under random loads no kind, tenant priority or size is starved, and the urgent fare no worse", t, func() {
+		random := rand.New(rand.NewPCG(11, 11))
+		for seed := range uint64(12) {
+			loads := make([]float64, 40)
+			level := 0.5
+			for i := range loads {
+				if i%6 == 0 {
+					level = 0.4 + 1.4*random.Float64()
+				}
+				loads[i] = level
+			}
+			routes, tenants, largest, all := run(seed, loads, true)
+			for _, route := range routes {
+				So(route.share(), ShouldBeGreaterThan, all.share()/2)
+			}
+			So(routes[0].share(), ShouldBeGreaterThan, routes[2].share()-0.03)
+			So(routes[1].share(), ShouldBeGreaterThan, routes[2].share()-0.03)
+			So(tenants[0].share(), ShouldBeGreaterThan, tenants[1].share()-0.03)
+			So(largest.share(), ShouldBeGreaterThan, 0.8*all.share())
+		}
+	})
+
+	Convey("In calm it refuses nothing, and in a burst more are in time than without it", t, func() {
+		calm := make([]float64, 40)
+		burst := make([]float64, 40)
+		for i := range calm {
+			calm[i], burst[i] = 0.7, 0.7
+			if i >= 10 && i < 16 {
+				burst[i] = 1.35
+			}
+		}
+		_, _, _, quiet := run(3, calm, true)
+		So(quiet.share(), ShouldEqual, 1)
+		_, _, _, with := run(3, burst, true)
+		_, _, _, without := run(3, burst, false)
+		t.Logf("burst of 1.35 times the capacity for 6 s: in time %.3f with admission, %.3f without; served %.3f",
+			with.inTime/with.offered, without.inTime/without.offered, with.share())
+		So(with.inTime/with.offered, ShouldBeGreaterThan, without.inTime/without.offered)
+	})
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/internal/ledger"
+	"sprucelane.example/sprucelane/internal/ruda"
 )
 
 // The constants. None is read off a deployment; most are shares of a setting.
@@ -406,7 +407,7 @@
 }
 
 func utility(v, r, sumR, q, sumQ float64) float64 {
-	return 1 / v * (r / math.Max(sumR, 1e-9)) * (sumQ / math.Max(q, 1e-9))
+	return ruda.Score(v, r, sumR, q, sumQ)
 }
 
 // ---- Servers ----
