--- a/internal/gateway/subscription/apply.go
+++ b/internal/gateway/subscription/apply.go
@@ -16,6 +16,13 @@
 
 // take puts what an update brings in force.
 func (s *Subscription) take(update *protocol.Update) {
+	s.apply(update)
+	if s.opt.Updated != nil {
+		s.opt.Updated()
+	}
+}
+
+func (s *Subscription) apply(update *protocol.Update) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if update.Configuration != nil {
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -39,6 +39,11 @@
 	Servers   *servers.Registry
 	Ready     func() bool // told to control with each poll
 	Log       zerolog.Logger
+
+	// Of batch processes; nil elsewhere.
+	Report  func() *protocol.BatchReport                    // told to control with each poll
+	Granted func(grant protocol.StoreGrant, sent time.Time) // a right to act, counted from when the poll was sent
+	Updated func()                                          // something that control sent is in force
 }
 
 // Subscription holds what is known. It is safe for concurrent use.
@@ -180,7 +185,7 @@
 	defer timer.Stop()
 	for sequence := uint64(1); ; sequence++ {
 		sent := time.Now()
-		update, err := s.ask(ctx, client, sequence)
+		update, err := s.ask(ctx, client, sequence, sent)
 		if err != nil {
 			return err.Error()
 		}
@@ -211,7 +216,7 @@
 }
 
 // ask polls once, and takes the answer in.
-func (s *Subscription) ask(ctx context.Context, client *transport.Client, sequence uint64) (*protocol.Update, error) {
+func (s *Subscription) ask(ctx context.Context, client *transport.Client, sequence uint64, sent time.Time) (*protocol.Update, error) {
 	ctx, cancel := context.WithTimeout(ctx, answerWait)
 	defer cancel()
 	reply, err := client.Call(ctx, s.question(sequence))
@@ -223,6 +228,9 @@
 		return nil, errAnswer
 	}
 	s.take(&update)
+	if update.Store != nil && s.opt.Granted != nil {
+		s.opt.Granted(*update.Store, sent)
+	}
 	return &update, nil
 }
 
@@ -237,6 +245,9 @@
 	if members := s.members.Load(); members != nil {
 		poll.Members = members.Version
 	}
+	if s.opt.Report != nil {
+		poll.Batch = s.opt.Report()
+	}
 	return poll
 }
 
