--- /dev/null
+++ b/internal/gateway/placement/placement.go
@@ -0,0 +1,240 @@
+// Package placement owns the choice of a server for a request, from what one gateway sees: which servers lately read the
+// beginning of a prompt, what of this gateway's is waiting and running there, who fails, falls silent or is slow, and which zone
+// they are in. Requests that share much of their prompt meet at the same few servers without gateways telling each other:
+// all order the servers of such a part alike (rendezvous hashing), and go down that order as load grows. It does no
+// input or output and is told the time; it must never choose a server that isn't in the list it is given.
+package placement
+
+import (
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// Costs are in tokens to be read before a request's own first token comes.
+const (
+	// runningCost is that of a request that runs at a server and makes each step a little longer.
+	runningCost = 60
+	// zoneCost is that of going to another zone: two crossings and the price of its bytes.
+	zoneCost = 200
+	// suspectCost is that of a server that has shown no sign of life while something waits there.
+	suspectCost = 50_000
+	// jitter keeps gateways from choosing alike.
+	jitter = 120
+	// tokensPerMs turns what a server was slower than others into tokens.
+	tokensPerMs = 100
+	// affinityLeast is the least shared beginning for which requests meet at the same servers.
+	affinityLeast = 1024
+	// cacheLeast is the least beginning that is remembered.
+	cacheLeast = 64
+	// Where nothing is known of a server's cache, the first servers of a part's order are taken to hold this share of it.
+	firstShare, secondShare = 0.9, 0.45
+)
+
+// Placer chooses. It is safe for concurrent use.
+type Placer struct {
+	zone string
+
+	mu      sync.Mutex
+	random  *rand.Rand
+	servers map[policy.ServerID]*state
+	delay   float64 // milliseconds, running mean of the times to the first sign, over all servers
+	swept   time.Time
+}
+
+// state is what is known of one server.
+type state struct {
+	health  health
+	cache   cache
+	active  int
+	waiting int       // of those active, without a sign of life yet
+	pending int       // tokens of those
+	sign    time.Time // of life, or since when something waits
+	delay   float64   // milliseconds to the first sign, running mean
+	delayed time.Time // when that was learnt last
+	used    time.Time
+}
+
+// New gives a placer of a gateway in a zone.
+func New(zone string, seed uint64) *Placer {
+	return &Placer{zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[policy.ServerID]*state{}}
+}
+
+// Choice is what a server is chosen by and from.
+type Choice struct {
+	Demand  Demand
+	Servers []*servers.Server
+	Passed  []policy.ServerID // not to be chosen
+	Most    int               // requests from here at one server; 0: no bound
+}
+
+// Ticket is a request's place at a server. It belongs to one goroutine.
+type Ticket struct {
+	Server *servers.Server
+
+	placer  *Placer
+	state   *state
+	tokens  int
+	began   time.Time
+	waiting bool
+	done    bool
+}
+
+// Pick chooses a server and takes a place there, or gives nil where none is left.
+func (p *Placer) Pick(now time.Time, choice *Choice) *Ticket {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	chain, meets := choice.Demand.affinity()
+	var order preference
+	if meets {
+		order = prefer(chain, choice.Servers)
+	}
+	var best, shunned candidate
+	for _, server := range choice.Servers {
+		if passed(choice.Passed, server.Number) {
+			continue
+		}
+		s := p.state(server.Number)
+		if choice.Most > 0 && s.active >= choice.Most {
+			continue
+		}
+		one := candidate{server: server, state: s, cost: p.cost(now, server, s, &choice.Demand, order)}
+		if s.health.open(now, s.active) {
+			best = cheaper(best, one)
+		} else {
+			one.cost = float64(s.health.shunned.Sub(now))
+			shunned = cheaper(shunned, one)
+		}
+	}
+	if best.server == nil {
+		best = shunned // all are: the one whose time is over first
+	}
+	if best.server == nil {
+		return nil
+	}
+	return p.take(now, best, &choice.Demand)
+}
+
+type candidate struct {
+	server *servers.Server
+	state  *state
+	cost   float64
+}
+
+func cheaper(a, b candidate) candidate {
+	if a.server == nil || b.cost < a.cost {
+		return b
+	}
+	return a
+}
+
+func passed(list []policy.ServerID, number policy.ServerID) bool {
+	for _, one := range list {
+		if one == number {
+			return true
+		}
+	}
+	return false
+}
+
+func (p *Placer) state(number policy.ServerID) *state {
+	s := p.servers[number]
+	if s == nil {
+		s = &state{}
+		p.servers[number] = s
+	}
+	return s
+}
+
+// cost gives what a request would wait for at a server.
+func (p *Placer) cost(now time.Time, server *servers.Server, s *state, demand *Demand, order preference) float64 {
+	held := s.cache.holds(demand.Parts, now)
+	if shared := demand.shared(); len(shared) > 0 {
+		all := float64(shared[len(shared)-1].Tokens)
+		held = max(held, int(order.share(server.Number)*all))
+	}
+	cost := float64(demand.Prompt-held) + float64(s.pending) + runningCost*float64(s.active)
+	if server.Zone != p.zone {
+		cost += zoneCost
+	}
+	if s.waiting > 0 && now.Sub(s.sign) > silentAfter {
+		cost += suspectCost
+	}
+	return cost + p.slowness(now, s) + jitter*p.random.Float64()
+}
+
+func (p *Placer) take(now time.Time, chosen candidate, demand *Demand) *Ticket {
+	s := chosen.state
+	t := &Ticket{Server: chosen.server, placer: p, state: s, began: now, waiting: true}
+	t.tokens = demand.Prompt - s.cache.holds(demand.Parts, now)
+	if s.waiting == 0 {
+		s.sign = now
+	}
+	s.active++
+	s.waiting++
+	s.pending += t.tokens
+	s.used = now
+	s.cache.note(demand.Parts, now)
+	p.sweep(now)
+	return t
+}
+
+// First notes a first sign of the answer.
+func (t *Ticket) First(now time.Time) {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	if t.waiting {
+		t.leaveQueue()
+		t.placer.learn(now, t.state, now.Sub(t.began))
+	}
+	t.state.sign = now
+}
+
+func (t *Ticket) leaveQueue() {
+	t.waiting = false
+	t.state.waiting--
+	t.state.pending -= t.tokens
+}
+
+// Done gives the place back.
+func (t *Ticket) Done(now time.Time, result Result) {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	if t.done {
+		return
+	}
+	t.done = true
+	if t.waiting {
+		t.leaveQueue()
+		if result == Abandoned && now.Sub(t.began) > 2*silentAfter {
+			result = Broken // whoever waited for it has given it up
+		}
+	}
+	t.state.active--
+	t.state.used = now
+	if result != Abandoned && result != Unreachable && result != Broken {
+		t.state.sign = now
+	}
+	t.state.health.note(result, now)
+}
+
+const (
+	sweepEvery = 10 * time.Second
+	forgetIn   = 60 * time.Second
+)
+
+// sweep forgets servers that nothing has been sent to for long. The mutex is held.
+func (p *Placer) sweep(now time.Time) {
+	if now.Sub(p.swept) < sweepEvery {
+		return
+	}
+	p.swept = now
+	for number, s := range p.servers {
+		if s.active == 0 && now.Sub(s.used) > forgetIn {
+			delete(p.servers, number)
+		}
+	}
+}
