--- a/internal/configuration/snapshot.go
+++ b/internal/configuration/snapshot.go
@@ -62,6 +62,9 @@
 	return nil
 }
 
+// RoutesOf gives the routes of a host, those with the longest prefixes first. Nobody changes the list.
+func (s *Snapshot) RoutesOf(host string) []*Route { return s.hosts[normalHost(host)] }
+
 // RouteNamed gives a route by its name, or nil.
 func (s *Snapshot) RouteNamed(name string) *Route { return s.routes[name] }
 
--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -4,6 +4,7 @@
 package front
 
 import (
+	"cmp"
 	"context"
 	"crypto/tls"
 	"errors"
@@ -54,6 +55,9 @@
 	State           *service.State // nil: of its own, always serving
 	Listener        net.Listener   // taken over from a predecessor; nil: Listen is opened
 	Shared          bool           // others of the same gateway may listen at the address as well
+	HeaderWait      time.Duration  // in which a head has to come; 0: the standard
+	IdleWait        time.Duration  // that a client may rest between requests; 0: the standard
+	MaxHeader       int            // bytes of a head; 0: the standard
 }
 
 // Listen opens the port. Nothing is taken before Serve.
@@ -77,8 +81,8 @@
 	s.listener.freed = sync.NewCond(&s.listener.mu)
 	// A read time-out below the longest deadline would look like a client that left in the middle of its wait.
 	limit := opt.LongestDeadline + answerSlack
-	s.http = &http.Server{ReadHeaderTimeout: headerWait, ReadTimeout: limit, WriteTimeout: limit,
-		IdleTimeout: idleWait, MaxHeaderBytes: maxHeader, ConnState: s.listener.follow, ConnContext: keepClient, TLSConfig: opt.TLS,
+	s.http = &http.Server{ReadHeaderTimeout: cmp.Or(opt.HeaderWait, headerWait), ReadTimeout: limit, WriteTimeout: limit,
+		IdleTimeout: cmp.Or(opt.IdleWait, idleWait), MaxHeaderBytes: cmp.Or(opt.MaxHeader, maxHeader), ConnState: s.listener.follow, ConnContext: keepClient, TLSConfig: opt.TLS,
 		Handler: http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
 			a := &answer{ResponseWriter: w, state: opt.State}
 			if c, _ := r.Context().Value(clientKey{}).(*client); c != nil {
--- /dev/null
+++ b/internal/gateway/gateway.go
@@ -0,0 +1,255 @@
+// Package gateway owns the assembly of a gateway of the system and its life as a process: what it listens on, when it calls
+// itself ready, and how it ends. It must never look into a request.
+package gateway
+
+import (
+	"context"
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net/http"
+	"os"
+	"sync/atomic"
+	"syscall"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/buffers"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/front"
+	"sprucelane.example/sprucelane/internal/gateway/batchcall"
+	"sprucelane.example/sprucelane/internal/gateway/placement"
+	"sprucelane.example/sprucelane/internal/gateway/proxy"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/gateway/subscription"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/service"
+)
+
+const (
+	// reservedFiles are the descriptors kept for files outside the disk folder, by the platform's word, and for the process.
+	reservedFiles = 240
+	// clientShare is the part of the other descriptors that clients' connections may use.
+	clientShare = 0.6
+	// bodyShare is the part of the memory that bodies and whole answers may hold together.
+	bodyShare = 0.3
+	// connectWait is how long a connection to a server may take to come up: one in a dead machine never does.
+	connectWait = 400 * time.Millisecond
+	// serverIdle is how long a connection to a server is kept idle, where the server doesn't say.
+	serverIdle = 8 * time.Second
+	// longestDeadline bounds what a client's connection may take of a request and its answer.
+	longestDeadline = 60 * time.Second
+	// acceptAfterEnd is how long new connections are taken after SIGTERM: the platform notices within two of its checks.
+	acceptAfterEnd = 2300 * time.Millisecond
+	// killMargin is how long before the platform kills the process it is gone.
+	killMargin = 500 * time.Millisecond
+	// lookAgain is how often an ending process looks whether it may end.
+	lookAgain = 25 * time.Millisecond
+	// headerSlack is added to the operator's times: a client that keeps to them must not be cut by a moment.
+	headerSlack = 500 * time.Millisecond
+)
+
+// Gateway is a gateway's process.
+type Gateway struct {
+	settings     *node.Settings
+	log          zerolog.Logger
+	state        *service.State
+	pool         *pool.Pool
+	servers      *servers.Registry
+	subscription *subscription.Subscription
+	batch        *batchcall.Caller
+	proxy        *proxy.Proxy
+	clients      atomic.Pointer[front.Server]
+}
+
+// New assembles a gateway.
+func New(settings *node.Settings, log zerolog.Logger) *Gateway {
+	g := &Gateway{settings: settings, log: log, state: service.New()}
+	g.state.AcceptFor(acceptAfterEnd)
+	g.pool = pool.New(pool.Options{Sockets: serverSockets(settings), ConnIdle: serverIdle, ConnectWait: connectWait})
+	g.servers = servers.NewRegistry(g.pool)
+	process := protocol.Process{Node: settings.NodeName, Role: protocol.RoleGateway, Zone: settings.Zone, IP: settings.IP,
+		Incarnation: incarnation()}
+	options := transport.Options{Identity: transport.Identity{Node: process.Node, Role: process.Role, Zone: process.Zone,
+		Address: process.IP, Incarnation: process.Incarnation}}
+	g.subscription = subscription.New(subscription.Options{Settings: settings, Process: process, Transport: options,
+		Servers: g.servers, Ready: g.Ready, Log: log})
+	g.batch = batchcall.New(settings, options, g.subscription.Members)
+	g.proxy = &proxy.Proxy{
+		Knowledge: g.subscription,
+		Servers:   g.servers,
+		Pool:      g.pool,
+		Placer:    placement.New(settings.Zone, seed(process)),
+		Admission: proxy.Everyone{},
+		Batch:     g.batch,
+		Bodies:    buffers.New(int64(bodyShare * float64(settings.Limits.MemoryMB) * (1 << 20))),
+		Log:       log,
+	}
+	return g
+}
+
+func incarnation() string {
+	var random [8]byte
+	rand.Read(random[:])
+	return hex.EncodeToString(random[:])
+}
+
+func seed(process protocol.Process) uint64 {
+	sum := fnv.New64a()
+	sum.Write([]byte(process.Node + process.Incarnation))
+	return sum.Sum64()
+}
+
+func clientSockets(settings *node.Settings) int {
+	return int(clientShare * float64(max(0, settings.Limits.MaxFDs-reservedFiles)))
+}
+
+func serverSockets(settings *node.Settings) int {
+	return max(0, settings.Limits.MaxFDs-reservedFiles) - clientSockets(settings)
+}
+
+// Ready tells whether clients are to come here.
+func (g *Gateway) Ready() bool {
+	return g.state.Ready() && g.subscription.Complete(time.Now())
+}
+
+// Reload takes other settings in: machines that may know of control. What the process listens on stays.
+func (g *Gateway) Reload(settings *node.Settings) { g.subscription.Seed(settings) }
+
+// End begins the end: clients are sent away, what was taken is answered.
+func (g *Gateway) End() {
+	within := max(acceptAfterEnd, g.settings.Bounds.Grace-killMargin)
+	if g.state.End(time.Now(), within) {
+		g.log.Info().Msg("ending")
+	}
+}
+
+// Run serves until End has come to its end, or fails.
+func (g *Gateway) Run() error {
+	ctx, stop := context.WithCancel(context.Background())
+	defer stop()
+	defer g.pool.Close()
+	defer g.batch.Close()
+	failed := make(chan error, 2)
+	ready := &http.Server{Addr: g.settings.ListenReady, Handler: http.HandlerFunc(g.serveReady), ReadTimeout: time.Minute}
+	go func() { failed <- fmt.Errorf("listen.ready: %w", ready.ListenAndServe()) }()
+	defer ready.Close()
+	go g.subscription.Run(ctx)
+	go func() {
+		if err := g.serveClients(); err != nil {
+			failed <- fmt.Errorf("listen.front: %w", err)
+		}
+	}()
+	for {
+		select {
+		case err := <-failed:
+			return err
+		case <-time.After(g.nextLook()):
+			if g.state.Phase() == service.Ending && g.state.MayEnd(time.Now(), g.open()) {
+				g.log.Info().Int("open", g.open()).Msg("ended")
+				return nil
+			}
+		case <-g.state.Changed():
+		}
+	}
+}
+
+func (g *Gateway) nextLook() time.Duration {
+	if g.state.Phase() == service.Ending {
+		return lookAgain
+	}
+	return time.Hour
+}
+
+// open counts clients' connections.
+func (g *Gateway) open() int {
+	if server := g.clients.Load(); server != nil {
+		return server.Open()
+	}
+	return 0
+}
+
+func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
+	switch {
+	case r.URL.Path != "/readyz":
+		http.NotFound(w, r)
+	case g.Ready():
+		w.WriteHeader(http.StatusOK)
+	default:
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+}
+
+// serveClients opens the port for clients once there is a configuration: its limits are those of the port.
+func (g *Gateway) serveClients() error {
+	limits, ended := g.awaitLimits()
+	if ended {
+		return nil
+	}
+	server, err := g.listen(front.Options{
+		Listen:          g.settings.ListenFront,
+		Sockets:         clientSockets(g.settings),
+		LongestDeadline: longestDeadline,
+		State:           g.state,
+		HeaderWait:      slack(limits.HeaderTimeoutMs),
+		IdleWait:        slack(limits.IdleTimeoutMs),
+		MaxHeader:       limits.MaxHeaderBytes,
+	})
+	if err != nil {
+		return err
+	}
+	g.clients.Store(server)
+	g.state.Started()
+	g.log.Info().Str("listen", server.Addr()).Msg("serving")
+	return server.Serve()
+}
+
+func slack(ms float64) time.Duration {
+	if ms <= 0 {
+		return 0
+	}
+	return time.Duration(ms*float64(time.Millisecond)) + headerSlack
+}
+
+// awaitLimits waits for the first configuration.
+func (g *Gateway) awaitLimits() (limits configuration.Limits, ended bool) {
+	for {
+		if held := g.subscription.Configuration(); held != nil {
+			return held.Limits, false
+		}
+		if g.state.Phase() == service.Ending {
+			return limits, true
+		}
+		time.Sleep(lookAgain)
+	}
+}
+
+// listenFor is how long the port may be another's: that of the process before this one.
+const listenFor = 3 * time.Second
+
+func (g *Gateway) listen(options front.Options) (*front.Server, error) {
+	for until := time.Now().Add(listenFor); ; time.Sleep(lookAgain) {
+		server, err := front.Listen(options, g.proxy)
+		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
+			return server, err
+		}
+	}
+}
+
+// Check tells what the settings lack for a gateway.
+func Check(settings *node.Settings) error {
+	var findings node.Findings
+	if settings.ListenFront == "" {
+		findings.Addf(os.Getenv(node.SettingsVariable)+": listen.front", "is missing")
+	}
+	if settings.ListenReady == "" {
+		findings.Addf(os.Getenv(node.SettingsVariable)+": listen.ready", "is missing")
+	}
+	return findings.OrNil()
+}
--- /dev/null
+++ b/internal/gateway/proxy/attempt.go
@@ -0,0 +1,175 @@
+package proxy
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"strings"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/gateway/attempts"
+	"sprucelane.example/sprucelane/internal/gateway/placement"
+	"sprucelane.example/sprucelane/internal/pool"
+)
+
+const (
+	// leftoverWait is how long the rest of an answer may take that only says that nothing ran.
+	leftoverWait = 50 * time.Millisecond
+	// foreignMost bounds the answers to other requests that may stand before the one that is due.
+	foreignMost = 2
+)
+
+// run sends the request to one server after another until it has its answer or is given up.
+func (q *request) run() {
+	q.account = attempts.Account{Repeatable: q.route.Repeatable(), MaxServers: q.route.MaxAttempts}
+	q.demand = placement.ParseDemand(q.r.Header.Get(headerPrefix), q.r.Header.Get(headerUsage))
+	q.head = passOn(q.r.Header)
+	q.lastEvent = q.r.Header.Get(headerLastEvent)
+	q.backend = q.pickBackend()
+	for q.r.Context().Err() == nil && q.account.Again(time.Until(q.deadline)) {
+		ticket := q.place()
+		if ticket == nil {
+			break
+		}
+		if q.attempt(ticket) {
+			return
+		}
+	}
+	q.giveUp()
+}
+
+// attempt sends the request to a server, and tells whether it has its final answer with that.
+func (q *request) attempt(ticket *placement.Ticket) (answered bool) {
+	began := time.Now()
+	server := ticket.Server
+	q.passed = append(q.passed, server.Number)
+	defer func() { ticket.Done(time.Now(), placement.Abandoned) }() // where nothing else was said
+	x, end := q.proxy.Pool.Open(q.r.Context(), &pool.Call{Server: server.Number, Until: q.deadline, Method: q.r.Method,
+		Head: func(b *bytes.Buffer) { q.writeHead(b, server.ID) }, Body: q.body.bytes,
+		Check: func() bool { return q.sure(time.Now()) }})
+	if x == nil {
+		return q.unsent(ticket, end)
+	}
+	defer x.Close()
+	resp, err := q.answerHead(x)
+	if err != nil {
+		return q.lost(ticket)
+	}
+	if notExecuted(resp) {
+		q.skip(x)
+		result := placement.Refused
+		if resp.StatusCode == http.StatusMisdirectedRequest {
+			result = placement.Unreachable // another server has its address
+		}
+		ticket.Done(time.Now(), result)
+		q.account.Note(attempts.NotExecuted)
+		return false
+	}
+	if !credible(resp) {
+		return q.lost(ticket)
+	}
+	if isStream(resp) {
+		return q.stream(x, resp, ticket, began)
+	}
+	return q.whole(x, resp, ticket, began)
+}
+
+// unsent takes in that the request didn't go out whole, so that it has not run.
+func (q *request) unsent(ticket *placement.Ticket, end core.End) (answered bool) {
+	result := placement.Abandoned
+	if end == core.EndNoConnect || end == core.EndCutShort {
+		result = placement.Unreachable
+	}
+	ticket.Done(time.Now(), result)
+	q.account.Note(attempts.NotSent)
+	switch {
+	case end != core.EndDenied:
+		return false
+	case q.started || q.account.MayHaveRun():
+		q.giveUp()
+	default:
+		q.refuse(http.StatusServiceUnavailable, unready)
+	}
+	return true
+}
+
+// lost takes in that the request may have run and gave no answer.
+func (q *request) lost(ticket *placement.Ticket) (answered bool) {
+	result := placement.Broken
+	if q.r.Context().Err() != nil {
+		result = placement.Abandoned
+	}
+	ticket.Done(time.Now(), result)
+	q.account.Note(attempts.Lost)
+	return false
+}
+
+// answerHead reads the head of the answer to this request. One that names another id came late for another: it is passed over
+// together with its body.
+func (q *request) answerHead(x *pool.Exchange) (*http.Response, error) {
+	by := q.silentUntil()
+	for range foreignMost {
+		resp, err := x.Head(by)
+		if err != nil {
+			return nil, err
+		}
+		if resp.Header.Get(headerID) == q.id {
+			return resp, nil
+		}
+		if !x.Delimited() || !q.skip(x) {
+			break
+		}
+	}
+	return nil, errForeign
+}
+
+// silentUntil gives until when a server may say nothing, where the request could go on elsewhere.
+func (q *request) silentUntil() time.Time {
+	if !q.account.Repeatable || q.route.MaxAttempts <= 1 {
+		return q.deadline
+	}
+	wait := max(leastSilence, 3*q.route.TargetLatency())
+	if q.started {
+		wait = leastSilence
+	}
+	if by := time.Now().Add(wait); by.Before(q.deadline.Add(-wait / 2)) {
+		return by
+	}
+	return q.deadline
+}
+
+// leastSilence is how long a server may fall silent before a request that may be repeated goes elsewhere.
+const leastSilence = 1200 * time.Millisecond
+
+// skip reads the rest of an answer that is not passed on, so that its connection can be kept, and tells whether it is there.
+func (q *request) skip(x *pool.Exchange) bool {
+	x.ReadBy(time.Now().Add(leftoverWait))
+	_, err := io.Copy(io.Discard, io.LimitReader(readerOf{x}, maxWhole))
+	return err == nil
+}
+
+// readerOf reads an exchange's body.
+type readerOf struct{ *pool.Exchange }
+
+// notExecuted tells whether an answer says that the server did not run the request.
+func notExecuted(resp *http.Response) bool {
+	return resp.Header.Get(headerNotExecuted) != "" || resp.StatusCode == http.StatusMisdirectedRequest
+}
+
+// credible tells whether an answer can be a server's to this request. A success bears its stamp; the statuses that promise that
+// nothing ran are true only of a server that says so (which is looked at before); and clients ask for no encoding.
+func credible(resp *http.Response) bool {
+	switch resp.StatusCode {
+	case http.StatusRequestTimeout, http.StatusTooManyRequests, http.StatusServiceUnavailable:
+		return false
+	}
+	if resp.Header.Get(headerEncoding) != "" {
+		return false
+	}
+	return resp.StatusCode >= http.StatusMultipleChoices || resp.Header.Get(headerSignature) != ""
+}
+
+func isStream(resp *http.Response) bool {
+	return resp.StatusCode == http.StatusOK && strings.HasPrefix(resp.Header.Get(headerContentType), contentEventStream)
+}
--- /dev/null
+++ b/internal/gateway/proxy/batch.go
@@ -0,0 +1,113 @@
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+const (
+	prefixLots  = "/lots/"
+	prefixItems = "/items/"
+	// batchPatience is how long a call for a batch job may be held, where neither client nor route says.
+	batchPatience = 5 * time.Second
+	// readSlack is how long a client waits beyond the time for which it lets an answer be held.
+	readSlack = 1300 * time.Millisecond
+)
+
+// findBatch finds the route of a call for a batch job that is known by its path: one of the host's batch routes.
+func (q *request) findBatch(path string) {
+	operation := batchOperation(q.r.Method, path)
+	if operation == 0 {
+		return
+	}
+	for _, route := range q.settings.RoutesOf(q.r.Host) {
+		if route.Type == configuration.RouteBatch {
+			q.route, q.operation = route, operation
+			return
+		}
+	}
+}
+
+func batchOperation(method, path string) protocol.BatchOperation {
+	switch {
+	case method == http.MethodGet && strings.HasPrefix(path, prefixLots):
+		return protocol.BatchRead
+	case method == http.MethodGet && strings.HasPrefix(path, prefixItems):
+		return protocol.BatchBody
+	case method == http.MethodDelete && strings.HasPrefix(path, prefixLots):
+		return protocol.BatchEnd
+	}
+	return 0
+}
+
+// callBatch hands the call to a batch process and gives its answer.
+func (q *request) callBatch() {
+	call, no := q.batchCall()
+	if no != nil {
+		no.write(q.w)
+		return
+	}
+	until := q.deadline
+	if call.Operation != protocol.BatchSubmit {
+		until = q.arrived.Add(time.Duration(call.WaitMs)*time.Millisecond + readSlack)
+	}
+	ctx, cancel := context.WithDeadline(q.r.Context(), until)
+	defer cancel()
+	if !q.sure(time.Now()) {
+		q.refuse(http.StatusServiceUnavailable, unready)
+		return
+	}
+	q.answerBatch(q.proxy.Batch.Call(ctx, call))
+}
+
+func (q *request) batchCall() (call protocol.BatchCall, no *problem) {
+	call = protocol.BatchCall{Operation: q.operation, Route: q.route.Name}
+	if q.tenant != nil {
+		call.Tenant = q.tenant.Name
+	}
+	if q.operation == protocol.BatchSubmit {
+		if q.r.Method != http.MethodPost {
+			return call, &problem{status: http.StatusMethodNotAllowed, text: "method: batch jobs are posted"}
+		}
+		call.BatchJob, call.Body = q.id, q.body.bytes
+		return call, nil
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	call.BatchJob = path[strings.LastIndexByte(path, '/')+1:]
+	query := q.r.URL.Query()
+	switch q.operation {
+	case protocol.BatchBody:
+		call.Item = query.Get("id")
+	case protocol.BatchRead:
+		start, err := strconv.ParseUint(query.Get("start-after"), 10, 31)
+		if err != nil && query.Has("start-after") {
+			return call, &problem{status: http.StatusBadRequest, text: "start-after: not a position"}
+		}
+		wait, _ := strconv.ParseUint(q.r.Header.Get(headerWait), 10, 16)
+		call.Start, call.WaitMs = int(start), int(wait)
+	}
+	return call, nil
+}
+
+// answerBatch gives the client what the batch process says.
+func (q *request) answerBatch(answer protocol.BatchAnswer) {
+	if q.r.Context().Err() != nil {
+		panic(http.ErrAbortHandler)
+	}
+	header := q.w.Header()
+	if answer.ContentType != "" {
+		header.Set(headerContentType, answer.ContentType)
+	}
+	if answer.RetryAfterMs > 0 {
+		header.Set(headerRetryAfter, seconds(time.Duration(answer.RetryAfterMs)*time.Millisecond))
+	}
+	header.Set(headerLength, strconv.Itoa(len(answer.Body)))
+	q.w.WriteHeader(answer.Status)
+	q.w.Write(answer.Body)
+}
--- /dev/null
+++ b/internal/gateway/proxy/choose.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"errors"
+	"math/rand/v2"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/gateway/placement"
+)
+
+// errForeign reports answers that are not to this request.
+var errForeign = errors.New("proxy: an answer to another request")
+
+// connectionShare is the part of a server's bound on connections that all gateways together use.
+const connectionShare = 0.9
+
+// pickBackend gives the service of the request: the route's, or one by the weights of its split.
+func (q *request) pickBackend() string {
+	if len(q.route.TrafficSplit) == 0 {
+		return q.route.Backend
+	}
+	sum := 0.0
+	for _, split := range q.route.TrafficSplit {
+		sum += split.Weight
+	}
+	point := rand.Float64() * sum
+	name := q.route.Backend
+	for _, split := range q.route.TrafficSplit {
+		if split.Weight <= 0 {
+			continue
+		}
+		name = split.Backend
+		if point -= split.Weight; point < 0 {
+			break
+		}
+	}
+	return name
+}
+
+// place chooses the server for the next attempt, or gives nil where there is none.
+func (q *request) place() *placement.Ticket {
+	table := q.proxy.Servers.Current()
+	if table == nil {
+		return nil
+	}
+	return q.proxy.Placer.Pick(time.Now(), &placement.Choice{Demand: q.demand, Servers: table.Of(q.backend), Passed: q.passed,
+		Most: q.connectionsAtMost()})
+}
+
+// connectionsAtMost gives this gateway's part of the connections that a server takes.
+func (q *request) connectionsAtMost() int {
+	backend := q.settings.BackendNamed(q.backend)
+	if backend == nil || backend.MaxConns <= 0 {
+		return 0
+	}
+	gateways := 1
+	if members := q.proxy.Knowledge.Members(); members != nil {
+		gateways = max(1, len(members.Gateways))
+	}
+	return max(2, int(connectionShare*float64(backend.MaxConns))/gateways)
+}
--- /dev/null
+++ b/internal/gateway/proxy/proxy.go
@@ -0,0 +1,95 @@
+// Package proxy owns the life of a client's request in the gateway: it is read and checked, a server is chosen, the request goes
+// there, and the answer comes back unchanged or not at all. Streams may be taken up at another server within one answer. What
+// may follow an attempt is decided in internal/gateway/attempts, the choice of a server in internal/gateway/placement. It must
+// never send a byte to a server that the list, the lease of keys or an earlier attempt speaks against.
+//
+// internal/core's life of a transaction, and with it the module in policy, is not used here: it knows one answer a transaction,
+// that is whole or has begun, and servers that differ in load alone.
+package proxy
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/internal/buffers"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/placement"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Knowledge is what the gateway knows from control.
+type Knowledge interface {
+	Configuration() *configuration.Snapshot // nil: none yet
+	Members() *protocol.MemberList          // nil: none yet
+	Holds(now time.Time) bool               // a first byte may go to a server, as far as keys are concerned
+	// Await asks control at once and waits until it has vouched for what is known, until by.
+	Await(ctx context.Context, now, by time.Time) bool
+}
+
+// Admission decides which requests are sent on at all, by load and by quota.
+type Admission interface {
+	// Admit is asked when a request has been read whole; a refusal without a status lets it in.
+	Admit(now time.Time, route *configuration.Route, tenant *configuration.Tenant) Refusal
+	// Attempted tells how long an attempt took at a server, to its first event on a streaming route, to its answer on others.
+	Attempted(now time.Time, route *configuration.Route, tenant *configuration.Tenant, took time.Duration)
+}
+
+// Refusal is an answer that promises that nothing has run.
+type Refusal struct {
+	Status     int // 429 or 503; 0: none
+	RetryAfter time.Duration
+}
+
+// Batch hands calls for batch jobs to a batch process.
+type Batch interface {
+	Call(ctx context.Context, call protocol.BatchCall) protocol.BatchAnswer
+}
+
+// Proxy serves clients' requests.
+type Proxy struct {
+	Knowledge Knowledge
+	Servers   *servers.Registry
+	Pool      *pool.Pool
+	Placer    *placement.Placer
+	Admission Admission
+	Batch     Batch
+	Bodies    *buffers.Budget
+	Log       zerolog.Logger
+}
+
+// unready is when to come back to a gateway that can't serve yet or now.
+const unready = 250 * time.Millisecond
+
+func (p *Proxy) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	q, no := p.read(w, r)
+	if no != nil {
+		no.write(w)
+		return
+	}
+	defer q.release()
+	if q.operation != 0 {
+		q.callBatch()
+		return
+	}
+	if refusal := p.Admission.Admit(q.body.readAt, q.route, q.tenant); refusal.Status != 0 {
+		q.refuse(refusal.Status, refusal.RetryAfter)
+		return
+	}
+	q.run()
+}
+
+// Everyone admits all requests.
+type Everyone struct{}
+
+// Admit lets a request in.
+func (Everyone) Admit(time.Time, *configuration.Route, *configuration.Tenant) Refusal {
+	return Refusal{}
+}
+
+// Attempted does nothing.
+func (Everyone) Attempted(time.Time, *configuration.Route, *configuration.Tenant, time.Duration) {}
--- /dev/null
+++ b/internal/gateway/proxy/request.go
@@ -0,0 +1,164 @@
+package proxy
+
+import (
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/front"
+	"sprucelane.example/sprucelane/internal/gateway/attempts"
+	"sprucelane.example/sprucelane/internal/gateway/events"
+	"sprucelane.example/sprucelane/internal/gateway/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/policy"
+)
+
+// Headers of the protocol.
+const (
+	headerID           = "X-Request-Id"
+	headerDeadline     = "X-Deadline-Ms"
+	headerKey          = "Api-Key"
+	headerTenant       = "X-Tenant"
+	headerInstance     = "X-Expect-Instance"
+	headerSignature    = "X-Response-Signature"
+	headerNotExecuted  = "X-Not-Executed"
+	headerPrefix       = "X-Prompt-Prefix"
+	headerUsage        = "X-Token-Usage"
+	headerLastEvent    = "Last-Event-Id"
+	headerWait         = "X-Wait-Ms"
+	headerRetryAfter   = "Retry-After"
+	headerContentType  = "Content-Type"
+	headerEncoding     = "Content-Encoding"
+	headerLength       = "Content-Length"
+	contentEventStream = "text/event-stream"
+)
+
+const (
+	// transit is taken off a deadline, which counts from when the client sent: the way back, and an answer's last steps.
+	transit = 10 * time.Millisecond
+	// denyWait is how long a request waits for control to say that its route or key is not known there either.
+	denyWait = 400 * time.Millisecond
+	maxID    = 256 // bytes
+)
+
+// request is one try of a client.
+type request struct {
+	proxy    *Proxy
+	w        http.ResponseWriter
+	r        *http.Request
+	arrived  time.Time
+	deadline time.Time
+	id       string
+	settings *configuration.Snapshot
+	route    *configuration.Route
+	tenant   *configuration.Tenant // nil: of a public route
+	body     body
+
+	operation protocol.BatchOperation // 0: live
+
+	backend   string
+	demand    placement.Demand
+	head      []byte // lines of headers that are passed on as they came
+	account   attempts.Account
+	passed    []policy.ServerID
+	scanner   *events.Scanner // of a stream
+	buffer    *[]byte
+	started   bool // the head of a stream has gone out
+	lastEvent string
+}
+
+// read reads a request and finds its route and tenant.
+func (p *Proxy) read(w http.ResponseWriter, r *http.Request) (*request, *problem) {
+	q := &request{proxy: p, w: w, r: r, arrived: time.Now(), id: r.Header.Get(headerID)}
+	if len(r.TransferEncoding) > 0 && !front.ChunksAlone(r) {
+		return nil, &problem{status: http.StatusBadRequest, text: "Transfer-Encoding: beside Content-Length, or it can't be told"}
+	}
+	if !strings.HasPrefix(r.RequestURI, "/") {
+		return nil, &problem{status: http.StatusBadRequest, text: "target: not a path"}
+	}
+	if no := q.find(); no != nil && no.status == http.StatusServiceUnavailable {
+		return nil, no
+	} else if no != nil {
+		if !p.Knowledge.Await(r.Context(), q.arrived, q.arrived.Add(denyWait)) {
+			return nil, &problem{status: http.StatusServiceUnavailable, text: "configuration: not sure", retryAfter: unready}
+		}
+		if no := q.find(); no != nil {
+			return nil, no
+		}
+	}
+	if !q.sure(q.arrived) {
+		return nil, &problem{status: http.StatusServiceUnavailable, text: "keys: not sure", retryAfter: unready}
+	}
+	if q.operation == 0 || q.operation == protocol.BatchSubmit {
+		if ids := r.Header.Values(headerID); len(ids) != 1 || q.id == "" || len(q.id) > maxID {
+			return nil, &problem{status: http.StatusBadRequest, text: headerID + ": missing or malformed"}
+		}
+	}
+	q.deadline = q.arrived.Add(q.patience())
+	if no := q.body.read(w, r, q.settings.Limits.MaxBodyBytes, p.Bodies, q.deadline); no != nil {
+		return nil, no
+	}
+	return q, nil
+}
+
+// find looks the route and the tenant up in the configuration in force.
+func (q *request) find() *problem {
+	q.settings = q.proxy.Knowledge.Configuration()
+	if q.settings == nil {
+		return &problem{status: http.StatusServiceUnavailable, text: "no configuration yet", retryAfter: unready}
+	}
+	path, _, _ := strings.Cut(q.r.RequestURI, "?")
+	q.operation = 0
+	if q.route = q.settings.RouteFor(q.r.Host, path); q.route != nil && q.route.Type == configuration.RouteBatch {
+		q.operation = protocol.BatchSubmit
+	}
+	if q.route == nil {
+		q.findBatch(path)
+	}
+	if q.route == nil {
+		return &problem{status: http.StatusNotFound, text: "no such route"}
+	}
+	return q.identify()
+}
+
+// identify finds the tenant by the key.
+func (q *request) identify() *problem {
+	q.tenant = nil
+	keys := q.r.Header.Values(headerKey)
+	if len(keys) == 1 {
+		q.tenant = q.settings.TenantFor(keys[0])
+	}
+	if q.tenant == nil && !q.route.Public && len(q.settings.Tenants) > 0 {
+		return &problem{status: http.StatusUnauthorized, text: "unknown key"}
+	}
+	return nil
+}
+
+// sure tells whether the request's key may still be acted on.
+func (q *request) sure(now time.Time) bool {
+	return q.tenant == nil || q.proxy.Knowledge.Holds(now)
+}
+
+// patience gives how long the request may be held.
+func (q *request) patience() time.Duration {
+	most := q.route.Timeout()
+	if q.operation != 0 && most == 0 {
+		most = batchPatience
+	}
+	wait, err := strconv.ParseUint(q.r.Header.Get(headerDeadline), 10, 31)
+	if err == nil {
+		told := time.Duration(wait) * time.Millisecond
+		if most == 0 || told < most {
+			most = told
+		}
+	}
+	return max(0, most-transit)
+}
+
+// release gives back what the request holds.
+func (q *request) release() {
+	q.body.release(q.proxy.Bodies)
+	q.releaseScanner()
+}
--- a/internal/service/service.go
+++ b/internal/service/service.go
@@ -60,12 +60,21 @@
 	ending  bool
 	since   time.Time     // when clients began to be sent away
 	asked   time.Time     // when the end was asked for
+	accept  time.Duration // how long new connections are taken after that
 	within  time.Duration // what was taken then is answered by so much later, or never
 	changed chan struct{}
 }
 
 // New gives the state of a process that has just begun.
-func New() *State { return &State{changed: make(chan struct{})} }
+func New() *State { return &State{accept: AcceptOn, changed: make(chan struct{})} }
+
+// AcceptFor sets how long new connections are taken after the end was asked for, in place of AcceptOn.
+func (s *State) AcceptFor(accept time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.accept = accept
+	s.change()
+}
 
 // Phase gives the phase.
 func (s *State) Phase() Phase {
@@ -208,7 +217,7 @@
 func (s *State) Accepts(now time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return !s.ending || now.Sub(s.asked) < AcceptOn
+	return !s.ending || now.Sub(s.asked) < s.accept
 }
 
 // MayEnd tells whether the process may end now, with so many connections of clients open. Where another process serves no
@@ -217,5 +226,5 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	gone := now.Sub(s.asked)
-	return s.ending && (open == 0 && (s.given || gone >= AcceptOn+settle) || gone >= s.within)
+	return s.ending && (open == 0 && (s.given || gone >= s.accept+settle) || gone >= s.within)
 }
