--- /dev/null
+++ b/internal/control/machine/command.go
@@ -0,0 +1,89 @@
+// Package machine owns the state that the control processes agree on, as the chain's state machine: the operator's
+// configuration and the agreed set of batch processes. It is deterministic: it reads no clock and draws no numbers. It must
+// never know how orders reach it.
+package machine
+
+import (
+	"bytes"
+	"encoding/gob"
+	"fmt"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Command is one order of the chain. Exactly one member is set.
+type Command struct {
+	Configuration *configuration.Order
+	Join          *Join
+	Evict         *Evict
+	Retire        *Retire
+	Retired       *Retired
+}
+
+// Join takes batch processes into the set. A member with the same node or address and another incarnation goes: its disk was
+// lost or its machine replaced.
+type Join struct {
+	Processes []protocol.Process
+}
+
+// Evict removes a batch process whose lease has surely ended.
+type Evict struct {
+	Node        string
+	Incarnation string
+}
+
+// Retire asks for a batch process to be emptied.
+type Retire struct {
+	Node   string
+	Remain int // how many active members must remain at least
+}
+
+// Retired states that a retiring batch process holds nothing that others need, as seen in a store view.
+type Retired struct {
+	Node        string
+	Incarnation string
+	Epoch       uint64
+}
+
+// Outcome is what came of a command.
+type Outcome struct {
+	Configuration *configuration.Result
+	Store         StoreOutcome
+}
+
+// StoreOutcome is what came of a command on the set of batch processes.
+type StoreOutcome int
+
+// The outcomes on the set.
+const (
+	StoreUnchanged StoreOutcome = iota // it was so already, or the command no longer fits
+	StoreChanged
+	StoreUnknown // no such batch process
+	StoreTooFew  // too few would remain
+)
+
+// Encode gives the command's form in the chain.
+func (c Command) Encode() ([]byte, error) { return encode(c) }
+
+// DecodeOutcome reads what Apply gave.
+func DecodeOutcome(raw []byte) (Outcome, error) {
+	var outcome Outcome
+	err := decode(raw, &outcome)
+	return outcome, err
+}
+
+func encode(value any) ([]byte, error) {
+	var out bytes.Buffer
+	if err := gob.NewEncoder(&out).Encode(value); err != nil {
+		return nil, fmt.Errorf("control's state machine: %w", err)
+	}
+	return out.Bytes(), nil
+}
+
+func decode(raw []byte, into any) error {
+	if err := gob.NewDecoder(bytes.NewReader(raw)).Decode(into); err != nil {
+		return fmt.Errorf("control's state machine: %w", err)
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/control/machine/machine.go
@@ -0,0 +1,127 @@
+package machine
+
+import (
+	"sync"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Machine is the chain's state machine. It is safe for concurrent use: the chain applies, others read.
+type Machine struct {
+	mutex         sync.RWMutex
+	configuration *configuration.State
+	stores        *storeSet
+}
+
+// New gives the state before the first order.
+func New() *Machine {
+	return &Machine{configuration: configuration.NewState(), stores: newStoreSet()}
+}
+
+// Apply carries out the order with an index and gives its Outcome, encoded. An order that can't be read changes nothing: every
+// replica reads the same bytes.
+func (m *Machine) Apply(index uint64, order []byte) []byte {
+	var command Command
+	if decode(order, &command) != nil {
+		return nil
+	}
+	m.mutex.Lock()
+	outcome := m.apply(index, command)
+	m.mutex.Unlock()
+	raw, err := encode(outcome)
+	if err != nil {
+		return nil // an Outcome always has a form
+	}
+	return raw
+}
+
+func (m *Machine) apply(index uint64, command Command) Outcome {
+	switch {
+	case command.Configuration != nil:
+		result := m.configuration.Apply(index, *command.Configuration)
+		return Outcome{Configuration: &result}
+	case command.Join != nil:
+		return Outcome{Store: m.stores.join(command.Join)}
+	case command.Evict != nil:
+		return Outcome{Store: m.stores.evict(command.Evict)}
+	case command.Retire != nil:
+		return Outcome{Store: m.stores.retire(command.Retire)}
+	case command.Retired != nil:
+		return Outcome{Store: m.stores.retired(command.Retired)}
+	}
+	return Outcome{}
+}
+
+// image is the form of a Machine in a snapshot.
+type image struct {
+	Configuration []byte
+	Stores        storeImage
+}
+
+// Snapshot gives the state's form.
+func (m *Machine) Snapshot() []byte {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	raw, err := m.configuration.Encode()
+	if err != nil {
+		return nil
+	}
+	whole, err := encode(image{Configuration: raw, Stores: m.stores.image()})
+	if err != nil {
+		return nil
+	}
+	return whole
+}
+
+// Restore replaces the state by one that Snapshot gave.
+func (m *Machine) Restore(raw []byte) error {
+	var form image
+	if err := decode(raw, &form); err != nil {
+		return err
+	}
+	state, err := configuration.DecodeState(form.Configuration)
+	if err != nil {
+		return err
+	}
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.configuration = state
+	m.stores = restoreStores(form.Stores)
+	return nil
+}
+
+// Configuration gives the version in force here. Its Generation is 0 before the first.
+func (m *Machine) Configuration() *configuration.Version {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.configuration.Current()
+}
+
+// Since gives what leads from a version of the configuration to the one in force, or nil.
+func (m *Machine) Since(index uint64) *protocol.ConfigurationUpdate {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.configuration.Since(index)
+}
+
+// Evaluate tells what would come of an order of the operator now.
+func (m *Machine) Evaluate(order configuration.Order) configuration.Result {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.configuration.Evaluate(order)
+}
+
+// Stores gives the agreed set of batch processes.
+func (m *Machine) Stores() protocol.StoreView {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.stores.view()
+}
+
+// Retirement tells how far a batch process's retirement is.
+func (m *Machine) Retirement(node string) Retirement {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.stores.retirement(node)
+}
--- /dev/null
+++ b/internal/control/machine/stores.go
@@ -0,0 +1,188 @@
+package machine
+
+import (
+	"slices"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// retirementsMost is how many retirements are remembered.
+const retirementsMost = 1024
+
+// Retirement is how far a batch process is emptied.
+type Retirement int
+
+// The states of a retirement.
+const (
+	NotRetiring Retirement = iota
+	RetirementActive
+	RetirementCompleted
+)
+
+// retirement is what is remembered of one, also after its batch process has left the set.
+type retirementRecord struct {
+	Node        string
+	Incarnation string
+	Completed   bool
+}
+
+// storeSet is the agreed set of batch processes.
+type storeSet struct {
+	epoch       uint64
+	members     []protocol.StoreMember // in the order in which they joined
+	retirements []retirementRecord     // oldest first
+}
+
+// storeImage is the form of a storeSet in a snapshot.
+type storeImage struct {
+	Epoch       uint64
+	Members     []protocol.StoreMember
+	Retirements []retirementRecord
+}
+
+func newStoreSet() *storeSet { return &storeSet{} }
+
+func (s *storeSet) image() storeImage {
+	return storeImage{Epoch: s.epoch, Members: s.members, Retirements: s.retirements}
+}
+
+func restoreStores(form storeImage) *storeSet {
+	return &storeSet{epoch: form.Epoch, members: form.Members, retirements: form.Retirements}
+}
+
+// view gives the set. Members are never changed in place.
+func (s *storeSet) view() protocol.StoreView {
+	return protocol.StoreView{Epoch: s.epoch, Members: s.members}
+}
+
+func (s *storeSet) change(members []protocol.StoreMember) StoreOutcome {
+	s.members = members
+	s.epoch++
+	return StoreChanged
+}
+
+func (s *storeSet) join(order *Join) StoreOutcome {
+	members := slices.Clone(s.members)
+	changed := false
+	for _, process := range order.Processes {
+		if s.mayJoin(members, process) {
+			members = admit(members, protocol.StoreMember{Process: process, State: s.stateOf(process)})
+			changed = true
+		}
+	}
+	if !changed {
+		return StoreUnchanged
+	}
+	return s.change(members)
+}
+
+// mayJoin refuses members, and one that was emptied and goes on running until it is taken away.
+func (s *storeSet) mayJoin(members []protocol.StoreMember, process protocol.Process) bool {
+	for i := range members {
+		if members[i].Process == process {
+			return false
+		}
+	}
+	record := s.record(process.Node)
+	return record == nil || !record.Completed || record.Incarnation != process.Incarnation
+}
+
+// stateOf gives the state in which a process joins: a retirement under way outlasts a restart or the loss of the disk.
+func (s *storeSet) stateOf(process protocol.Process) protocol.StoreState {
+	if record := s.record(process.Node); record != nil && !record.Completed {
+		record.Incarnation = process.Incarnation
+		return protocol.StoreRetiring
+	}
+	return protocol.StoreActive
+}
+
+// admit adds a member in place of those that had its node or its address.
+func admit(members []protocol.StoreMember, one protocol.StoreMember) []protocol.StoreMember {
+	members = slices.DeleteFunc(members, func(other protocol.StoreMember) bool {
+		return other.Node == one.Node || other.IP == one.IP
+	})
+	return append(members, one)
+}
+
+func (s *storeSet) evict(order *Evict) StoreOutcome {
+	at := s.find(order.Node, order.Incarnation)
+	if at < 0 {
+		return StoreUnchanged
+	}
+	return s.change(slices.Delete(slices.Clone(s.members), at, at+1))
+}
+
+func (s *storeSet) retire(order *Retire) StoreOutcome {
+	if s.retirement(order.Node) != NotRetiring {
+		return StoreUnchanged
+	}
+	at := slices.IndexFunc(s.members, func(one protocol.StoreMember) bool { return one.Node == order.Node })
+	if at < 0 {
+		return StoreUnknown
+	}
+	if s.active()-1 < order.Remain {
+		return StoreTooFew
+	}
+	s.rememberRetirement(retirementRecord{Node: order.Node, Incarnation: s.members[at].Incarnation})
+	return s.setState(at, protocol.StoreRetiring)
+}
+
+func (s *storeSet) retired(order *Retired) StoreOutcome {
+	at := s.find(order.Node, order.Incarnation)
+	if at < 0 || order.Epoch != s.epoch || s.members[at].State != protocol.StoreRetiring {
+		return StoreUnchanged
+	}
+	if record := s.record(order.Node); record != nil {
+		record.Completed = true
+	}
+	return s.setState(at, protocol.StoreRetired)
+}
+
+func (s *storeSet) setState(at int, state protocol.StoreState) StoreOutcome {
+	members := slices.Clone(s.members)
+	members[at].State = state
+	return s.change(members)
+}
+
+func (s *storeSet) find(node, incarnation string) int {
+	return slices.IndexFunc(s.members, func(one protocol.StoreMember) bool {
+		return one.Node == node && one.Incarnation == incarnation
+	})
+}
+
+func (s *storeSet) active() int {
+	count := 0
+	for i := range s.members {
+		if s.members[i].State == protocol.StoreActive {
+			count++
+		}
+	}
+	return count
+}
+
+func (s *storeSet) retirement(node string) Retirement {
+	record := s.record(node)
+	switch {
+	case record == nil:
+		return NotRetiring
+	case record.Completed:
+		return RetirementCompleted
+	}
+	return RetirementActive
+}
+
+// record gives what is remembered of a node's retirement. A node that came back after it with an empty disk is new.
+func (s *storeSet) record(node string) *retirementRecord {
+	at := slices.IndexFunc(s.retirements, func(one retirementRecord) bool { return one.Node == node })
+	if at < 0 {
+		return nil
+	}
+	return &s.retirements[at]
+}
+
+func (s *storeSet) rememberRetirement(one retirementRecord) {
+	if len(s.retirements) == retirementsMost {
+		s.retirements = slices.Delete(s.retirements, 0, 1)
+	}
+	s.retirements = append(s.retirements, one)
+}
