--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -159,3 +159,17 @@
 	}
 	return s, nil
 }
+
+// CheckAlone gives what is wrong with an order whatever version it builds on.
+func CheckAlone(order Order) node.Findings {
+	var err error
+	if order.Patch {
+		_, err = ParsePatch(order.Body)
+	} else {
+		_, err = ParseDocument(order.Body, 0)
+	}
+	if err == nil {
+		return nil
+	}
+	return asFindings(err)
+}
--- /dev/null
+++ b/internal/control/discovery/discovery_test.go
@@ -0,0 +1,109 @@
+package discovery
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+const ms = time.Millisecond
+
+func TestSchedule(t *testing.T) {
+	Convey("The first by rank reads at once and then steadily", t, func() {
+		var s Schedule
+		So(s.Next(), ShouldEqual, 0)
+		s.Read(10 * ms)
+		So(s.Next(), ShouldEqual, 10*ms+readEvery)
+		s.Failed(900*ms, 0)
+		So(s.Next(), ShouldEqual, 1000*ms)
+		s.Failed(1000*ms, time.Hour)
+		So(s.Next(), ShouldEqual, 1000*ms+lastRetry)
+		s.Read(1900 * ms)
+		So(s.Next(), ShouldEqual, 1900*ms+readEvery)
+	})
+	Convey("Another takes over after a silence, reads steadily, and stops when one before it reads again", t, func() {
+		var s Schedule
+		s.Rank(2)
+		s.Received(100*ms, 0)
+		So(s.Next(), ShouldEqual, 100*ms+takeOver+2*takeOverStep)
+		s.Read(2500 * ms)
+		So(s.Next(), ShouldEqual, 2500*ms+readEvery)
+		s.Received(2400*ms, 0)
+		So(s.Next(), ShouldEqual, 2500*ms+readEvery)
+		s.Received(2600*ms, 0)
+		So(s.Next(), ShouldEqual, 2600*ms+takeOver+2*takeOverStep)
+	})
+	Convey("A reader that hears one behind it goes on reading", t, func() {
+		var s Schedule
+		s.Rank(1)
+		s.Read(0)
+		s.Received(100*ms, 2)
+		So(s.Next(), ShouldEqual, 100*ms+readEvery)
+	})
+}
+
+func TestReader(t *testing.T) {
+	instance := func(i int, state string) string {
+		return fmt.Sprintf(`{"backend":"b","address":"10.0.0.%d:80","zone":"z","generation":"v1","slots":16,"state":%q,"cold-remaining-ms":250,"stage":"both","models":[],"id":"i-%d"}`, i, state, i)
+	}
+	serve := func(handler http.HandlerFunc) *Reader {
+		server := httptest.NewServer(handler)
+		Reset(server.Close)
+		return NewReader(strings.TrimPrefix(server.URL, "http://"), "")
+	}
+	Convey("All pages make one list", t, func() {
+		reader := serve(func(w http.ResponseWriter, r *http.Request) {
+			switch r.URL.Query().Get("page-token") {
+			case "":
+				fmt.Fprintf(w, `{"instances":[%s,%s],"next-token":"p 2"}`, instance(2, "ready"), instance(1, "ready"))
+			case "p 2":
+				fmt.Fprintf(w, `{"instances":[%s,%s],"next-token":null}`, instance(2, "draining"), instance(3, "draining"))
+			}
+		})
+		list, err := reader.Read(context.Background())
+		So(err, ShouldBeNil)
+		So(list.Servers, ShouldHaveLength, 3)
+		So(list.Servers[0], ShouldResemble, protocol.Server{ID: "i-1", Backend: "b", Address: "10.0.0.1:80", Zone: "z", Slots: 16, Cold: 250 * ms, Stage: "both"})
+		So(list.Servers[1].Draining, ShouldBeTrue)
+		again, err := reader.Read(context.Background())
+		So(err, ShouldBeNil)
+		So(again.Digest, ShouldEqual, list.Digest)
+	})
+	Convey("A page that fails fails the whole", t, func() {
+		for _, answer := range []string{"", "{}", `{"instances":null}`, `{"instances":[`, `[]`} {
+			reader := serve(func(w http.ResponseWriter, r *http.Request) {
+				if r.URL.Query().Get("page-token") == "" {
+					fmt.Fprintf(w, `{"instances":[%s],"next-token":"x"}`, instance(1, "ready"))
+					return
+				}
+				fmt.Fprint(w, answer)
+			})
+			_, err := reader.Read(context.Background())
+			So(err, ShouldNotBeNil)
+		}
+	})
+	Convey("A refusal for the rate is told as such", t, func() {
+		reader := serve(func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Retry-After", "0.5")
+			w.WriteHeader(http.StatusTooManyRequests)
+		})
+		_, err := reader.Read(context.Background())
+		var rate *RateError
+		So(errors.As(err, &rate), ShouldBeTrue)
+		So(rate.RetryAfter, ShouldEqual, 500*ms)
+	})
+	Convey("A list that goes round ends", t, func() {
+		reader := serve(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"instances":[],"next-token":"x"}`) })
+		_, err := reader.Read(context.Background())
+		So(err, ShouldNotBeNil)
+	})
+}
--- /dev/null
+++ b/internal/control/discovery/schedule.go
@@ -0,0 +1,78 @@
+// Package discovery owns the platform's list of servers: who of the control processes reads it and when, and the reading. One
+// control process reads for all, as each call has a price and the platform's rate is shared; the others take over when they have
+// had no list for a while, without asking anyone, so that a cut core keeps reading. It must never hand on a list that was read
+// in part.
+//
+// At the size of thousands of servers a zone's control process would read its own zone (`zone` in the query), and lists would go
+// as the differences between two versions; Reader takes a zone already, and List is numbered by its content, so that differences
+// can name what they apply to.
+package discovery
+
+import "time"
+
+// The times of reading.
+const (
+	readEvery    = 800 * time.Millisecond  // by the control process that reads for all
+	takeOver     = 1600 * time.Millisecond // without a list, before another reads
+	takeOverStep = 400 * time.Millisecond  // more for each rank
+	firstRetry   = 100 * time.Millisecond
+	lastRetry    = 800 * time.Millisecond
+)
+
+// Schedule decides when this process reads. It is pure; times are since the process's start, by the steady clock. It isn't safe
+// for concurrent use.
+type Schedule struct {
+	rank     int
+	have     bool          // a list was had
+	last     time.Duration // when the newest list was read, by whom ever
+	own      bool          // it was read here
+	failures int
+	retryAt  time.Duration
+}
+
+// Rank sets the process's place among the control processes; 0 reads for all.
+func (s *Schedule) Rank(rank int) { s.rank = rank }
+
+// Next gives when to read, unless something comes in before.
+func (s *Schedule) Next() time.Duration {
+	return max(s.due(), s.retryAt)
+}
+
+func (s *Schedule) due() time.Duration {
+	switch {
+	case s.rank == 0 || s.own:
+		if !s.have {
+			return 0
+		}
+		return s.last + readEvery
+	case !s.have: // at the start of the system, the first by rank is just about to read
+		return time.Duration(s.rank) * takeOverStep
+	}
+	return s.last + takeOver + time.Duration(s.rank)*takeOverStep
+}
+
+// Read notes that a list was read here, beginning at a time.
+func (s *Schedule) Read(began time.Duration) {
+	s.have, s.own = true, true
+	s.last = max(s.last, began)
+	s.failures, s.retryAt = 0, 0
+}
+
+// Failed notes that reading failed. A platform that refuses for the rate of calls may ask for more patience.
+func (s *Schedule) Failed(now, retryAfter time.Duration) {
+	pause := min(firstRetry<<min(s.failures, 8), lastRetry)
+	s.failures++
+	s.retryAt = now + max(pause, min(retryAfter, lastRetry))
+}
+
+// Received notes that a control process with a rank told a list that was read at a time. One that goes before makes this process
+// stop reading.
+func (s *Schedule) Received(at time.Duration, rank int) {
+	if s.have && at <= s.last {
+		return
+	}
+	s.have, s.last = true, at
+	if rank < s.rank {
+		s.own = false
+	}
+}
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -125,3 +125,10 @@
 	defer m.mutex.RUnlock()
 	return m.stores.retirement(node)
 }
+
+// Taken tells whether exactly this order was taken before.
+func (m *Machine) Taken(order configuration.Order) bool {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.configuration.Taken(order)
+}
--- /dev/null
+++ b/internal/control/operator/change.go
@@ -0,0 +1,258 @@
+package operator
+
+import (
+	"context"
+	"encoding/hex"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/control/machine"
+	"sprucelane.example/sprucelane/internal/control/schema"
+)
+
+// change answers PUT and PATCH /config.
+func (a *API) change(patch bool) echo.HandlerFunc {
+	return func(c echo.Context) error {
+		arrived := time.Now()
+		ifMatch, ok := parseIfMatch(c.Request().Header.Values("If-Match"))
+		if !ok {
+			return c.JSON(http.StatusBadRequest, answer{Message: "If-Match must hold the number of the version that the change builds on"})
+		}
+		body, release, err := a.readBody(c.Request())
+		if err != nil {
+			return bodyFailed(c, err)
+		}
+		defer release()
+		order := configuration.Order{IfMatch: ifMatch, Patch: patch, Body: body}
+		verdict, finished := a.flights.join(c.Request().Context(), order.Digest(), func() verdict { return a.decide(order, arrived) })
+		if !finished {
+			return c.Request().Context().Err()
+		}
+		return verdict.write(c)
+	}
+}
+
+// parseIfMatch reads a version's number, bare or in quotes.
+func parseIfMatch(values []string) (uint64, bool) {
+	if len(values) != 1 {
+		return 0, false
+	}
+	text := strings.TrimSpace(values[0])
+	if len(text) > 2 && text[0] == '"' && text[len(text)-1] == '"' {
+		text = text[1 : len(text)-1]
+	}
+	number, err := strconv.ParseUint(text, 10, 64)
+	return number, err == nil
+}
+
+var (
+	errBodyTooLarge = errors.New("the body is too large")
+	errBodiesBusy   = errors.New("other large configurations are under way")
+)
+
+// readBody reads a request's body within the bounds. The function that it gives returns what the body holds of them.
+func (a *API) readBody(request *http.Request) ([]byte, func(), error) {
+	if request.ContentLength > bodyMost {
+		return nil, nil, errBodyTooLarge
+	}
+	reserved := request.ContentLength
+	if reserved < 0 {
+		reserved = bodyMost
+	}
+	if !a.bodies.take(reserved) {
+		return nil, nil, errBodiesBusy
+	}
+	release := func() { a.bodies.give(reserved) }
+	body, err := readAll(request)
+	if err != nil {
+		release()
+		return nil, nil, err
+	}
+	return body, release, nil
+}
+
+func readAll(request *http.Request) ([]byte, error) {
+	if request.ContentLength >= 0 {
+		body := make([]byte, request.ContentLength)
+		_, err := io.ReadFull(request.Body, body)
+		return body, err
+	}
+	body, err := io.ReadAll(io.LimitReader(request.Body, bodyMost+1))
+	if err == nil && len(body) > bodyMost {
+		return nil, errBodyTooLarge
+	}
+	return body, err
+}
+
+func bodyFailed(c echo.Context, err error) error {
+	switch {
+	case errors.Is(err, errBodyTooLarge):
+		c.Response().Header().Set("Connection", "close")
+		return c.JSON(http.StatusRequestEntityTooLarge, answer{Message: err.Error()})
+	case errors.Is(err, errBodiesBusy):
+		return unavailable(c, err.Error())
+	}
+	c.Response().Header().Set("Connection", "close")
+	return c.JSON(http.StatusBadRequest, answer{Message: "the body can't be read whole: " + err.Error()})
+}
+
+// verdict is what an order gets.
+type verdict struct {
+	status  int
+	body    answer
+	unknown string // not empty: no clear answer, with the reason
+}
+
+func (v verdict) write(c echo.Context) error {
+	if v.status == http.StatusServiceUnavailable {
+		return unavailable(c, v.unknown)
+	}
+	if v.status == http.StatusGatewayTimeout {
+		c.Response().Header().Set("Connection", "close")
+		return c.JSON(v.status, answer{Message: v.unknown})
+	}
+	if v.status == http.StatusOK {
+		c.Response().Header().Set("ETag", strconv.Quote(strconv.FormatUint(v.body.Generation, 10)))
+	}
+	return c.JSON(v.status, v.body)
+}
+
+// decide finds out what an order gets: it reads acknowledged state, refuses what that refuses, and proposes the rest. It goes
+// on when the operator has gone, as an order that is under way can't be called back.
+func (a *API) decide(order configuration.Order, arrived time.Time) verdict {
+	log := a.options.Log.With().Uint64("if-match", order.IfMatch).Bool("patch", order.Patch).Int("bytes", len(order.Body)).Logger()
+	decided := a.settle(order, arrived)
+	event := log.Info()
+	if decided.unknown != "" {
+		event = log.Warn().Str("reason", decided.unknown)
+	}
+	for _, one := range decided.body.Findings {
+		log.Debug().Str("place", one.Place).Str("text", one.Text).Msg("configuration-finding")
+	}
+	event.Int("status", decided.status).Uint64("generation", decided.body.Generation).Int("findings", len(decided.body.Findings)).
+		Dur("took", time.Since(arrived)).Msg("configuration-order")
+	return decided
+}
+
+func (a *API) settle(order configuration.Order, arrived time.Time) verdict {
+	if findings := a.findings(order); len(findings) > 0 {
+		return verdict{status: http.StatusBadRequest, body: answer{Message: "the configuration is invalid", Findings: findings}}
+	}
+	raw, err := machine.Command{Configuration: &order}.Encode()
+	if err != nil {
+		return verdict{status: http.StatusServiceUnavailable, unknown: err.Error()}
+	}
+	attempts := attempt{api: a, order: order, raw: raw, id: identify(order), hold: arrived.Add(holdFor),
+		deadline: arrived.Add(a.options.Bounds.Acknowledge * 4 / 5)}
+	return attempts.run()
+}
+
+// findings checks the shape, of orders that weren't taken before.
+func (a *API) findings(order configuration.Order) []answerFinding {
+	if a.options.Machine.Taken(order) {
+		return nil
+	}
+	if json.Valid(order.Body) {
+		if found := schema.Check(order.Body, order.Patch); len(found) > 0 {
+			return answerFindings(found)
+		}
+	}
+	if found := configuration.CheckAlone(order); len(found) > 0 {
+		return answerFindings(found)
+	}
+	return nil
+}
+
+func identify(order configuration.Order) string {
+	digest := order.Digest()
+	return "configuration-" + hex.EncodeToString(digest[:])
+}
+
+// attempt carries one order to an end.
+type attempt struct {
+	api       *API
+	order     configuration.Order
+	raw       []byte
+	id        string
+	hold      time.Time // how long it waits while it was surely not taken
+	deadline  time.Time // how long it waits at all
+	uncertain bool      // a proposal may be under way
+}
+
+func (t *attempt) run() verdict {
+	for {
+		decided, err := t.once()
+		if err == nil {
+			return decided
+		}
+		if !pause(context.Background(), t.until()) {
+			return t.giveUp(err)
+		}
+	}
+}
+
+func (t *attempt) until() time.Time {
+	if t.uncertain {
+		return t.deadline
+	}
+	return t.hold
+}
+
+func (t *attempt) giveUp(err error) verdict {
+	if t.uncertain {
+		return verdict{status: http.StatusGatewayTimeout, unknown: "the order may have been taken: " + err.Error()}
+	}
+	return verdict{status: http.StatusServiceUnavailable, unknown: "no order is taken here now: " + err.Error()}
+}
+
+// once reads, and proposes what would be taken. An error leaves the matter open.
+func (t *attempt) once() (verdict, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(readAttempt, time.Until(t.until())))
+	err := t.api.options.Chain.Read(ctx)
+	cancel()
+	if err != nil {
+		return verdict{}, err
+	}
+	if result := t.api.options.Machine.Evaluate(t.order); result.Status != configuration.StatusTaken || result.Repeated {
+		return fromResult(result), nil
+	}
+	return t.propose()
+}
+
+func (t *attempt) propose() (verdict, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), min(proposeAttempt, time.Until(t.deadline)))
+	defer cancel()
+	raw, err := t.api.options.Chain.Propose(ctx, t.id, t.raw)
+	if err != nil {
+		t.uncertain = t.uncertain || !errors.Is(err, ErrUnavailable)
+		return verdict{}, err
+	}
+	outcome, err := machine.DecodeOutcome(raw)
+	if err != nil || outcome.Configuration == nil {
+		t.uncertain = true
+		return verdict{}, errors.Join(errors.New("the order's outcome can't be read"), err)
+	}
+	return fromResult(*outcome.Configuration), nil
+}
+
+func fromResult(result configuration.Result) verdict {
+	decided := verdict{status: int(result.Status), body: answer{Generation: result.Generation}}
+	switch result.Status {
+	case configuration.StatusStale:
+		decided.body.Message = "another version is current"
+	case configuration.StatusInvalid:
+		decided.body.Message = "the configuration is invalid"
+		decided.body.Findings = answerFindings(result.Findings)
+	case configuration.StatusUnsure:
+		decided.unknown = "the order builds on a version so old that it isn't known whether it was taken"
+	}
+	return decided
+}
--- /dev/null
+++ b/internal/control/operator/operator.go
@@ -0,0 +1,176 @@
+// Package operator is the operator's API: configurations, and the retirement of store machines. It answers what is true of
+// acknowledged state only: a 200 is durable, a 400, 404, 409 or 412 is of a state that was read through the chain. Where the
+// chain can't be asked it answers 503, and the operator turns to another control process. It must never decide what is valid.
+package operator
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/labstack/echo/v4"
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/control/machine"
+	"sprucelane.example/sprucelane/internal/node"
+)
+
+// Chain is what the API needs of the chain.
+type Chain interface {
+	// Propose returns nil once the order is durable, with what the state machine gave for it. The error is ErrUnavailable where
+	// the order was surely not taken and never will be, and else leaves that open. The same id is carried out once.
+	Propose(ctx context.Context, id string, order []byte) ([]byte, error)
+	// Read returns once all that was acknowledged before the call is applied here.
+	Read(ctx context.Context) error
+}
+
+// ErrUnavailable tells that an order was surely not taken.
+var ErrUnavailable = errors.New("the chain takes no orders now")
+
+// Limits of the API.
+const (
+	bodyMost        = 64 << 20               // bytes of one configuration
+	bodiesMost      = 80 << 20               // bytes of all that are under way
+	holdFor         = 900 * time.Millisecond // how long an order waits for a chain that takes none; the operator moves on after 1 s
+	retryPause      = 60 * time.Millisecond
+	readAttempt     = 400 * time.Millisecond
+	proposeAttempt  = 1500 * time.Millisecond
+	headerTimeout   = 3 * time.Second
+	idleTimeout     = 30 * time.Second
+	headerBytesMost = 16 << 10
+)
+
+// Options are what the API is made of.
+type Options struct {
+	Machine *machine.Machine
+	Chain   Chain
+	Bounds  node.Bounds
+	Remain  int // active store machines that must remain when one retires: f + 1
+	Log     zerolog.Logger
+}
+
+// API answers the operator.
+type API struct {
+	options Options
+	flights flights
+	bodies  byteBudget
+}
+
+// New makes the API. Its Handler can be served as it is.
+func New(options Options) *API {
+	return &API{options: options, flights: newFlights(), bodies: byteBudget{most: bodiesMost}}
+}
+
+// Handler gives the API's routes.
+func (a *API) Handler() http.Handler {
+	router := echo.New()
+	router.HideBanner = true
+	router.HidePort = true
+	router.HTTPErrorHandler = a.failed
+	router.PUT("/config", a.change(false))
+	router.PATCH("/config", a.change(true))
+	router.GET("/config", a.read)
+	router.POST("/retire/:node", a.retire)
+	router.GET("/retire/:node", a.retirement)
+	return router
+}
+
+// Server gives a server for the API with its limits set.
+func (a *API) Server() *http.Server {
+	return &http.Server{
+		Handler:           a.Handler(),
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleTimeout,
+		MaxHeaderBytes:    headerBytesMost,
+	}
+}
+
+// answer is the body of every answer but a configuration's.
+type answer struct {
+	Generation uint64          `json:"generation,omitempty"`
+	State      string          `json:"state,omitempty"`
+	Message    string          `json:"message,omitempty"`
+	Findings   []answerFinding `json:"findings,omitempty"`
+}
+
+// answerFinding is one fault of a configuration.
+type answerFinding struct {
+	Place string `json:"place,omitempty"`
+	Text  string `json:"text"`
+}
+
+func answerFindings(findings node.Findings) []answerFinding {
+	list := make([]answerFinding, len(findings))
+	for i, one := range findings {
+		list[i] = answerFinding{Place: one.Place, Text: one.Text}
+	}
+	return list
+}
+
+// failed answers what echo found wrong itself: an unknown path, another method.
+func (a *API) failed(err error, c echo.Context) {
+	if c.Response().Committed {
+		return
+	}
+	status, message := http.StatusInternalServerError, "internal error"
+	var known *echo.HTTPError
+	if errors.As(err, &known) {
+		status, message = known.Code, http.StatusText(known.Code)
+	} else {
+		a.options.Log.Error().Err(err).Str("path", c.Path()).Msg("operator-request-failed")
+	}
+	_ = c.JSON(status, answer{Message: message}) // the caller has gone
+}
+
+// unavailable answers that another control process is to be asked.
+func unavailable(c echo.Context, message string) error {
+	c.Response().Header().Set(echo.HeaderRetryAfter, "0.2")
+	return c.JSON(http.StatusServiceUnavailable, answer{Message: message})
+}
+
+// readable waits until acknowledged state can be read here, for as long as an operator waits.
+func (a *API) readable(ctx context.Context) error {
+	deadline := time.Now().Add(holdFor)
+	for {
+		attempt, cancel := context.WithTimeout(ctx, min(readAttempt, time.Until(deadline)))
+		err := a.options.Chain.Read(attempt)
+		cancel()
+		if err == nil || !pause(ctx, deadline) {
+			return err
+		}
+	}
+}
+
+// pause waits before another attempt, and tells whether there is time for one.
+func pause(ctx context.Context, deadline time.Time) bool {
+	if time.Until(deadline) < 2*retryPause {
+		return false
+	}
+	timer := time.NewTimer(retryPause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+func (a *API) read(c echo.Context) error {
+	if err := a.readable(c.Request().Context()); err != nil {
+		return unavailable(c, "the newest configuration can't be told here now: "+err.Error())
+	}
+	version := a.options.Machine.Configuration()
+	if version.Generation == 0 {
+		return c.JSON(http.StatusNotFound, answer{Message: "there is no configuration yet"})
+	}
+	return writeVersion(c, version)
+}
+
+func writeVersion(c echo.Context, version *configuration.Version) error {
+	c.Response().Header().Set("ETag", strconv.Quote(strconv.FormatUint(version.Generation, 10)))
+	return c.Blob(http.StatusOK, echo.MIMEApplicationJSON, version.JSON())
+}
--- /dev/null
+++ b/internal/control/operator/retire.go
@@ -0,0 +1,82 @@
+package operator
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/labstack/echo/v4"
+
+	"sprucelane.example/sprucelane/internal/control/machine"
+)
+
+// retireBodyMost bounds the body of a retirement; what it holds is for people: a retirement ends when the machine is empty.
+const retireBodyMost = 64 << 10
+
+// retire answers POST /retire/NODE.
+func (a *API) retire(c echo.Context) error {
+	arrived := time.Now()
+	if _, err := io.Copy(io.Discard, io.LimitReader(c.Request().Body, retireBodyMost)); err != nil {
+		return bodyFailed(c, err)
+	}
+	name := c.Param("node")
+	outcome, err := a.retireNode(name, arrived)
+	if err != nil {
+		return unavailable(c, "the retirement can't be ordered here now: "+err.Error())
+	}
+	a.options.Log.Info().Str("store", name).Int("outcome", int(outcome)).Msg("retire-order")
+	switch outcome {
+	case machine.StoreUnknown:
+		return c.JSON(http.StatusNotFound, answer{Message: "no such store machine"})
+	case machine.StoreTooFew:
+		return c.JSON(http.StatusConflict, answer{Message: "too few store machines would remain"})
+	}
+	return a.writeRetirement(c, name)
+}
+
+// retireNode proposes a retirement. It may be proposed again at will: one under way stays.
+func (a *API) retireNode(name string, arrived time.Time) (machine.StoreOutcome, error) {
+	raw, err := machine.Command{Retire: &machine.Retire{Node: name, Remain: a.options.Remain}}.Encode()
+	if err != nil {
+		return 0, err
+	}
+	for {
+		outcome, err := a.proposeRetirement(name, raw)
+		if err == nil || !pause(context.Background(), arrived.Add(holdFor)) {
+			return outcome, err
+		}
+	}
+}
+
+func (a *API) proposeRetirement(name string, raw []byte) (machine.StoreOutcome, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), proposeAttempt)
+	defer cancel()
+	reply, err := a.options.Chain.Propose(ctx, newID("retire-"+name), raw)
+	if err != nil {
+		return 0, err
+	}
+	outcome, err := machine.DecodeOutcome(reply)
+	return outcome.Store, err
+}
+
+// retirement answers GET /retire/NODE.
+func (a *API) retirement(c echo.Context) error {
+	if err := a.readable(c.Request().Context()); err != nil {
+		return unavailable(c, "the retirement can't be told here now: "+err.Error())
+	}
+	return a.writeRetirement(c, c.Param("node"))
+}
+
+func (a *API) writeRetirement(c echo.Context, name string) error {
+	switch a.options.Machine.Retirement(name) {
+	case machine.RetirementActive:
+		return c.JSON(http.StatusOK, answer{State: "active"})
+	case machine.RetirementCompleted:
+		return c.JSON(http.StatusOK, answer{State: "completed"})
+	}
+	return c.JSON(http.StatusNotFound, answer{Message: errNoRetirement.Error()})
+}
+
+var errNoRetirement = errors.New("no retirement of such a store machine was ordered")
--- /dev/null
+++ b/internal/control/presence/presence.go
@@ -0,0 +1,200 @@
+// Package presence owns what the control processes know of who is up: which gateways and batch processes polled, here or at
+// another control process, and when. It decides which batch processes are to join the agreed set and which are to leave it.
+// It is pure: time comes in as a duration since the process's start, by the steady clock. It must never grant anything.
+package presence
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// The times of presence.
+const (
+	// StoreLease is a batch process's right to act, from when it sent its poll, by its own clock.
+	StoreLease = 1500 * time.Millisecond
+	// EvictAfter is the silence after which a batch process leaves the set: its lease has surely ended.
+	EvictAfter = 2200 * time.Millisecond
+	// GatewayTime is how long a gateway that doesn't poll stays on the list.
+	GatewayTime = 3 * time.Second
+	// CoverageMost is how old the newest report of every other control process may be where silence is to be concluded.
+	CoverageMost = time.Second
+	// ForgetAfter is how long a process that doesn't poll is remembered.
+	ForgetAfter = 30 * time.Second
+)
+
+// Heard is a process that polled.
+type Heard struct {
+	Process protocol.Process
+	Ready   bool
+	Batch   *protocol.BatchReport
+	At      time.Duration // of the newest poll
+}
+
+// Table is what one control process knows. It isn't safe for concurrent use.
+type Table struct {
+	heard    map[key]Heard
+	coverage map[string]time.Duration // by the other control process's node: when its newest report was made, at the earliest
+	lead     bool
+	leadFrom time.Duration
+}
+
+type key struct{ node, role string }
+
+// New gives an empty table.
+func New() *Table {
+	return &Table{heard: map[key]Heard{}, coverage: map[string]time.Duration{}}
+}
+
+// Observe takes in a poll, heard here or told by another control process. It tells whether the process, or its life, is new.
+func (t *Table) Observe(one Heard) bool {
+	id := key{one.Process.Node, one.Process.Role}
+	old, known := t.heard[id]
+	if known && old.At > one.At {
+		return false
+	}
+	t.heard[id] = one
+	return !known || old.Process != one.Process
+}
+
+// Cover notes that a control process's report, made at a time, was taken in whole.
+func (t *Table) Cover(node string, at time.Duration) {
+	t.coverage[node] = max(at, t.coverage[node])
+}
+
+// Lead notes whether this process leads the chain.
+func (t *Table) Lead(now time.Duration, lead bool) {
+	if lead && !t.lead {
+		t.leadFrom = now
+	}
+	t.lead = lead
+}
+
+// Gateways gives the gateways that are up, by name.
+func (t *Table) Gateways(now time.Duration) []protocol.Process {
+	var list []protocol.Process
+	for id, one := range t.heard {
+		if id.role == protocol.RoleGateway && now-one.At <= GatewayTime {
+			list = append(list, one.Process)
+		}
+	}
+	slices.SortFunc(list, func(a, b protocol.Process) int { return cmp.Compare(a.Node, b.Node) })
+	return list
+}
+
+// Since gives the processes that polled at a time or later, by name.
+func (t *Table) Since(from time.Duration) []Heard {
+	var list []Heard
+	for _, one := range t.heard {
+		if one.At >= from {
+			list = append(list, one)
+		}
+	}
+	slices.SortFunc(list, func(a, b Heard) int {
+		return cmp.Or(cmp.Compare(a.Process.Node, b.Process.Node), cmp.Compare(a.Process.Role, b.Process.Role))
+	})
+	return list
+}
+
+// Forget drops processes that have been silent for long.
+func (t *Table) Forget(now time.Duration) {
+	for id, one := range t.heard {
+		if now-one.At > ForgetAfter {
+			delete(t.heard, id)
+		}
+	}
+}
+
+// Joins gives the batch processes that poll and are not in the set.
+func (t *Table) Joins(now time.Duration, view protocol.StoreView) []protocol.Process {
+	if !t.lead {
+		return nil
+	}
+	var list []protocol.Process
+	for _, one := range t.Since(now - StoreLease) {
+		if one.Process.Role == protocol.RoleBatch && !contains(view, one.Process) {
+			list = append(list, one.Process)
+		}
+	}
+	return list
+}
+
+func contains(view protocol.StoreView, process protocol.Process) bool {
+	return slices.ContainsFunc(view.Members, func(one protocol.StoreMember) bool { return one.Process == process })
+}
+
+// Evictions gives the members of the set that have polled nowhere for so long that their lease has surely ended. others are the
+// other control processes of the chain: as long as one of them says nothing, a batch process may be polling there.
+func (t *Table) Evictions(now time.Duration, view protocol.StoreView, others []string) []protocol.StoreMember {
+	if !t.lead || now-t.leadFrom < EvictAfter || !t.covered(now, others) {
+		return nil
+	}
+	var list []protocol.StoreMember
+	for _, member := range view.Members {
+		if now-t.heardAt(member.Process) >= EvictAfter {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
+func (t *Table) covered(now time.Duration, others []string) bool {
+	for _, node := range others {
+		at, known := t.coverage[node]
+		if !known || now-at > CoverageMost {
+			return false
+		}
+	}
+	return true
+}
+
+// heardAt gives when a life of a process polled last. One that was never heard counts from when this process began to lead.
+func (t *Table) heardAt(process protocol.Process) time.Duration {
+	one, known := t.heard[key{process.Node, process.Role}]
+	if !known || one.Process.Incarnation != process.Incarnation {
+		return t.leadFrom
+	}
+	return max(one.At, t.leadFrom)
+}
+
+// Emptied gives the retiring members that hold nothing any more that others need: they say so themselves in the newest epoch, and
+// all active members have settled it.
+func (t *Table) Emptied(now time.Duration, view protocol.StoreView) []protocol.StoreMember {
+	if !t.lead || !t.settled(now, view) {
+		return nil
+	}
+	var list []protocol.StoreMember
+	for _, member := range view.Members {
+		if member.State != protocol.StoreRetiring {
+			continue
+		}
+		if report := t.report(now, member.Process); report != nil && report.Epoch == view.Epoch && report.DrainedDown {
+			list = append(list, member)
+		}
+	}
+	return list
+}
+
+func (t *Table) settled(now time.Duration, view protocol.StoreView) bool {
+	for _, member := range view.Members {
+		if member.State != protocol.StoreActive {
+			continue
+		}
+		report := t.report(now, member.Process)
+		if report == nil || report.Settled < view.Epoch {
+			return false
+		}
+	}
+	return true
+}
+
+// report gives what a batch process's life told last, where that isn't too long ago.
+func (t *Table) report(now time.Duration, process protocol.Process) *protocol.BatchReport {
+	one, known := t.heard[key{process.Node, process.Role}]
+	if !known || one.Process.Incarnation != process.Incarnation || now-one.At > EvictAfter {
+		return nil
+	}
+	return one.Batch
+}
--- /dev/null
+++ b/internal/control/presence/presence_test.go
@@ -0,0 +1,91 @@
+package presence
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+func store(node, incarnation string) protocol.Process {
+	return protocol.Process{Node: node, Role: protocol.RoleBatch, IP: "10.0.0." + node, Incarnation: incarnation}
+}
+
+func viewOf(epoch uint64, members ...protocol.StoreMember) protocol.StoreView {
+	return protocol.StoreView{Epoch: epoch, Members: members}
+}
+
+const second = time.Second
+
+func TestStores(t *testing.T) {
+	member := protocol.StoreMember{Process: store("1", "a")}
+	Convey("A batch process that polls joins, and only the lead says so", t, func() {
+		table := New()
+		So(table.Observe(Heard{Process: store("1", "a"), At: second}), ShouldBeTrue)
+		So(table.Observe(Heard{Process: store("1", "a"), At: second + 1}), ShouldBeFalse)
+		So(table.Joins(second, viewOf(0)), ShouldBeEmpty)
+		table.Lead(second, true)
+		So(table.Joins(second, viewOf(0)), ShouldResemble, []protocol.Process{store("1", "a")})
+		So(table.Joins(second, viewOf(1, member)), ShouldBeEmpty)
+		So(table.Observe(Heard{Process: store("1", "b"), At: 2 * second}), ShouldBeTrue)
+		So(table.Joins(2*second, viewOf(1, member)), ShouldResemble, []protocol.Process{store("1", "b")})
+		So(table.Joins(5*second, viewOf(1, member)), ShouldBeEmpty)
+	})
+	Convey("A silent member is evicted, but not before a new lead has waited, nor while a control process is silent", t, func() {
+		table := New()
+		table.Observe(Heard{Process: store("1", "a"), At: 0})
+		table.Lead(10*second, true)
+		table.Cover("c2", 12*second)
+		So(table.Evictions(12*second, viewOf(1, member), []string{"c2"}), ShouldBeEmpty)
+		So(table.Evictions(10*second+EvictAfter, viewOf(1, member), []string{"c2"}), ShouldHaveLength, 1)
+		So(table.Evictions(10*second+EvictAfter, viewOf(1, member), []string{"c2", "c3"}), ShouldBeEmpty)
+		So(table.Evictions(14*second, viewOf(1, member), []string{"c2"}), ShouldBeEmpty)
+		table.Observe(Heard{Process: store("1", "a"), At: 12 * second})
+		So(table.Evictions(13*second, viewOf(1, member), nil), ShouldBeEmpty)
+		So(table.Evictions(12*second+EvictAfter, viewOf(1, member), nil), ShouldHaveLength, 1)
+	})
+	Convey("A poll of a later life is no sign of the former one", t, func() {
+		table := New()
+		table.Lead(0, true)
+		table.Observe(Heard{Process: store("1", "b"), At: 3 * second})
+		So(table.Evictions(3*second, viewOf(1, member), nil), ShouldHaveLength, 1)
+	})
+	Convey("A retiring member is empty once it says so and all active ones have settled", t, func() {
+		table := New()
+		table.Lead(0, true)
+		retiring := protocol.StoreMember{Process: store("1", "a"), State: protocol.StoreRetiring}
+		active := protocol.StoreMember{Process: store("2", "a")}
+		view := viewOf(7, retiring, active)
+		tell := func(node string, report protocol.BatchReport) {
+			table.Observe(Heard{Process: store(node, "a"), Batch: &report, At: second})
+		}
+		tell("1", protocol.BatchReport{Epoch: 7, DrainedDown: true})
+		So(table.Emptied(second, view), ShouldBeEmpty)
+		tell("2", protocol.BatchReport{Epoch: 7, Settled: 6})
+		So(table.Emptied(second, view), ShouldBeEmpty)
+		tell("2", protocol.BatchReport{Epoch: 7, Settled: 7})
+		So(table.Emptied(second, view), ShouldHaveLength, 1)
+		So(table.Emptied(second, viewOf(8, retiring, active)), ShouldBeEmpty)
+		So(table.Emptied(5*second, view), ShouldBeEmpty)
+		tell("1", protocol.BatchReport{Epoch: 6, DrainedDown: true})
+		So(table.Emptied(second, view), ShouldBeEmpty)
+	})
+}
+
+func TestGateways(t *testing.T) {
+	Convey("Gateways that polled lately are listed by name", t, func() {
+		table := New()
+		for i, name := range []string{"b", "a", "c"} {
+			table.Observe(Heard{Process: protocol.Process{Node: name, Role: protocol.RoleGateway}, At: time.Duration(i) * second})
+		}
+		names := []string{}
+		for _, one := range table.Gateways(4 * second) {
+			names = append(names, one.Node)
+		}
+		So(names, ShouldResemble, []string{"a", "c"})
+		table.Forget(31500 * time.Millisecond)
+		So(table.Since(0), ShouldHaveLength, 1)
+	})
+}
