--- a/internal/configuration/steps.go
+++ b/internal/configuration/steps.go
@@ -34,10 +34,10 @@
 	}
 }
 
-// Since gives what leads from the version with an index to the current one: nil where that is the current one, steps where
+// Since gives what leads from the version with an index to the current one: nil where that is the current one or a later one, steps where
 // they are kept and shorter, and else the whole document.
 func (s *State) Since(index uint64) *protocol.ConfigurationUpdate {
-	if index == s.current.Index {
+	if index >= s.current.Index {
 		return nil
 	}
 	if steps, kept := s.steps.since(index); kept {
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -12,13 +12,17 @@
 	mutex         sync.RWMutex
 	configuration *configuration.State
 	stores        *storeSet
+	onChange      func()
 }
 
 // New gives the state before the first order.
 func New() *Machine {
-	return &Machine{configuration: configuration.NewState(), stores: newStoreSet()}
+	return &Machine{configuration: configuration.NewState(), stores: newStoreSet(), onChange: func() {}}
 }
 
+// OnChange has a function called after each order and each restoration. It must be set before the first, and return soon.
+func (m *Machine) OnChange(call func()) { m.onChange = call }
+
 // Apply carries out the order with an index and gives its Outcome, encoded. An order that can't be read changes nothing: every
 // replica reads the same bytes.
 func (m *Machine) Apply(index uint64, order []byte) []byte {
@@ -29,6 +33,7 @@
 	m.mutex.Lock()
 	outcome := m.apply(index, command)
 	m.mutex.Unlock()
+	m.onChange()
 	raw, err := encode(outcome)
 	if err != nil {
 		return nil // an Outcome always has a form
@@ -85,9 +90,10 @@
 		return err
 	}
 	m.mutex.Lock()
-	defer m.mutex.Unlock()
 	m.configuration = state
 	m.stores = restoreStores(form.Stores)
+	m.mutex.Unlock()
+	m.onChange()
 	return nil
 }
 
--- a/internal/control/operator/change.go
+++ b/internal/control/operator/change.go
@@ -60,18 +60,18 @@
 
 // readBody reads a request's body within the bounds. The function that it gives returns what the body holds of them.
 func (a *API) readBody(request *http.Request) ([]byte, func(), error) {
-	if request.ContentLength > bodyMost {
+	if request.ContentLength > a.most {
 		return nil, nil, errBodyTooLarge
 	}
 	reserved := request.ContentLength
 	if reserved < 0 {
-		reserved = bodyMost
+		reserved = a.most
 	}
 	if !a.bodies.take(reserved) {
 		return nil, nil, errBodiesBusy
 	}
 	release := func() { a.bodies.give(reserved) }
-	body, err := readAll(request)
+	body, err := readAll(request, a.most)
 	if err != nil {
 		release()
 		return nil, nil, err
@@ -79,14 +79,14 @@
 	return body, release, nil
 }
 
-func readAll(request *http.Request) ([]byte, error) {
+func readAll(request *http.Request, most int64) ([]byte, error) {
 	if request.ContentLength >= 0 {
 		body := make([]byte, request.ContentLength)
 		_, err := io.ReadFull(request.Body, body)
 		return body, err
 	}
-	body, err := io.ReadAll(io.LimitReader(request.Body, bodyMost+1))
-	if err == nil && len(body) > bodyMost {
+	body, err := io.ReadAll(io.LimitReader(request.Body, most+1))
+	if err == nil && int64(len(body)) > most {
 		return nil, errBodyTooLarge
 	}
 	return body, err
--- a/internal/control/operator/operator.go
+++ b/internal/control/operator/operator.go
@@ -32,8 +32,7 @@
 
 // Limits of the API.
 const (
-	bodyMost        = 64 << 20               // bytes of one configuration
-	bodiesMost      = 80 << 20               // bytes of all that are under way
+	bodyMost        = 64 << 20               // bytes of one configuration, whatever the memory
 	holdFor         = 900 * time.Millisecond // how long an order waits for a chain that takes none; the operator moves on after 1 s
 	retryPause      = 60 * time.Millisecond
 	readAttempt     = 400 * time.Millisecond
@@ -48,8 +47,10 @@
 	Machine *machine.Machine
 	Chain   Chain
 	Bounds  node.Bounds
-	Remain  int // active store machines that must remain when one retires: f + 1
-	Log     zerolog.Logger
+	// BytesMost bounds one configuration; two of that size may be under way. 0: 64 MB.
+	BytesMost int
+	Remain    int // active store machines that must remain when one retires: f + 1
+	Log       zerolog.Logger
 }
 
 // API answers the operator.
@@ -57,11 +58,16 @@
 	options Options
 	flights flights
 	bodies  byteBudget
+	most    int64 // bytes of one configuration
 }
 
 // New makes the API. Its Handler can be served as it is.
 func New(options Options) *API {
-	return &API{options: options, flights: newFlights(), bodies: byteBudget{most: bodiesMost}}
+	most := int64(bodyMost)
+	if options.BytesMost > 0 {
+		most = min(most, int64(options.BytesMost))
+	}
+	return &API{options: options, flights: newFlights(), bodies: byteBudget{most: 2 * most}, most: most}
 }
 
 // Handler gives the API's routes.
