--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -78,15 +78,18 @@
 		Incarnation: incarnation()}
 	options := transport.Options{Identity: transport.Identity{Node: process.Node, Role: process.Role, Zone: process.Zone,
 		Address: process.IP, Incarnation: process.Incarnation}}
+	placer := placement.New(settings.Zone, seed(process))
+	limits := newLimits(placer, g.servers)
 	g.subscription = subscription.New(subscription.Options{Settings: settings, Process: process, Transport: options,
-		Servers: g.servers, Ready: g.Ready, Log: log})
+		Servers: g.servers, Ready: g.Ready, Log: log, Configured: limits.Configure})
+	limits.members = g.subscription.Members
 	g.batch = batchcall.New(settings, options, g.subscription.Members)
 	g.proxy = &proxy.Proxy{
 		Knowledge: g.subscription,
 		Servers:   g.servers,
 		Pool:      g.pool,
-		Placer:    placement.New(settings.Zone, seed(process)),
-		Admission: proxy.Everyone{},
+		Placer:    placer,
+		Admission: limits,
 		Batch:     g.batch,
 		Bodies:    buffers.New(int64(bodyShare * float64(settings.Limits.MemoryMB) * (1 << 20))),
 		Log:       log,
--- /dev/null
+++ b/internal/gateway/limits.go
@@ -0,0 +1,85 @@
+package gateway
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/admission"
+	"sprucelane.example/sprucelane/internal/gateway/placement"
+	"sprucelane.example/sprucelane/internal/gateway/proxy"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// loadEvery is how often admission is told of a service's load, while requests for it come.
+const loadEvery = 250 * time.Millisecond
+
+// limits asks the mechanisms that refuse requests, and feeds them.
+type limits struct {
+	origin    time.Time
+	admission *admission.Admission
+	placer    *placement.Placer
+	servers   *servers.Registry
+	members   func() *protocol.MemberList
+
+	mu   sync.Mutex
+	told map[string]time.Time // when a service's load was told last
+}
+
+func newLimits(placer *placement.Placer, table *servers.Registry) *limits {
+	return &limits{origin: time.Now(), admission: admission.New(admission.Options{}), placer: placer, servers: table,
+		told: map[string]time.Time{}}
+}
+
+func (l *limits) now() time.Duration { return time.Since(l.origin) }
+
+// Configure takes a configuration in.
+func (l *limits) Configure(snapshot *configuration.Snapshot) { l.admission.Configure(snapshot) }
+
+// Admit decides about a request.
+func (l *limits) Admit(_ context.Context, wish proxy.Wish) proxy.Refusal {
+	l.tellLoad(wish.Backend)
+	decision := l.admission.Admit(l.now(), wish.Route, wish.Tenant, admission.Request{
+		PromptTokens: wish.Demand.Prompt, OutputTokens: wish.Demand.Output, Remaining: time.Until(wish.Deadline)})
+	if decision.Admit {
+		return proxy.Refusal{}
+	}
+	return proxy.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: decision.RetryAfter}
+}
+
+// Sent counts a request that has been sent.
+func (l *limits) Sent(wish proxy.Wish) { l.admission.Sent(l.now(), wish.Route.Name) }
+
+// Attempted counts how long an attempt took.
+func (l *limits) Attempted(wish proxy.Wish, took time.Duration) {
+	l.admission.Attempt(l.now(), wish.Route.Name, took)
+}
+
+// tellLoad estimates the share of a service's places that are taken from this gateway's own requests there, as if all gateways
+// had as many.
+func (l *limits) tellLoad(backend string) {
+	now := time.Now()
+	l.mu.Lock()
+	due := now.Sub(l.told[backend]) >= loadEvery
+	if due {
+		l.told[backend] = now
+	}
+	l.mu.Unlock()
+	table, members := l.servers.Current(), l.members()
+	if !due || table == nil || members == nil {
+		return
+	}
+	list := table.Of(backend)
+	places := 0
+	for _, server := range list {
+		places += server.Slots
+	}
+	if places == 0 {
+		return
+	}
+	taken := float64(l.placer.Active(list)*max(1, len(members.Gateways))) / float64(places)
+	l.admission.Load(l.now(), backend, min(1, taken), taken > 1)
+}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -238,3 +238,15 @@
 		}
 	}
 }
+
+// Active counts this gateway's requests at servers.
+func (p *Placer) Active(list []*servers.Server) (active int) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for _, server := range list {
+		if s := p.servers[server.Number]; s != nil {
+			active += s.active
+		}
+	}
+	return active
+}
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -20,13 +20,17 @@
 	foreignMost = 2
 )
 
-// run sends the request to one server after another until it has its answer or is given up.
-func (q *request) run() {
+// prepare reads what the choice of a server and admission go by.
+func (q *request) prepare() {
 	q.account = attempts.Account{Repeatable: q.route.Repeatable(), MaxServers: q.route.MaxAttempts}
-	q.demand = placement.ParseDemand(q.r.Header.Get(headerPrefix), q.r.Header.Get(headerUsage))
+	q.wish = Wish{Route: q.route, Tenant: q.tenant, Backend: q.pickBackend(), Deadline: q.deadline,
+		Demand: placement.ParseDemand(q.r.Header.Get(headerPrefix), q.r.Header.Get(headerUsage))}
 	q.head = passOn(q.r.Header)
 	q.lastEvent = q.r.Header.Get(headerLastEvent)
-	q.backend = q.pickBackend()
+}
+
+// run sends the request to one server after another until it has its answer or is given up.
+func (q *request) run() {
 	for q.r.Context().Err() == nil && q.account.Again(time.Until(q.deadline)) {
 		ticket := q.place()
 		if ticket == nil {
@@ -52,8 +56,10 @@
 		return q.unsent(ticket, end)
 	}
 	defer x.Close()
+	q.proxy.Admission.Sent(q.wish)
 	resp, err := q.answerHead(x)
 	if err != nil {
+		q.attempted(began)
 		return q.lost(ticket)
 	}
 	if notExecuted(resp) {
@@ -75,6 +81,13 @@
 	return q.whole(x, resp, ticket, began)
 }
 
+// attempted tells admission how long the attempt took.
+func (q *request) attempted(began time.Time) {
+	if !q.started && q.r.Context().Err() == nil {
+		q.proxy.Admission.Attempted(q.wish, time.Since(began))
+	}
+}
+
 // unsent takes in that the request didn't go out whole, so that it has not run.
 func (q *request) unsent(ticket *placement.Ticket, end core.End) (answered bool) {
 	result := placement.Abandoned
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -43,13 +43,13 @@
 	if table == nil {
 		return nil
 	}
-	return q.proxy.Placer.Pick(time.Now(), &placement.Choice{Demand: q.demand, Servers: table.Of(q.backend), Passed: q.passed,
+	return q.proxy.Placer.Pick(time.Now(), &placement.Choice{Demand: q.wish.Demand, Servers: table.Of(q.wish.Backend), Passed: q.passed,
 		Most: q.connectionsAtMost()})
 }
 
 // connectionsAtMost gives this gateway's part of the connections that a server takes.
 func (q *request) connectionsAtMost() int {
-	backend := q.settings.BackendNamed(q.backend)
+	backend := q.settings.BackendNamed(q.wish.Backend)
 	if backend == nil || backend.MaxConns <= 0 {
 		return 0
 	}
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -31,12 +31,24 @@
 	Await(ctx context.Context, now, by time.Time) bool
 }
 
-// Admission decides which requests are sent on at all, by load and by quota.
+// Admission decides which requests are sent on at all, by load and by quota. A nil tenant is that of a public route.
 type Admission interface {
 	// Admit is asked when a request has been read whole; a refusal without a status lets it in.
-	Admit(now time.Time, route *configuration.Route, tenant *configuration.Tenant) Refusal
-	// Attempted tells how long an attempt took at a server, to its first event on a streaming route, to its answer on others.
-	Attempted(now time.Time, route *configuration.Route, tenant *configuration.Tenant, took time.Duration)
+	Admit(ctx context.Context, wish Wish) Refusal
+	// Sent tells that a request has been sent to a server.
+	Sent(wish Wish)
+	// Attempted tells how long an attempt took at a server, to its first event on a streaming route, to its answer on others, or
+	// until it was given up.
+	Attempted(wish Wish, took time.Duration)
+}
+
+// Wish is a request as admission sees it.
+type Wish struct {
+	Route    *configuration.Route
+	Tenant   *configuration.Tenant
+	Backend  string
+	Demand   placement.Demand
+	Deadline time.Time
 }
 
 // Refusal is an answer that promises that nothing has run.
@@ -76,7 +88,8 @@
 		q.callBatch()
 		return
 	}
-	if refusal := p.Admission.Admit(q.body.readAt, q.route, q.tenant); refusal.Status != 0 {
+	q.prepare()
+	if refusal := p.Admission.Admit(r.Context(), q.wish); refusal.Status != 0 {
 		q.refuse(refusal.Status, refusal.RetryAfter)
 		return
 	}
@@ -87,9 +100,10 @@
 type Everyone struct{}
 
 // Admit lets a request in.
-func (Everyone) Admit(time.Time, *configuration.Route, *configuration.Tenant) Refusal {
-	return Refusal{}
-}
+func (Everyone) Admit(context.Context, Wish) Refusal { return Refusal{} }
+
+// Sent does nothing.
+func (Everyone) Sent(Wish) {}
 
 // Attempted does nothing.
-func (Everyone) Attempted(time.Time, *configuration.Route, *configuration.Tenant, time.Duration) {}
+func (Everyone) Attempted(Wish, time.Duration) {}
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -11,7 +11,6 @@
 	"sprucelane.example/sprucelane/internal/front"
 	"sprucelane.example/sprucelane/internal/gateway/attempts"
 	"sprucelane.example/sprucelane/internal/gateway/events"
-	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/protocol"
 	"sprucelane.example/sprucelane/policy"
 )
@@ -59,8 +58,7 @@
 
 	operation protocol.BatchOperation // 0: live
 
-	backend   string
-	demand    placement.Demand
+	wish      Wish
 	head      []byte // lines of headers that are passed on as they came
 	account   attempts.Account
 	passed    []policy.ServerID
--- a/internal/gateway/proxy/request_test.go
+++ b/internal/gateway/proxy/request_test.go
@@ -1,10 +1,10 @@
 package proxy
 
 import (
+	"context"
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -102,22 +102,23 @@
 	})
 	Convey("The right is looked at once more right before the first byte", t, func() {
 		r := start(t, 1, good)
-		r.proxy.Admission = lapses{r.knowledge}
+		r.proxy.Admission = lapses{knowledge: r.knowledge}
 		So(r.ask("POST", "/unsafe/x").status, ShouldEqual, 503)
 		So(r.seen(), ShouldBeEmpty)
 	})
 }
 
 // lapses admits everyone, and lets the right to act on keys end meanwhile.
-type lapses struct{ knowledge *knowledge }
+type lapses struct {
+	Everyone
+	knowledge *knowledge
+}
 
-func (l lapses) Admit(time.Time, *configuration.Route, *configuration.Tenant) Refusal {
+func (l lapses) Admit(context.Context, Wish) Refusal {
 	l.knowledge.lapsed.Store(true)
 	return Refusal{}
 }
 
-func (l lapses) Attempted(time.Time, *configuration.Route, *configuration.Tenant, time.Duration) {}
-
 func TestBatchCalls(t *testing.T) {
 	Convey("Calls for batch jobs go to a batch process as they were meant", t, func() {
 		r := start(t, 1, good)
--- a/internal/gateway/proxy/stream.go
+++ b/internal/gateway/proxy/stream.go
@@ -81,11 +81,8 @@
 }
 
 func (q *request) firstEvent(ticket *placement.Ticket, began time.Time) {
-	now := time.Now()
-	ticket.First(now)
-	if !q.started {
-		q.proxy.Admission.Attempted(now, q.route, q.tenant, now.Sub(began))
-	}
+	ticket.First(time.Now())
+	q.attempted(began)
 }
 
 // pass gives the client the whole events that are there, with the head of the first server before them.
--- a/internal/gateway/proxy/whole.go
+++ b/internal/gateway/proxy/whole.go
@@ -39,7 +39,7 @@
 			return false
 		}
 	}
-	q.proxy.Admission.Attempted(now, q.route, q.tenant, now.Sub(began))
+	q.attempted(began)
 	copyHead(q.w.Header(), resp.Header)
 	q.w.Header().Set(headerLength, strconv.Itoa(len(text)))
 	if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
--- a/internal/gateway/subscription/apply.go
+++ b/internal/gateway/subscription/apply.go
@@ -1,18 +1,13 @@
 package subscription
 
 import (
-	"encoding/json"
 	"errors"
 
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
-var (
-	errAnswer = errors.New("subscription: the answer to a poll is no update")
-	// errSteps reports steps that lead on from a configuration which is not held here.
-	errSteps = errors.New("subscription: steps from a configuration that is not held")
-)
+var errAnswer = errors.New("subscription: the answer to a poll is no update")
 
 // take puts what an update brings in force.
 func (s *Subscription) take(update *protocol.Update) {
@@ -37,31 +32,25 @@
 	}
 }
 
-// configure puts a newer configuration in force. Where its steps can't be taken the whole is asked for.
+// configure puts a newer configuration in force. Where the steps to it can't be taken it is asked for again: from what is held,
+// or whole where that leads nowhere.
 func (s *Subscription) configure(update *protocol.ConfigurationUpdate) {
 	held := s.configuration.Load()
 	if held != nil && update.Index <= held.Index {
 		return
 	}
-	next, err := follow(held, update)
+	version, err := s.state.Follow(update)
 	if err != nil {
-		s.whole = true
+		s.behind = true
+		s.whole = !errors.Is(err, configuration.ErrGap)
 		s.opt.Log.Warn().Err(err).Uint64("index", update.Index).Msg("configuration_not_taken")
 		return
 	}
-	s.whole = false
+	s.behind, s.whole = false, false
+	next := version.Snapshot()
 	s.configuration.Store(next)
-	s.opt.Log.Info().Uint64("index", next.Index).Uint64("generation", next.Generation).Msg("configuration_in_force")
-}
-
-// follow gives the configuration that an update leads to.
-func follow(held *configuration.Snapshot, update *protocol.ConfigurationUpdate) (*configuration.Snapshot, error) {
-	if update.Whole == nil {
-		return nil, errSteps
-	}
-	var document configuration.Document
-	if err := json.Unmarshal(update.Whole, &document); err != nil {
-		return nil, err
+	if s.opt.Configured != nil {
+		s.opt.Configured(next)
 	}
-	return configuration.NewSnapshot(document, update.Index), nil
+	s.opt.Log.Info().Uint64("index", next.Index).Uint64("generation", next.Generation).Msg("configuration_in_force")
 }
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -39,6 +39,8 @@
 	Servers   *servers.Registry
 	Ready     func() bool // told to control with each poll
 	Log       zerolog.Logger
+	// Configured is told of each configuration that is put in force, in order. Nil: nobody.
+	Configured func(*configuration.Snapshot)
 
 	// Of batch processes; nil elsewhere.
 	Report  func() *protocol.BatchReport                    // told to control with each poll
@@ -57,17 +59,20 @@
 	fresh         atomic.Int64 // nanoseconds after origin: when the last poll was sent that control vouched for
 	origin        time.Time
 
-	mu    sync.Mutex
-	homes *Homes
-	whole bool // the next poll asks for the whole configuration
-	freed chan struct{}
+	mu     sync.Mutex
+	homes  *Homes
+	state  *configuration.State
+	behind bool // something newer could not be put in force
+	whole  bool // the next poll asks for the whole configuration
+	freed  chan struct{}
 }
 
 // New gives a subscription; Run keeps it.
 func New(opt Options) *Subscription {
 	now := time.Now()
 	s := &Subscription{opt: opt, lease: NewLease(opt.Settings.Bounds.Closed, opt.Settings.Bounds.Revoke, now),
-		wake: make(chan struct{}, 1), origin: now, homes: NewHomes(opt.Process.Node, opt.Process.Zone), freed: make(chan struct{})}
+		wake: make(chan struct{}, 1), origin: now, homes: NewHomes(opt.Process.Node, opt.Process.Zone), freed: make(chan struct{}),
+		state: configuration.NewState()}
 	s.fresh.Store(-1 << 62)
 	s.Seed(opt.Settings)
 	return s
@@ -199,7 +204,7 @@
 				return "unsure"
 			}
 		}
-		if s.needsWhole() {
+		if s.lacks() {
 			pause = soonest
 		}
 		timer.Reset(time.Until(sent.Add(pause)))
@@ -236,9 +241,11 @@
 
 func (s *Subscription) question(sequence uint64) protocol.Poll {
 	poll := protocol.Poll{Process: s.opt.Process, Sequence: sequence, Ready: s.opt.Ready()}
-	if held := s.configuration.Load(); held != nil && !s.needsWhole() {
-		poll.Configuration = held.Index
+	s.mu.Lock()
+	if !s.whole {
+		poll.Configuration = s.state.Current().Index
 	}
+	s.mu.Unlock()
 	if table := s.opt.Servers.Current(); table != nil {
 		poll.Servers = table.Version
 	}
@@ -253,7 +260,7 @@
 
 // vouched takes in that all which was acknowledged longer than age before an answer is known here.
 func (s *Subscription) vouched(sent time.Time, age time.Duration) {
-	if s.needsWhole() {
+	if s.lacks() {
 		return // what was sent could not be put in force
 	}
 	s.lease.Renew(sent, age)
@@ -264,8 +271,9 @@
 	s.mu.Unlock()
 }
 
-func (s *Subscription) needsWhole() bool {
+// lacks tells whether something newer is known to be in force than what is held here.
+func (s *Subscription) lacks() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.whole
+	return s.behind
 }
