--- /dev/null
+++ b/internal/control/machine/machine_test.go
@@ -0,0 +1,147 @@
+package machine
+
+import (
+	"bytes"
+	"fmt"
+	"reflect"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+func process(node, incarnation int) protocol.Process {
+	return protocol.Process{Node: fmt.Sprint("s", node), Role: protocol.RoleBatch, IP: fmt.Sprint("10.0.0.", node), Incarnation: fmt.Sprint(incarnation)}
+}
+
+func drawCommand(t *rapid.T, m *Machine) Command {
+	one := process(rapid.IntRange(0, 3).Draw(t, "node"), rapid.IntRange(0, 2).Draw(t, "incarnation"))
+	switch rapid.IntRange(0, 5).Draw(t, "kind") {
+	case 0, 1:
+		return Command{Join: &Join{Processes: []protocol.Process{one, process(rapid.IntRange(0, 3).Draw(t, "other"), 0)}}}
+	case 2:
+		return Command{Evict: &Evict{Node: one.Node, Incarnation: one.Incarnation}}
+	case 3:
+		return Command{Retire: &Retire{Node: one.Node, Remain: 2}}
+	case 4:
+		return Command{Retired: &Retired{Node: one.Node, Incarnation: one.Incarnation, Epoch: m.Stores().Epoch - rapid.Uint64Range(0, 1).Draw(t, "behind")}}
+	}
+	generation := m.Configuration().Generation
+	body := fmt.Sprintf(`{"generation":%d,"routes":[],"backends":[]}`, generation+rapid.Uint64Range(0, 2).Draw(t, "rise"))
+	return Command{Configuration: &configuration.Order{IfMatch: generation, Body: []byte(body)}}
+}
+
+// checkInvariants holds whatever was applied.
+func checkInvariants(t *rapid.T, before, after protocol.StoreView, outcome Outcome) {
+	nodes, addresses := map[string]bool{}, map[string]bool{}
+	for _, member := range after.Members {
+		if nodes[member.Node] || addresses[member.IP] {
+			t.Fatalf("%s is a member twice", member.Node)
+		}
+		nodes[member.Node], addresses[member.IP] = true, true
+	}
+	changed := !reflect.DeepEqual(before.Members, after.Members)
+	if changed != (after.Epoch == before.Epoch+1) || !changed && after.Epoch != before.Epoch {
+		t.Fatalf("epoch %d to %d, members changed: %t", before.Epoch, after.Epoch, changed)
+	}
+	if changed != (outcome.Store == StoreChanged) {
+		t.Fatalf("outcome %d, members changed: %t", outcome.Store, changed)
+	}
+}
+
+// TestReplicas drives two replicas, one of which is restored now and then, through the same random orders.
+func TestReplicas(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		first, second := New(), New()
+		completed := map[string]bool{}
+		for index := uint64(1); index < 20; index++ {
+			raw, err := drawCommand(t, first).Encode()
+			if err != nil {
+				t.Fatal(err)
+			}
+			before := first.Stores()
+			result := first.Apply(index, raw)
+			if !bytes.Equal(result, second.Apply(index, raw)) {
+				t.Fatal("the replicas give different outcomes")
+			}
+			outcome, err := DecodeOutcome(result)
+			if err != nil {
+				t.Fatal(err)
+			}
+			checkInvariants(t, before, first.Stores(), outcome)
+			for node := range completed {
+				if first.Retirement(node) != RetirementCompleted {
+					t.Fatalf("%s was emptied, and is no longer", node)
+				}
+			}
+			for i := range 4 {
+				if name := fmt.Sprint("s", i); first.Retirement(name) == RetirementCompleted {
+					completed[name] = true
+				}
+			}
+			if rapid.IntRange(0, 4).Draw(t, "restore") == 0 {
+				second = New()
+				if err := second.Restore(first.Snapshot()); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if !reflect.DeepEqual(first.Stores().Epoch, second.Stores().Epoch) || len(first.Stores().Members) != len(second.Stores().Members) {
+				t.Fatal("the replicas differ")
+			}
+		}
+	})
+}
+
+func TestMembers(t *testing.T) {
+	apply := func(m *Machine, command Command) Outcome {
+		raw, err := command.Encode()
+		So(err, ShouldBeNil)
+		outcome, err := DecodeOutcome(m.Apply(1, raw))
+		So(err, ShouldBeNil)
+		return outcome
+	}
+	join := func(m *Machine, list ...protocol.Process) Outcome {
+		return apply(m, Command{Join: &Join{Processes: list}})
+	}
+	Convey("A life with an empty disk takes the place of the former at once", t, func() {
+		m := New()
+		join(m, process(1, 0), process(2, 0))
+		So(m.Stores().Epoch, ShouldEqual, 1)
+		join(m, process(1, 1))
+		So(m.Stores().Members, ShouldHaveLength, 2)
+		So(m.Stores().Epoch, ShouldEqual, 2)
+		So(join(m, process(1, 1)).Store, ShouldEqual, StoreUnchanged)
+		So(apply(m, Command{Evict: &Evict{Node: "s1", Incarnation: "0"}}).Store, ShouldEqual, StoreUnchanged)
+	})
+	Convey("A retirement outlasts the loss of the disk, and one that is completed the machine", t, func() {
+		m := New()
+		join(m, process(1, 0), process(2, 0), process(3, 0))
+		So(apply(m, Command{Retire: &Retire{Node: "s1", Remain: 2}}).Store, ShouldEqual, StoreChanged)
+		join(m, process(1, 1))
+		So(m.Stores().Members[2].State, ShouldEqual, protocol.StoreRetiring)
+		So(apply(m, Command{Retired: &Retired{Node: "s1", Incarnation: "0", Epoch: m.Stores().Epoch}}).Store, ShouldEqual, StoreUnchanged)
+		So(apply(m, Command{Retired: &Retired{Node: "s1", Incarnation: "1", Epoch: m.Stores().Epoch}}).Store, ShouldEqual, StoreChanged)
+		So(apply(m, Command{Evict: &Evict{Node: "s1", Incarnation: "1"}}).Store, ShouldEqual, StoreChanged)
+		So(m.Retirement("s1"), ShouldEqual, RetirementCompleted)
+		So(join(m, process(1, 1)).Store, ShouldEqual, StoreUnchanged)
+		So(join(m, process(1, 2)).Store, ShouldEqual, StoreChanged)
+	})
+	Convey("What can't be read changes nothing", t, func() {
+		m := New()
+		So(m.Apply(1, []byte("?")), ShouldBeNil)
+		So(m.Restore([]byte("?")), ShouldNotBeNil)
+		So(m.Stores().Epoch, ShouldEqual, 0)
+	})
+}
+
+func FuzzApply(f *testing.F) {
+	raw, err := Command{Join: &Join{Processes: []protocol.Process{process(1, 0)}}}.Encode()
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(raw)
+	f.Fuzz(func(t *testing.T, order []byte) { New().Apply(1, order) })
+}
--- a/internal/control/machine/stores.go
+++ b/internal/control/machine/stores.go
@@ -63,14 +63,12 @@
 
 func (s *storeSet) join(order *Join) StoreOutcome {
 	members := slices.Clone(s.members)
-	changed := false
 	for _, process := range order.Processes {
 		if s.mayJoin(members, process) {
 			members = admit(members, protocol.StoreMember{Process: process, State: s.stateOf(process)})
-			changed = true
 		}
 	}
-	if !changed {
+	if slices.Equal(members, s.members) {
 		return StoreUnchanged
 	}
 	return s.change(members)
--- /dev/null
+++ b/internal/control/operator/operator_test.go
@@ -0,0 +1,293 @@
+package operator
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/control/machine"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// soleChain is a chain of one process, of which tests decide what becomes of each proposal.
+type soleChain struct {
+	mutex    sync.Mutex
+	machine  *machine.Machine
+	index    uint64
+	outcomes map[string][]byte
+	cut      bool           // nothing can be read or proposed
+	fates    []proposalFate // of the next proposals
+	held     chan struct{}  // not nil: proposals wait for it
+	ids      map[string]int // proposals by id
+}
+
+type proposalFate int
+
+const (
+	fateTaken   proposalFate = iota
+	fateLost                 // not carried out, uncertain
+	fateUnheard              // carried out, uncertain
+	fateRefused              // not carried out, and surely so
+)
+
+func newSoleChain() *soleChain {
+	return &soleChain{machine: machine.New(), outcomes: map[string][]byte{}, ids: map[string]int{}}
+}
+
+func (c *soleChain) Read(ctx context.Context) error {
+	c.mutex.Lock()
+	cut := c.cut
+	c.mutex.Unlock()
+	if !cut {
+		return nil
+	}
+	<-ctx.Done()
+	return ctx.Err()
+}
+
+func (c *soleChain) Propose(ctx context.Context, id string, order []byte) ([]byte, error) {
+	if c.held != nil {
+		<-c.held
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.ids[id]++
+	fate := fateTaken
+	if len(c.fates) > 0 {
+		fate, c.fates = c.fates[0], c.fates[1:]
+	}
+	switch fate {
+	case fateLost:
+		return nil, errors.New("no answer")
+	case fateRefused:
+		return nil, ErrUnavailable
+	}
+	if _, done := c.outcomes[id]; !done {
+		c.index++
+		c.outcomes[id] = c.machine.Apply(c.index, order)
+	}
+	if fate == fateUnheard {
+		return nil, errors.New("no answer")
+	}
+	return c.outcomes[id], nil
+}
+
+const document = `{"generation":7,"routes":[{"name":"r","hostname":"h","path-prefix":"/","timeout-ms":5,"backend":"b"}],"backends":[{"name":"b"}],"x":1.50}`
+
+func newAPI(chain *soleChain) http.Handler {
+	return New(Options{Machine: chain.machine, Chain: chain, Bounds: node.Bounds{Acknowledge: 4 * time.Second}, BytesMost: 4096,
+		Remain: 2, Log: zerolog.Nop()}).Handler()
+}
+
+func send(api http.Handler, method, path, ifMatch, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest(method, path, strings.NewReader(body))
+	if ifMatch != "" {
+		request.Header.Set("If-Match", ifMatch)
+	}
+	recorder := httptest.NewRecorder()
+	api.ServeHTTP(recorder, request)
+	return recorder
+}
+
+func TestConfiguration(t *testing.T) {
+	Convey("Given a chain", t, func() {
+		chain := newSoleChain()
+		api := newAPI(chain)
+		Convey("before the first configuration there is none to read", func() {
+			So(send(api, "GET", "/config", "", "").Code, ShouldEqual, 404)
+		})
+		Convey("a configuration is taken, read back, and acknowledged again", func() {
+			So(send(api, "PUT", "/config", "0", document).Code, ShouldEqual, 200)
+			read := send(api, "GET", "/config", "", "")
+			So(read.Code, ShouldEqual, 200)
+			So(read.Body.String(), ShouldEqual, document)
+			So(send(api, "PUT", "/config", "0", document).Code, ShouldEqual, 200)
+			So(send(api, "PATCH", "/config", `"7"`, `{"generation":9}`).Code, ShouldEqual, 200)
+			So(send(api, "PUT", "/config", "0", document).Code, ShouldEqual, 200)
+			So(send(api, "PATCH", "/config", "7", `{"generation":9}`).Code, ShouldEqual, 200)
+			So(send(api, "PATCH", "/config", "7", `{"generation":10}`).Code, ShouldEqual, 412)
+			So(send(api, "PATCH", "/config", "9", `{"generation":9}`).Code, ShouldEqual, 400)
+			So(chain.index, ShouldEqual, 2)
+		})
+		Convey("a base that is missing or malformed is refused", func() {
+			for _, ifMatch := range []string{"", "x", "-1", "1.5", `"`, "*", "99999999999999999999"} {
+				So(send(api, "PUT", "/config", ifMatch, document).Code, ShouldEqual, 400)
+			}
+		})
+		Convey("what is invalid is refused with all findings, and never proposed", func() {
+			bad := strings.NewReplacer(`"timeout-ms":5`, `"timeout-ms":0`, `"path-prefix":"/"`, `"path-prefix":"x"`).Replace(document)
+			refused := send(api, "PUT", "/config", "0", bad)
+			So(refused.Code, ShouldEqual, 400)
+			var told answer
+			So(json.Unmarshal(refused.Body.Bytes(), &told), ShouldBeNil)
+			So(told.Findings, ShouldHaveLength, 2)
+			So(send(api, "PUT", "/config", "0", document[:40]).Code, ShouldEqual, 400)
+			So(send(api, "PUT", "/config", "0", strings.Replace(document, `"backend":"b"`, `"backend":"c"`, 1)).Code, ShouldEqual, 400)
+			So(send(api, "PATCH", "/config", "0", `{"generation":1}`).Code, ShouldEqual, 400)
+			So(chain.index, ShouldEqual, 0)
+		})
+		Convey("a body over the bound is refused", func() {
+			So(send(api, "PUT", "/config", "0", document+strings.Repeat(" ", 5000)).Code, ShouldEqual, 413)
+			request := httptest.NewRequest("PUT", "/config", io.MultiReader(strings.NewReader(document), strings.NewReader(strings.Repeat(" ", 5000))))
+			request.ContentLength = -1
+			request.Header.Set("If-Match", "0")
+			recorder := httptest.NewRecorder()
+			api.ServeHTTP(recorder, request)
+			So(recorder.Code, ShouldEqual, 413)
+		})
+		Convey("a body that is cut off is refused", func() {
+			request := httptest.NewRequest("PUT", "/config", strings.NewReader(document[:50]))
+			request.ContentLength = int64(len(document))
+			request.Header.Set("If-Match", "0")
+			recorder := httptest.NewRecorder()
+			api.ServeHTTP(recorder, request)
+			So(recorder.Code, ShouldEqual, 400)
+		})
+		Convey("other paths and methods have their statuses", func() {
+			So(send(api, "GET", "/", "", "").Code, ShouldEqual, 404)
+			So(send(api, "DELETE", "/config", "", "").Code, ShouldEqual, 405)
+		})
+	})
+}
+
+// inTime runs a test on a clock that runs as soon as nothing else does.
+func inTime(t *testing.T, name string, run func(t *testing.T)) {
+	t.Run(name, func(t *testing.T) { synctest.Test(t, run) })
+}
+
+func expect(t *testing.T, recorder *httptest.ResponseRecorder, status int) {
+	t.Helper()
+	if recorder.Code != status {
+		t.Fatalf("status %d, expected %d: %s", recorder.Code, status, recorder.Body)
+	}
+}
+
+func TestUnclear(t *testing.T) {
+	inTime(t, "a chain that can't be read is told soon, with when to come back", func(t *testing.T) {
+		chain := newSoleChain()
+		chain.cut = true
+		api := newAPI(chain)
+		for _, method := range []string{"GET", "PUT", "PATCH"} {
+			began := time.Now()
+			answer := send(api, method, "/config", "0", document)
+			if method == "PATCH" {
+				answer = send(api, method, "/config", "0", `{"generation":2}`)
+			}
+			expect(t, answer, 503)
+			if took := time.Since(began); took > 2*holdFor || answer.Header().Get("Retry-After") == "" {
+				t.Fatalf("took %v, headers %v", took, answer.Header())
+			}
+		}
+	})
+	inTime(t, "an order whose outcome is unheard is proposed again under its id", func(t *testing.T) {
+		for _, fates := range [][]proposalFate{{fateUnheard}, {fateLost}, {fateRefused, fateLost, fateUnheard}, {fateRefused, fateRefused}} {
+			chain := newSoleChain()
+			chain.fates = fates
+			expect(t, send(newAPI(chain), "PUT", "/config", "0", document), 200)
+			if chain.index != 1 || len(chain.ids) != 1 {
+				t.Fatalf("%d orders, ids %v", chain.index, chain.ids)
+			}
+		}
+	})
+	inTime(t, "an order that was surely not taken ends with 503, one that may have been with 504 within ack-ms", func(t *testing.T) {
+		for status, fate := range map[int]proposalFate{503: fateRefused, 504: fateLost} {
+			chain := newSoleChain()
+			for range 1000 {
+				chain.fates = append(chain.fates, fate)
+			}
+			began := time.Now()
+			expect(t, send(newAPI(chain), "PUT", "/config", "0", document), status)
+			if took := time.Since(began); took > 4*time.Second {
+				t.Fatalf("took %v", took)
+			}
+		}
+	})
+	inTime(t, "an order that comes again while it is under way joins the first", func(t *testing.T) {
+		chain := newSoleChain()
+		chain.held = make(chan struct{})
+		api := newAPI(chain)
+		answers := make(chan *httptest.ResponseRecorder)
+		for range 3 {
+			go func() { answers <- send(api, "PUT", "/config", "0", document) }()
+		}
+		synctest.Wait()
+		close(chain.held)
+		for range 3 {
+			expect(t, <-answers, 200)
+		}
+		if len(chain.ids) != 1 || chain.index != 1 {
+			t.Fatalf("ids %v", chain.ids)
+		}
+	})
+	inTime(t, "an order goes on when its caller has gone", func(t *testing.T) {
+		chain := newSoleChain()
+		chain.held = make(chan struct{})
+		api := newAPI(chain)
+		ctx, cancel := context.WithCancel(t.Context())
+		request := httptest.NewRequestWithContext(ctx, "PUT", "/config", strings.NewReader(document))
+		request.Header.Set("If-Match", "0")
+		gone := make(chan struct{})
+		go func() {
+			api.ServeHTTP(httptest.NewRecorder(), request)
+			close(gone)
+		}()
+		synctest.Wait()
+		cancel()
+		<-gone
+		close(chain.held)
+		synctest.Wait()
+		expect(t, send(api, "GET", "/config", "", ""), 200)
+	})
+	inTime(t, "of two orders on one version one wins", func(t *testing.T) {
+		chain := newSoleChain()
+		api := newAPI(chain)
+		statuses := make(chan int)
+		for _, body := range []string{document, document + " ", document + "\n"} {
+			go func() { statuses <- send(api, "PUT", "/config", "0", body).Code }()
+		}
+		counts := map[int]int{}
+		for range 3 {
+			counts[<-statuses]++
+		}
+		if counts[200] != 1 || counts[412] != 2 {
+			t.Fatal(counts)
+		}
+	})
+}
+
+func TestRetirement(t *testing.T) {
+	Convey("Given three store machines", t, func() {
+		chain := newSoleChain()
+		api := newAPI(chain)
+		var processes []protocol.Process
+		for _, name := range []string{"s1", "s2", "s3"} {
+			processes = append(processes, protocol.Process{Node: name, Role: protocol.RoleBatch, IP: name, Incarnation: "a"})
+		}
+		raw, err := machine.Command{Join: &machine.Join{Processes: processes}}.Encode()
+		So(err, ShouldBeNil)
+		chain.machine.Apply(1, raw)
+		So(send(api, "POST", "/retire/s9", "", `{"deadline-s":10}`).Code, ShouldEqual, 404)
+		So(send(api, "GET", "/retire/s1", "", "").Code, ShouldEqual, 404)
+		So(send(api, "POST", "/retire/s1", "", `{"deadline-s":10}`).Body.String(), ShouldContainSubstring, `"active"`)
+		So(send(api, "POST", "/retire/s1", "", `{"deadline-s":10}`).Code, ShouldEqual, 200)
+		So(send(api, "POST", "/retire/s2", "", `{"deadline-s":10}`).Code, ShouldEqual, 409)
+		So(send(api, "GET", "/retire/s1", "", "").Body.String(), ShouldContainSubstring, `"active"`)
+		epoch := chain.machine.Stores().Epoch
+		raw, err = machine.Command{Retired: &machine.Retired{Node: "s1", Incarnation: "a", Epoch: epoch}}.Encode()
+		So(err, ShouldBeNil)
+		chain.machine.Apply(3, raw)
+		So(send(api, "GET", "/retire/s1", "", "").Body.String(), ShouldContainSubstring, `"completed"`)
+	})
+}
