--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -76,7 +76,7 @@
 	g.servers = servers.NewRegistry(g.pool)
 	process := protocol.Process{Node: settings.NodeName, Role: protocol.RoleGateway, Zone: settings.Zone, IP: settings.IP,
 		Incarnation: incarnation()}
-	options := transport.Options{Identity: transport.Identity{Node: process.Node, Role: process.Role, Zone: process.Zone,
+	options := transport.Options{Identity: transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role, Zone: process.Zone,
 		Address: process.IP, Incarnation: process.Incarnation}}
 	placer := placement.New(settings.Zone, seed(process))
 	limits := newLimits(placer, g.servers)
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -79,7 +79,7 @@
 		t.Fatal(err)
 	}
 	h := &home{update: update}
-	h.server = transport.Serve(l, transport.Options{}, h.handle)
+	h.server = transport.Serve(l, transport.Options{Identity: transport.Identity{System: protocol.System}}, h.handle)
 	t.Cleanup(func() { h.server.Close() })
 	return h
 }
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -70,6 +70,7 @@
 // New gives a subscription; Run keeps it.
 func New(opt Options) *Subscription {
 	now := time.Now()
+	opt.Transport.Identity.System = protocol.System
 	s := &Subscription{opt: opt, lease: NewLease(opt.Settings.Bounds.Closed, opt.Settings.Bounds.Revoke, now),
 		wake: make(chan struct{}, 1), origin: now, homes: NewHomes(opt.Process.Node, opt.Process.Zone), freed: make(chan struct{}),
 		state: configuration.NewState()}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -12,6 +12,9 @@
 	"sprucelane.example/sprucelane/coord/transport"
 )
 
+// System is the name of the system in transport.Identity: it tells our processes' connections from others'.
+const System = "sprucelane"
+
 // PollInterval is how often a gateway or batch process polls its home.
 const PollInterval = 400 * time.Millisecond
 
