--- /dev/null
+++ b/coord/slots/benchmark_test.go
@@ -0,0 +1,42 @@
+package slots_test
+
+import (
+	"fmt"
+	"testing"
+
+	"sprucelane.example/sprucelane/coord/slots"
+)
+
+// discard is a folder whose files forget what is written, so that only the store's own work is measured.
+type discard struct{ slots.FS }
+
+func (d discard) Open(string) (slots.File, error) { return discardFile{}, nil }
+
+type discardFile struct{}
+
+func (discardFile) Write(data []byte) (int, error) { return len(data), nil }
+func (discardFile) Truncate(int64) error           { return nil }
+func (discardFile) Sync() error                    { return nil }
+func (discardFile) Close() error                   { return nil }
+
+// BenchmarkAppend measures one append of one record: the store's own work, and with a real disk's write and sync.
+func BenchmarkAppend(b *testing.B) {
+	for _, size := range []int{100, 4 << 10} {
+		record := make([]byte, size)
+		for name, folder := range map[string]slots.FS{
+			"own":  discard{slots.Directory(b.TempDir())},
+			"disk": slots.Directory(b.TempDir()),
+		} {
+			b.Run(fmt.Sprintf("%s/bytes=%d", name, size), func(b *testing.B) {
+				store, _ := mustOpen(b, folder)
+				defer store.Close()
+				b.ReportAllocs()
+				for b.Loop() {
+					if err := store.Append(record); err != nil {
+						b.Fatal(err)
+					}
+				}
+			})
+		}
+	}
+}
--- /dev/null
+++ b/coord/slots/history_test.go
@@ -0,0 +1,256 @@
+package slots_test
+
+import (
+	"errors"
+	"fmt"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+
+	"sprucelane.example/sprucelane/coord/slots"
+	"sprucelane.example/sprucelane/internal/simulation"
+)
+
+// model is what the store must hold: the state is the concatenation of all records, and its snapshot is the state.
+type model struct {
+	acknowledged string
+	inFlight     string // the records of an append whose end is open
+}
+
+// allows tells whether a recovered state is the acknowledged one, or that with the append in flight.
+func (m *model) allows(state string) bool {
+	return state == m.acknowledged || state == m.acknowledged+m.inFlight
+}
+
+// stateOf returns the state that a snapshot and records lead to.
+func stateOf(recovered slots.Recovered) string {
+	state := string(recovered.Snapshot)
+	for _, record := range recovered.Records {
+		state += string(record)
+	}
+	return state
+}
+
+// history is one random run of a store on a faulty disk.
+type history struct {
+	t       *testing.T
+	seed    uint64
+	random  *simulation.Rand
+	disk    *simulation.Disk
+	store   *slots.Store
+	model   model
+	next    int
+	wasMade bool // a store has been opened since the last wipe
+}
+
+// fail ends the test with the seed.
+func (h *history) fail(format string, values ...any) {
+	h.t.Helper()
+	h.t.Fatalf("seed %d: %s", h.seed, fmt.Sprintf(format, values...))
+}
+
+// open recovers the store and checks what it found. The power may go meanwhile.
+func (h *history) open() {
+	store, recovered, err := slots.Open(h.disk, slots.Options{})
+	if errors.Is(err, simulation.ErrPowerLost) {
+		return
+	}
+	if errors.Is(err, slots.ErrFull) {
+		h.disk.SetCapacity(0)
+		return
+	}
+	if err != nil {
+		h.fail("open: %v", err)
+	}
+	if h.wasMade && !recovered.Found {
+		h.fail("the store is gone")
+	}
+	state := stateOf(recovered)
+	if !h.model.allows(state) {
+		h.fail("recovered %q, acknowledged %q, in flight %q", state, h.model.acknowledged, h.model.inFlight)
+	}
+	if recovered.Lost() {
+		h.fail("lost: %v", recovered.Damaged)
+	}
+	h.model = model{acknowledged: state}
+	h.wasMade = true
+	h.store = store
+}
+
+// append appends a few records.
+func (h *history) append() {
+	var records [][]byte
+	var state strings.Builder
+	for range 1 + h.random.IntN(3) {
+		record := strconv.Itoa(h.next) + strings.Repeat("x", h.random.IntN(60)) + ";"
+		h.next++
+		records = append(records, []byte(record))
+		state.WriteString(record)
+	}
+	err := h.store.Append(records...)
+	switch {
+	case err == nil:
+		h.model.acknowledged += state.String()
+	case errors.Is(err, slots.ErrFull):
+		h.disk.SetCapacity(0)
+	case errors.Is(err, slots.ErrBroken) || errors.Is(err, simulation.ErrPowerLost):
+		if h.model.inFlight == "" {
+			h.model.inFlight = state.String()
+		}
+	default:
+		h.fail("append: %v", err)
+	}
+}
+
+// compact writes a snapshot of the acknowledged state.
+func (h *history) compact() {
+	err := h.store.Compact([]byte(h.model.acknowledged))
+	switch {
+	case err == nil:
+		h.model.inFlight = ""
+	case errors.Is(err, slots.ErrFull):
+		h.disk.SetCapacity(0)
+	case errors.Is(err, slots.ErrBroken) || errors.Is(err, simulation.ErrPowerLost):
+	default:
+		h.fail("compact: %v", err)
+	}
+}
+
+// step does one random thing.
+func (h *history) step() {
+	if h.store == nil {
+		h.recover()
+		return
+	}
+	switch choice := h.random.IntN(100); {
+	case choice < 55:
+		h.append()
+	case choice < 70:
+		h.compact()
+	case choice < 75:
+		h.disk.SetCapacity(int64(200 + h.random.IntN(2000)))
+	case choice < 90:
+		h.disk.FailAt(1 + h.random.IntN(12))
+	default:
+		h.store = nil
+	}
+	if h.disk.Off() {
+		h.store = nil
+	}
+}
+
+// recover ends the process by a kill or a loss of power and opens the store again.
+func (h *history) recover() {
+	if h.random.Chance(0.7) {
+		h.disk.PowerLoss()
+	} else {
+		h.disk.Kill()
+	}
+	if h.random.Chance(0.3) {
+		h.disk.FailAt(1 + h.random.IntN(15))
+	}
+	h.open()
+	if h.disk.Off() {
+		h.store = nil
+	}
+}
+
+// seeds returns how many random runs a test does: some, or as many as the variable SIMULATION_SEEDS says.
+func seeds(t testing.TB, some int) int {
+	text := os.Getenv("SIMULATION_SEEDS")
+	if text == "" {
+		return some
+	}
+	count, err := strconv.Atoi(text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return count
+}
+
+// TestRandomHistories runs stores on disks that fill up, lose power within any operation, and tear, lose and reorder
+// what was not synced. Whatever is recovered is the acknowledged state, or that with the append in flight.
+func TestRandomHistories(t *testing.T) {
+	for seed := range seeds(t, 1200) {
+		random := simulation.NewRand(uint64(seed))
+		h := &history{t: t, seed: uint64(seed), random: random, disk: simulation.NewDisk(random.Fork("disk"))}
+		h.open()
+		for range 120 {
+			h.step()
+		}
+	}
+}
+
+// TestEveryStepOfACompaction takes the power away within each operation of a compaction, with many outcomes of what
+// was not synced.
+func TestEveryStepOfACompaction(t *testing.T) {
+	cuts := 0
+	for step := 1; ; step++ {
+		completed := false
+		for seed := range uint64(60) {
+			disk := simulation.NewDisk(simulation.NewRand(seed))
+			store, _ := mustOpen(t, disk)
+			failure := errors.Join(
+				store.Append(texts("a")...),
+				store.Compact([]byte("a")),
+				store.Append(texts("b", "c")...),
+			)
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			disk.FailAt(step)
+			completed = store.Compact([]byte("abc")) == nil
+			if completed {
+				break
+			}
+			cuts++
+			disk.PowerLoss()
+			store, recovered := mustOpen(t, disk)
+			if stateOf(recovered) != "abc" {
+				t.Fatalf("step %d, seed %d: %s", step, seed, contentsOf(recovered))
+			}
+			if err := store.Append(texts("d")...); err != nil {
+				t.Fatal(err)
+			}
+			_, recovered = mustOpen(t, disk)
+			if stateOf(recovered) != "abcd" {
+				t.Fatalf("step %d, seed %d, then: %s", step, seed, contentsOf(recovered))
+			}
+		}
+		if completed {
+			break
+		}
+	}
+	if cuts < 200 {
+		t.Fatalf("only %d cuts", cuts)
+	}
+}
+
+// TestWipeNeverRestoresAnOlderState takes the power away within each operation of Wipe.
+func TestWipeNeverRestoresAnOlderState(t *testing.T) {
+	for step := 1; step < 40; step++ {
+		for seed := range uint64(30) {
+			disk := simulation.NewDisk(simulation.NewRand(seed))
+			store, _ := mustOpen(t, disk)
+			failure := errors.Join(store.Compact([]byte("a")), store.Compact([]byte("b")), store.Append(texts("c")...))
+			if failure != nil {
+				t.Fatal(failure)
+			}
+			if seed%2 == 0 {
+				disk.Flip("slot-0", 12, 1)
+			}
+			disk.FailAt(step)
+			_ = slots.Wipe(disk, slots.Options{})
+			disk.PowerLoss()
+			_, recovered, err := slots.Open(disk, slots.Options{})
+			switch {
+			case errors.Is(err, slots.ErrDamaged):
+			case err != nil:
+				t.Fatalf("step %d, seed %d: %v", step, seed, err)
+			case recovered.Found && contentsOf(recovered) != "b|c":
+				t.Fatalf("step %d, seed %d: %s", step, seed, contentsOf(recovered))
+			}
+		}
+	}
+}
--- /dev/null
+++ b/coord/slots/wipe.go
@@ -0,0 +1,49 @@
+package slots
+
+import (
+	"errors"
+	"fmt"
+)
+
+// Wipe removes a store, so that the next Open finds none. A crash within it leaves a store that is gone or that Open
+// finds as damaged as before, never an older state.
+func Wipe(fs FS, options Options) error {
+	loaded, err := load(fs, options.Prefix)
+	if err != nil {
+		return fmt.Errorf("slots: wipe: %w", err)
+	}
+	s := &Store{fs: fs, prefix: options.Prefix}
+	for _, number := range loaded.oldestFirst() {
+		if err := s.writeFile(slotName(s.prefix, number)); err != nil {
+			return fmt.Errorf("slots: wipe: %w", err)
+		}
+	}
+	for number := range 2 {
+		if err := s.writeFile(logName(s.prefix, number)); err != nil {
+			return fmt.Errorf("slots: wipe: %w", err)
+		}
+	}
+	return s.removeAll()
+}
+
+// oldestFirst returns the numbers of the slots, an older valid one before a newer one.
+func (c *contents) oldestFirst() [2]int {
+	if newest := c.newest(); newest >= 0 {
+		return [2]int{1 - newest, newest}
+	}
+	return [2]int{0, 1}
+}
+
+// removeAll removes the files, which are empty.
+func (s *Store) removeAll() error {
+	var failures []error
+	for number := range 2 {
+		for _, name := range []string{slotName(s.prefix, number), logName(s.prefix, number)} {
+			if err := s.fs.Remove(name); err != nil && !isMissing(err) {
+				failures = append(failures, err)
+			}
+		}
+	}
+	failures = append(failures, s.fs.SyncDir())
+	return errors.Join(failures...)
+}
--- /dev/null
+++ b/internal/simulation/file.go
@@ -0,0 +1,86 @@
+package simulation
+
+import (
+	"io/fs"
+	"syscall"
+)
+
+// diskFile is an open file of a simulated disk. It implements slots.File.
+type diskFile struct {
+	disk       *Disk
+	file       *inode
+	generation int
+	closed     bool
+}
+
+// check returns why the file can't be used.
+func (f *diskFile) check() error {
+	if f.closed {
+		return fs.ErrClosed
+	}
+	if f.generation != f.disk.generation {
+		return ErrPowerLost
+	}
+	return nil
+}
+
+// Write implements slots.File.
+func (f *diskFile) Write(data []byte) (int, error) {
+	if err := f.check(); err != nil {
+		return 0, err
+	}
+	fails, err := f.disk.step()
+	if err != nil {
+		return 0, err
+	}
+	fits := f.disk.room(len(data))
+	if fits > 0 {
+		written := append([]byte(nil), data[:fits]...)
+		f.file.change(change{offset: len(f.file.content), data: written})
+	}
+	if fails {
+		return 0, ErrPowerLost
+	}
+	if fits < len(data) {
+		return fits, syscall.ENOSPC
+	}
+	return fits, nil
+}
+
+// Truncate implements slots.File.
+func (f *diskFile) Truncate(size int64) error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	fails, err := f.disk.step()
+	if err != nil {
+		return err
+	}
+	f.file.change(change{offset: int(size)})
+	if fails {
+		return ErrPowerLost
+	}
+	return nil
+}
+
+// Sync implements slots.File. Where the power goes within it, nothing is durable for sure.
+func (f *diskFile) Sync() error {
+	if err := f.check(); err != nil {
+		return err
+	}
+	fails, err := f.disk.step()
+	if err != nil {
+		return err
+	}
+	if fails {
+		return ErrPowerLost
+	}
+	f.disk.syncFile(f.file)
+	return nil
+}
+
+// Close implements slots.File.
+func (f *diskFile) Close() error {
+	f.closed = true
+	return nil
+}
--- /dev/null
+++ b/internal/simulation/inode.go
@@ -0,0 +1,75 @@
+package simulation
+
+// inode is the contents of one file: what is on the platter, and the changes since the last sync.
+type inode struct {
+	content []byte // as processes see it
+	durable []byte // as of the last sync
+	pending []change
+}
+
+// change is a write at an offset, or a new length where data is nil.
+type change struct {
+	offset int
+	data   []byte
+}
+
+// apply makes a change to contents and returns them.
+func (c change) apply(content []byte) []byte {
+	if c.data == nil {
+		return resize(content, c.offset)
+	}
+	if end := c.offset + len(c.data); len(content) < end {
+		content = resize(content, end)
+	}
+	copy(content[c.offset:], c.data)
+	return content
+}
+
+// resize cuts contents or fills them with zeros to a length.
+func resize(content []byte, length int) []byte {
+	if length <= len(content) {
+		return content[:length]
+	}
+	return append(content, make([]byte, length-len(content))...)
+}
+
+// change makes a change that is not durable yet.
+func (n *inode) change(c change) {
+	n.content = c.apply(n.content)
+	n.pending = append(n.pending, c)
+}
+
+// sync makes all changes durable.
+func (n *inode) sync() {
+	n.durable = append(n.durable[:0], n.content...)
+	n.pending = nil
+}
+
+// losePower keeps, loses or tears each change since the last sync.
+func (n *inode) losePower(random *Rand, loseAll bool) {
+	content := n.durable
+	for _, pending := range n.pending {
+		if loseAll || random.Chance(0.4) {
+			continue
+		}
+		content = tear(pending, random).apply(content)
+	}
+	n.content = content
+	n.sync()
+}
+
+// tear returns a change whole, or a part of a write.
+func tear(whole change, random *Rand) change {
+	if len(whole.data) < 2 || random.Chance(0.5) {
+		return whole
+	}
+	from := 0
+	to := len(whole.data)
+	if random.Chance(0.7) {
+		to = 1 + random.IntN(to-1)
+	}
+	if random.Chance(0.3) {
+		from = random.IntN(to)
+	}
+	return change{offset: whole.offset + from, data: whole.data[from:to]}
+}
--- /dev/null
+++ b/internal/simulation/rand.go
@@ -0,0 +1,52 @@
+package simulation
+
+import (
+	"hash/fnv"
+	"math/rand/v2"
+	"time"
+)
+
+// Rand is a source of random numbers that a seed determines.
+type Rand struct {
+	*rand.Rand
+	seed uint64
+}
+
+// NewRand returns the source of a seed.
+func NewRand(seed uint64) *Rand {
+	return &Rand{Rand: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)), seed: seed}
+}
+
+// Seed returns the seed.
+func (r *Rand) Seed() uint64 {
+	return r.seed
+}
+
+// Fork returns a source that the seed and a name determine, whatever was drawn from this one.
+func (r *Rand) Fork(name string) *Rand {
+	hash := fnv.New64a()
+	_, _ = hash.Write([]byte(name))
+	return NewRand(r.seed ^ hash.Sum64())
+}
+
+// Chance returns true with this probability.
+func (r *Rand) Chance(probability float64) bool {
+	return r.Float64() < probability
+}
+
+// Between returns a duration in [low, high).
+func (r *Rand) Between(low, high time.Duration) time.Duration {
+	if high <= low {
+		return low
+	}
+	return low + time.Duration(r.Int64N(int64(high-low)))
+}
+
+// Bytes returns random bytes.
+func (r *Rand) Bytes(length int) []byte {
+	data := make([]byte, length)
+	for i := range data {
+		data[i] = byte(r.Uint32())
+	}
+	return data
+}
--- /dev/null
+++ b/internal/simulation/world_test.go
@@ -0,0 +1,192 @@
+package simulation
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// pingPong runs two machines that answer each other over a bad link, and returns what happened.
+func pingPong(seed uint64) []string {
+	w := NewWorld(seed)
+	w.Links.Default = Link{Delay: time.Millisecond, Jitter: 5 * time.Millisecond, Loss: 0.05}
+	var happened []string
+	var hit func(from, to string, round int)
+	hit = func(from, to string, round int) {
+		w.Send(from, to, round, func() {
+			happened = append(happened, fmt.Sprint(w.Elapsed(), to, round))
+			hit(to, from, round+1)
+		})
+	}
+	for start := range 5 {
+		hit("a", "b", start*1000)
+	}
+	w.Run(time.Second)
+	return happened
+}
+
+func TestWorld(t *testing.T) {
+	Convey("The same seed gives the same run, another seed another one", t, func() {
+		So(pingPong(1), ShouldResemble, pingPong(1))
+		So(pingPong(1), ShouldNotResemble, pingPong(2))
+	})
+
+	Convey("Given a world", t, func() {
+		w := NewWorld(1)
+		var order []string
+		note := func(text string) func() { return func() { order = append(order, text) } }
+
+		Convey("events run by time, then by making", func() {
+			w.After(2*time.Second, note("c"))
+			w.After(time.Second, note("a"))
+			w.After(time.Second, note("b"))
+			w.After(time.Second, note("canceled")).Cancel()
+			w.Run(2 * time.Second)
+			So(order, ShouldResemble, []string{"a", "b", "c"})
+			So(w.Elapsed(), ShouldEqual, 2*time.Second)
+		})
+
+		Convey("a stopped machine runs no timers of its old life and gets no messages", func() {
+			w.AfterOn("m", time.Second, note("old timer"))
+			w.Send("x", "m", nil, note("lost"))
+			w.Stop("m")
+			w.Run(100 * time.Millisecond)
+			w.Start("m")
+			w.Send("x", "m", nil, note("message"))
+			w.AfterOn("m", time.Second, note("timer"))
+			w.Run(5 * time.Second)
+			So(order, ShouldResemble, []string{"message", "timer"})
+		})
+
+		Convey("what comes to a frozen machine waits in order", func() {
+			w.Freeze("m")
+			w.AfterOn("m", time.Second, note("timer"))
+			w.Send("x", "m", nil, note("message"))
+			w.Run(5 * time.Second)
+			So(order, ShouldBeEmpty)
+			w.Thaw("m")
+			w.Run(0)
+			So(order, ShouldResemble, []string{"message", "timer"})
+		})
+
+		Convey("a cut holds in its direction only", func() {
+			w.Links.Cut("a", "b")
+			So(w.Send("a", "b", nil, note("there")), ShouldBeFalse)
+			So(w.Send("b", "a", nil, note("back")), ShouldBeTrue)
+			w.Links.Join("a", "b")
+			So(w.Send("a", "b", nil, note("again")), ShouldBeTrue)
+			w.Links.Separate([]string{"a"}, []string{"b", "c"})
+			So(w.Links.IsCut("c", "a"), ShouldBeTrue)
+			So(w.Links.IsCut("b", "c"), ShouldBeFalse)
+		})
+
+		Convey("an ordered link lets no message overtake", func() {
+			w.Links.Default = Link{Jitter: time.Second, Ordered: true}
+			var got []int
+			for i := range 50 {
+				w.Send("a", "b", i, func() { got = append(got, i) })
+			}
+			w.Run(2 * time.Second)
+			for i := range 50 {
+				if got[i] != i {
+					t.Fatal(got)
+				}
+			}
+		})
+	})
+}
+
+func TestDisk(t *testing.T) {
+	Convey("Given a disk", t, func() {
+		d := NewDisk(NewRand(1))
+		file, err := d.Create("a")
+		So(err, ShouldBeNil)
+		_, err = file.Write([]byte("synced"))
+		So(err, ShouldBeNil)
+		So(file.Sync(), ShouldBeNil)
+
+		Convey("what is synced outlives a loss of power, what isn't may be kept, lost or torn", func() {
+			seen := make(map[string]bool)
+			for range 300 {
+				file, err := d.Open("a")
+				if err != nil {
+					t.Fatal(err)
+				}
+				_, _ = file.Write([]byte("-one"))
+				d.PowerLoss()
+				data, err := d.ReadAll("a")
+				if err != nil || len(data) < 6 || string(data[:6]) != "synced" {
+					t.Fatalf("%q %v", data, err)
+				}
+				seen[string(data)] = true
+				if _, err := file.Write(nil); err != ErrPowerLost {
+					t.Fatal(err)
+				}
+				file, _ = d.Open("a")
+				_ = file.Truncate(6)
+				_ = file.Sync()
+			}
+			So(seen["synced"], ShouldBeTrue)
+			So(seen["synced-one"], ShouldBeTrue)
+			So(len(seen), ShouldBeGreaterThan, 3)
+		})
+
+		Convey("names last once the folder is synced", func() {
+			So(d.Rename("a", "b"), ShouldBeNil)
+			So(d.SyncDir(), ShouldBeNil)
+			lost, kept := false, false
+			for range 100 {
+				_ = d.Remove("b")
+				d.PowerLoss()
+				names, _ := d.List()
+				if len(names) == 1 {
+					kept = true
+					continue
+				}
+				lost = true
+				created, _ := d.Create("b")
+				_ = created.Sync()
+			}
+			So(kept && lost, ShouldBeTrue)
+		})
+
+		Convey("a kill keeps all that was written and ends open files", func() {
+			_, _ = file.Write([]byte(" and more"))
+			d.Kill()
+			data, err := d.ReadAll("a")
+			So(err, ShouldBeNil)
+			So(string(data), ShouldEqual, "synced and more")
+			_, err = file.Write([]byte("x"))
+			So(err, ShouldEqual, ErrPowerLost)
+		})
+
+		Convey("a full disk takes what fits", func() {
+			d.SetCapacity(10)
+			count, err := file.Write([]byte("123456"))
+			So(count, ShouldEqual, 4)
+			So(err.Error(), ShouldEqual, "no space left on device")
+		})
+
+		Convey("the power goes in the middle of a chosen operation", func() {
+			d.FailAt(2)
+			_, err := file.Write([]byte("1"))
+			So(err, ShouldBeNil)
+			So(file.Sync(), ShouldEqual, ErrPowerLost)
+			_, err = d.ReadAll("a")
+			So(err, ShouldEqual, ErrPowerLost)
+			d.PowerLoss()
+			_, err = d.ReadAll("a")
+			So(err, ShouldBeNil)
+		})
+
+		Convey("operations take time", func() {
+			d.TakeBusy()
+			d.Stall(time.Second)
+			So(file.Sync(), ShouldBeNil)
+			So(d.TakeBusy(), ShouldEqual, time.Second+DefaultSyncTime)
+			So(d.TakeBusy(), ShouldEqual, 0)
+		})
+	})
+}
