--- a/coord/replica/core.go
+++ b/coord/replica/core.go
@@ -84,6 +84,7 @@
 	lastHello  time.Duration
 	helloRound int
 	leaving    bool
+	onLeft     func() // called once this member is out of the chain
 	lead       leadState
 }
 
@@ -187,7 +188,9 @@
 	c.now = now
 	switch m := body.(type) {
 	case Hello:
-		c.tellView(from)
+		if m.Epoch < c.epoch() {
+			c.tellView(from)
+		}
 	case Heartbeat:
 		c.onHeartbeat(from, m)
 	case view.Prepare:
@@ -223,6 +226,22 @@
 	}
 }
 
+// reopened goes back to what the disk holds, after it refused to take what this member decided.
+// Nothing of that has left the member.
+func (c *core) reopened(now time.Duration, found *recovered) {
+	c.now = now
+	c.acceptor.Durable = found.durable
+	c.synced = found.synced
+	c.log = found.log
+	c.commit, _ = c.state.Applied()
+	c.durableTo = c.log.End()
+	c.records, c.messages, c.rewrite = nil, nil, false
+	c.agree.abandon(now, 0)
+	c.lastTick = now
+	c.resetPeers()
+	c.enterView()
+}
+
 // tick is called every tickInterval.
 func (c *core) tick(now time.Duration) {
 	c.now = now
--- a/coord/replica/core_peers.go
+++ b/coord/replica/core_peers.go
@@ -289,3 +289,17 @@
 		c.proveEpoch()
 	}
 }
+
+// members lists the core machines that this node knows.
+func (c *core) members() []Peer {
+	list := make([]Peer, 0, len(c.peers)+1)
+	for _, m := range c.acceptor.View.Voters {
+		list = append(list, Peer{Member: m, Voter: true, InChain: c.acceptor.View.InChain(m), Heard: c.inTouch(m)})
+	}
+	for _, p := range c.peers {
+		if p.candidate && !c.acceptor.View.IsVoter(p.member) {
+			list = append(list, Peer{Member: p.member, Heard: c.inTouch(p.member), Candidate: true})
+		}
+	}
+	return list
+}
--- a/coord/replica/core_view.go
+++ b/coord/replica/core_view.go
@@ -52,6 +52,10 @@
 	}
 	c.takeLead(before, v)
 	c.enterView()
+	if c.onLeft != nil && !c.inChain() {
+		c.onLeft()
+		c.onLeft = nil
+	}
 	if c.onView != nil {
 		c.onView(v)
 	}
@@ -485,17 +489,16 @@
 	for i := 0; i < min(2, len(addresses)); i++ {
 		c.helloRound++
 		address := addresses[c.helloRound%len(addresses)]
-		c.send(view.Member{Address: address}, Hello{})
+		c.send(view.Member{Address: address}, Hello{Epoch: c.epoch()})
 	}
 }
 
-// misdirected takes in that somebody takes this node for an earlier life at its address: an empty
-// machine learns from it whom it can ask.
-func (c *core) misdirected(now time.Duration, from view.Member) {
+// stranger takes in that another life than the one addressed is at an address: an empty machine
+// learns the view from whoever takes it for its earlier life.
+func (c *core) stranger(now time.Duration, m view.Member) {
 	c.now = now
-	if c.epoch() == 0 && c.now-c.lastHello >= tickInterval {
-		c.lastHello = c.now
-		c.send(from, Hello{})
+	if c.disk {
+		c.tellView(m)
 	}
 }
 
@@ -507,6 +510,11 @@
 	return !c.hearsMajority()
 }
 
+// mayLeave reports whether the chain has enough members without this one.
+func (c *core) mayLeave() bool {
+	return !c.inChain() || len(c.acceptor.View.Chain)-1 > c.tolerance
+}
+
 // handOver asks the others, at once, to go on without this member.
 func (c *core) handOver(now time.Duration) {
 	c.now = now
--- a/coord/replica/disk.go
+++ b/coord/replica/disk.go
@@ -17,6 +17,7 @@
 	recordBallots
 	recordEntries
 	recordInstall
+	recordProbe // says nothing: it tells whether the disk takes bytes
 )
 
 // viewRecord says that a decided view was adopted.
@@ -198,6 +199,7 @@
 			s.log.Append(entry)
 		}
 		s.synced = saved.Synced
+	case recordProbe:
 	default:
 		return errRecord
 	}
--- a/coord/replica/messages.go
+++ b/coord/replica/messages.go
@@ -5,15 +5,10 @@
 	"sprucelane.example/sprucelane/coord/view"
 )
 
-// Packet is what travels between nodes.
-type Packet struct {
-	From view.Member
-	To   string // ID of the addressee; empty when only its address is known
-	Body any
-}
-
 // Hello asks for the newest view.
-type Hello struct{}
+type Hello struct {
+	Epoch uint64 // newest one that the asker knows
+}
 
 // Heartbeat tells a core member that its sender lives, and echoes what it heard last from the
 // addressee, which confirms the epoch without a message of its own.
@@ -101,10 +96,10 @@
 	Index uint64
 }
 
-// bodies lists all types that a Packet may hold.
+// bodies lists all types of messages.
 func bodies() []any {
 	return []any{
-		Packet{}, Hello{}, Heartbeat{}, Append{}, Ack{}, Fetch{}, Copy{}, Forward{}, Poll{}, Feed{},
+		Hello{}, Heartbeat{}, Append{}, Ack{}, Fetch{}, Copy{}, Forward{}, Poll{}, Feed{},
 		ReadRequest{}, ReadReply{},
 		view.Prepare{}, view.Promise{}, view.Accept{}, view.Accepted{}, view.Refused{}, view.Decided{},
 	}
--- /dev/null
+++ b/coord/replica/node.go
@@ -0,0 +1,335 @@
+package replica
+
+import (
+	"context"
+	cryptorand "crypto/rand"
+	"encoding/binary"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/chain"
+	"sprucelane.example/sprucelane/coord/slots"
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/coord/view"
+)
+
+const (
+	eventQueueLength = 1024
+	batchLimit       = 512 // inputs that share one sync
+	probeInterval    = 500 * time.Millisecond
+	observerTick     = 250 * time.Millisecond
+)
+
+// Node is one machine's part of the replicated state.
+type Node struct {
+	options Options
+	start   time.Time
+	core    *core
+	store   durableStore
+	network *network
+	inputs  chan func()
+	done    chan struct{}
+	closing chan struct{}
+	once    sync.Once
+
+	ailing     bool // the disk refused a write
+	nextProbe  time.Time
+	members    []Peer // as of the last tick
+	status     atomic.Pointer[status]
+	callbacks  atomic.Pointer[callbacks]
+	callbackMu sync.Mutex
+}
+
+// status is what a node shows of itself, swapped whole.
+type status struct {
+	view       view.View
+	applied    uint64
+	freshSince time.Time
+	fresh      bool
+	lead       Lead
+	leads      bool
+	members    []Peer
+	ailing     bool
+}
+
+type callbacks struct {
+	onApply []func(index uint64, order, result []byte)
+	onView  []func(view.View)
+}
+
+// Start opens the disk, listens and joins the system that the seeds belong to.
+func Start(options Options) (*Node, error) {
+	if options.Log == nil {
+		options.Log = func(string, ...any) {}
+	}
+	n := &Node{
+		options: options,
+		start:   time.Now(),
+		inputs:  make(chan func(), eventQueueLength),
+		done:    make(chan struct{}),
+		closing: make(chan struct{}),
+	}
+	n.callbacks.Store(&callbacks{})
+	found, err := n.openDisk()
+	if err != nil {
+		return nil, err
+	}
+	if err := n.openCore(found); err != nil {
+		return nil, n.abort(err)
+	}
+	n.flush()
+	if n.ailing {
+		return nil, n.abort(fmt.Errorf("replica: the disk takes no bytes: %w", ErrUnavailable))
+	}
+	listener, err := net.Listen("tcp", options.Listen)
+	if err != nil {
+		return nil, n.abort(fmt.Errorf("replica: %w", err))
+	}
+	n.network.serve(listener)
+	n.publish()
+	go n.run()
+	return n, nil
+}
+
+func (n *Node) abort(err error) error {
+	if n.network != nil {
+		n.network.close()
+	}
+	if n.store != nil {
+		_ = n.store.Close()
+	}
+	return err
+}
+
+func (n *Node) openDisk() (*recovered, error) {
+	if n.options.DataDir == "" {
+		return nil, nil
+	}
+	store, found, err := openStore(slots.Directory(n.options.DataDir))
+	if err != nil {
+		return nil, fmt.Errorf("replica: open the disk: %w", err)
+	}
+	n.store = store
+	return found, nil
+}
+
+func (n *Node) openCore(found *recovered) error {
+	member, genesis, err := newMember(&n.options)
+	if err != nil {
+		return err
+	}
+	if found != nil {
+		member = found.self
+		genesis = nil
+	}
+	var drawn [24]byte
+	if _, err := cryptorand.Read(drawn[:]); err != nil {
+		return fmt.Errorf("replica: %w", err)
+	}
+	seed := func(i int) uint64 { return binary.LittleEndian.Uint64(drawn[8*i:]) }
+	n.network = newNetwork(n, member)
+	n.core, err = newCore(coreOptions{
+		self:      member,
+		disk:      n.options.DataDir != "",
+		tolerance: n.options.Tolerance,
+		seeds:     n.options.Seeds,
+		machine:   n.options.Machine,
+		random:    rand.New(rand.NewPCG(seed(0), seed(1))),
+		life:      seed(2),
+		report:    n.options.Log,
+		onApply:   n.applied,
+		onView:    n.viewed,
+	}, found, genesis, n.now())
+	return err
+}
+
+// now is the steady clock.
+func (n *Node) now() time.Duration { return time.Since(n.start) }
+
+// run takes in messages, calls and ticks, one batch at a time.
+func (n *Node) run() {
+	defer close(n.done)
+	interval := tickInterval
+	if n.options.DataDir == "" {
+		interval = observerTick
+	}
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-n.closing:
+			return
+		case <-ticker.C:
+			n.tick()
+		case input := <-n.inputs:
+			n.batch(input)
+		}
+		n.flush()
+		n.publish()
+	}
+}
+
+func (n *Node) tick() {
+	if n.ailing && !n.probeDisk() {
+		return
+	}
+	n.core.tick(n.now())
+	n.network.housekeep()
+	n.members = n.core.members()
+}
+
+// batch takes in everything that waits, so that it shares one sync.
+func (n *Node) batch(input func()) {
+	input()
+	for i := 1; i < batchLimit; i++ {
+		select {
+		case input = <-n.inputs:
+			input()
+		default:
+			return
+		}
+	}
+}
+
+// flush makes the core's records durable, then sends its messages.
+func (n *Node) flush() {
+	if n.ailing {
+		n.core.takeMessages()
+		return
+	}
+	if n.store != nil && n.store.LogBytes() > compactLogBytes {
+		n.core.rewrite = true
+	}
+	records, whole := n.core.takeRecords()
+	if err := n.write(records, whole); err != nil {
+		n.diskFailed(err)
+		return
+	}
+	n.core.persisted(n.now())
+	for _, message := range n.core.takeMessages() {
+		n.network.send(message)
+	}
+}
+
+func (n *Node) write(records [][]byte, whole []byte) error {
+	if n.store == nil {
+		return nil
+	}
+	if whole != nil {
+		return n.store.Compact(whole)
+	}
+	if len(records) == 0 {
+		return nil
+	}
+	return n.store.Append(records...)
+}
+
+// diskFailed takes the member out until its disk takes bytes again: it falls silent, and nothing of
+// what it decided last leaves it.
+func (n *Node) diskFailed(err error) {
+	n.options.Log("disk failed", "error", err.Error())
+	n.ailing = true
+	n.nextProbe = time.Now().Add(probeInterval)
+	n.core.takeMessages()
+	_ = n.store.Close()
+}
+
+// probeDisk reopens the disk once it takes bytes again, and goes on from what it holds.
+func (n *Node) probeDisk() bool {
+	if time.Now().Before(n.nextProbe) {
+		return false
+	}
+	n.nextProbe = time.Now().Add(probeInterval)
+	store, found, err := openStore(slots.Directory(n.options.DataDir))
+	if err != nil || found == nil {
+		return false
+	}
+	if err := store.Append([]byte{recordProbe}); err != nil {
+		_ = store.Close()
+		return false
+	}
+	n.store = store
+	n.ailing = false
+	n.core.reopened(n.now(), found)
+	n.options.Log("disk works again")
+	return true
+}
+
+// applied tells the callbacks of an order. An order that came twice is told once.
+func (n *Node) applied(entry chain.Entry, outcome chain.Outcome, repeated bool) {
+	if repeated {
+		return
+	}
+	for _, call := range n.callbacks.Load().onApply {
+		call(entry.Index, entry.Order, outcome.Result)
+	}
+}
+
+func (n *Node) viewed(v view.View) {
+	for _, call := range n.callbacks.Load().onView {
+		call(v)
+	}
+}
+
+// publish swaps the status that callers see.
+func (n *Node) publish() {
+	now := time.Now()
+	elapsed := now.Sub(n.start)
+	at := func(moment time.Duration) time.Time { return now.Add(moment - elapsed) }
+	c := n.core
+	next := &status{view: c.view(), ailing: n.ailing}
+	next.applied, _ = c.state.Applied()
+	if since, proven := c.freshSince(); proven {
+		next.freshSince, next.fresh = at(since), true
+	}
+	if until, ok := c.leads(); ok && !n.ailing {
+		next.lead = Lead{Epoch: c.epoch(), Since: at(c.lead.since), Until: at(until)}
+		next.leads = true
+	}
+	next.members = n.members
+	n.status.Store(next)
+}
+
+// input has the loop run a function.
+func (n *Node) input(run func()) bool {
+	select {
+	case n.inputs <- run:
+		return true
+	case <-n.closing:
+		return false
+	}
+}
+
+// Close leaves without a word: as if the process had ended.
+func (n *Node) Close() {
+	n.once.Do(func() { close(n.closing) })
+	<-n.done
+	n.network.close()
+	if n.store != nil {
+		_ = n.store.Close()
+	}
+}
+
+// query runs a function on the loop and waits for it.
+func (n *Node) query(ctx context.Context, run func()) error {
+	finished := make(chan struct{})
+	select {
+	case n.inputs <- func() { run(); close(finished) }:
+	case <-n.closing:
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	select {
+	case <-finished:
+		return nil
+	case <-n.done:
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
--- /dev/null
+++ b/coord/replica/node_test.go
@@ -0,0 +1,188 @@
+package replica
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/transport"
+)
+
+// lockedHistory is a machine that tests may look at from outside.
+type lockedHistory struct {
+	mutex sync.Mutex
+	historyMachine
+}
+
+func (m *lockedHistory) Apply(index uint64, order []byte) []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.historyMachine.Apply(index, order)
+}
+
+func (m *lockedHistory) Snapshot() []byte {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.historyMachine.Snapshot()
+}
+
+func (m *lockedHistory) Restore(snapshot []byte) error {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.historyMachine.Restore(snapshot)
+}
+
+func (m *lockedHistory) has(order string) bool {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	for _, held := range m.orders {
+		if held == order {
+			return true
+		}
+	}
+	return false
+}
+
+// machine is a machine of the loopback system.
+type machine struct {
+	name    string
+	address string
+	dir     string
+	state   *lockedHistory
+	node    *Node
+}
+
+func freeAddress(t testing.TB) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer listener.Close()
+	return listener.Addr().String()
+}
+
+func (m *machine) start(t testing.TB, seeds []string, bootstrap bool) {
+	t.Helper()
+	m.state = &lockedHistory{}
+	node, err := Start(Options{
+		Identity:  transport.Identity{System: "test", Node: m.name},
+		Listen:    m.address,
+		Seeds:     seeds,
+		Bootstrap: bootstrap,
+		DataDir:   m.dir,
+		Tolerance: 1,
+		Machine:   m.state,
+		Log:       func(event string, fields ...any) { t.Log(m.name, event, fields) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.node = node
+}
+
+func eventually(t testing.TB, limit time.Duration, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(limit)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", limit, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (m *machine) propose(t testing.TB, id string) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	if _, err := m.node.Propose(ctx, id, []byte(id)); err != nil {
+		t.Fatalf("%s through %s: %v", id, m.name, err)
+	}
+}
+
+// TestThreeNodesOnLoopback kills, restarts and wipes real nodes, with an observer beside them.
+func TestThreeNodesOnLoopback(t *testing.T) {
+	var machines []*machine
+	var seeds []string
+	for i := 0; i < 3; i++ {
+		m := &machine{name: fmt.Sprintf("m%d", i), address: freeAddress(t), dir: t.TempDir()}
+		machines = append(machines, m)
+		seeds = append(seeds, m.address)
+	}
+	observer := &machine{name: "observer", address: freeAddress(t)}
+	all := append(append([]*machine{}, machines...), observer)
+	for _, m := range all {
+		m.start(t, seeds, true)
+	}
+	defer func() {
+		for _, m := range all {
+			m.node.Close()
+		}
+	}()
+	for i, m := range all {
+		m.propose(t, fmt.Sprint("first-", i))
+	}
+	machines[0].node.Close()
+	began := time.Now()
+	machines[1].propose(t, "after-kill")
+	t.Logf("next order %v after the kill", time.Since(began))
+	machines[0].start(t, seeds, false)
+	eventually(t, 5*time.Second, "the killed machine is back in the chain", func() bool {
+		v := machines[0].node.View()
+		return len(v.Chain) == 3 && v.InChain(machines[0].node.Self())
+	})
+	machines[0].propose(t, "after-return")
+
+	machines[1].node.Close()
+	machines[1].dir = t.TempDir()
+	machines[1].start(t, seeds, false)
+	eventually(t, 5*time.Second, "the wiped machine is back in the chain", func() bool {
+		v := machines[1].node.View()
+		return len(v.Chain) == 3 && v.InChain(machines[1].node.Self())
+	})
+	machines[1].propose(t, "after-wipe")
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	for _, m := range all {
+		if _, err := m.node.Read(ctx); err != nil {
+			t.Fatalf("read at %s: %v", m.name, err)
+		}
+		for _, id := range []string{"first-0", "first-3", "after-kill", "after-return", "after-wipe"} {
+			if !m.state.has(id) {
+				t.Errorf("%s lacks %s", m.name, id)
+			}
+		}
+		eventually(t, 3*time.Second, "freshness", func() bool {
+			age, ok := m.node.Fresh()
+			return ok && age < time.Second
+		})
+	}
+	eventually(t, 3*time.Second, "a head leads", func() bool {
+		for _, m := range machines {
+			if _, _, ok := m.node.Lead(); ok {
+				return true
+			}
+		}
+		return false
+	})
+}
+
+// TestProposeWithoutMajority checks that a node alone takes nothing.
+func TestProposeWithoutMajority(t *testing.T) {
+	m := &machine{name: "alone", address: freeAddress(t), dir: t.TempDir()}
+	m.start(t, []string{freeAddress(t), freeAddress(t)}, false)
+	defer m.node.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), 300*time.Millisecond)
+	defer cancel()
+	if _, err := m.node.Propose(ctx, "a", []byte("a")); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("propose alone: %v", err)
+	}
+	if _, err := m.node.Read(ctx); !errors.Is(err, ErrUnavailable) {
+		t.Errorf("read alone: %v", err)
+	}
+}
--- /dev/null
+++ b/coord/replica/store.go
@@ -0,0 +1,58 @@
+package replica
+
+import (
+	"crypto/rand"
+	"encoding/hex"
+	"errors"
+	"fmt"
+
+	"sprucelane.example/sprucelane/coord/slots"
+	"sprucelane.example/sprucelane/coord/view"
+)
+
+// durableStore is the part of slots.Store that a node uses.
+type durableStore interface {
+	Append(records ...[]byte) error
+	Compact(snapshot []byte) error
+	LogBytes() int64
+	Close() error
+}
+
+// openStore opens the disk and reads what it holds; found is nil for an empty one.
+func openStore(fs slots.FS) (store durableStore, found *recovered, err error) {
+	opened, contents, err := slots.Open(fs, slots.Options{})
+	if err != nil {
+		return nil, nil, err
+	}
+	if !contents.Found || len(contents.Snapshot) == 0 {
+		return opened, nil, nil
+	}
+	found, err = recoverState(contents.Snapshot, contents.Records)
+	if err != nil {
+		return nil, nil, errors.Join(err, opened.Close())
+	}
+	return opened, found, nil
+}
+
+// newMember names a life of an empty disk, or of a process without one.
+func newMember(options *Options) (view.Member, *view.View, error) {
+	member := view.Member{Node: options.Identity.Node, Address: options.Listen}
+	var drawn [8]byte
+	if _, err := rand.Read(drawn[:]); err != nil {
+		return member, nil, fmt.Errorf("replica: draw an incarnation: %w", err)
+	}
+	member.Incarnation = hex.EncodeToString(drawn[:])
+	if !options.Bootstrap {
+		return member, nil, nil
+	}
+	if len(options.Seeds) == 0 {
+		return member, nil, ErrSeeds
+	}
+	genesis := view.Genesis(options.Seeds)
+	for _, seed := range options.Seeds {
+		if seed == options.Listen && options.DataDir != "" {
+			member.Incarnation = view.GenesisIncarnation
+		}
+	}
+	return member, &genesis, nil
+}
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -412,7 +412,8 @@
 	}
 	sender := from.core.self
 	if m.to.Incarnation != "" && !m.to.Same(to.core.self) {
-		to.handle(func() { to.core.misdirected(w.now, sender) })
+		actual := to.core.self
+		from.handle(func() { from.core.stranger(w.now, actual) })
 		return
 	}
 	to.handle(func() { to.core.step(w.now, sender, m.body) })
