--- /dev/null
+++ b/internal/batch/exchange/events.go
@@ -0,0 +1,114 @@
+package exchange
+
+import (
+	"bytes"
+	"context"
+	"strconv"
+	"time"
+)
+
+// readEvents reads a stream to its end. It tells whether all of it came, in order.
+func readEvents(ctx context.Context, conn *connection, request *Request, answer answerHead, outcome *Outcome, started time.Time) bool {
+	body := newBody(conn.in, answer)
+	parser := eventParser{outcome: outcome}
+	buffer := make([]byte, 4<<10)
+	for {
+		n, err := body.Read(buffer)
+		first := len(outcome.Events) == 0
+		if !parser.feed(buffer[:n]) {
+			return false
+		}
+		if first && len(outcome.Events) > 0 && request.First != nil {
+			request.First(time.Since(started))
+		}
+		if body.whole {
+			return parser.atBoundary()
+		}
+		if err != nil {
+			return false
+		}
+		if conn.in.Buffered() > 0 {
+			continue
+		}
+		if len(outcome.Events) > 0 {
+			time.Sleep(readPause)
+		}
+		if conn.SetReadDeadline(time.Now().Add(request.Silence)) != nil || ctx.Err() != nil {
+			return false
+		}
+	}
+}
+
+// eventParser takes events off a stream. Only events that have ended count.
+type eventParser struct {
+	outcome *Outcome
+	line    []byte // that has not ended
+	data    []byte
+	hasData bool
+	id      int64
+	hasID   bool
+}
+
+// feed takes bytes. It tells whether they are events in order.
+func (p *eventParser) feed(piece []byte) bool {
+	for len(piece) > 0 {
+		end := bytes.IndexByte(piece, '\n')
+		if end < 0 {
+			p.line = append(p.line, piece...)
+			return len(p.line) <= maxEvent
+		}
+		p.line = append(p.line, piece[:end]...)
+		piece = piece[end+1:]
+		ok := p.take(bytes.TrimSuffix(p.line, []byte("\r")))
+		p.line = p.line[:0]
+		if !ok {
+			return false
+		}
+	}
+	return true
+}
+
+// atBoundary tells that no event has begun that has not ended.
+func (p *eventParser) atBoundary() bool { return len(p.line) == 0 && !p.hasData && !p.hasID }
+
+func (p *eventParser) take(line []byte) bool {
+	if len(line) == 0 {
+		return p.finish()
+	}
+	name, value, _ := bytes.Cut(line, []byte(":"))
+	value = bytes.TrimPrefix(value, []byte(" "))
+	switch string(name) {
+	case "id":
+		id, err := strconv.ParseInt(string(value), 10, 64)
+		if err != nil {
+			return false
+		}
+		p.id, p.hasID = id, true
+	case "data":
+		if p.hasData {
+			p.data = append(p.data, '\n')
+		}
+		p.data = append(p.data, value...)
+		p.hasData = true
+	}
+	return len(p.data) <= maxEvent
+}
+
+// finish takes an event that has ended; its id must follow the last one's.
+func (p *eventParser) finish() bool {
+	if !p.hasData && !p.hasID {
+		return true
+	}
+	o := p.outcome
+	if !p.hasID {
+		return false
+	}
+	if o.LastEventID >= 0 && p.id != o.LastEventID+1 || o.LastEventID < 0 && p.id > 1 {
+		return false
+	}
+	o.LastEventID = p.id
+	o.Events = append(o.Events, bytes.Clone(p.data))
+	p.data = p.data[:0]
+	p.hasData, p.hasID = false, false
+	return true
+}
--- /dev/null
+++ b/internal/batch/exchange/exchange.go
@@ -0,0 +1,262 @@
+// Package exchange owns what goes between a store and a server: an item's request, and the stream of events that comes
+// back. It must never write a byte of a request before its gate has said yes, and never take an event that isn't whole.
+package exchange
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"net"
+	"strconv"
+	"sync"
+	"syscall"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+)
+
+// Times of an exchange.
+const (
+	dialTimeout = 700 * time.Millisecond
+	userTimeout = 2 * time.Second       // that sent bytes may go without acknowledgement
+	readPause   = 90 * time.Millisecond // between reads of a stream: one wake-up for several events
+	idleFor     = 4 * time.Second       // that an unused connection is kept at most
+	readBuffer  = 8 << 10
+)
+
+// Request is an item on its way to a server.
+type Request struct {
+	Address     string // host:port of the server
+	Instance    string // its id
+	Host        string
+	Tenant      string
+	Item        *job.Item
+	LastEventID int64         // -1: from the start
+	Deadline    time.Duration // that the server may take
+	Silence     time.Duration // after which the server is given up
+	// Gate is asked right before the first byte; false ends the exchange.
+	Gate func() bool
+	// First is told how long the first event took.
+	First func(time.Duration)
+}
+
+// Ending is how an exchange ended.
+type Ending int
+
+// The endings.
+const (
+	Completed   Ending = iota // the whole answer is there
+	Failed                    // 500: a failed attempt
+	Impossible                // 422: it can never be done
+	NotExecuted               // the server says that it didn't run it
+	Refused                   // another answer that is no success
+	Cut                       // broken off, or not to be trusted any further
+	NotSent                   // no byte went out
+	Closed                    // the gate said no, or the context ended
+)
+
+// Outcome is what came of an exchange: the events that follow LastEventID, and how it ended.
+type Outcome struct {
+	Ending      Ending
+	Events      [][]byte // data, in order
+	LastEventID int64
+	Leaving     bool          // the server closes the connection: it may be leaving
+	RetryAfter  time.Duration // as the server asks
+}
+
+// Client keeps connections to servers. Its methods may be called from any goroutine.
+type Client struct {
+	mutex sync.Mutex
+	idle  map[string][]*connection // by instance
+	dials int64
+}
+
+type connection struct {
+	net.Conn
+	in    *bufio.Reader
+	since time.Time     // it is idle
+	keep  time.Duration // that it may be
+}
+
+// NewClient gives a client without connections.
+func NewClient() *Client { return &Client{idle: map[string][]*connection{}} }
+
+// Dials counts the connections that were opened.
+func (c *Client) Dials() int64 {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.dials
+}
+
+// Run sends an item and reads its answer.
+func (c *Client) Run(ctx context.Context, request *Request) Outcome {
+	outcome := Outcome{LastEventID: request.LastEventID}
+	conn, used, err := c.connect(ctx, request)
+	if err != nil {
+		outcome.Ending = NotSent
+		return outcome
+	}
+	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
+	if ctx.Err() != nil || !request.Gate() {
+		stop()
+		c.keep(request.Instance, conn)
+		outcome.Ending = Closed
+		return outcome
+	}
+	reuse := c.exchange(ctx, conn, request, &outcome)
+	if !stop() {
+		outcome.Ending = Closed
+		reuse = false
+	}
+	if !reuse {
+		_ = conn.Close()
+		if used && outcome.Ending == Cut && len(outcome.Events) == 0 {
+			c.dropIdle(request.Instance)
+		}
+		return outcome
+	}
+	c.keep(request.Instance, conn)
+	return outcome
+}
+
+func (c *Client) connect(ctx context.Context, request *Request) (conn *connection, used bool, err error) {
+	if conn := c.takeIdle(request.Instance); conn != nil {
+		return conn, true, nil
+	}
+	c.mutex.Lock()
+	c.dials++
+	c.mutex.Unlock()
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	raw, err := dialer.DialContext(ctx, "tcp", request.Address)
+	if err != nil {
+		return nil, false, err
+	}
+	return &connection{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer), keep: idleFor}, false, nil
+}
+
+const tcpUserTimeout = 18 // TCP_USER_TIMEOUT
+
+func setUserTimeout(_, _ string, raw syscall.RawConn) error {
+	var failure error
+	err := raw.Control(func(fd uintptr) {
+		failure = syscall.SetsockoptInt(int(fd), syscall.IPPROTO_TCP, tcpUserTimeout, int(userTimeout.Milliseconds()))
+	})
+	return errors.Join(err, failure)
+}
+
+func (c *Client) takeIdle(instance string) *connection {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	list := c.idle[instance]
+	for len(list) > 0 {
+		conn := list[len(list)-1]
+		list = list[:len(list)-1]
+		c.idle[instance] = list
+		if time.Since(conn.since) < conn.keep && conn.quiet() {
+			return conn
+		}
+		_ = conn.Close()
+	}
+	delete(c.idle, instance)
+	return nil
+}
+
+// quiet tells whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
+func (conn *connection) quiet() bool {
+	if conn.in.Buffered() > 0 {
+		return false
+	}
+	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
+	if err != nil {
+		return false
+	}
+	quiet := false
+	err = raw.Read(func(fd uintptr) bool {
+		var one [1]byte
+		_, _, failure := syscall.Recvfrom(int(fd), one[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		quiet = errors.Is(failure, syscall.EAGAIN)
+		return true
+	})
+	return err == nil && quiet
+}
+
+func (c *Client) keep(instance string, conn *connection) {
+	if conn.SetDeadline(time.Time{}) != nil {
+		_ = conn.Close()
+		return
+	}
+	conn.since = time.Now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.idle[instance] = append(c.idle[instance], conn)
+}
+
+func (c *Client) dropIdle(instance string) {
+	c.mutex.Lock()
+	list := c.idle[instance]
+	delete(c.idle, instance)
+	c.mutex.Unlock()
+	for _, conn := range list {
+		_ = conn.Close()
+	}
+}
+
+// Sweep closes connections that have rested too long, and all to instances that are gone.
+func (c *Client) Sweep(present func(instance string) bool) {
+	c.mutex.Lock()
+	var over []*connection
+	for instance, list := range c.idle {
+		kept := list[:0]
+		for _, conn := range list {
+			if present(instance) && time.Since(conn.since) < conn.keep {
+				kept = append(kept, conn)
+				continue
+			}
+			over = append(over, conn)
+		}
+		c.idle[instance] = kept
+		if len(kept) == 0 {
+			delete(c.idle, instance)
+		}
+	}
+	c.mutex.Unlock()
+	for _, conn := range over {
+		_ = conn.Close()
+	}
+}
+
+// head writes a request's head and body in one piece.
+func head(request *Request) []byte {
+	item := request.Item
+	out := make([]byte, 0, 512+len(item.Body))
+	out = append(out, "POST "...)
+	out = append(out, item.Path...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	out = appendHeader(out, "Host", request.Host)
+	out = appendHeader(out, "X-Request-Id", item.ID)
+	out = appendHeader(out, "X-Tenant", request.Tenant)
+	out = appendHeader(out, "X-Expect-Instance", request.Instance)
+	out = appendHeader(out, "X-Deadline-Ms", strconv.FormatInt(max(request.Deadline.Milliseconds(), 1), 10))
+	if request.LastEventID >= 0 {
+		out = appendHeader(out, "Last-Event-Id", strconv.FormatInt(request.LastEventID, 10))
+	}
+	for _, header := range item.Headers {
+		if !ownHeader(header.Name) {
+			out = appendHeader(out, header.Name, header.Value)
+		}
+	}
+	out = appendHeader(out, "Content-Length", strconv.Itoa(len(item.Body)))
+	out = append(out, "\r\n"...)
+	return append(out, item.Body...)
+}
+
+func appendHeader(out []byte, name, value string) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	for i := range len(value) {
+		if value[i] != '\r' && value[i] != '\n' {
+			out = append(out, value[i])
+		}
+	}
+	return append(out, "\r\n"...)
+}
--- /dev/null
+++ b/internal/batch/placement/placement.go
@@ -0,0 +1,130 @@
+// Package placement owns which stores keep a batch job: a pure function of the job's id and the agreed set of stores, by
+// rendezvous hashing, so that any process comes to the same answer. It must never look at load or time.
+package placement
+
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Key tells stores apart, lives of a disk included: a store whose disk was lost comes back under another key.
+type Key string
+
+// KeyOf gives the key of a process.
+func KeyOf(process protocol.Process) Key { return Key(process.Node + "/" + process.Incarnation) }
+
+// Active gives the members of a view that take batch jobs.
+func Active(view protocol.StoreView) []protocol.Process {
+	active := make([]protocol.Process, 0, len(view.Members))
+	for _, member := range view.Members {
+		if member.State == protocol.StoreActive {
+			active = append(active, member.Process)
+		}
+	}
+	return active
+}
+
+// Rank orders stores by their weight for a job, heaviest first. Taking one store away leaves the order of the others.
+func Rank(job string, stores []protocol.Process) []protocol.Process {
+	type weighed struct {
+		process protocol.Process
+		weight  uint64
+	}
+	list := make([]weighed, 0, len(stores))
+	for _, store := range stores {
+		list = append(list, weighed{process: store, weight: weight(job, store)})
+	}
+	slices.SortFunc(list, func(a, b weighed) int {
+		if a.weight != b.weight {
+			return cmp.Compare(b.weight, a.weight)
+		}
+		return cmp.Compare(KeyOf(a.process), KeyOf(b.process))
+	})
+	ranked := make([]protocol.Process, len(list))
+	for i := range list {
+		ranked[i] = list[i].process
+	}
+	return ranked
+}
+
+func weight(job string, store protocol.Process) uint64 {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(job)
+	_, _ = digest.WriteString("\x00")
+	_, _ = digest.WriteString(string(KeyOf(store)))
+	return digest.Sum64()
+}
+
+// Arbiter gives the store that decides who may accept a job: the heaviest of the active ones.
+func Arbiter(job string, view protocol.StoreView) (protocol.Process, bool) {
+	ranked := Rank(job, Active(view))
+	if len(ranked) == 0 {
+		return protocol.Process{}, false
+	}
+	return ranked[0], true
+}
+
+// Replicas fills a replica set up to count members: those already in it stay in their order, then come active stores by
+// weight, those first that stand in a zone without one. Stores in avoid come last. It gives fewer where there are no more.
+func Replicas(job string, view protocol.StoreView, kept []protocol.Process, count int, avoid ...Key) []protocol.Process {
+	chosen := slices.Clone(kept)
+	candidates := Rank(job, Active(view))
+	slices.SortStableFunc(candidates, func(a, b protocol.Process) int {
+		return cmp.Compare(avoided(a, avoid), avoided(b, avoid))
+	})
+	for len(chosen) < count {
+		next := pick(candidates, chosen, avoid)
+		if next < 0 {
+			break
+		}
+		chosen = append(chosen, candidates[next])
+	}
+	return chosen
+}
+
+// pick gives the first candidate that is not chosen, one in a new zone before others, -1 where there is none.
+func pick(candidates, chosen []protocol.Process, avoid []Key) int {
+	fallback := -1
+	for i, candidate := range candidates {
+		if Contains(chosen, KeyOf(candidate)) {
+			continue
+		}
+		if avoided(candidate, avoid) == 0 && !hasZone(chosen, candidate.Zone) {
+			return i
+		}
+		if fallback < 0 {
+			fallback = i
+		}
+	}
+	return fallback
+}
+
+func avoided(process protocol.Process, avoid []Key) int {
+	if slices.Contains(avoid, KeyOf(process)) {
+		return 1
+	}
+	return 0
+}
+
+func hasZone(stores []protocol.Process, zone string) bool {
+	return slices.ContainsFunc(stores, func(p protocol.Process) bool { return p.Zone == zone })
+}
+
+// Contains tells whether a store is among others.
+func Contains(stores []protocol.Process, key Key) bool {
+	return slices.ContainsFunc(stores, func(p protocol.Process) bool { return KeyOf(p) == key })
+}
+
+// MemberOf gives a view's member with a key.
+func MemberOf(view protocol.StoreView, key Key) (protocol.StoreMember, bool) {
+	for _, member := range view.Members {
+		if KeyOf(member.Process) == key {
+			return member, true
+		}
+	}
+	return protocol.StoreMember{}, false
+}
--- /dev/null
+++ b/internal/batch/replica/held.go
@@ -0,0 +1,148 @@
+package replica
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Version orders the replica sets of a batch job: the epoch in which one was chosen, and its number within that epoch.
+type Version uint64
+
+const versionBits = 16
+
+func versionOf(epoch uint64, number uint64) Version { return Version(epoch<<versionBits | number) }
+
+// next gives a version of an epoch that is above this one.
+func (v Version) next(epoch uint64) Version {
+	if uint64(v)>>versionBits >= epoch {
+		return v + 1
+	}
+	return versionOf(epoch, 0)
+}
+
+// held is a batch job that this store keeps. Bodies and texts are on its disk.
+type held struct {
+	id, tenant, route string
+	firstSent         int64 // Unix milliseconds
+	version           Version
+	replicas          []protocol.Process // the owner first
+	contentAt         journal.Location
+	items             []heldItem
+	results           []heldResult
+	durable           int  // results on this disk
+	copyDurable       bool // this version is on this disk
+	ended, endDurable bool
+
+	owner bool // this store owns it, in the present epoch
+	whole bool // all replicas are known to hold it at this version
+	shown int  // results that are on all replicas
+	peers []peer
+
+	content []byte             // encoded, until it is whole
+	fresh   map[int]*Result    // results with their texts, until they are shown
+	handing []protocol.Process // the set to hand it over to, while this store retires
+	handed  bool
+
+	readers    []reader
+	submitters []Token
+	enders     []Token
+}
+
+type heldItem struct {
+	id     string
+	span   job.Span
+	listed bool
+}
+
+type heldResult struct {
+	item  int32
+	state job.State
+	at    journal.Location // of the text
+}
+
+// peer is what an owner knows of another member of the replica set.
+type peer struct {
+	process protocol.Process
+	known   bool // the rest is what it told
+	held    bool
+	count   int
+	ended   bool
+	busy    bool
+	sentAt  time.Duration
+}
+
+// reader waits for a result.
+type reader struct {
+	token Token
+	start int
+	until time.Duration
+}
+
+func newHeld(encoded []byte, at journal.Location) (*held, error) {
+	content, spans, err := job.Decode(encoded)
+	if err != nil {
+		return nil, err
+	}
+	h := &held{
+		id: content.ID, tenant: content.Tenant, route: content.Route, firstSent: content.FirstSent,
+		contentAt: at,
+		items:     make([]heldItem, len(spans)),
+	}
+	for i := range spans {
+		h.items[i] = heldItem{id: content.Items[i].ID, span: spans[i]}
+	}
+	return h, nil
+}
+
+// list adds a result at the next position.
+func (h *held) list(result heldResult) {
+	if h.items[result.item].listed {
+		panic("replica: an item at two positions")
+	}
+	h.items[result.item].listed = true
+	h.results = append(h.results, result)
+}
+
+// complete tells whether all items are listed.
+func (h *held) complete() bool { return len(h.results) == len(h.items) }
+
+func (h *held) peer(key placement.Key) *peer {
+	for i := range h.peers {
+		if placement.KeyOf(h.peers[i].process) == key {
+			return &h.peers[i]
+		}
+	}
+	return nil
+}
+
+// setReplicas takes a replica set of which self is the owner; nothing is known of the others.
+func (h *held) setReplicas(version Version, replicas []protocol.Process, self placement.Key) {
+	h.version, h.replicas = version, replicas
+	h.peers = nil
+	for _, replica := range replicas {
+		if placement.KeyOf(replica) != self {
+			h.peers = append(h.peers, peer{process: replica})
+		}
+	}
+	h.whole = false
+}
+
+// standing gives what is on all replicas: the content, a count of results, the end.
+func (h *held) standing() (whole bool, shown int, ended bool) {
+	whole, shown, ended = h.copyDurable, h.durable, h.endDurable
+	for i := range h.peers {
+		p := &h.peers[i]
+		whole = whole && p.known && p.held
+		if !p.known || !p.held {
+			shown, ended = 0, false
+			continue
+		}
+		shown = min(shown, p.count)
+		ended = ended && p.ended
+	}
+	return whole, shown, ended
+}
--- /dev/null
+++ b/internal/batch/replica/machine.go
@@ -0,0 +1,338 @@
+// Package replica owns the agreement between stores on batch jobs: which are accepted, who keeps and orders them, what
+// may be shown. It is a state machine: calls, messages, durable writes, views and time come in through Machine's methods,
+// and what is to be done goes out through Environment. It must never run an item.
+//
+// # Views
+//
+// The set of stores is agreed elsewhere (protocol.StoreView). A store acts only while its lease runs and only as a member
+// of the newest view that it knows; a store is taken out of the set only after its lease has surely ended. Messages carry
+// the epoch, and those of another one are dropped: whoever needs an answer sends again.
+//
+// # Acceptance
+//
+// A batch job's id has an arbiter, a pure function of id and view. A store that wants to accept a batch job asks the
+// arbiter, which answers the same store for the id until the epoch ends. Up to that answer nothing was written anywhere,
+// and a refusal is a promise. From there on the store goes through with it: it writes the whole batch job to its own disk
+// and to those of the other members of the replica set that it chose, and answers 202 once all have synced it. An arbiter
+// decides only once it has the inventories of all members of its epoch, pending acceptances included; so a batch job that
+// was accepted, or may yet be, in an earlier epoch is known to it. It is never accepted twice.
+//
+// # Results
+//
+// The first member of the replica set owns the batch job. It lists a result at the next position on its own disk first and
+// only then sends it on; a replica's list is therefore a prefix of the owner's, also after the owner has lost what it had
+// not synced. A result is shown when it is on the disks of all members of the set.
+//
+// # Change of the set
+//
+// A replica set has a version, and each change raises it. After a change of the view all members exchange inventories. For
+// each batch job the copies of the highest version count, and the first member of that set which is left and holds one is
+// the owner; it completes the set with other active members, under a new version. All that was ever shown under a
+// version is on every copy of it, so the owner's list is at least what was shown, and it becomes the list of the new set.
+// Until the new set is whole nothing is shown or acknowledged. A copy of a lower version is never used again: a change of
+// the set shows something only after all members of the new set hold the higher version, one of which is left as long as
+// no more disks are lost at once than are allowed for.
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Token names a client's call until it is answered.
+type Token uint64
+
+// Environment is what a Machine acts through. None of its methods may call the machine back.
+type Environment interface {
+	// Now is a steady clock.
+	Now() time.Duration
+	// Wall is the time of day in Unix milliseconds.
+	Wall() int64
+	// Write queues a record; Machine.Written tells when it is durable. Records are written in order.
+	Write(record []byte, urgent bool) (sequence uint64, at journal.Location)
+	// Read gives bytes of a durable record.
+	Read(at journal.Location) ([]byte, error)
+	// Send sends a message to another store; it may be lost.
+	Send(to protocol.Process, message any)
+	// Answer ends a call.
+	Answer(token Token, answer protocol.BatchAnswer)
+	// Start tells that this store is to run the batch job's items, Stop that it may not any more.
+	Start(id string)
+	Stop(id string)
+	// Free tells how many bytes the disk still takes.
+	Free() int64
+}
+
+// Options are a machine's constants.
+type Options struct {
+	Self      protocol.Process
+	Life      uint64        // differs for each start of the process
+	Copies    int           // disks that a batch job is on: one more than may be lost at once
+	KeepFor   time.Duration // from a batch job's first send, and while it is open
+	Reserve   int64         // bytes of disk that new batch jobs must leave free
+	MaxStored int           // batch jobs held at most, 0: no limit
+}
+
+// Machine is one store's part.
+type Machine struct {
+	options Options
+	env     Environment
+	self    placement.Key
+
+	view     protocol.StoreView
+	present  bool // this store is in the view
+	retiring bool // it is to be emptied
+	lease    time.Duration
+
+	round       uint64 // of inventories
+	settled     bool   // all inventories of the epoch are here
+	asked       time.Duration
+	inventories map[placement.Key]Inventory
+	lives       map[placement.Key]uint64 // newest life heard of each member
+
+	jobs         map[string]*held
+	order        []*held                  // of jobs, in the order in which they came
+	directory    map[string]placement.Key // owners of batch jobs that are not held here, or not owned
+	reservations map[string]placement.Key // as arbiter, in this epoch
+	acceptances  map[string]*acceptance
+	lookups      map[string]lookup // of batch jobs that aren't known here, at their arbiters
+	lastLookup   uint64
+	parked       []parkedCall
+	pending      []pendingWrite
+
+	departed     departed
+	settledEpoch uint64
+	emptiedAt    time.Duration // this store was first found to hold nothing that others need, 0: it does
+	lastExpiry   time.Duration
+}
+
+type pendingWrite struct {
+	sequence uint64
+	then     func()
+}
+
+// New gives a machine without batch jobs. Replay its log before anything else.
+func New(options Options, env Environment) *Machine {
+	return &Machine{
+		options: options, env: env,
+		self:         placement.KeyOf(options.Self),
+		inventories:  map[placement.Key]Inventory{},
+		lives:        map[placement.Key]uint64{},
+		jobs:         map[string]*held{},
+		directory:    map[string]placement.Key{},
+		reservations: map[string]placement.Key{},
+		acceptances:  map[string]*acceptance{},
+		lookups:      map[string]lookup{},
+		departed: departed{
+			since: map[placement.Key]time.Duration{}, settled: map[placement.Key]uint64{}, emptied: map[placement.Key]bool{},
+		},
+	}
+}
+
+// Replay applies a record of the log of earlier lives, in order.
+func (m *Machine) Replay(at journal.Location, record []byte) error { return m.replay(at, record) }
+
+// Grant renews the right to act. The lease ends at a time of Environment.Now; it was counted from when it was asked for.
+func (m *Machine) Grant(member bool, until time.Duration) {
+	if !member {
+		m.lease = 0
+		return
+	}
+	m.lease = max(m.lease, until)
+}
+
+// Allowed tells whether this store may act now. It is asked right before anything leaves that depends on it.
+func (m *Machine) Allowed() bool { return m.present && m.env.Now() < m.lease }
+
+// Epoch gives the epoch of the newest view known here.
+func (m *Machine) Epoch() uint64 { return m.view.Epoch }
+
+// Written tells that all records up to a number are durable.
+func (m *Machine) Written(sequence uint64) {
+	for len(m.pending) > 0 && m.pending[0].sequence <= sequence {
+		then := m.pending[0].then
+		m.pending[0].then = nil
+		m.pending = m.pending[1:]
+		then()
+	}
+	if len(m.pending) == 0 {
+		m.pending = nil
+	}
+}
+
+func (m *Machine) write(record []byte, urgent bool, then func()) journal.Location {
+	sequence, at := m.env.Write(record, urgent)
+	m.pending = append(m.pending, pendingWrite{sequence: sequence, then: then})
+	return at
+}
+
+// keep holds a batch job, in place of an earlier copy.
+func (m *Machine) keep(h *held) {
+	if old := m.jobs[h.id]; old != nil {
+		m.order[slices.Index(m.order, old)] = h
+	} else {
+		m.order = append(m.order, h)
+	}
+	m.jobs[h.id] = h
+}
+
+// drop forgets a batch job.
+func (m *Machine) drop(id string) {
+	h := m.jobs[id]
+	if h == nil {
+		return
+	}
+	delete(m.jobs, id)
+	m.order = slices.DeleteFunc(m.order, func(other *held) bool { return other == h })
+}
+
+func (m *Machine) stamp() Stamp { return Stamp{Epoch: m.view.Epoch, Life: m.options.Life} }
+
+// others calls a function for each other member of the view.
+func (m *Machine) others(call func(protocol.Process)) {
+	for _, member := range m.view.Members {
+		if placement.KeyOf(member.Process) != m.self {
+			call(member.Process)
+		}
+	}
+}
+
+// Message takes a message of another store.
+func (m *Machine) Message(from protocol.Process, message any) {
+	stamp, known := stampOf(message)
+	key := placement.KeyOf(from)
+	if !known || stamp.Epoch != m.view.Epoch || !m.present {
+		return
+	}
+	if _, member := placement.MemberOf(m.view, key); !member || key == m.self {
+		return
+	}
+	if m.hears(key, stamp.Life) {
+		return
+	}
+	switch message := message.(type) {
+	case InventoryRequest:
+		m.env.Send(from, m.inventory(message.Round))
+	case Inventory:
+		m.takeInventory(key, message)
+	case Reserve:
+		m.reserve(from, message)
+	case Reserved:
+		m.reserved(message)
+	case Release:
+		if m.reservations[message.Job] == key {
+			delete(m.reservations, message.Job)
+		}
+	case Lookup:
+		m.lookUp(from, message)
+	case Found:
+		m.found(message)
+	case Notice:
+		m.learn(message.Job, message.Owner)
+	case Replicate:
+		m.replicate(from, message)
+	case Replicated:
+		m.replicated(key, message)
+	case SettledNotice:
+		m.settledNotice(from, message)
+	default:
+		panic(fmt.Sprintf("replica: message of type %T", message))
+	}
+}
+
+// hears notes a sender's life. A new one has forgotten what it granted and knows nothing of what was asked: all
+// inventories are exchanged again. It tells whether the message is of a life that is over.
+func (m *Machine) hears(key placement.Key, life uint64) (stale bool) {
+	last, heard := m.lives[key]
+	if heard && life < last {
+		return true
+	}
+	m.lives[key] = life
+	if heard && life > last {
+		m.restart()
+	}
+	return false
+}
+
+// learn notes who owns a batch job that is not owned here.
+func (m *Machine) learn(id string, owner placement.Key) {
+	if h := m.jobs[id]; h != nil && h.owner {
+		return
+	}
+	if _, present := placement.MemberOf(m.view, owner); present && owner != m.self {
+		m.directory[id] = owner
+		delete(m.lookups, id)
+	}
+}
+
+// Job tells what a runner needs of a batch job that this store owns.
+type Job struct {
+	ID, Tenant, Route string
+	FirstSent         int64 // Unix milliseconds
+	Items             []JobItem
+}
+
+// JobItem is an item that isn't listed yet.
+type JobItem struct {
+	Index int
+	At    journal.Location // of its encoding, see job.DecodeItem
+}
+
+// Work gives a batch job's items that are not listed, where this store may run them.
+func (m *Machine) Work(id string) (Job, bool) {
+	h := m.jobs[id]
+	if h == nil || !h.owner || h.ended {
+		return Job{}, false
+	}
+	work := Job{ID: h.id, Tenant: h.tenant, Route: h.route, FirstSent: h.firstSent}
+	for i := range h.items {
+		if !h.items[i].listed {
+			work.Items = append(work.Items, JobItem{Index: i, At: h.itemAt(i)})
+		}
+	}
+	return work, true
+}
+
+func (h *held) itemAt(index int) journal.Location {
+	return h.contentAt.Part(h.items[index].span.Offset, h.items[index].span.Length)
+}
+
+// MayRun tells whether an item may go to a server now. It is asked right before its first byte.
+func (m *Machine) MayRun(id string, index int) bool {
+	h := m.jobs[id]
+	return m.Allowed() && h != nil && h.owner && h.whole && !h.ended && len(h.handing) == 0 && !h.items[index].listed
+}
+
+// Finish lists what became of an item. It tells whether it was taken; where it wasn't, ask again unless the batch job was
+// stopped.
+func (m *Machine) Finish(id string, index int, state job.State, text []byte) bool {
+	h := m.jobs[id]
+	if h == nil || !h.owner || !h.whole || h.ended || !m.present {
+		return false
+	}
+	if h.items[index].listed {
+		return true
+	}
+	result := &Result{Item: index, State: byte(state), Text: text}
+	position := len(h.results)
+	record := encodeResult(id, position, result)
+	at := m.write(record, false, func() {
+		h.durable = max(h.durable, position+1)
+		m.pump(h)
+	})
+	h.list(heldResult{item: int32(index), state: state, at: at.Part(uint32(len(record)-len(text)), uint32(len(text)))})
+	if h.fresh == nil {
+		h.fresh = map[int]*Result{}
+	}
+	h.fresh[position] = result
+	return true
+}
+
+// Members gives the newest view known here.
+func (m *Machine) Members() protocol.StoreView { return m.view }
--- /dev/null
+++ b/internal/batch/replica/messages.go
@@ -0,0 +1,160 @@
+package replica
+
+import (
+	"encoding/gob"
+
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Stamp heads every message between stores. A message of another epoch than the receiver's is dropped: what matters is
+// sent again.
+type Stamp struct {
+	Epoch uint64 // of the sender's view
+	Life  uint64 // differs for each start of the sender's process
+}
+
+// InventoryRequest asks a store for all that it holds.
+type InventoryRequest struct {
+	Stamp
+	Round uint64 // the asker's; comes back
+}
+
+// Inventory is all that a store holds, as of when the request came.
+type Inventory struct {
+	Stamp
+	Round   uint64
+	Settled uint64 // highest epoch in which all that the sender owns stood whole
+	Entries []Entry
+}
+
+// Entry is one batch job of an inventory.
+type Entry struct {
+	Job      string
+	Version  Version
+	Replicas []protocol.Process
+	Count    int // results
+	Ended    bool
+}
+
+// Reserve asks the arbiter of a batch job's id whether the sender may accept it.
+type Reserve struct {
+	Stamp
+	Job string
+}
+
+// Reserved names the store that may accept a batch job or holds it: the asker itself where the reservation is granted.
+type Reserved struct {
+	Stamp
+	Job   string
+	Owner placement.Key
+}
+
+// Release gives a reservation back: nothing of the batch job was written.
+type Release struct {
+	Stamp
+	Job string
+}
+
+// Lookup asks the arbiter of a batch job's id who holds it.
+type Lookup struct {
+	Stamp
+	Job    string
+	Number uint64 // the asker's; comes back
+}
+
+// Found answers a Lookup. Owner is empty where no store of the view holds the batch job.
+type Found struct {
+	Stamp
+	Job    string
+	Number uint64
+	Owner  placement.Key
+}
+
+// Notice tells other stores who owns a batch job, so that they need not ask.
+type Notice struct {
+	Stamp
+	Job   string
+	Owner placement.Key
+}
+
+// Replicate brings a replica up to the owner's state, or asks for the replica's where nothing is in it.
+type Replicate struct {
+	Stamp
+	Job      string
+	Version  Version
+	Replicas []protocol.Process // with Content
+	Content  []byte             // encoded; nil: the replica has it
+	Start    int                // position of the first of Results; 0 with Content
+	Results  []Result
+	Ended    bool
+}
+
+// Result is one listed item.
+type Result struct {
+	Item  int // index in the batch job
+	State byte
+	Text  []byte
+}
+
+// Replicated tells what the replica holds on its disk.
+type Replicated struct {
+	Stamp
+	Job     string
+	Held    bool
+	Version Version
+	Count   int
+	Ended   bool
+	Whole   bool // the sender owns the batch job, and all of its replicas hold it
+}
+
+// SettledNotice tells the highest epoch in which all that the sender owns stood whole.
+type SettledNotice struct {
+	Stamp
+	Settled uint64
+	Ask     bool // the receiver is to tell, too
+	Emptied bool // the sender retires, and holds nothing that isn't whole without it
+}
+
+// Messages lists one value of each type, for registration with a transport.
+func Messages() []any {
+	return []any{
+		InventoryRequest{}, Inventory{}, Reserve{}, Reserved{}, Release{}, Lookup{}, Found{}, Notice{}, Replicate{},
+		Replicated{}, SettledNotice{},
+	}
+}
+
+func init() {
+	for _, message := range Messages() {
+		gob.Register(message)
+	}
+}
+
+func stampOf(message any) (Stamp, bool) {
+	switch m := message.(type) {
+	case InventoryRequest:
+		return m.Stamp, true
+	case Inventory:
+		return m.Stamp, true
+	case Reserve:
+		return m.Stamp, true
+	case Reserved:
+		return m.Stamp, true
+	case Release:
+		return m.Stamp, true
+	case Lookup:
+		return m.Stamp, true
+	case Found:
+		return m.Stamp, true
+	case Notice:
+		return m.Stamp, true
+	case Replicate:
+		return m.Stamp, true
+	case Replicated:
+		return m.Stamp, true
+	case SettledNotice:
+		return m.Stamp, true
+	default:
+		return Stamp{}, false
+	}
+}
--- /dev/null
+++ b/internal/batch/replica/replicate.go
@@ -0,0 +1,244 @@
+package replica
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns how an owner brings the other members of a replica set up to its state, and what they do with it.
+
+const (
+	replicateAgain = 700 * time.Millisecond
+	maxChunk       = 512 << 10 // of results in one message, bytes
+)
+
+// pump sends each peer of an owned batch job what it lacks.
+func (m *Machine) pump(h *held) {
+	if !h.owner || !m.present || !h.copyDurable {
+		return
+	}
+	if len(h.handing) > 0 {
+		m.pumpHandover(h)
+		return
+	}
+	for i := range h.peers {
+		m.pumpPeer(h, &h.peers[i])
+	}
+}
+
+func (m *Machine) pumpPeer(h *held, p *peer) {
+	now := m.env.Now()
+	if p.busy && now-p.sentAt < replicateAgain {
+		return
+	}
+	message := Replicate{Stamp: m.stamp(), Job: h.id, Version: h.version}
+	switch {
+	case !p.known: // ask
+	case !p.held:
+		if !m.fillCopy(h, &message, h.durable) {
+			return
+		}
+	case p.count < h.durable || h.endDurable && !p.ended:
+		if !m.fillResults(h, &message, p.count) {
+			return
+		}
+		message.Ended = h.endDurable
+	default:
+		return
+	}
+	p.busy, p.sentAt = true, now
+	m.env.Send(p.process, message)
+}
+
+// fillCopy puts a whole copy into a message. It tells whether it could be read.
+func (m *Machine) fillCopy(h *held, message *Replicate, count int) bool {
+	content := h.content
+	if content == nil {
+		read, err := m.env.Read(h.contentAt)
+		if err != nil {
+			return false
+		}
+		content = read
+	}
+	message.Content, message.Replicas, message.Ended = content, h.replicas, h.endDurable
+	for position := range count {
+		result, ok := m.result(h, position)
+		if !ok {
+			return false
+		}
+		message.Results = append(message.Results, result)
+	}
+	return true
+}
+
+func (m *Machine) fillResults(h *held, message *Replicate, start int) bool {
+	message.Start = start
+	size := 0
+	for position := start; position < h.durable && size < maxChunk; position++ {
+		result, ok := m.result(h, position)
+		if !ok {
+			return false
+		}
+		size += len(result.Text)
+		message.Results = append(message.Results, result)
+	}
+	return true
+}
+
+// result gives a listed item with its text.
+func (m *Machine) result(h *held, position int) (Result, bool) {
+	if fresh := h.fresh[position]; fresh != nil {
+		return *fresh, true
+	}
+	listed := &h.results[position]
+	text, err := m.env.Read(listed.at)
+	if err != nil {
+		return Result{}, false
+	}
+	return Result{Item: int(listed.item), State: byte(listed.state), Text: text}, true
+}
+
+// replicate takes what the owner sends.
+func (m *Machine) replicate(from protocol.Process, message Replicate) {
+	h := m.jobs[message.Job]
+	switch {
+	case h != nil && h.owner: // a retiring store asks whether the set is whole without it
+		m.acknowledge(h, from)
+	case h != nil && h.version == message.Version:
+		m.extend(h, from, message)
+	case h != nil && h.version > message.Version:
+		return // the sender will learn of it
+	case message.Content == nil:
+		m.env.Send(from, Replicated{Stamp: m.stamp(), Job: message.Job, Version: message.Version})
+	default:
+		m.adopt(from, message)
+	}
+}
+
+// adopt writes a whole copy, in place of what was held.
+func (m *Machine) adopt(from protocol.Process, message Replicate) {
+	record := encodeCopy(message.Job, message.Version, message.Replicas, message.Ended, message.Content, message.Results)
+	h, err := newHeld(message.Content, journal.Location{})
+	if err != nil || h.id != message.Job {
+		return
+	}
+	if old := m.jobs[message.Job]; old != nil {
+		m.pass(old)
+	}
+	at := m.write(record, true, func() {
+		h.copyDurable = true
+		h.durable = max(h.durable, len(message.Results))
+		h.endDurable = message.Ended
+		m.acknowledge(h, from)
+		m.inherit(h)
+	})
+	h.version, h.replicas, h.ended = message.Version, message.Replicas, message.Ended
+	h.contentAt, h.results = locate(h, record, at)
+	for i := range h.results {
+		h.items[h.results[i].item].listed = true
+	}
+	m.keep(h)
+	m.directory[message.Job] = placement.KeyOf(from)
+}
+
+// extend appends results to a copy of the same version.
+func (m *Machine) extend(h *held, from protocol.Process, message Replicate) {
+	for i := range message.Results {
+		position := message.Start + i
+		if position != len(h.results) {
+			continue
+		}
+		result := message.Results[i]
+		record := encodeResult(h.id, position, &result)
+		at := m.write(record, message.Ended, func() { h.durable = max(h.durable, position+1) })
+		h.list(heldResultOf(&result, at.Part(uint32(len(record)-len(result.Text)), uint32(len(result.Text)))))
+	}
+	if message.Ended && !h.ended {
+		h.ended = true
+		m.write(encodeEnded(h.id), true, func() { h.endDurable = true })
+	}
+	m.afterWrites(func() { m.acknowledge(h, from) })
+}
+
+// afterWrites calls a function once all that was written so far is durable.
+func (m *Machine) afterWrites(then func()) {
+	if len(m.pending) == 0 {
+		then()
+		return
+	}
+	m.pending = append(m.pending, pendingWrite{sequence: m.pending[len(m.pending)-1].sequence, then: then})
+}
+
+func (m *Machine) acknowledge(h *held, to protocol.Process) {
+	if m.jobs[h.id] != h {
+		return
+	}
+	m.env.Send(to, Replicated{
+		Stamp: m.stamp(), Job: h.id, Held: h.copyDurable, Version: h.version, Count: h.durable, Ended: h.endDurable,
+		Whole: h.owner && h.whole,
+	})
+}
+
+// replicated takes a peer's account.
+func (m *Machine) replicated(from placement.Key, message Replicated) {
+	h := m.jobs[message.Job]
+	if h == nil {
+		return
+	}
+	if !h.owner {
+		h.handed = h.handed || m.retiring && message.Whole
+		return
+	}
+	if len(h.handing) > 0 {
+		m.handedOver(h, from, message)
+		return
+	}
+	p := h.peer(from)
+	if p == nil || message.Version != h.version {
+		return
+	}
+	p.known, p.busy = true, false
+	p.held = p.held || message.Held // what is on its disk stays there: an answer that says less is an earlier one
+	p.count = max(p.count, message.Count)
+	p.ended = p.ended || message.Ended
+	m.judge(h)
+	m.pumpPeer(h, p)
+}
+
+// judge draws what follows from what the replicas hold.
+func (m *Machine) judge(h *held) {
+	if !h.owner || len(h.handing) > 0 || len(h.replicas) < m.options.Copies {
+		return
+	}
+	whole, shown, ended := h.standing()
+	if !whole && !h.whole {
+		return
+	}
+	for ; h.shown < shown; h.shown++ {
+		delete(h.fresh, h.shown)
+	}
+	if !h.whole {
+		h.whole = true
+		h.content = nil
+		m.becameWhole(h)
+	}
+	m.answerReaders(h)
+	if ended {
+		m.answerEnders(h)
+	}
+}
+
+func (m *Machine) becameWhole(h *held) {
+	for _, token := range h.submitters {
+		m.answer(token, accepted())
+	}
+	h.submitters = nil
+	if !h.ended && !h.complete() {
+		m.env.Start(h.id)
+	}
+	m.checkSettled()
+	m.unpark()
+}
--- /dev/null
+++ b/internal/batch/replica/settle.go
@@ -0,0 +1,346 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns what follows a change of the view: inventories, and who owns what.
+
+const (
+	inventoryAgain = 250 * time.Millisecond
+	emptiedTold    = 250 * time.Millisecond // that others are told of an emptied store before control is
+)
+
+// View takes a newer agreed set of stores.
+func (m *Machine) View(view protocol.StoreView) {
+	if view.Epoch <= m.view.Epoch {
+		return
+	}
+	last := m.view
+	wasPresent := m.present
+	m.view = view
+	m.departed.change(view, m.env.Now())
+	m.writeDeparted()
+	member, present := placement.MemberOf(view, m.self)
+	m.present = present
+	m.retiring = present && member.State != protocol.StoreActive
+	next := wasPresent && present && view.Epoch == last.Epoch+1
+	for _, h := range m.order {
+		h.handed = false
+		if h.owner && !(next && m.stands(h)) {
+			m.disown(h)
+		}
+		if !present {
+			m.leave(h)
+		}
+	}
+	for id, owner := range m.directory {
+		if _, present := placement.MemberOf(view, owner); !present {
+			delete(m.directory, id)
+		}
+	}
+	clear(m.reservations)
+	clear(m.lookups)
+	for _, a := range m.acceptances {
+		a.askedAt = 0
+	}
+	if present {
+		m.restart()
+	}
+}
+
+// stands tells whether a replica set is good in the present view as it is.
+func (m *Machine) stands(h *held) bool {
+	if len(h.replicas) < m.options.Copies || len(h.handing) > 0 {
+		return false
+	}
+	return m.allActive(h.replicas)
+}
+
+func (m *Machine) allActive(stores []protocol.Process) bool {
+	for _, store := range stores {
+		member, present := placement.MemberOf(m.view, placement.KeyOf(store))
+		if !present || member.State != protocol.StoreActive {
+			return false
+		}
+	}
+	return true
+}
+
+// disown gives up a batch job until it is known who owns it. What runs may end, and is taken if this store owns it again.
+func (m *Machine) disown(h *held) {
+	h.owner, h.whole = false, false
+	h.handing = nil
+	h.peers = nil
+}
+
+// leave stops what this store does for a batch job: it is out of the view.
+func (m *Machine) leave(h *held) {
+	m.env.Stop(h.id)
+	for _, token := range append(h.submitters, h.enders...) {
+		m.answer(token, uncertain())
+	}
+	h.submitters, h.enders = nil, nil
+}
+
+// restart asks all other members for their inventories.
+func (m *Machine) restart() {
+	m.round++
+	m.settled = false
+	clear(m.inventories)
+	m.askInventories()
+	m.settle()
+}
+
+func (m *Machine) askInventories() {
+	m.asked = m.env.Now()
+	m.others(func(other protocol.Process) {
+		if _, here := m.inventories[placement.KeyOf(other)]; !here {
+			m.env.Send(other, InventoryRequest{Stamp: m.stamp(), Round: m.round})
+		}
+	})
+}
+
+func (m *Machine) inventory(round uint64) Inventory {
+	entries := make([]Entry, 0, len(m.jobs))
+	for _, h := range m.order {
+		entries = append(entries, Entry{
+			Job: h.id, Version: h.version, Replicas: h.replicas, Count: h.durable, Ended: h.endDurable,
+		})
+	}
+	return Inventory{Stamp: m.stamp(), Round: round, Settled: m.settledEpoch, Entries: entries}
+}
+
+func (m *Machine) takeInventory(from placement.Key, inventory Inventory) {
+	if inventory.Round != m.round || m.settled {
+		return
+	}
+	m.inventories[from] = inventory
+	m.departed.settled[from] = max(m.departed.settled[from], inventory.Settled)
+	m.settle()
+}
+
+// copies is what is known of a batch job's copies of the highest version.
+type copies struct {
+	version  Version
+	replicas []protocol.Process
+	holders  []placement.Key
+}
+
+// settle decides who owns what, once all inventories are here.
+func (m *Machine) settle() {
+	if m.settled || !m.present {
+		return
+	}
+	complete := true
+	m.others(func(other protocol.Process) {
+		_, here := m.inventories[placement.KeyOf(other)]
+		complete = complete && here
+	})
+	if !complete {
+		return
+	}
+	m.settled = true
+	all := m.gather()
+	clear(m.inventories)
+	m.forgetDirectory(all)
+	for _, id := range slices.Sorted(maps.Keys(all)) {
+		if !m.isNewest(all[id]) {
+			continue // until those that left are back
+		}
+		owner := m.ownerOf(all[id])
+		if owner == m.self {
+			if h := m.jobs[id]; h != nil && h.version == all[id].version {
+				m.take(h)
+			}
+			continue
+		}
+		m.directory[id] = owner
+		if h := m.jobs[id]; h != nil {
+			m.pass(h)
+		}
+	}
+	m.unpark()
+	m.checkSettled()
+}
+
+// gather joins the inventories with what is held here.
+func (m *Machine) gather() map[string]*copies {
+	all := make(map[string]*copies, len(m.jobs))
+	for _, entry := range m.inventory(0).Entries {
+		join(all, m.self, entry)
+	}
+	for key, inventory := range m.inventories {
+		for _, entry := range inventory.Entries {
+			join(all, key, entry)
+		}
+	}
+	return all
+}
+
+func join(all map[string]*copies, holder placement.Key, entry Entry) {
+	found := all[entry.Job]
+	switch {
+	case found == nil || found.version < entry.Version:
+		all[entry.Job] = &copies{version: entry.Version, replicas: entry.Replicas, holders: []placement.Key{holder}}
+	case found.version == entry.Version:
+		found.holders = append(found.holders, holder)
+	}
+}
+
+// forgetDirectory drops what was told of batch jobs that nobody holds, reservations of this epoch apart.
+func (m *Machine) forgetDirectory(all map[string]*copies) {
+	for id := range m.directory {
+		if _, reserved := m.reservations[id]; all[id] == nil && !reserved {
+			delete(m.directory, id)
+		}
+	}
+}
+
+// ownerOf gives the owner of the highest version: the first of its replica set where that is still there, as it had its
+// copy on its disk before it sent one; else the first that is there and listed a copy. All stores of an epoch come to the
+// same answer, though their inventories are not of one moment: what changes within the epoch is only that the owner raises
+// the version, and the new set begins with it.
+func (m *Machine) ownerOf(found *copies) placement.Key {
+	for i, replica := range found.replicas {
+		key := placement.KeyOf(replica)
+		_, present := placement.MemberOf(m.view, key)
+		if present && (i == 0 || slices.Contains(found.holders, key)) {
+			return key
+		}
+	}
+	return slices.Min(found.holders)
+}
+
+// take owns a batch job, with a replica set that is good in the present view.
+func (m *Machine) take(h *held) {
+	if h.owner {
+		for i := range h.peers {
+			h.peers[i].busy = false
+		}
+		m.pump(h)
+		return
+	}
+	delete(m.directory, h.id)
+	h.owner = true
+	switch {
+	case m.retiring:
+		m.handOver(h)
+	case m.stands(h) && placement.KeyOf(h.replicas[0]) == m.self:
+		h.setReplicas(h.version, h.replicas, m.self)
+	default:
+		m.renew(h)
+	}
+	m.announce(h.id, m.self)
+	m.pump(h)
+	m.judge(h)
+}
+
+// renew gives a batch job a new replica set: this store, those left of the old one, and others up to the count.
+func (m *Machine) renew(h *held) {
+	kept := []protocol.Process{m.options.Self}
+	for _, replica := range h.replicas {
+		key := placement.KeyOf(replica)
+		member, present := placement.MemberOf(m.view, key)
+		if key != m.self && present && member.State == protocol.StoreActive && len(kept) < m.options.Copies {
+			kept = append(kept, replica)
+		}
+	}
+	replicas := placement.Replicas(h.id, m.view, kept, m.options.Copies)
+	h.setReplicas(h.version.next(m.view.Epoch), replicas, m.self)
+	h.copyDurable = false
+	version := h.version
+	m.write(encodeReplicas(h.id, version, replicas), true, func() {
+		if h.version == version {
+			h.copyDurable = true
+			m.pump(h)
+			m.judge(h)
+		}
+	})
+}
+
+// pass leaves a batch job to its owner. What runs here is stopped.
+func (m *Machine) pass(h *held) {
+	h.owner, h.whole = false, false
+	h.peers = nil
+	h.content, h.fresh = nil, nil
+	m.env.Stop(h.id)
+	m.redirect(h)
+}
+
+// announce tells the others who owns a batch job.
+func (m *Machine) announce(id string, owner placement.Key) {
+	m.others(func(other protocol.Process) {
+		m.env.Send(other, Notice{Stamp: m.stamp(), Job: id, Owner: owner})
+	})
+}
+
+// Report tells control how far this store is.
+func (m *Machine) Report() protocol.BatchReport {
+	return protocol.BatchReport{
+		Epoch:       m.view.Epoch,
+		Settled:     m.settledEpoch,
+		BatchJobs:   len(m.jobs),
+		FreeBytes:   m.env.Free(),
+		DrainedDown: m.emptiedAt > 0 && m.env.Now()-m.emptiedAt >= emptiedTold,
+	}
+}
+
+// checkSettled notes once all that this store owns stands whole in the present epoch.
+func (m *Machine) checkSettled() {
+	if !m.settled || !m.present || m.settledEpoch == m.view.Epoch {
+		return
+	}
+	for _, h := range m.order {
+		if h.owner && !h.whole {
+			return
+		}
+	}
+	m.settledEpoch = m.view.Epoch
+	m.tellSettled()
+	m.checkDeparted()
+}
+
+// drained tells whether a retiring store keeps nothing that isn't whole on other stores.
+func (m *Machine) drained() bool {
+	if !m.retiring || !m.settled || len(m.acceptances) > 0 {
+		return false
+	}
+	for _, h := range m.order {
+		if !h.handed {
+			return false
+		}
+	}
+	return true
+}
+
+// checkEmptied tells the others once this store, which retires, holds nothing that they need.
+func (m *Machine) checkEmptied() {
+	if !m.drained() {
+		m.emptiedAt = 0
+		m.askOwners()
+		return
+	}
+	if m.emptiedAt == 0 {
+		m.emptiedAt = m.env.Now()
+	}
+	m.tellSettled()
+}
+
+// askOwners asks, while this store retires, the owners of what it holds whether their sets are whole without it.
+func (m *Machine) askOwners() {
+	for _, h := range m.order {
+		if h.handed || h.owner {
+			continue
+		}
+		member, present := placement.MemberOf(m.view, m.directory[h.id])
+		if present {
+			m.env.Send(member.Process, Replicate{Stamp: m.stamp(), Job: h.id, Version: h.version})
+		}
+	}
+}
--- /dev/null
+++ b/internal/batch/replica/tick.go
@@ -0,0 +1,120 @@
+package replica
+
+import (
+	"maps"
+	"slices"
+	"time"
+)
+
+// This file owns what happens by time alone.
+
+const expiryEvery = time.Second
+
+// Tick is to be called a few times a second.
+func (m *Machine) Tick() {
+	now := m.env.Now()
+	m.expireWaiting(now)
+	if !m.present {
+		return
+	}
+	if !m.settled && now-m.asked >= inventoryAgain {
+		m.askInventories()
+		m.settle()
+	}
+	for _, id := range m.accepting() {
+		m.askArbiter(id, m.acceptances[id])
+	}
+	for _, h := range m.order {
+		if h.owner {
+			m.pump(h)
+		}
+	}
+	if m.retiring && m.settled {
+		m.checkEmptied()
+	}
+	if len(m.departed.since) > 0 && m.settledEpoch == m.view.Epoch && now-m.departed.toldAt >= noticeAgain {
+		m.tellSettled()
+	}
+	if now-m.lastExpiry >= expiryEvery {
+		m.lastExpiry = now
+		m.expireDeparted(now)
+		m.dropExpired()
+	}
+}
+
+func (m *Machine) expireWaiting(now time.Duration) {
+	waiting := m.parked
+	m.parked = nil
+	for _, p := range waiting {
+		switch {
+		case now >= p.until:
+			m.expire(p)
+		case m.jobs[p.call.BatchJob] == nil && m.Allowed():
+			m.dispatch(p)
+		default:
+			m.parked = append(m.parked, p)
+		}
+	}
+	for _, id := range m.accepting() {
+		if a := m.acceptances[id]; now >= a.until {
+			delete(m.acceptances, id)
+			m.refuse(a)
+		}
+	}
+	for _, h := range m.order {
+		m.expireReaders(h, now)
+	}
+}
+
+// accepting lists the batch jobs that are being accepted, in a fixed order.
+func (m *Machine) accepting() []string {
+	if len(m.acceptances) == 0 {
+		return nil
+	}
+	return slices.Sorted(maps.Keys(m.acceptances))
+}
+
+func (m *Machine) expireReaders(h *held, now time.Duration) {
+	if !slices.ContainsFunc(h.readers, func(r reader) bool { return now >= r.until }) {
+		return
+	}
+	waiting := h.readers
+	h.readers = nil
+	for _, r := range waiting {
+		switch {
+		case now < r.until:
+			h.readers = append(h.readers, r)
+		case h.owner && h.whole && m.Allowed():
+			m.answerRead(h, r.token, r.start)
+		default:
+			m.answer(r.token, unavailable())
+		}
+	}
+}
+
+// dropExpired forgets batch jobs whose time is over: closed ones after KeepFor, copies that were left behind after twice
+// that.
+func (m *Machine) dropExpired() {
+	wall := m.env.Wall()
+	keep := m.options.KeepFor.Milliseconds()
+	for _, h := range slices.Clone(m.order) {
+		age := wall - h.firstSent
+		closed := h.ended || h.complete()
+		if age < keep || !closed && (h.owner || age < 2*keep) {
+			continue
+		}
+		m.write(encodeDropped(h.id), false, func() {})
+		m.redirect(h)
+		m.env.Stop(h.id)
+		m.drop(h.id)
+	}
+}
+
+// OldestSegment gives the first segment of the log that something still needs; limit where there is nothing.
+func (m *Machine) OldestSegment(limit uint32) uint32 {
+	oldest := limit
+	for _, h := range m.order {
+		oldest = min(oldest, h.contentAt.Segment)
+	}
+	return oldest
+}
--- /dev/null
+++ b/internal/batch/runner/run.go
@@ -0,0 +1,145 @@
+package runner
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/exchange"
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/schedule"
+)
+
+// run sends one item to one server.
+func (r *Runner) run(b *batchJob, assignment schedule.Assignment) {
+	defer r.runs.Done()
+	outcome := r.send(b, assignment)
+	if r.ended(b, assignment, outcome) {
+		r.handIn(b)
+	}
+	r.Wake()
+}
+
+func (r *Runner) send(b *batchJob, assignment schedule.Assignment) exchange.Outcome {
+	r.mutex.Lock()
+	kept := *b.items[assignment.Index]
+	r.mutex.Unlock()
+	closed := exchange.Outcome{Ending: exchange.Closed, LastEventID: kept.last}
+	snapshot := r.knowledge.Configuration()
+	if snapshot == nil || snapshot.RouteNamed(b.Route) == nil {
+		return closed
+	}
+	item, err := r.store.ReadItem(kept.at)
+	if err != nil {
+		r.log.Error().Err(err).Str("batch_job", b.ID).Msg("item_unreadable")
+		return closed
+	}
+	return r.client.Run(b.context, &exchange.Request{
+		Address:     assignment.Server.Address,
+		Instance:    assignment.Server.ID,
+		Host:        snapshot.RouteNamed(b.Route).Hostname,
+		Tenant:      b.Tenant,
+		Item:        &item,
+		LastEventID: kept.last,
+		Deadline:    min(mostDeadline, max(time.Until(b.giveUpAt), time.Second)),
+		Silence:     silence,
+		Gate:        func() bool { return r.maySend(b, assignment) },
+		First: func(took time.Duration) {
+			r.mutex.Lock()
+			defer r.mutex.Unlock()
+			r.planner.FirstEvent(assignment.Server.ID, took, r.now())
+		},
+	})
+}
+
+// maySend is asked right before the first byte: the store must still consent, the server be listed, and the route lead to it.
+func (r *Runner) maySend(b *batchJob, assignment schedule.Assignment) bool {
+	if b.context.Err() != nil || !r.store.MayRun(b.ID, assignment.Index) {
+		return false
+	}
+	snapshot := r.knowledge.Configuration()
+	route := snapshot.RouteNamed(b.Route)
+	if route == nil {
+		return false
+	}
+	for _, backend := range route.Backends() {
+		for _, server := range r.knowledge.Servers(backend) {
+			if server.ID == assignment.Server.ID {
+				r.mutex.Lock()
+				r.counts.Runs++
+				r.mutex.Unlock()
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// ended takes what came of a run. It tells whether something is to be handed in.
+func (r *Runner) ended(b *batchJob, assignment schedule.Assignment, outcome exchange.Outcome) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	now := r.now()
+	r.planner.Ended(assignment.Server.ID)
+	if outcome.Leaving {
+		r.planner.Full(assignment.Server.ID, now, againLater)
+	}
+	kept := b.items[assignment.Index]
+	if r.jobs[b.ID] != b || kept == nil {
+		return false
+	}
+	kept.events = append(kept.events, outcome.Events...)
+	kept.last = outcome.LastEventID
+	return r.follow(b, kept, assignment, outcome, now)
+}
+
+// follow decides what follows a run. The mutex is held.
+func (r *Runner) follow(b *batchJob, kept *progress, assignment schedule.Assignment, outcome exchange.Outcome, now time.Duration) bool {
+	instance := assignment.Server.ID
+	switch outcome.Ending {
+	case exchange.Completed:
+		b.finished = append(b.finished, finished{index: assignment.Index, state: job.Completed, text: text(kept.events)})
+		return true
+	case exchange.Impossible:
+		b.finished = append(b.finished, finished{index: assignment.Index, state: job.DeadLetter})
+		return true
+	case exchange.Failed:
+		r.counts.Failed++
+		kept.failures++
+		if kept.failures >= r.maxAttempts(b) {
+			b.finished = append(b.finished, finished{index: assignment.Index, state: job.DeadLetter})
+			return true
+		}
+		r.planner.Return(assignment.Task, now+againSoon, instance)
+	case exchange.NotExecuted:
+		r.counts.Rejected++
+		r.planner.Full(instance, now, outcome.RetryAfter)
+		r.planner.Return(assignment.Task, now+againSoon, instance)
+	case exchange.Refused:
+		r.counts.Rejected++
+		r.planner.Full(instance, now, outcome.RetryAfter)
+		r.planner.Return(assignment.Task, now+againLater, instance)
+	case exchange.Cut:
+		r.counts.Cut++
+		if len(kept.events) > 0 {
+			r.counts.Resumed++
+		}
+		r.planner.Broken(instance, now)
+		r.planner.Return(assignment.Task, now+againSoon, instance)
+	case exchange.NotSent:
+		r.planner.Broken(instance, now)
+		r.planner.Return(assignment.Task, now+againSoon, instance)
+	case exchange.Closed:
+		r.planner.Return(assignment.Task, now+againLater, "")
+	}
+	return false
+}
+
+func (r *Runner) maxAttempts(b *batchJob) int {
+	snapshot := r.knowledge.Configuration()
+	if snapshot == nil {
+		return 1
+	}
+	if route := snapshot.RouteNamed(b.Route); route != nil {
+		return max(route.MaxAttempts, 1)
+	}
+	return 1
+}
--- /dev/null
+++ b/internal/batch/runner/runner.go
@@ -0,0 +1,348 @@
+// Package runner owns the running of items: it takes the batch jobs that this store owns, sends their items to servers as
+// the schedule says, keeps what came of broken streams, and hands in what became of each item. It must never send a byte of
+// an item without the store's consent right before it, nor join events of runs that don't continue one another.
+package runner
+
+import (
+	"bytes"
+	"context"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/internal/batch/exchange"
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/replica"
+	"sprucelane.example/sprucelane/internal/batch/schedule"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Store is what items belong to.
+type Store interface {
+	Work(id string) (replica.Job, bool)
+	ReadItem(at journal.Location) (job.Item, error)
+	MayRun(id string, index int) bool
+	Finish(id string, index int, state job.State, text []byte) bool
+}
+
+// Knowledge is what control tells.
+type Knowledge interface {
+	Configuration() *configuration.Snapshot
+	Servers(backend string) []protocol.Server
+}
+
+const (
+	pollEvery     = 100 * time.Millisecond // for what waits on time, while something does
+	silence       = 3 * time.Second        // of a server, after which it is given up
+	mostDeadline  = 30 * time.Second       // that a server gets for an item
+	againSoon     = 20 * time.Millisecond
+	againLater    = 300 * time.Millisecond
+	routeGoneFor  = time.Second // until a route that is missing has ended
+	sweepEvery    = time.Second
+	finishedAgain = 200 * time.Millisecond
+)
+
+// Runner runs items.
+type Runner struct {
+	store     Store
+	knowledge Knowledge
+	client    *exchange.Client
+	log       zerolog.Logger
+	origin    time.Time
+	wake      chan struct{}
+	runs      sync.WaitGroup
+
+	mutex    sync.Mutex
+	planner  *schedule.Planner
+	jobs     map[string]*batchJob
+	starting map[string]bool
+	closed   bool
+	counts   Counts
+}
+
+// Counts are totals since the start.
+type Counts struct{ Runs, Completed, DeadLetter, Resumed, Rejected, Cut, Failed, Dials int64 }
+
+// batchJob is one that is run here.
+type batchJob struct {
+	replica.Job
+	context   context.Context
+	cancel    context.CancelFunc
+	items     map[int]*progress
+	finished  []finished // not taken yet
+	giveUpAt  time.Time
+	missingAt time.Time // the route was first found missing
+}
+
+// progress is what is kept of an item between runs.
+type progress struct {
+	at       journal.Location
+	events   [][]byte
+	last     int64 // id of the last event, -1: none
+	failures int   // answers of 500
+}
+
+type finished struct {
+	index int
+	state job.State
+	text  []byte
+}
+
+// New gives a runner; Run makes it work.
+func New(zone string, store Store, knowledge Knowledge, log zerolog.Logger) *Runner {
+	return &Runner{
+		store: store, knowledge: knowledge, log: log,
+		client:   exchange.NewClient(),
+		origin:   time.Now(),
+		wake:     make(chan struct{}, 1),
+		planner:  schedule.New(zone),
+		jobs:     map[string]*batchJob{},
+		starting: map[string]bool{},
+	}
+}
+
+// Start notes a batch job whose items are to be run. It doesn't call the store back.
+func (r *Runner) Start(id string) {
+	r.mutex.Lock()
+	r.starting[id] = true
+	r.mutex.Unlock()
+	r.Wake()
+}
+
+// Stop cancels what runs of a batch job. It doesn't call the store back.
+func (r *Runner) Stop(id string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	delete(r.starting, id)
+	if b := r.jobs[id]; b != nil {
+		b.cancel()
+		delete(r.jobs, id)
+		r.planner.Remove(id)
+	}
+}
+
+// Wake has the runner look at what it knows again.
+func (r *Runner) Wake() {
+	select {
+	case r.wake <- struct{}{}:
+	default:
+	}
+}
+
+// Counts gives the totals.
+func (r *Runner) Counts() Counts {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	counts := r.counts
+	counts.Dials = r.client.Dials()
+	return counts
+}
+
+// Run works until the context ends; then it cancels all that runs.
+func (r *Runner) Run(ctx context.Context) {
+	timer := time.NewTimer(pollEvery)
+	defer timer.Stop()
+	swept := time.Now()
+	for ctx.Err() == nil {
+		r.begin()
+		r.refresh()
+		r.dispatch()
+		if time.Since(swept) > sweepEvery {
+			swept = time.Now()
+			r.sweep()
+		}
+		pause := pollEvery
+		if r.idle() {
+			pause = sweepEvery
+		}
+		timer.Reset(pause)
+		select {
+		case <-r.wake:
+		case <-timer.C:
+		case <-ctx.Done():
+		}
+	}
+	r.close()
+	r.runs.Wait()
+}
+
+func (r *Runner) close() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.closed = true
+	for _, b := range r.jobs {
+		b.cancel()
+	}
+}
+
+func (r *Runner) idle() bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return len(r.jobs) == 0
+}
+
+func (r *Runner) now() time.Duration { return time.Since(r.origin) }
+
+// begin takes the batch jobs in that Start named.
+func (r *Runner) begin() {
+	r.mutex.Lock()
+	ids := r.starting
+	r.starting = map[string]bool{}
+	r.mutex.Unlock()
+	for id := range ids {
+		work, ok := r.store.Work(id)
+		if ok {
+			r.add(work)
+		}
+	}
+}
+
+func (r *Runner) add(work replica.Job) {
+	tasks := make([]schedule.Task, 0, len(work.Items))
+	items := make(map[int]*progress, len(work.Items))
+	for _, one := range work.Items {
+		item, err := r.store.ReadItem(one.At)
+		if err != nil {
+			r.log.Error().Err(err).Str("batch_job", work.ID).Msg("item_unreadable")
+			continue
+		}
+		tasks = append(tasks, schedule.Task{Job: work.ID, Index: one.Index, Prefix: prefixOf(&item)})
+		items[one.Index] = &progress{at: one.At, last: -1}
+	}
+	snapshot := r.knowledge.Configuration()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if r.jobs[work.ID] != nil {
+		return // it runs here already
+	}
+	ctx, cancel := context.WithCancel(context.Background())
+	b := &batchJob{Job: work, context: ctx, cancel: cancel, items: items}
+	r.jobs[work.ID] = b
+	sent := time.UnixMilli(work.FirstSent)
+	target, retention := 10*time.Second, 30*time.Second
+	var backends []string
+	if snapshot != nil {
+		if route := snapshot.RouteNamed(work.Route); route != nil {
+			target, retention, backends = route.CompletionTarget(), route.Retention(), route.Backends()
+		}
+	}
+	b.giveUpAt = sent.Add(retention)
+	r.planner.Add(work.ID, r.now()+time.Until(sent.Add(target)), backends, tasks)
+}
+
+// prefixOf gives the first part that an item's prompt shares with others.
+func prefixOf(item *job.Item) string {
+	for _, header := range item.Headers {
+		if strings.EqualFold(header.Name, "X-Prompt-Prefix") {
+			first, _, _ := strings.Cut(header.Value, ",")
+			return first
+		}
+	}
+	return ""
+}
+
+// refresh looks at routes, servers and times again.
+func (r *Runner) refresh() {
+	snapshot := r.knowledge.Configuration()
+	if snapshot == nil {
+		return
+	}
+	var list []protocol.Server
+	for i := range snapshot.Backends {
+		list = append(list, r.knowledge.Servers(snapshot.Backends[i].Name)...)
+	}
+	r.mutex.Lock()
+	r.planner.Servers(list)
+	now := time.Now()
+	for id, b := range r.jobs {
+		route := snapshot.RouteNamed(b.Route)
+		if route != nil {
+			b.missingAt = time.Time{}
+			r.planner.Backends(id, route.Backends())
+		} else if b.missingAt.IsZero() {
+			b.missingAt = now
+		}
+		if now.After(b.giveUpAt) || !b.missingAt.IsZero() && now.Sub(b.missingAt) > routeGoneFor {
+			for _, task := range r.planner.Waiting(id) {
+				r.planner.Take(id, task.Index)
+				b.finished = append(b.finished, finished{index: task.Index, state: job.DeadLetter})
+			}
+		}
+	}
+	var due []*batchJob
+	for _, b := range r.jobs {
+		if len(b.finished) > 0 {
+			due = append(due, b)
+		}
+	}
+	r.mutex.Unlock()
+	for _, b := range due {
+		r.handIn(b)
+	}
+}
+
+// handIn lists what is finished of a batch job; what isn't taken is offered again.
+func (r *Runner) handIn(b *batchJob) {
+	r.mutex.Lock()
+	list := b.finished
+	b.finished = nil
+	current := r.jobs[b.ID] == b
+	r.mutex.Unlock()
+	if !current {
+		return
+	}
+	for _, one := range list {
+		taken := r.store.Finish(b.ID, one.index, one.state, one.text)
+		r.mutex.Lock()
+		if taken {
+			delete(b.items, one.index)
+			r.countFinished(one.state)
+		} else {
+			b.finished = append(b.finished, one)
+		}
+		if len(b.items) == 0 && r.jobs[b.ID] == b {
+			b.cancel()
+			delete(r.jobs, b.ID)
+			r.planner.Remove(b.ID)
+		}
+		r.mutex.Unlock()
+	}
+}
+
+func (r *Runner) countFinished(state job.State) {
+	if state == job.Completed {
+		r.counts.Completed++
+		return
+	}
+	r.counts.DeadLetter++
+}
+
+// dispatch starts all that can start now.
+func (r *Runner) dispatch() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	for !r.closed {
+		assignment, ok := r.planner.Next(r.now())
+		if !ok {
+			return
+		}
+		b := r.jobs[assignment.Job]
+		r.runs.Add(1)
+		go r.run(b, assignment)
+	}
+}
+
+func (r *Runner) sweep() {
+	r.client.Sweep(func(instance string) bool {
+		r.mutex.Lock()
+		defer r.mutex.Unlock()
+		return r.planner.Present(instance)
+	})
+}
+
+// text joins the data of all events.
+func text(events [][]byte) []byte { return bytes.Join(events, []byte("\n")) }
--- /dev/null
+++ b/internal/batch/schedule/server.go
@@ -0,0 +1,138 @@
+package schedule
+
+import (
+	"cmp"
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// The limit of items on a server, as shares of its slots. Live requests of all gateways and other stores' items take the
+// rest; a server shows that there is little of it by a late first event or a refusal.
+const (
+	limitFirst   = 0.25
+	limitMost    = 0.75
+	limitLeast   = 1.0 // items
+	growth       = 0.5 // items, for a whole limit of good first events
+	shrinkLate   = 0.8
+	shrinkFull   = 0.6
+	shrinkPause  = 300 * time.Millisecond // between two cuts
+	lateFirst    = 250 * time.Millisecond // to the first event
+	refusedPause = 150 * time.Millisecond
+	brokenPause  = time.Second
+	maxWarm      = 64 // prompts' first parts that are remembered
+)
+
+// server is what is known of a server.
+type server struct {
+	protocol.Server
+	inFlight int
+	limit    float64
+	cutAt    time.Duration
+	until    time.Duration // nothing is sent before
+	warm     map[string]time.Duration
+}
+
+// Servers takes the present list.
+func (p *Planner) Servers(list []protocol.Server) {
+	next := make(map[string]*server, len(list))
+	lists := map[string][]*server{}
+	for _, one := range list {
+		s := p.servers[one.ID]
+		if s == nil {
+			s = &server{limit: max(limitLeast, limitFirst*float64(one.Slots)), cutAt: -time.Hour}
+		}
+		s.Server = one
+		next[one.ID] = s
+		if !one.Draining {
+			lists[one.Backend] = append(lists[one.Backend], s)
+		}
+	}
+	for _, of := range lists {
+		slices.SortFunc(of, func(a, b *server) int { return cmp.Compare(a.ID, b.ID) })
+	}
+	p.servers, p.lists = next, lists
+}
+
+// Present tells whether a server is on the list.
+func (p *Planner) Present(id string) bool { return p.servers[id] != nil }
+
+func (s *server) hasRoom(now time.Duration) bool {
+	return now >= s.until && float64(s.inFlight)+1 <= s.limit
+}
+
+func (s *server) start(prefix string, now time.Duration) {
+	s.inFlight++
+	if prefix == "" {
+		return
+	}
+	if s.warm == nil {
+		s.warm = map[string]time.Duration{}
+	}
+	s.warm[prefix] = now
+	if len(s.warm) > maxWarm {
+		s.forget(now)
+	}
+}
+
+func (s *server) forget(now time.Duration) {
+	for prefix, at := range s.warm {
+		if now-at >= warmFor {
+			delete(s.warm, prefix)
+		}
+	}
+	if len(s.warm) > maxWarm {
+		clear(s.warm)
+	}
+}
+
+func (s *server) isWarm(prefix string, now time.Duration) bool {
+	at, known := s.warm[prefix]
+	return known && now-at < warmFor
+}
+
+func (s *server) cut(factor float64, now time.Duration) {
+	if now-s.cutAt < shrinkPause {
+		return
+	}
+	s.cutAt = now
+	s.limit = max(limitLeast, s.limit*factor)
+}
+
+// FirstEvent takes how long a server took to an item's first event.
+func (p *Planner) FirstEvent(id string, took, now time.Duration) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	if took > lateFirst {
+		s.cut(shrinkLate, now)
+		return
+	}
+	s.limit = min(limitMost*float64(max(s.Slots, 1)), s.limit+growth/s.limit)
+}
+
+// Ended counts a task as no longer running.
+func (p *Planner) Ended(id string) {
+	p.running--
+	if s := p.servers[id]; s != nil {
+		s.inFlight--
+	}
+}
+
+// Full notes that a server turned an item away; it is left alone for a moment, or as long as it asks.
+func (p *Planner) Full(id string, now, pause time.Duration) {
+	if s := p.servers[id]; s != nil {
+		s.cut(shrinkFull, now)
+		s.until = max(s.until, now+max(refusedPause, pause))
+	}
+}
+
+// Broken notes that a server can't be reached or broke off.
+func (p *Planner) Broken(id string, now time.Duration) {
+	if s := p.servers[id]; s != nil {
+		s.cut(shrinkFull, now)
+		s.until = max(s.until, now+brokenPause)
+	}
+}
--- /dev/null
+++ b/internal/batch/server/calls.go
@@ -0,0 +1,84 @@
+package server
+
+import (
+	"context"
+	"errors"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+var errMessage = errors.New("batch: a message of an unknown kind")
+
+// handle takes gateways' calls and other stores' messages.
+func (s *Server) handle(ctx context.Context, session *transport.Session, message any) (any, error) {
+	if call, ok := message.(protocol.BatchCall); ok {
+		return s.call(ctx, call), nil
+	}
+	process, key := from(session.Remote())
+	if process.Role != protocol.RoleBatch {
+		return nil, errMessage
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if member, present := s.member(key); present {
+		s.machine.Message(member, message)
+	}
+	return nil, nil
+}
+
+// member gives the process of the view that a message is from.
+func (s *Server) member(key placement.Key) (protocol.Process, bool) {
+	member, present := placement.MemberOf(s.machine.Members(), key)
+	return member.Process, present
+}
+
+// call answers a client's call.
+func (s *Server) call(ctx context.Context, call protocol.BatchCall) protocol.BatchAnswer {
+	var items []job.Item
+	if call.Operation == protocol.BatchSubmit {
+		parsed, err := job.ParseSubmission(call.Body)
+		if err != nil {
+			s.log.Info().Err(err).Str("batch_job", call.BatchJob).Msg("batch_job_invalid")
+			return protocol.BatchAnswer{Status: 400}
+		}
+		items = parsed
+	}
+	answered := make(chan protocol.BatchAnswer, 1)
+	s.mutex.Lock()
+	s.last++
+	token := s.last
+	s.waiting[token] = answered
+	s.machine.Call(token, call, items)
+	s.mutex.Unlock()
+	select {
+	case answer := <-answered:
+		return s.checked(call, answer)
+	case <-ctx.Done():
+	}
+	s.mutex.Lock()
+	delete(s.waiting, token)
+	s.machine.Forget(token)
+	s.mutex.Unlock()
+	return protocol.BatchAnswer{Status: 504}
+}
+
+// checked lets an answer go only while this store may still act: between an answer and its leaving the process may have
+// stood still.
+func (s *Server) checked(call protocol.BatchCall, answer protocol.BatchAnswer) protocol.BatchAnswer {
+	if answer.Status == 503 || answer.Status == 504 || answer.Owner != "" {
+		return answer
+	}
+	s.mutex.Lock()
+	allowed := s.machine.Allowed()
+	s.mutex.Unlock()
+	if allowed {
+		return answer
+	}
+	if call.Operation == protocol.BatchSubmit {
+		return protocol.BatchAnswer{Status: 504}
+	}
+	return protocol.BatchAnswer{Status: 503, RetryAfterMs: 250}
+}
--- /dev/null
+++ b/internal/batch/server/environment.go
@@ -0,0 +1,90 @@
+package server
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/batch/replica"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns what the machine acts through. All of it is called with the mutex held.
+
+type disk struct {
+	journal  *journal.Journal
+	capacity int64
+}
+
+// Now is the steady clock.
+func (s *Server) Now() time.Duration { return time.Since(s.origin) }
+
+// Wall is the time of day.
+func (s *Server) Wall() int64 { return time.Now().UnixMilli() }
+
+// Write queues a record.
+func (s *Server) Write(record []byte, urgent bool) (uint64, journal.Location) {
+	return s.disk.journal.Append(record, urgent)
+}
+
+// Read reads from the log.
+func (s *Server) Read(at journal.Location) ([]byte, error) { return s.disk.journal.Read(at) }
+
+// Free tells what the disk still takes.
+func (s *Server) Free() int64 { return s.disk.capacity - s.disk.journal.Size() }
+
+// Send sends a message to another store.
+func (s *Server) Send(to protocol.Process, message any) {
+	if s.closed {
+		return
+	}
+	peer := s.peers[to.IP]
+	if peer == nil {
+		peer = transport.NewClient(s.settings.EndpointAt(to.IP, node.PortBatch), s.options, nil, nil)
+		s.peers[to.IP] = peer
+	}
+	_ = peer.Send(message) // what matters is sent again
+}
+
+// Start has a batch job's items run.
+func (s *Server) Start(id string) { s.runner.Start(id) }
+
+// Stop has none of them run any more.
+func (s *Server) Stop(id string) { s.runner.Stop(id) }
+
+// Answer ends a call.
+func (s *Server) Answer(token replica.Token, answer protocol.BatchAnswer) {
+	if waiting := s.waiting[token]; waiting != nil {
+		delete(s.waiting, token)
+		waiting <- answer
+	}
+}
+
+// dropPeers closes connections to stores that are gone.
+func (s *Server) dropPeers(view protocol.StoreView) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for ip, peer := range s.peers {
+		if !inView(view, ip) {
+			peer.Close()
+			delete(s.peers, ip)
+		}
+	}
+}
+
+func inView(view protocol.StoreView, ip string) bool {
+	for _, member := range view.Members {
+		if member.IP == ip {
+			return true
+		}
+	}
+	return false
+}
+
+// from gives the process at the other end of a session.
+func from(identity transport.Identity) (protocol.Process, placement.Key) {
+	process := protocol.Process{Node: identity.Node, Role: identity.Role, Zone: identity.Zone, Incarnation: identity.Incarnation}
+	return process, placement.KeyOf(process)
+}
--- /dev/null
+++ b/internal/batch/server/server.go
@@ -0,0 +1,293 @@
+// Package server assembles a batch process: its log, its part in the agreement between stores, the running of items, and
+// the connections to control, to gateways and to other stores. It must never decide anything about a batch job itself.
+package server
+
+import (
+	"context"
+	"net"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/replica"
+	"sprucelane.example/sprucelane/internal/batch/runner"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/gateway/subscription"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+const (
+	maxFrame    = 48 << 20 // bytes of a message between stores: a whole batch job with its results
+	heartbeat   = 500 * time.Millisecond
+	tickEvery   = 100 * time.Millisecond
+	leaseMargin = 100 * time.Millisecond // for what is on its way when a lease ends
+	reserve     = 0.2                    // of the disk, which new batch jobs leave free
+	releaseWait = 5 * time.Second        // between looks at what the log no longer needs
+	statsEvery  = 10 * time.Second
+)
+
+// Server is a batch process.
+type Server struct {
+	settings *node.Settings
+	log      zerolog.Logger
+	origin   time.Time
+	process  protocol.Process
+	disk     *disk
+
+	mutex   sync.Mutex // of the machine and all below
+	machine *replica.Machine
+	waiting map[replica.Token]chan protocol.BatchAnswer
+	last    replica.Token
+	peers   map[string]*transport.Client // by IP
+	closed  bool
+
+	options      transport.Options
+	registry     *servers.Registry
+	subscription *subscription.Subscription
+	runner       *runner.Runner
+	failed       chan error
+}
+
+// New opens what is on the disk and assembles a server.
+func New(settings *node.Settings, log zerolog.Logger) (*Server, error) {
+	transport.Register(replica.Messages()...)
+	life, err := openLife(settings.DataDir)
+	if err != nil {
+		return nil, err
+	}
+	s := &Server{
+		settings: settings, log: log,
+		origin: time.Now(),
+		process: protocol.Process{
+			Node: settings.NodeName, Role: protocol.RoleBatch, Zone: settings.Zone, IP: settings.IP, Incarnation: life.incarnation,
+		},
+		waiting: map[replica.Token]chan protocol.BatchAnswer{},
+		peers:   map[string]*transport.Client{},
+		failed:  make(chan error, 1),
+	}
+	s.options = transport.Options{
+		Identity: transport.Identity{
+			Node: s.process.Node, Role: s.process.Role, Zone: s.process.Zone, Address: s.process.IP, Incarnation: s.process.Incarnation,
+		},
+		MaxFrame:  maxFrame,
+		Heartbeat: heartbeat,
+		Queue:     1024,
+	}
+	capacity := int64(settings.Limits.DiskMB) << 20
+	s.machine = replica.New(replica.Options{
+		Self: s.process, Life: life.number,
+		Copies:  settings.Tolerance.Machines + 1,
+		KeepFor: settings.Bounds.Status + 2*settings.Bounds.SkewMax,
+		Reserve: int64(reserve * float64(capacity)),
+	}, s)
+	s.disk = &disk{capacity: capacity}
+	s.disk.journal, err = journal.Open(settings.DataDir, journal.Options{}, s.machine.Replay, s.written)
+	if err != nil {
+		return nil, err
+	}
+	s.registry = servers.NewRegistry(noPool{})
+	s.runner = runner.New(settings.Zone, s, s, log)
+	s.subscription = subscription.New(subscription.Options{
+		Settings: settings, Process: s.process, Transport: s.options, Servers: s.registry,
+		Ready:   func() bool { return true },
+		Report:  s.report,
+		Granted: s.granted,
+		Updated: s.updated,
+		Log:     log,
+	})
+	return s, nil
+}
+
+// noPool stands for the gateways' pool of connections, which a batch process doesn't have.
+type noPool struct{}
+
+func (noPool) Apply([]pool.Change) {}
+
+// Run serves until the context ends or the disk fails.
+func (s *Server) Run(ctx context.Context) error {
+	listener, err := net.Listen("tcp", s.settings.Endpoint(node.PortBatch))
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	serving := transport.Serve(listener, s.options, s.handle)
+	var tasks sync.WaitGroup
+	tasks.Go(func() { s.subscription.Run(ctx) })
+	tasks.Go(func() { s.runner.Run(ctx) })
+	tasks.Go(func() { s.tick(ctx) })
+	s.log.Info().Str("incarnation", s.process.Incarnation).Msg("serving")
+	select {
+	case <-ctx.Done():
+		err = nil
+	case err = <-s.failed:
+	}
+	cancel()
+	tasks.Wait()
+	serving.Close()
+	s.close()
+	return err
+}
+
+func (s *Server) close() {
+	s.mutex.Lock()
+	s.closed = true
+	peers := s.peers
+	s.peers = nil
+	s.mutex.Unlock()
+	for _, peer := range peers {
+		peer.Close()
+	}
+	s.disk.journal.Close()
+}
+
+// Reload takes other settings in: machines that may know of control.
+func (s *Server) Reload(settings *node.Settings) { s.subscription.Seed(settings) }
+
+func (s *Server) tick(ctx context.Context) {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	released, told := time.Now(), time.Now()
+	for {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return
+		}
+		s.mutex.Lock()
+		s.machine.Tick()
+		s.mutex.Unlock()
+		if time.Since(released) > releaseWait {
+			released = time.Now()
+			s.release()
+		}
+		if time.Since(told) > statsEvery {
+			told = time.Now()
+			s.stats()
+		}
+	}
+}
+
+func (s *Server) stats() {
+	report, counts := s.report(), s.runner.Counts()
+	s.log.Info().Uint64("epoch", report.Epoch).Uint64("settled", report.Settled).Int("batch_jobs", report.BatchJobs).
+		Int64("free", report.FreeBytes).Int64("runs", counts.Runs).Int64("completed", counts.Completed).
+		Int64("dead_letter", counts.DeadLetter).Int64("resumed", counts.Resumed).Int64("rejected", counts.Rejected).
+		Int64("cut", counts.Cut).Int64("failed", counts.Failed).Int64("connections", counts.Dials).Msg("state")
+}
+
+// release removes segments of the log that nothing needs any more.
+func (s *Server) release() {
+	oldest, current := s.disk.journal.Oldest()
+	s.mutex.Lock()
+	needed := s.machine.OldestSegment(current)
+	s.mutex.Unlock()
+	for ; oldest < needed; oldest++ {
+		if err := s.disk.journal.Release(oldest); err != nil {
+			s.log.Warn().Err(err).Msg("segment_not_released")
+			return
+		}
+	}
+}
+
+// updated takes in what control sent.
+func (s *Server) updated() {
+	if members := s.subscription.Members(); members != nil {
+		s.mutex.Lock()
+		before := s.machine.Epoch()
+		s.machine.View(members.Stores)
+		after := s.machine.Epoch()
+		s.mutex.Unlock()
+		if after != before {
+			s.log.Info().Uint64("epoch", after).Int("stores", len(members.Stores.Members)).Msg("store_view")
+			s.dropPeers(members.Stores)
+		}
+	}
+	s.runner.Wake()
+}
+
+// granted renews the right to act, counted from when the poll was sent.
+func (s *Server) granted(grant protocol.StoreGrant, sent time.Time) {
+	until := sent.Sub(s.origin) + grant.Lease - leaseMargin
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.machine.Grant(grant.Member, until)
+}
+
+func (s *Server) report() *protocol.BatchReport {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	report := s.machine.Report()
+	return &report
+}
+
+// written is called by the log.
+func (s *Server) written(sequence uint64, err error) {
+	if err != nil {
+		s.log.Error().Err(err).Msg("log_failed")
+		select {
+		case s.failed <- err:
+		default:
+		}
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.machine.Written(sequence)
+}
+
+// Configuration gives the configuration in force.
+func (s *Server) Configuration() *configuration.Snapshot { return s.subscription.Configuration() }
+
+// Servers gives the servers of a service that take work.
+func (s *Server) Servers(backend string) []protocol.Server {
+	table := s.registry.Current()
+	if table == nil {
+		return nil
+	}
+	of := table.Of(backend)
+	list := make([]protocol.Server, len(of))
+	for i := range of {
+		list[i] = of[i].Server
+	}
+	return list
+}
+
+// Work, ReadItem, MayRun and Finish are what the runner asks.
+
+// Work gives what is left to run of a batch job.
+func (s *Server) Work(id string) (replica.Job, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machine.Work(id)
+}
+
+// ReadItem reads an item from the log.
+func (s *Server) ReadItem(at journal.Location) (job.Item, error) {
+	encoded, err := s.disk.journal.Read(at)
+	if err != nil {
+		return job.Item{}, err
+	}
+	return job.DecodeItem(encoded)
+}
+
+// MayRun tells whether an item may go to a server now.
+func (s *Server) MayRun(id string, index int) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machine.MayRun(id, index)
+}
+
+// Finish lists what became of an item.
+func (s *Server) Finish(id string, index int, state job.State, text []byte) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machine.Finish(id, index, state, text)
+}
