--- /dev/null
+++ b/internal/operator/client_test.go
@@ -0,0 +1,117 @@
+package operator
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+// control is a scripted control process: each call takes the next answer, the last one stays.
+func control(t *testing.T, answers ...http.HandlerFunc) (address string, calls *atomic.Int32) {
+	calls = &atomic.Int32{}
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		n := int(calls.Add(1))
+		answers[min(n, len(answers))-1](w, r)
+	}))
+	t.Cleanup(server.Close)
+	return strings.TrimPrefix(server.URL, "http://"), calls
+}
+
+func status(code int) http.HandlerFunc {
+	return func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(code)
+		io.WriteString(w, "why")
+	}
+}
+
+func redirect(to string) http.HandlerFunc {
+	return func(w http.ResponseWriter, r *http.Request) {
+		w.Header().Set("Location", "http://"+to+r.URL.Path)
+		w.WriteHeader(http.StatusTemporaryRedirect)
+	}
+}
+
+// silent reads the order, as only then the end of the connection is seen, and answers nothing.
+func silent(_ http.ResponseWriter, r *http.Request) {
+	io.Copy(io.Discard, r.Body)
+	<-r.Context().Done()
+}
+
+func put(addresses ...string) (*Answer, error) {
+	client := &Client{Addresses: addresses, Timeout: 3 * time.Second}
+	return client.Call(context.Background(), Order{Method: http.MethodPut, Path: "/config", IfMatch: "5", Body: []byte(`{}`)})
+}
+
+func TestCall(t *testing.T) {
+	Convey("The order arrives as it was given", t, func() {
+		var seen *http.Request
+		var body []byte
+		address, _ := control(t, func(_ http.ResponseWriter, r *http.Request) {
+			seen = r
+			body, _ = io.ReadAll(r.Body)
+		})
+		answer, err := put(address)
+		So(err, ShouldBeNil)
+		So(answer.Address, ShouldEqual, address)
+		So(seen.Header.Get("If-Match"), ShouldEqual, "5")
+		So(seen.Header.Get("Content-Type"), ShouldEqual, "application/json")
+		So(string(body), ShouldEqual, "{}")
+	})
+	Convey("A failure is repeated at another address, with the same order", t, func() {
+		first, _ := control(t, status(503))
+		second, _ := control(t, status(200))
+		answer, err := put("127.0.0.1:1", first, second)
+		So(err, ShouldBeNil)
+		So(answer.Address, ShouldEqual, second)
+	})
+	Convey("Silence is a failure", t, func() {
+		first, _ := control(t, silent)
+		second, _ := control(t, status(200))
+		_, err := put(first, second)
+		So(err, ShouldBeNil)
+	})
+	Convey("A redirection is followed with the body", t, func() {
+		var body []byte
+		second, _ := control(t, func(_ http.ResponseWriter, r *http.Request) { body, _ = io.ReadAll(r.Body) })
+		first, _ := control(t, redirect(second))
+		answer, err := put(first)
+		So(err, ShouldBeNil)
+		So(answer.Address, ShouldEqual, second)
+		So(string(body), ShouldEqual, "{}")
+	})
+	Convey("Redirections that go round end", t, func() {
+		var address string
+		address, _ = control(t, func(w http.ResponseWriter, r *http.Request) { redirect(address)(w, r) })
+		_, err := put(address)
+		So(errorx.IsOfType(err, Unanswered), ShouldBeTrue)
+	})
+	Convey("A clear refusal is not repeated", t, func() {
+		for _, code := range []int{400, 409, 412, 413, 422} {
+			address, calls := control(t, status(code))
+			_, err := put(address)
+			So(errorx.IsOfType(err, Refused), ShouldBeTrue)
+			So(StatusOf(err), ShouldEqual, code)
+			So(err.Error(), ShouldContainSubstring, "why")
+			So(calls.Load(), ShouldEqual, 1)
+		}
+	})
+	Convey("Another refusal counts at the third try", t, func() {
+		address, calls := control(t, status(404))
+		_, err := put(address)
+		So(StatusOf(err), ShouldEqual, 404)
+		So(calls.Load(), ShouldEqual, 3)
+	})
+	Convey("Without any answer the order is said to be open", t, func() {
+		_, err := put("127.0.0.1:1")
+		So(errorx.IsOfType(err, Unanswered), ShouldBeTrue)
+		So(StatusOf(err), ShouldEqual, 0)
+	})
+}
