--- a/cmd/sprucelanectl/main.go
+++ b/cmd/sprucelanectl/main.go
@@ -39,6 +39,7 @@
 	}
 	screen := &printer{out: out, problems: problems, options: common}
 	addSettings(parser, screen)
+	addControl(parser, addConfig(parser, screen), screen)
 	_, err := parser.ParseArgs(arguments)
 	return report(err, screen)
 }
--- /dev/null
+++ b/cmd/sprucelanectl/status.go
@@ -0,0 +1,84 @@
+package main
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/controlclient"
+)
+
+// status asks each control process by itself.
+type status struct {
+	Remote controlOptions `group:"Control options"`
+	screen *printer
+}
+
+// controlStatus is what one control process tells.
+type controlStatus struct {
+	Address  string  `json:"address"`
+	Answers  bool    `json:"answers"`
+	Version  uint64  `json:"version"` // 0: no configuration yet
+	Took     float64 `json:"took-ms"`
+	Problem  string  `json:"problem,omitempty"`
+	Redirect bool    `json:"redirected"` // another one has answered in its place
+}
+
+// statusTimeout bounds the call to one control process: its own readers wait for 0.9 s.
+const statusTimeout = 2 * time.Second
+
+// Execute fails where no control process tells the version.
+func (c *status) Execute([]string) error {
+	addresses := c.Remote.addresses()
+	if len(addresses) == 0 {
+		return usageError(errNoControl)
+	}
+	list := make([]controlStatus, 0, len(addresses))
+	told := 0
+	for _, address := range addresses {
+		one := askVersion(address)
+		if one.Answers {
+			told++
+		}
+		list = append(list, one)
+	}
+	err := c.screen.print(list, func(out io.Writer) { writeStatus(out, list) })
+	if err == nil && told == 0 {
+		err = fmt.Errorf("none of %d control processes tells the version", len(addresses))
+	}
+	return err
+}
+
+func askVersion(address string) controlStatus {
+	one := controlStatus{Address: address}
+	client := controlclient.Client{Addresses: []string{address}, Timeout: statusTimeout}
+	began := time.Now()
+	answer, err := client.Call(context.Background(), controlclient.Order{Method: http.MethodGet, Path: "/config"})
+	one.Took = float64(time.Since(began).Microseconds()) / 1000
+	switch {
+	case controlclient.StatusOf(err) == http.StatusNotFound:
+		one.Answers = true
+	case err != nil:
+		one.Problem = err.Error()
+	default:
+		one.Answers = true
+		one.Version = generationOf(answer.Body)
+		one.Redirect = answer.Address != address
+	}
+	return one
+}
+
+func writeStatus(out io.Writer, list []controlStatus) {
+	for _, one := range list {
+		switch {
+		case !one.Answers:
+			fmt.Fprintf(out, "%-22s no answer: %s\n", one.Address, one.Problem)
+		case one.Version == 0:
+			fmt.Fprintf(out, "%-22s no configuration yet (%.1f ms)\n", one.Address, one.Took)
+		default:
+			fmt.Fprintf(out, "%-22s version %d (%.1f ms)\n", one.Address, one.Version, one.Took)
+		}
+	}
+}
--- a/internal/operator/client.go
+++ b/internal/controlclient/client.go
@@ -1,7 +1,7 @@
-// Package operator owns the caller's side of the operator's API: it finds a control process that answers, follows
+// Package controlclient owns the caller's side of the operator's API: it finds a control process that answers, follows
 // redirections and repeats what got no clear answer. It must never repeat what was refused, nor change an order between two
 // sends.
-package operator
+package controlclient
 
 import (
 	"bytes"
@@ -28,7 +28,7 @@
 // DefaultTimeout is how long an order is repeated where Client.Timeout is 0.
 const DefaultTimeout = 10 * time.Second
 
-var errorNames = errorx.NewNamespace("operator")
+var errorNames = errorx.NewNamespace("control")
 
 // The kinds of errors.
 var (
