--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -64,6 +64,7 @@
 	servers      *servers.Registry
 	subscription *subscription.Subscription
 	batch        *batchcall.Caller
+	limits       *limits
 	proxy        *proxy.Proxy
 	clients      atomic.Pointer[front.Server]
 }
@@ -79,17 +80,17 @@
 	options := transport.Options{Identity: transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role, Zone: process.Zone,
 		Address: process.IP, Incarnation: process.Incarnation}}
 	placer := placement.New(settings.Zone, seed(process))
-	limits := newLimits(placer, g.servers)
+	g.limits = newLimits(placer, g.servers, process, options)
 	g.subscription = subscription.New(subscription.Options{Settings: settings, Process: process, Transport: options,
-		Servers: g.servers, Ready: g.Ready, Log: log, Configured: limits.Configure})
-	limits.members = g.subscription.Members
+		Servers: g.servers, Ready: g.Ready, Log: log, Configured: g.limits.Configure})
+	g.limits.members = g.subscription.Members
 	g.batch = batchcall.New(settings, options, g.subscription.Members)
 	g.proxy = &proxy.Proxy{
 		Knowledge: g.subscription,
 		Servers:   g.servers,
 		Pool:      g.pool,
 		Placer:    placer,
-		Admission: limits,
+		Admission: g.limits,
 		Batch:     g.batch,
 		Bodies:    buffers.New(int64(bodyShare * float64(settings.Limits.MemoryMB) * (1 << 20))),
 		Log:       log,
@@ -144,6 +145,7 @@
 	go func() { failed <- fmt.Errorf("listen.ready: %w", ready.ListenAndServe()) }()
 	defer ready.Close()
 	go g.subscription.Run(ctx)
+	go g.limits.quotas.Run(ctx)
 	go func() {
 		if err := g.serveClients(); err != nil {
 			failed <- fmt.Errorf("listen.front: %w", err)
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,10 +6,12 @@
 	"sync"
 	"time"
 
+	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/gateway/admission"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/gateway/proxy"
+	"sprucelane.example/sprucelane/internal/gateway/quotas"
 	"sprucelane.example/sprucelane/internal/gateway/servers"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -21,6 +23,7 @@
 type limits struct {
 	origin    time.Time
 	admission *admission.Admission
+	quotas    *quotas.Quotas
 	placer    *placement.Placer
 	servers   *servers.Registry
 	members   func() *protocol.MemberList
@@ -29,18 +32,34 @@
 	told map[string]time.Time // when a service's load was told last
 }
 
-func newLimits(placer *placement.Placer, table *servers.Registry) *limits {
-	return &limits{origin: time.Now(), admission: admission.New(admission.Options{}), placer: placer, servers: table,
+func newLimits(placer *placement.Placer, table *servers.Registry, process protocol.Process, options transport.Options) *limits {
+	l := &limits{origin: time.Now(), admission: admission.New(admission.Options{}), placer: placer, servers: table,
 		told: map[string]time.Time{}}
+	l.quotas = quotas.New(quotas.Options{Process: process, Transport: options, Address: l.allocator})
+	return l
+}
+
+// allocator gives the address where quotas are asked for, empty where it isn't known.
+func (l *limits) allocator() string {
+	if members := l.members(); members != nil {
+		return members.QuotaAddress
+	}
+	return ""
 }
 
 func (l *limits) now() time.Duration { return time.Since(l.origin) }
 
 // Configure takes a configuration in.
-func (l *limits) Configure(snapshot *configuration.Snapshot) { l.admission.Configure(snapshot) }
+func (l *limits) Configure(snapshot *configuration.Snapshot) {
+	l.admission.Configure(snapshot)
+	l.quotas.Configure(snapshot)
+}
 
-// Admit decides about a request.
-func (l *limits) Admit(_ context.Context, wish proxy.Wish) proxy.Refusal {
+// Admit decides about a request. The tenant's limit goes first: what lies beyond it is not owed.
+func (l *limits) Admit(ctx context.Context, wish proxy.Wish) proxy.Refusal {
+	if admitted, retryAfter := l.quotas.Take(ctx, wish.Tenant); !admitted {
+		return proxy.Refusal{Status: http.StatusTooManyRequests, RetryAfter: retryAfter}
+	}
 	l.tellLoad(wish.Backend)
 	decision := l.admission.Admit(l.now(), wish.Route, wish.Tenant, admission.Request{
 		PromptTokens: wish.Demand.Prompt, OutputTokens: wish.Demand.Output, Remaining: time.Until(wish.Deadline)})
@@ -51,7 +70,12 @@
 }
 
 // Sent counts a request that has been sent.
-func (l *limits) Sent(wish proxy.Wish) { l.admission.Sent(l.now(), wish.Route.Name) }
+func (l *limits) Sent(wish proxy.Wish, again bool) {
+	l.admission.Sent(l.now(), wish.Route.Name)
+	if again {
+		l.quotas.Charge(wish.Tenant)
+	}
+}
 
 // Attempted counts how long an attempt took.
 func (l *limits) Attempted(wish proxy.Wish, took time.Duration) {
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -51,12 +51,12 @@
 	defer func() { ticket.Done(time.Now(), placement.Abandoned) }() // where nothing else was said
 	x, end := q.proxy.Pool.Open(q.r.Context(), &pool.Call{Server: server.Number, Until: q.deadline, Method: q.r.Method,
 		Head: func(b *bytes.Buffer) { q.writeHead(b, server.ID) }, Body: q.body.bytes,
-		Check: func() bool { return q.sure(time.Now()) }})
+		Check: func() bool { return q.mayGo(time.Now()) }})
 	if x == nil {
 		return q.unsent(ticket, end)
 	}
 	defer x.Close()
-	q.proxy.Admission.Sent(q.wish)
+	q.proxy.Admission.Sent(q.wish, q.account.MayHaveRun())
 	resp, err := q.answerHead(x)
 	if err != nil {
 		q.attempted(began)
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -35,8 +35,8 @@
 type Admission interface {
 	// Admit is asked when a request has been read whole; a refusal without a status lets it in.
 	Admit(ctx context.Context, wish Wish) Refusal
-	// Sent tells that a request has been sent to a server.
-	Sent(wish Wish)
+	// Sent tells that a request has been sent to a server; again: after one that may have run it.
+	Sent(wish Wish, again bool)
 	// Attempted tells how long an attempt took at a server, to its first event on a streaming route, to its answer on others, or
 	// until it was given up.
 	Attempted(wish Wish, took time.Duration)
@@ -93,6 +93,7 @@
 		q.refuse(refusal.Status, refusal.RetryAfter)
 		return
 	}
+	q.admitted = time.Now()
 	q.run()
 }
 
@@ -103,7 +104,7 @@
 func (Everyone) Admit(context.Context, Wish) Refusal { return Refusal{} }
 
 // Sent does nothing.
-func (Everyone) Sent(Wish) {}
+func (Everyone) Sent(Wish, bool) {}
 
 // Attempted does nothing.
 func (Everyone) Attempted(Wish, time.Duration) {}
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -59,6 +59,7 @@
 	operation protocol.BatchOperation // 0: live
 
 	wish      Wish
+	admitted  time.Time
 	head      []byte // lines of headers that are passed on as they came
 	account   attempts.Account
 	passed    []policy.ServerID
@@ -135,6 +136,15 @@
 	return nil
 }
 
+// admittedFor is how long a request that nothing was sent of may act on its admission: a process that stood still must not send
+// all at once what its quota allowed for long ago.
+const admittedFor = 700 * time.Millisecond
+
+// mayGo tells, right before the first byte to a server, whether it may be written.
+func (q *request) mayGo(now time.Time) bool {
+	return q.sure(now) && (q.account.MayHaveRun() || now.Sub(q.admitted) < admittedFor)
+}
+
 // sure tells whether the request's key may still be acted on.
 func (q *request) sure(now time.Time) bool {
 	return q.tenant == nil || q.proxy.Knowledge.Holds(now)
--- a/internal/gateway/proxy/request_test.go
+++ b/internal/gateway/proxy/request_test.go
@@ -5,10 +5,12 @@
 	"net/http"
 	"strings"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/attempts"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -146,3 +148,17 @@
 		So(r.batch.calls, ShouldBeEmpty)
 	})
 }
+
+func TestStandstill(t *testing.T) {
+	Convey("A process that stood still after it admitted a request doesn't send it on that", t, func() {
+		k := &knowledge{}
+		q := &request{proxy: &Proxy{Knowledge: k}, tenant: &configuration.Tenant{}, admitted: time.Now()}
+		So(q.mayGo(q.admitted.Add(admittedFor-1)), ShouldBeTrue)
+		So(q.mayGo(q.admitted.Add(admittedFor)), ShouldBeFalse)
+		q.account.Repeatable = true
+		q.account.Note(attempts.Lost)
+		So(q.mayGo(q.admitted.Add(admittedFor)), ShouldBeTrue)
+		k.lapsed.Store(true)
+		So(q.mayGo(q.admitted), ShouldBeFalse)
+	})
+}
