--- /dev/null
+++ b/internal/gateway/limits/limits_test.go
@@ -0,0 +1,167 @@
+package limits
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/quota"
+)
+
+var patience = Patience{Unsure: 2 * time.Second, Sure: 2 * time.Second}
+
+// control is an allocator behind a port.
+type control struct {
+	mutex     sync.Mutex
+	allocator *quota.Allocator
+	origin    time.Time
+	acts      atomic.Bool
+	server    *transport.Server
+}
+
+func identity(node string) transport.Options {
+	return transport.Options{Identity: transport.Identity{System: protocol.System, Node: node}}
+}
+
+func startControl(t *testing.T, snapshot *configuration.Snapshot) *control {
+	rules := quota.Rules{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	c := &control{allocator: quota.NewAllocator(quota.AllocatorOptions{Rules: rules}), origin: time.Now()}
+	c.allocator.Configure(snapshot)
+	c.allocator.Start(0, time.Minute)
+	c.acts.Store(true)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	c.server = transport.Serve(listener, identity("control"), c.handle)
+	t.Cleanup(c.server.Close)
+	return c
+}
+
+func (c *control) handle(_ context.Context, _ *transport.Session, message any) (any, error) {
+	request, ok := message.(protocol.QuotaRequest)
+	if !ok || !c.acts.Load() {
+		return nil, transport.Coded("not-lead", "elsewhere")
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	return c.allocator.Request(time.Since(c.origin), request), nil
+}
+
+func (c *control) members() *protocol.MemberList {
+	return &protocol.MemberList{QuotaAddress: c.server.Addr().String()}
+}
+
+func startKeeper(t *testing.T, node string, members func() *protocol.MemberList) *Keeper {
+	k := New(Options{Process: protocol.Process{Node: node, Incarnation: "1"}, Transport: identity(node), Members: members})
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		k.Run(ctx)
+	}()
+	t.Cleanup(func() {
+		cancel()
+		<-ended
+	})
+	return k
+}
+
+func testSnapshot() *configuration.Snapshot {
+	return configuration.NewSnapshot(configuration.Document{Tenants: []configuration.Tenant{
+		{Name: "large", RatePerSec: 200, Burst: 200},
+		{Name: "small", RatePerSec: 1, Burst: 1},
+		{Name: "free"},
+	}}, 1)
+}
+
+func TestKeeper(t *testing.T) {
+	snapshot := testSnapshot()
+
+	Convey("Requests within the limit are admitted, at several gateways at once", t, func() {
+		server := startControl(t, snapshot)
+		var refused atomic.Int64
+		var wait sync.WaitGroup
+		for i := range 3 {
+			keeper := startKeeper(t, fmt.Sprintf("front-%d", i), server.members)
+			for range 4 {
+				wait.Go(func() {
+					for range 10 {
+						if !keeper.Acquire(context.Background(), snapshot.TenantNamed("large"), patience).Admit {
+							refused.Add(1)
+						}
+					}
+				})
+			}
+		}
+		wait.Wait()
+		So(refused.Load(), ShouldEqual, 0)
+	})
+
+	Convey("Beyond the limit a request is refused with the time to come back", t, func() {
+		server := startControl(t, snapshot)
+		keeper := startKeeper(t, "front-1", server.members)
+		admitted := 0
+		var last Decision
+		for range 100 {
+			if last = keeper.Acquire(context.Background(), snapshot.TenantNamed("small"), patience); last.Admit {
+				admitted++
+			}
+		}
+		So(admitted, ShouldBeBetween, 5, 28)
+		So(last.Admit, ShouldBeFalse)
+		So(last.RetryAfter, ShouldBeBetween, 100*time.Millisecond, 2*time.Second)
+		So(keeper.Counts().Refused, ShouldEqual, 100-admitted)
+		So(keeper.Acquire(context.Background(), snapshot.TenantNamed("free"), patience).Admit, ShouldBeTrue)
+		So(keeper.Acquire(context.Background(), nil, patience).Admit, ShouldBeTrue)
+	})
+
+	Convey("Without an allocator requests are refused soon, and leases carry on", t, func() {
+		nobody := startKeeper(t, "front-2", func() *protocol.MemberList { return nil })
+		short := Patience{Unsure: 30 * time.Millisecond, Sure: 60 * time.Millisecond}
+		So(nobody.Acquire(context.Background(), snapshot.TenantNamed("large"), short).Admit, ShouldBeFalse)
+
+		server := startControl(t, snapshot)
+		keeper := startKeeper(t, "front-3", server.members)
+		for range 30 {
+			keeper.Acquire(context.Background(), snapshot.TenantNamed("large"), patience)
+		}
+		So(eventually(func() bool {
+			keeper.mutex.Lock()
+			defer keeper.mutex.Unlock()
+			return keeper.client.ServesIn(keeper.now(), snapshot.TenantNamed("large")) < time.Second
+		}), ShouldBeTrue)
+		server.acts.Store(false)
+		So(eventually(func() bool { return keeper.Counts().Failed > 0 }), ShouldBeTrue)
+		So(keeper.Acquire(context.Background(), snapshot.TenantNamed("large"), patience).Admit, ShouldBeTrue)
+	})
+
+	Convey("A request whose client leaves gives its place up", t, func() {
+		keeper := startKeeper(t, "front-4", func() *protocol.MemberList { return nil })
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		So(keeper.Acquire(ctx, snapshot.TenantNamed("small"), patience).Admit, ShouldBeFalse)
+		keeper.mutex.Lock()
+		defer keeper.mutex.Unlock()
+		So(keeper.waiters, ShouldBeEmpty)
+	})
+}
+
+// eventually waits for a condition for a few seconds.
+func eventually(condition func() bool) bool {
+	for deadline := time.Now().Add(5 * time.Second); time.Now().Before(deadline); time.Sleep(5 * time.Millisecond) {
+		if condition() {
+			return true
+		}
+	}
+	return false
+}
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -34,7 +34,7 @@
 	now          time.Duration
 	accounts     map[string]*account
 	holders      map[string]*holder       // by process
-	byNode       map[string]*holder       // the newest process of each node
+	byNode       map[string][]*holder     // by node: more than one while it is not known which of them ended
 	heard        *list.List               // of *holder, the longest silent first
 	dead         map[string]time.Duration // processes that ended, by when that was known
 	deadSwept    time.Duration
@@ -65,7 +65,7 @@
 }
 
 func (a *Allocator) forgetHolders() {
-	a.holders, a.byNode = map[string]*holder{}, map[string]*holder{}
+	a.holders, a.byNode = map[string]*holder{}, map[string][]*holder{}
 	a.heard, a.dead = list.New(), map[string]time.Duration{}
 	for _, one := range a.accounts {
 		one.lent, one.demand, one.leases = lease{}, 0, 0
@@ -79,10 +79,10 @@
 func (a *Allocator) Start(now, idle time.Duration) {
 	a.forgetHolders()
 	a.now = max(a.now, now)
-	a.unknownUntil = a.now + leaseFor + clockMargin - min(idle, leaseFor)
+	a.unknownUntil = a.now - idle + leaseFor + clockMargin
 	a.term = a.options.Random() | 1
 	for _, one := range a.accounts {
-		a.begin(one, min(idle, leaseFor))
+		a.begin(one, idle)
 	}
 }
 
@@ -92,22 +92,22 @@
 	a.forgetHolders()
 }
 
-// begin opens an account whose earlier holders aren't known. While no allocator acted, what couldn't be lent flowed in.
+// begin opens an account of which all that may be lent counts as lent by others. What couldn't be has flowed in since none acted.
 func (a *Allocator) begin(one *account, idle time.Duration) {
-	one.unknown = lease{}
-	if a.now < a.unknownUntil {
-		one.unknown = lease{one.budget.maxLentRate, one.budget.maxLent}
-	}
+	one.unknown = lease{one.budget.maxLentRate, one.budget.maxLent}
 	one.pool = bucket{at: a.now - idle}
-	one.pool.fill(a.now, one.budget.rate-one.unknown.rate, one.budget.poolDepth)
+	a.refill(one)
 }
 
 // Configure takes a configuration in. A lower limit holds from now on. A tenant that is dropped is remembered for a while,
 // so that one that comes back doesn't begin with a full pool.
-func (a *Allocator) Configure(snapshot *configuration.Snapshot) {
-	seen := make(map[string]bool, len(snapshot.Tenants))
-	for i := range snapshot.Tenants {
-		tenant := &snapshot.Tenants[i]
+func (a *Allocator) Configure(snapshot *configuration.Snapshot) { a.ConfigureTenants(snapshot.Tenants) }
+
+// ConfigureTenants takes a configuration's tenants in.
+func (a *Allocator) ConfigureTenants(tenants []configuration.Tenant) {
+	seen := make(map[string]bool, len(tenants))
+	for i := range tenants {
+		tenant := &tenants[i]
 		seen[tenant.Name] = true
 		a.configure(tenant)
 	}
@@ -178,6 +178,7 @@
 		return reply
 	}
 	reply.Term = a.term
+	a.endEarlier(h, &request)
 	h.sequence = request.Sequence
 	a.hear(h)
 	if !a.meet(h, &request) {
--- a/internal/quota/asking.go
+++ b/internal/quota/asking.go
@@ -122,6 +122,12 @@
 	c.tellAgain()
 }
 
+// Moved tells that requests go to another place from now on, or can go again: what is out has failed, and asking goes on at once.
+func (c *Client) Moved(now time.Duration) {
+	c.Failed(now)
+	c.failures, c.retryGap, c.nextAsk = 0, firstRetryGap, now
+}
+
 // tellAgain marks what the last request told.
 func (c *Client) tellAgain() {
 	for _, t := range c.outTells {
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -16,6 +16,7 @@
 	firstRetryGap  = 60 * time.Millisecond  // after a request that failed, doubled each time
 	longestGap     = 400 * time.Millisecond
 	silentAfter    = 150 * time.Millisecond // without an answer to a request nobody waits for the allocator
+	silentFailures = 2                      // or after so many requests in a row that failed
 	shortestReturn = 250 * time.Millisecond // of clients over their limit
 	longestReturn  = time.Second
 	returnFrom     = 0.8 // shares of the time until there is room, over which clients' return is spread
@@ -142,13 +143,28 @@
 
 // Silent tells whether the allocator hasn't answered for so long that waiting for it is vain.
 func (c *Client) Silent(now time.Duration) bool {
-	return c.failures > 0 || c.out && now-c.sentAt > silentAfter
+	return c.failures >= silentFailures || c.out && now-c.sentAt > silentAfter
 }
 
-// RefillsIn tells when a tenant's lease has its next token; a very long time where there is no lease.
-func (c *Client) RefillsIn(now time.Duration, of *configuration.Tenant) time.Duration {
+// ServesIn tells when a tenant's lease would have a token for one more request, after those that wait; a very long time where
+// there is no lease.
+func (c *Client) ServesIn(now time.Duration, of *configuration.Tenant) time.Duration {
+	if unlimited(of) {
+		return 0
+	}
 	c.expire(now)
-	return c.tenantOf(of).refills(now)
+	return c.tenantOf(of).servesIn(now)
+}
+
+// Return gives back the token of a request that was not sent to any server. Without a lease it is lost.
+func (c *Client) Return(now time.Duration, of *configuration.Tenant) {
+	if unlimited(of) {
+		return
+	}
+	c.expire(now)
+	t := c.tenantOf(of)
+	t.refill(now)
+	t.bucket.level = min(t.bucket.level+token, t.held.depth)
 }
 
 func unlimited(of *configuration.Tenant) bool { return of == nil || of.RatePerSec <= 0 }
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -34,8 +34,8 @@
 //     never before sent. Only rates of clocks matter, not their values.
 //   - A client has one request out at a time and takes only the reply to it, and only for maxReplyAge. Its requests are
 //     numbered; the allocator passes over one that isn't newer than the last.
-//   - A new process on a node holds nothing, and the one before it is dead: its leases are free at once, and requests of the
-//     dead one are passed over from then on.
+//   - A process that takes the reply to one of its requests ran after that request was heard; processes of the same node that
+//     were heard before it are dead: their leases are free at once, and their requests are passed over from then on.
 //   - An allocator that starts doesn't know what its predecessors lent. It counts all that may be lent (maxLentRate, L) as
 //     held by unknown gateways until leaseFor has passed since its start, less what gateways that it hears tell of their
 //     leases, which it then counts by name. Its pools start empty.
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -3,6 +3,7 @@
 import (
 	"container/list"
 	"fmt"
+	"slices"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/protocol"
@@ -48,26 +49,38 @@
 
 func processName(p *protocol.Process) string { return p.Node + "/" + p.Incarnation }
 
-// holderOf finds or makes the record of an asker. A process that holds nothing yet ends the one before it on its node.
+// holderOf finds or makes the record of an asker; nil where it is known to have ended.
 func (a *Allocator) holderOf(request *protocol.QuotaRequest) *holder {
 	name := processName(&request.Process)
 	if _, ended := a.dead[name]; ended {
 		return nil
 	}
-	if h := a.holders[name]; h != nil {
-		return h
+	h := a.holders[name]
+	if h == nil {
+		h = &holder{process: name, node: request.Process.Node, entries: map[*account]*entry{}}
+		a.holders[name] = h
+		a.byNode[h.node] = append(a.byNode[h.node], h)
+		h.place = a.heard.PushBack(h)
 	}
-	node := request.Process.Node
-	if before := a.byNode[node]; before != nil && request.Term == 0 {
-		a.dead[before.process] = a.now
-		a.end(before)
-	}
-	h := &holder{process: name, node: node, entries: map[*account]*entry{}}
-	a.holders[name], a.byNode[node] = h, h
-	h.place = a.heard.PushBack(h)
 	return h
 }
 
+// endEarlier ends the processes that ran on the asker's node before it. That it took the reply to its last request shows that it
+// ran later than that was heard; whoever was heard on the node before that moment is dead, as a node runs one process at a time.
+// A first request shows nothing: it may be a dead process's, held up on its way.
+func (a *Allocator) endEarlier(h *holder, request *protocol.QuotaRequest) {
+	others := a.byNode[h.node]
+	if len(others) == 1 || request.Term != a.term || request.Acked != h.sequence || h.sequence == 0 {
+		return
+	}
+	for _, other := range slices.Clone(others) {
+		if other != h && other.heardAt <= h.heardAt {
+			a.dead[other.process] = a.now
+			a.end(other)
+		}
+	}
+}
+
 // meet takes in what an asker holds that this term hasn't lent. It tells whether that is known.
 func (a *Allocator) meet(h *holder, request *protocol.QuotaRequest) bool {
 	switch {
@@ -169,9 +182,12 @@
 	}
 	a.heard.Remove(h.place)
 	delete(a.holders, h.process)
-	if a.byNode[h.node] == h {
+	left := slices.DeleteFunc(a.byNode[h.node], func(other *holder) bool { return other == h })
+	if len(left) == 0 {
 		delete(a.byNode, h.node)
+		return
 	}
+	a.byNode[h.node] = left
 }
 
 func (h *holder) entryOf(one *account) *entry {
--- a/internal/quota/tenant.go
+++ b/internal/quota/tenant.go
@@ -155,6 +155,16 @@
 	return max(0, time.Duration(math.Ceil(missing/float64(t.held.rate)*float64(time.Second))))
 }
 
+// servesIn tells when the lease has a token for one request more than those that wait.
+func (t *tenant) servesIn(now time.Duration) time.Duration {
+	first := t.refills(now)
+	if first == never {
+		return never
+	}
+	others := amount(t.waiting) * token
+	return first + time.Duration(float64(others)/float64(t.held.rate)*float64(time.Second))
+}
+
 // take takes a grant in, of a request sent at sentAt.
 func (t *tenant) take(now, sentAt time.Duration, grant *protocol.QuotaGrant, leased bool) {
 	if grant.Change && leased {
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -254,7 +254,7 @@
 	case verdict.Admit:
 		w.run(tenant.Name, g)
 	case verdict.Wait:
-		if g.client.Silent(w.now) && g.client.RefillsIn(w.now, tenant) > maxWait {
+		if g.client.Silent(w.now) && g.client.ServesIn(w.now, tenant) > maxWait {
 			g.client.GiveUp(w.now, tenant)
 			w.refuse(tenant.Name, g)
 			return
