--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -36,7 +36,7 @@
 // Table is what one control process knows. It isn't safe for concurrent use.
 type Table struct {
 	heard    map[key]Heard
-	coverage map[string]time.Duration // by the other control process's node: when its newest report was made, at the earliest
+	coverage map[string]time.Duration // by the other control process's address: when its newest report was made, at the earliest
 	lead     bool
 	leadFrom time.Duration
 }
@@ -60,8 +60,8 @@
 }
 
 // Cover notes that a control process's report, made at a time, was taken in whole.
-func (t *Table) Cover(node string, at time.Duration) {
-	t.coverage[node] = max(at, t.coverage[node])
+func (t *Table) Cover(address string, at time.Duration) {
+	t.coverage[address] = max(at, t.coverage[address])
 }
 
 // Lead notes whether this process leads the chain.
@@ -126,7 +126,7 @@
 }
 
 // Evictions gives the members of the set that have polled nowhere for so long that their lease has surely ended. others are the
-// other control processes of the chain: as long as one of them says nothing, a batch process may be polling there.
+// addresses of the other control processes of the chain: as long as one of them says nothing, a batch process may be polling there.
 func (t *Table) Evictions(now time.Duration, view protocol.StoreView, others []string) []protocol.StoreMember {
 	if !t.lead || now-t.leadFrom < EvictAfter || !t.covered(now, others) {
 		return nil
@@ -141,8 +141,8 @@
 }
 
 func (t *Table) covered(now time.Duration, others []string) bool {
-	for _, node := range others {
-		at, known := t.coverage[node]
+	for _, address := range others {
+		at, known := t.coverage[address]
 		if !known || now-at > CoverageMost {
 			return false
 		}
--- /dev/null
+++ b/internal/control/roles.go
@@ -0,0 +1,158 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"net"
+	"reflect"
+	"strconv"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/replica"
+	"sprucelane.example/sprucelane/internal/control/machine"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Times of the roles that one process has at a time.
+const (
+	rolesEvery  = 200 * time.Millisecond
+	roleAttempt = 2 * time.Second
+)
+
+// rolesLoop does what falls to the process that leads the chain: it keeps the set of batch processes.
+func (c *Control) rolesLoop() {
+	ticker := time.NewTicker(rolesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ticker.C:
+		case <-c.wakeRoles:
+		case <-c.ended.Done():
+			return
+		}
+		for _, command := range c.storeCommands() {
+			c.proposeRole(command)
+		}
+	}
+}
+
+// storeCommands gives what the set of batch processes needs now.
+func (c *Control) storeCommands() []machine.Command {
+	_, _, leads := c.replica.Lead()
+	stores := c.machine.Stores()
+	others := c.otherControls()
+	now := c.now()
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.presence.Lead(now, leads)
+	c.presence.Forget(now)
+	var commands []machine.Command
+	if joins := c.presence.Joins(now, stores); len(joins) > 0 {
+		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins}})
+	}
+	for _, member := range c.presence.Evictions(now, stores, others) {
+		commands = append(commands, machine.Command{Evict: &machine.Evict{Node: member.Node, Incarnation: member.Incarnation}})
+	}
+	for _, member := range c.presence.Emptied(now, stores) {
+		commands = append(commands, machine.Command{Retired: &machine.Retired{Node: member.Node, Incarnation: member.Incarnation, Epoch: stores.Epoch}})
+	}
+	return commands
+}
+
+// otherControls gives the addresses of the other members of the chain. Founders' names aren't known to all at first.
+func (c *Control) otherControls() []string {
+	self := c.replica.Self()
+	var list []string
+	for _, member := range c.replica.View().Chain {
+		if !member.Same(self) {
+			list = append(list, hostOf(member.Address))
+		}
+	}
+	return list
+}
+
+// hostOf gives the IP of an address, empty where it has none.
+func hostOf(address string) string {
+	host, _, err := net.SplitHostPort(address)
+	if err != nil {
+		return ""
+	}
+	return host
+}
+
+// proposeRole proposes a command. Whatever comes of it, the next round looks again at what is needed.
+func (c *Control) proposeRole(command machine.Command) {
+	raw, err := command.Encode()
+	if err != nil {
+		c.log.Error().Err(err).Msg("store-set-command")
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ended, roleAttempt)
+	defer cancel()
+	_, err = c.replica.Propose(ctx, "stores-"+randomName(), raw)
+	if err != nil && !errors.Is(err, replica.ErrClosed) {
+		c.log.Warn().Err(err).Msg("store-set-not-changed")
+		return
+	}
+	event := c.log.Info()
+	switch {
+	case command.Join != nil:
+		for _, process := range command.Join.Processes {
+			event = event.Str("joins", process.Node)
+		}
+	case command.Evict != nil:
+		event = event.Str("evicted", command.Evict.Node)
+	case command.Retired != nil:
+		event = event.Str("retired", command.Retired.Node)
+	}
+	event.Uint64("epoch", c.machine.Stores().Epoch).Msg("store-set")
+}
+
+// refreshMembers brings the list of processes up to date.
+func (c *Control) refreshMembers() {
+	next := protocol.MemberList{Control: c.controlMembers(), Stores: c.machine.Stores(), QuotaAddress: c.quotaAddress()}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	next.Gateways = c.presence.Gateways(c.now())
+	next.Version = c.members.Version
+	if next.Version > 0 && reflect.DeepEqual(next, c.members) {
+		return
+	}
+	next.Version++
+	c.members = next
+}
+
+// controlMembers gives the control processes that are known. The zone is known of those that are connected.
+func (c *Control) controlMembers() []protocol.ControlMember {
+	var list []protocol.ControlMember
+	for _, ip := range c.controlIPs() {
+		list = append(list, c.peers.member(ip))
+	}
+	return list
+}
+
+// member gives what is known of the control process at an address.
+func (p *peers) member(ip string) protocol.ControlMember {
+	s := p.control.settings
+	if ip == s.IP {
+		return protocol.ControlMember{Node: s.NodeName, Zone: s.Zone, IP: ip}
+	}
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	one := protocol.ControlMember{IP: ip}
+	if known := p.byIP[ip]; known != nil {
+		remote := known.client.Remote()
+		one.Node, one.Zone = remote.Node, remote.Zone
+	}
+	return one
+}
+
+// quotaAddress gives where the allocator of quotas is: at the head of the chain.
+func (c *Control) quotaAddress() string {
+	ip := hostOf(c.replica.View().Head().Address)
+	if ip == "" {
+		return ""
+	}
+	return net.JoinHostPort(ip, strconv.Itoa(c.settings.Port(node.PortControl)))
+}
--- /dev/null
+++ b/internal/control/subscriptions.go
@@ -0,0 +1,146 @@
+package control
+
+import (
+	"context"
+	"errors"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/control/presence"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// Codes of refusals that callers can tell apart.
+const (
+	// CodeUnknownMessage is of a message that control doesn't handle.
+	CodeUnknownMessage = "unknown-message"
+	// CodeNotLead is of a request that only the process that leads answers.
+	CodeNotLead = "not-lead"
+)
+
+// subscriber is a gateway or batch process with a connection to this process. What was queued on a connection arrives, in order,
+// or the connection ends: what was sent is what the other side has.
+type subscriber struct {
+	process       protocol.Process
+	configuration uint64
+	servers       uint64
+	members       uint64
+}
+
+// handle answers the messages of one session.
+func (c *Control) handle(_ context.Context, session *transport.Session, message any) (any, error) {
+	switch m := message.(type) {
+	case protocol.Poll:
+		return c.handlePoll(session, m), nil
+	case protocol.QuotaRequest:
+		return c.handleQuota(m)
+	case peerReport:
+		c.handleReport(session.Remote(), m)
+		return nil, nil
+	}
+	return nil, transport.Coded(CodeUnknownMessage, "control doesn't handle this message")
+}
+
+// handlePoll answers a poll. What the asker lacks is pushed ahead of the answer, so that a push that is due at the same time
+// can't be overtaken by it.
+func (c *Control) handlePoll(session *transport.Session, poll protocol.Poll) protocol.Update {
+	age, fresh := c.replica.Fresh() // before anything is looked at that is vouched for
+	c.mutex.Lock()
+	one := c.subscribe(session, poll)
+	news := c.presence.Observe(presence.Heard{Process: poll.Process, Ready: poll.Ready, Batch: poll.Batch, At: c.now()})
+	one.configuration = poll.Configuration
+	c.push(session, one)
+	c.mutex.Unlock()
+	if news {
+		wake(c.wakeRoles)
+	}
+	update := protocol.Update{Sequence: poll.Sequence, Fresh: fresh, Age: age}
+	if poll.Process.Role == protocol.RoleBatch {
+		update.Store = c.storeGrant(poll.Process, fresh)
+	}
+	return update
+}
+
+func (c *Control) subscribe(session *transport.Session, poll protocol.Poll) *subscriber {
+	one, known := c.subscribers[session]
+	if !known {
+		one = &subscriber{}
+		c.subscribers[session] = one
+		session.OnClose(func() { go c.unsubscribe(session) })
+	}
+	one.process = poll.Process
+	return one
+}
+
+func (c *Control) unsubscribe(session *transport.Session) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.subscribers, session)
+}
+
+// storeGrant gives a batch process's right to act. It is given only by a process that can vouch for the set.
+func (c *Control) storeGrant(process protocol.Process, fresh bool) *protocol.StoreGrant {
+	view := c.machine.Stores()
+	grant := &protocol.StoreGrant{Epoch: view.Epoch}
+	for i := range view.Members {
+		if fresh && view.Members[i].Process == process {
+			grant.Member = true
+			grant.Lease = presence.StoreLease
+		}
+	}
+	return grant
+}
+
+// pushLoop tells subscribers what has changed. Changes that come together go together.
+func (c *Control) pushLoop() {
+	for {
+		select {
+		case <-c.changed:
+		case <-c.ended.Done():
+			return
+		}
+		c.refreshMembers()
+		c.pushAll()
+	}
+}
+
+func (c *Control) pushAll() {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	for session, one := range c.subscribers {
+		c.push(session, one)
+	}
+}
+
+// push queues what a subscriber lacks.
+func (c *Control) push(session *transport.Session, one *subscriber) {
+	update := protocol.Update{Configuration: c.machine.Since(one.configuration)}
+	if c.servers.version > one.servers {
+		update.Servers = c.servers.message(c.source, c.now())
+	}
+	if c.members.Version > one.members {
+		list := c.members
+		update.Members = &list
+	}
+	if update.Configuration == nil && update.Servers == nil && update.Members == nil {
+		return
+	}
+	if err := session.Push(update); err != nil {
+		if !errors.Is(err, transport.ErrNotConnected) {
+			c.log.Warn().Err(err).Str("to", one.process.Node).Msg("push-failed")
+		}
+		return
+	}
+	if update.Configuration != nil {
+		one.configuration = update.Configuration.Index
+	}
+	one.servers, one.members = c.servers.version, c.members.Version
+}
+
+// handleQuota passes a request for tokens on to the allocator, where this process leads.
+func (c *Control) handleQuota(request protocol.QuotaRequest) (any, error) {
+	epoch, _, leads := c.replica.Lead()
+	if !leads || c.quota == nil {
+		return nil, transport.Coded(CodeNotLead, "quota is granted elsewhere")
+	}
+	return c.quota.Request(epoch, request)
+}
