--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -37,7 +37,8 @@
 	Digest  uint64
 	Ago     time.Duration
 	Rank    int               // of who read it
-	Servers []protocol.Server // nil: the list with this digest was sent before
+	Whole   bool              // else the list with this digest was sent before, and Servers is empty
+	Servers []protocol.Server
 }
 
 func init() { gob.Register(peerReport{}); transport.Register(peerReport{}) }
@@ -118,10 +119,8 @@
 	defer p.mutex.Unlock()
 	for _, one := range p.byIP {
 		share := whole
-		if one.sent == whole.Digest {
-			share.Servers = nil
-		} else {
-			share.Servers = list
+		if one.sent != whole.Digest {
+			share.Whole, share.Servers = true, list
 		}
 		if one.client.Send(peerReport{Servers: &share}) == nil {
 			one.sent = whole.Digest
@@ -134,11 +133,7 @@
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	list := c.servers.list
-	servers := list.Servers
-	if servers == nil {
-		servers = []protocol.Server{}
-	}
-	return peerServers{Digest: list.Digest, Ago: c.now() - c.servers.readAt, Rank: rank}, servers
+	return peerServers{Digest: list.Digest, Ago: c.now() - c.servers.readAt, Rank: rank}, list.Servers
 }
 
 // controlIPs gives the addresses of all control processes that are known.
@@ -238,7 +233,7 @@
 func (c *Control) takeShared(shared *peerServers, now time.Duration) bool {
 	readAt := now - max(shared.Ago, 0)
 	list := discovery.List{Servers: shared.Servers, Digest: shared.Digest}
-	if shared.Servers == nil {
+	if !shared.Whole {
 		if c.servers.version == 0 || c.servers.list.Digest != shared.Digest {
 			return false // its content didn't arrive: this process reads the list itself before long
 		}
