--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -29,9 +29,6 @@
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
-// systemName tells our processes' connections from others'.
-const systemName = "sprucelane"
-
 // Heartbeats of connections between processes.
 const (
 	heartbeat     = 500 * time.Millisecond
@@ -163,7 +160,7 @@
 
 func (c *Control) identity() transport.Identity {
 	s := c.settings
-	return transport.Identity{System: systemName, Node: s.NodeName, Role: protocol.RoleControl, Zone: s.Zone,
+	return transport.Identity{System: protocol.System, Node: s.NodeName, Role: protocol.RoleControl, Zone: s.Zone,
 		Address: s.Endpoint(node.PortControl), Incarnation: c.source}
 }
 
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -153,7 +153,7 @@
 
 func (s *system) follow(t *testing.T, i int, process protocol.Process) *follower {
 	f := &follower{configuration: configuration.NewState()}
-	identity := transport.Identity{System: systemName, Node: process.Node, Role: process.Role, Zone: process.Zone}
+	identity := transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role, Zone: process.Zone}
 	client := transport.NewClient(s.settings[i].Endpoint(node.PortControl), transport.Options{Identity: identity}, f.take, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
