--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"time"
 
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/control/presence"
@@ -17,6 +18,16 @@
 	CodeNotLead = "not-lead"
 )
 
+// freshMost is how old this process's proof of what it knows may be where it vouches. One that is cut off from the others falls
+// over it at once, and whom it serves turn to another; heartbeats keep it at a third of that.
+const freshMost = 800 * time.Millisecond
+
+// fresh gives the age of what is known here: all that was acknowledged longer ago is applied. False: it is too old to vouch.
+func (c *Control) fresh() (time.Duration, bool) {
+	age, proven := c.replica.Fresh()
+	return age, proven && age <= freshMost
+}
+
 // subscriber is a gateway or batch process with a connection to this process. What was queued on a connection arrives, in order,
 // or the connection ends: what was sent is what the other side has.
 type subscriber struct {
@@ -43,7 +54,7 @@
 // handlePoll answers a poll. What the asker lacks is pushed ahead of the answer, so that a push that is due at the same time
 // can't be overtaken by it.
 func (c *Control) handlePoll(session *transport.Session, poll protocol.Poll) protocol.Update {
-	age, fresh := c.replica.Fresh() // before anything is looked at that is vouched for
+	age, fresh := c.fresh() // before anything is looked at that is vouched for
 	c.mutex.Lock()
 	one := c.subscribe(session, poll)
 	news := c.presence.Observe(presence.Heard{Process: poll.Process, Ready: poll.Ready, Batch: poll.Batch, At: c.now()})
@@ -55,7 +66,7 @@
 	}
 	update := protocol.Update{Sequence: poll.Sequence, Fresh: fresh, Age: age}
 	if poll.Process.Role == protocol.RoleBatch {
-		update.Store = c.storeGrant(poll.Process, fresh)
+		update.Store = c.storeGrant(poll.Process, fresh, age)
 	}
 	return update
 }
@@ -77,14 +88,15 @@
 	delete(c.subscribers, session)
 }
 
-// storeGrant gives a batch process's right to act. It is given only by a process that can vouch for the set.
-func (c *Control) storeGrant(process protocol.Process, fresh bool) *protocol.StoreGrant {
+// storeGrant gives a batch process's right to act. It is given only by a process that can vouch for the set, and shortened by the
+// age of what that knows: whoever was evicted has no right left StoreLease after that was acknowledged.
+func (c *Control) storeGrant(process protocol.Process, fresh bool, age time.Duration) *protocol.StoreGrant {
 	view := c.machine.Stores()
 	grant := &protocol.StoreGrant{Epoch: view.Epoch}
 	for i := range view.Members {
 		if fresh && view.Members[i].Process == process {
 			grant.Member = true
-			grant.Lease = presence.StoreLease
+			grant.Lease = presence.StoreLease - age
 		}
 	}
 	return grant
