--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -36,8 +36,8 @@
 type peerServers struct {
 	Digest  uint64
 	Ago     time.Duration
-	Rank    int               // of who read it
-	Whole   bool              // else the list with this digest was sent before, and Servers is empty
+	Rank    int  // of who read it
+	Whole   bool // else the list with this digest was sent before, and Servers is empty
 	Servers []protocol.Server
 }
 
