--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -52,24 +52,17 @@
 	Close()
 }
 
-// QuotaAllocator grants tokens of tenants' quotas. It is asked only while this process leads.
-type QuotaAllocator interface {
-	// Request answers a gateway. lead is the epoch in which this process leads.
-	Request(lead uint64, request protocol.QuotaRequest) (protocol.QuotaReply, error)
-}
-
 // Options are what a control process is made of.
 type Options struct {
 	Settings *node.Settings
 	Log      zerolog.Logger
-	Quota    QuotaAllocator // may be nil: quota requests are refused
 }
 
 // Control is a control process.
 type Control struct {
 	settings *node.Settings
 	log      zerolog.Logger
-	quota    QuotaAllocator
+	quota    *quotaRole
 	source   string // of what this process numbers
 	started  time.Time
 
@@ -98,12 +91,12 @@
 
 // Start starts a control process.
 func Start(options Options) (*Control, error) {
-	if dir := options.Settings.DataDir; dir != "" {
-		if err := os.MkdirAll(dir, 0o700); err != nil {
-			return nil, fmt.Errorf("control: data-dir: %w", err)
-		}
+	founds, err := prepareDisk(options.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("control: data-dir: %w", err)
 	}
 	c := newControl(options)
+	c.quota = newQuotaRole(options.Settings, founds)
 	node, err := replica.Start(c.replicaOptions())
 	if err != nil {
 		return nil, fmt.Errorf("control: the chain: %w", err)
@@ -116,12 +109,23 @@
 	return c, nil
 }
 
+// prepareDisk makes the folder of the disk where it is missing, and tells whether this is the first start of a new system.
+func prepareDisk(settings *node.Settings) (founds bool, err error) {
+	if settings.DataDir == "" {
+		return false, nil
+	}
+	if err := os.MkdirAll(settings.DataDir, 0o700); err != nil {
+		return false, err
+	}
+	entries, err := os.ReadDir(settings.DataDir)
+	return settings.Bootstrap && len(entries) == 0, err
+}
+
 func newControl(options Options) *Control {
 	ended, end := context.WithCancel(context.Background())
 	c := &Control{
 		settings:    options.Settings,
 		log:         options.Log,
-		quota:       options.Quota,
 		source:      options.Settings.NodeName + "-" + randomName(),
 		started:     time.Now(),
 		machine:     machine.New(),
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -324,6 +324,46 @@
 	eventually(t, "the store back", stores["store-3"].see(func() bool { return stores["store-3"].grant.Member }))
 }
 
+// TestQuota asks the allocator for tokens, over the address that the list of processes names, before and after its process ends.
+func TestQuota(t *testing.T) {
+	s := newSystem(t, "")
+	gateway := protocol.Process{Node: "front-9", Role: protocol.RoleGateway, IP: "127.0.0.9", Incarnation: "x"}
+	f := s.follow(t, 1, gateway)
+	limited := strings.Replace(document, `"x":1.50`, `"tenants":[{"name":"t","api-keys":["k"],"rate-per-s":10,"burst":10}]`, 1)
+	if status := s.put(t, "PUT", "0", limited); status != 200 {
+		t.Fatal(status)
+	}
+	sequence := uint64(0)
+	ask := func() bool {
+		f.mutex.Lock()
+		address := ""
+		if f.members != nil {
+			address = f.members.QuotaAddress
+		}
+		f.mutex.Unlock()
+		if address == "" {
+			return false
+		}
+		identity := transport.Identity{System: protocol.System, Node: gateway.Node, Role: gateway.Role}
+		client := transport.NewClient(address, transport.Options{Identity: identity}, nil, nil)
+		defer client.Close()
+		eventually(t, "a connection", client.Connected)
+		sequence++
+		limitedTime, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		request := protocol.QuotaRequest{Process: gateway, Sequence: sequence, Whole: true, Demands: []protocol.QuotaDemand{{Tenant: "t", Rate: 3, Want: 2}}}
+		reply, err := client.Call(limitedTime, request)
+		if err != nil {
+			return false
+		}
+		answer := reply.(protocol.QuotaReply)
+		return answer.Term != 0 && len(answer.Grants) == 1 && answer.Grants[0].Tokens == 2
+	}
+	eventually(t, "tokens", ask)
+	s.stop(0) // the first head
+	eventually(t, "tokens of the next allocator", ask)
+}
+
 // TestHostile sends garbage to every port; the process answers others all the while.
 func TestHostile(t *testing.T) {
 	s := newSystem(t, "")
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"encoding/gob"
 	"sync"
 	"time"
 
@@ -41,7 +40,7 @@
 	Servers []protocol.Server
 }
 
-func init() { gob.Register(peerReport{}); transport.Register(peerReport{}) }
+func init() { transport.Register(peerReport{}) }
 
 // peers are the connections to the other control processes.
 type peers struct {
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -147,12 +147,3 @@
 	}
 	one.servers, one.members = c.servers.version, c.members.Version
 }
-
-// handleQuota passes a request for tokens on to the allocator, where this process leads.
-func (c *Control) handleQuota(request protocol.QuotaRequest) (any, error) {
-	epoch, _, leads := c.replica.Lead()
-	if !leads || c.quota == nil {
-		return nil, transport.Coded(CodeNotLead, "quota is granted elsewhere")
-	}
-	return c.quota.Request(epoch, request)
-}
