--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -74,7 +74,8 @@
 	}
 	s.options = transport.Options{
 		Identity: transport.Identity{
-			Node: s.process.Node, Role: s.process.Role, Zone: s.process.Zone, Address: s.process.IP, Incarnation: s.process.Incarnation,
+			System: protocol.System, Node: s.process.Node, Role: s.process.Role, Zone: s.process.Zone, Address: s.process.IP,
+			Incarnation: s.process.Incarnation,
 		},
 		MaxFrame:  maxFrame,
 		Heartbeat: heartbeat,
