--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -9,9 +9,9 @@
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/gateway/admission"
+	quotas "sprucelane.example/sprucelane/internal/gateway/limits"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/gateway/proxy"
-	"sprucelane.example/sprucelane/internal/gateway/quotas"
 	"sprucelane.example/sprucelane/internal/gateway/servers"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -19,11 +19,20 @@
 // loadEvery is how often admission is told of a service's load, while requests for it come.
 const loadEvery = 250 * time.Millisecond
 
+// How long a request may wait for a token of its tenant.
+const (
+	plainAim   = 200 * time.Millisecond // of a route that has none
+	unsurePart = 5                      // of the aim, while it isn't known whether there will be one
+	unsureMost = 100 * time.Millisecond
+	surePart   = 2 // of the aim, where there surely will be
+	sureMost   = 250 * time.Millisecond
+)
+
 // limits asks the mechanisms that refuse requests, and feeds them.
 type limits struct {
 	origin    time.Time
 	admission *admission.Admission
-	quotas    *quotas.Quotas
+	quotas    *quotas.Keeper
 	placer    *placement.Placer
 	servers   *servers.Registry
 	members   func() *protocol.MemberList
@@ -35,17 +44,12 @@
 func newLimits(placer *placement.Placer, table *servers.Registry, process protocol.Process, options transport.Options) *limits {
 	l := &limits{origin: time.Now(), admission: admission.New(admission.Options{}), placer: placer, servers: table,
 		told: map[string]time.Time{}}
-	l.quotas = quotas.New(quotas.Options{Process: process, Transport: options, Address: l.allocator})
+	l.quotas = quotas.New(quotas.Options{Process: process, Transport: options, Members: l.listed})
 	return l
 }
 
-// allocator gives the address where quotas are asked for, empty where it isn't known.
-func (l *limits) allocator() string {
-	if members := l.members(); members != nil {
-		return members.QuotaAddress
-	}
-	return ""
-}
+// listed gives the list of processes, nil where it isn't known yet.
+func (l *limits) listed() *protocol.MemberList { return l.members() }
 
 func (l *limits) now() time.Duration { return time.Since(l.origin) }
 
@@ -57,8 +61,8 @@
 
 // Admit decides about a request. The tenant's limit goes first: what lies beyond it is not owed.
 func (l *limits) Admit(ctx context.Context, wish proxy.Wish) proxy.Refusal {
-	if admitted, retryAfter := l.quotas.Take(ctx, wish.Tenant); !admitted {
-		return proxy.Refusal{Status: http.StatusTooManyRequests, RetryAfter: retryAfter}
+	if token := l.quotas.Acquire(ctx, wish.Tenant, patienceOf(wish.Route)); !token.Admit {
+		return proxy.Refusal{Status: http.StatusTooManyRequests, RetryAfter: token.RetryAfter}
 	}
 	l.tellLoad(wish.Backend)
 	decision := l.admission.Admit(l.now(), wish.Route, wish.Tenant, admission.Request{
@@ -66,9 +70,20 @@
 	if decision.Admit {
 		return proxy.Refusal{}
 	}
+	l.quotas.Return(wish.Tenant)
 	return proxy.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: decision.RetryAfter}
 }
 
+// patienceOf gives how long a request may wait for a token of its tenant: one that is refused must be so within a quarter of the
+// route's aim, one that is served has the rest of the aim for its server.
+func patienceOf(route *configuration.Route) quotas.Patience {
+	aim := route.TargetLatency()
+	if aim <= 0 {
+		aim = plainAim
+	}
+	return quotas.Patience{Unsure: min(aim/unsurePart, unsureMost), Sure: min(aim/surePart, sureMost)}
+}
+
 // Sent counts a request that has been sent.
 func (l *limits) Sent(wish proxy.Wish, again bool) {
 	l.admission.Sent(l.now(), wish.Route.Name)
--- a/internal/gateway/limits/limits_test.go
+++ b/internal/gateway/limits/limits_test.go
@@ -79,6 +79,7 @@
 func testSnapshot() *configuration.Snapshot {
 	return configuration.NewSnapshot(configuration.Document{Tenants: []configuration.Tenant{
 		{Name: "large", RatePerSec: 200, Burst: 200},
+		{Name: "middle", RatePerSec: 20, Burst: 10},
 		{Name: "small", RatePerSec: 1, Burst: 1},
 		{Name: "free"},
 	}}, 1)
@@ -107,6 +108,24 @@
 		So(refused.Load(), ShouldEqual, 0)
 	})
 
+	Convey("Two gateways together stay within a tenant's limit, and requests get what there is", t, func() {
+		server := startControl(t, snapshot)
+		keepers := []*Keeper{startKeeper(t, "front-a", server.members), startKeeper(t, "front-b", server.members)}
+		admitted, refused := 0, 0
+		short := Patience{Unsure: 20 * time.Millisecond, Sure: 20 * time.Millisecond}
+		for first := time.Now(); time.Since(first) < 2*time.Second; time.Sleep(5 * time.Millisecond) {
+			for _, keeper := range keepers {
+				if keeper.Acquire(context.Background(), snapshot.TenantNamed("middle"), short).Admit {
+					admitted++
+				} else {
+					refused++
+				}
+			}
+		}
+		So(admitted, ShouldBeBetween, 15, int((20*5+10)*1.1+20)+1)
+		So(refused, ShouldBeGreaterThan, 0)
+	})
+
 	Convey("Beyond the limit a request is refused with the time to come back", t, func() {
 		server := startControl(t, snapshot)
 		keeper := startKeeper(t, "front-1", server.members)
