--- a/internal/gateway/attempts/attempts.go
+++ b/internal/gateway/attempts/attempts.go
@@ -67,6 +67,11 @@
 	return a.ran == 0 || a.Repeatable && a.ran < max(1, a.MaxServers)
 }
 
+// Spare tells whether another server could be asked with so much time left, should the one that has the request now be given up.
+func (a *Account) Spare(left time.Duration) bool {
+	return left >= LeastTime && a.Repeatable && a.ran+1 < a.MaxServers
+}
+
 // Status gives the answer to a request that is given up.
 func (a *Account) Status(late bool) int {
 	switch {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -51,6 +51,8 @@
 	killMargin = 500 * time.Millisecond
 	// lookAgain is how often an ending process looks whether it may end.
 	lookAgain = 25 * time.Millisecond
+	// staleMost is how long a gateway that control doesn't vouch for calls itself ready.
+	staleMost = 1600 * time.Millisecond
 	// headerSlack is added to the operator's times: a client that keeps to them must not be cut by a moment.
 	headerSlack = 500 * time.Millisecond
 )
@@ -118,9 +120,11 @@
 	return max(0, settings.Limits.MaxFDs-reservedFiles) - clientSockets(settings)
 }
 
-// Ready tells whether clients are to come here.
+// Ready tells whether clients are to come here. One that control has not vouched for lately may still serve for a while, but its
+// clients are better off elsewhere.
 func (g *Gateway) Ready() bool {
-	return g.state.Ready() && g.subscription.Complete(time.Now())
+	now := time.Now()
+	return g.state.Ready() && g.subscription.Complete(now) && g.subscription.FreshSince(now.Add(-staleMost))
 }
 
 // Reload takes other settings in: machines that may know of control. What the process listens on stays.
--- a/internal/gateway/placement/health.go
+++ b/internal/gateway/placement/health.go
@@ -5,12 +5,10 @@
 const (
 	// A server that turned a request away is left alone for a moment, which doubles with each further one.
 	refusedFirst, refusedMost = 60 * time.Millisecond, time.Second
-	// One that could not be reached, broke off or fell silent is left alone for longer.
-	lostFirst, lostMost = 400 * time.Millisecond, 6 * time.Second
-	// failuresMost is how many failures of its own a server may give in a row.
-	failuresMost = 3
-	// silentAfter is how long a server may leave all that waits there without a sign of life.
-	silentAfter = 500 * time.Millisecond
+	// One that could not be reached, broke off, fell silent or failed is left alone for longer.
+	lostFirst, lostMost = 400 * time.Millisecond, 4 * time.Second
+	// forgiveAfter is the time after which a server that has given no trouble is trusted as one that never did.
+	forgiveAfter = 8 * time.Second
 	// slowMemory is the time after which a third is left of what was learnt of a server's speed.
 	slowMemory = 3 * time.Second
 )
@@ -30,26 +28,26 @@
 
 // health is what this gateway has seen of a server.
 type health struct {
-	refusals int // in a row
-	losses   int
-	failures int
+	refusals int       // in a row
+	losses   int       // lately: successes in between don't end the count, as a server may fail some requests and serve others
+	lostAt   time.Time // the last of those
 	shunned  time.Time // not chosen before
 }
 
 func (h *health) note(result Result, now time.Time) {
 	switch result {
 	case Succeeded:
-		*h = health{}
+		h.refusals = 0
+		if now.Sub(h.lostAt) > forgiveAfter {
+			h.losses = 0
+		}
 	case Refused:
 		h.refusals++
 		h.shun(now, refusedFirst, refusedMost, h.refusals)
-	case Unreachable, Broken:
+	case Unreachable, Broken, Failed:
 		h.losses++
+		h.lostAt = now
 		h.shun(now, lostFirst, lostMost, h.losses)
-	case Failed:
-		if h.failures++; h.failures >= failuresMost {
-			h.shun(now, lostFirst, lostMost, h.failures-failuresMost+1)
-		}
 	}
 }
 
@@ -63,10 +61,11 @@
 	}
 }
 
-// open tells whether a server may be chosen that has so many requests from here: one that failed comes back with one at a time.
+// open tells whether a server may be chosen that has so many requests from here: one that gave trouble lately comes back with one
+// at a time.
 func (h *health) open(now time.Time, active int) bool {
 	if now.Before(h.shunned) {
 		return false
 	}
-	return active == 0 || h.losses == 0 && h.failures < failuresMost
+	return active == 0 || h.losses == 0 || now.Sub(h.lostAt) > forgiveAfter
 }
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -20,8 +20,8 @@
 	runningCost = 60
 	// zoneCost is that of going to another zone: two crossings and the price of its bytes.
 	zoneCost = 200
-	// suspectCost is that of a server that has shown no sign of life while something waits there.
-	suspectCost = 50_000
+	// silentMost bounds what is added for the time for which something has waited at a server without a sign of life.
+	silentMost = 50_000
 	// jitter keeps gateways from choosing alike.
 	jitter = 120
 	// tokensPerMs turns what a server was slower than others into tokens.
@@ -160,10 +160,27 @@
 	if server.Zone != p.zone {
 		cost += zoneCost
 	}
-	if s.waiting > 0 && now.Sub(s.sign) > silentAfter {
-		cost += suspectCost
+	return cost + s.silence(now) + p.slowness(now, s) + jitter*p.random.Float64()
+}
+
+// silence gives what is to be waited for at a server that has shown no sign of life while something waits there: as long again.
+func (s *state) silence(now time.Time) float64 {
+	if s.waiting == 0 {
+		return 0
 	}
-	return cost + p.slowness(now, s) + jitter*p.random.Float64()
+	return min(silentMost, tokensPerMs*float64(now.Sub(s.sign))/float64(time.Millisecond))
+}
+
+// silentAfter is how long a server that works may leave all that waits there without a sign of life.
+const silentAfter = 400 * time.Millisecond
+
+// Silent tells whether the server has shown no sign of life for so long, to any request from here, that it is better to go
+// elsewhere where that is allowed.
+func (t *Ticket) Silent(now time.Time) bool {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	reading := time.Duration(float64(t.state.pending) / tokensPerMs * float64(time.Millisecond))
+	return now.Sub(t.state.sign) > silentAfter+2*reading
 }
 
 func (p *Placer) take(now time.Time, chosen candidate, demand *Demand) *Ticket {
@@ -199,6 +216,16 @@
 	t.state.pending -= t.tokens
 }
 
+// abandonedAfter is the wait after which a request that its client has left without a sign of life counts against the server.
+const abandonedAfter = time.Second
+
+// Sign notes that the server has sent something more.
+func (t *Ticket) Sign(now time.Time) {
+	t.placer.mu.Lock()
+	defer t.placer.mu.Unlock()
+	t.state.sign = now
+}
+
 // Done gives the place back.
 func (t *Ticket) Done(now time.Time, result Result) {
 	t.placer.mu.Lock()
@@ -209,7 +236,7 @@
 	t.done = true
 	if t.waiting {
 		t.leaveQueue()
-		if result == Abandoned && now.Sub(t.began) > 2*silentAfter {
+		if result == Abandoned && now.Sub(t.began) > abandonedAfter {
 			result = Broken // whoever waited for it has given it up
 		}
 	}
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -57,7 +57,7 @@
 	}
 	defer x.Close()
 	q.proxy.Admission.Sent(q.wish, q.account.MayHaveRun())
-	resp, err := q.answerHead(x)
+	resp, err := q.answerHead(x, ticket)
 	if err != nil {
 		q.attempted(began)
 		return q.lost(ticket)
@@ -120,10 +120,12 @@
 
 // answerHead reads the head of the answer to this request. One that names another id came late for another: it is passed over
 // together with its body.
-func (q *request) answerHead(x *pool.Exchange) (*http.Response, error) {
-	by := q.silentUntil()
+func (q *request) answerHead(x *pool.Exchange, ticket *placement.Ticket) (*http.Response, error) {
 	for range foreignMost {
-		resp, err := x.Head(by)
+		if err := q.await(x, ticket); err != nil {
+			return nil, err
+		}
+		resp, err := x.Head(q.deadline)
 		if err != nil {
 			return nil, err
 		}
@@ -137,24 +139,40 @@
 	return nil, errForeign
 }
 
-// silentUntil gives until when a server may say nothing, where the request could go on elsewhere.
-func (q *request) silentUntil() time.Time {
-	if !q.account.Repeatable || q.route.MaxAttempts <= 1 {
-		return q.deadline
+const (
+	// leastSilence is how long a server may leave a request without a word before one that may be repeated goes elsewhere.
+	leastSilence = 1200 * time.Millisecond
+	// lookEvery is the time between looks at whether the server is silent towards all.
+	lookEvery = 150 * time.Millisecond
+)
+
+// await waits until something more of the answer has come. A request that may be repeated doesn't wait for a server that has
+// fallen silent.
+func (q *request) await(x *pool.Exchange, ticket *placement.Ticket) error {
+	if !q.account.Spare(time.Until(q.deadline)) {
+		return x.Wait(q.deadline)
 	}
-	wait := max(leastSilence, 3*q.route.TargetLatency())
-	if q.started {
-		wait = leastSilence
+	wait := leastSilence
+	if !q.started {
+		wait = max(wait, 3*q.route.TargetLatency())
 	}
-	if by := time.Now().Add(wait); by.Before(q.deadline.Add(-wait / 2)) {
-		return by
+	patience := time.Now().Add(wait)
+	if patience.After(q.deadline) {
+		patience = q.deadline
+	}
+	for {
+		by := time.Now().Add(lookEvery)
+		if by.After(patience) {
+			by = patience
+		}
+		err := x.Wait(by)
+		now := time.Now()
+		if err == nil || !pool.TimedOut(err) || !now.Before(patience) || ticket.Silent(now) {
+			return err
+		}
 	}
-	return q.deadline
 }
 
-// leastSilence is how long a server may fall silent before a request that may be repeated goes elsewhere.
-const leastSilence = 1200 * time.Millisecond
-
 // skip reads the rest of an answer that is not passed on, so that its connection can be kept, and tells whether it is there.
 func (q *request) skip(x *pool.Exchange) bool {
 	x.ReadBy(time.Now().Add(leftoverWait))
--- a/internal/gateway/proxy/stream.go
+++ b/internal/gateway/proxy/stream.go
@@ -30,15 +30,20 @@
 	q.prepareScanner()
 	first := false
 	for {
-		x.ReadBy(q.silentUntil())
-		n, err := x.Read(q.scanner.Room(pieceSize / 2))
+		n, err := 0, q.await(x, ticket)
+		if err == nil {
+			x.ReadBy(q.deadline)
+			n, err = x.Read(q.scanner.Room(pieceSize / 2))
+		}
 		q.scanner.Came(n)
 		ended := errors.Is(err, io.EOF)
 		if err == nil && x.Ready() && len(q.scanner.Whole()) < batchMost {
 			continue
 		}
 		if len(q.scanner.Whole()) > 0 {
-			if !first {
+			if first {
+				ticket.Sign(time.Now())
+			} else {
 				first = true
 				q.firstEvent(ticket, began)
 			}
--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -169,6 +169,22 @@
 	return 0
 }
 
+// Wait waits, before Head and before reads of the body, until something of the answer has come that was not read yet, until some moment. It may be called again after a time-out.
+func (x *Exchange) Wait(by time.Time) error {
+	if x.conn.in.Buffered() > 0 || x.resp != nil && x.resp.ContentLength == 0 {
+		return nil
+	}
+	if x.resp == nil {
+		x.conn.left = maxHead
+	}
+	x.conn.SetReadDeadline(by)
+	_, err := x.conn.in.Peek(1)
+	if err != nil && !TimedOut(err) {
+		x.learn(err)
+	}
+	return cut(err)
+}
+
 // ReadBy sets the moment until which reads of the body wait.
 func (x *Exchange) ReadBy(by time.Time) { x.conn.SetReadDeadline(by) }
 
--- a/internal/pool/chunks.go
+++ b/internal/pool/chunks.go
@@ -53,6 +53,9 @@
 			if c.at = atSize; text != "" {
 				return 0, errChunks
 			}
+			if c.in.Buffered() == 0 {
+				return 0, nil // whoever waits for the next chunk may do so in another way
+			}
 		case atTrailer:
 			if text == "" {
 				c.at = atEnd
