--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -25,6 +25,7 @@
 	"sprucelane.example/sprucelane/internal/control/machine"
 	"sprucelane.example/sprucelane/internal/control/operator"
 	"sprucelane.example/sprucelane/internal/control/presence"
+	"sprucelane.example/sprucelane/internal/control/quotas"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -62,7 +63,7 @@
 type Control struct {
 	settings *node.Settings
 	log      zerolog.Logger
-	quota    *quotaRole
+	quota    *quotas.Service
 	source   string // of what this process numbers
 	started  time.Time
 
@@ -96,12 +97,12 @@
 		return nil, fmt.Errorf("control: data-dir: %w", err)
 	}
 	c := newControl(options)
-	c.quota = newQuotaRole(options.Settings, founds)
 	node, err := replica.Start(c.replicaOptions())
 	if err != nil {
 		return nil, fmt.Errorf("control: the chain: %w", err)
 	}
 	c.replica = node
+	c.quota = quotas.New(options.Settings.Bounds, node, c.machine.Configuration, founds)
 	if err := c.serve(); err != nil {
 		node.Close()
 		return nil, err
--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -16,6 +16,9 @@
 // CodeNotLead is the code of a refusal: this process doesn't lead now.
 const CodeNotLead = "not-lead"
 
+// foundingEpoch is the epoch of the chain's first view: nobody led before it.
+const foundingEpoch = 1
+
 // Lead tells whether the process leads the chain. *replica.Node is one.
 type Lead interface {
 	// Lead gives the moment until which no successor acts.
@@ -28,6 +31,7 @@
 type Service struct {
 	lead    Lead
 	version func() *configuration.Version
+	founds  bool
 	origin  time.Time
 
 	mutex      sync.Mutex
@@ -36,10 +40,11 @@
 	since      time.Time              // of the lead whose term the allocator is in
 }
 
-// New makes a service that doesn't act before the process leads. The function gives the configuration in force.
-func New(bounds node.Bounds, lead Lead, version func() *configuration.Version) *Service {
+// New makes a service that doesn't act before the process leads. The function gives the configuration in force. A process that
+// founds was started together with the whole system.
+func New(bounds node.Bounds, lead Lead, version func() *configuration.Version, founds bool) *Service {
 	rules := quota.Rules{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}
-	return &Service{lead: lead, version: version, origin: time.Now(),
+	return &Service{lead: lead, version: version, founds: founds, origin: time.Now(),
 		allocator: quota.NewAllocator(quota.AllocatorOptions{Rules: rules})}
 }
 
@@ -47,7 +52,7 @@
 // the time when it surely led, or not at all.
 func (s *Service) Request(request protocol.QuotaRequest) (protocol.QuotaReply, error) {
 	now := time.Now()
-	_, until, leads := s.lead.Lead()
+	epoch, until, leads := s.lead.Lead()
 	since, acts := s.lead.LeadSince()
 	if !leads || !acts || now.Before(since) || !now.Before(until) {
 		return protocol.QuotaReply{}, transport.Coded(CodeNotLead, "quota is granted elsewhere")
@@ -60,7 +65,15 @@
 	}
 	if !s.allocator.Acts() || !s.since.Equal(since) {
 		s.since = since
-		s.allocator.Start(now.Sub(s.origin), now.Sub(since))
+		s.allocator.Start(now.Sub(s.origin), s.idle(now, epoch))
 	}
 	return s.allocator.Request(now.Sub(s.origin), request), nil
 }
+
+// idle is for how long at least no allocator has acted: none has since this process may, and none before the chain's first view.
+func (s *Service) idle(now time.Time, epoch uint64) time.Duration {
+	if s.founds && epoch == foundingEpoch {
+		return now.Sub(s.origin) + time.Hour
+	}
+	return now.Sub(s.since)
+}
--- a/internal/control/quotas/quotas_test.go
+++ b/internal/control/quotas/quotas_test.go
@@ -41,7 +41,7 @@
 
 	Convey("Only the lead answers, and a lead that is begun anew is a new term", t, func() {
 		lead := &fakeLead{}
-		service := New(bounds, lead, func() *configuration.Version { return version })
+		service := New(bounds, lead, func() *configuration.Version { return version }, false)
 		_, err := ask(service)
 		So(transport.CodeOf(err), ShouldEqual, CodeNotLead)
 
@@ -64,6 +64,13 @@
 		So(err, ShouldBeNil)
 		So(anew.Term, ShouldNotEqual, first.Term)
 
+		founding := New(bounds, lead, func() *configuration.Version { return version }, true)
+		request.Demands[0].Want = 50
+		lead.begin(time.Now().Add(-time.Millisecond))
+		whole, err := ask(founding)
+		So(err, ShouldBeNil)
+		So(whole.Grants[0].Tokens, ShouldEqual, 50) // its pool is full, as nobody granted before
+
 		lead.begin(time.Now().Add(time.Minute))
 		_, err = ask(service)
 		So(transport.CodeOf(err), ShouldEqual, CodeNotLead)
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -14,8 +14,6 @@
 const (
 	// CodeUnknownMessage is of a message that control doesn't handle.
 	CodeUnknownMessage = "unknown-message"
-	// CodeNotLead is of a request that only the process that leads answers.
-	CodeNotLead = "not-lead"
 )
 
 // freshMost is how old this process's proof of what it knows may be where it vouches. One that is cut off from the others falls
@@ -43,7 +41,7 @@
 	case protocol.Poll:
 		return c.handlePoll(session, m), nil
 	case protocol.QuotaRequest:
-		return c.handleQuota(m)
+		return c.quota.Request(m)
 	case peerReport:
 		c.handleReport(session.Remote(), m)
 		return nil, nil
