--- /dev/null
+++ b/internal/standin/engine/engine.go
@@ -0,0 +1,205 @@
+// Package engine owns stand-in model servers: they speak the protocol's "Servers", batch requests in slots, read prompts, keep
+// shared parts of them and put out streams of events, and they account for what they ran. They must never be linked into a
+// program that is deployed, nor judge what a gateway should have done.
+package engine
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// The headers of the protocol that servers read and write.
+const (
+	headerRequest      = "X-Request-Id"
+	headerExpect       = "X-Expect-Instance"
+	headerInstance     = "X-Instance-Id"
+	headerNotExecuted  = "X-Not-Executed"
+	headerSignature    = "X-Response-Signature"
+	headerDeadline     = "X-Deadline-Ms"
+	headerTenant       = "X-Tenant"
+	headerKey          = "Api-Key"
+	headerUsage        = "X-Token-Usage"
+	headerPrompt       = "X-Prompt-Prefix"
+	headerLastEvent    = "Last-Event-Id"
+	notExecuted        = "1"
+	defaultWait        = 10 * time.Second // of a request that names no deadline
+	mostBodyBytes      = 8 << 20
+	headerReadTimeout  = 10 * time.Second
+	idleTimeout        = 30 * time.Second
+	queuePerSlot       = 1 // requests that may wait, for each slot
+	eventsWithoutUsage = 8 // of a request that doesn't tell how much it may put out
+)
+
+// Options are what a server can do.
+type Options struct {
+	ID             string // of this incarnation
+	Service        string
+	Address        string // ip:port; port 0 takes any
+	Slots          int
+	MaxConnections int           // 0: no bound
+	KVTokens       int           // of running requests and cached parts together
+	PromptRate     float64       // prompt tokens read in a second
+	EventEvery     time.Duration // between events of a server with one request
+	Stride         int           // output tokens of an event
+	Ledger         *Ledger       // where runs are told; shared by all servers
+
+	// Fails gives a status with which an attempt fails after it ran, or 0; nil: none fails.
+	Fails func(request string) int
+}
+
+// Server is a model server in one incarnation.
+type Server struct {
+	options  Options
+	listener *countedListener
+	server   *http.Server
+	ended    chan struct{}
+	once     sync.Once
+
+	slots    chan struct{}
+	waiting  atomic.Int64
+	draining atomic.Bool
+	cache    *cache
+}
+
+// Start starts a server.
+func Start(options Options) (*Server, error) {
+	listener, err := net.Listen("tcp", options.Address)
+	if err != nil {
+		return nil, fmt.Errorf("server %s: %w", options.ID, err)
+	}
+	s := &Server{
+		options:  options,
+		listener: &countedListener{Listener: listener, most: options.MaxConnections},
+		ended:    make(chan struct{}),
+		slots:    make(chan struct{}, options.Slots),
+		cache:    newCache(options.KVTokens),
+	}
+	routes := http.NewServeMux()
+	routes.HandleFunc("GET /report", s.report)
+	routes.HandleFunc("GET /healthz", s.health)
+	routes.HandleFunc("/", s.request)
+	s.server = &http.Server{
+		Handler:           routes,
+		ReadHeaderTimeout: headerReadTimeout,
+		IdleTimeout:       idleTimeout,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
+	go s.server.Serve(s.listener)
+	return s, nil
+}
+
+// ID gives the incarnation.
+func (s *Server) ID() string { return s.options.ID }
+
+// Service gives the name of the service.
+func (s *Server) Service() string { return s.options.Service }
+
+// Slots gives how many requests run at the same time.
+func (s *Server) Slots() int { return s.options.Slots }
+
+// Address gives ip:port.
+func (s *Server) Address() string { return s.listener.Addr().String() }
+
+// Running counts the requests that hold a slot.
+func (s *Server) Running() int { return len(s.slots) }
+
+// Drain makes the server say that it is leaving; it goes on serving until Stop.
+func (s *Server) Drain() { s.draining.Store(true) }
+
+// Draining tells whether it is leaving.
+func (s *Server) Draining() bool { return s.draining.Load() }
+
+// Stop ends the server as a crash does: streams break off, connections are refused.
+func (s *Server) Stop() {
+	s.once.Do(func() {
+		close(s.ended)
+		s.server.Close()
+	})
+}
+
+func (s *Server) health(w http.ResponseWriter, r *http.Request) {
+	w.Header().Set(headerInstance, s.options.ID)
+	if s.draining.Load() {
+		w.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	if !s.enter(r.Context()) {
+		s.turnAway(w, http.StatusServiceUnavailable)
+		return
+	}
+	<-s.slots
+	w.WriteHeader(http.StatusOK)
+}
+
+// enter takes a slot, after a wait where all are taken. It fails where too many wait, or the caller's time is over.
+func (s *Server) enter(ctx context.Context) bool {
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	default:
+	}
+	if s.waiting.Add(1) > int64(queuePerSlot*s.options.Slots) {
+		s.waiting.Add(-1)
+		return false
+	}
+	defer s.waiting.Add(-1)
+	select {
+	case s.slots <- struct{}{}:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-s.ended:
+		return false
+	}
+}
+
+// turnAway answers that the request has not run here and never will.
+func (s *Server) turnAway(w http.ResponseWriter, status int) {
+	w.Header().Set(headerNotExecuted, notExecuted)
+	w.Header().Set(headerInstance, s.options.ID)
+	w.Header().Set("Content-Length", "0")
+	w.WriteHeader(status)
+}
+
+// countedListener resets the connections over a bound.
+type countedListener struct {
+	net.Listener
+	most int
+	open atomic.Int64
+}
+
+// Accept gives the next connection within the bound.
+func (l *countedListener) Accept() (net.Conn, error) {
+	for {
+		connection, err := l.Listener.Accept()
+		if err != nil {
+			return nil, err
+		}
+		if l.open.Add(1) <= int64(l.most) || l.most == 0 {
+			return &countedConnection{Conn: connection, open: &l.open}, nil
+		}
+		l.open.Add(-1)
+		if tcp, ok := connection.(*net.TCPConn); ok {
+			_ = tcp.SetLinger(0) // a close resets then
+		}
+		connection.Close()
+	}
+}
+
+type countedConnection struct {
+	net.Conn
+	open *atomic.Int64
+	once sync.Once
+}
+
+func (c *countedConnection) Close() error {
+	c.once.Do(func() { c.open.Add(-1) })
+	return c.Conn.Close()
+}
--- /dev/null
+++ b/internal/standin/engine/engine_test.go
@@ -0,0 +1,150 @@
+package engine
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func start(t *testing.T, change func(*Options)) (*Server, *Ledger) {
+	ledger := &Ledger{}
+	options := Options{ID: "i-1", Service: "s", Address: "127.0.0.1:0", Slots: 2, KVTokens: 1000, PromptRate: 1e6,
+		EventEvery: time.Millisecond, Stride: 10, Ledger: ledger}
+	if change != nil {
+		change(&options)
+	}
+	server, err := Start(options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(server.Stop)
+	return server, ledger
+}
+
+// ask sends a request; headers are pairs of name and value.
+func ask(s *Server, headers ...string) (*http.Response, string, error) {
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	request, err := http.NewRequestWithContext(ctx, http.MethodPost, "http://"+s.Address()+"/p/1", strings.NewReader("body"))
+	if err != nil {
+		return nil, "", err
+	}
+	for i := 0; i < len(headers); i += 2 {
+		request.Header.Set(headers[i], headers[i+1])
+	}
+	response, err := http.DefaultClient.Do(request)
+	if err != nil {
+		return nil, "", err
+	}
+	defer response.Body.Close()
+	text, err := io.ReadAll(response.Body)
+	return response, string(text), err
+}
+
+func TestRequest(t *testing.T) {
+	server, ledger := start(t, nil)
+	Convey("A request gets its events with rising ids, signed, and is accounted for", t, func() {
+		response, text, err := ask(server, headerRequest, "r1", headerUsage, "20,25", headerTenant, "t")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 200)
+		So(response.Header.Get(headerRequest), ShouldEqual, "r1")
+		So(response.Header.Get(headerSignature), ShouldNotBeEmpty)
+		So(text, ShouldEqual, "id: 1\ndata: "+EventData("r1", 1)+"\n\nid: 2\ndata: "+EventData("r1", 2)+"\n\nid: 3\ndata: "+EventData("r1", 3)+"\n\n")
+		runs := ledger.Runs()
+		So(runs, ShouldHaveLength, 1)
+		So(runs[0].Tenant, ShouldEqual, "t")
+		So(string(runs[0].Body), ShouldEqual, "body")
+	})
+	Convey("Another run continues after an event", t, func() {
+		_, text, err := ask(server, headerRequest, "r1", headerUsage, "20,25", headerLastEvent, "2")
+		So(err, ShouldBeNil)
+		So(text, ShouldEqual, "id: 3\ndata: "+EventData("r1", 3)+"\n\n")
+		So(ledger.Twice(), ShouldEqual, 0)
+	})
+	Convey("What is turned away is said not to have run, and isn't accounted", t, func() {
+		before := len(ledger.Runs())
+		response, _, err := ask(server, headerRequest, "r2", headerExpect, "i-other")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 421)
+		So(response.Header.Get(headerInstance), ShouldEqual, "i-1")
+		response, _, err = ask(server)
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 400)
+		So(response.Header.Get(headerNotExecuted), ShouldEqual, "1")
+		So(ledger.Runs(), ShouldHaveLength, before)
+	})
+	Convey("Health follows draining", t, func() {
+		health := func() int {
+			response, err := http.Get("http://" + server.Address() + "/healthz")
+			So(err, ShouldBeNil)
+			response.Body.Close()
+			So(response.Header.Get(headerInstance), ShouldEqual, "i-1")
+			return response.StatusCode
+		}
+		So(health(), ShouldEqual, 200)
+		server.Drain()
+		So(health(), ShouldEqual, 503)
+	})
+}
+
+func TestFullServer(t *testing.T) {
+	server, _ := start(t, func(o *Options) { o.Slots, o.EventEvery = 1, time.Hour })
+	Convey("Over slots and queue a request is turned away, and a stop breaks streams off", t, func() {
+		broken := make(chan error, 2)
+		for _, id := range []string{"r1", "r2"} {
+			go func() {
+				_, _, err := ask(server, headerRequest, id)
+				broken <- err
+			}()
+		}
+		until(t, func() bool { return server.Running() == 1 && server.waiting.Load() == 1 })
+		response, _, err := ask(server, headerRequest, "r3")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 503)
+		So(response.Header.Get(headerNotExecuted), ShouldEqual, "1")
+		server.Stop()
+		So(<-broken, ShouldNotBeNil)
+		<-broken
+	})
+}
+
+func TestDeadline(t *testing.T) {
+	server, _ := start(t, func(o *Options) { o.PromptRate = 1 })
+	Convey("A request whose time is over before its first event gets the server's own 504", t, func() {
+		response, _, err := ask(server, headerRequest, "r1", headerPrompt, "a:100", headerDeadline, "20")
+		So(err, ShouldBeNil)
+		So(response.StatusCode, ShouldEqual, 504)
+	})
+}
+
+func TestCache(t *testing.T) {
+	Convey("Parts that were read aren't read again while all before them are kept", t, func() {
+		c := newCache(1000)
+		So(c.read([]part{{"a", 300}, {"b", 200}}), ShouldEqual, 500)
+		So(c.read([]part{{"a", 300}, {"c", 100}}), ShouldEqual, 100)
+		So(c.read([]part{{"c", 100}}), ShouldEqual, 100)
+		So(c.used(), ShouldEqual, 700)
+	})
+	Convey("The parts that have gone unused longest give way", t, func() {
+		c := newCache(500)
+		c.read([]part{{"a", 300}})
+		c.read([]part{{"b", 300}})
+		So(c.used(), ShouldEqual, 300)
+		So(c.read([]part{{"b", 300}}), ShouldEqual, 0)
+		So(c.read([]part{{"a", 300}}), ShouldEqual, 300)
+	})
+}
+
+func until(t *testing.T, done func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(10 * time.Second); !done(); time.Sleep(time.Millisecond) {
+		if time.Now().After(deadline) {
+			t.Fatal("it didn't come")
+		}
+	}
+}
