--- a/internal/lab/system/client.go
+++ b/internal/lab/system/client.go
@@ -33,6 +33,11 @@
 	Problem    string        // why it isn't whole
 }
 
+// Refused tells whether the request got the promise that it has not run.
+func (o Outcome) Refused() bool {
+	return o.Status == http.StatusTooManyRequests || o.Status == http.StatusServiceUnavailable
+}
+
 // Client sends requests to gateways as clients of the deployment do.
 type Client struct {
 	Key  string
--- a/internal/lab/system/fleet.go
+++ b/internal/lab/system/fleet.go
@@ -268,6 +268,31 @@
 	}
 }
 
+// WaitServing waits until each gateway is ready and has served a client's request: for a moment after the start of a fleet there
+// are no grants of quota yet.
+func (f *Fleet) WaitServing(ctx context.Context, client *Client) error {
+	if err := f.WaitReady(ctx); err != nil {
+		return err
+	}
+	for _, m := range f.Machines {
+		if m.Class != "front" {
+			continue
+		}
+		for try := 0; ; try++ {
+			got := client.Stream(ctx, m, fmt.Sprintf("first-%s-%d", m.Name, try), 0)
+			if got.Whole {
+				break
+			}
+			select {
+			case <-ctx.Done():
+				return fmt.Errorf("%s serves nothing: %+v%s", m.Name, got, f.lastLines())
+			case <-time.After(50 * time.Millisecond):
+			}
+		}
+	}
+	return nil
+}
+
 func (f *Fleet) ended() error {
 	f.mu.Lock()
 	defer f.mu.Unlock()
--- /dev/null
+++ b/internal/lab/system/system_test.go
@@ -0,0 +1,273 @@
+package system
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/controlclient"
+	"sprucelane.example/sprucelane/internal/standin/engine"
+)
+
+// programs is the folder of the programs that the tests build.
+var programs string
+
+func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+
+func runTests(m *testing.M) int {
+	folder, err := os.MkdirTemp("", "sprucelane-programs-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(folder)
+	programs = folder
+	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "./cmd/sprucelane-gateway", "./cmd/sprucelane-control",
+		"./cmd/sprucelane-batch")
+	build.Dir = filepath.Join("..", "..", "..")
+	if text, err := build.CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "%v\n%s", err, text)
+		return 1
+	}
+	return m.Run()
+}
+
+// open starts a whole system and gives it once it serves.
+func open(t *testing.T) (*Fleet, context.Context) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
+	t.Cleanup(cancel)
+	f, err := Open(DefaultPlan(programs))
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() {
+		if err := f.Close(); err != nil {
+			t.Error(err)
+		}
+	})
+	if err := f.StartAll(); err != nil {
+		t.Fatal(err)
+	}
+	if err := f.Put(ctx, 0, Configuration(1)); err != nil {
+		t.Fatal(err, f.lastLines())
+	}
+	if err := f.WaitServing(ctx, NewClient(SecondKey)); err != nil {
+		t.Fatal(err)
+	}
+	return f, ctx
+}
+
+// until waits for a condition.
+func until(t *testing.T, ctx context.Context, what string, done func() bool) {
+	t.Helper()
+	for !done() {
+		select {
+		case <-ctx.Done():
+			t.Fatal("it didn't come: " + what)
+		case <-time.After(20 * time.Millisecond):
+		}
+	}
+}
+
+// The whole path: a configuration is taken and read back, streams are served by every gateway, once and with the tenant's name.
+func TestConfigurationAndStreams(t *testing.T) {
+	f, ctx := open(t)
+	document, err := f.Get(ctx)
+	if err != nil || document.Generation != 1 || len(document.Routes) != 2 {
+		t.Fatalf("read back: %v, generation %d, %d routes", err, document.Generation, len(document.Routes))
+	}
+	client := NewClient(TenantKey)
+	for i := range 30 {
+		m := f.Machine(RoleGateway, f.Plan.Zones[i%len(f.Plan.Zones)])
+		if got := client.Stream(ctx, m, fmt.Sprintf("req-%d", i), i%4); !got.Whole {
+			t.Errorf("request %d at %s: %+v", i, m.Name, got)
+		}
+	}
+	runs := runsOf(f, TenantName)
+	if len(runs) != 30 || f.Ledger.Twice() > 0 {
+		t.Errorf("%d runs of 30 requests, %d twice", len(runs), f.Ledger.Twice())
+	}
+	for _, run := range runs {
+		if run.Key != "" || run.Host != StreamHost || run.Path != StreamPrefix+"2f" || string(run.Body) != "a log to read" {
+			t.Errorf("a server was sent something else: %+v", run)
+		}
+	}
+	if got := NewClient("no-such-key").Stream(ctx, f.Machine(RoleGateway, "east"), "unknown", 0); got.Status != http.StatusUnauthorized {
+		t.Errorf("an unknown key: %+v", got)
+	}
+}
+
+func runsOf(f *Fleet, tenant string) []engine.Run {
+	return slices.DeleteFunc(f.Ledger.Runs(), func(run engine.Run) bool { return run.Tenant != tenant })
+}
+
+// A key that is taken away ends everywhere within the bound, and the other tenant's goes on. What the operator sent twice is
+// acknowledged twice; what builds on an older version is refused.
+func TestKeyIsRevoked(t *testing.T) {
+	f, ctx := open(t)
+	document := Configuration(3)
+	document.Tenants[0].APIKeys = []string{"another-key"}
+	for range 2 {
+		if err := f.Put(ctx, 1, document); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := f.Put(ctx, 1, Configuration(5)); controlclient.StatusOf(err) != http.StatusPreconditionFailed {
+		t.Errorf("on top of an older version: %v", err)
+	}
+	revoked, other := NewClient(TenantKey), NewClient(SecondKey)
+	for _, zone := range f.Plan.Zones {
+		m := f.Machine(RoleGateway, zone)
+		number := 0
+		until(t, ctx, "the key ends at "+m.Name, func() bool {
+			number++
+			return revoked.Stream(ctx, m, fmt.Sprintf("revoked-%s-%d", zone, number), 0).Status == http.StatusUnauthorized
+		})
+		if got := other.Stream(ctx, m, "other-"+zone, 0); !got.Whole {
+			t.Errorf("the other tenant at %s: %+v", m.Name, got)
+		}
+	}
+	before := len(runsOf(f, TenantName))
+	for _, zone := range f.Plan.Zones {
+		revoked.Stream(ctx, f.Machine(RoleGateway, zone), "late-"+zone, 0)
+	}
+	if after := len(runsOf(f, TenantName)); after != before {
+		t.Errorf("%d requests ran with a key that was taken away", after-before)
+	}
+}
+
+// A batch job is taken once, whichever gateway is asked, and all its results can be read at every gateway, each whole and at one
+// position.
+func TestBatchJob(t *testing.T) {
+	f, ctx := open(t)
+	const job, items = "job-1", 20
+	client := NewClient(TenantKey)
+	for _, zone := range f.Plan.Zones {
+		m := f.Machine(RoleGateway, zone)
+		until(t, ctx, "the batch job is taken at "+m.Name, func() bool {
+			return client.Submit(ctx, m, job, items) == http.StatusAccepted
+		})
+	}
+	first := readAll(t, ctx, f, client, f.Machine(RoleGateway, "east"), job, items)
+	for _, zone := range f.Plan.Zones[1:] {
+		if again := readAll(t, ctx, f, client, f.Machine(RoleGateway, zone), job, items); !slices.Equal(first, again) {
+			t.Errorf("the results differ at %s", zone)
+		}
+	}
+	seen := map[string]bool{}
+	for _, one := range first {
+		if !one.Whole() || seen[one.ID] {
+			t.Errorf("result %+v, seen before: %v", one, seen[one.ID])
+		}
+		seen[one.ID] = true
+	}
+	for i := range items {
+		if !seen[ItemID(job, i)] {
+			t.Errorf("item %d has no result", i)
+		}
+	}
+	if status, _ := client.Read(ctx, f.Machine(RoleGateway, "east"), "no-such-job", 0); status != http.StatusNotFound {
+		t.Errorf("a batch job that isn't there: %d", status)
+	}
+	if status := client.End(ctx, f.Machine(RoleGateway, "west"), job); status != http.StatusOK {
+		t.Errorf("the end: %d", status)
+	}
+}
+
+func readAll(t *testing.T, ctx context.Context, f *Fleet, client *Client, m Machine, job string, items int) []BatchResult {
+	t.Helper()
+	var all []BatchResult
+	until(t, ctx, "all results at "+m.Name+f.lastLines(), func() bool {
+		status, results := client.Read(ctx, m, job, len(all))
+		if status != http.StatusOK {
+			return false
+		}
+		if results.Total != items || results.Next != len(all)+len(results.Results) {
+			t.Fatalf("total %d, next %d after %d and %d", results.Total, results.Next, len(all), len(results.Results))
+		}
+		all = append(all, results.Results...)
+		return len(all) == items
+	})
+	return all
+}
+
+// A control process that is killed takes nothing with it: traffic goes on, the next configuration is taken, and the one that was
+// killed comes back.
+func TestControlIsKilled(t *testing.T) {
+	f, ctx := open(t)
+	client := NewClient(TenantKey)
+	stop := make(chan struct{})
+	asked := make(chan tally)
+	go func() { asked <- askUntil(ctx, f, client, stop) }()
+	m := f.Machine(RoleControl, "east")
+	f.Process(m, RoleControl).Kill()
+	if err := f.Put(ctx, 1, Configuration(3)); err != nil {
+		t.Error(err)
+	}
+	if err := f.Restart(m, RoleControl); err != nil {
+		t.Error(err)
+	}
+	if err := f.Put(ctx, 3, Configuration(5)); err != nil {
+		t.Error(err)
+	}
+	alone := controlclient.Client{Addresses: []string{endpoint(m.IP, portControl)}, Timeout: 20 * time.Second}
+	if _, err := alone.Call(ctx, controlclient.Order{Method: http.MethodGet, Path: "/config"}); err != nil {
+		t.Errorf("the one that was killed doesn't tell the configuration: %v%s", err, f.lastLines())
+	}
+	close(stop)
+	during := <-asked
+	if len(during.problems) > 0 {
+		t.Errorf("%d requests were lost meanwhile: %v", len(during.problems), during.problems)
+	}
+	t.Logf("%d requests were served meanwhile, and %d refused", during.served, during.refused)
+	for _, zone := range f.Plan.Zones {
+		m, number := f.Machine(RoleGateway, zone), 0
+		until(t, ctx, "requests are served again at "+m.Name, func() bool {
+			number++
+			return client.Stream(ctx, m, fmt.Sprintf("after-%s-%d", zone, number), 0).Whole
+		})
+	}
+	if document, err := f.Get(ctx); err != nil || document.Generation != 5 {
+		t.Errorf("read back: %v, generation %d", err, document.Generation)
+	}
+	if f.Ledger.Twice() > 0 {
+		t.Errorf("%d requests ran twice", f.Ledger.Twice())
+	}
+}
+
+// tally is what came of many requests; problems are those that were neither served nor refused.
+type tally struct {
+	served, refused int
+	problems        []string
+}
+
+// askUntil asks one gateway after the other until stop.
+func askUntil(ctx context.Context, f *Fleet, client *Client, stop chan struct{}) (sum tally) {
+	for i := 0; ; i++ {
+		select {
+		case <-stop:
+			return sum
+		case <-ctx.Done():
+			sum.problems = append(sum.problems, ctx.Err().Error())
+			return sum
+		case <-time.After(10 * time.Millisecond):
+		}
+		m := f.Machine(RoleGateway, f.Plan.Zones[i%len(f.Plan.Zones)])
+		got := client.Stream(ctx, m, fmt.Sprintf("during-%d", i), i%4)
+		switch {
+		case got.Whole:
+			sum.served++
+		case got.Refused():
+			sum.refused++
+		default:
+			sum.problems = append(sum.problems, fmt.Sprintf("%+v", got))
+		}
+	}
+}
--- a/internal/standin/engine/engine_test.go
+++ b/internal/standin/engine/engine_test.go
@@ -95,21 +95,22 @@
 func TestFullServer(t *testing.T) {
 	server, _ := start(t, func(o *Options) { o.Slots, o.EventEvery = 1, time.Hour })
 	Convey("Over slots and queue a request is turned away, and a stop breaks streams off", t, func() {
-		broken := make(chan error, 2)
-		for _, id := range []string{"r1", "r2"} {
-			go func() {
-				_, _, err := ask(server, headerRequest, id)
-				broken <- err
-			}()
+		running, waiting := make(chan error, 1), make(chan error, 1)
+		send := func(id string, ended chan error) {
+			_, _, err := ask(server, headerRequest, id)
+			ended <- err
 		}
-		until(t, func() bool { return server.Running() == 1 && server.waiting.Load() == 1 })
+		go send("r1", running)
+		until(t, func() bool { return server.Running() == 1 })
+		go send("r2", waiting)
+		until(t, func() bool { return server.waiting.Load() == 1 })
 		response, _, err := ask(server, headerRequest, "r3")
 		So(err, ShouldBeNil)
 		So(response.StatusCode, ShouldEqual, 503)
 		So(response.Header.Get(headerNotExecuted), ShouldEqual, "1")
 		server.Stop()
-		So(<-broken, ShouldNotBeNil)
-		<-broken
+		So(<-running, ShouldNotBeNil)
+		<-waiting // turned away or cut
 	})
 }
 
