--- /dev/null
+++ b/coord/leader/leader_test.go
@@ -0,0 +1,134 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func TestElection(t *testing.T) {
+	Convey("An election", t, func() {
+		e := NewElection(10 * time.Millisecond)
+		claim := Claim{Epoch: 4, Until: time.Second, Leads: true}
+		So(e.Observe(0, claim), ShouldEqual, Start)
+		So(e.Valid(989*time.Millisecond, 4), ShouldBeTrue)
+		So(e.Valid(990*time.Millisecond, 4), ShouldBeFalse)
+
+		Convey("goes on as the claim is renewed", func() {
+			claim.Until = 2 * time.Second
+			So(e.Observe(500*time.Millisecond, claim), ShouldEqual, Stay)
+			So(e.Valid(1900*time.Millisecond, 4), ShouldBeTrue)
+		})
+		Convey("stops when the claim has run out", func() {
+			So(e.Observe(500*time.Millisecond, Claim{}), ShouldEqual, Stay)
+			So(e.Observe(990*time.Millisecond, Claim{}), ShouldEqual, Stop)
+			So(e.Observe(991*time.Millisecond, Claim{}), ShouldEqual, Stay)
+		})
+		Convey("starts anew under another epoch", func() {
+			next := Claim{Epoch: 5, Until: 3 * time.Second, Leads: true}
+			So(e.Observe(500*time.Millisecond, next), ShouldEqual, Stop)
+			So(e.Observe(500*time.Millisecond, next), ShouldEqual, Start)
+			So(e.Valid(time.Second, 4), ShouldBeFalse)
+			So(e.Valid(time.Second, 5), ShouldBeTrue)
+		})
+		Convey("doesn't start again after it resigned, until it stands", func() {
+			So(e.Resign(), ShouldEqual, Stop)
+			So(e.Valid(0, 4), ShouldBeFalse)
+			So(e.Observe(100*time.Millisecond, claim), ShouldEqual, Stay)
+			e.Stand()
+			So(e.Observe(100*time.Millisecond, claim), ShouldEqual, Start)
+		})
+		Convey("doesn't start on a claim that has nearly run out", func() {
+			other := NewElection(10 * time.Millisecond)
+			So(other.Observe(995*time.Millisecond, claim), ShouldEqual, Stay)
+		})
+	})
+}
+
+// TestElectionIsValidOnlyWithinClaims checks that no term is valid outside of a claim of its epoch.
+func TestElectionIsValidOnlyWithinClaims(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		e := NewElection(time.Millisecond)
+		ends := map[uint64]time.Duration{}
+		now := time.Duration(0)
+		epoch := uint64(1)
+		for i := 0; i < 100; i++ {
+			now += time.Duration(rapid.IntRange(0, 5e8).Draw(t, "pause"))
+			epoch += uint64(rapid.IntRange(0, 1).Draw(t, "epoch"))
+			claim := Claim{Epoch: epoch, Until: now + time.Duration(rapid.IntRange(-1e9, 1e9).Draw(t, "until"))}
+			claim.Leads = rapid.Bool().Draw(t, "leads")
+			if claim.Leads {
+				ends[epoch] = max(ends[epoch], claim.Until)
+			}
+			e.Observe(now, claim)
+			for known := uint64(1); known <= epoch; known++ {
+				if e.Valid(now, known) && now >= ends[known] {
+					t.Fatalf("epoch %d is valid at %v, claimed until %v", known, now, ends[known])
+				}
+			}
+		}
+	})
+}
+
+// fakeSource is a source that a test commands.
+type fakeSource struct {
+	mutex  sync.Mutex
+	epoch  uint64
+	until  time.Time
+	leads  bool
+	handed int
+}
+
+func (s *fakeSource) set(epoch uint64, until time.Time, leads bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.epoch, s.until, s.leads = epoch, until, leads
+}
+
+func (s *fakeSource) Lead() (uint64, time.Time, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.epoch, s.until, s.leads
+}
+
+func (s *fakeSource) HandOver(context.Context) error {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.handed++
+	s.leads = false
+	return nil
+}
+
+func TestRunner(t *testing.T) {
+	Convey("A runner runs the role in its term and hands over when it resigns", t, func() {
+		source := &fakeSource{}
+		terms := make(chan *Term, 8)
+		ended := make(chan uint64, 8)
+		runner := Run(source, func(ctx context.Context, term *Term) {
+			terms <- term
+			<-ctx.Done()
+			ended <- term.Epoch()
+		}, Options{Interval: time.Millisecond})
+		defer runner.Close()
+
+		source.set(1, time.Now().Add(time.Hour), true)
+		first := <-terms
+		So(first.Epoch(), ShouldEqual, 1)
+		So(first.Valid(), ShouldBeTrue)
+
+		source.set(2, time.Now().Add(time.Hour), true)
+		So(<-ended, ShouldEqual, 1)
+		second := <-terms
+		So(first.Valid(), ShouldBeFalse)
+		So(second.Valid(), ShouldBeTrue)
+
+		So(runner.Resign(context.Background()), ShouldBeNil)
+		So(<-ended, ShouldEqual, 2)
+		So(second.Valid(), ShouldBeFalse)
+		So(source.handed, ShouldEqual, 1)
+	})
+}
--- /dev/null
+++ b/coord/leader/runner.go
@@ -0,0 +1,186 @@
+package leader
+
+import (
+	"context"
+	"sync"
+	"time"
+)
+
+// Source says whether this node leads; coord/replica.Node is one.
+type Source interface {
+	// Lead returns the epoch of the leadership and the moment until which no other node has one.
+	Lead() (epoch uint64, until time.Time, ok bool)
+	// HandOver gives the leadership away.
+	HandOver(ctx context.Context) error
+}
+
+// Role is what one node at a time does. It returns soon after ctx ends.
+type Role func(ctx context.Context, term *Term)
+
+// Term is one uninterrupted leadership.
+type Term struct {
+	runner *Runner
+	epoch  uint64
+}
+
+// Epoch returns the term's epoch, which is higher than that of any term before it, on any node. It
+// fences off what earlier terms began.
+func (t *Term) Epoch() uint64 { return t.epoch }
+
+// Valid reports whether this node still leads. It is asked right before each act.
+func (t *Term) Valid() bool { return t.runner.valid(t.epoch) }
+
+// Options adjust a Runner.
+type Options struct {
+	// Interval is how often the source is asked. Zero means 100 ms.
+	Interval time.Duration
+	// Margin is how much before its end a term is over. Zero means 50 ms.
+	Margin time.Duration
+}
+
+const (
+	defaultInterval = 100 * time.Millisecond
+	defaultMargin   = 50 * time.Millisecond
+)
+
+// Runner runs a role while this node leads.
+type Runner struct {
+	source   Source
+	role     Role
+	options  Options
+	start    time.Time
+	closing  chan struct{}
+	done     chan struct{}
+	once     sync.Once
+	mutex    sync.Mutex
+	election *Election
+	cancel   context.CancelFunc
+	stopped  chan struct{} // closed once the role that runs, or ran last, has returned
+}
+
+// Run starts a runner.
+func Run(source Source, role Role, options Options) *Runner {
+	if options.Interval <= 0 {
+		options.Interval = defaultInterval
+	}
+	if options.Margin <= 0 {
+		options.Margin = defaultMargin
+	}
+	r := &Runner{
+		source:   source,
+		role:     role,
+		options:  options,
+		start:    time.Now(),
+		closing:  make(chan struct{}),
+		done:     make(chan struct{}),
+		election: NewElection(options.Margin),
+		stopped:  make(chan struct{}),
+	}
+	close(r.stopped)
+	go r.loop()
+	return r
+}
+
+func (r *Runner) now() time.Duration { return time.Since(r.start) }
+
+func (r *Runner) loop() {
+	defer close(r.done)
+	ticker := time.NewTicker(r.options.Interval)
+	defer ticker.Stop()
+	for {
+		r.observe()
+		select {
+		case <-ticker.C:
+		case <-r.closing:
+			return
+		}
+	}
+}
+
+// observe asks the source and starts or stops the role. A role starts only once the one before has
+// returned.
+func (r *Runner) observe() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	epoch, until, leads := r.source.Lead()
+	claim := Claim{Epoch: epoch, Until: until.Sub(r.start), Leads: leads}
+	if _, _, running := r.election.Term(); !running && !r.returned() {
+		return
+	}
+	switch r.election.Observe(r.now(), claim) {
+	case Start:
+		r.begin(epoch)
+	case Stop:
+		r.cancel()
+	case Stay:
+	}
+}
+
+func (r *Runner) returned() bool {
+	select {
+	case <-r.stopped:
+		return true
+	default:
+		return false
+	}
+}
+
+func (r *Runner) begin(epoch uint64) {
+	ctx, cancel := context.WithCancel(context.Background())
+	stopped := make(chan struct{})
+	r.cancel, r.stopped = cancel, stopped
+	go func() {
+		defer close(stopped)
+		r.role(ctx, &Term{runner: r, epoch: epoch})
+	}()
+}
+
+// valid compares the term with the clock and with the source's newest word.
+func (r *Runner) valid(epoch uint64) bool {
+	current, until, leads := r.source.Lead()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if leads && current == epoch {
+		if _, _, running := r.election.Term(); running {
+			r.election.Observe(r.now(), Claim{Epoch: current, Until: until.Sub(r.start), Leads: true})
+		}
+	}
+	return r.election.Valid(r.now(), epoch)
+}
+
+// Resign stops the role, waits for it to return, and hands the leadership over. The role doesn't
+// start here again until Stand.
+func (r *Runner) Resign(ctx context.Context) error {
+	r.mutex.Lock()
+	if r.election.Resign() == Stop {
+		r.cancel()
+	}
+	stopped := r.stopped
+	r.mutex.Unlock()
+	select {
+	case <-stopped:
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+	return r.source.HandOver(ctx)
+}
+
+// Stand allows the role to start here again.
+func (r *Runner) Stand() {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.election.Stand()
+}
+
+// Close stops the role and waits for it.
+func (r *Runner) Close() {
+	r.once.Do(func() { close(r.closing) })
+	<-r.done
+	r.mutex.Lock()
+	if r.election.Resign() == Stop {
+		r.cancel()
+	}
+	stopped := r.stopped
+	r.mutex.Unlock()
+	<-stopped
+}
--- /dev/null
+++ b/coord/lease/example_test.go
@@ -0,0 +1,34 @@
+package lease_test
+
+import (
+	"fmt"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/lease"
+)
+
+// A holder asks, is granted a second counted from its question, and checks right before each act.
+func Example() {
+	granter := lease.NewFirstGranter(lease.GranterOptions{Epoch: 1, Longest: 5 * time.Second, Guard: 50 * time.Millisecond})
+	holder := lease.NewHolder(100 * time.Millisecond)
+
+	asked := 10 * time.Second
+	answered := asked + 30*time.Millisecond
+	grant, err := granter.Acquire(answered, "discovery/huron", "front-huron-1", time.Second)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	holder.Granted(asked, grant)
+
+	_, valid := holder.Valid(asked + 850*time.Millisecond)
+	fmt.Println("after 850 ms:", valid)
+	_, valid = holder.Valid(asked + 950*time.Millisecond)
+	fmt.Println("after 950 ms:", valid)
+	_, err = granter.Acquire(asked+950*time.Millisecond, "discovery/huron", "front-huron-2", time.Second)
+	fmt.Println("another, after 950 ms:", err)
+	// Output:
+	// after 850 ms: true
+	// after 950 ms: false
+	// another, after 950 ms: lease: held by another
+}
--- /dev/null
+++ b/coord/lease/lease_test.go
@@ -0,0 +1,178 @@
+package lease
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+	"pgregory.net/rapid"
+)
+
+func options() GranterOptions {
+	return GranterOptions{Epoch: 3, Longest: 5 * time.Second, Guard: 100 * time.Millisecond}
+}
+
+func TestGranter(t *testing.T) {
+	Convey("A granter", t, func() {
+		g := NewFirstGranter(options())
+		first, err := g.Acquire(0, "zone", "a", time.Second)
+		So(err, ShouldBeNil)
+		So(first.Token.Epoch(), ShouldEqual, 3)
+
+		Convey("refuses another holder until the lease has surely ended", func() {
+			_, err := g.Acquire(time.Second+99*time.Millisecond, "zone", "b", time.Second)
+			So(err, ShouldEqual, ErrHeld)
+			second, err := g.Acquire(time.Second+100*time.Millisecond, "zone", "b", time.Second)
+			So(err, ShouldBeNil)
+			So(second.Token, ShouldBeGreaterThan, first.Token)
+			_, err = g.Renew(time.Second+200*time.Millisecond, first)
+			So(err, ShouldEqual, ErrStale)
+			So(g.Release(first), ShouldEqual, ErrStale)
+		})
+		Convey("doesn't take back what it gave when a shorter lease is asked for", func() {
+			_, err := g.Acquire(0, "zone", "a", 10*time.Millisecond)
+			So(err, ShouldBeNil)
+			_, err = g.Acquire(time.Second, "zone", "b", time.Second)
+			So(err, ShouldEqual, ErrHeld)
+		})
+		Convey("gives a released resource at once", func() {
+			So(g.Release(first), ShouldBeNil)
+			_, err := g.Acquire(time.Millisecond, "zone", "b", time.Second)
+			So(err, ShouldBeNil)
+		})
+		Convey("refuses durations beyond its longest", func() {
+			_, err := g.Acquire(0, "other", "a", 6*time.Second)
+			So(err, ShouldEqual, ErrDuration)
+		})
+		Convey("forgets what has ended", func() {
+			So(g.Expire(time.Second), ShouldBeEmpty)
+			So(g.Expire(2*time.Second), ShouldHaveLength, 1)
+			So(g.Standing(), ShouldEqual, 0)
+		})
+	})
+	Convey("A granter that takes over refuses until earlier leases have ended", t, func() {
+		g := NewGranter(10*time.Second, options())
+		_, err := g.Acquire(15*time.Second, "zone", "b", time.Second)
+		So(err, ShouldEqual, ErrWarmingUp)
+		_, err = g.Acquire(15100*time.Millisecond, "zone", "b", time.Second)
+		So(err, ShouldBeNil)
+	})
+}
+
+func TestHolder(t *testing.T) {
+	Convey("A holder counts from its question and stops before the end", t, func() {
+		h := NewHolder(50 * time.Millisecond)
+		h.Granted(time.Second, Grant{Token: 7, Duration: time.Second})
+		_, ok := h.Valid(1949 * time.Millisecond)
+		So(ok, ShouldBeTrue)
+		_, ok = h.Valid(1950 * time.Millisecond)
+		So(ok, ShouldBeFalse)
+		h.Granted(500*time.Millisecond, Grant{Token: 7, Duration: time.Second})
+		ends, _ := h.Ends()
+		So(ends, ShouldEqual, 1950*time.Millisecond)
+		_, held := h.Give()
+		So(held, ShouldBeTrue)
+		_, ok = h.Valid(time.Second)
+		So(ok, ShouldBeFalse)
+		h.Granted(time.Second, Grant{Token: 7, Duration: time.Second})
+		_, ok = h.Valid(time.Second)
+		So(ok, ShouldBeFalse)
+	})
+}
+
+// leaseWorld has holders that ask, with delays both ways, granters that follow each other, and clocks
+// that differ. At most one holder may count a resource as its own.
+type leaseWorld struct {
+	now     time.Duration
+	granter *Granter
+	epoch   uint64
+	holders []*Holder
+	offsets []time.Duration // of the holders' clocks
+	answers []answer
+	fence   Fence
+}
+
+type answer struct {
+	at     time.Duration
+	holder int
+	asked  time.Duration // by the holder's clock
+	grant  Grant
+}
+
+func TestOneHolderAtATime(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		w := &leaseWorld{granter: NewFirstGranter(GranterOptions{Epoch: 1, Longest: time.Second, Guard: time.Millisecond}), epoch: 1}
+		for i := 0; i < 3; i++ {
+			w.holders = append(w.holders, NewHolder(0))
+			w.offsets = append(w.offsets, time.Duration(rapid.IntRange(0, 1e9).Draw(t, "offset")))
+		}
+		for i := 0; i < 120; i++ {
+			w.now += time.Duration(rapid.IntRange(0, 2e8).Draw(t, "pause"))
+			w.deliver()
+			w.act(t)
+			w.check(t)
+		}
+	})
+}
+
+func (w *leaseWorld) act(t *rapid.T) {
+	holder := rapid.IntRange(0, len(w.holders)-1).Draw(t, "holder")
+	if rapid.IntRange(0, 15).Draw(t, "takeover") == 0 {
+		w.epoch++
+		w.granter = NewGranter(w.now, GranterOptions{Epoch: w.epoch, Longest: time.Second, Guard: time.Millisecond})
+		return
+	}
+	if rapid.IntRange(0, 9).Draw(t, "release") == 0 {
+		if grant, held := w.holders[holder].Give(); held {
+			_ = w.granter.Release(grant)
+		}
+		return
+	}
+	asked := w.now + w.offsets[holder]
+	w.now += time.Duration(rapid.IntRange(0, 3e8).Draw(t, "way there"))
+	duration := time.Duration(rapid.IntRange(1, 1e9).Draw(t, "duration"))
+	var grant Grant
+	var err error
+	if held := w.holders[holder]; held.held && rapid.Bool().Draw(t, "renew") {
+		grant = held.grant
+		grant.Duration = duration
+		grant, err = w.granter.Renew(w.now, grant)
+	} else {
+		grant, err = w.granter.Acquire(w.now, "r", fmt.Sprint(holder), duration)
+	}
+	if err != nil {
+		return
+	}
+	back := time.Duration(rapid.IntRange(0, 3e8).Draw(t, "way back"))
+	w.answers = append(w.answers, answer{at: w.now + back, holder: holder, asked: asked, grant: grant})
+}
+
+func (w *leaseWorld) deliver() {
+	waiting := w.answers[:0]
+	for _, a := range w.answers {
+		if a.at > w.now {
+			waiting = append(waiting, a)
+			continue
+		}
+		w.holders[a.holder].Granted(a.asked, a.grant)
+	}
+	w.answers = waiting
+}
+
+func (w *leaseWorld) check(t *rapid.T) {
+	owners := 0
+	for i, h := range w.holders {
+		token, ok := h.Valid(w.now + w.offsets[i])
+		if !ok {
+			continue
+		}
+		owners++
+		if !w.fence.Admit(token) {
+			t.Fatalf("holder %d is fenced off though its lease stands", i)
+		}
+	}
+	if owners > 1 {
+		t.Fatalf("%d holders of one resource", owners)
+	}
+}
--- a/coord/replica/api.go
+++ b/coord/replica/api.go
@@ -12,43 +12,50 @@
 // Propose has an order applied, from any node, and returns its result. A nil error means that the
 // order is on the disks of the whole chain, more of them than may be lost at once. The same id again
 // returns the first outcome, as long as it is among the last few thousand; an order that got
-// ErrUncertain may be proposed again with its id anywhere.
+// ErrUncertain may be proposed again with its id anywhere. Without an id one is drawn.
+//
+// ErrUnavailable speaks of this call alone: an earlier call with the same id may have been taken.
 func (n *Node) Propose(ctx context.Context, id string, order []byte) ([]byte, error) {
-	outcomes := make(chan chain.Outcome, 1)
-	submitted := n.input(func() {
-		n.core.submit(n.now(), id, order, func(outcome chain.Outcome) { outcomes <- outcome })
-	})
-	if !submitted {
-		return nil, ErrClosed
+	if id == "" {
+		id = n.drawID()
+	}
+	wait := &waiter{outcomes: make(chan chain.Outcome, 1)}
+	err := n.input(ctx, func() { n.core.submit(n.now(), id, order, wait) })
+	if err != nil {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	select {
-	case outcome := <-outcomes:
+	case outcome := <-wait.outcomes:
 		return outcome.Result, nil
 	case <-n.done:
 		return nil, fmt.Errorf("%w: %w", ErrUncertain, ErrClosed)
 	case <-ctx.Done():
+		return n.withdraw(id, wait, ctx.Err())
 	}
-	return n.withdraw(id, outcomes, ctx.Err())
 }
 
+func (n *Node) drawID() string {
+	return fmt.Sprintf("%s/%x/%d", n.core.self.ID(), n.core.life, n.drawn.Add(1))
+}
+
+// withdrawTime bounds the wait for the loop once a caller's time is over.
+const withdrawTime = 20 * time.Millisecond
+
 // withdraw ends the wait for an order. What is known of it is known on the loop only; a node whose
 // disk holds up the loop can't tell, and then the order counts as uncertain.
-func (n *Node) withdraw(id string, outcomes chan chain.Outcome, cause error) ([]byte, error) {
-	limited, cancel := context.WithTimeout(context.Background(), 20*time.Millisecond)
+func (n *Node) withdraw(id string, wait *waiter, cause error) ([]byte, error) {
+	limited, cancel := context.WithTimeout(context.Background(), withdrawTime)
 	defer cancel()
 	sent := true
 	withdrawn := make(chan bool, 1)
-	select {
-	case n.inputs <- func() { withdrawn <- n.core.withdraw(id) }:
-	case <-n.closing:
-	case <-limited.Done():
-	}
-	select {
-	case sent = <-withdrawn:
-	case <-limited.Done():
+	if err := n.input(limited, func() { withdrawn <- n.core.withdraw(id, wait) }); err == nil {
+		select {
+		case sent = <-withdrawn:
+		case <-limited.Done():
+		}
 	}
 	select {
-	case outcome := <-outcomes:
+	case outcome := <-wait.outcomes:
 		return outcome.Result, nil
 	default:
 	}
@@ -62,19 +69,19 @@
 func (n *Node) Read(ctx context.Context) (index uint64, err error) {
 	indexes := make(chan uint64, 1)
 	var read *pendingRead
-	asked := n.input(func() {
+	err = n.input(ctx, func() {
 		read = n.core.read(n.now(), func(index uint64) { indexes <- index })
 	})
-	if !asked {
-		return 0, ErrClosed
+	if err != nil {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, err)
 	}
 	select {
 	case index = <-indexes:
 		return index, nil
 	case <-n.done:
-		return 0, ErrClosed
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, ErrClosed)
 	case <-ctx.Done():
-		n.input(func() { n.core.forgetRead(read) })
+		go func() { _ = n.input(context.Background(), func() { n.core.forgetRead(read) }) }()
 		return 0, fmt.Errorf("%w: %w", ErrUnavailable, ctx.Err())
 	}
 }
@@ -145,7 +152,7 @@
 // SetSeeds replaces the addresses to ask when nobody of the known view answers.
 func (n *Node) SetSeeds(seeds []string) {
 	copied := append([]string(nil), seeds...)
-	n.input(func() { n.core.seeds = copied })
+	_ = n.input(context.Background(), func() { n.core.seeds = copied })
 }
 
 // HandOver leaves the chain by a change of the view, where enough others stay in it. It returns once
--- a/coord/replica/core.go
+++ b/coord/replica/core.go
@@ -18,6 +18,7 @@
 	thawGap           = 400 * time.Millisecond  // a gap between ticks that means: this process stood still
 	absenceLimit      = 2 * time.Second         // a voter silent for this long may be replaced by a spare
 	retryInterval     = 300 * time.Millisecond  // of fetches and forwarded orders
+	helloInterval     = 500 * time.Millisecond  // between questions of a node that hears nobody of its view
 	pollInterval      = 250 * time.Millisecond  // of nodes outside of the chain
 	proposalLimit     = 600 * time.Millisecond  // an attempt on a view that takes longer is given up
 	promiseWait       = 100 * time.Millisecond  // for the promises beyond a majority
--- a/coord/replica/core_client.go
+++ b/coord/replica/core_client.go
@@ -1,6 +1,7 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"sprucelane.example/sprucelane/coord/chain"
@@ -13,15 +14,17 @@
 	order  []byte
 	sent   bool // it left this node, or was given a place: it may be applied any time
 	sentAt time.Duration
-	done   func(chain.Outcome)
+	waits  []*waiter
 }
 
+// waiter is one call that waits for an order's outcome, which comes at most once.
+type waiter struct{ outcomes chan chain.Outcome }
+
 // pendingRead waits for a proof that is younger than its start.
 type pendingRead struct {
 	startedAt time.Duration
 	asked     bool
-	proven    bool   // the epoch stood after the start ...
-	index     uint64 // ... and all orders acknowledged before it are at or below this index
+	index     uint64 // all orders acknowledged before the start are at or below it
 	known     bool
 	seq       uint64
 	sentAt    time.Duration
@@ -47,38 +50,46 @@
 		return
 	}
 	delete(w.orders, id)
-	order.done(outcome)
+	for _, wait := range order.waits {
+		wait.outcomes <- outcome
+	}
 }
 
 // settleRestored settles orders whose outcomes came with an image.
 func (w *clientWork) settleRestored(c *core) {
-	for id := range w.orders {
+	for _, id := range sortedKeys(w.orders) {
 		if outcome, known := c.state.Outcome(id); known {
 			w.settle(id, outcome)
 		}
 	}
 }
 
-// submit takes an order from a caller of this node. done is called once, when the order is
-// applied here.
-func (c *core) submit(now time.Duration, id string, order []byte, done func(chain.Outcome)) {
+// submit takes an order from a caller of this node, whose outcome is told when it is applied here.
+func (c *core) submit(now time.Duration, id string, order []byte, wait *waiter) {
 	c.now = now
 	if outcome, known := c.state.Outcome(id); known {
-		done(outcome)
+		wait.outcomes <- outcome
 		return
 	}
-	pending := &pendingOrder{id: id, order: order, done: done}
-	c.work.orders[id] = pending
+	pending := c.work.orders[id]
+	if pending == nil {
+		pending = &pendingOrder{id: id, order: order}
+		c.work.orders[id] = pending
+	}
+	pending.waits = append(pending.waits, wait)
 	c.dispatch(pending)
 }
 
 // withdraw forgets a caller's order and tells whether it may have been taken.
-func (c *core) withdraw(id string) (sent bool) {
+func (c *core) withdraw(id string, wait *waiter) (sent bool) {
 	order := c.work.orders[id]
 	if order == nil {
-		return false
+		return true
+	}
+	order.waits = slices.DeleteFunc(order.waits, func(other *waiter) bool { return other == wait })
+	if len(order.waits) == 0 {
+		delete(c.work.orders, id)
 	}
-	delete(c.work.orders, id)
 	return order.sent
 }
 
@@ -138,7 +149,8 @@
 
 // workTick repeats what may have been lost.
 func (c *core) workTick() {
-	for _, order := range c.work.orders {
+	for _, id := range sortedKeys(c.work.orders) {
+		order := c.work.orders[id]
 		if c.work.resend || c.now-order.sentAt >= retryInterval {
 			c.dispatch(order)
 		}
@@ -237,9 +249,3 @@
 		}
 	}
 }
-
-// uncertain reports whether the order with id may have been taken.
-func (c *core) uncertain(id string) bool {
-	order := c.work.orders[id]
-	return order != nil && order.sent
-}
--- a/coord/replica/core_follow.go
+++ b/coord/replica/core_follow.go
@@ -117,7 +117,8 @@
 		return
 	}
 	applied, _ := c.state.Applied()
-	for id, r := range c.feed.readers {
+	for _, id := range sortedKeys(c.feed.readers) {
+		r := c.feed.readers[id]
 		if c.now-r.polledAt > readerLimit || !c.inChain() {
 			delete(c.feed.readers, id)
 			continue
--- a/coord/replica/core_peers.go
+++ b/coord/replica/core_peers.go
@@ -1,6 +1,8 @@
 package replica
 
 import (
+	"maps"
+	"slices"
 	"sort"
 	"time"
 
@@ -118,7 +120,8 @@
 	if urgent || !c.isVoter() {
 		return
 	}
-	for id, p := range c.peers {
+	for _, id := range sortedKeys(c.peers) {
+		p := c.peers[id]
 		if p.candidate && !c.acceptor.View.IsVoter(p.member) {
 			if c.now-p.heardAt > absenceLimit {
 				delete(c.peers, id)
@@ -296,10 +299,13 @@
 	for _, m := range c.acceptor.View.Voters {
 		list = append(list, Peer{Member: m, Voter: true, InChain: c.acceptor.View.InChain(m), Heard: c.inTouch(m)})
 	}
-	for _, p := range c.peers {
-		if p.candidate && !c.acceptor.View.IsVoter(p.member) {
+	for _, id := range sortedKeys(c.peers) {
+		if p := c.peers[id]; p.candidate && !c.acceptor.View.IsVoter(p.member) {
 			list = append(list, Peer{Member: p.member, Heard: c.inTouch(p.member), Candidate: true})
 		}
 	}
 	return list
 }
+
+// sortedKeys returns the keys of a map in an order that is the same in each run.
+func sortedKeys[V any](m map[string]V) []string { return slices.Sorted(maps.Keys(m)) }
--- a/coord/replica/core_view.go
+++ b/coord/replica/core_view.go
@@ -475,7 +475,11 @@
 
 // discover asks the seeds for the view while no one of it is heard.
 func (c *core) discover() {
-	if c.now-c.lastHello < 500*time.Millisecond || len(c.seeds) == 0 {
+	pause := helloInterval
+	if c.epoch() == 0 {
+		pause = tickInterval
+	}
+	if c.now-c.lastHello < pause-tickInterval/4 || len(c.seeds) == 0 {
 		return
 	}
 	if c.epoch() > 0 && !c.lost() {
--- a/coord/replica/disk.go
+++ b/coord/replica/disk.go
@@ -140,7 +140,7 @@
 func recoverState(snapshot []byte, records [][]byte) (*recovered, error) {
 	var saved checkpoint
 	if err := decodeGob(snapshot, &saved); err != nil {
-		return nil, fmt.Errorf("replica: snapshot of the disk: %w", err)
+		return nil, fmt.Errorf("%w: snapshot: %w", errRecord, err)
 	}
 	state := &recovered{
 		self:    saved.Self,
--- a/coord/replica/network.go
+++ b/coord/replica/network.go
@@ -71,7 +71,7 @@
 }
 
 func (w *network) receive(from view.Member, message any) {
-	w.node.input(func() { w.node.core.step(w.node.now(), from, message) })
+	_ = w.node.input(context.Background(), func() { w.node.core.step(w.node.now(), from, message) })
 }
 
 // keep remembers the session over which a member is answered.
--- a/coord/replica/node.go
+++ b/coord/replica/node.go
@@ -31,6 +31,7 @@
 	store   durableStore
 	network *network
 	inputs  chan func()
+	drawn   atomic.Uint64 // counts ids of orders that came without one
 	done    chan struct{}
 	closing chan struct{}
 	once    sync.Once
@@ -104,18 +105,6 @@
 	return err
 }
 
-func (n *Node) openDisk() (*recovered, error) {
-	if n.options.DataDir == "" {
-		return nil, nil
-	}
-	store, found, err := openStore(slots.Directory(n.options.DataDir))
-	if err != nil {
-		return nil, fmt.Errorf("replica: open the disk: %w", err)
-	}
-	n.store = store
-	return found, nil
-}
-
 func (n *Node) openCore(found *recovered) error {
 	member, genesis, err := newMember(&n.options)
 	if err != nil {
@@ -293,13 +282,15 @@
 	n.status.Store(next)
 }
 
-// input has the loop run a function.
-func (n *Node) input(run func()) bool {
+// input has the loop run a function. It waits while the loop is held up, by its disk for instance.
+func (n *Node) input(ctx context.Context, run func()) error {
 	select {
 	case n.inputs <- run:
-		return true
+		return nil
 	case <-n.closing:
-		return false
+		return ErrClosed
+	case <-ctx.Done():
+		return ctx.Err()
 	}
 }
 
@@ -316,12 +307,8 @@
 // query runs a function on the loop and waits for it.
 func (n *Node) query(ctx context.Context, run func()) error {
 	finished := make(chan struct{})
-	select {
-	case n.inputs <- func() { run(); close(finished) }:
-	case <-n.closing:
-		return ErrClosed
-	case <-ctx.Done():
-		return ctx.Err()
+	if err := n.input(ctx, func() { run(); close(finished) }); err != nil {
+		return err
 	}
 	select {
 	case <-finished:
--- a/coord/replica/simulation_test.go
+++ b/coord/replica/simulation_test.go
@@ -18,11 +18,11 @@
 // campaign is one world under random load and faults.
 type campaign struct {
 	*world
-	orders  int
-	clients int
-	end     time.Duration // no faults and no new orders after this
-	faults  int
-	onAcks  func()
+	orders int
+	end    time.Duration // no faults and no new orders after this
+	faults int
+	duels  bool // proposers meet all the time
+	onAcks func()
 }
 
 func runCampaign(seed uint64, duration time.Duration, plant string) *campaign {
@@ -59,6 +59,7 @@
 	}
 	c.watch()
 	if seed%4 == 1 {
+		c.duels = true
 		w.after(2*time.Second, c.duel)
 	}
 	w.after(2*time.Second+c.span(time.Second), c.fault)
@@ -150,7 +151,35 @@
 		c.after(c.span(16*time.Millisecond), n.kill)
 		c.restart(n, 20*time.Millisecond+c.span(100*time.Millisecond))
 	}
-	c.after(c.span(600*time.Millisecond), c.duel)
+	pause := 600 * time.Millisecond
+	if c.plant == plantSkipRepair || c.plant == plantOnlyDuels {
+		pause = 60 * time.Millisecond // it takes many duels
+	}
+	c.after(c.span(pause), c.duel)
+}
+
+// settled reports whether the newest view has its voters among the machines that run, and its whole
+// chain holds the prefix.
+func (c *campaign) settled() bool {
+	var newest *simulatedNode
+	for _, n := range c.machines() {
+		if n.up && (newest == nil || n.core.epoch() > newest.core.epoch()) {
+			newest = n
+		}
+	}
+	if newest == nil || len(newest.core.view().Chain) < 2*c.tolerance+1 {
+		return false
+	}
+	for _, m := range newest.core.view().Chain {
+		whole := false
+		for _, n := range c.machines() {
+			whole = whole || n.up && !n.syncing && n.core.self.Same(m) && n.core.synced == newest.core.epoch()
+		}
+		if !whole {
+			return false
+		}
+	}
+	return true
 }
 
 // allUp reports whether no fault is under way.
@@ -187,6 +216,12 @@
 	if c.now > c.end-2*time.Second {
 		return
 	}
+	if c.duels && !c.settled() {
+		// Duels without end may keep a machine that came back empty from being taken in; a further loss
+		// would then be one more than is to be borne.
+		c.after(c.span(20*time.Millisecond), c.fault)
+		return
+	}
 	c.faults++
 	nodes := c.machines()
 	c.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
@@ -370,7 +405,7 @@
 // TestRandomWorlds plays worlds with fixed seeds; SEEDS=N plays N of them, FIRST=S starts at seed S.
 func TestRandomWorlds(t *testing.T) {
 	first, _ := strconv.Atoi(os.Getenv("FIRST"))
-	count := wantedWorlds(200)
+	count := wantedWorlds(plainWorlds)
 	const shards = 4
 	var acked, faults, next atomic.Int64
 	t.Run("shards", func(t *testing.T) {
@@ -393,12 +428,24 @@
 	t.Logf("%d worlds, %d orders acknowledged, %d faults", count, acked.Load(), faults.Load())
 }
 
+// TestFrequentDuels plays worlds in which proposers meet all the time, without any bug.
+func TestFrequentDuels(t *testing.T) {
+	for seed := uint64(1); seed < 33; seed += 4 {
+		if _, broken := play(seed, plantOnlyDuels); broken != "" {
+			t.Errorf("seed %d: %s", seed, broken)
+		}
+	}
+}
+
 // TestPlantedBugs checks that the worlds find what they are for: each bug stands in the harness.
 func TestPlantedBugs(t *testing.T) {
-	for _, plant := range []string{plantForget, plantSkipRepair, plantServeEarly, plantWipedVotes, plantShortChain, plantStaleRead} {
+	firstSeeds := map[string]uint64{plantSkipRepair: 117} // saves the worlds that are known not to find it
+	for _, plant := range []string{
+		plantForget, plantSkipRepair, plantServeEarly, plantWipedVotes, plantShortChain, plantStaleRead,
+	} {
 		t.Run(plant, func(t *testing.T) {
 			t.Parallel()
-			for seed := uint64(1); seed < 1600; seed += 4 { // those with duels
+			for seed := 1 + firstSeeds[plant] - firstSeeds[plant]%4; seed < 1600; seed += 4 { // those with duels
 				if _, broken := play(seed, plant); broken != "" {
 					line, _, _ := strings.Cut(broken, "\n")
 					t.Logf("found: %s", line)
--- a/coord/replica/store.go
+++ b/coord/replica/store.go
@@ -34,6 +34,29 @@
 	return opened, found, nil
 }
 
+// openDisk opens the disk of a starting node. A disk that has lost what it acknowledged is emptied:
+// its member is gone, and another one joins in its place.
+func (n *Node) openDisk() (*recovered, error) {
+	if n.options.DataDir == "" {
+		return nil, nil
+	}
+	fs := slots.Directory(n.options.DataDir)
+	store, found, err := openStore(fs)
+	if errors.Is(err, slots.ErrDamaged) || errors.Is(err, errRecord) {
+		n.options.Log("disk damaged, joining anew", "error", err.Error())
+		n.options.Bootstrap = false
+		if err := slots.Wipe(fs, slots.Options{}); err != nil {
+			return nil, fmt.Errorf("replica: empty the damaged disk: %w", err)
+		}
+		store, found, err = openStore(fs)
+	}
+	if err != nil {
+		return nil, fmt.Errorf("replica: open the disk: %w", err)
+	}
+	n.store = store
+	return found, nil
+}
+
 // newMember names a life of an empty disk, or of a process without one.
 func newMember(options *Options) (view.Member, *view.View, error) {
 	member := view.Member{Node: options.Identity.Node, Address: options.Listen}
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -4,6 +4,8 @@
 	"container/heap"
 	"fmt"
 	"math/rand/v2"
+	"os"
+	"slices"
 	"sort"
 	"strings"
 	"time"
@@ -104,6 +106,7 @@
 	syncing bool
 	stalled bool // the disk answers nothing
 	inbox   []func()
+	waits   []func() bool
 	torn    func() // what a loss of power during the sync leaves
 	gone    bool
 }
@@ -180,7 +183,7 @@
 		}
 	}
 	tail := w.events
-	if len(tail) > 60 {
+	if len(tail) > 60 && os.Getenv("TRACE") == "" {
 		tail = tail[len(tail)-60:]
 	}
 	panic(failure(fmt.Sprintf("seed %d at %v: ", w.seed, w.now) +
@@ -226,6 +229,7 @@
 	w := n.world
 	n.life++
 	n.up, n.frozen, n.syncing, n.inbox, n.torn = true, false, false, nil, nil
+	n.waits = nil
 	n.machine = &historyMachine{}
 	options := coreOptions{
 		self:      view.Member{Node: n.name, Address: n.address},
@@ -280,6 +284,7 @@
 	plantServeEarly = "a view serves before the prefix is copied"
 	plantWipedVotes = "a wiped machine keeps its vote"
 	plantShortChain = "a chain acknowledges with too few disks"
+	plantOnlyDuels  = "no bug, but frequent duels"
 	plantStaleRead  = "reads are answered without proof of the epoch"
 )
 
@@ -411,6 +416,7 @@
 func (n *simulatedNode) finish() {
 	w := n.world
 	n.core.persisted(w.now)
+	n.tellWaiting()
 	if records, whole := n.peekRecords(); records || whole {
 		w.failf("%s wants to write after its sync", n.name)
 	}
@@ -554,18 +560,29 @@
 	w := n.world
 	life := n.life
 	n.handle(func() {
-		n.core.submit(w.now, id, []byte(id), func(outcome chain.Outcome) {
-			if n.life != life {
-				return
+		wait := &waiter{outcomes: make(chan chain.Outcome, 1)}
+		n.waits = append(n.waits, func() bool {
+			if len(wait.outcomes) == 0 {
+				return false
 			}
+			outcome := <-wait.outcomes
 			w.acknowledge(n, id, outcome)
 			if done != nil {
-				done(outcome)
+				w.after(0, func() { done(outcome) })
 			}
+			return true
 		})
+		if n.life == life {
+			n.core.submit(w.now, id, []byte(id), wait)
+		}
 	})
 }
 
+// tellWaiting tells the clients of this node what has come of their orders.
+func (n *simulatedNode) tellWaiting() {
+	n.waits = slices.DeleteFunc(n.waits, func(told func() bool) bool { return told() })
+}
+
 func (w *world) acknowledge(n *simulatedNode, id string, outcome chain.Outcome) {
 	if _, known := w.acked[id]; known {
 		return
--- a/coord/view/agreement.go
+++ b/coord/view/agreement.go
@@ -171,25 +171,26 @@
 // an order may have committed. It returns false when the promises don't prove that no committed
 // order is left out; see the package comment for the argument.
 func ChooseSource(present View, promises []Promise) (source Member, sourceEpoch uint64, ok bool) {
-	chainPromised := false
-	best := -1
-	for i, m := range promises {
+	promised, whole := 0, 0
+	for _, m := range promises {
 		if !present.InChain(m.From) {
 			continue
 		}
-		chainPromised = true
-		if m.Log.Synced == present.Epoch && (best < 0 || promises[best].Log.End < m.Log.End) {
-			best = i
+		promised++
+		if m.Log.Synced == present.Epoch {
+			whole++
 		}
 	}
-	if !chainPromised {
+	if promised == 0 {
 		return Member{}, 0, false
 	}
-	if best >= 0 {
-		return promises[best].From, present.Epoch, true
+	sourceEpoch = present.Epoch
+	if whole < promised {
+		sourceEpoch = present.SourceEpoch
 	}
+	best := -1
 	for i, m := range promises {
-		if m.Log.Synced < present.SourceEpoch || m.Log.Synced == 0 {
+		if m.Log.Synced < sourceEpoch || m.Log.Synced == 0 {
 			continue
 		}
 		if best < 0 || higherLog(m.Log, promises[best].Log) {
@@ -199,7 +200,7 @@
 	if best < 0 {
 		return Member{}, 0, false
 	}
-	return promises[best].From, present.SourceEpoch, true
+	return promises[best].From, sourceEpoch, true
 }
 
 func higherLog(a, b LogState) bool {
--- a/coord/view/doc.go
+++ b/coord/view/doc.go
@@ -27,14 +27,18 @@
 //
 // A proposer needs promises of a majority of the voters of e, among them one of the chain of e.
 //
-// A. A promiser of the chain of e has Synced = e. By (I), and because it is wedged, its log holds
-// everything committed in epochs up to e. It becomes the source, with SourceEpoch = e.
+// A. All promisers of the chain of e have Synced = e. By (I), and because they are wedged, their
+// logs hold everything committed in epochs up to e. The longest becomes the source, with
+// SourceEpoch = e.
 //
 // B. A promiser p of the chain of e isn't whole in e. It can't become so any more, so nothing is
 // ever committed in e. By induction nothing was committed in the epochs after SourceEpoch(e) and
 // before e, so a promiser with Synced >= SourceEpoch(e) holds everything committed so far, by (I).
-// It becomes the source, and SourceEpoch stays. This is the case of a source that died before the
-// others had its prefix, and of members that learnt of the decision late.
+// The one with the highest Synced, and then the longest log, becomes the source, and SourceEpoch
+// stays: however many views follow each other before one is whole, the logs that were whole in
+// SourceEpoch remain good enough, and there are more of them than disks may be lost. This is the
+// case of a source that died before the others had its prefix, and of members that learnt of the
+// decision late.
 //
 // Otherwise the promises prove nothing, and the proposer waits for more.
 //
