--- /dev/null
+++ b/coord/membership/detect.go
@@ -0,0 +1,150 @@
+package membership
+
+import (
+	"slices"
+	"strconv"
+	"time"
+)
+
+// watch is what a monitor knows of one predecessor.
+type watch struct {
+	heard   time.Time // when it was last heard by this machine or by another; or when watching began
+	real    bool      // it was heard indeed
+	asked   time.Time // when others were asked about its silence; zero while it isn't silent
+	agreed  bool      // another monitor has said that it is silent too
+	replied bool      // another monitor has answered at all
+}
+
+// watchPredecessors looks for predecessors that are silent.
+func (n *Node) watchPredecessors(now time.Time) {
+	predecessors := n.neighbours().predecessors
+	watches := make(map[string]*watch, len(predecessors))
+	for _, name := range predecessors {
+		watched, ok := n.watches[name]
+		if !ok {
+			watched = &watch{heard: now}
+		}
+		watches[name] = watched
+	}
+	n.watches = watches
+	for _, name := range predecessors {
+		n.judge(name, watches[name], now)
+	}
+}
+
+// judge asks around about a silent predecessor, and suspects it once that is agreed on.
+func (n *Node) judge(name string, watched *watch, now time.Time) {
+	if n.table.entries[name].update.State != Alive {
+		return
+	}
+	if now.Sub(watched.heard) <= n.stretch(n.config.MissAfter) {
+		watched.asked = time.Time{}
+		return
+	}
+	if watched.asked.IsZero() {
+		n.askAnew(name, watched, now)
+		return
+	}
+	waited := now.Sub(watched.asked)
+	agreed := watched.agreed && waited >= n.stretch(n.config.AskFor)
+	waitedAlone := waited >= n.stretch(n.config.AloneAfter)
+	switch {
+	case agreed || waitedAlone && !watched.replied && n.mayAccuseAlone(name, now):
+		n.suspect(name, now)
+	case waitedAlone:
+		n.askAnew(name, watched, now)
+	default:
+		n.ask(name)
+	}
+}
+
+// askAnew starts to ask around about a silent machine.
+func (n *Node) askAnew(name string, watched *watch, now time.Time) {
+	*watched = watch{heard: watched.heard, real: watched.real, asked: now}
+	n.ask(name)
+}
+
+// ask asks a silent machine itself, its other monitors, and as many machines at random for signs of it.
+func (n *Node) ask(name string) {
+	n.sequence++
+	n.send(name, Message{Kind: Probe, Sequence: n.sequence, Digest: n.table.digest(), Updates: n.news()})
+	monitors := n.table.ring().Successors(name, n.config.Monitors)
+	isAsked := func(other string) bool {
+		return other != n.config.Self.Name && other != name && !slices.Contains(monitors, other)
+	}
+	key := strconv.FormatUint(n.random.Uint64(), 36)
+	others := n.table.ring().OwnersWithin(key, n.config.Monitors, isAsked)
+	for _, other := range append(monitors, others...) {
+		if other != n.config.Self.Name {
+			n.send(other, Message{Kind: Query, Sequence: n.sequence, Target: name})
+		}
+	}
+}
+
+// mayAccuseAlone tells whether this machine can take it that the silence of another isn't its own deafness: it still
+// hears somebody, or nobody else is there to be heard.
+func (n *Node) mayAccuseAlone(name string, now time.Time) bool {
+	if now.Sub(n.heardAny) <= n.config.MissAfter {
+		return true
+	}
+	for _, other := range n.table.ring().Names() {
+		if other != name && other != n.config.Self.Name {
+			return false
+		}
+	}
+	return true
+}
+
+// suspect starts the suspicion of a machine.
+func (n *Node) suspect(name string, now time.Time) {
+	known := n.table.entries[name].update
+	known.State = Suspect
+	n.merge(known, now, true)
+	// The machine itself is told, so that it can refute it at once.
+	n.send(name, Message{Kind: Heartbeat, Updates: []Update{known}})
+}
+
+// bury declares machines dead that have been suspected for long enough.
+func (n *Node) bury(now time.Time) {
+	for _, name := range n.table.suspected() {
+		suspected := n.table.entries[name]
+		if now.Sub(suspected.since) < n.stretch(n.config.DeadAfter) {
+			continue
+		}
+		dead := suspected.update
+		dead.State = Dead
+		n.merge(dead, now, true)
+	}
+}
+
+// heard notes that a machine has been heard, and tells those who asked.
+func (n *Node) heard(name string, now time.Time) {
+	if watched, ok := n.watches[name]; ok {
+		*watched = watch{heard: now, real: true}
+	}
+	n.answerRelays(name, now)
+}
+
+// refuted notes that a machine has raised its incarnation, so that it was alive a short while ago.
+func (n *Node) refuted(name string, now time.Time) {
+	if watched, ok := n.watches[name]; ok {
+		*watched = watch{heard: now}
+	}
+}
+
+// queryAnswered takes in what another machine said of a silent one.
+func (n *Node) queryAnswered(now time.Time, message Message) {
+	watched, ok := n.watches[message.Target]
+	if !ok || watched.asked.IsZero() || message.HeardAgo < 0 {
+		return
+	}
+	watched.replied = true
+	ago := time.Duration(message.HeardAgo) * time.Millisecond
+	if ago > n.config.MissAfter {
+		watched.agreed = true
+		return
+	}
+	if heard := now.Add(-ago); heard.After(watched.heard) {
+		*watched = watch{heard: heard, real: true}
+	}
+}
--- /dev/null
+++ b/coord/membership/node.go
@@ -0,0 +1,244 @@
+package membership
+
+import (
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// Node is the view that one machine has of all. It must not be used by several goroutines at once.
+type Node struct {
+	config      Config
+	incarnation uint64
+	left        bool
+	random      *rand.Rand
+	table       *table
+	gossip      gossip
+	next        time.Time // of Tick
+	sequence    uint64
+	health      health
+	watches     map[string]*watch // of the predecessors
+	relays      []relay
+	nearby      neighbours
+	rounds      int
+	differences map[string]difference
+	differing   int       // differing digests while there was much news
+	synced      bool      // a table has come from another machine
+	heardAny    time.Time // when any message came
+	output      Output
+}
+
+// New returns the node of a machine that knows nobody yet.
+func New(config Config, now time.Time) *Node {
+	config = config.withDefaults()
+	n := &Node{
+		config:      config,
+		incarnation: config.Incarnation,
+		random:      rand.New(rand.NewPCG(config.Seed, config.Incarnation)),
+		table:       newTable(),
+		watches:     make(map[string]*watch),
+		differences: make(map[string]difference),
+		next:        now,
+		heardAny:    now,
+	}
+	n.announce(now)
+	return n
+}
+
+// Next returns when Tick is to be called.
+func (n *Node) Next() time.Time {
+	return n.next
+}
+
+// Self returns this machine with its present incarnation.
+func (n *Node) Self() Update {
+	state := Alive
+	if n.left {
+		state = Left
+	}
+	return Update{Member: n.config.Self, Incarnation: n.incarnation, State: state}
+}
+
+// Get returns what is known of a machine.
+func (n *Node) Get(name string) (Update, bool) {
+	return n.table.get(name)
+}
+
+// Members returns all machines that are alive or suspected, this one included, in the order of their names.
+func (n *Node) Members() []Update {
+	members := make([]Update, 0, len(n.table.entries))
+	for _, known := range n.table.entries {
+		if known.update.State.present() {
+			members = append(members, known.update)
+		}
+	}
+	slices.SortFunc(members, compareNames)
+	return members
+}
+
+// Health returns the number of signs of this machine's own bad health, 0 for a healthy one.
+func (n *Node) Health() int {
+	return n.health.score
+}
+
+// Isolated tells whether this machine has heard nobody for so long that others must count it as dead or cut off.
+// A machine that knows nobody else is not isolated.
+func (n *Node) Isolated(now time.Time) bool {
+	limit := n.config.MissAfter + n.config.AskFor + n.config.DeadAfter
+	return len(n.table.entries)-len(n.table.gone) > 1 && now.Sub(n.heardAny) > limit
+}
+
+// SetSeeds replaces the addresses at which a machine may answer.
+func (n *Node) SetSeeds(seeds []string) {
+	n.config.Seeds = slices.Clone(seeds)
+}
+
+// Tick does what is due.
+func (n *Node) Tick(now time.Time) Output {
+	if n.left {
+		n.next = now.Add(n.config.Interval)
+		return n.takeOutput()
+	}
+	n.noticePause(now)
+	n.next = now.Add(n.config.Interval)
+	n.rounds++
+	n.sendHeartbeats()
+	n.probe(now)
+	n.watchPredecessors(now)
+	n.bury(now)
+	n.table.forget(now.Add(-n.config.Retain))
+	return n.takeOutput()
+}
+
+// Receive takes a message in. Address is where an answer goes.
+func (n *Node) Receive(now time.Time, address string, message Message) Output {
+	if n.left || message.From == n.config.Self.Name {
+		return n.takeOutput()
+	}
+	n.heardAny = now
+	for _, update := range message.Updates {
+		n.merge(update, now, message.Kind != Sync)
+	}
+	n.heard(message.From, now)
+	n.correct(address, message)
+	switch message.Kind {
+	case Probe:
+		n.answerProbe(address, message)
+	case ProbeReply:
+		n.probeAnswered(now, address, message)
+	case Query:
+		n.answerQuery(now, address, message)
+	case QueryReply:
+		n.queryAnswered(now, message)
+	case Join, SyncRequest:
+		n.sendTable(address, message)
+	case Sync:
+		n.tableReceived(address, message)
+	}
+	return n.takeOutput()
+}
+
+// Leave tells the monitors and links that this machine ends as planned. Nothing else is sent afterwards.
+func (n *Node) Leave(now time.Time) Output {
+	if n.left {
+		return Output{}
+	}
+	n.left = true
+	n.gossip.add(n.Self())
+	n.sendHeartbeats()
+	for _, name := range n.neighbours().links {
+		n.send(name, Message{Kind: Heartbeat, Updates: n.news()})
+	}
+	n.table.merge(n.Self(), now)
+	return n.takeOutput()
+}
+
+// takeOutput returns what the present step led to.
+func (n *Node) takeOutput() Output {
+	output := n.output
+	n.output = Output{}
+	return output
+}
+
+// send sends a message to a machine that is known.
+func (n *Node) send(name string, message Message) {
+	known, ok := n.table.get(name)
+	if ok {
+		n.sendTo(name, known.Member.Address, message)
+	}
+}
+
+// sendTo sends a message to an address.
+func (n *Node) sendTo(name, address string, message Message) {
+	message.From = n.config.Self.Name
+	message.Incarnation = n.incarnation
+	n.output.Messages = append(n.output.Messages, Envelope{Name: name, Address: address, Message: message})
+}
+
+// news returns what the next message is to spread.
+func (n *Node) news() []Update {
+	return n.gossip.take(n.table.ring().Len())
+}
+
+// announce makes this machine known with its present incarnation.
+func (n *Node) announce(now time.Time) {
+	n.table.merge(n.Self(), now)
+	n.gossip.add(n.Self())
+}
+
+// merge takes an update in, spreads it on and reports a change of state. A machine that wasn't known is only spread
+// on if it is news: in a whole table it isn't, and all of it would be spread by all who receive it.
+func (n *Node) merge(update Update, now time.Time, news bool) {
+	if update.State < Alive || update.State > Left {
+		return
+	}
+	if update.Member.Name == n.config.Self.Name {
+		n.refute(update, now)
+		return
+	}
+	old, newer := n.table.merge(update, now)
+	if !newer {
+		return
+	}
+	if news || old != 0 {
+		n.gossip.add(update)
+	}
+	if update.State == Alive {
+		n.refuted(update.Member.Name, now)
+	}
+	if old != update.State {
+		n.output.Changes = append(n.output.Changes, Change{Update: update, Old: old})
+	}
+}
+
+// refute answers news of this machine that isn't true by a higher incarnation.
+func (n *Node) refute(update Update, now time.Time) {
+	isOwn := update.Incarnation == n.incarnation && update.State == Alive
+	if update.Incarnation < n.incarnation || isOwn {
+		return
+	}
+	if update.State == Suspect {
+		n.health.worsen()
+	}
+	n.incarnation = update.Incarnation + 1
+	n.announce(now)
+}
+
+// correct tells a machine that counts as dead, or as suspect, what is known of it, so that it refutes it.
+func (n *Node) correct(address string, message Message) {
+	known, ok := n.table.get(message.From)
+	if !ok || known.State == Alive || message.Incarnation > known.Incarnation {
+		return
+	}
+	if message.Kind == ProbeReply || message.Kind == QueryReply || message.Kind == Sync {
+		return
+	}
+	n.sendTo(message.From, address, Message{Kind: ProbeReply, Digest: n.table.digest(), Updates: []Update{known}})
+}
+
+// sendHeartbeats sends a heartbeat to each monitor.
+func (n *Node) sendHeartbeats() {
+	for _, name := range n.neighbours().monitors {
+		n.send(name, Message{Kind: Heartbeat, Updates: n.news()})
+	}
+}
