--- a/internal/batch/exchange/answer.go
+++ b/internal/batch/exchange/answer.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"cmp"
 	"context"
 	"errors"
 	"io"
@@ -17,7 +18,12 @@
 	maxErrorBody = 64 << 10
 )
 
-var errProtocol = errors.New("exchange: the server's bytes are no answer")
+var (
+	errProtocol     = errors.New("exchange: the server's bytes are no answer")
+	errOtherRequest = errors.New("exchange: the answer belongs to another request")
+	errUnbounded    = errors.New("exchange: the answer has no stamp or no end that can be told")
+	errOrder        = errors.New("exchange: an event is missing, comes twice or doesn't end")
+)
 
 // ownHeader tells which of an item's headers the store sets itself, or concern one connection only.
 func ownHeader(name string) bool {
@@ -50,10 +56,12 @@
 		return false
 	}
 	if _, err := conn.Write(head(request)); err != nil {
+		outcome.Cause = err
 		return false
 	}
 	answer, err := readHead(conn.in)
 	if err != nil || answer.requestID != request.Item.ID {
+		outcome.Cause = cmp.Or(err, errOtherRequest)
 		return false
 	}
 	outcome.Leaving = answer.closes
@@ -66,6 +74,7 @@
 		return discard(conn.in, answer) && !answer.closes
 	}
 	if !answer.signed || !answer.chunked && answer.length < 0 {
+		outcome.Cause = errUnbounded
 		return false
 	}
 	if !readEvents(ctx, conn, request, answer, outcome, started) {
@@ -173,7 +182,7 @@
 	in      *bufio.Reader
 	chunked bool
 	left    int64
-	begun   bool
+	begun   bool // a chunk whose end was not read yet
 	whole   bool
 }
 
@@ -203,12 +212,26 @@
 	if !b.chunked && b.left == 0 {
 		b.whole = true
 	}
+	if b.chunked && b.left == 0 {
+		b.skipLineEnd()
+	}
 	if errors.Is(err, io.EOF) {
 		err = io.ErrUnexpectedEOF
 	}
 	return n, err
 }
 
+// skipLineEnd takes the end of a chunk where it is here, so that nothing is left in the buffer that gives no bytes.
+func (b *body) skipLineEnd() {
+	if b.in.Buffered() < 2 {
+		return
+	}
+	if end, err := b.in.Peek(2); err == nil && end[0] == '\r' && end[1] == '\n' {
+		_, _ = b.in.Discard(2)
+		b.begun = false
+	}
+}
+
 func (b *body) nextChunk() error {
 	if b.begun {
 		if line, err := readLine(b.in); err != nil || len(line) != 0 {
--- a/internal/batch/exchange/events.go
+++ b/internal/batch/exchange/events.go
@@ -12,10 +12,12 @@
 	body := newBody(conn.in, answer)
 	parser := eventParser{outcome: outcome}
 	buffer := make([]byte, 4<<10)
+	renewed := started
 	for {
 		n, err := body.Read(buffer)
 		first := len(outcome.Events) == 0
 		if !parser.feed(buffer[:n]) {
+			outcome.Cause = errOrder
 			return false
 		}
 		if first && len(outcome.Events) > 0 && request.First != nil {
@@ -25,15 +27,17 @@
 			return parser.atBoundary()
 		}
 		if err != nil {
+			outcome.Cause = err
 			return false
 		}
-		if conn.in.Buffered() > 0 {
+		if conn.in.Buffered() > 0 && time.Since(renewed) < request.Silence/4 {
 			continue
 		}
-		if len(outcome.Events) > 0 {
+		if conn.in.Buffered() == 0 && len(outcome.Events) > 0 {
 			time.Sleep(readPause)
 		}
-		if conn.SetReadDeadline(time.Now().Add(request.Silence)) != nil || ctx.Err() != nil {
+		renewed = time.Now()
+		if conn.SetReadDeadline(renewed.Add(request.Silence)) != nil || ctx.Err() != nil {
 			return false
 		}
 	}
--- a/internal/batch/exchange/exchange.go
+++ b/internal/batch/exchange/exchange.go
@@ -62,6 +62,7 @@
 	LastEventID int64
 	Leaving     bool          // the server closes the connection: it may be leaving
 	RetryAfter  time.Duration // as the server asks
+	Cause       error         // of a cut, for people
 }
 
 // Client keeps connections to servers. Its methods may be called from any goroutine.
--- a/internal/batch/exchange/exchange_test.go
+++ b/internal/batch/exchange/exchange_test.go
@@ -99,6 +99,34 @@
 	})
 }
 
+func TestLongStream(t *testing.T) {
+	Convey("A stream may last longer than a server may be silent", t, func() {
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		So(err, ShouldBeNil)
+		defer listener.Close()
+		const count = 12
+		go func() {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			_, _ = http.ReadRequest(bufio.NewReader(conn))
+			_, _ = fmt.Fprint(conn, strings.ReplaceAll(chunked, "ID", "item"))
+			for number := 1; number <= count; number++ {
+				time.Sleep(50 * time.Millisecond)
+				_, _ = fmt.Fprint(conn, chunk(fmt.Sprintf("id: %d\ndata: x\n\n", number)))
+			}
+			_, _ = fmt.Fprint(conn, "0\r\n\r\n")
+		}()
+		r := request(listener.Addr().String())
+		r.Silence = 300 * time.Millisecond
+		outcome := NewClient().Run(context.Background(), r)
+		So(outcome.Cause, ShouldBeNil)
+		So(outcome.Ending, ShouldEqual, Completed)
+		So(outcome.Events, ShouldHaveLength, count)
+	})
+}
+
 func TestGate(t *testing.T) {
 	Convey("Nothing is written when the gate says no, and a cancelled run ends at once", t, func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/batch/runner/run.go
+++ b/internal/batch/runner/run.go
@@ -119,6 +119,8 @@
 		r.planner.Return(assignment.Task, now+againLater, instance)
 	case exchange.Cut:
 		r.counts.Cut++
+		r.log.Debug().Err(outcome.Cause).Str("item", b.ID).Int("index", assignment.Index).Str("server", instance).
+			Int("events", len(outcome.Events)).Msg("stream_cut")
 		if len(kept.events) > 0 {
 			r.counts.Resumed++
 		}
