--- a/internal/batch/placement/placement.go
+++ b/internal/batch/placement/placement.go
@@ -59,15 +59,16 @@
 	return digest.Sum64()
 }
 
-// Arbiter gives the store that decides who may accept a job: the heaviest of the active ones.
-func Arbiter(job string, view protocol.StoreView) (protocol.Process, bool) {
+// Arbiters gives the stores that decide who may accept a job: the heaviest of the active ones, so many that a majority is left
+// when as many as may be lost at once are lost.
+func Arbiters(job string, view protocol.StoreView, copies int) []protocol.Process {
 	ranked := Rank(job, Active(view))
-	if len(ranked) == 0 {
-		return protocol.Process{}, false
-	}
-	return ranked[0], true
+	return ranked[:min(len(ranked), 2*copies-1)]
 }
 
+// Majority tells how many of a number of arbiters decide.
+func Majority(arbiters int) int { return arbiters/2 + 1 }
+
 // Replicas fills a replica set up to count members: those already in it stay in their order, then come active stores by
 // weight, those first that stand in a zone without one. Stores in avoid come last. It gives fewer where there are no more.
 func Replicas(job string, view protocol.StoreView, kept []protocol.Process, count int, avoid ...Key) []protocol.Process {
--- a/internal/batch/placement/placement_test.go
+++ b/internal/batch/placement/placement_test.go
@@ -44,17 +44,18 @@
 		counts := map[Key]int{}
 		for i := range 900 {
 			id := fmt.Sprint("job", i)
-			before, _ := Arbiter(id, v)
-			after, _ := Arbiter(id, less)
-			counts[KeyOf(before)]++
-			if before != v.Members[0].Process {
+			before, after := Arbiters(id, v, 2), Arbiters(id, less, 2)
+			So(before, ShouldHaveLength, 3)
+			counts[KeyOf(before[0])]++
+			if !Contains(before, KeyOf(v.Members[0].Process)) {
 				So(after, ShouldResemble, before)
 			}
 		}
 		for _, count := range counts {
 			So(count, ShouldBeBetween, 60, 150)
 		}
-		_, any := Arbiter("job", protocol.StoreView{})
-		So(any, ShouldBeFalse)
+		So(Arbiters("job", protocol.StoreView{}, 2), ShouldBeEmpty)
+		So(Arbiters("job", view(2), 2), ShouldHaveLength, 2)
+		So([]int{Majority(1), Majority(2), Majority(3), Majority(5)}, ShouldResemble, []int{1, 2, 2, 3})
 	})
 }
--- a/internal/batch/replica/accept.go
+++ b/internal/batch/replica/accept.go
@@ -12,13 +12,14 @@
 
 const (
 	reserveAgain = 200 * time.Millisecond
-	acceptFor    = 2500 * time.Millisecond // that a submission waits for the arbiter
+	acceptFor    = 2500 * time.Millisecond // that a submission waits for a majority of the arbiters
 )
 
 // acceptance is a batch job of which nothing was written yet.
 type acceptance struct {
 	content *job.Content
 	calls   []parkedCall
+	votes   map[placement.Key]Reserved // of this epoch, by arbiter
 	askedAt time.Duration
 	until   time.Duration
 }
@@ -34,7 +35,7 @@
 		a.calls = append(a.calls, p)
 		return
 	}
-	if m.retiring {
+	if m.retiring || m.diskLags() {
 		m.sendToActive(p)
 		return
 	}
@@ -47,10 +48,11 @@
 			ID: id, Tenant: p.call.Tenant, Route: p.call.Route, FirstSent: m.env.Wall(), Items: p.items,
 		},
 		calls: []parkedCall{p},
+		votes: map[placement.Key]Reserved{},
 		until: m.env.Now() + acceptFor,
 	}
 	m.acceptances[id] = a
-	m.askArbiter(id, a)
+	m.askArbiters(id, a)
 }
 
 // fits tells whether there is room for a batch job, and stores enough.
@@ -66,77 +68,117 @@
 
 // sendToActive sends a submission to a store that takes batch jobs.
 func (m *Machine) sendToActive(p parkedCall) {
-	active := placement.Rank(p.call.BatchJob, placement.Active(m.view))
-	if len(active) == 0 {
-		m.answer(p.token, unavailable())
-		return
+	for _, other := range placement.Rank(p.call.BatchJob, placement.Active(m.view)) {
+		if placement.KeyOf(other) != m.self {
+			m.answer(p.token, protocol.BatchAnswer{Owner: other.IP})
+			return
+		}
 	}
-	m.answer(p.token, protocol.BatchAnswer{Owner: active[0].IP})
+	m.answer(p.token, unavailable())
 }
 
-func (m *Machine) askArbiter(id string, a *acceptance) {
+// askArbiters asks those arbiters for their votes that have not given them to this store.
+func (m *Machine) askArbiters(id string, a *acceptance) {
 	now := m.env.Now()
-	if a.askedAt > 0 && now-a.askedAt < reserveAgain {
-		return
-	}
-	arbiter, ok := placement.Arbiter(id, m.view)
-	if !ok || !m.present {
+	if !m.present || a.askedAt > 0 && now-a.askedAt < reserveAgain {
 		return
 	}
 	a.askedAt = max(now, 1)
-	if placement.KeyOf(arbiter) != m.self {
-		m.env.Send(arbiter, Reserve{Stamp: m.stamp(), Job: id})
-		return
-	}
-	if m.settled {
-		m.decide(id, m.grant(id, m.self))
+	for _, arbiter := range placement.Arbiters(id, m.view, m.options.Copies) {
+		key := placement.KeyOf(arbiter)
+		switch {
+		case a.votes[key].Owner == m.self:
+		case key != m.self:
+			m.env.Send(arbiter, Reserve{Stamp: m.stamp(), Job: id})
+		case m.settled:
+			a.votes[key] = m.vote(id, m.self)
+		}
 	}
+	m.decide(id)
 }
 
-// grant answers, as arbiter, who may accept a batch job: always the same store for an id in one epoch.
-func (m *Machine) grant(id string, asker placement.Key) placement.Key {
+// vote answers, as arbiter, who may accept a batch job: always the same store for an id in one epoch, unless that one gives
+// the vote back.
+func (m *Machine) vote(id string, asker placement.Key) Reserved {
 	if holder := m.holder(id); holder != "" {
-		return holder
+		return Reserved{Stamp: m.stamp(), Job: id, Owner: holder, Held: m.reservations[id] != holder}
 	}
 	m.reservations[id] = asker
-	return asker
+	return Reserved{Stamp: m.stamp(), Job: id, Owner: asker}
 }
 
 func (m *Machine) reserve(from protocol.Process, message Reserve) {
-	if !m.settled || !m.Allowed() {
-		return
+	if m.settled && m.Allowed() {
+		m.env.Send(from, m.vote(message.Job, placement.KeyOf(from)))
 	}
-	owner := m.grant(message.Job, placement.KeyOf(from))
-	m.env.Send(from, Reserved{Stamp: m.stamp(), Job: message.Job, Owner: owner})
 }
 
-func (m *Machine) reserved(message Reserved) { m.decide(message.Job, message.Owner) }
+// reserved takes an arbiter's answer.
+func (m *Machine) reserved(from placement.Key, message Reserved) {
+	if a := m.acceptances[message.Job]; a != nil {
+		a.votes[from] = message
+		m.decide(message.Job)
+	}
+}
 
-// decide takes the arbiter's answer.
-func (m *Machine) decide(id string, owner placement.Key) {
+// decide looks at the votes. Of several stores that want to accept a batch job at the same time the one with the lowest key
+// goes on asking, and the others give their votes back.
+func (m *Machine) decide(id string) {
 	a := m.acceptances[id]
-	if a == nil {
+	if a == nil || !m.Allowed() {
 		return
 	}
-	if owner == m.self && m.jobs[id] == nil && m.Allowed() {
+	arbiters := placement.Arbiters(id, m.view, m.options.Copies)
+	majority := placement.Majority(len(arbiters))
+	mine, silent := 0, 0
+	var holder, rival placement.Key
+	for _, arbiter := range arbiters {
+		vote, voted := a.votes[placement.KeyOf(arbiter)]
+		switch {
+		case !voted:
+			silent++
+		case vote.Owner == m.self:
+			mine++
+		case vote.Held:
+			holder = vote.Owner
+		case vote.Owner < m.self:
+			rival = vote.Owner
+		}
+	}
+	switch {
+	case m.jobs[id] != nil:
+		m.leaveTo("", id, a)
+	case len(arbiters) > 0 && mine >= majority:
 		delete(m.acceptances, id)
 		m.store(a)
-		return
-	}
-	if owner == m.self && m.jobs[id] == nil {
-		return // asked again later
+	case holder != "":
+		m.leaveTo(holder, id, a)
+	case rival != "" && mine+silent < majority:
+		m.leaveTo(rival, id, a)
 	}
+}
+
+// leaveTo sends the calls of an acceptance to the store that holds the batch job or goes on with it.
+func (m *Machine) leaveTo(owner placement.Key, id string, a *acceptance) {
 	delete(m.acceptances, id)
-	m.learn(id, owner)
+	m.giveBack(id)
+	member, present := placement.MemberOf(m.view, owner)
 	for _, p := range a.calls {
-		m.dispatch(p)
+		switch {
+		case m.jobs[id] != nil:
+			m.dispatch(p)
+		case present:
+			m.answer(p.token, protocol.BatchAnswer{Owner: member.IP})
+		default:
+			m.answer(p.token, unavailable())
+		}
 	}
 }
 
 // store writes a batch job here and to the other replicas. From here on nothing is promised.
 func (m *Machine) store(a *acceptance) {
 	id := a.content.ID
-	replicas := placement.Replicas(id, m.view, []protocol.Process{m.options.Self}, m.options.Copies)
+	replicas := placement.Replicas(id, m.view, []protocol.Process{m.options.Self}, m.options.Copies, m.slowStores()...)
 	if len(replicas) < m.options.Copies || m.retiring {
 		m.refuse(a)
 		m.giveBack(id)
@@ -160,9 +202,8 @@
 	h.content = content
 	h.owner = true
 	h.setReplicas(version, replicas, m.self)
-	for i := range h.peers {
-		h.peers[i].known = true
-	}
+	h.expectNothing()
+	h.replaceAt = m.env.Now() + replaceAfter
 	for _, p := range a.calls {
 		h.submitters = append(h.submitters, p.token)
 	}
@@ -171,17 +212,15 @@
 	m.announce(id, m.self)
 }
 
-// giveBack frees a reservation under which nothing was written.
+// giveBack frees the votes under which nothing was written.
 func (m *Machine) giveBack(id string) {
-	arbiter, ok := placement.Arbiter(id, m.view)
-	if !ok {
-		return
-	}
-	if placement.KeyOf(arbiter) == m.self {
-		delete(m.reservations, id)
-		return
+	for _, arbiter := range placement.Arbiters(id, m.view, m.options.Copies) {
+		if placement.KeyOf(arbiter) != m.self {
+			m.env.Send(arbiter, Release{Stamp: m.stamp(), Job: id})
+		} else if m.reservations[id] == m.self {
+			delete(m.reservations, id)
+		}
 	}
-	m.env.Send(arbiter, Release{Stamp: m.stamp(), Job: id})
 }
 
 func (m *Machine) refuse(a *acceptance) {
--- a/internal/batch/replica/calls.go
+++ b/internal/batch/replica/calls.go
@@ -31,10 +31,11 @@
 	until time.Duration
 }
 
-// lookup is a question to an arbiter that is not answered yet.
+// lookup is a question to arbiters that is not answered yet.
 type lookup struct {
-	number uint64
-	sentAt time.Duration
+	number  uint64
+	sentAt  time.Duration
+	unknown map[placement.Key]bool // arbiters that know of nobody
 }
 
 // Call takes a client's call; its answer comes through Environment.Answer. Items are those of a submission.
@@ -143,23 +144,24 @@
 	}
 }
 
-// seek finds out who holds a batch job that isn't known here. Nobody: the arbiter of the epoch would know.
+// seek finds out who holds a batch job that isn't known here. Where it was accepted, a majority of its arbiters voted for it
+// in this epoch, or know of it from the inventories.
 func (m *Machine) seek(id string) {
-	arbiter, ok := placement.Arbiter(id, m.view)
-	if !ok || !m.settled {
-		return
-	}
-	if placement.KeyOf(arbiter) == m.self {
-		m.foundHolder(id, m.holder(id), m.env.Now())
-		return
-	}
 	now := m.env.Now()
-	if asked, pending := m.lookups[id]; pending && now-asked.sentAt < inventoryAgain {
+	if asked := m.lookups[id]; !m.settled || asked != nil && now-asked.sentAt < inventoryAgain {
 		return
 	}
 	m.lastLookup++
-	m.lookups[id] = lookup{number: m.lastLookup, sentAt: now}
-	m.env.Send(arbiter, Lookup{Stamp: m.stamp(), Job: id, Number: m.lastLookup})
+	l := &lookup{number: m.lastLookup, sentAt: now, unknown: map[placement.Key]bool{}}
+	m.lookups[id] = l
+	for _, arbiter := range placement.Arbiters(id, m.view, m.options.Copies) {
+		if placement.KeyOf(arbiter) != m.self {
+			m.env.Send(arbiter, Lookup{Stamp: m.stamp(), Job: id, Number: l.number})
+		}
+	}
+	if placement.Contains(placement.Arbiters(id, m.view, m.options.Copies), m.self) {
+		m.found(m.self, Found{Job: id, Number: l.number, Owner: m.holder(id)})
+	}
 }
 
 // lookUp answers as arbiter.
@@ -186,27 +188,25 @@
 	return m.reservations[id]
 }
 
-func (m *Machine) found(message Found) {
-	asked, pending := m.lookups[message.Job]
-	if !pending || asked.number != message.Number || !m.settled {
+// found takes what an arbiter knew. Where it names this store, a batch job was about to be accepted here, and wasn't.
+func (m *Machine) found(from placement.Key, message Found) {
+	l := m.lookups[message.Job]
+	if l == nil || l.number != message.Number || !m.settled {
 		return
 	}
-	delete(m.lookups, message.Job)
-	m.foundHolder(message.Job, message.Owner, asked.sentAt)
-}
-
-// foundHolder takes what the arbiter knew at a time. Where it names this store, a batch job was about to be accepted here,
-// and wasn't.
-func (m *Machine) foundHolder(id string, holder placement.Key, at time.Duration) {
-	if holder != "" && holder != m.self {
-		m.learn(id, holder)
-		if m.directory[id] == holder {
-			m.redirectCalls(id)
+	if message.Owner != "" && message.Owner != m.self {
+		delete(m.lookups, message.Job)
+		m.learn(message.Job, message.Owner)
+		if m.directory[message.Job] == message.Owner {
+			m.redirectCalls(message.Job)
 		}
 		return
 	}
-	if m.sure() {
-		m.nobodyHolds(id, at)
+	l.unknown[from] = true
+	arbiters := placement.Arbiters(message.Job, m.view, m.options.Copies)
+	if len(l.unknown) >= placement.Majority(len(arbiters)) && m.sure() {
+		delete(m.lookups, message.Job)
+		m.nobodyHolds(message.Job, l.sentAt)
 	}
 }
 
--- a/internal/batch/replica/held.go
+++ b/internal/batch/replica/held.go
@@ -49,6 +49,7 @@
 
 	readers    []reader
 	submitters []Token
+	replaceAt  time.Duration // while it is being accepted: when peers that have not written it are replaced; 0: not
 	enders     []Token
 }
 
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -10,12 +10,14 @@
 //
 // # Acceptance
 //
-// A batch job's id has an arbiter, a pure function of id and view. A store that wants to accept a batch job asks the
-// arbiter, which answers the same store for the id until the epoch ends. Up to that answer nothing was written anywhere,
-// and a refusal is a promise. From there on the store goes through with it: it writes the whole batch job to its own disk
-// and to those of the other members of the replica set that it chose, and answers 202 once all have synced it. An arbiter
-// decides only once it has the inventories of all members of its epoch, pending acceptances included; so a batch job that
-// was accepted, or may yet be, in an earlier epoch is known to it. It is never accepted twice.
+// A batch job's id has arbiters, a pure function of id and view: two for each store that may be lost at once, and one. A store
+// that wants to accept a batch job asks them for their votes; an arbiter gives its vote for an id to one store, and to another
+// only once that one has given it back. Up to a majority nothing was written anywhere, and a refusal is a promise. From there
+// on the store goes through with it: it writes the whole batch job to its own disk and to those of the other members of the
+// replica set that it chose, and answers 202 once all have synced it. A member that is slow to do so is replaced by another,
+// under a new version. An arbiter votes only once it has the inventories of all members of its epoch, pending acceptances
+// included; so a batch job that was accepted, or may yet be, in an earlier epoch is known to it. An arbiter that has started
+// again has forgotten its votes, and those are not counted any more. So no batch job is accepted twice.
 //
 // # Results
 //
@@ -101,11 +103,12 @@
 	directory    map[string]placement.Key // owners of batch jobs that are not held here, or not owned
 	reservations map[string]placement.Key // as arbiter, in this epoch
 	acceptances  map[string]*acceptance
-	lookups      map[string]lookup // of batch jobs that aren't known here, at their arbiters
+	lookups      map[string]*lookup // of batch jobs that aren't known here, at their arbiters
 	lastLookup   uint64
 	parked       []parkedCall
 	pending      []pendingWrite
 
+	slow         map[placement.Key]time.Duration // until when stores are passed over that took long to write
 	departed     departed
 	settledEpoch uint64
 	emptiedAt    time.Duration // this store was first found to hold nothing that others need, 0: it does
@@ -114,6 +117,7 @@
 
 type pendingWrite struct {
 	sequence uint64
+	at       time.Duration // it was queued
 	then     func()
 }
 
@@ -128,7 +132,8 @@
 		directory:    map[string]placement.Key{},
 		reservations: map[string]placement.Key{},
 		acceptances:  map[string]*acceptance{},
-		lookups:      map[string]lookup{},
+		lookups:      map[string]*lookup{},
+		slow:         map[placement.Key]time.Duration{},
 		departed: departed{
 			since: map[placement.Key]time.Duration{}, settled: map[placement.Key]uint64{}, emptied: map[placement.Key]bool{},
 		},
@@ -168,7 +173,7 @@
 
 func (m *Machine) write(record []byte, urgent bool, then func()) journal.Location {
 	sequence, at := m.env.Write(record, urgent)
-	m.pending = append(m.pending, pendingWrite{sequence: sequence, then: then})
+	m.pending = append(m.pending, pendingWrite{sequence: sequence, at: m.env.Now(), then: then})
 	return at
 }
 
@@ -224,7 +229,7 @@
 	case Reserve:
 		m.reserve(from, message)
 	case Reserved:
-		m.reserved(message)
+		m.reserved(key, message)
 	case Release:
 		if m.reservations[message.Job] == key {
 			delete(m.reservations, message.Job)
@@ -232,7 +237,7 @@
 	case Lookup:
 		m.lookUp(from, message)
 	case Found:
-		m.found(message)
+		m.found(key, message)
 	case Notice:
 		m.learn(message.Job, message.Owner)
 	case Replicate:
@@ -255,6 +260,12 @@
 	}
 	m.lives[key] = life
 	if heard && life > last {
+		for _, a := range m.acceptances {
+			delete(a.votes, key)
+		}
+		for _, l := range m.lookups {
+			delete(l.unknown, key)
+		}
 		m.restart()
 	}
 	return false
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -37,33 +37,34 @@
 	Ended    bool
 }
 
-// Reserve asks the arbiter of a batch job's id whether the sender may accept it.
+// Reserve asks an arbiter of a batch job's id for its vote that the sender may accept it.
 type Reserve struct {
 	Stamp
 	Job string
 }
 
-// Reserved names the store that may accept a batch job or holds it: the asker itself where the reservation is granted.
+// Reserved names the store that an arbiter's vote went to, or that holds the batch job.
 type Reserved struct {
 	Stamp
 	Job   string
 	Owner placement.Key
+	Held  bool // Owner holds it
 }
 
-// Release gives a reservation back: nothing of the batch job was written.
+// Release gives a vote back: the sender has not accepted the batch job.
 type Release struct {
 	Stamp
 	Job string
 }
 
-// Lookup asks the arbiter of a batch job's id who holds it.
+// Lookup asks an arbiter of a batch job's id who holds it.
 type Lookup struct {
 	Stamp
 	Job    string
 	Number uint64 // the asker's; comes back
 }
 
-// Found answers a Lookup. Owner is empty where no store of the view holds the batch job.
+// Found answers a Lookup. Owner is empty where the arbiter knows of nobody.
 type Found struct {
 	Stamp
 	Job    string
--- a/internal/batch/replica/replicate.go
+++ b/internal/batch/replica/replicate.go
@@ -169,7 +169,8 @@
 		then()
 		return
 	}
-	m.pending = append(m.pending, pendingWrite{sequence: m.pending[len(m.pending)-1].sequence, then: then})
+	last := m.pending[len(m.pending)-1]
+	m.pending = append(m.pending, pendingWrite{sequence: last.sequence, at: last.at, then: then})
 }
 
 func (m *Machine) acknowledge(h *held, to protocol.Process) {
@@ -223,6 +224,7 @@
 	if !h.whole {
 		h.whole = true
 		h.content = nil
+		h.replaceAt = 0
 		m.becameWhole(h)
 	}
 	m.answerReaders(h)
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -48,6 +48,7 @@
 	clear(m.lookups)
 	for _, a := range m.acceptances {
 		a.askedAt = 0
+		clear(a.votes)
 	}
 	if present {
 		m.restart()
@@ -253,15 +254,7 @@
 	}
 	replicas := placement.Replicas(h.id, m.view, kept, m.options.Copies)
 	h.setReplicas(h.version.next(m.view.Epoch), replicas, m.self)
-	h.copyDurable = false
-	version := h.version
-	m.write(encodeReplicas(h.id, version, replicas), true, func() {
-		if h.version == version {
-			h.copyDurable = true
-			m.pump(h)
-			m.judge(h)
-		}
-	})
+	m.writeReplicas(h)
 }
 
 // pass leaves a batch job to its owner. What runs here is stopped.
--- a/internal/batch/replica/tick.go
+++ b/internal/batch/replica/tick.go
@@ -22,10 +22,11 @@
 		m.settle()
 	}
 	for _, id := range m.accepting() {
-		m.askArbiter(id, m.acceptances[id])
+		m.askArbiters(id, m.acceptances[id])
 	}
 	for _, h := range m.order {
 		if h.owner {
+			m.replaceSlow(h, now)
 			m.pump(h)
 		}
 	}
@@ -58,6 +59,7 @@
 	for _, id := range m.accepting() {
 		if a := m.acceptances[id]; now >= a.until {
 			delete(m.acceptances, id)
+			m.giveBack(id)
 			m.refuse(a)
 		}
 	}
--- a/internal/batch/server/environment.go
+++ b/internal/batch/server/environment.go
@@ -33,7 +33,12 @@
 func (s *Server) Read(at journal.Location) ([]byte, error) { return s.disk.journal.Read(at) }
 
 // Free tells what the disk still takes.
-func (s *Server) Free() int64 { return s.disk.capacity - s.disk.journal.Size() }
+func (s *Server) Free() int64 {
+	if s.disk.journal.Full() {
+		return 0
+	}
+	return s.disk.capacity - s.disk.journal.Size()
+}
 
 // Send sends a message to another store.
 func (s *Server) Send(to protocol.Process, message any) {
