--- a/internal/batch/server/calls.go
+++ b/internal/batch/server/calls.go
@@ -19,7 +19,11 @@
 // handle takes gateways' calls and other stores' messages.
 func (s *Server) handle(ctx context.Context, session *transport.Session, message any) (any, error) {
 	if call, ok := message.(protocol.BatchCall); ok {
-		return s.call(ctx, call), nil
+		started := time.Now()
+		answer := s.call(ctx, call)
+		s.log.Debug().Int("operation", int(call.Operation)).Str("batch_job", call.BatchJob).Int("status", answer.Status).
+			Str("owner", answer.Owner).Dur("took", time.Since(started)).Msg("call")
+		return answer, nil
 	}
 	remote := session.Remote()
 	if remote.Role != protocol.RoleBatch {
