--- a/internal/gateway/batchcall/batchcall.go
+++ b/internal/gateway/batchcall/batchcall.go
@@ -59,7 +59,11 @@
 		return refusal(call, false)
 	}
 	call.StoreView = members.Stores.Epoch
-	route := newRoute(c.order(members.Stores.Members))
+	order := c.order(members.Stores.Members)
+	if call.Operation == protocol.BatchSubmit {
+		return c.submit(ctx, call, order)
+	}
+	route := newRoute(order)
 	uncertain := false
 	for range hopsMost {
 		ip := route.next()
@@ -89,9 +93,6 @@
 
 // second asks one more process after one that could not be sure.
 func (c *Caller) second(ctx context.Context, route *route, call protocol.BatchCall) (protocol.BatchAnswer, bool) {
-	if call.Operation == protocol.BatchSubmit {
-		return protocol.BatchAnswer{}, false // the client comes again, and a second asking could contradict the first
-	}
 	answer, err := c.ask(ctx, route.next(), call)
 	return answer, err == nil && answer.Status != 0
 }
--- a/internal/gateway/batchcall/batchcall_test.go
+++ b/internal/gateway/batchcall/batchcall_test.go
@@ -1,11 +1,13 @@
 package batchcall
 
 import (
+	"context"
 	"net/http"
 	"testing"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -51,3 +53,38 @@
 		So(refusal(read, true).Status, ShouldEqual, http.StatusServiceUnavailable)
 	})
 }
+
+func TestSubmission(t *testing.T) {
+	answered := func(status int) attempt { return attempt{answer: protocol.BatchAnswer{Status: status}} }
+	run := func(asks map[string]func() attempt) (protocol.BatchAnswer, bool, *submission) {
+		s := &submission{route: newRoute([]string{"a", "b", "c"}), came: make(chan attempt, hopsMost)}
+		s.ask = func(ip string) attempt { return asks[ip]() }
+		answer, decided := s.run(context.Background())
+		return answer, decided, s
+	}
+	say := func(one attempt) func() attempt { return func() attempt { return one } }
+	Convey("Where one says nothing another is asked, and what that one says counts", t, func() {
+		silent := make(chan struct{})
+		defer close(silent)
+		answer, decided, _ := run(map[string]func() attempt{
+			"a": func() attempt { <-silent; return attempt{} },
+			"b": say(attempt{answer: protocol.BatchAnswer{Owner: "c"}}),
+			"c": say(answered(http.StatusAccepted)),
+		})
+		So(decided, ShouldBeTrue)
+		So(answer.Status, ShouldEqual, http.StatusAccepted)
+	})
+	Convey("A refusal stands only where nobody may have taken it", t, func() {
+		_, decided, s := run(map[string]func() attempt{
+			"a": say(attempt{err: transport.ErrNotConnected}), "b": say(answered(http.StatusServiceUnavailable)),
+		})
+		So(decided, ShouldBeFalse)
+		So(s.uncertain, ShouldBeFalse)
+		So(s.refused.Status, ShouldEqual, http.StatusServiceUnavailable)
+		_, decided, s = run(map[string]func() attempt{
+			"a": say(attempt{err: transport.ErrUncertain}), "b": say(answered(http.StatusServiceUnavailable)),
+		})
+		So(decided, ShouldBeFalse)
+		So(s.uncertain, ShouldBeTrue)
+	})
+}
