--- a/coord/replica/api.go
+++ b/coord/replica/api.go
@@ -123,6 +123,14 @@
 	return current.lead.Epoch, current.lead.Until, true
 }
 
+// Head returns the moment until which no successor acts, where this node is the proven head of its epoch. Unlike Lead it doesn't
+// wait until the time of the head before has passed: it is for a holder that knows that no other has acted since it did itself,
+// in this life or an earlier one of its disk.
+func (n *Node) Head() (until time.Time, ok bool) {
+	until = n.status.Load().headUntil
+	return until, time.Now().Before(until)
+}
+
 // LeadSince returns the moment from which this node may act as the holder of singleton roles.
 func (n *Node) LeadSince() (time.Time, bool) {
 	current := n.status.Load()
--- a/coord/replica/core_peers.go
+++ b/coord/replica/core_peers.go
@@ -272,10 +272,13 @@
 
 // leads returns until when the member leads its epoch.
 func (c *core) leads() (until time.Duration, ok bool) {
-	if !c.serving() || !c.acceptor.View.Head().Same(c.self) || c.leaving {
-		return 0, false
-	}
-	if c.fresh.epochAt == never || c.now < c.lead.since {
+	until, ok = c.heads()
+	return until, ok && c.now >= c.lead.since
+}
+
+// heads returns until when the member is the proven head of its epoch, whoever may still act as an earlier one.
+func (c *core) heads() (until time.Duration, ok bool) {
+	if !c.serving() || !c.acceptor.View.Head().Same(c.self) || c.leaving || c.fresh.epochAt == never {
 		return 0, false
 	}
 	until = c.fresh.epochAt + leadTerm
--- a/coord/replica/node.go
+++ b/coord/replica/node.go
@@ -52,6 +52,7 @@
 	fresh      bool
 	lead       Lead
 	leads      bool
+	headUntil  time.Time // zero: not the proven head
 	members    []Peer
 	ailing     bool
 }
@@ -274,6 +275,9 @@
 	if since, proven := c.freshSince(); proven {
 		next.freshSince, next.fresh = at(since), true
 	}
+	if until, ok := c.heads(); ok && !n.ailing {
+		next.headUntil = at(until)
+	}
 	if until, ok := c.leads(); ok && !n.ailing {
 		next.lead = Lead{Epoch: c.epoch(), Since: at(c.lead.since), Until: at(until)}
 		next.leads = true
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -92,8 +92,7 @@
 
 // Start starts a control process.
 func Start(options Options) (*Control, error) {
-	founds, err := prepareDisk(options.Settings)
-	if err != nil {
+	if err := prepareDisk(options.Settings); err != nil {
 		return nil, fmt.Errorf("control: data-dir: %w", err)
 	}
 	c := newControl(options)
@@ -102,7 +101,7 @@
 		return nil, fmt.Errorf("control: the chain: %w", err)
 	}
 	c.replica = node
-	c.quota = quotas.New(options.Settings.Bounds, node, c.machine.Configuration, founds)
+	c.quota = quotas.New(options.Settings.Bounds, node, c.machine, machine.Lender{Member: node.Self().ID(), Process: c.source})
 	if err := c.serve(); err != nil {
 		node.Close()
 		return nil, err
@@ -110,16 +109,12 @@
 	return c, nil
 }
 
-// prepareDisk makes the folder of the disk where it is missing, and tells whether this is the first start of a new system.
-func prepareDisk(settings *node.Settings) (founds bool, err error) {
+// prepareDisk makes the folder of the disk where it is missing.
+func prepareDisk(settings *node.Settings) error {
 	if settings.DataDir == "" {
-		return false, nil
-	}
-	if err := os.MkdirAll(settings.DataDir, 0o700); err != nil {
-		return false, err
+		return nil
 	}
-	entries, err := os.ReadDir(settings.DataDir)
-	return settings.Bootstrap && len(entries) == 0, err
+	return os.MkdirAll(settings.DataDir, 0o700)
 }
 
 func newControl(options Options) *Control {
--- a/internal/control/machine/command.go
+++ b/internal/control/machine/command.go
@@ -19,6 +19,7 @@
 	Evict         *Evict
 	Retire        *Retire
 	Retired       *Retired
+	Lending       *Lending
 }
 
 // Join takes batch processes into the set. A member with the same node or address and another incarnation goes: its disk was
@@ -50,6 +51,7 @@
 type Outcome struct {
 	Configuration *configuration.Result
 	Store         StoreOutcome
+	Lending       *LendingOutcome
 }
 
 // StoreOutcome is what came of a command on the set of batch processes.
--- /dev/null
+++ b/internal/control/machine/lending.go
@@ -0,0 +1,63 @@
+package machine
+
+import "slices"
+
+// Lender is a process that may lend quota: one life of a control process.
+type Lender struct {
+	Member  string // the control process's disk
+	Process string // its life
+}
+
+// Lending changes the record of the nodes that quota may be lent to. A lender begins before it lends, and from then on changes
+// of earlier ones have no effect. Its changes are numbered, so that one that comes late doesn't undo a later one.
+type Lending struct {
+	Lender Lender
+	Begin  bool
+	Before Lender // of a beginning: who is the lender now, else it has no effect
+	Number uint64 // of the change, from 1; of one that doesn't begin
+	Add    []string
+	Remove []string
+}
+
+// LendingOutcome is what came of a change.
+type LendingOutcome struct {
+	Taken  bool
+	Before Lender   // who lent before the lender
+	Nodes  []string // that quota may be lent to
+}
+
+// lending is the record.
+type lending struct {
+	Lender Lender
+	Before Lender
+	Number uint64
+	Nodes  []string // sorted; never changed in place
+}
+
+func (l *lending) apply(change *Lending) *LendingOutcome {
+	taken := change.Lender == l.Lender
+	switch {
+	case change.Begin && !taken && change.Before == l.Lender:
+		l.Lender, l.Before, l.Number = change.Lender, l.Lender, 0
+		taken = true
+	case !change.Begin && taken && change.Number > l.Number:
+		l.Number = change.Number
+		l.Nodes = changed(l.Nodes, change.Add, change.Remove)
+	case !change.Begin:
+		taken = false
+	}
+	return &LendingOutcome{Taken: taken, Before: l.Before, Nodes: l.Nodes}
+}
+
+func changed(nodes, add, remove []string) []string {
+	next := slices.DeleteFunc(slices.Concat(nodes, add), func(node string) bool { return slices.Contains(remove, node) })
+	slices.Sort(next)
+	return slices.Compact(next)
+}
+
+// Lender gives who may lend quota.
+func (m *Machine) Lender() Lender {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.lending.Lender
+}
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -12,6 +12,7 @@
 	mutex         sync.RWMutex
 	configuration *configuration.State
 	stores        *storeSet
+	lending       lending
 	onChange      func()
 }
 
@@ -54,6 +55,8 @@
 		return Outcome{Store: m.stores.retire(command.Retire)}
 	case command.Retired != nil:
 		return Outcome{Store: m.stores.retired(command.Retired)}
+	case command.Lending != nil:
+		return Outcome{Lending: m.lending.apply(command.Lending)}
 	}
 	return Outcome{}
 }
@@ -62,6 +65,7 @@
 type image struct {
 	Configuration []byte
 	Stores        storeImage
+	Lending       lending
 }
 
 // Snapshot gives the state's form.
@@ -72,7 +76,7 @@
 	if err != nil {
 		return nil
 	}
-	whole, err := encode(image{Configuration: raw, Stores: m.stores.image()})
+	whole, err := encode(image{Configuration: raw, Stores: m.stores.image(), Lending: m.lending})
 	if err != nil {
 		return nil
 	}
@@ -92,6 +96,7 @@
 	m.mutex.Lock()
 	m.configuration = state
 	m.stores = restoreStores(form.Stores)
+	m.lending = form.Lending
 	m.mutex.Unlock()
 	m.onChange()
 	return nil
--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -1,13 +1,15 @@
-// Package quotas owns the allocator of quotas in a control process: it acts while the process leads the chain, and begins a term
-// whenever the process has come to lead anew. It must never answer a gateway by a lead that was read before the clock.
+// Package quotas owns the allocator of quotas in a control process: it acts while the process heads the chain and is the lender on
+// record. It must never answer a gateway by a lead that was read before the clock.
 package quotas
 
 import (
+	"slices"
 	"sync"
 	"time"
 
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/control/machine"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 	"sprucelane.example/sprucelane/internal/quota"
@@ -16,35 +18,50 @@
 // CodeNotLead is the code of a refusal: this process doesn't lead now.
 const CodeNotLead = "not-lead"
 
-// foundingEpoch is the epoch of the chain's first view: nobody led before it.
-const foundingEpoch = 1
-
 // Lead tells whether the process leads the chain. *replica.Node is one.
 type Lead interface {
-	// Lead gives the moment until which no successor acts.
+	// Head gives the moment until which no successor acts, where the process is the chain's proven head.
+	Head() (until time.Time, ok bool)
+	// Lead tells as well that the time of the head before has surely passed.
 	Lead() (epoch uint64, until time.Time, ok bool)
-	// LeadSince gives the moment from which this process may act; it stays the same while the process goes on leading.
-	LeadSince() (time.Time, bool)
+}
+
+// Record is the agreed record of who lends. *machine.Machine is one.
+type Record interface {
+	Lender() machine.Lender
+	Configuration() *configuration.Version
 }
 
 // Service is the allocator of a control process. It is safe for concurrent use.
+//
+// Before it acts the process has itself recorded as the lender, in the chain. Where the lender before was an earlier life of this
+// process, nobody else has acted since, so that can be as soon as the process heads the chain. Else it waits until the time of the
+// head before has passed. A beginning takes effect only on the record that it was judged by.
 type Service struct {
-	lead    Lead
-	version func() *configuration.Version
-	founds  bool
-	origin  time.Time
+	lead   Lead
+	record Record
+	self   machine.Lender
+	origin time.Time
 
 	mutex      sync.Mutex
 	allocator  *quota.Allocator
 	configured *configuration.Version // that the allocator works by
-	since      time.Time              // of the lead whose term the allocator is in
+	number     uint64                 // of the last change of the record
+	term       *term                  // nil: not known to be the lender
+}
+
+// term is the time as the lender on record.
+type term struct {
+	founding bool // nobody lent before
+	nodes    []string
+	started  bool
+	removes  []string // that are not known to be off the record
 }
 
-// New makes a service that doesn't act before the process leads. The function gives the configuration in force. A process that
-// founds was started together with the whole system.
-func New(bounds node.Bounds, lead Lead, version func() *configuration.Version, founds bool) *Service {
+// New makes a service that doesn't act before the process is the lender on record.
+func New(bounds node.Bounds, lead Lead, record Record, self machine.Lender) *Service {
 	rules := quota.Rules{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}
-	return &Service{lead: lead, version: version, founds: founds, origin: time.Now(),
+	return &Service{lead: lead, record: record, self: self, origin: time.Now(),
 		allocator: quota.NewAllocator(quota.AllocatorOptions{Rules: rules})}
 }
 
@@ -52,28 +69,90 @@
 // the time when it surely led, or not at all.
 func (s *Service) Request(request protocol.QuotaRequest) (protocol.QuotaReply, error) {
 	now := time.Now()
-	epoch, until, leads := s.lead.Lead()
-	since, acts := s.lead.LeadSince()
-	if !leads || !acts || now.Before(since) || !now.Before(until) {
-		return protocol.QuotaReply{}, transport.Coded(CodeNotLead, "quota is granted elsewhere")
-	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	if version := s.version(); version != nil && version != s.configured {
+	if !s.acts(now) {
+		return protocol.QuotaReply{}, transport.Coded(CodeNotLead, "quota is granted elsewhere")
+	}
+	if version := s.record.Configuration(); version != nil && version != s.configured {
 		s.configured = version
 		s.allocator.ConfigureTenants(version.Document().Tenants)
 	}
-	if !s.allocator.Acts() || !s.since.Equal(since) {
-		s.since = since
-		s.allocator.Start(now.Sub(s.origin), s.idle(now, epoch))
+	if !s.term.started {
+		s.term.started = true
+		s.allocator.Start(now.Sub(s.origin), s.idle(now), s.term.nodes)
 	}
 	return s.allocator.Request(now.Sub(s.origin), request), nil
 }
 
-// idle is for how long at least no allocator has acted: none has since this process may, and none before the chain's first view.
-func (s *Service) idle(now time.Time, epoch uint64) time.Duration {
-	if s.founds && epoch == foundingEpoch {
+// acts tells whether this process is the only one that may hand out quota now.
+func (s *Service) acts(now time.Time) bool {
+	if s.record.Lender() != s.self {
+		s.term = nil // another lends, or did
+	}
+	until, heads := s.lead.Head()
+	return s.term != nil && heads && now.Before(until)
+}
+
+// idle is for how long at least no allocator has acted.
+func (s *Service) idle(now time.Time) time.Duration {
+	if s.term.founding {
 		return now.Sub(s.origin) + time.Hour
 	}
-	return now.Sub(s.since)
+	return 0
+}
+
+// Change gives the change of the record that is needed now, or nil. Its outcome is to be told by Changed, and there must be no
+// other until it is known or has been given up.
+func (s *Service) Change() *machine.Lending {
+	if _, heads := s.lead.Head(); !heads {
+		return nil
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	lender := s.record.Lender()
+	if lender != s.self || s.term == nil {
+		return s.beginning(lender)
+	}
+	if !s.term.started {
+		return nil
+	}
+	adds := s.allocator.Unrecorded()
+	s.term.removes = append(s.term.removes, s.allocator.Forget(time.Since(s.origin))...)
+	if len(adds)+len(s.term.removes) == 0 {
+		return nil
+	}
+	s.number++
+	return &machine.Lending{Lender: s.self, Number: s.number, Add: adds, Remove: without(s.term.removes, adds)}
+}
+
+// beginning gives the change by which this process becomes the lender, or nil while another may still act.
+func (s *Service) beginning(lender machine.Lender) *machine.Lending {
+	alone := lender == machine.Lender{} || lender.Member == s.self.Member
+	if _, _, leads := s.lead.Lead(); !alone && !leads {
+		return nil
+	}
+	return &machine.Lending{Lender: s.self, Begin: true, Before: lender}
+}
+
+// Changed takes in what came of a change. One of which nothing is known is tried again by the next.
+func (s *Service) Changed(change *machine.Lending, outcome *machine.LendingOutcome) {
+	if outcome == nil || !outcome.Taken {
+		return
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if change.Begin {
+		s.allocator.Stop()
+		s.term = &term{founding: outcome.Before == machine.Lender{}, nodes: append([]string{}, outcome.Nodes...)}
+		return
+	}
+	if s.term != nil && s.term.started {
+		s.allocator.Recorded(change.Add)
+		s.term.removes = without(s.term.removes, change.Remove)
+	}
+}
+
+func without(nodes, some []string) []string {
+	return slices.DeleteFunc(slices.Clone(nodes), func(node string) bool { return slices.Contains(some, node) })
 }
--- a/internal/control/quotas/quotas_test.go
+++ b/internal/control/quotas/quotas_test.go
@@ -8,20 +8,47 @@
 
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/control/machine"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
 // fakeLead is what a test says of the lead.
 type fakeLead struct {
-	since, until time.Time
-	leads        bool
+	until        time.Time
+	heads, alone bool
 }
 
-func (f *fakeLead) Lead() (uint64, time.Time, bool) { return 1, f.until, f.leads }
-func (f *fakeLead) LeadSince() (time.Time, bool)    { return f.since, f.leads }
-func (f *fakeLead) extend(duration time.Duration)   { f.until = time.Now().Add(duration) }
-func (f *fakeLead) begin(since time.Time)           { f.since, f.leads = since, true }
+func (f *fakeLead) Head() (time.Time, bool)         { return f.until, f.heads }
+func (f *fakeLead) Lead() (uint64, time.Time, bool) { return 1, f.until, f.heads && f.alone }
+
+// chain is one machine on which changes are carried out at once, and the configuration.
+type chain struct {
+	*machine.Machine
+	index   uint64
+	version *configuration.Version
+}
+
+func (c *chain) Configuration() *configuration.Version { return c.version }
+
+func (c *chain) carryOut(s *Service) *machine.LendingOutcome {
+	change := s.Change()
+	if change == nil {
+		return nil
+	}
+	outcome := c.apply(change)
+	s.Changed(change, outcome)
+	return outcome
+}
+
+func (c *chain) apply(change *machine.Lending) *machine.LendingOutcome {
+	raw, err := machine.Command{Lending: change}.Encode()
+	So(err, ShouldBeNil)
+	c.index++
+	outcome, err := machine.DecodeOutcome(c.Apply(c.index, raw))
+	So(err, ShouldBeNil)
+	return outcome.Lending
+}
 
 func TestService(t *testing.T) {
 	bounds := node.Bounds{QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20}
@@ -30,49 +57,68 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	request := protocol.QuotaRequest{
-		Process: protocol.Process{Node: "front-1", Incarnation: "x"},
-		Demands: []protocol.QuotaDemand{{Tenant: "a", Rate: 5, Want: 1}},
+	sequence := uint64(0)
+	ask := func(s *Service, want int) (protocol.QuotaReply, error) {
+		sequence++
+		return s.Request(protocol.QuotaRequest{
+			Sequence: sequence,
+			Process:  protocol.Process{Node: "front-1", Incarnation: "x"},
+			Demands:  []protocol.QuotaDemand{{Tenant: "a", Rate: 5, Want: want}},
+		})
 	}
-	ask := func(s *Service) (protocol.QuotaReply, error) {
-		request.Sequence++
-		return s.Request(request)
-	}
-
-	Convey("Only the lead answers, and a lead that is begun anew is a new term", t, func() {
-		lead := &fakeLead{}
-		service := New(bounds, lead, func() *configuration.Version { return version }, false)
-		_, err := ask(service)
-		So(transport.CodeOf(err), ShouldEqual, CodeNotLead)
-
-		lead.begin(time.Now().Add(-2 * time.Second))
-		lead.extend(-time.Millisecond)
-		_, err = ask(service)
+	refused := func(s *Service) {
+		_, err := ask(s, 1)
 		So(transport.CodeOf(err), ShouldEqual, CodeNotLead)
+	}
 
-		lead.extend(time.Minute)
-		first, err := ask(service)
-		So(err, ShouldBeNil)
-		So(first.Term, ShouldNotEqual, 0)
-		So(first.Grants[0].Tokens, ShouldEqual, 1)
-		again, err := ask(service)
-		So(err, ShouldBeNil)
-		So(again.Term, ShouldEqual, first.Term)
-
-		lead.begin(time.Now().Add(-time.Second))
-		anew, err := ask(service)
-		So(err, ShouldBeNil)
-		So(anew.Term, ShouldNotEqual, first.Term)
-
-		founding := New(bounds, lead, func() *configuration.Version { return version }, true)
-		request.Demands[0].Want = 50
-		lead.begin(time.Now().Add(-time.Millisecond))
-		whole, err := ask(founding)
-		So(err, ShouldBeNil)
-		So(whole.Grants[0].Tokens, ShouldEqual, 50) // its pool is full, as nobody granted before
+	Convey("Given the first process of a new system", t, func() {
+		state := &chain{Machine: machine.New(), version: version}
+		lead := &fakeLead{heads: true, until: time.Now().Add(time.Minute)}
+		service := New(bounds, lead, state, machine.Lender{Member: "m1", Process: "p1"})
+		refused(service)
+		So(state.carryOut(service).Taken, ShouldBeTrue)
 
-		lead.begin(time.Now().Add(time.Minute))
-		_, err = ask(service)
-		So(transport.CodeOf(err), ShouldEqual, CodeNotLead)
+		Convey("it acts at once, with full pools, and lends once the asker is on record", func() {
+			reply, err := ask(service, 50)
+			So(err, ShouldBeNil)
+			So(reply.Grants[0].Tokens, ShouldEqual, 50)
+			So(reply.Grants[0].Change, ShouldBeFalse)
+			So(state.carryOut(service).Nodes, ShouldResemble, []string{"front-1"})
+			reply, err = ask(service, 0)
+			So(err, ShouldBeNil)
+			So(reply.Grants[0].Change, ShouldBeTrue)
+			So(state.carryOut(service), ShouldBeNil)
+		})
+		Convey("it acts only while it heads the chain", func() {
+			lead.until = time.Now().Add(-time.Millisecond)
+			refused(service)
+			lead.until, lead.heads = time.Now().Add(time.Minute), false
+			refused(service)
+			So(service.Change(), ShouldBeNil)
+		})
+		Convey("its next life acts at once", func() {
+			lead.alone = false
+			next := New(bounds, lead, state, machine.Lender{Member: "m1", Process: "p2"})
+			So(state.carryOut(next).Taken, ShouldBeTrue)
+			_, err := ask(next, 1)
+			So(err, ShouldBeNil)
+			refused(service)
+		})
+		Convey("another's waits until the time of the one before has passed, and ends this one's", func() {
+			lead.alone = false
+			next := New(bounds, lead, state, machine.Lender{Member: "m2", Process: "p3"})
+			So(next.Change(), ShouldBeNil)
+			refused(next)
+			lead.alone = true
+			So(state.carryOut(next).Taken, ShouldBeTrue)
+			_, err := ask(next, 1)
+			So(err, ShouldBeNil)
+			refused(service)
+			Convey("and a change of this one's that comes late has no effect", func() {
+				So(state.apply(&machine.Lending{Lender: service.self, Number: 9, Add: []string{"late"}}).Taken, ShouldBeFalse)
+				So(state.apply(&machine.Lending{Lender: service.self, Begin: true}).Taken, ShouldBeFalse)
+				So(state.Lender(), ShouldResemble, next.self)
+			})
+		})
 	})
 }
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -34,6 +34,7 @@
 		for _, command := range c.storeCommands() {
 			c.proposeRole(command)
 		}
+		c.keepLending()
 	}
 }
 
@@ -81,6 +82,34 @@
 	return host
 }
 
+// keepLending keeps the record of who lends quota to whom.
+func (c *Control) keepLending() {
+	change := c.quota.Change()
+	if change == nil {
+		return
+	}
+	raw, err := machine.Command{Lending: change}.Encode()
+	if err != nil {
+		c.log.Error().Err(err).Msg("lending-command")
+		return
+	}
+	ctx, cancel := context.WithTimeout(c.ended, roleAttempt)
+	defer cancel()
+	raw, err = c.replica.Propose(ctx, "lending-"+randomName(), raw)
+	if err != nil {
+		return // the next round looks again at what is needed
+	}
+	outcome, err := machine.DecodeOutcome(raw)
+	if err != nil {
+		c.log.Error().Err(err).Msg("lending-outcome")
+		return
+	}
+	c.quota.Changed(change, outcome.Lending)
+	if change.Begin {
+		c.log.Info().Str("before", outcome.Lending.Before.Member).Int("nodes", len(outcome.Lending.Nodes)).Msg("lends-quota")
+	}
+}
+
 // proposeRole proposes a command. Whatever comes of it, the next round looks again at what is needed.
 func (c *Control) proposeRole(command machine.Command) {
 	raw, err := command.Encode()
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -38,6 +38,7 @@
 	heard        *list.List               // of *holder, the longest silent first
 	dead         map[string]time.Duration // processes that ended, by when that was known
 	deadSwept    time.Duration
+	record       record
 }
 
 // account is a tenant's.
@@ -75,11 +76,15 @@
 // Acts tells whether the allocator was started and not stopped.
 func (a *Allocator) Acts() bool { return a.term != 0 }
 
-// Start begins a term: no other allocator acts from now on. For at least idle before now none has acted.
-func (a *Allocator) Start(now, idle time.Duration) {
+// Start begins a term: no other allocator acts from now on. For at least idle before now none has acted. The nodes are all to
+// which an earlier one may have lent; nil where that isn't known.
+func (a *Allocator) Start(now, idle time.Duration, nodes []string) {
 	a.forgetHolders()
 	a.now = max(a.now, now)
 	a.unknownUntil = a.now - idle + leaseFor + clockMargin
+	if a.record.begin(a.now, nodes) {
+		a.unknownUntil = a.now
+	}
 	a.term = a.options.Random() | 1
 	for _, one := range a.accounts {
 		a.begin(one, idle)
@@ -186,6 +191,7 @@
 		return reply
 	}
 	a.acknowledge(h, &request)
+	a.noteTold(h, &request)
 	for i := range request.Demands {
 		if grant, told := a.serve(h, &request.Demands[i]); told {
 			reply.Grants = append(reply.Grants, grant)
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -39,6 +39,10 @@
 //   - An allocator that starts doesn't know what its predecessors lent. It counts all that may be lent (maxLentRate, L) as
 //     held by unknown gateways until leaseFor has passed since its start, less what gateways that it hears tell of their
 //     leases, which it then counts by name. Its pools start empty.
+//   - Where the nodes to which anything may be lent are on record (Recorded, Start), nothing is lent to others, and nothing is
+//     unknown any more once a process of each of those nodes has taken a reply of this term: it has told what it holds, and
+//     what ran on its node before it is dead. The record is agreed state; whoever keeps it must see to it that no change by an
+//     earlier allocator takes effect after Start.
 //
 // Assumptions: a steady clock gains or loses less than clockMargin over leaseFor; no two allocators act at the same time, as
 // judged at the moment that each passes to Request as now; the time between a client's decision and its request's arrival at a
--- a/internal/quota/failover_test.go
+++ b/internal/quota/failover_test.go
@@ -29,7 +29,7 @@
 			for _, g := range w.gateways {
 				g.kill(1500 * millisecond)
 			}
-		}, 0.35},
+		}, 0.04},
 	}
 	Convey("One trouble costs honest tenants little", t, func() {
 		for _, trouble := range troubles {
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -258,6 +258,9 @@
 func (a *Allocator) offer(h *holder, e *entry) {
 	one := e.account
 	next := one.deserved(e)
+	if !a.record.lendsTo(h.node) {
+		next = lease{}
+	}
 	others := one.lent.minus(e.inForce).plus(one.unknown)
 	next.rate = min(next.rate, one.budget.maxLentRate-others.rate)
 	next.depth = min(next.depth, one.maxLentFor(e.demand)-others.depth)
--- a/internal/quota/simulation_test.go
+++ b/internal/quota/simulation_test.go
@@ -27,6 +27,7 @@
 		w.at(5*second, func() { w.traffic(name) })
 	}
 	w.every(100*millisecond, w.checkHeld)
+	w.every(200*millisecond, w.keepRecord)
 }
 
 func (w *world) refusedShare(names ...string) (share float64, owed int) {
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -46,6 +46,9 @@
 	worst    float64 // of the share of the bound that was used
 	worstAt  string
 
+	recorded     []string // nodes that may be lent to, as agreed
+	recordOwner  *simControl
+	recording    bool // a change of the record is on its way
 	calm         bool // no more troubles
 	steadyLimits bool
 }
@@ -381,11 +384,55 @@
 		control := w.controls[next]
 		control.dead = false
 		control.frozenUntil = min(control.frozenUntil, w.now)
-		control.allocator.Start(w.now, 0)
+		w.recordOwner = control
+		control.allocator.Start(w.now, 0, append([]string{}, w.recorded...))
 		control.leadUntil = math.MaxInt64
 	})
 }
 
+// keepRecord does what falls to the lead: it has nodes put on record, and taken off it. A change of a lead that has been followed
+// has no effect.
+func (w *world) keepRecord() {
+	if w.lead < 0 || w.now >= w.controls[w.lead].leadUntil || w.now < w.controls[w.lead].frozenUntil {
+		return
+	}
+	control := w.controls[w.lead]
+	if w.recording {
+		return
+	}
+	if gone := control.allocator.Forget(w.now); len(gone) > 0 {
+		w.recording = true
+		w.at(w.now+w.spread(40*millisecond), func() {
+			w.recording = false
+			if w.recordOwner == control {
+				w.recorded = slices.DeleteFunc(w.recorded, func(node string) bool { return slices.Contains(gone, node) })
+			}
+		})
+		return
+	}
+	wanted := control.allocator.Unrecorded()
+	if len(wanted) == 0 {
+		return
+	}
+	w.recording = true
+	w.at(w.now+w.spread(40*millisecond), func() {
+		w.recording = false
+		if w.recordOwner != control {
+			return
+		}
+		for _, node := range wanted {
+			if !slices.Contains(w.recorded, node) {
+				w.recorded = append(w.recorded, node)
+			}
+		}
+		w.at(w.now+w.spread(40*millisecond), func() {
+			if w.recordOwner == control {
+				control.allocator.Recorded(wanted)
+			}
+		})
+	})
+}
+
 // failOver ends the lead: by death, or by a freeze from which it wakes later.
 func (w *world) failOver(freeze time.Duration) {
 	if w.lead < 0 {
