--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -9,6 +9,7 @@
 	"errors"
 	"fmt"
 	"hash/fnv"
+	"net"
 	"net/http"
 	"os"
 	"sync/atomic"
@@ -53,6 +54,12 @@
 	lookAgain = 25 * time.Millisecond
 	// staleMost is how long a gateway that control doesn't vouch for calls itself ready.
 	staleMost = 1600 * time.Millisecond
+	// listenFor is how long the port for clients may be another's.
+	listenFor = 3 * time.Second
+	// configurationWait is how long clients wait in the port's queue for the first configuration.
+	configurationWait = 700 * time.Millisecond
+	// widestHeader (bytes) and longestIdleMs are the limits of the port of a gateway that began without a configuration.
+	widestHeader, longestIdleMs = 64 << 10, 60_000
 	// headerSlack is added to the operator's times: a client that keeps to them must not be cut by a moment.
 	headerSlack = 500 * time.Millisecond
 )
@@ -195,21 +202,23 @@
 	}
 }
 
-// serveClients opens the port for clients once there is a configuration: its limits are those of the port.
+// serveClients takes clients' connections. The port is open from the start, so that those that come while a process starts wait
+// for a moment in its queue; they are served once there is a configuration, whose limits are those of the port, or it is late.
 func (g *Gateway) serveClients() error {
-	limits, ended := g.awaitLimits()
-	if ended {
-		return nil
+	port, err := g.listen()
+	if err != nil {
+		return err
 	}
-	server, err := g.listen(front.Options{
-		Listen:          g.settings.ListenFront,
+	limits := g.awaitLimits()
+	server, err := front.Listen(front.Options{
+		Listener:        port,
 		Sockets:         clientSockets(g.settings),
 		LongestDeadline: longestDeadline,
 		State:           g.state,
 		HeaderWait:      slack(limits.HeaderTimeoutMs),
 		IdleWait:        slack(limits.IdleTimeoutMs),
 		MaxHeader:       limits.MaxHeaderBytes,
-	})
+	}, g.proxy)
 	if err != nil {
 		return err
 	}
@@ -226,27 +235,24 @@
 	return time.Duration(ms*float64(time.Millisecond)) + headerSlack
 }
 
-// awaitLimits waits for the first configuration.
-func (g *Gateway) awaitLimits() (limits configuration.Limits, ended bool) {
-	for {
+// awaitLimits waits for the first configuration, but not for long: those that wait in the port's queue are better refused then.
+func (g *Gateway) awaitLimits() configuration.Limits {
+	for until := time.Now().Add(configurationWait); ; time.Sleep(lookAgain) {
 		if held := g.subscription.Configuration(); held != nil {
-			return held.Limits, false
+			return held.Limits
 		}
-		if g.state.Phase() == service.Ending {
-			return limits, true
+		if time.Now().After(until) || g.state.Phase() == service.Ending {
+			return configuration.Limits{MaxHeaderBytes: widestHeader, IdleTimeoutMs: longestIdleMs}
 		}
-		time.Sleep(lookAgain)
 	}
 }
 
-// listenFor is how long the port may be another's: that of the process before this one.
-const listenFor = 3 * time.Second
-
-func (g *Gateway) listen(options front.Options) (*front.Server, error) {
+// listen opens the port for clients. For a while it may be another's: that of the process before this one.
+func (g *Gateway) listen() (net.Listener, error) {
 	for until := time.Now().Add(listenFor); ; time.Sleep(lookAgain) {
-		server, err := front.Listen(options, g.proxy)
+		port, err := net.Listen("tcp", g.settings.ListenFront)
 		if err == nil || !errors.Is(err, syscall.EADDRINUSE) || time.Now().After(until) {
-			return server, err
+			return port, err
 		}
 	}
 }
