--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -22,6 +22,7 @@
 	"sprucelane.example/sprucelane/internal/buffers"
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/front"
+	"sprucelane.example/sprucelane/internal/gateway/announce"
 	"sprucelane.example/sprucelane/internal/gateway/batchcall"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/gateway/proxy"
@@ -155,6 +156,9 @@
 	ready := &http.Server{Addr: g.settings.ListenReady, Handler: http.HandlerFunc(g.serveReady), ReadTimeout: time.Minute}
 	go func() { failed <- fmt.Errorf("listen.ready: %w", ready.ListenAndServe()) }()
 	defer ready.Close()
+	if announcer := g.announce(); announcer != nil {
+		defer announcer.Close()
+	}
 	go g.subscription.Run(ctx)
 	go g.limits.quotas.Run(ctx)
 	go func() {
@@ -176,6 +180,18 @@
 	}
 }
 
+// announce opens the port between gateways. One that can't be had is done without.
+func (g *Gateway) announce() *announce.Announcer {
+	announcer, err := announce.Listen(g.settings.IP, g.settings.Port(node.PortGateway), g.subscription.Members)
+	if err != nil {
+		g.log.Warn().Err(err).Msg("announcements_off")
+		return nil
+	}
+	g.proxy.Announce = announcer.Tell
+	go announcer.Receive(func(server uint64, tokens int) { g.proxy.Placer.Told(time.Now(), server, tokens) })
+	return announcer
+}
+
 func (g *Gateway) nextLook() time.Duration {
 	if g.state.Phase() == service.Ending {
 		return lookAgain
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -41,7 +41,9 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	servers map[policy.ServerID]*state
-	delay   float64 // milliseconds, running mean of the times to the first sign, over all servers
+	divided map[string]division // by service
+	told    map[uint64]told     // by the servers' hashes
+	delay   float64             // milliseconds, running mean of the times to the first sign, over all servers
 	swept   time.Time
 }
 
@@ -60,7 +62,8 @@
 
 // New gives a placer of a gateway in a zone.
 func New(zone string, seed uint64) *Placer {
-	return &Placer{zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[policy.ServerID]*state{}}
+	return &Placer{zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[policy.ServerID]*state{},
+		divided: map[string]division{}, told: map[uint64]told{}}
 }
 
 // Choice is what a server is chosen by and from.
@@ -87,10 +90,10 @@
 func (p *Placer) Pick(now time.Time, choice *Choice) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	chain, meets := choice.Demand.affinity()
+	divided := p.division(choice.Servers)
 	var order preference
-	if meets {
-		order = prefer(chain, choice.Servers)
+	if chain, meets := choice.Demand.affinity(); meets {
+		order = prefer(chain, choice.Servers, divided.among(&choice.Demand))
 	}
 	var best, shunned candidate
 	for _, server := range choice.Servers {
@@ -102,6 +105,7 @@
 			continue
 		}
 		one := candidate{server: server, state: s, cost: p.cost(now, server, s, &choice.Demand, order)}
+		one.cost += divided.cost(&choice.Demand, server.Number)
 		if s.health.open(now, s.active) {
 			best = cheaper(best, one)
 		} else {
@@ -160,7 +164,7 @@
 	if server.Zone != p.zone {
 		cost += zoneCost
 	}
-	return cost + s.silence(now) + p.slowness(now, s) + jitter*p.random.Float64()
+	return cost + p.elsewhere(now, server) + s.silence(now) + p.slowness(now, s) + jitter*p.random.Float64()
 }
 
 // silence gives what is to be waited for at a server that has shown no sign of life while something waits there: as long again.
@@ -199,6 +203,9 @@
 	return t
 }
 
+// Unread gives the tokens that the server was thought to have to read.
+func (t *Ticket) Unread() int { return t.tokens }
+
 // First notes a first sign of the answer.
 func (t *Ticket) First(now time.Time) {
 	t.placer.mu.Lock()
@@ -264,6 +271,11 @@
 			delete(p.servers, number)
 		}
 	}
+	for hash, one := range p.told {
+		if now.After(one.until) {
+			delete(p.told, hash)
+		}
+	}
 }
 
 // Active counts this gateway's requests at servers.
--- a/internal/gateway/placement/placement_test.go
+++ b/internal/gateway/placement/placement_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sprucelane.example/sprucelane/internal/gateway/servers"
@@ -16,7 +17,7 @@
 func fleet(n int, zones ...string) []*servers.Server {
 	list := make([]*servers.Server, n)
 	for i := range list {
-		list[i] = &servers.Server{Number: policy.ServerID(i + 1),
+		list[i] = &servers.Server{Number: policy.ServerID(i + 1), Hash: xxhash.Sum64String(fmt.Sprintf("i-%d", i)),
 			Server: protocol.Server{ID: fmt.Sprintf("i-%d", i), Zone: zones[i%len(zones)], Slots: 24}}
 	}
 	return list
@@ -141,3 +142,68 @@
 		}
 	})
 }
+
+func TestLongPromptsKeepApart(t *testing.T) {
+	Convey("Long prompts go to a few servers, short ones to the others, and both anywhere when those are busy", t, func() {
+		list, now, p := fleet(18, "a"), time.Unix(100, 0), New("a", 1)
+		long, short := map[string]int{}, map[string]int{}
+		for i := range 400 {
+			demand := ParseDemand(fmt.Sprintf("%x:13300,%x:3720", i%48, i), "17020,40")
+			ticket := p.Pick(now, &Choice{Demand: demand, Servers: list})
+			long[ticket.Server.ID]++
+			other := p.Pick(now, &Choice{Demand: ParseDemand("", "600,40"), Servers: list})
+			short[other.Server.ID]++
+			now = now.Add(100 * time.Millisecond)
+			for _, one := range []*Ticket{ticket, other} {
+				one.First(now)
+				one.Done(now, Succeeded)
+			}
+		}
+		So(len(long), ShouldBeLessThanOrEqualTo, 7)
+		for id := range long {
+			So(short[id], ShouldBeZeroValue)
+		}
+		for i := range 60 {
+			demand := ParseDemand(fmt.Sprintf("%x:13300,%x:3720", i, i), "17020,40")
+			long[p.Pick(now, &Choice{Demand: demand, Servers: list}).Server.ID]++
+		}
+		So(len(long), ShouldBeGreaterThan, 12)
+	})
+	Convey("All gateways keep the same servers for them, and few servers are not divided", t, func() {
+		list := fleet(18, "a")
+		one, other := newDivision(list), newDivision(append([]*servers.Server(nil), list...))
+		for _, server := range list {
+			So(one.long[server.Number], ShouldEqual, other.long[server.Number])
+		}
+		So(newDivision(fleet(5, "a")).long, ShouldBeEmpty)
+	})
+}
+
+func TestTold(t *testing.T) {
+	Convey("Nothing is sent behind a long prompt of another gateway, until that has been read", t, func() {
+		list, now, p := fleet(4, "a"), time.Unix(100, 0), New("a", 1)
+		p.Told(now, list[2].Hash, 20_000)
+		p.Told(now, list[2].Hash, 20_000)
+		count := func() (there int) {
+			for range 100 {
+				ticket := p.Pick(now, &Choice{Servers: list, Demand: Demand{Prompt: 600}})
+				if ticket.Server == list[2] {
+					there++
+				}
+				ticket.First(now)
+				ticket.Done(now, Succeeded)
+			}
+			return there
+		}
+		So(count(), ShouldEqual, 0)
+		now = now.Add(350 * time.Millisecond)
+		So(count(), ShouldEqual, 0)
+		now = now.Add(60 * time.Millisecond)
+		So(count(), ShouldBeGreaterThan, 5)
+		for range 100 {
+			p.Told(now, list[2].Hash, 1<<20)
+		}
+		now = now.Add(mostTold + time.Millisecond)
+		So(count(), ShouldBeGreaterThan, 5)
+	})
+}
--- a/internal/gateway/placement/prefer.go
+++ b/internal/gateway/placement/prefer.go
@@ -1,8 +1,6 @@
 package placement
 
 import (
-	"github.com/cespare/xxhash/v2"
-
 	"sprucelane.example/sprucelane/internal/gateway/servers"
 	"sprucelane.example/sprucelane/policy"
 )
@@ -13,11 +11,14 @@
 	first, second policy.ServerID
 }
 
-// prefer gives the two servers with the highest weights for a chain.
-func prefer(chain uint64, list []*servers.Server) (order preference) {
+// prefer gives the two servers with the highest weights for a chain, among those of a set where there is one.
+func prefer(chain uint64, list []*servers.Server, among map[policy.ServerID]bool) (order preference) {
 	var highest, next uint64
 	for _, server := range list {
-		weight := mix(chain ^ xxhash.Sum64String(server.ID))
+		if among != nil && !among[server.Number] {
+			continue
+		}
+		weight := mix(chain ^ server.Hash)
 		switch {
 		case weight >= highest || order.first == 0:
 			next, order.second = highest, order.first
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -43,8 +43,12 @@
 	if table == nil {
 		return nil
 	}
-	return q.proxy.Placer.Pick(time.Now(), &placement.Choice{Demand: q.wish.Demand, Servers: table.Of(q.wish.Backend), Passed: q.passed,
-		Most: q.connectionsAtMost()})
+	ticket := q.proxy.Placer.Pick(time.Now(), &placement.Choice{Demand: q.wish.Demand, Servers: table.Of(q.wish.Backend),
+		Passed: q.passed, Most: q.connectionsAtMost()})
+	if ticket != nil && ticket.Unread() >= placement.AnnounceLeast && q.proxy.Announce != nil {
+		q.proxy.Announce(ticket.Server.Hash, ticket.Unread())
+	}
+	return ticket
 }
 
 // connectionsAtMost gives this gateway's part of the connections that a server takes.
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -72,6 +72,8 @@
 	Batch     Batch
 	Bodies    *buffers.Budget
 	Log       zerolog.Logger
+	// Announce tells other gateways that a server has so many tokens to read. Nil: nobody is told.
+	Announce func(server uint64, tokens int)
 }
 
 // unready is when to come back to a gateway that can't serve yet or now.
--- a/internal/gateway/proxy/stream.go
+++ b/internal/gateway/proxy/stream.go
@@ -88,6 +88,10 @@
 func (q *request) firstEvent(ticket *placement.Ticket, began time.Time) {
 	ticket.First(time.Now())
 	q.attempted(began)
+	if took := time.Since(began); took > q.route.TargetLatency() {
+		q.proxy.Log.Debug().Str("route", q.route.Name).Str("server", ticket.Server.ID).Str("zone", ticket.Server.Zone).
+			Dur("took", took).Int("prompt", q.wish.Demand.Prompt).Int("unread", ticket.Unread()).Msg("slow_first_event")
+	}
 }
 
 // pass gives the client the whole events that are there, with the head of the first server before them.
--- a/internal/gateway/servers/servers.go
+++ b/internal/gateway/servers/servers.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/protocol"
 	"sprucelane.example/sprucelane/policy"
@@ -17,6 +19,7 @@
 type Server struct {
 	protocol.Server
 	Number policy.ServerID // of its id, for the life of this process
+	Hash   uint64          // of its id, the same at all gateways
 }
 
 // Table is one list. Nobody changes it.
@@ -76,7 +79,7 @@
 		if server.Draining {
 			now.state = policy.Draining
 		} else {
-			one := &Server{Server: *server, Number: now.number}
+			one := &Server{Server: *server, Number: now.number, Hash: xxhash.Sum64String(server.ID)}
 			table.backends[server.Backend] = append(table.backends[server.Backend], one)
 			table.numbers[now.number] = one
 		}
