--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -90,7 +90,7 @@
 	options := transport.Options{Identity: transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role, Zone: process.Zone,
 		Address: process.IP, Incarnation: process.Incarnation}}
 	placer := placement.New(settings.Zone, seed(process))
-	g.limits = newLimits(placer, g.servers, process, options)
+	g.limits = newLimits(placer, g.servers, process, options, log)
 	g.subscription = subscription.New(subscription.Options{Settings: settings, Process: process, Transport: options,
 		Servers: g.servers, Ready: g.Ready, Log: log, Configured: g.limits.Configure})
 	g.limits.members = g.subscription.Members
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -6,6 +6,8 @@
 	"sync"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/gateway/admission"
@@ -41,10 +43,11 @@
 	told map[string]time.Time // when a service's load was told last
 }
 
-func newLimits(placer *placement.Placer, table *servers.Registry, process protocol.Process, options transport.Options) *limits {
+func newLimits(placer *placement.Placer, table *servers.Registry, process protocol.Process, options transport.Options,
+	log zerolog.Logger) *limits {
 	l := &limits{origin: time.Now(), admission: admission.New(admission.Options{}), placer: placer, servers: table,
 		told: map[string]time.Time{}}
-	l.quotas = quotas.New(quotas.Options{Process: process, Transport: options, Members: l.listed})
+	l.quotas = quotas.New(quotas.Options{Process: process, Transport: options, Members: l.listed, Log: log})
 	return l
 }
 
--- a/internal/gateway/limits/asking.go
+++ b/internal/gateway/limits/asking.go
@@ -31,6 +31,7 @@
 	k.follow()
 	now := k.now()
 	k.resolve(now)
+	k.report.write(now, &k.options.Log)
 	if request, due := k.client.NextRequest(now); due {
 		k.counts.Asked++
 		if k.link == nil {
@@ -107,7 +108,7 @@
 			kept = append(kept, one)
 			continue
 		}
-		one.decided <- k.count(verdict)
+		one.decided <- k.count(one.tenant, verdict)
 	}
 	clear(k.waiters[len(kept):])
 	k.waiters = kept
--- a/internal/gateway/limits/limits.go
+++ b/internal/gateway/limits/limits.go
@@ -63,6 +63,7 @@
 	address string // of the allocator
 	link    *transport.Client
 	counts  Counts
+	report  report
 }
 
 // waiter is a request that waits for a token.
@@ -114,7 +115,7 @@
 	served := k.client.ServesIn(now, tenant)
 	verdict := k.client.Take(now, tenant)
 	if !verdict.Wait {
-		return k.count(verdict), nil, 0
+		return k.count(tenant, verdict), nil, 0
 	}
 	k.counts.Waited++
 	until := patience.Unsure
@@ -122,8 +123,7 @@
 	case served < patience.Sure:
 		until = max(until, served+certainMargin)
 	case k.client.Silent(now):
-		k.counts.Refused++
-		return Decision{RetryAfter: k.client.GiveUp(now, tenant)}, nil, 0
+		return k.count(tenant, quota.Verdict{RetryAfter: k.client.GiveUp(now, tenant)}), nil, 0
 	}
 	one := &waiter{tenant: tenant, decided: make(chan Decision, 1)}
 	k.waiters = append(k.waiters, one)
@@ -131,11 +131,12 @@
 	return Decision{}, one, until
 }
 
-func (k *Keeper) count(verdict quota.Verdict) Decision {
+func (k *Keeper) count(tenant *configuration.Tenant, verdict quota.Verdict) Decision {
 	if verdict.Admit {
 		k.counts.Admitted++
 	} else {
 		k.counts.Refused++
+		k.report.refused(tenant.Name, k.client.Silent(k.now()))
 	}
 	return Decision{Admit: verdict.Admit, RetryAfter: verdict.RetryAfter}
 }
@@ -147,8 +148,7 @@
 	for i, other := range k.waiters {
 		if other == one {
 			k.waiters = append(k.waiters[:i], k.waiters[i+1:]...)
-			k.counts.Refused++
-			return Decision{RetryAfter: k.client.GiveUp(k.now(), one.tenant)}
+			return k.count(one.tenant, quota.Verdict{RetryAfter: k.client.GiveUp(k.now(), one.tenant)})
 		}
 	}
 	return <-one.decided
--- /dev/null
+++ b/internal/gateway/limits/report.go
@@ -0,0 +1,47 @@
+package limits
+
+import (
+	"time"
+
+	"github.com/rs/zerolog"
+)
+
+// reportEvery is the least time between two lines on the same tenant.
+const reportEvery = 10 * time.Second
+
+// refusals are a tenant's since the last report.
+type refusals struct {
+	overLimit   int
+	unreachable int // while the allocator didn't answer
+}
+
+// report tells the operator which tenants were refused.
+type report struct {
+	next    time.Duration
+	tenants map[string]refusals
+}
+
+func (r *report) refused(tenant string, unreachable bool) {
+	if r.tenants == nil {
+		r.tenants = map[string]refusals{}
+	}
+	one := r.tenants[tenant]
+	if unreachable {
+		one.unreachable++
+	} else {
+		one.overLimit++
+	}
+	r.tenants[tenant] = one
+}
+
+// write logs a line a tenant that was refused.
+func (r *report) write(now time.Duration, log *zerolog.Logger) {
+	if len(r.tenants) == 0 || now < r.next {
+		return
+	}
+	r.next = now + reportEvery
+	for tenant, one := range r.tenants {
+		log.Info().Str("tenant", tenant).Int("over_limit", one.overLimit).Int("no_allocator", one.unreachable).Msg("quota_refused")
+	}
+	clear(r.tenants)
+}
