--- a/internal/quota/budget.go
+++ b/internal/quota/budget.go
@@ -13,6 +13,8 @@
 	clockMargin    = 100 * time.Millisecond // that a clock may gain over a lease
 	longestExpiry  = 250 * time.Millisecond // of tokens
 	expiryShare    = 0.4                    // of the margin that the expiry of tokens may take
+	rateShare      = 0.9                    // of the overshoot: goes into the rate where the depth can spare it
+	leastMargin    = 0.75                   // seconds of the rate that the margin keeps
 	reserveShare   = 0.1                    // of overshoot and slack: for requests charged after they were sent
 	lentDepthShare = 0.5                    // of the depth: may be lent, the rest is the pool's
 	lentRateShare  = 0.65                   // of the rate: may be lent, the rest always flows into the pool
@@ -42,10 +44,10 @@
 
 // budgetOf divides a limit. The sum of the parts stays within what the rule allows.
 func budgetOf(rules Rules, tenant *configuration.Tenant) budget {
-	rate, burst := tenant.RatePerSec, tenant.Burst
-	margin := rules.Most(rate, burst) - rate*rules.Window.Seconds()
+	rate, margin := raisedRate(rules, tenant)
+	burst := tenant.Burst
 	expiry := min(longestExpiry, time.Duration(expiryShare*margin/rate*float64(time.Second))).Truncate(time.Millisecond)
-	reserve := reserveShare * (margin - burst)
+	reserve := reserveShare * max(0, margin-burst)
 	depth := math.Max(leastDepth, margin-reserve-rate*expiry.Seconds())
 	b := budget{rate: tokens(rate), expiry: expiry, poolDepth: tokens(depth)}
 	if lent := lentDepthShare * depth; lent >= leastDepth {
@@ -55,6 +57,15 @@
 	return b
 }
 
+// raisedRate gives the rate that is granted and what the rule allows beyond it: tenants that press are owed the whole limit in
+// every window, so a part of the overshoot is granted to them steadily.
+func raisedRate(rules Rules, tenant *configuration.Tenant) (rate, margin float64) {
+	most, window := rules.Most(tenant.RatePerSec, tenant.Burst), rules.Window.Seconds()
+	rate = min(tenant.RatePerSec*(1+rateShare*rules.Overshoot), most/(window+leastMargin))
+	rate = max(rate, tenant.RatePerSec)
+	return rate, most - rate*window
+}
+
 // amount is a number of tokens, or of tokens a second, in millionths: sums of them are exact.
 type amount int64
 
