--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -147,26 +147,29 @@
 	one.budget = budgetOf(a.options.Rules, tenant)
 	switch {
 	case !isNew && wasLimited:
-		one.pool.level = min(one.pool.level, one.budget.poolDepth)
+		one.pool.level = min(one.pool.level, one.poolDepth())
 	case a.now < a.unknownUntil:
 		a.begin(one, 0)
 	default:
-		one.pool = bucket{level: one.budget.poolDepth, at: a.now}
+		one.pool = bucket{level: one.poolDepth(), at: a.now}
 	}
 }
 
 // refill brings a pool up to date: what is lent, or may be, doesn't flow into it.
 func (a *Allocator) refill(one *account) {
-	if one.unknown.none() {
-		one.pool.fill(a.now, one.budget.rate-one.lent.rate, one.budget.poolDepth)
-		return
-	}
-	known := min(a.now, a.unknownUntil)
-	one.pool.fill(known, one.budget.rate-one.lent.rate-one.unknown.rate, one.budget.poolDepth)
-	if a.now >= a.unknownUntil {
-		one.unknown = lease{}
-		one.pool.fill(a.now, one.budget.rate-one.lent.rate, one.budget.poolDepth)
+	if !one.unknown.none() {
+		known := min(a.now, a.unknownUntil)
+		one.pool.fill(known, one.budget.rate-one.lent.rate-one.unknown.rate, one.poolDepth())
+		if a.now >= a.unknownUntil {
+			one.unknown = lease{}
+		}
 	}
+	one.pool.fill(a.now, one.budget.rate-one.lent.rate-one.unknown.rate, one.poolDepth())
+}
+
+// poolDepth is the depth that isn't lent.
+func (one *account) poolDepth() amount {
+	return max(0, one.budget.depth-one.lent.depth-one.unknown.depth)
 }
 
 // Request answers a gateway. Now is when the allocator surely acts, read before that was made sure.
@@ -233,6 +236,7 @@
 
 // grant takes whole tokens from a pool.
 func (a *Allocator) grant(one *account, want int, grant *protocol.QuotaGrant) {
+	one.pool.level = min(one.pool.level, one.poolDepth()) // more may have been lent since it was filled
 	there := int(max(0, one.pool.level) / token)
 	grant.Tokens = min(want, there)
 	grant.ExpiresAfter = one.budget.expiry
--- a/internal/quota/budget.go
+++ b/internal/quota/budget.go
@@ -9,14 +9,14 @@
 
 // The settled figures. Shares are of what the rule allows beyond the rate over the window.
 const (
-	leaseFor       = 4 * time.Second        // a lease lasts so long without an answer
+	leaseFor       = 3 * time.Second        // a lease lasts so long without an answer
 	clockMargin    = 100 * time.Millisecond // that a clock may gain over a lease
 	longestExpiry  = 250 * time.Millisecond // of tokens
 	expiryShare    = 0.4                    // of the margin that the expiry of tokens may take
 	rateShare      = 0.9                    // of the overshoot: goes into the rate where the depth can spare it
 	leastMargin    = 0.75                   // seconds of the rate that the margin keeps
 	reserveShare   = 0.1                    // of overshoot and slack: for requests charged after they were sent
-	lentDepthShare = 0.5                    // of the depth: may be lent, the rest is the pool's
+	lentDepthShare = 0.5                    // of the depth: may be lent; what isn't is the pool's
 	lentRateShare  = 0.65                   // of the rate: may be lent, the rest always flows into the pool
 	leastDepth     = 1.0                    // of a lease: a request takes a whole token
 )
@@ -37,7 +37,7 @@
 type budget struct {
 	rate        amount        // tokens a second
 	expiry      time.Duration // of tokens of the pool
-	poolDepth   amount
+	depth       amount        // of the pool and of all leases together
 	maxLentRate amount
 	maxLent     amount // summed depth of leases
 }
@@ -49,10 +49,9 @@
 	expiry := min(longestExpiry, time.Duration(expiryShare*margin/rate*float64(time.Second))).Truncate(time.Millisecond)
 	reserve := reserveShare * max(0, margin-burst)
 	depth := math.Max(leastDepth, margin-reserve-rate*expiry.Seconds())
-	b := budget{rate: tokens(rate), expiry: expiry, poolDepth: tokens(depth)}
+	b := budget{rate: tokens(rate), expiry: expiry, depth: tokens(depth)}
 	if lent := lentDepthShare * depth; lent >= leastDepth {
-		b.maxLent, b.poolDepth = tokens(lent), tokens(depth-lent)
-		b.maxLentRate = tokens(lentRateShare * rate)
+		b.maxLent, b.maxLentRate = tokens(lent), tokens(lentRateShare*rate)
 	}
 	return b
 }
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -13,19 +13,21 @@
 //
 // # The bound
 //
-// Let W be the window, R the rate, E the expiry of tokens, P the pool's depth and L the sum of the depths that may be lent.
+// Let W be the window, R the rate that is granted, E the expiry of tokens and D the depth of the pool and all leases together.
 // For any window [t, t+W], summed over all gateways, whether they are in touch, cut off, frozen or gone:
 //
-//	spent <= L + P + R*E + R*W
+//	spent <= D + R*E + R*W
 //
-// Leases: at any moment the sums over all gateways of F and of D that are really held are at most what the allocator counts
-// as committed, lentRate(now) and lentDepth(now) <= L. A local bucket holds at most D and fills at F, so leases spend at most
-// L plus the integral of lentRate over the window. Pool: tokens spent in the window were granted in [t-E, t+W], and the pool
-// grants at most P plus its inflow over that time, where inflow(now) = R - lentRate(now). The two integrals over the window
-// sum to R*W; over the time E before it the inflow is at most R*E.
+// Tokens of the pool that are spent in the window were granted in [t-E, t+W]. Look at that time, and at the level of the pool
+// plus the levels of all leases at its beginning. At any moment the sums over all gateways of the rates and of the depths that
+// are really held are at most what the allocator counts as committed, lentRate(now) and lentDepth(now). The pool is cut to
+// D - lentDepth(now) whenever more is lent, a new lease begins empty and a raised one as full as it was, so the levels sum to D
+// at most at the beginning, and what flows in is R - lentRate(now) into the pool and at most lentRate(now) into the leases: R
+// together. What was spent from leases before t only lowers the sum.
 //
-// budgetOf chooses E, P and L so that the sum stays within (R*W + burst)*(1+overshoot) + slack, less a reserve for requests
-// that are charged after they were sent (Client.Charge).
+// budgetOf chooses R, E and D so that the sum stays within (rate*W + burst)*(1+overshoot) + slack, less a reserve for requests
+// that are charged after they were sent (Client.Charge). R takes the larger part of the overshoot where D can spare it: tenants
+// that press are owed their whole limit in every window.
 //
 // Committed covers really held:
 //   - A raise is committed before the reply that tells it is made. A cut stays committed at the old value until the gateway
@@ -36,7 +38,7 @@
 //     numbered; the allocator passes over one that isn't newer than the last.
 //   - A process that takes the reply to one of its requests ran after that request was heard; processes of the same node that
 //     were heard before it are dead: their leases are free at once, and their requests are passed over from then on.
-//   - An allocator that starts doesn't know what its predecessors lent. It counts all that may be lent (maxLentRate, L) as
+//   - An allocator that starts doesn't know what its predecessors lent. It counts all that may be lent (maxLentRate, maxLent) as
 //     held by unknown gateways until leaseFor has passed since its start, less what gateways that it hears tell of their
 //     leases, which it then counts by name. Its pools start empty.
 //   - Where the nodes to which anything may be lent are on record (Recorded, Start), nothing is lent to others, and nothing is
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -301,7 +301,7 @@
 
 // ease is 1 while the pool is well filled and falls to 0 as it empties. What flows into a full lease is lost, so less is lent.
 func (one *account) ease() float64 {
-	return min(1, max(0, one.pool.level.float())/(easyShare*one.budget.poolDepth.float()))
+	return min(1, max(0, one.pool.level.float())/(easyShare*max(token, one.poolDepth()).float()))
 }
 
 // maxLentFor bounds the summed depth when a lease for a demand is lent: thin ones, which mostly rest, leave more to the pool.
