--- a/Makefile
+++ b/Makefile
@@ -54,3 +54,24 @@
 	@[ -d "$(KIT)" ] || { echo "KIT: the bench's folder, as in make sites KIT=path"; exit 2; }
 	cp -f $(KIT)/sites/real.json $(KIT)/sites/wire.json $(KIT)/sites/unlock.txt deploy/sites/
 	chmod u+w deploy/sites/real.json deploy/sites/wire.json deploy/sites/unlock.txt
+
+# The programs of deploy/system.toml, into target/.
+.PHONY: build-system system simulate hunt
+build-system:
+	@line=$$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/system.toml); [ -n "$$line" ] && bash -ec "$$line"
+
+# The whole system on loopback under a light load, with a live table; FOR=60 ends it after so many seconds.
+FOR ?= 0
+system: build build-system
+	bin/sprucelab system --programs target --seconds $(FOR)
+
+# Random worlds with many seeds: make simulate SEEDS=1000.
+SEEDS ?= 200
+simulate:
+	SEEDS=$(SEEDS) SIMULATION_SEEDS=$(SEEDS) go test -count=1 -timeout 60m -run 'Random|Model|Histories' ./coord/... ./internal/configuration/... ./internal/control/... ./internal/quota/... ./internal/batch/... ./internal/gateway/...
+
+# Our own days of trouble on the bench, one line a day: make hunt BENCH=program SITE=file [DAYS=files].
+DAYS ?= $(wildcard bench/days/*.toml)
+hunt:
+	@[ -x "$(BENCH)" ] && [ -f "$(SITE)" ] || { echo "BENCH: the bench's program, SITE: a site file, as in make hunt BENCH=path SITE=path DAYS='bench/days/a.toml ...'"; exit 2; }
+	go run ./internal/tools/playdays -bench $(BENCH) -site $(SITE) $(DAYS)
