--- a/internal/batch/replica/slow.go
+++ b/internal/batch/replica/slow.go
@@ -11,8 +11,9 @@
 // down, cut off or frozen and still in the view, and those whose disks are slow.
 
 const (
-	replaceAfter = 130 * time.Millisecond // without a word that a peer has written a new batch job
+	replaceAfter = 80 * time.Millisecond // without a word that a peer has written a new batch job
 	passedOver   = 1500 * time.Millisecond
+	recentJobs   = 32                     // that may be new
 	diskLag      = 150 * time.Millisecond // of this store's own disk, from which it takes no new batch jobs
 )
 
@@ -33,6 +34,19 @@
 	return keys
 }
 
+// Pressing tells that a client waits for an acceptance, and Tick is wanted more often.
+func (m *Machine) Pressing() bool {
+	if len(m.acceptances) > 0 {
+		return true
+	}
+	for i := len(m.order) - 1; i >= max(0, len(m.order)-recentJobs); i-- {
+		if m.order[i].replaceAt > 0 {
+			return true
+		}
+	}
+	return false
+}
+
 // expectNothing notes that no peer holds a copy.
 func (h *held) expectNothing() {
 	for i := range h.peers {
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -24,13 +24,14 @@
 )
 
 const (
-	maxFrame    = 48 << 20 // bytes of a message between stores: a whole batch job with its results
-	heartbeat   = 500 * time.Millisecond
-	tickEvery   = 100 * time.Millisecond
-	leaseMargin = 100 * time.Millisecond // for what is on its way when a lease ends
-	reserve     = 0.2                    // of the disk, which new batch jobs leave free
-	releaseWait = 5 * time.Second        // between looks at what the log no longer needs
-	statsEvery  = 10 * time.Second
+	maxFrame     = 48 << 20 // bytes of a message between stores: a whole batch job with its results
+	heartbeat    = 500 * time.Millisecond
+	tickEvery    = 80 * time.Millisecond
+	tickPressing = 50 * time.Millisecond  // while a client waits for an acceptance
+	leaseMargin  = 100 * time.Millisecond // for what is on its way when a lease ends
+	reserve      = 0.2                    // of the disk, which new batch jobs leave free
+	releaseWait  = 5 * time.Second        // between looks at what the log no longer needs
+	statsEvery   = 10 * time.Second
 )
 
 // Server is a batch process.
@@ -153,18 +154,23 @@
 func (s *Server) Reload(settings *node.Settings) { s.subscription.Seed(settings) }
 
 func (s *Server) tick(ctx context.Context) {
-	ticker := time.NewTicker(tickEvery)
-	defer ticker.Stop()
+	timer := time.NewTimer(tickEvery)
+	defer timer.Stop()
 	released, told := time.Now(), time.Now()
 	for {
 		select {
-		case <-ticker.C:
+		case <-timer.C:
 		case <-ctx.Done():
 			return
 		}
 		s.mutex.Lock()
 		s.machine.Tick()
+		pressing := s.machine.Pressing()
 		s.mutex.Unlock()
+		timer.Reset(tickEvery)
+		if pressing {
+			timer.Reset(tickPressing)
+		}
 		if time.Since(released) > releaseWait {
 			released = time.Now()
 			s.release()
--- a/internal/gateway/batchcall/batchcall.go
+++ b/internal/gateway/batchcall/batchcall.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -35,7 +36,8 @@
 	members  func() *protocol.MemberList
 
 	mu    sync.Mutex
-	links map[string]*link // by IP
+	links map[string]*link     // by IP
+	slow  map[string]time.Time // by IP: until when it is asked last
 	turn  int
 }
 
@@ -49,7 +51,7 @@
 // New gives a caller that takes the set of batch processes from members.
 func New(settings *node.Settings, options transport.Options, members func() *protocol.MemberList) *Caller {
 	options.Heartbeat = 500 * time.Millisecond
-	return &Caller{settings: settings, options: options, members: members, links: map[string]*link{}}
+	return &Caller{settings: settings, options: options, members: members, links: map[string]*link{}, slow: map[string]time.Time{}}
 }
 
 // Call asks until there is an answer or the context ends.
@@ -117,23 +119,25 @@
 // order gives the processes in the order in which they are asked: those of the own zone first, the others in turn.
 func (c *Caller) order(members []protocol.StoreMember) []string {
 	c.mu.Lock()
+	defer c.mu.Unlock()
 	c.turn++
-	turn := c.turn
-	c.mu.Unlock()
-	var near, far, leaving []string
+	now := time.Now()
+	var near, far, slow, leaving []string
 	for i := range members {
-		member := &members[(i+turn)%len(members)]
+		member := &members[(i+c.turn)%len(members)]
 		switch {
 		case member.State == protocol.StoreRetired:
 		case member.State == protocol.StoreRetiring:
 			leaving = append(leaving, member.IP)
+		case c.isPassedOver(member.IP, now):
+			slow = append(slow, member.IP)
 		case member.Zone == c.settings.Zone:
 			near = append(near, member.IP)
 		default:
 			far = append(far, member.IP)
 		}
 	}
-	return append(append(near, far...), leaving...)
+	return slices.Concat(near, far, slow, leaving)
 }
 
 // ask puts the call to one process.
--- a/internal/gateway/batchcall/batchcall_test.go
+++ b/internal/gateway/batchcall/batchcall_test.go
@@ -57,7 +57,7 @@
 func TestSubmission(t *testing.T) {
 	answered := func(status int) attempt { return attempt{answer: protocol.BatchAnswer{Status: status}} }
 	run := func(asks map[string]func() attempt) (protocol.BatchAnswer, bool, *submission) {
-		s := &submission{route: newRoute([]string{"a", "b", "c"}), came: make(chan attempt, hopsMost)}
+		s := &submission{route: newRoute([]string{"a", "b", "c"}), came: make(chan attempt, hopsMost), slow: func(string) {}}
 		s.ask = func(ip string) attempt { return asks[ip]() }
 		answer, decided := s.run(context.Background())
 		return answer, decided, s
--- a/internal/gateway/batchcall/submit.go
+++ b/internal/gateway/batchcall/submit.go
@@ -12,7 +12,10 @@
 
 // hedgeAfter is how long a process may take for a submission before another is asked, too: one that is down or frozen says
 // nothing for seconds, and batch processes accept a batch job once wherever and how often it is handed in.
-const hedgeAfter = 150 * time.Millisecond
+const hedgeAfter = 100 * time.Millisecond
+
+// passedOver is how long one that let a submission wait that long is asked last.
+const passedOver = time.Second
 
 // attempt is what came of asking one process.
 type attempt struct {
@@ -23,6 +26,8 @@
 // submission is one batch job on its way in.
 type submission struct {
 	ask       func(ip string) attempt
+	slow      func(ip string)
+	last      string // asked last
 	route     *route
 	came      chan attempt
 	pending   int
@@ -39,6 +44,7 @@
 		answer, err := c.ask(ctx, ip, call)
 		return attempt{answer: answer, err: err}
 	}
+	s.slow = c.passOver
 	if answer, decided := s.run(ctx); decided {
 		return answer
 	}
@@ -61,6 +67,7 @@
 				return came.answer, true
 			}
 		case <-hedge.C:
+			s.slow(s.last)
 			s.next()
 			hedge.Reset(hedgeAfter)
 		case <-ctx.Done():
@@ -81,6 +88,7 @@
 		return
 	}
 	s.pending++
+	s.last = ip
 	go func() { s.came <- s.ask(ip) }()
 }
 
@@ -102,3 +110,20 @@
 	}
 	return false
 }
+
+// passOver notes a process that said nothing in time.
+func (c *Caller) passOver(ip string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.slow[ip] = time.Now().Add(passedOver)
+}
+
+// isPassedOver tells whether a process said nothing in time lately. The mutex is held.
+func (c *Caller) isPassedOver(ip string, now time.Time) bool {
+	until, slow := c.slow[ip]
+	if slow && now.After(until) {
+		delete(c.slow, ip)
+		return false
+	}
+	return slow
+}
