--- /dev/null
+++ b/coord/slots/fuzz_test.go
@@ -0,0 +1,144 @@
+package slots
+
+import (
+	"bytes"
+	"math/rand/v2"
+	"testing"
+)
+
+// randomCases is the number of random inputs that a normal test run tries.
+const randomCases = 20_000
+
+const testSequence = 7
+
+// testAppends are the records of the appends in validLog.
+var testAppends = [][][]byte{
+	{[]byte("first")},
+	{[]byte("second"), nil, []byte("third")},
+	{bytes.Repeat([]byte("x"), 200)},
+	{[]byte("last")},
+}
+
+// validLog returns a log file, and the number of records up to each number of batches.
+func validLog(t testing.TB) ([]byte, []int) {
+	t.Helper()
+	log := encodeLogHeader(testSequence)
+	counts := []int{0}
+	var err error
+	for number, records := range testAppends {
+		if log, err = appendBatch(log, testSequence, uint32(number), records); err != nil {
+			t.Fatal(err)
+		}
+		counts = append(counts, counts[number]+len(records))
+	}
+	return log, counts
+}
+
+// testRecords returns all records of testAppends.
+func testRecords() [][]byte {
+	var records [][]byte
+	for _, batch := range testAppends {
+		records = append(records, batch...)
+	}
+	return records
+}
+
+// checkLog fails if a log yields records of another sequence's place: whatever is read of the test's log must be the
+// first batches that were written.
+func checkLog(t testing.TB, data []byte, counts []int) {
+	t.Helper()
+	contents := parseLog(data)
+	if !contents.valid || contents.sequence != testSequence {
+		return
+	}
+	if contents.size > contents.length || contents.size < logHeader {
+		t.Fatalf("size %d of %d", contents.size, contents.length)
+	}
+	if int(contents.batches) >= len(counts) || len(contents.records) != counts[contents.batches] {
+		t.Fatalf("%d records in %d batches", len(contents.records), contents.batches)
+	}
+	for i, record := range testRecords()[:len(contents.records)] {
+		if !bytes.Equal(record, contents.records[i]) {
+			t.Fatalf("record %d: %q", i, contents.records[i])
+		}
+	}
+}
+
+// FuzzLog parses any bytes as a log. Batches whose checksum a fuzzer gets right are its own, so only the bounds are
+// checked.
+func FuzzLog(f *testing.F) {
+	log, _ := validLog(f)
+	f.Add(log)
+	f.Add(log[:len(log)-3])
+	f.Add(encodeLogHeader(1))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		contents := parseLog(data)
+		if contents.valid && (contents.size > int64(len(data)) || contents.size < logHeader) {
+			t.Fatalf("size %d of %d", contents.size, len(data))
+		}
+	})
+}
+
+// FuzzSlot parses any bytes as a slot.
+func FuzzSlot(f *testing.F) {
+	f.Add(append(encodeSlotHeader(3, []byte("snapshot")), "snapshot"...))
+	f.Add(encodeSlotHeader(1, nil))
+	f.Fuzz(func(t *testing.T, data []byte) {
+		contents := parseSlot(data)
+		if contents.valid && len(contents.snapshot) > len(data)-slotHeader {
+			t.Fatalf("%d bytes of %d", len(contents.snapshot), len(data))
+		}
+	})
+}
+
+// TestRandomLogs parses a log that was changed at random, in the same ways in each run.
+func TestRandomLogs(t *testing.T) {
+	log, counts := validLog(t)
+	if contents := parseLog(log); len(contents.records) != counts[len(testAppends)] || contents.damage != 0 {
+		t.Fatalf("the log itself: %+v", contents)
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	for range randomCases {
+		changed := bytes.Clone(log)
+		for range 1 + random.IntN(4) {
+			place := random.IntN(len(changed))
+			switch random.IntN(3) {
+			case 0:
+				changed[place] ^= 1 << random.IntN(8)
+			case 1:
+				changed = changed[:place+1]
+			case 2:
+				changed = append(changed, changed[place:]...)
+			}
+		}
+		checkLog(t, changed, counts)
+	}
+}
+
+// TestBatchesOfAnotherSequenceDontCount puts the batches of an earlier life of a file behind a new header.
+func TestBatchesOfAnotherSequenceDontCount(t *testing.T) {
+	log, _ := validLog(t)
+	contents := parseLog(append(encodeLogHeader(testSequence+1), log[logHeader:]...))
+	if !contents.valid || len(contents.records) != 0 || contents.damage != 0 {
+		t.Fatalf("%+v", contents)
+	}
+}
+
+// TestDamageIsToldFromATornEnd damages each batch in turn.
+func TestDamageIsToldFromATornEnd(t *testing.T) {
+	log, _ := validLog(t)
+	ends := []int{logHeader}
+	for ends[len(ends)-1] < len(log) {
+		size, _ := parseBatch(log[ends[len(ends)-1]:], testSequence, uint32(len(ends)-1))
+		ends = append(ends, ends[len(ends)-1]+size)
+	}
+	for number, start := range ends[:len(ends)-1] {
+		changed := bytes.Clone(log)
+		changed[start+batchHeader] ^= 1
+		contents := parseLog(changed)
+		isLast := number == len(testAppends)-1
+		if isLast != (contents.damage == 0) || contents.size != int64(start) {
+			t.Fatalf("batch %d: %+v", number, contents)
+		}
+	}
+}
--- a/coord/transport/codec.go
+++ b/coord/transport/codec.go
@@ -16,25 +16,31 @@
 	maxTypes = 4096
 )
 
-// encoder appends values to a buffer. It remembers which types the peer knows.
+// encoder appends values to a buffer, which is set before each of them. It remembers which types the peer knows.
 type encoder struct {
-	out     *bytes.Buffer
+	out     *buffer
 	gob     *gob.Encoder
 	numbers map[reflect.Type]uint64
 	// fresh is true until a value has been encoded: the peer must forget all types before it.
 	fresh bool
 }
 
-// newEncoder returns an encoder that appends to out.
-func newEncoder(out *bytes.Buffer) *encoder {
-	e := &encoder{out: out}
+// newEncoder returns an encoder whose peer knows no types.
+func newEncoder() *encoder {
+	e := &encoder{}
 	e.reset()
 	return e
 }
 
+// Write appends to the present buffer. The gob encoder writes through it.
+func (e *encoder) Write(data []byte) (int, error) {
+	e.out.data = append(e.out.data, data...)
+	return len(data), nil
+}
+
 // reset forgets which types the peer knows.
 func (e *encoder) reset() {
-	e.gob = gob.NewEncoder(e.out)
+	e.gob = gob.NewEncoder(e)
 	e.numbers = make(map[reflect.Type]uint64)
 	e.fresh = true
 }
@@ -43,7 +49,7 @@
 func (e *encoder) encode(message any) error {
 	e.fresh = false
 	if message == nil {
-		e.out.WriteByte(0)
+		e.out.data = append(e.out.data, 0)
 		return nil
 	}
 	kind := reflect.TypeOf(message)
@@ -58,9 +64,8 @@
 
 // encodeType appends the number of a type, and its name at the first use.
 func (e *encoder) encodeType(kind reflect.Type) error {
-	var scratch [binary.MaxVarintLen64]byte
 	if number, known := e.numbers[kind]; known {
-		e.out.Write(binary.AppendUvarint(scratch[:0], number))
+		e.out.data = binary.AppendUvarint(e.out.data, number)
 		return nil
 	}
 	name, ok := registered.Load().names[kind]
@@ -72,9 +77,9 @@
 	}
 	number := uint64(len(e.numbers) + 1)
 	e.numbers[kind] = number
-	e.out.Write(binary.AppendUvarint(scratch[:0], number))
-	e.out.Write(binary.AppendUvarint(scratch[:0], uint64(len(name))))
-	e.out.WriteString(name)
+	e.out.data = binary.AppendUvarint(e.out.data, number)
+	e.out.data = binary.AppendUvarint(e.out.data, uint64(len(name)))
+	e.out.data = append(e.out.data, name...)
 	return nil
 }
 
--- a/coord/transport/frame.go
+++ b/coord/transport/frame.go
@@ -1,7 +1,6 @@
 package transport
 
 import (
-	"bytes"
 	"encoding/binary"
 	"fmt"
 	"io"
@@ -25,27 +24,23 @@
 	frameHeader = 4 + 1 + 4
 	// readChunk bounds the memory in bytes that a frame's length alone can take.
 	readChunk = 256 << 10
-	// keepBuffer is the largest buffer in bytes that is kept for the next frame.
-	keepBuffer = 16 << 10
 )
 
-// frame is one frame as received. Its payload is valid until the next one is read.
+// frame is one frame as received.
 type frame struct {
 	kind    frameKind
 	reset   bool
 	call    uint32
-	payload []byte
+	payload *buffer // nil for an empty one; to be released
 }
 
 // appendHeader appends a frame's header whose length is set later by setLength.
-func appendHeader(out *bytes.Buffer, kind frameKind, reset bool, call uint32) {
-	var header [frameHeader]byte
-	header[4] = byte(kind)
+func appendHeader(out *buffer, kind frameKind, reset bool, call uint32) {
 	if reset {
-		header[4] |= frameReset
+		kind |= frameReset
 	}
-	binary.BigEndian.PutUint32(header[5:], call)
-	out.Write(header[:])
+	out.data = append(out.data, 0, 0, 0, 0, byte(kind))
+	out.data = binary.BigEndian.AppendUint32(out.data, call)
 }
 
 // setLength sets the length in the header at the start of a whole frame.
@@ -57,16 +52,16 @@
 type frameReader struct {
 	in     io.Reader
 	limit  int
-	buffer []byte
+	header [frameHeader]byte
 }
 
 // next reads one frame.
 func (r *frameReader) next() (frame, error) {
-	var header [frameHeader]byte
-	if _, err := io.ReadFull(r.in, header[:]); err != nil {
+	header := r.header[:]
+	if _, err := io.ReadFull(r.in, header); err != nil {
 		return frame{}, err
 	}
-	length := binary.BigEndian.Uint32(header[:])
+	length := binary.BigEndian.Uint32(header)
 	if uint64(length) > uint64(r.limit) {
 		return frame{}, fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, length)
 	}
@@ -79,34 +74,37 @@
 		return frame{}, fmt.Errorf("%w: kind %d", ErrCorrupt, received.kind)
 	}
 	payload, err := r.payload(int(length))
+	if err != nil {
+		return frame{}, err
+	}
 	received.payload = payload
-	return received, err
+	return received, nil
 }
 
 // payload reads length bytes, taking memory as they arrive.
-func (r *frameReader) payload(length int) ([]byte, error) {
-	if cap(r.buffer) > keepBuffer {
-		r.buffer = nil
+func (r *frameReader) payload(length int) (*buffer, error) {
+	if length == 0 {
+		return nil, nil
 	}
-	buffer := r.buffer[:0]
-	for len(buffer) < length {
-		start := len(buffer)
+	payload := takeBuffer()
+	for len(payload.data) < length {
+		start := len(payload.data)
 		end := min(length, start+readChunk)
-		buffer = grow(buffer, end)
-		if _, err := io.ReadFull(r.in, buffer[start:end]); err != nil {
+		payload.data = grow(payload.data, end)
+		if _, err := io.ReadFull(r.in, payload.data[start:end]); err != nil {
+			payload.release()
 			return nil, err
 		}
 	}
-	r.buffer = buffer
-	return buffer, nil
+	return payload, nil
 }
 
-// grow returns the buffer with this length and its old contents.
-func grow(buffer []byte, length int) []byte {
-	if length <= cap(buffer) {
-		return buffer[:length]
+// grow returns the data with this length and its old contents.
+func grow(data []byte, length int) []byte {
+	if length <= cap(data) {
+		return data[:length]
 	}
-	larger := make([]byte, length, max(length, min(2*cap(buffer), length+readChunk)))
-	copy(larger, buffer)
+	larger := make([]byte, length, max(length, min(2*cap(data), length+readChunk)))
+	copy(larger, data)
 	return larger
 }
--- a/coord/transport/hello.go
+++ b/coord/transport/hello.go
@@ -13,6 +13,8 @@
 	helloVersion = 1
 	// maxHello bounds the body of a hello in bytes.
 	maxHello = 4096
+	// maxHeartbeat bounds the heartbeat that a side may name.
+	maxHeartbeat = time.Hour
 )
 
 // helloStatus tells whether the sender takes the connection.
@@ -82,6 +84,9 @@
 	}
 	parsed := hello{status: helloStatus(body[0])}
 	parsed.heartbeat = time.Duration(binary.BigEndian.Uint32(body[1:])) * time.Millisecond
+	if parsed.heartbeat > maxHeartbeat {
+		return hello{}, fmt.Errorf("%w: heartbeat of %s", ErrCorrupt, parsed.heartbeat)
+	}
 	body = body[5:]
 	for _, text := range parsed.identity.fields() {
 		if len(body) < 2 {
@@ -140,7 +145,7 @@
 	return min(one, other)
 }
 
-// milliseconds returns a duration in whole milliseconds that fit the wire.
-func milliseconds(duration time.Duration) uint32 {
-	return uint32(min(max(duration.Milliseconds(), 0), math.MaxInt32))
+// milliseconds returns a heartbeat in whole milliseconds.
+func milliseconds(heartbeat time.Duration) uint32 {
+	return uint32(min(max(heartbeat, 0), maxHeartbeat).Milliseconds())
 }
--- a/coord/transport/link.go
+++ b/coord/transport/link.go
@@ -2,7 +2,6 @@
 
 import (
 	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
@@ -16,7 +15,7 @@
 	// writeChunk is the progress in bytes that renews the deadline of a write.
 	writeChunk = 256 << 10
 	// readBuffer is the size in bytes of a connection's read buffer.
-	readBuffer = 8 << 10
+	readBuffer = 4 << 10
 )
 
 // link is one connection after its handshake, the same at both ends: a queue of encoded frames with its writer, a
@@ -31,11 +30,10 @@
 	done       chan struct{} // closed once the link has ended
 
 	mutex    sync.Mutex
-	encoder  *encoder
-	pending  *bytes.Buffer // whole frames not yet handed to the network
-	frames   int           // the number of frames in pending
-	queued   uint64        // frames ever queued
-	handed   uint64        // frames ever handed to the network
+	encoder  *encoder // its buffer holds the pending frames, those not yet handed to the network
+	frames   int      // the number of pending frames
+	queued   uint64   // frames ever queued
+	handed   uint64   // frames ever handed to the network
 	lastSend time.Time
 	writing  bool  // the writer holds frames that it took from pending
 	closing  bool  // set by close: write what is pending, then end
@@ -46,15 +44,13 @@
 
 // newLink starts the writer of a connection whose handshake is done.
 func newLink(connection net.Conn, in *bufio.Reader, options *Options, peer hello) *link {
-	pending := &bytes.Buffer{}
 	l := &link{
 		connection: connection,
 		options:    options,
 		remote:     peer.identity,
 		heartbeat:  agreedHeartbeat(options.Heartbeat, peer.heartbeat),
 		decoder:    newDecoder(),
-		encoder:    newEncoder(pending),
-		pending:    pending,
+		encoder:    newEncoder(),
 		done:       make(chan struct{}),
 		wake:       make(chan struct{}, 1),
 		lastSend:   time.Now(),
@@ -79,7 +75,7 @@
 	if l.closing {
 		return 0, notConnected(ErrClosed)
 	}
-	if l.frames >= l.options.Queue || l.pending.Len() > l.options.MaxFrame {
+	if l.frames >= l.options.Queue || l.encoder.out.len() > l.options.MaxFrame {
 		return 0, ErrQueueFull
 	}
 	if err := l.encodeFrame(kind, call, message); err != nil {
@@ -94,27 +90,31 @@
 	return l.queued, nil
 }
 
-// encodeFrame appends a frame to pending, or leaves it as it was. The caller holds the mutex.
+// encodeFrame appends a frame to the pending ones, or leaves them as they were. The caller holds the mutex.
 func (l *link) encodeFrame(kind frameKind, call uint32, message any) error {
-	start := l.pending.Len()
+	if l.encoder.out == nil {
+		l.encoder.out = takeBuffer()
+	}
+	out := l.encoder.out
+	start := len(out.data)
 	if kind == framePing {
-		appendHeader(l.pending, kind, false, call)
+		appendHeader(out, kind, false, call)
 		return nil
 	}
-	appendHeader(l.pending, kind, l.encoder.fresh, call)
+	appendHeader(out, kind, l.encoder.fresh, call)
 	err := l.encoder.encode(message)
-	size := l.pending.Len() - start - frameHeader
+	size := len(out.data) - start - frameHeader
 	if err != nil {
 		err = fmt.Errorf("%w: %w", ErrEncode, err)
 	} else if size > l.options.MaxFrame {
 		err = fmt.Errorf("%w: %d bytes", ErrFrameTooLarge, size)
 	}
 	if err != nil {
-		l.pending.Truncate(start)
+		out.data = out.data[:start]
 		l.encoder.reset()
 		return err
 	}
-	setLength(l.pending.Bytes()[start:])
+	setLength(out.data[start:])
 	return nil
 }
 
@@ -146,22 +146,18 @@
 
 // writeLoop writes pending frames, all that wait with one system call, until the link ends.
 func (l *link) writeLoop() {
-	var batch []byte
 	for {
 		select {
 		case <-l.wake:
 		case <-l.done:
 			return
 		}
-		if cap(batch) > keepBuffer {
-			batch = nil
-		}
-		var last bool
-		batch, last = l.takePending(batch)
-		if err := l.write(batch); err != nil {
+		batch, last := l.takePending()
+		if err := l.write(batch.bytes()); err != nil {
 			l.end(err)
 			return
 		}
+		batch.release()
 		l.mutex.Lock()
 		l.writing = false
 		l.mutex.Unlock()
@@ -172,18 +168,18 @@
 	}
 }
 
-// takePending returns all frames that wait and marks them as handed to the network; spare becomes the memory of the
-// next ones. It tells whether the link is to end after them.
-func (l *link) takePending(spare []byte) ([]byte, bool) {
+// takePending returns all frames that wait, or nil, and marks them as handed to the network. It tells whether the
+// link is to end after them.
+func (l *link) takePending() (*buffer, bool) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.cause != nil {
 		return nil, true
 	}
-	batch := l.pending.Bytes()
-	*l.pending = *bytes.NewBuffer(spare[:0])
+	batch := l.encoder.out
+	l.encoder.out = nil
 	l.frames = 0
-	l.writing = len(batch) > 0
+	l.writing = batch.len() > 0
 	l.handed = l.queued
 	l.lastSend = time.Now()
 	return batch, l.closing
@@ -220,7 +216,8 @@
 		if received.reset {
 			l.decoder.reset()
 		}
-		message, err := l.decoder.decode(received.payload)
+		message, err := l.decoder.decode(received.payload.bytes())
+		received.payload.release()
 		if err != nil {
 			return frame{}, nil, fmt.Errorf("%w: %w", ErrCorrupt, err)
 		}
@@ -232,7 +229,7 @@
 func (l *link) close() {
 	l.mutex.Lock()
 	l.closing = true
-	empty := l.pending.Len() == 0 && !l.writing
+	empty := l.encoder.out.len() == 0 && !l.writing
 	l.mutex.Unlock()
 	if empty {
 		l.end(ErrClosed)
@@ -255,7 +252,7 @@
 	if l.pinger != nil {
 		l.pinger.Stop()
 	}
-	*l.pending = bytes.Buffer{}
+	l.encoder.out = nil
 	l.mutex.Unlock()
 	_ = l.connection.Close()
 	close(l.done)
