--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -101,7 +101,8 @@
 		return nil, fmt.Errorf("control: the chain: %w", err)
 	}
 	c.replica = node
-	c.quota = quotas.New(options.Settings.Bounds, node, c.machine, machine.Lender{Member: node.Self().ID(), Process: c.source})
+	c.quota = quotas.New(options.Settings.Bounds, node, c.machine, machine.Lender{Member: node.Self().ID(), Process: c.source},
+		func() { wake(c.wakeRoles) })
 	if err := c.serve(); err != nil {
 		node.Close()
 		return nil, err
--- a/internal/control/machine/lending.go
+++ b/internal/control/machine/lending.go
@@ -1,6 +1,11 @@
 package machine
 
-import "slices"
+import (
+	"slices"
+	"sort"
+
+	"sprucelane.example/sprucelane/internal/quota"
+)
 
 // Lender is a process that may lend quota: one life of a control process.
 type Lender struct {
@@ -17,6 +22,7 @@
 	Number uint64 // of the change, from 1; of one that doesn't begin
 	Add    []string
 	Remove []string
+	Floors []quota.Floor
 }
 
 // LendingOutcome is what came of a change.
@@ -24,6 +30,7 @@
 	Taken  bool
 	Before Lender   // who lent before the lender
 	Nodes  []string // that quota may be lent to
+	Floors []quota.Floor
 }
 
 // lending is the record.
@@ -31,7 +38,8 @@
 	Lender Lender
 	Before Lender
 	Number uint64
-	Nodes  []string // sorted; never changed in place
+	Nodes  []string      // sorted; never changed in place
+	Floors []quota.Floor // of tenants, sorted; those that are 0 are left out; never changed in place
 }
 
 func (l *lending) apply(change *Lending) *LendingOutcome {
@@ -43,10 +51,11 @@
 	case !change.Begin && taken && change.Number > l.Number:
 		l.Number = change.Number
 		l.Nodes = changed(l.Nodes, change.Add, change.Remove)
+		l.Floors = withFloors(l.Floors, change.Floors)
 	case !change.Begin:
 		taken = false
 	}
-	return &LendingOutcome{Taken: taken, Before: l.Before, Nodes: l.Nodes}
+	return &LendingOutcome{Taken: taken, Before: l.Before, Nodes: l.Nodes, Floors: l.Floors}
 }
 
 func changed(nodes, add, remove []string) []string {
@@ -61,3 +70,21 @@
 	defer m.mutex.RUnlock()
 	return m.lending.Lender
 }
+
+func withFloors(floors, change []quota.Floor) []quota.Floor {
+	if len(change) == 0 {
+		return floors
+	}
+	merged := make(map[string]int64, len(floors)+len(change))
+	for _, one := range slices.Concat(floors, change) {
+		merged[one.Tenant] = one.Tokens
+	}
+	next := make([]quota.Floor, 0, len(merged))
+	for tenant, tokens := range merged {
+		if tokens > 0 {
+			next = append(next, quota.Floor{Tenant: tenant, Tokens: tokens})
+		}
+	}
+	sort.Slice(next, func(i, j int) bool { return next[i].Tenant < next[j].Tenant })
+	return next
+}
--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -41,6 +41,7 @@
 	lead   Lead
 	record Record
 	self   machine.Lender
+	wake   func()
 	origin time.Time
 
 	mutex      sync.Mutex
@@ -54,14 +55,16 @@
 type term struct {
 	founding bool // nobody lent before
 	nodes    []string
+	floors   []quota.Floor
 	started  bool
 	removes  []string // that are not known to be off the record
 }
 
-// New makes a service that doesn't act before the process is the lender on record.
-func New(bounds node.Bounds, lead Lead, record Record, self machine.Lender) *Service {
+// New makes a service that doesn't act before the process is the lender on record. It calls wake where a change of the record
+// can't wait.
+func New(bounds node.Bounds, lead Lead, record Record, self machine.Lender, wake func()) *Service {
 	rules := quota.Rules{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}
-	return &Service{lead: lead, record: record, self: self, origin: time.Now(),
+	return &Service{lead: lead, record: record, self: self, wake: wake, origin: time.Now(),
 		allocator: quota.NewAllocator(quota.AllocatorOptions{Rules: rules})}
 }
 
@@ -80,9 +83,13 @@
 	}
 	if !s.term.started {
 		s.term.started = true
-		s.allocator.Start(now.Sub(s.origin), s.idle(now), s.term.nodes)
+		s.allocator.Start(now.Sub(s.origin), s.idle(now), s.term.nodes, s.term.floors)
 	}
-	return s.allocator.Request(now.Sub(s.origin), request), nil
+	reply := s.allocator.Request(now.Sub(s.origin), request)
+	if s.allocator.Pressed() {
+		s.wake()
+	}
+	return reply, nil
 }
 
 // acts tells whether this process is the only one that may hand out quota now.
@@ -118,12 +125,14 @@
 		return nil
 	}
 	adds := s.allocator.Unrecorded()
-	s.term.removes = append(s.term.removes, s.allocator.Forget(time.Since(s.origin))...)
-	if len(adds)+len(s.term.removes) == 0 {
+	now := time.Since(s.origin)
+	s.term.removes = append(s.term.removes, s.allocator.Forget(now)...)
+	floors := s.allocator.Floors(now)
+	if len(adds)+len(s.term.removes)+len(floors) == 0 {
 		return nil
 	}
 	s.number++
-	return &machine.Lending{Lender: s.self, Number: s.number, Add: adds, Remove: without(s.term.removes, adds)}
+	return &machine.Lending{Lender: s.self, Number: s.number, Add: adds, Remove: without(s.term.removes, adds), Floors: floors}
 }
 
 // beginning gives the change by which this process becomes the lender, or nil while another may still act.
@@ -144,11 +153,13 @@
 	defer s.mutex.Unlock()
 	if change.Begin {
 		s.allocator.Stop()
-		s.term = &term{founding: outcome.Before == machine.Lender{}, nodes: append([]string{}, outcome.Nodes...)}
+		s.term = &term{founding: outcome.Before == machine.Lender{}, nodes: append([]string{}, outcome.Nodes...),
+			floors: outcome.Floors}
 		return
 	}
 	if s.term != nil && s.term.started {
 		s.allocator.Recorded(change.Add)
+		s.allocator.FloorsRecorded(change.Floors)
 		s.term.removes = without(s.term.removes, change.Remove)
 	}
 }
--- a/internal/control/quotas/quotas_test.go
+++ b/internal/control/quotas/quotas_test.go
@@ -74,7 +74,7 @@
 	Convey("Given the first process of a new system", t, func() {
 		state := &chain{Machine: machine.New(), version: version}
 		lead := &fakeLead{heads: true, until: time.Now().Add(time.Minute)}
-		service := New(bounds, lead, state, machine.Lender{Member: "m1", Process: "p1"})
+		service := New(bounds, lead, state, machine.Lender{Member: "m1", Process: "p1"}, func() {})
 		refused(service)
 		So(state.carryOut(service).Taken, ShouldBeTrue)
 
@@ -98,7 +98,7 @@
 		})
 		Convey("its next life acts at once", func() {
 			lead.alone = false
-			next := New(bounds, lead, state, machine.Lender{Member: "m1", Process: "p2"})
+			next := New(bounds, lead, state, machine.Lender{Member: "m1", Process: "p2"}, func() {})
 			So(state.carryOut(next).Taken, ShouldBeTrue)
 			_, err := ask(next, 1)
 			So(err, ShouldBeNil)
@@ -106,7 +106,7 @@
 		})
 		Convey("another's waits until the time of the one before has passed, and ends this one's", func() {
 			lead.alone = false
-			next := New(bounds, lead, state, machine.Lender{Member: "m2", Process: "p3"})
+			next := New(bounds, lead, state, machine.Lender{Member: "m2", Process: "p3"}, func() {})
 			So(next.Change(), ShouldBeNil)
 			refused(next)
 			lead.alone = true
--- a/internal/gateway/limits/limits_test.go
+++ b/internal/gateway/limits/limits_test.go
@@ -36,7 +36,7 @@
 	rules := quota.Rules{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
 	c := &control{allocator: quota.NewAllocator(quota.AllocatorOptions{Rules: rules}), origin: time.Now()}
 	c.allocator.Configure(snapshot)
-	c.allocator.Start(0, time.Minute, nil)
+	c.allocator.Start(0, time.Minute, nil, nil)
 	c.acts.Store(true)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -39,6 +39,8 @@
 	dead         map[string]time.Duration // processes that ended, by when that was known
 	deadSwept    time.Duration
 	record       record
+	floors       map[string]amount // on record as the term began
+	pressed      bool
 }
 
 // account is a tenant's.
@@ -49,6 +51,7 @@
 	droppedAt time.Duration
 	budget    budget
 	pool      bucket
+	floor     floor
 	lent      lease // by holders that are known
 	unknown   lease // by holders of earlier terms, until unknownUntil
 	demand    amount
@@ -77,9 +80,13 @@
 func (a *Allocator) Acts() bool { return a.term != 0 }
 
 // Start begins a term: no other allocator acts from now on. For at least idle before now none has acted. The nodes are all to
-// which an earlier one may have lent; nil where that isn't known.
-func (a *Allocator) Start(now, idle time.Duration, nodes []string) {
+// which an earlier one may have lent; nil where that isn't known. The floors are those on record.
+func (a *Allocator) Start(now, idle time.Duration, nodes []string, floors []Floor) {
 	a.forgetHolders()
+	a.floors = make(map[string]amount, len(floors))
+	for _, one := range floors {
+		a.floors[one.Tenant] = amount(one.Tokens) * token
+	}
 	a.now = max(a.now, now)
 	a.unknownUntil = a.now - idle + leaseFor + clockMargin
 	if a.record.begin(a.now, nodes) {
@@ -100,7 +107,8 @@
 // begin opens an account of which all that may be lent counts as lent by others. What couldn't be has flowed in since none acted.
 func (a *Allocator) begin(one *account, idle time.Duration) {
 	one.unknown = lease{one.budget.maxLentRate, one.budget.maxLent}
-	one.pool = bucket{at: a.now - idle}
+	one.floor = floor{recorded: a.floors[one.tenant], raisedAt: a.now}
+	one.pool = bucket{level: min(one.floor.recorded, one.poolDepth()), at: a.now - idle}
 	a.refill(one)
 }
 
@@ -237,15 +245,16 @@
 // grant takes whole tokens from a pool.
 func (a *Allocator) grant(one *account, want int, grant *protocol.QuotaGrant) {
 	one.pool.level = min(one.pool.level, one.poolDepth()) // more may have been lent since it was filled
-	there := int(max(0, one.pool.level) / token)
+	there := int(one.free() / token)
 	grant.Tokens = min(want, there)
 	grant.ExpiresAfter = one.budget.expiry
 	one.pool.level -= amount(grant.Tokens) * token
+	a.pressed = a.pressed || one.lowers()
 	missing := want - grant.Tokens
 	if missing == 0 {
 		return
 	}
 	inflow := max(token/100, one.budget.rate-one.lent.rate-one.unknown.rate)
-	wait := time.Duration(float64(amount(missing)*token-one.pool.level) / float64(inflow) * float64(time.Second))
+	wait := time.Duration(float64(amount(missing)*token-one.free()) / float64(inflow) * float64(time.Second))
 	grant.RetryAfter = min(max(wait, shortestPoolWait), longestPoolWait)
 }
--- a/internal/quota/doc.go
+++ b/internal/quota/doc.go
@@ -40,7 +40,8 @@
 //     were heard before it are dead: their leases are free at once, and their requests are passed over from then on.
 //   - An allocator that starts doesn't know what its predecessors lent. It counts all that may be lent (maxLentRate, maxLent) as
 //     held by unknown gateways until leaseFor has passed since its start, less what gateways that it hears tell of their
-//     leases, which it then counts by name. Its pools start empty.
+//     leases, which it then counts by name. Its pools start empty, or at the floors on record, below which
+//     its predecessor didn't let them fall: the pool then grants what one that had gone on could have granted.
 //   - Where the nodes to which anything may be lent are on record (Recorded, Start), nothing is lent to others, and nothing is
 //     unknown any more once a process of each of those nodes has taken a reply of this term: it has told what it holds, and
 //     what ran on its node before it is dead. The record is agreed state; whoever keeps it must see to it that no change by an
--- a/internal/quota/holder.go
+++ b/internal/quota/holder.go
@@ -263,7 +263,7 @@
 	}
 	others := one.lent.minus(e.inForce).plus(one.unknown)
 	next.rate = min(next.rate, one.budget.maxLentRate-others.rate)
-	next.depth = min(next.depth, one.maxLentFor(e.demand)-others.depth)
+	next.depth = min(next.depth, one.maxLentFor(e.demand)-others.depth, one.budget.depth-one.floor.least()-others.depth)
 	if next.rate < leastLeaseRate || next.depth < tokens(leastDepth) {
 		next = lease{}
 	}
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -47,6 +47,7 @@
 	worstAt  string
 
 	recorded     []string // nodes that may be lent to, as agreed
+	floors       map[string]int64
 	recordOwner  *simControl
 	recording    bool // a change of the record is on its way
 	calm         bool // no more troubles
@@ -359,6 +360,9 @@
 	if w.now < control.leadUntil {
 		reply = control.allocator.Request(w.now, request)
 		control.allocator.check()
+		if control.allocator.Pressed() {
+			w.at(w.now+millisecond, w.keepRecord)
+		}
 	}
 	if delay := g.delay(); delay >= 0 {
 		w.at(w.now+delay, func() { g.replied(life, reply) })
@@ -385,7 +389,7 @@
 		control.dead = false
 		control.frozenUntil = min(control.frozenUntil, w.now)
 		w.recordOwner = control
-		control.allocator.Start(w.now, 0, append([]string{}, w.recorded...))
+		control.allocator.Start(w.now, 0, append([]string{}, w.recorded...), w.floorList())
 		control.leadUntil = math.MaxInt64
 	})
 }
@@ -400,6 +404,10 @@
 	if w.recording {
 		return
 	}
+	if floors := control.allocator.Floors(w.now); len(floors) > 0 {
+		w.recordFloors(control, floors)
+		return
+	}
 	if gone := control.allocator.Forget(w.now); len(gone) > 0 {
 		w.recording = true
 		w.at(w.now+w.spread(40*millisecond), func() {
@@ -433,6 +441,35 @@
 	})
 }
 
+// recordFloors puts floors on record, or fails to, or does without the lead's hearing of it.
+func (w *world) recordFloors(control *simControl, floors []Floor) {
+	w.recording = true
+	share := min(0.1, 10*w.loss)
+	lost, unheard := w.random.Float64() < share, w.random.Float64() < share
+	w.at(w.now+w.spread(20*millisecond), func() {
+		w.recording = false
+		if w.recordOwner != control || lost {
+			return
+		}
+		if w.floors == nil {
+			w.floors = map[string]int64{}
+		}
+		for _, one := range floors {
+			w.floors[one.Tenant] = one.Tokens
+		}
+		if !unheard {
+			control.allocator.FloorsRecorded(floors)
+		}
+	})
+}
+
+func (w *world) floorList() (list []Floor) {
+	for _, name := range slices.Sorted(maps.Keys(w.floors)) {
+		list = append(list, Floor{name, w.floors[name]})
+	}
+	return list
+}
+
 // failOver ends the lead: by death, or by a freeze from which it wakes later.
 func (w *world) failOver(freeze time.Duration) {
 	if w.lead < 0 {
@@ -526,6 +563,9 @@
 				}
 			}
 		}
+		if one.limited && one.pool.level < min(one.floor.recorded, one.poolDepth()) {
+			panic(fmt.Sprintf("tenant %s has %v in its pool, floor %v", one.tenant, one.pool.level, one.floor.recorded))
+		}
 		if sum != one.lent || demand != one.demand || leases != one.leases {
 			panic(fmt.Sprintf("tenant %s: books %v %v %d, entries %v %v %d", one.tenant, one.lent, one.demand, one.leases, sum, demand, leases))
 		}
