--- a/coord/transport/certainty_test.go
+++ b/coord/transport/certainty_test.go
@@ -6,7 +6,9 @@
 	"io"
 	"math/rand/v2"
 	"net"
+	"runtime"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -197,3 +199,24 @@
 		So(len(counting.writes), ShouldEqual, 0)
 	})
 }
+
+func TestBurstOnOneProcessor(t *testing.T) {
+	Convey("A burst of small messages beyond the queue is taken, though all goroutines share one processor", t, func() {
+		defer runtime.GOMAXPROCS(runtime.GOMAXPROCS(1))
+		var got atomic.Int64
+		handler := func(context.Context, *Session, any) (any, error) {
+			got.Add(1)
+			return nil, nil
+		}
+		server := Serve(listen(t), testOptions("server"), handler)
+		defer server.Close()
+		client := connected(t, server.Addr().String(), testOptions("client"), nil)
+		const burst = 20 * DefaultQueue
+		var failure error
+		for i := range burst {
+			failure = errors.Join(failure, client.Send(i))
+		}
+		So(failure, ShouldBeNil)
+		So(eventually(func() bool { return got.Load() == burst }), ShouldBeTrue)
+	})
+}
--- a/coord/transport/link.go
+++ b/coord/transport/link.go
@@ -14,6 +14,8 @@
 const (
 	// writeChunk is the progress in bytes that renews the deadline of a write.
 	writeChunk = 256 << 10
+	// roomWait is how long a message waits for room in the queue.
+	roomWait = 5 * time.Millisecond
 	// readBuffer is the size in bytes of a connection's read buffer.
 	readBuffer = 4 << 10
 )
@@ -35,9 +37,11 @@
 	queued   uint64   // frames ever queued
 	handed   uint64   // frames ever handed to the network
 	lastSend time.Time
-	writing  bool  // the writer holds frames that it took from pending
-	closing  bool  // set by close: write what is pending, then end
-	cause    error // why the link ended; nil while it stands
+	writing  bool          // the writer holds frames that it took from pending
+	stuck    bool          // a sender has waited for room in vain since the writer last took frames
+	room     chan struct{} // closed when the writer takes frames; nil while no sender waits for it
+	closing  bool          // set by close: write what is pending, then end
+	cause    error         // why the link ended; nil while it stands
 	pinger   *time.Timer
 	wake     chan struct{} // tells the writer of pending frames, holds one
 }
@@ -67,6 +71,43 @@
 
 // send queues a message and returns the number of its frame.
 func (l *link) send(kind frameKind, call uint32, message any) (uint64, error) {
+	number, err := l.trySend(kind, call, message)
+	if errors.Is(err, ErrQueueFull) && l.awaitRoom() {
+		number, err = l.trySend(kind, call, message)
+	}
+	return number, err
+}
+
+// awaitRoom gives the writer a short while to take what is pending: on one processor it may just not have had its
+// turn. It returns false if it didn't, and from then on at once until it has.
+func (l *link) awaitRoom() bool {
+	l.mutex.Lock()
+	if l.stuck || l.cause != nil {
+		l.mutex.Unlock()
+		return false
+	}
+	if l.room == nil {
+		l.room = make(chan struct{})
+	}
+	room := l.room
+	l.mutex.Unlock()
+	timer := time.NewTimer(roomWait)
+	defer timer.Stop()
+	select {
+	case <-room:
+		return true
+	case <-l.done:
+		return false
+	case <-timer.C:
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.stuck = l.room == room
+	return !l.stuck
+}
+
+// trySend queues a message if there is room.
+func (l *link) trySend(kind frameKind, call uint32, message any) (uint64, error) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	if l.cause != nil {
@@ -75,7 +116,7 @@
 	if l.closing {
 		return 0, notConnected(ErrClosed)
 	}
-	if l.frames >= l.options.Queue || l.encoder.out.len() > l.options.MaxFrame {
+	if l.isFull(kind) {
 		return 0, ErrQueueFull
 	}
 	if err := l.encodeFrame(kind, call, message); err != nil {
@@ -90,6 +131,16 @@
 	return l.queued, nil
 }
 
+// isFull tells whether there is no room for a frame. Replies have room of their own, because the requests at work are
+// bounded already.
+func (l *link) isFull(kind frameKind) bool {
+	bytes := l.encoder.out.len()
+	if kind == frameReply || kind == frameFailure {
+		return l.frames >= 2*l.options.Queue || bytes > 2*l.options.MaxFrame
+	}
+	return l.frames >= l.options.Queue || bytes > l.options.MaxFrame
+}
+
 // encodeFrame appends a frame to the pending ones, or leaves them as they were. The caller holds the mutex.
 func (l *link) encodeFrame(kind frameKind, call uint32, message any) error {
 	if l.encoder.out == nil {
@@ -180,6 +231,11 @@
 	l.encoder.out = nil
 	l.frames = 0
 	l.writing = batch.len() > 0
+	l.stuck = false
+	if l.room != nil {
+		close(l.room)
+		l.room = nil
+	}
 	l.handed = l.queued
 	l.lastSend = time.Now()
 	return batch, l.closing
