--- /dev/null
+++ b/internal/core/counters.go
@@ -0,0 +1,45 @@
+package core
+
+import (
+	"log/slog"
+	"strings"
+)
+
+func (c *Core) count(a Answer) Answer {
+	c.mu.Lock()
+	c.counts.answered[a.Kind]++
+	c.mu.Unlock()
+	return a
+}
+
+// Counts are counters by name, ready to be logged.
+type Counts []slog.Attr
+
+// String gives them as key=value text.
+func (c Counts) String() string {
+	var text strings.Builder
+	for i, a := range c {
+		if i > 0 {
+			text.WriteByte(' ')
+		}
+		text.WriteString(a.String())
+	}
+	return text.String()
+}
+
+// Counters gives what was taken, sent and answered so far.
+func (c *Core) Counters() Counts {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	counts := Counts{slog.Uint64("taken", c.counts.taken), slog.Int("open", len(c.live)),
+		slog.Uint64("sent", c.counts.sent)}
+	for i, n := range c.counts.answered {
+		counts = append(counts, slog.Uint64("answered_"+answerNames[i], n))
+	}
+	for i, n := range c.counts.ended {
+		counts = append(counts, slog.Uint64("ended_"+endings[i].name, n))
+	}
+	f := c.era.module.Figures(c.Now())
+	return append(counts, slog.Int("left_out", f.LeftOut), slog.Int("customers", f.Customers), slog.Int("asked", f.Asked),
+		slog.Int("homes_silent", f.HomesSilent), slog.Int("near_heard", f.NearHeard), slog.Int("odd_messages", f.Odd), slog.Int("held", f.Held))
+}
