--- a/internal/gateway/admission/admission.go
+++ b/internal/gateway/admission/admission.go
@@ -40,8 +40,8 @@
 	leastStep     = 0.02                   // a cut that would take less goes to the next group
 	calmIntervals = 3                      // calm seconds before the first cut is lifted
 	returnRefused = 0.3                    // shares refused up to this let requests that came back pass
-	shortestRetry = 300 * time.Millisecond // after which a refused client is asked to come back
-	longestRetry  = 1100 * time.Millisecond
+	shortestRetry = 600 * time.Millisecond // after which a refused client is asked to come back
+	longestRetry  = 1500 * time.Millisecond
 	retryShare    = 0.3 // of the time left: clients honour a third
 )
 
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -17,10 +17,10 @@
 	longestGap     = 400 * time.Millisecond
 	silentAfter    = 150 * time.Millisecond // without an answer to a request nobody waits for the allocator
 	silentFailures = 2                      // or after so many requests in a row that failed
-	shortestReturn = 250 * time.Millisecond // of clients over their limit
-	longestReturn  = time.Second
+	shortestReturn = 900 * time.Millisecond // of refused clients: one that comes back too soon is refused for good
+	longestReturn  = 1400 * time.Millisecond
 	returnFrom     = 0.8 // shares of the time until there is room, over which clients' return is spread
-	returnSpread   = 0.6
+	returnSpread   = 0.4
 )
 
 // Verdict is what became of a request's wish for a token.
