--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -57,8 +57,9 @@
 	staleMost = 1600 * time.Millisecond
 	// listenFor is how long the port for clients may be another's.
 	listenFor = 3 * time.Second
-	// configurationWait is how long clients wait in the port's queue for the first configuration.
-	configurationWait = 700 * time.Millisecond
+	// configurationWait is how long clients wait in the port's queue for the first configuration. After that they are read, and
+	// wait for it in the proxy.
+	configurationWait = 300 * time.Millisecond
 	// widestHeader (bytes) and longestIdleMs are the limits of the port of a gateway that began without a configuration.
 	widestHeader, longestIdleMs = 64 << 10, 60_000
 	// headerSlack is added to the operator's times: a client that keeps to them must not be cut by a moment.
@@ -251,7 +252,7 @@
 	return time.Duration(ms*float64(time.Millisecond)) + headerSlack
 }
 
-// awaitLimits waits for the first configuration, but not for long: those that wait in the port's queue are better refused then.
+// awaitLimits waits for the first configuration, but not for long: clients give up what nobody reads.
 func (g *Gateway) awaitLimits() configuration.Limits {
 	for until := time.Now().Add(configurationWait); ; time.Sleep(lookAgain) {
 		if held := g.subscription.Configuration(); held != nil {
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -40,7 +40,9 @@
 	transit = 10 * time.Millisecond
 	// denyWait is how long a request waits for control to say that its route or key is not known there either.
 	denyWait = 400 * time.Millisecond
-	maxID    = 256 // bytes
+	// firstWait is how long a request waits for the first configuration of a process.
+	firstWait = 1200 * time.Millisecond
+	maxID     = 256 // bytes
 )
 
 // request is one try of a client.
@@ -78,6 +80,9 @@
 	if !strings.HasPrefix(r.RequestURI, "/") {
 		return nil, &problem{status: http.StatusBadRequest, text: "target: not a path"}
 	}
+	if p.Knowledge.Configuration() == nil { // the process has just begun
+		p.Knowledge.Await(r.Context(), q.arrived, q.arrived.Add(firstWait))
+	}
 	if no := q.find(); no != nil && no.status == http.StatusServiceUnavailable {
 		return nil, no
 	} else if no != nil {
@@ -88,7 +93,10 @@
 			return nil, no
 		}
 	}
-	if !q.sure(q.arrived) {
+	if most := q.settings.Limits.MaxHeaderBytes; most > 0 && headerBytes(r) > most {
+		return nil, &problem{status: http.StatusRequestHeaderFieldsTooLarge, text: "header: too long", close: true}
+	}
+	if !q.sure(time.Now()) {
 		return nil, &problem{status: http.StatusServiceUnavailable, text: "keys: not sure", retryAfter: unready}
 	}
 	if q.operation == 0 || q.operation == protocol.BatchSubmit {
@@ -103,6 +111,17 @@
 	return q, nil
 }
 
+// headerBytes gives the length of a request's head, without what each line takes besides its name and value.
+func headerBytes(r *http.Request) int {
+	size := len(r.RequestURI) + len(r.Host)
+	for name, values := range r.Header {
+		for _, value := range values {
+			size += len(name) + len(value)
+		}
+	}
+	return size
+}
+
 // find looks the route and the tenant up in the configuration in force.
 func (q *request) find() *problem {
 	q.settings = q.proxy.Knowledge.Configuration()
--- a/internal/gateway/proxy/request_test.go
+++ b/internal/gateway/proxy/request_test.go
@@ -149,6 +149,23 @@
 	})
 }
 
+func TestFirstConfiguration(t *testing.T) {
+	Convey("A request that comes before the first configuration waits for it", t, func() {
+		r := start(t, 1, good)
+		held := r.knowledge.configuration.Swap(nil)
+		r.knowledge.onAwait = func() { r.knowledge.configuration.Store(held) }
+		So(r.ask("POST", "/unsafe/x").status, ShouldEqual, 200)
+	})
+	Convey("A head that is longer than the operator allows is refused", t, func() {
+		r := start(t, 1, good)
+		document := rigDocument()
+		document.Limits.MaxHeaderBytes = 500
+		r.knowledge.configuration.Store(configuration.NewSnapshot(document, 2))
+		So(r.ask("POST", "/unsafe/x").status, ShouldEqual, 200)
+		So(r.ask("POST", "/unsafe/x", "X-Long", strings.Repeat("x", 500)).status, ShouldEqual, 431)
+	})
+}
+
 func TestStandstill(t *testing.T) {
 	Convey("A process that stood still after it admitted a request doesn't send it on that", t, func() {
 		k := &knowledge{}
