--- a/internal/quota/floor.go
+++ b/internal/quota/floor.go
@@ -8,9 +8,9 @@
 
 // The figures by which floors follow pools.
 const (
-	floorShare = 0.15            // of the depth: a pool's floor in calm
+	floorShare = 0.25            // of the depth: a pool's floor in calm
 	fullShare  = 0.9             // of the depth: with so much in it a pool counts as full
-	lowerAt    = 2.0             // times the floor: below it the floor is to be lowered
+	lowerAt    = 1.6             // times the floor: below it the floor is to be lowered
 	lowerTo    = 1.0 / 3         // of the level
 	raiseEvery = 2 * time.Second // at most, of one tenant
 	leastRaise = 2 * token
