--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -85,9 +85,11 @@
 	mutex       sync.Mutex // of all below
 	presence    *presence.Table
 	subscribers map[*transport.Session]*subscriber
+	told        map[*transport.Session]*told // by the connections of other control processes
 	schedule    discovery.Schedule
 	servers     serverTable
 	members     protocol.MemberList
+	gatewaysAt  time.Duration // when the gateways in members were looked at
 }
 
 // Start starts a control process.
@@ -126,7 +128,7 @@
 		source:      options.Settings.NodeName + "-" + randomName(),
 		started:     time.Now(),
 		machine:     machine.New(),
-		reader:      discovery.NewReader(options.Settings.Cloud.Address, ""),
+		reader:      discovery.NewReader(options.Settings.Cloud.Address, "", options.Settings.Cloud.Rate),
 		ended:       ended,
 		end:         end,
 		changed:     make(chan struct{}, 1),
@@ -134,6 +136,7 @@
 		wakeRead:    make(chan struct{}, 1),
 		presence:    presence.New(),
 		subscribers: map[*transport.Session]*subscriber{},
+		told:        map[*transport.Session]*told{},
 	}
 	c.machine.OnChange(func() {
 		wake(c.changed)
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -21,6 +21,7 @@
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverlist"
 )
 
 // platform is a stand-in for the platform's list of servers.
@@ -40,7 +41,7 @@
 		fmt.Fprintf(w, `{"instances":[%s],"next-token":null}`, p.servers)
 	}))
 	t.Cleanup(p.Close)
-	p.set(`{"id":"i-1","backend":"b","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"}`)
+	p.set(`{"id":"i-1","backend":"b","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"},{"id":"i-2","backend":"b","address":"10.0.0.2:80","zone":"z","slots":4,"state":"ready"}`)
 	return p
 }
 
@@ -144,6 +145,7 @@
 	mutex         sync.Mutex
 	configuration *configuration.State
 	servers       *protocol.ServerList
+	differences   int // lists that came as differences
 	members       *protocol.MemberList
 	grant         protocol.StoreGrant
 	report        protocol.BatchReport
@@ -200,7 +202,14 @@
 		}
 	}
 	if update.Servers != nil {
-		f.servers = update.Servers
+		list, err := serverlist.Follow(f.servers, update.Servers)
+		if err != nil {
+			panic(err)
+		}
+		f.servers = list
+		if update.Servers.Base > 0 {
+			f.differences++
+		}
 	}
 	if update.Members != nil {
 		f.members = update.Members
@@ -249,7 +258,7 @@
 		t.Fatal(status)
 	}
 	eventually(t, "the configuration at the gateway", gateway.see(func() bool { return gateway.configuration.Current().Generation == 7 }))
-	eventually(t, "the list of servers at the gateway", gateway.see(func() bool { return gateway.servers != nil && len(gateway.servers.Servers) == 1 }))
+	eventually(t, "the list of servers at the gateway", gateway.see(func() bool { return gateway.servers != nil && len(gateway.servers.Servers) == 2 }))
 	eventually(t, "the list of processes at the gateway", gateway.see(func() bool {
 		return gateway.members != nil && len(gateway.members.Control) == 3 && len(gateway.members.Gateways) == 1 && gateway.members.QuotaAddress != ""
 	}))
@@ -260,8 +269,10 @@
 			return status == 200 && body == document
 		})
 	}
-	cloud.set(`{"id":"i-1","backend":"b","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining"}`)
-	eventually(t, "the draining server at the gateway", gateway.see(func() bool { return gateway.servers.Servers[0].Draining }))
+	cloud.set(`{"id":"i-1","backend":"b","address":"10.0.0.1:80","zone":"z","slots":4,"state":"draining"},{"id":"i-2","backend":"b","address":"10.0.0.2:80","zone":"z","slots":4,"state":"ready"}`)
+	eventually(t, "the draining server at the gateway, as a difference", gateway.see(func() bool {
+		return gateway.servers.Servers[0].Draining && !gateway.servers.Servers[1].Draining && gateway.differences > 0
+	}))
 	if status := s.put(t, "PATCH", "7", `{"generation":9}`); status != 200 {
 		t.Fatal(status)
 	}
--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -21,32 +21,38 @@
 	Convey("The first by rank reads at once and then steadily", t, func() {
 		var s Schedule
 		So(s.Next(), ShouldEqual, 0)
-		s.Read(10 * ms)
+		s.Read(10*ms, 0)
 		So(s.Next(), ShouldEqual, 10*ms+readEvery)
 		s.Failed(900*ms, 0)
 		So(s.Next(), ShouldEqual, 1000*ms)
 		s.Failed(1000*ms, time.Hour)
 		So(s.Next(), ShouldEqual, 1000*ms+lastRetry)
-		s.Read(1900 * ms)
+		s.Read(1900*ms, 0)
 		So(s.Next(), ShouldEqual, 1900*ms+readEvery)
 	})
 	Convey("Another takes over after a silence, reads steadily, and stops when one before it reads again", t, func() {
 		var s Schedule
 		s.Rank(2)
-		s.Received(100*ms, 0)
+		s.Received(100*ms, 0, 0)
 		So(s.Next(), ShouldEqual, 100*ms+takeOver+2*takeOverStep)
-		s.Read(2500 * ms)
+		s.Read(2500*ms, 0)
 		So(s.Next(), ShouldEqual, 2500*ms+readEvery)
-		s.Received(2400*ms, 0)
+		s.Received(2400*ms, 0, 0)
 		So(s.Next(), ShouldEqual, 2500*ms+readEvery)
-		s.Received(2600*ms, 0)
+		s.Received(2600*ms, 0, 0)
 		So(s.Next(), ShouldEqual, 2600*ms+takeOver+2*takeOverStep)
 	})
+	Convey("A list that takes long to read is waited for", t, func() {
+		var s Schedule
+		s.Rank(1)
+		s.Received(100*ms, 3000*ms, 0)
+		So(s.Next(), ShouldEqual, 3100*ms+takeOver+takeOverStep)
+	})
 	Convey("A reader that hears one behind it goes on reading", t, func() {
 		var s Schedule
 		s.Rank(1)
-		s.Read(0)
-		s.Received(100*ms, 2)
+		s.Read(0, 0)
+		s.Received(100*ms, 0, 2)
 		So(s.Next(), ShouldEqual, 100*ms+readEvery)
 	})
 }
@@ -58,7 +64,7 @@
 	serve := func(handler http.HandlerFunc) *Reader {
 		server := httptest.NewServer(handler)
 		Reset(server.Close)
-		return NewReader(strings.TrimPrefix(server.URL, "http://"), "")
+		return NewReader(strings.TrimPrefix(server.URL, "http://"), "", 0)
 	}
 	Convey("All pages make one list", t, func() {
 		reader := serve(func(w http.ResponseWriter, r *http.Request) {
--- /dev/null
+++ b/internal/control/discovery/pace_test.go
@@ -0,0 +1,55 @@
+package discovery
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestPace(t *testing.T) {
+	Convey("Calls go at once up to the burst, and then keep to the rate", t, func() {
+		now := time.Unix(1000, 0)
+		p := newPace(50)
+		calls := 0
+		for begin := now; now.Sub(begin) < 10*time.Second; calls++ {
+			now = now.Add(p.next(now))
+		}
+		So(calls, ShouldBeBetweenOrEqual, 400, 400+int(burstSeconds*50))
+	})
+	Convey("Without a rate nothing waits", t, func() {
+		p := newPace(0)
+		So(p.next(time.Unix(1000, 0)), ShouldEqual, 0)
+		So(p.next(time.Unix(1000, 0)), ShouldEqual, 0)
+	})
+}
+
+func TestRefusedPage(t *testing.T) {
+	Convey("A page that is refused for the rate in the middle of a list is read again", t, func() {
+		refusals := 0
+		server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			at, _ := strconv.Atoi(r.URL.Query().Get("page-token"))
+			if at == 2 && refusals < 2 {
+				refusals++
+				w.WriteHeader(http.StatusTooManyRequests)
+				return
+			}
+			next := "null"
+			if at < 3 {
+				next = fmt.Sprintf("%q", strconv.Itoa(at+1))
+			}
+			fmt.Fprintf(w, `{"instances":[{"id":"i-%d"}],"next-token":%s}`, at, next)
+		}))
+		Reset(server.Close)
+		list, err := NewReader(strings.TrimPrefix(server.URL, "http://"), "", 1000).Read(context.Background())
+		So(err, ShouldBeNil)
+		So(list.Servers, ShouldHaveLength, 4)
+		So(refusals, ShouldEqual, 2)
+	})
+}
--- a/internal/control/discovery/reader.go
+++ b/internal/control/discovery/reader.go
@@ -23,6 +23,11 @@
 	pageMost   = 8 << 20 // bytes
 	pagesMost  = 10_000
 	readWithin = 700 * time.Millisecond // a page
+
+	rateShare    = 0.8 // of the platform's rate that one reader uses: another may take over in between
+	burstSeconds = 0.3 // of that rate, that may go at once
+	pageTries    = 6   // of a page that was refused for the rate
+	pagePause    = 100 * time.Millisecond
 )
 
 // List is the platform's list as it was read whole.
@@ -36,12 +41,13 @@
 	address string
 	zone    string // empty: of all zones
 	client  *http.Client
+	pace    pace
 }
 
-// NewReader gives a reader of the list at an address, of one zone or all.
-func NewReader(address, zone string) *Reader {
+// NewReader gives a reader of the list at an address, of one zone or all. rate is the platform's, in calls a second.
+func NewReader(address, zone string, rate float64) *Reader {
 	transport := &http.Transport{MaxIdleConnsPerHost: 1, IdleConnTimeout: 10 * time.Second, DisableCompression: true}
-	return &Reader{address: address, zone: zone, client: &http.Client{Transport: transport, Timeout: readWithin}}
+	return &Reader{address: address, zone: zone, client: &http.Client{Transport: transport, Timeout: readWithin}, pace: newPace(rate)}
 }
 
 // RateError tells that the platform took too many calls.
@@ -81,7 +87,7 @@
 	var servers []protocol.Server
 	token := ""
 	for range pagesMost {
-		one, err := r.page(ctx, token)
+		one, err := r.pageInTurn(ctx, token)
 		if err != nil {
 			return List{}, err
 		}
@@ -99,6 +105,37 @@
 	return List{}, errors.New("the platform's list does not end")
 }
 
+// pageInTurn reads a page when the platform's rate allows for it, and again where it was refused for the rate.
+func (r *Reader) pageInTurn(ctx context.Context, token string) (*page, error) {
+	for try := 1; ; try++ {
+		if err := sleep(ctx, r.pace.next(time.Now())); err != nil {
+			return nil, err
+		}
+		one, err := r.page(ctx, token)
+		var rate *RateError
+		if token == "" || try == pageTries || !errors.As(err, &rate) {
+			return one, err // before the first page the schedule knows how to wait
+		}
+		if err := sleep(ctx, max(rate.RetryAfter, pagePause)); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func sleep(ctx context.Context, pause time.Duration) error {
+	if pause <= 0 {
+		return ctx.Err()
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
 func (r *Reader) page(ctx context.Context, token string) (*page, error) {
 	request, err := http.NewRequestWithContext(ctx, http.MethodGet, r.url(token), nil)
 	if err != nil {
@@ -174,9 +211,16 @@
 
 func digest(servers []protocol.Server) uint64 {
 	hash := xxhash.New()
+	var line []byte
 	for i := range servers {
 		one := &servers[i]
-		fmt.Fprintf(hash, "%q %q %q %q %d %t %q\n", one.ID, one.Backend, one.Address, one.Zone, one.Slots, one.Draining, one.Stage)
+		line = line[:0]
+		for _, text := range []string{one.ID, one.Backend, one.Address, one.Zone, one.Stage} {
+			line = append(strconv.AppendInt(line, int64(len(text)), 10), ' ')
+			line = append(line, text...)
+		}
+		line = strconv.AppendBool(strconv.AppendInt(line, int64(one.Slots), 10), one.Draining)
+		_, _ = hash.Write(line) // never fails
 	}
 	return hash.Sum64()
 }
--- a/internal/control/discovery/schedule.go
+++ b/internal/control/discovery/schedule.go
@@ -26,6 +26,7 @@
 	have     bool          // a list was had
 	last     time.Duration // when the newest list was read, by whom ever
 	own      bool          // it was read here
+	took     time.Duration // to read it
 	failures int
 	retryAt  time.Duration
 }
@@ -48,12 +49,12 @@
 	case !s.have: // at the start of the system, the first by rank is just about to read
 		return time.Duration(s.rank) * takeOverStep
 	}
-	return s.last + takeOver + time.Duration(s.rank)*takeOverStep
+	return s.last + s.took + takeOver + time.Duration(s.rank)*takeOverStep
 }
 
 // Read notes that a list was read here, beginning at a time.
-func (s *Schedule) Read(began time.Duration) {
-	s.have, s.own = true, true
+func (s *Schedule) Read(began, took time.Duration) {
+	s.have, s.own, s.took = true, true, took
 	s.last = max(s.last, began)
 	s.failures, s.retryAt = 0, 0
 }
@@ -65,14 +66,17 @@
 	s.retryAt = now + max(pause, min(retryAfter, lastRetry))
 }
 
-// Received notes that a control process with a rank told a list that was read at a time. One that goes before makes this process
+// Received notes that a control process with a rank told a list that it began to read at a time. One that goes before makes this process
 // stop reading.
-func (s *Schedule) Received(at time.Duration, rank int) {
+func (s *Schedule) Received(at, took time.Duration, rank int) {
 	if s.have && at <= s.last {
 		return
 	}
-	s.have, s.last = true, at
+	s.have, s.last, s.took = true, at, max(took, 0)
 	if rank < s.rank {
 		s.own = false
 	}
 }
+
+// Took gives how long the newest list took to read.
+func (s *Schedule) Took() time.Duration { return s.took }
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -5,39 +5,41 @@
 	"time"
 
 	"sprucelane.example/sprucelane/coord/transport"
-	"sprucelane.example/sprucelane/internal/control/discovery"
-	"sprucelane.example/sprucelane/internal/control/presence"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
 // Times of what control processes tell each other.
 const (
-	reportEvery   = 400 * time.Millisecond
-	gatewaysEvery = 3 // reports that go by between two with gateways; batch processes are in each
+	reportEvery = 400 * time.Millisecond // to the head of the chain, which keeps the set of batch processes
+	othersEvery = 2                      // reports to the head for one to the others
 )
 
-// peerReport is what a control process tells the others. Ages are as of when it was sent.
+// peerReport is what a control process tells another. Ages are as of when it was sent. What goes over one connection adds up: the
+// gateways that were named and aren't gone still poll there, and a list of servers may be the difference to the one before.
 type peerReport struct {
-	Heard   []peerHeard // who polled there since the report before
-	Servers *peerServers
+	Presence bool               // Gateways, Gone and Batch tell who polls there now
+	Gateways []protocol.Process // new since the report before
+	Gone     []string           // nodes of gateways
+	Batch    []peerBatch        // to the head of the chain only
+	Servers  *peerServers
 }
 
-// peerHeard is one process that polled.
-type peerHeard struct {
+// peerBatch is a batch process that polls.
+type peerBatch struct {
 	Process protocol.Process
 	Ready   bool
-	Batch   *protocol.BatchReport
-	Ago     time.Duration
+	Report  *protocol.BatchReport
+	Ago     time.Duration // of its newest poll
 }
 
-// peerServers is the platform's list as a control process has it.
+// peerServers is the platform's list as a control process has read it.
 type peerServers struct {
-	Digest  uint64
-	Ago     time.Duration
-	Rank    int  // of who read it
-	Whole   bool // else the list with this digest was sent before, and Servers is empty
-	Servers []protocol.Server
+	Digest uint64
+	Ago    time.Duration        // when the reading began
+	Took   time.Duration        // to read it
+	Rank   int                  // of who read it
+	List   *protocol.ServerList // nil: the list with this digest was sent before
 }
 
 func init() { transport.Register(peerReport{}) }
@@ -49,11 +51,12 @@
 	byIP    map[string]*peer
 }
 
-// peer is one other control process.
+// peer is one other control process, and what it was told over this connection.
 type peer struct {
-	client *transport.Client
-	sent   uint64 // digest of the list that it was sent last over this connection
-	wanted bool   // still a control process
+	client   *transport.Client
+	servers  uint64                      // version of the list
+	gateways map[string]protocol.Process // by node
+	wanted   bool                        // still a control process
 }
 
 func newPeers(c *Control) *peers { return &peers{control: c, byIP: map[string]*peer{}} }
@@ -84,10 +87,11 @@
 }
 
 func (p *peers) connect(ip string) *peer {
-	one := &peer{}
+	one := &peer{gateways: map[string]protocol.Process{}}
 	forget := func(bool) {
 		p.mutex.Lock()
-		one.sent = 0
+		one.servers = 0
+		clear(one.gateways)
 		p.mutex.Unlock()
 	}
 	one.client = transport.NewClient(p.control.settings.EndpointAt(ip, node.PortControl), p.control.transportOptions(), nil, forget)
@@ -102,37 +106,73 @@
 	}
 }
 
-// tell sends a report to all.
-func (p *peers) tell(report peerReport) {
+// tell tells the head of the chain, and every other where all is set, who polls here.
+func (p *peers) tell(head string, all bool, gateways map[string]protocol.Process, batch []peerBatch) {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	for _, one := range p.byIP {
-		_ = one.client.Send(report) // the next report tells all again
+	for ip, one := range p.byIP {
+		if ip != head && !all {
+			continue
+		}
+		report := one.presence(gateways)
+		if ip == head {
+			report.Batch = batch
+		}
+		if one.client.Send(report) == nil {
+			one.told(&report)
+		}
 	}
 }
 
-// shareServers tells all the list that was just read; the list itself only to who hasn't had it.
+// presence gives what differs from what was told.
+func (o *peer) presence(gateways map[string]protocol.Process) peerReport {
+	report := peerReport{Presence: true}
+	for node, process := range gateways {
+		if o.gateways[node] != process {
+			report.Gateways = append(report.Gateways, process)
+		}
+	}
+	for node := range o.gateways {
+		if _, here := gateways[node]; !here {
+			report.Gone = append(report.Gone, node)
+		}
+	}
+	return report
+}
+
+func (o *peer) told(report *peerReport) {
+	for _, process := range report.Gateways {
+		o.gateways[process.Node] = process
+	}
+	for _, node := range report.Gone {
+		delete(o.gateways, node)
+	}
+}
+
+// shareServers tells all the list that was just read, as far as they haven't had it.
 func (p *peers) shareServers() {
-	whole, list := p.control.sharedServers()
+	c := p.control
+	rank := c.rank()
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	for _, one := range p.byIP {
-		share := whole
-		if one.sent != whole.Digest {
-			share.Whole, share.Servers = true, list
-		}
-		if one.client.Send(peerReport{Servers: &share}) == nil {
-			one.sent = whole.Digest
+		share, version := c.sharedServers(rank, one.servers)
+		if one.client.Send(peerReport{Servers: share}) == nil {
+			one.servers = version
 		}
 	}
 }
 
-func (c *Control) sharedServers() (peerServers, []protocol.Server) {
-	rank := c.rank()
+// sharedServers gives the list for a process that has a version.
+func (c *Control) sharedServers(rank int, has uint64) (*peerServers, uint64) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	list := c.servers.list
-	return peerServers{Digest: list.Digest, Ago: c.now() - c.servers.readAt, Rank: rank}, list.Servers
+	table := &c.servers
+	share := &peerServers{Digest: table.list.Digest, Ago: c.now() - table.readAt, Took: c.schedule.Took(), Rank: rank}
+	if has != table.version {
+		share.List = table.message(c.source, has, c.now())
+	}
+	return share, table.version
 }
 
 // controlIPs gives the addresses of all control processes that are known.
@@ -153,91 +193,3 @@
 	}
 	return list
 }
-
-// reportLoop tells the others who polled here.
-func (c *Control) reportLoop() {
-	ticker := time.NewTicker(reportEvery)
-	defer ticker.Stop()
-	var batchFrom, gatewaysFrom time.Duration
-	for round := 0; ; round++ {
-		select {
-		case <-ticker.C:
-		case <-c.ended.Done():
-			return
-		}
-		c.peers.refresh()
-		now := c.now()
-		report := c.reportSince(protocol.RoleBatch, batchFrom, now)
-		batchFrom = now
-		if round%gatewaysEvery == 0 {
-			report = append(report, c.reportSince(protocol.RoleGateway, gatewaysFrom, now)...)
-			gatewaysFrom = now
-		}
-		c.peers.tell(peerReport{Heard: report})
-		wake(c.changed) // gateways that fell silent leave the list
-	}
-}
-
-// reportSince gives the processes with a role that polled here since a time.
-func (c *Control) reportSince(role string, from, now time.Duration) []peerHeard {
-	c.mutex.Lock()
-	defer c.mutex.Unlock()
-	var list []peerHeard
-	for _, one := range c.presence.Since(from) {
-		if one.Process.Role == role && c.polledHere(one.Process) {
-			list = append(list, peerHeard{Process: one.Process, Ready: one.Ready, Batch: one.Batch, Ago: now - one.At})
-		}
-	}
-	return list
-}
-
-func (c *Control) polledHere(process protocol.Process) bool {
-	for _, one := range c.subscribers {
-		if one.process == process {
-			return true
-		}
-	}
-	return false
-}
-
-// handleReport takes in what another control process tells.
-func (c *Control) handleReport(from transport.Identity, report peerReport) {
-	if from.Role != protocol.RoleControl {
-		return
-	}
-	now := c.now()
-	c.mutex.Lock()
-	news := false
-	for _, one := range report.Heard {
-		heard := presence.Heard{Process: one.Process, Ready: one.Ready, Batch: one.Batch, At: now - max(one.Ago, 0)}
-		news = c.presence.Observe(heard) || news
-	}
-	if report.Servers == nil {
-		c.presence.Cover(hostOf(from.Address), now)
-	}
-	changed := report.Servers != nil && c.takeShared(report.Servers, now)
-	c.mutex.Unlock()
-	if news {
-		wake(c.wakeRoles)
-	}
-	if changed {
-		wake(c.changed)
-	}
-	if report.Servers != nil {
-		wake(c.wakeRead)
-	}
-}
-
-// takeShared takes in a list that another process read.
-func (c *Control) takeShared(shared *peerServers, now time.Duration) bool {
-	readAt := now - max(shared.Ago, 0)
-	list := discovery.List{Servers: shared.Servers, Digest: shared.Digest}
-	if !shared.Whole {
-		if c.servers.version == 0 || c.servers.list.Digest != shared.Digest {
-			return false // its content didn't arrive: this process reads the list itself before long
-		}
-		list = c.servers.list
-	}
-	c.schedule.Received(readAt, shared.Rank)
-	return c.servers.take(list, readAt)
-}
--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -59,6 +59,12 @@
 	return !known || old.Process != one.Process
 }
 
+// Newest gives what a life of a process told last.
+func (t *Table) Newest(process protocol.Process) (Heard, bool) {
+	one, known := t.heard[key{process.Node, process.Role}]
+	return one, known && one.Process == process
+}
+
 // Cover notes that a control process's report, made at a time, was taken in whole.
 func (t *Table) Cover(address string, at time.Duration) {
 	t.coverage[address] = max(at, t.coverage[address])
--- /dev/null
+++ b/internal/control/reports.go
@@ -0,0 +1,136 @@
+package control
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/control/discovery"
+	"sprucelane.example/sprucelane/internal/control/presence"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverlist"
+)
+
+// told is what another control process has told over one connection.
+type told struct {
+	gateways map[string]protocol.Process // that poll there, by node
+	servers  *protocol.ServerList
+}
+
+// reportLoop tells the other control processes who polls here.
+func (c *Control) reportLoop() {
+	ticker := time.NewTicker(reportEvery)
+	defer ticker.Stop()
+	for round := 0; ; round++ {
+		select {
+		case <-ticker.C:
+		case <-c.ended.Done():
+			return
+		}
+		c.peers.refresh()
+		gateways, batch := c.pollers()
+		head := hostOf(c.replica.View().Head().Address)
+		c.peers.tell(head, round%othersEvery == 0, gateways, batch)
+		wake(c.changed) // gateways that fell silent leave the list
+	}
+}
+
+// pollers gives who polls here: gateways by node, and batch processes with their reports.
+func (c *Control) pollers() (map[string]protocol.Process, []peerBatch) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	now := c.now()
+	gateways := make(map[string]protocol.Process, len(c.subscribers))
+	var batch []peerBatch
+	for _, one := range c.subscribers {
+		heard, known := c.presence.Newest(one.process)
+		switch {
+		case !known || now-heard.At > presence.GatewayTime:
+		case one.process.Role == protocol.RoleBatch:
+			batch = append(batch, peerBatch{Process: heard.Process, Ready: heard.Ready, Report: heard.Batch, Ago: now - heard.At})
+		case one.process.Role == protocol.RoleGateway && now-one.polledAt <= gatewayQuiet:
+			gateways[one.process.Node] = one.process
+		}
+	}
+	return gateways, batch
+}
+
+// gatewayQuiet is how long a gateway that stays connected may go without a poll before it is told to be gone.
+const gatewayQuiet = 4 * protocol.PollInterval
+
+// handleReport takes in what another control process tells.
+func (c *Control) handleReport(session *transport.Session, report *peerReport) {
+	from := session.Remote()
+	if from.Role != protocol.RoleControl {
+		return
+	}
+	now := c.now()
+	c.mutex.Lock()
+	known := c.toldOver(session)
+	news := report.Presence && c.takePresence(known, report, now)
+	if report.Presence {
+		c.presence.Cover(hostOf(from.Address), now)
+	}
+	changed := report.Servers != nil && c.takeShared(known, report.Servers, now)
+	c.mutex.Unlock()
+	if news {
+		wake(c.wakeRoles)
+	}
+	if changed {
+		wake(c.changed)
+	}
+	if report.Servers != nil {
+		wake(c.wakeRead)
+	}
+}
+
+func (c *Control) toldOver(session *transport.Session) *told {
+	known := c.told[session]
+	if known == nil {
+		known = &told{gateways: map[string]protocol.Process{}}
+		c.told[session] = known
+		session.OnClose(func() { go c.forgetTold(session) })
+	}
+	return known
+}
+
+func (c *Control) forgetTold(session *transport.Session) {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	delete(c.told, session)
+}
+
+// takePresence takes in who polls at another process, and tells whether someone is new.
+func (c *Control) takePresence(known *told, report *peerReport, now time.Duration) bool {
+	for _, process := range report.Gateways {
+		known.gateways[process.Node] = process
+	}
+	for _, node := range report.Gone {
+		delete(known.gateways, node)
+	}
+	news := false
+	for _, process := range known.gateways {
+		news = c.presence.Observe(presence.Heard{Process: process, At: now}) || news
+	}
+	for _, one := range report.Batch {
+		heard := presence.Heard{Process: one.Process, Ready: one.Ready, Batch: one.Report, At: now - max(one.Ago, 0)}
+		news = c.presence.Observe(heard) || news
+	}
+	return news
+}
+
+// takeShared takes in a list that another process read, and tells whether it changed the one held here.
+func (c *Control) takeShared(known *told, shared *peerServers, now time.Duration) bool {
+	if shared.List != nil {
+		list, err := serverlist.Follow(known.servers, shared.List)
+		if err != nil {
+			return false // this process reads the list itself before long
+		}
+		known.servers = list
+	}
+	if known.servers == nil {
+		return false
+	}
+	readAt := now - max(shared.Ago, 0)
+	c.schedule.Received(readAt, shared.Took, shared.Rank)
+	return c.servers.take(discovery.List{Servers: known.servers.Servers, Digest: shared.Digest}, readAt)
+}
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -138,12 +138,19 @@
 	event.Uint64("epoch", c.machine.Stores().Epoch).Msg("store-set")
 }
 
+// gatewaysPause is the least time between two lists of processes that differ in gateways only: many start together.
+const gatewaysPause = time.Second
+
 // refreshMembers brings the list of processes up to date.
 func (c *Control) refreshMembers() {
 	next := protocol.MemberList{Control: c.controlMembers(), Stores: c.machine.Stores(), QuotaAddress: c.quotaAddress()}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	next.Gateways = c.presence.Gateways(c.now())
+	next.Gateways = c.members.Gateways
+	if now := c.now(); c.members.Version == 0 || now-c.gatewaysAt >= gatewaysPause {
+		next.Gateways = c.presence.Gateways(now)
+		c.gatewaysAt = now
+	}
 	next.Version = c.members.Version
 	if next.Version > 0 && reflect.DeepEqual(next, c.members) {
 		return
--- /dev/null
+++ b/internal/control/server_table_test.go
@@ -0,0 +1,51 @@
+package control
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"sprucelane.example/sprucelane/internal/control/discovery"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverlist"
+)
+
+// TestServerTable drives a table through random lists; followers that are behind by any number of versions come to the same list.
+func TestServerTable(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var table serverTable
+		followers := make([]*protocol.ServerList, 3)
+		for step := range 3 * differencesMost {
+			var servers []protocol.Server
+			for id := range 6 {
+				if slots := rapid.IntRange(0, 2).Draw(t, "slots"); slots > 0 {
+					servers = append(servers, protocol.Server{ID: fmt.Sprint(id), Slots: slots})
+				}
+			}
+			version := table.version
+			changed := table.take(discovery.NewList(servers), time.Duration(step))
+			if changed != (table.version == version+1) {
+				t.Fatal("the version doesn't tell of a change")
+			}
+			one := rapid.IntRange(0, 5*len(followers)).Draw(t, "follower")
+			if one >= len(followers) {
+				continue
+			}
+			has := uint64(0)
+			if followers[one] != nil {
+				has = followers[one].Version
+			}
+			next, err := serverlist.Follow(followers[one], table.message("a", has, time.Duration(step)))
+			if err != nil {
+				t.Fatal(err)
+			}
+			if next.Version != table.version || len(next.Servers)+len(table.list.Servers) > 0 && !reflect.DeepEqual(next.Servers, table.list.Servers) {
+				t.Fatalf("the follower has %v, not %v", next, table.list)
+			}
+			followers[one] = next
+		}
+	})
+}
--- a/internal/control/servers.go
+++ b/internal/control/servers.go
@@ -3,43 +3,11 @@
 import (
 	"context"
 	"errors"
-	"slices"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/control/discovery"
-	"sprucelane.example/sprucelane/internal/protocol"
 )
 
-// serverTable is the newest list of servers, as this process numbers it.
-type serverTable struct {
-	list    discovery.List
-	version uint64 // 0: no list was had
-	readAt  time.Duration
-}
-
-// take takes a list in, and tells whether its content changed.
-func (t *serverTable) take(list discovery.List, readAt time.Duration) bool {
-	if t.version > 0 && readAt < t.readAt {
-		return false
-	}
-	t.readAt = readAt
-	if t.version > 0 && t.list.Digest == list.Digest {
-		return false
-	}
-	t.list = list
-	t.version++
-	return true
-}
-
-// message gives the list for subscribers, with the time that servers stay cold brought up to date.
-func (t *serverTable) message(source string, now time.Duration) *protocol.ServerList {
-	servers := slices.Clone(t.list.Servers)
-	for i := range servers {
-		servers[i].Cold = max(0, servers[i].Cold-(now-t.readAt))
-	}
-	return &protocol.ServerList{Version: t.version, Source: source, Servers: servers}
-}
-
 // readLoop reads the platform's list when it is this process's turn.
 func (c *Control) readLoop() {
 	timer := time.NewTimer(0)
@@ -89,7 +57,7 @@
 		return
 	}
 	c.mutex.Lock()
-	c.schedule.Read(began)
+	c.schedule.Read(began, c.now()-began)
 	changed := c.servers.take(list, began)
 	c.mutex.Unlock()
 	c.peers.shareServers()
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -30,6 +30,7 @@
 // or the connection ends: what was sent is what the other side has.
 type subscriber struct {
 	process       protocol.Process
+	polledAt      time.Duration
 	configuration uint64
 	servers       uint64
 	members       uint64
@@ -43,7 +44,7 @@
 	case protocol.QuotaRequest:
 		return c.quota.Request(m)
 	case peerReport:
-		c.handleReport(session.Remote(), m)
+		c.handleReport(session, &m)
 		return nil, nil
 	}
 	return nil, transport.Coded(CodeUnknownMessage, "control doesn't handle this message")
@@ -57,6 +58,9 @@
 	one := c.subscribe(session, poll)
 	news := c.presence.Observe(presence.Heard{Process: poll.Process, Ready: poll.Ready, Batch: poll.Batch, At: c.now()})
 	one.configuration = poll.Configuration
+	if poll.WholeServers {
+		one.servers = 0
+	}
 	c.push(session, one)
 	c.mutex.Unlock()
 	if news {
@@ -77,6 +81,7 @@
 		session.OnClose(func() { go c.unsubscribe(session) })
 	}
 	one.process = poll.Process
+	one.polledAt = c.now()
 	return one
 }
 
@@ -125,7 +130,7 @@
 func (c *Control) push(session *transport.Session, one *subscriber) {
 	update := protocol.Update{Configuration: c.machine.Since(one.configuration)}
 	if c.servers.version > one.servers {
-		update.Servers = c.servers.message(c.source, c.now())
+		update.Servers = c.servers.message(c.source, one.servers, c.now())
 	}
 	if c.members.Version > one.members {
 		list := c.members
--- a/internal/gateway/subscription/apply.go
+++ b/internal/gateway/subscription/apply.go
@@ -5,6 +5,7 @@
 
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverlist"
 )
 
 var errAnswer = errors.New("subscription: the answer to a poll is no update")
@@ -24,7 +25,7 @@
 		s.configure(update.Configuration)
 	}
 	if update.Servers != nil {
-		s.opt.Servers.Apply(update.Servers)
+		s.list(update.Servers)
 	}
 	if update.Members != nil {
 		s.members.Store(update.Members)
@@ -32,6 +33,18 @@
 	}
 }
 
+// list puts a newer list of servers in force. Where a difference doesn't apply to the list held it is asked for whole.
+func (s *Subscription) list(update *protocol.ServerList) {
+	next, err := serverlist.Follow(s.listed, update)
+	s.unlisted = err != nil
+	if err != nil {
+		s.opt.Log.Warn().Err(err).Uint64("version", update.Version).Msg("servers_not_taken")
+		return
+	}
+	s.listed = next
+	s.opt.Servers.Apply(next)
+}
+
 // configure puts a newer configuration in force. Where the steps to it can't be taken it is asked for again: from what is held,
 // or whole where that leads nowhere.
 func (s *Subscription) configure(update *protocol.ConfigurationUpdate) {
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -65,6 +65,9 @@
 	behind bool // something newer could not be put in force
 	whole  bool // the next poll asks for the whole configuration
 	freed  chan struct{}
+
+	listed   *protocol.ServerList // the list of servers held, whole
+	unlisted bool                 // the next poll asks for the whole list
 }
 
 // New gives a subscription; Run keeps it.
@@ -246,6 +249,7 @@
 	if !s.whole {
 		poll.Configuration = s.state.Current().Index
 	}
+	poll.WholeServers = s.unlisted
 	s.mu.Unlock()
 	if table := s.opt.Servers.Current(); table != nil {
 		poll.Servers = table.Version
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -25,6 +25,7 @@
 	Configuration uint64 // index of the configuration in force here, 0: none
 	Servers       uint64 // version of the list of servers held here, 0: none
 	Members       uint64 // version of the list of processes held here, 0: none
+	WholeServers  bool   // the list of servers is wanted whole: what was sent doesn't apply to the one held
 	Ready         bool
 	Batch         *BatchReport // of batch processes
 }
@@ -75,11 +76,14 @@
 	Body  []byte // JSON as the operator sent it
 }
 
-// ServerList is the platform's list. Version rises with each change of content and is comparable only under one Source.
+// ServerList is the platform's list, or what has changed in it. Version rises with each change of content and is comparable only
+// under one Source. Package serverlist makes the whole list of it.
 type ServerList struct {
 	Version uint64
-	Source  string // the control process that numbered it
-	Servers []Server
+	Source  string   // the control process that numbered it
+	Base    uint64   // 0: Servers is the whole list; else the version, of the same source, that Servers and Removed apply to
+	Servers []Server // by id; with a Base: those that were added or changed
+	Removed []string // ids
 }
 
 // Server is a server of a service, in one incarnation.
