--- a/internal/batch/exchange/events.go
+++ b/internal/batch/exchange/events.go
@@ -13,6 +13,7 @@
 	parser := eventParser{outcome: outcome}
 	buffer := make([]byte, 4<<10)
 	renewed := started
+	told := toldProgress{at: started, last: request.LastEventID}
 	for {
 		n, err := body.Read(buffer)
 		first := len(outcome.Events) == 0
@@ -33,6 +34,7 @@
 		if conn.in.Buffered() > 0 && time.Since(renewed) < request.Silence/4 {
 			continue
 		}
+		told.tell(request, outcome)
 		if conn.in.Buffered() == 0 && len(outcome.Events) > 0 {
 			time.Sleep(readPause)
 		}
@@ -116,3 +118,19 @@
 	p.hasData, p.hasID = false, false
 	return true
 }
+
+// toldProgress is how much of a stream was told.
+type toldProgress struct {
+	at    time.Time
+	count int
+	last  int64
+}
+
+// tell tells what came since the last time, unless that is a moment ago.
+func (t *toldProgress) tell(request *Request, outcome *Outcome) {
+	if request.Progress == nil || len(outcome.Events) == t.count || time.Since(t.at) < progressAfter {
+		return
+	}
+	request.Progress(t.last, outcome.LastEventID, outcome.Events[t.count:])
+	*t = toldProgress{at: time.Now(), count: len(outcome.Events), last: outcome.LastEventID}
+}
--- a/internal/batch/exchange/exchange.go
+++ b/internal/batch/exchange/exchange.go
@@ -17,11 +17,12 @@
 
 // Times of an exchange.
 const (
-	dialTimeout = 700 * time.Millisecond
-	userTimeout = 2 * time.Second       // that sent bytes may go without acknowledgement
-	readPause   = 90 * time.Millisecond // between reads of a stream: one wake-up for several events
-	idleFor     = 4 * time.Second       // that an unused connection is kept at most
-	readBuffer  = 8 << 10
+	dialTimeout   = 700 * time.Millisecond
+	userTimeout   = 2 * time.Second       // that sent bytes may go without acknowledgement
+	readPause     = 90 * time.Millisecond // between reads of a stream: one wake-up for several events
+	progressAfter = 250 * time.Millisecond
+	idleFor       = 4 * time.Second // that an unused connection is kept at most
+	readBuffer    = 8 << 10
 )
 
 // Request is an item on its way to a server.
@@ -38,6 +39,9 @@
 	Gate func() bool
 	// First is told how long the first event took.
 	First func(time.Duration)
+	// Progress is told now and then of events that came since it was told last: those after the event with an id, up to
+	// the one with another. Nil: nobody is.
+	Progress func(after, last int64, events [][]byte)
 }
 
 // Ending is how an exchange ended.
--- a/internal/batch/replica/held.go
+++ b/internal/batch/replica/held.go
@@ -47,6 +47,8 @@
 	handing []protocol.Process // the set to hand it over to, while this store retires
 	handed  bool
 
+	progress map[int]Progress // by item, from an earlier life of this process
+
 	readers    []reader
 	submitters []Token
 	replaceAt  time.Duration // while it is being accepted: when peers that have not written it are replaced; 0: not
@@ -105,6 +107,7 @@
 		panic("replica: an item at two positions")
 	}
 	h.items[result.item].listed = true
+	delete(h.progress, int(result.item))
 	h.results = append(h.results, result)
 }
 
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -293,6 +293,7 @@
 type JobItem struct {
 	Index int
 	At    journal.Location // of its encoding, see job.DecodeItem
+	Progress
 }
 
 // Work gives a batch job's items that are not listed, where this store may run them.
@@ -304,12 +305,19 @@
 	work := Job{ID: h.id, Tenant: h.tenant, Route: h.route, FirstSent: h.firstSent}
 	for i := range h.items {
 		if !h.items[i].listed {
-			work.Items = append(work.Items, JobItem{Index: i, At: h.itemAt(i)})
+			work.Items = append(work.Items, JobItem{Index: i, At: h.itemAt(i), Progress: h.progressOf(i)})
 		}
 	}
 	return work, true
 }
 
+func (h *held) progressOf(index int) Progress {
+	if known, started := h.progress[index]; started {
+		return known
+	}
+	return Progress{Last: -1}
+}
+
 func (h *held) itemAt(index int) journal.Location {
 	return h.contentAt.Part(h.items[index].span.Offset, h.items[index].span.Length)
 }
@@ -336,6 +344,7 @@
 	at := m.write(record, false, func() {
 		h.durable = max(h.durable, position+1)
 		m.pump(h)
+		m.judge(h)
 	})
 	h.list(heldResult{item: int32(index), state: state, at: at.Part(uint32(len(record)-len(text)), uint32(len(text)))})
 	if h.fresh == nil {
--- /dev/null
+++ b/internal/batch/replica/progress.go
@@ -0,0 +1,69 @@
+package replica
+
+import (
+	"encoding/binary"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+)
+
+// This file owns what is kept of items that run: the events that came, on this store's disk only. A start of the process
+// takes the streams up from there; a server that didn't hear of the end would otherwise have run the item for nothing.
+
+// Progress is what came of an item that isn't listed.
+type Progress struct {
+	Last   int64              // id of the last event, -1: none
+	Events []journal.Location // data of the events, in order
+}
+
+// Progress keeps events of a running item: those that follow the event with the id after, up to the one with the id last.
+func (m *Machine) Progress(id string, index int, after, last int64, events [][]byte) {
+	h := m.jobs[id]
+	if h == nil || !h.owner || h.ended || h.items[index].listed {
+		return
+	}
+	record := job.AppendText([]byte{recordProgress}, id)
+	record = binary.AppendUvarint(record, uint64(index))
+	record = binary.AppendVarint(record, after)
+	record = binary.AppendVarint(record, last)
+	record = binary.AppendUvarint(record, uint64(len(events)))
+	for _, event := range events {
+		record = binary.AppendUvarint(record, uint64(len(event)))
+		record = append(record, event...)
+	}
+	m.write(record, false, func() {})
+}
+
+// replayProgress takes events up that follow those known; others are of a run that nothing came of.
+func (h *held) replayProgress(r *job.Reader, at journal.Location, record []byte) error {
+	index := int(r.Uvarint())
+	after, last := r.Varint(), r.Varint()
+	count := r.Uvarint()
+	if r.Failed || index >= len(h.items) {
+		return job.ErrCorrupt
+	}
+	if h.items[index].listed {
+		return nil
+	}
+	known, started := h.progress[index]
+	if !started || after < 0 {
+		known = Progress{Last: -1}
+	}
+	if after != known.Last {
+		return nil
+	}
+	for i := uint64(0); i < count && !r.Failed; i++ {
+		event := r.Bytes()
+		end := len(record) - len(r.Rest)
+		known.Events = append(known.Events, at.Part(uint32(end-len(event)), uint32(len(event))))
+	}
+	if r.Failed {
+		return job.ErrCorrupt
+	}
+	known.Last = last
+	if h.progress == nil {
+		h.progress = map[int]Progress{}
+	}
+	h.progress[index] = known
+	return nil
+}
--- /dev/null
+++ b/internal/batch/replica/progress_test.go
@@ -0,0 +1,63 @@
+package replica
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+)
+
+func TestProgress(t *testing.T) {
+	Convey("Events of running items are there after a start, only in an unbroken row, and not of listed items", t, func() {
+		w := newWorld(1, 1, 1)
+		w.runUntil(2e9)
+		s := w.stores[0]
+		s.idle = true
+		content := &job.Content{ID: "job", Tenant: "t", Items: []job.Item{{ID: "a", Path: "/"}, {ID: "b", Path: "/"}, {ID: "c", Path: "/"}}}
+		s.machine.store(&acceptance{content: content})
+		s.sync()
+		So(s.machine.jobs["job"].whole, ShouldBeTrue)
+		events := func(texts ...string) (list [][]byte) {
+			for _, text := range texts {
+				list = append(list, []byte(text))
+			}
+			return list
+		}
+		s.machine.Progress("job", 0, -1, 2, events("one", "two"))
+		s.machine.Progress("job", 0, 2, 3, events("three"))
+		s.machine.Progress("job", 0, 5, 6, events("a hole"))
+		s.machine.Progress("job", 1, -1, 1, events("lost"))
+		s.machine.Progress("job", 1, -1, 1, events("again"))
+		s.machine.Progress("job", 2, -1, 1, events("listed"))
+		So(s.machine.Finish("job", 2, job.Completed, []byte("whole")), ShouldBeTrue)
+		s.sync()
+		s.stop()
+		s.start()
+		w.runUntil(4e9)
+		work, ok := s.machine.Work("job")
+		So(ok, ShouldBeTrue)
+		So(work.Items, ShouldHaveLength, 2)
+		text := func(item JobItem) (joined string) {
+			for _, at := range item.Events {
+				event, err := s.Read(at)
+				So(err, ShouldBeNil)
+				joined += string(event) + " "
+			}
+			return joined
+		}
+		So(work.Items[0].Last, ShouldEqual, 3)
+		So(text(work.Items[0]), ShouldEqual, "one two three ")
+		So(work.Items[1].Last, ShouldEqual, 1)
+		So(text(work.Items[1]), ShouldEqual, "again ")
+	})
+	Convey("A single store, where none may be lost, accepts by itself", t, func() {
+		w := newWorld(2, 1, 1)
+		w.runUntil(2e9)
+		j := w.clients.submit("job", 3)
+		w.runUntil(8e9)
+		So(j.accepted, ShouldBeTrue)
+		So(j.seen, ShouldHaveLength, 3)
+		So(w.failure, ShouldBeNil)
+	})
+}
--- a/internal/batch/replica/record.go
+++ b/internal/batch/replica/record.go
@@ -18,6 +18,7 @@
 	recordReplicas = 4 // a new version's replica set
 	recordDropped  = 5
 	recordView     = 6 // of no batch job
+	recordProgress = 7 // events of an item that is running
 )
 
 func encodeCopy(id string, version Version, replicas []protocol.Process, ended bool, content []byte, results []Result) []byte {
@@ -130,6 +131,8 @@
 	switch record[0] {
 	case recordResult:
 		return held.replayResult(r, at, record)
+	case recordProgress:
+		return held.replayProgress(r, at, record)
 	case recordEnded:
 		held.ended, held.endDurable = true, true
 	case recordReplicas:
--- a/internal/batch/replica/world_test.go
+++ b/internal/batch/replica/world_test.go
@@ -65,6 +65,7 @@
 	lastHeard   time.Duration // by the authority
 	leaseUntil  time.Duration
 	running     map[string]map[int]bool
+	idle        bool // no items are run
 	answers     map[Token]func(protocol.BatchAnswer)
 	lastToken   Token
 }
@@ -331,6 +332,9 @@
 }
 
 func (s *store) Start(id string) {
+	if s.idle {
+		return
+	}
 	if s.running[id] == nil {
 		s.running[id] = map[int]bool{}
 	}
--- a/internal/batch/runner/run.go
+++ b/internal/batch/runner/run.go
@@ -42,6 +42,9 @@
 		Deadline:    min(mostDeadline, max(time.Until(b.giveUpAt), time.Second)),
 		Silence:     silence,
 		Gate:        func() bool { return r.maySend(b, assignment) },
+		Progress: func(after, last int64, events [][]byte) {
+			r.store.Progress(b.ID, assignment.Index, after, last, events)
+		},
 		First: func(took time.Duration) {
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -27,6 +27,8 @@
 	ReadItem(at journal.Location) (job.Item, error)
 	MayRun(id string, index int) bool
 	Finish(id string, index int, state job.State, text []byte) bool
+	Progress(id string, index int, after, last int64, events [][]byte)
+	ReadEvents(at []journal.Location) ([][]byte, error)
 }
 
 // Knowledge is what control tells.
@@ -133,6 +135,14 @@
 	}
 }
 
+// Load tells how many items wait and run here, and how many the servers' limits allow.
+func (r *Runner) Load() (waiting, running, allowed int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	waiting, running = r.planner.Counts()
+	return waiting, running, r.planner.Allowed()
+}
+
 // Counts gives the totals.
 func (r *Runner) Counts() Counts {
 	r.mutex.Lock()
@@ -211,7 +221,7 @@
 			continue
 		}
 		tasks = append(tasks, schedule.Task{Job: work.ID, Index: one.Index, Prefix: prefixOf(&item)})
-		items[one.Index] = &progress{at: one.At, last: -1}
+		items[one.Index] = r.begun(work.ID, one)
 	}
 	snapshot := r.knowledge.Configuration()
 	r.mutex.Lock()
@@ -234,6 +244,21 @@
 	r.planner.Add(work.ID, r.now()+time.Until(sent.Add(target)), backends, tasks)
 }
 
+// begun gives an item with what an earlier life of this process received of it.
+func (r *Runner) begun(id string, one replica.JobItem) *progress {
+	kept := &progress{at: one.At, last: -1}
+	if one.Last < 0 {
+		return kept
+	}
+	events, err := r.store.ReadEvents(one.Events)
+	if err != nil {
+		r.log.Error().Err(err).Str("batch_job", id).Msg("progress_unreadable")
+		return kept
+	}
+	kept.events, kept.last = events, one.Last
+	return kept
+}
+
 // prefixOf gives the first part that an item's prompt shares with others.
 func prefixOf(item *job.Item) string {
 	for _, header := range item.Headers {
--- a/internal/batch/schedule/server.go
+++ b/internal/batch/schedule/server.go
@@ -12,13 +12,14 @@
 // rest; a server shows that there is little of it by a late first event or a refusal.
 const (
 	limitFirst   = 0.25
-	limitMost    = 0.75
+	limitMost    = 0.6
 	limitLeast   = 1.0 // items
 	growth       = 0.5 // items, for a whole limit of good first events
-	shrinkLate   = 0.8
+	shrinkLate   = 0.7
 	shrinkFull   = 0.6
 	shrinkPause  = 300 * time.Millisecond // between two cuts
-	lateFirst    = 250 * time.Millisecond // to the first event
+	lateFirst    = 150 * time.Millisecond // to the first event: the limit shrinks
+	goodFirst    = 100 * time.Millisecond // to the first event: the limit grows
 	refusedPause = 150 * time.Millisecond
 	brokenPause  = time.Second
 	maxWarm      = 64 // prompts' first parts that are remembered
@@ -55,6 +56,15 @@
 	p.servers, p.lists = next, lists
 }
 
+// Allowed sums the limits of all servers.
+func (p *Planner) Allowed() int {
+	sum := 0.0
+	for _, s := range p.servers {
+		sum += s.limit
+	}
+	return int(sum)
+}
+
 // Present tells whether a server is on the list.
 func (p *Planner) Present(id string) bool { return p.servers[id] != nil }
 
@@ -110,7 +120,9 @@
 		s.cut(shrinkLate, now)
 		return
 	}
-	s.limit = min(limitMost*float64(max(s.Slots, 1)), s.limit+growth/s.limit)
+	if took <= goodFirst {
+		s.limit = min(limitMost*float64(max(s.Slots, 1)), s.limit+growth/s.limit)
+	}
 }
 
 // Ended counts a task as no longer running.
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -184,7 +184,8 @@
 
 func (s *Server) stats() {
 	report, counts := s.report(), s.runner.Counts()
-	s.log.Info().Uint64("epoch", report.Epoch).Uint64("settled", report.Settled).Int("batch_jobs", report.BatchJobs).
+	waiting, running, allowed := s.runner.Load()
+	s.log.Info().Int("waiting", waiting).Int("running", running).Int("allowed", allowed).Uint64("epoch", report.Epoch).Uint64("settled", report.Settled).Int("batch_jobs", report.BatchJobs).
 		Int64("free", report.FreeBytes).Int64("runs", counts.Runs).Int64("completed", counts.Completed).
 		Int64("dead_letter", counts.DeadLetter).Int64("resumed", counts.Resumed).Int64("rejected", counts.Rejected).
 		Int64("cut", counts.Cut).Int64("failed", counts.Failed).Int64("connections", counts.Dials).Msg("state")
@@ -285,6 +286,26 @@
 	return job.DecodeItem(encoded)
 }
 
+// ReadEvents reads events from the log.
+func (s *Server) ReadEvents(at []journal.Location) ([][]byte, error) {
+	events := make([][]byte, len(at))
+	for i := range at {
+		event, err := s.disk.journal.Read(at[i])
+		if err != nil {
+			return nil, err
+		}
+		events[i] = event
+	}
+	return events, nil
+}
+
+// Progress keeps events of an item that runs.
+func (s *Server) Progress(id string, index int, after, last int64, events [][]byte) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.machine.Progress(id, index, after, last, events)
+}
+
 // MayRun tells whether an item may go to a server now.
 func (s *Server) MayRun(id string, index int) bool {
 	s.mutex.Lock()
