--- a/coord/replica/core.go
+++ b/coord/replica/core.go
@@ -168,6 +168,7 @@
 	if c.work.resend {
 		c.workTick()
 	}
+	c.releaseHeld()
 	c.askForReads()
 	records, c.records = c.records, nil
 	if c.rewrite && c.disk {
@@ -210,6 +211,10 @@
 		c.onAppend(from, m)
 	case Ack:
 		c.onAck(from, m)
+	case Resume:
+		if m.Epoch == c.epoch() {
+			c.link.ackDue = true
+		}
 	case Fetch:
 		c.onFetch(from, m)
 	case Copy:
--- a/coord/replica/core_chain.go
+++ b/coord/replica/core_chain.go
@@ -25,8 +25,12 @@
 func (c *core) enterChain() {
 	c.link = chainLink{ackDue: true, fetchedAt: never}
 	if c.inChain() && c.synced != c.epoch() {
+		c.send(c.acceptor.View.Source, view.Decided{View: c.acceptor.View})
 		c.fetch()
 	}
+	if _, after := c.acceptor.View.Neighbours(c.self); c.inChain() && !after.IsZero() {
+		c.send(after, Resume{Epoch: c.epoch()})
+	}
 	if c.serving() && c.acceptor.View.Head().Same(c.self) {
 		c.link.whole = true
 	}
@@ -95,6 +99,7 @@
 		c.record(recordInstall, installRecord{Synced: c.epoch(), Common: m.Common, Entries: m.Entries})
 	}
 	c.synced = c.epoch()
+	c.work.resend = true
 	c.link.ackDue = true
 	c.link.whole = c.acceptor.View.Head().Same(c.self)
 	c.checkPrefix()
--- a/coord/replica/core_client.go
+++ b/coord/replica/core_client.go
@@ -40,8 +40,19 @@
 	reads   []*pendingRead
 	resend  bool
 	readSeq uint64
+	held    []heldOrder
 }
 
+// heldOrder came to the head at a moment at which it may not order: it waits for the end of the
+// change of the view, or for the prefix.
+type heldOrder struct {
+	Forward
+	heldAt time.Duration
+}
+
+// maxHeld bounds the orders that wait at the head.
+const maxHeld = 1024
+
 func (w *clientWork) init() { w.orders = make(map[string]*pendingOrder) }
 
 func (w *clientWork) settle(id string, outcome chain.Outcome) {
@@ -138,7 +149,9 @@
 func (c *core) onForward(from view.Member, m Forward) {
 	head := c.acceptor.View.Head()
 	if head.Same(c.self) {
-		c.take(m.ID, m.Order)
+		if !c.take(m.ID, m.Order) && !c.serving() && len(c.work.held) < maxHeld {
+			c.work.held = append(c.work.held, heldOrder{Forward: m, heldAt: c.now})
+		}
 		return
 	}
 	if m.Hops < 2 && c.disk && c.epoch() > 0 {
@@ -147,6 +160,24 @@
 	}
 }
 
+// releaseHeld goes on with the orders that came while this head couldn't order. Their senders repeat
+// them, so an old one is dropped.
+func (c *core) releaseHeld() {
+	if len(c.work.held) == 0 || c.acceptor.Wedged() {
+		return
+	}
+	if c.acceptor.View.Head().Same(c.self) && !c.serving() {
+		return
+	}
+	held := c.work.held
+	c.work.held = nil
+	for _, order := range held {
+		if c.now-order.heldAt <= retryInterval {
+			c.onForward(c.self, order.Forward)
+		}
+	}
+}
+
 // workTick repeats what may have been lost.
 func (c *core) workTick() {
 	for _, id := range sortedKeys(c.work.orders) {
--- a/coord/replica/core_view.go
+++ b/coord/replica/core_view.go
@@ -272,7 +272,7 @@
 	if !c.allPromised(p) && c.now-c.agree.majorityAt < promiseWait {
 		return
 	}
-	if !p.Choose(c.plan) {
+	if !p.Choose(c.isStaying, c.plan) {
 		return
 	}
 	c.agree.acceptSent = true
@@ -292,7 +292,8 @@
 	return true
 }
 
-// rank is the member's place among those who may propose.
+// rank is the member's place among those who may propose: the neighbours of a silent member come
+// first, because they know best and at once.
 func (c *core) rank() int {
 	rank := 0
 	for _, m := range c.proposers() {
@@ -307,12 +308,25 @@
 }
 
 func (c *core) proposers() []view.Member {
-	order := append([]view.Member(nil), c.acceptor.View.Chain...)
-	for _, m := range c.acceptor.View.Voters {
-		if view.Index(order, m) < 0 {
+	var order []view.Member
+	add := func(m view.Member) {
+		if !m.IsZero() && view.Index(order, m) < 0 {
 			order = append(order, m)
 		}
 	}
+	for _, m := range c.acceptor.View.Chain {
+		if !c.heard(m) {
+			before, after := c.acceptor.View.Neighbours(m)
+			add(before)
+			add(after)
+		}
+	}
+	for _, m := range c.acceptor.View.Chain {
+		add(m)
+	}
+	for _, m := range c.acceptor.View.Voters {
+		add(m)
+	}
 	return order
 }
 
@@ -339,10 +353,12 @@
 		}
 		return ""
 	}
+	if silent, broken := c.silentMembers(); broken {
+		return "silent member"
+	} else if silent {
+		return "" // a view of this member's would leave out one that the chain has a use for
+	}
 	for _, m := range c.acceptor.View.Chain {
-		if !c.heard(m) {
-			return "silent member"
-		}
 		if c.isLeaving(m) && len(c.acceptor.View.Chain)-1 > c.tolerance {
 			return "leaving member"
 		}
@@ -359,6 +375,38 @@
 	return ""
 }
 
+// silentMembers reports whether members of the chain are silent here, and whether that breaks the chain.
+func (c *core) silentMembers() (silent, broken bool) {
+	for _, m := range c.acceptor.View.Chain {
+		if c.heard(m) {
+			continue
+		}
+		silent = true
+		broken = broken || c.adjacent(m) || !c.heardByChain(m)
+	}
+	return silent, broken
+}
+
+// adjacent reports whether m is this member's neighbour in the chain.
+func (c *core) adjacent(m view.Member) bool {
+	before, after := c.acceptor.View.Neighbours(c.self)
+	return before.Same(m) || after.Same(m)
+}
+
+// heardByChain reports whether a member of the chain that is in touch with this one hears m. Then only
+// the link between m and this member is broken, which the chain doesn't use.
+func (c *core) heardByChain(m view.Member) bool {
+	for _, other := range c.acceptor.View.Chain {
+		if other.Same(c.self) || other.Same(m) || !c.heard(other) {
+			continue
+		}
+		if p := c.peers[other.ID()]; p != nil && p.inTouch && p.heard[m.ID()] {
+			return true
+		}
+	}
+	return false
+}
+
 // mayJoinChain reports whether m is in touch with this member and with all of the chain.
 func (c *core) mayJoinChain(m view.Member) bool {
 	if !c.inTouch(m) || c.isLeaving(m) {
@@ -439,6 +487,9 @@
 	return position
 }
 
+// isStaying reports whether m makes a good source.
+func (c *core) isStaying(m view.Member) bool { return !c.isLeaving(m) }
+
 // plan makes the members of the next view for the source that the promises gave.
 func (c *core) plan(source view.Member) (voters, members []view.Member, ok bool) {
 	voters = c.planVoters()
--- a/coord/replica/messages.go
+++ b/coord/replica/messages.go
@@ -43,6 +43,11 @@
 	Gap    bool   // the sender needs what follows End
 }
 
+// Resume asks the successor for an Ack: the one that it sent at the start of the epoch came too early.
+type Resume struct {
+	Epoch uint64
+}
+
 // Fetch asks the source of a view for the prefix.
 type Fetch struct {
 	Epoch uint64
@@ -99,7 +104,7 @@
 // bodies lists all types of messages.
 func bodies() []any {
 	return []any{
-		Hello{}, Heartbeat{}, Append{}, Ack{}, Fetch{}, Copy{}, Forward{}, Poll{}, Feed{},
+		Hello{}, Heartbeat{}, Append{}, Ack{}, Resume{}, Fetch{}, Copy{}, Forward{}, Poll{}, Feed{},
 		ReadRequest{}, ReadReply{},
 		view.Prepare{}, view.Promise{}, view.Accept{}, view.Accepted{}, view.Refused{}, view.Decided{},
 	}
--- a/coord/view/agreement.go
+++ b/coord/view/agreement.go
@@ -110,8 +110,9 @@
 func (p *Proposal) HasMajority() bool { return len(p.promises) >= p.View.Majority() }
 
 // Choose fixes the value: the accepted one with the highest ballot, else the one that plan makes
-// for the source. It returns false while the promises don't suffice.
-func (p *Proposal) Choose(plan func(source Member) (voters, chain []Member, ok bool)) bool {
+// for the source, which is one that the proposer prefers, if possible. It returns false while the
+// promises don't suffice.
+func (p *Proposal) Choose(prefer func(Member) bool, plan func(source Member) (voters, chain []Member, ok bool)) bool {
 	if p.Value != nil || !p.HasMajority() {
 		return p.Value != nil
 	}
@@ -119,7 +120,7 @@
 		p.Value = repaired
 		return true
 	}
-	source, sourceEpoch, ok := ChooseSource(p.View, p.promises)
+	source, sourceEpoch, ok := ChooseSource(p.View, p.promises, prefer)
 	if !ok {
 		return false
 	}
@@ -169,8 +170,9 @@
 
 // ChooseSource picks the member whose log the next chain starts from, and the last epoch in which
 // an order may have committed. It returns false when the promises don't prove that no committed
-// order is left out; see the package comment for the argument.
-func ChooseSource(present View, promises []Promise) (source Member, sourceEpoch uint64, ok bool) {
+// order is left out; see the package comment for the argument. Any log that the argument allows will
+// do; a preferred member's comes first, and then the one with the most.
+func ChooseSource(present View, promises []Promise, prefer func(Member) bool) (source Member, sourceEpoch uint64, ok bool) {
 	promised, whole := 0, 0
 	for _, m := range promises {
 		if !present.InChain(m.From) {
@@ -193,7 +195,7 @@
 		if m.Log.Synced < sourceEpoch || m.Log.Synced == 0 {
 			continue
 		}
-		if best < 0 || higherLog(m.Log, promises[best].Log) {
+		if best < 0 || betterSource(m, promises[best], prefer) {
 			best = i
 		}
 	}
@@ -203,6 +205,13 @@
 	return promises[best].From, sourceEpoch, true
 }
 
+func betterSource(a, b Promise, prefer func(Member) bool) bool {
+	if first, second := prefer(a.From), prefer(b.From); first != second {
+		return first
+	}
+	return higherLog(a.Log, b.Log)
+}
+
 func higherLog(a, b LogState) bool {
 	if a.Synced != b.Synced {
 		return a.Synced > b.Synced
