--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -10,8 +10,9 @@
 )
 
 const (
-	sweepEvery       = 200 * time.Millisecond // all leases of a gateway are weighed again
-	rememberDropped  = 30 * time.Second       // of tenants and of processes that ended
+	leastSweepGap    = 200 * time.Millisecond  // between weighings of all leases of a gateway
+	sweepPerHolder   = 2500 * time.Microsecond // the same for each gateway, so that the weighing doesn't grow with their square
+	rememberDropped  = 30 * time.Second        // of tenants and of processes that ended
 	shortestPoolWait = 50 * time.Millisecond
 	longestPoolWait  = time.Second
 	unknownWait      = 200 * time.Millisecond // for a tenant that no configuration here has
@@ -208,7 +209,7 @@
 			reply.Grants = append(reply.Grants, grant)
 		}
 	}
-	if a.now-h.swept >= sweepEvery {
+	if a.now-h.swept >= max(leastSweepGap, time.Duration(len(a.holders))*sweepPerHolder) {
 		a.sweep(h)
 	}
 	reply.Grants = h.tellPending(reply.Grants)
--- /dev/null
+++ b/internal/quota/size_test.go
@@ -0,0 +1,81 @@
+package quota
+
+import (
+	"flag"
+	"fmt"
+	"math"
+	"runtime"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+)
+
+var size = flag.Bool("size", false, "measure the allocator at several sizes")
+
+// TestAtSize measures what quotas cost at sizes up to that which the operators name.
+func TestAtSize(t *testing.T) {
+	if !*size {
+		t.Skip("a measurement: run with -args -size")
+	}
+	Convey("What the allocator and a gateway spend", t, func() {
+		for _, one := range []struct {
+			gateways, tenants int
+			perSecond         float64
+		}{{14, 8, 190}, {62, 76, 520}, {130, 1000, 5000}, {400, 10000, 33000}} {
+			const seconds = 12
+			w := newWorld(1, one.gateways, spreadTenants(one.tenants, one.perSecond))
+			w.hollow, w.maxWait = true, 100*millisecond // a fifth of the aims at size, at most
+			w.elect(0, 0)
+			for name := range sortedNames(w.usage) {
+				w.at(5*second, func() { w.traffic(name) })
+			}
+			w.play(7 * second)
+			messages, sizes, spent := w.messages, w.sizes, w.spent
+			for _, count := range w.counts {
+				*count = counts{}
+			}
+			w.play((7 + seconds) * second)
+			entries, memory := w.controls[0].allocator.footprint()
+			share, owed := w.refusedShare(names(w)...)
+			n := float64(w.messages - messages)
+			t.Logf("%d gateways, %d tenants, %.0f requests/s: %.1f messages a second a gateway, %.1f demands each; allocator %.0f messages/s, %.4f of a core, %d entries, %.1f MB; %.5f of %d refused",
+				one.gateways, one.tenants, one.perSecond, n/seconds/float64(one.gateways), float64(w.sizes-sizes)/n,
+				n/seconds, (w.spent-spent).Seconds()/seconds, entries, memory, share, owed)
+		}
+		So(true, ShouldBeTrue)
+	})
+}
+
+func names(w *world) (list []string) {
+	for name := range sortedNames(w.usage) {
+		list = append(list, name)
+	}
+	return list
+}
+
+// spreadTenants gives tenants whose sizes fall as those of the sites do: the n-th has 1/(n+3) of the first's.
+func spreadTenants(n int, perSecond float64) []configuration.Tenant {
+	sum := 0.0
+	for i := range n {
+		sum += 1 / float64(i+3)
+	}
+	list := make([]configuration.Tenant, n)
+	for i := range list {
+		rate := math.Max(0.05, 1.6*perSecond/sum/float64(i+3))
+		list[i] = configuration.Tenant{Name: fmt.Sprintf("tenant-%d", i), RatePerSec: rate, Burst: rate}
+	}
+	return list
+}
+
+// footprint counts the allocator's entries and gives the memory of the whole test, in MB: an upper bound.
+func (a *Allocator) footprint() (entries int, megabytes float64) {
+	for _, h := range a.holders {
+		entries += len(h.order)
+	}
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return entries, float64(stats.HeapAlloc) / (1 << 20)
+}
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -16,7 +16,7 @@
 const (
 	second      = time.Second
 	millisecond = time.Millisecond
-	maxWait     = 40 * millisecond // that a request waits for a token
+	usualWait   = 40 * millisecond // that a request waits for a token
 	confirmFor  = 600 * millisecond
 	startAfter  = second // a successor starts so long after its view was decided
 	lowerAfter  = 12 * second
@@ -51,6 +51,9 @@
 	recordOwner  *simControl
 	recording    bool // a change of the record is on its way
 	calm         bool // no more troubles
+	maxWait      time.Duration
+	hollow       bool          // books are not checked
+	spent        time.Duration // in the allocator
 	steadyLimits bool
 }
 
@@ -116,7 +119,7 @@
 func newWorld(seed uint64, gateways int, tenants []configuration.Tenant) *world {
 	w := &world{
 		random: rand.New(rand.NewPCG(seed, 77)), limits: map[string][]limitSince{}, usage: map[string]float64{},
-		hot: map[string]float64{}, ran: map[string][]time.Duration{}, counts: map[string]*counts{}, lead: -1,
+		hot: map[string]float64{}, ran: map[string][]time.Duration{}, counts: map[string]*counts{}, lead: -1, maxWait: usualWait,
 	}
 	for i := range tenants {
 		w.usage[tenants[i].Name] = tenants[i].RatePerSec / 1.6
@@ -258,13 +261,13 @@
 	case verdict.Admit:
 		w.run(tenant.Name, g)
 	case verdict.Wait:
-		if g.client.Silent(w.now) && g.client.ServesIn(w.now, tenant) > maxWait {
+		if g.client.Silent(w.now) && g.client.ServesIn(w.now, tenant) > w.maxWait {
 			g.client.GiveUp(w.now, tenant)
 			w.refuse(tenant.Name, g)
 			return
 		}
-		g.waits = append(g.waits, &simWait{tenant, w.now + maxWait})
-		w.at(w.now+maxWait, g.pump)
+		g.waits = append(g.waits, &simWait{tenant, w.now + w.maxWait})
+		w.at(w.now+w.maxWait, g.pump)
 	default:
 		w.refuse(tenant.Name, g)
 	}
@@ -358,8 +361,12 @@
 	}
 	reply := protocol.QuotaReply{Sequence: request.Sequence}
 	if w.now < control.leadUntil {
+		began := time.Now()
 		reply = control.allocator.Request(w.now, request)
-		control.allocator.check()
+		w.spent += time.Since(began)
+		if !w.hollow {
+			control.allocator.check()
+		}
 		if control.allocator.Pressed() {
 			w.at(w.now+millisecond, w.keepRecord)
 		}
