--- a/internal/batch/runner/run.go
+++ b/internal/batch/runner/run.go
@@ -39,7 +39,7 @@
 		Tenant:      b.Tenant,
 		Item:        &item,
 		LastEventID: kept.last,
-		Deadline:    min(mostDeadline, max(time.Until(b.giveUpAt), time.Second)),
+		Deadline:    r.deadline(b),
 		Silence:     silence,
 		Gate:        func() bool { return r.maySend(b, assignment) },
 		Progress: func(after, last int64, events [][]byte) {
@@ -53,6 +53,16 @@
 	})
 }
 
+// deadline is what a server gets for an item.
+func (r *Runner) deadline(b *batchJob) time.Duration {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if b.giveUpAt.IsZero() {
+		return mostDeadline
+	}
+	return min(mostDeadline, max(time.Until(b.giveUpAt), time.Second))
+}
+
 // maySend is asked right before the first byte: the store must still consent, the server be listed, and the route lead to it.
 func (r *Runner) maySend(b *batchJob, assignment schedule.Assignment) bool {
 	if b.context.Err() != nil || !r.store.MayRun(b.ID, assignment.Index) {
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -43,7 +43,8 @@
 	mostDeadline  = 30 * time.Second       // that a server gets for an item
 	againSoon     = 20 * time.Millisecond
 	againLater    = 300 * time.Millisecond
-	routeGoneFor  = time.Second // until a route that is missing has ended
+	routeGoneFor  = 5 * time.Second  // until a route that is missing has ended
+	defaultTarget = 10 * time.Second // where the route isn't known yet
 	sweepEvery    = time.Second
 	finishedAgain = 200 * time.Millisecond
 )
@@ -55,6 +56,7 @@
 	client    *exchange.Client
 	log       zerolog.Logger
 	origin    time.Time
+	skew      time.Duration // that clocks may differ or jump by
 	wake      chan struct{}
 	runs      sync.WaitGroup
 
@@ -76,8 +78,8 @@
 	cancel    context.CancelFunc
 	items     map[int]*progress
 	finished  []finished // not taken yet
-	giveUpAt  time.Time
-	missingAt time.Time // the route was first found missing
+	giveUpAt  time.Time  // zero: not known
+	missingAt time.Time  // the route was first found missing
 }
 
 // progress is what is kept of an item between runs.
@@ -95,9 +97,9 @@
 }
 
 // New gives a runner; Run makes it work.
-func New(zone string, store Store, knowledge Knowledge, log zerolog.Logger) *Runner {
+func New(zone string, skew time.Duration, store Store, knowledge Knowledge, log zerolog.Logger) *Runner {
 	return &Runner{
-		store: store, knowledge: knowledge, log: log,
+		store: store, knowledge: knowledge, log: log, skew: skew,
 		client:   exchange.NewClient(),
 		origin:   time.Now(),
 		wake:     make(chan struct{}, 1),
@@ -232,16 +234,15 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &batchJob{Job: work, context: ctx, cancel: cancel, items: items}
 	r.jobs[work.ID] = b
-	sent := time.UnixMilli(work.FirstSent)
-	target, retention := 10*time.Second, 30*time.Second
+	target := defaultTarget
 	var backends []string
 	if snapshot != nil {
 		if route := snapshot.RouteNamed(work.Route); route != nil {
-			target, retention, backends = route.CompletionTarget(), route.Retention(), route.Backends()
+			target, backends = route.CompletionTarget(), route.Backends()
+			b.giveUpAt = r.giveUpAt(work.FirstSent, route)
 		}
 	}
-	b.giveUpAt = sent.Add(retention)
-	r.planner.Add(work.ID, r.now()+time.Until(sent.Add(target)), backends, tasks)
+	r.planner.Add(work.ID, r.now()+time.Until(time.UnixMilli(work.FirstSent).Add(target)), backends, tasks)
 }
 
 // begun gives an item with what an earlier life of this process received of it.
@@ -287,11 +288,12 @@
 		route := snapshot.RouteNamed(b.Route)
 		if route != nil {
 			b.missingAt = time.Time{}
+			b.giveUpAt = r.giveUpAt(b.FirstSent, route)
 			r.planner.Backends(id, route.Backends())
 		} else if b.missingAt.IsZero() {
 			b.missingAt = now
 		}
-		if now.After(b.giveUpAt) || !b.missingAt.IsZero() && now.Sub(b.missingAt) > routeGoneFor {
+		if !b.giveUpAt.IsZero() && now.After(b.giveUpAt) || !b.missingAt.IsZero() && now.Sub(b.missingAt) > routeGoneFor {
 			for _, task := range r.planner.Waiting(id) {
 				r.planner.Take(id, task.Index)
 				b.finished = append(b.finished, finished{index: task.Index, state: job.DeadLetter})
@@ -310,6 +312,15 @@
 	}
 }
 
+// giveUpAt tells when a batch job's items may be given up: its retention after it was first sent, with room for clocks that
+// differ or jump. Zero: never.
+func (r *Runner) giveUpAt(firstSent int64, route *configuration.Route) time.Time {
+	if route.Retention() <= 0 {
+		return time.Time{}
+	}
+	return time.UnixMilli(firstSent).Add(route.Retention() + r.skew)
+}
+
 // handIn lists what is finished of a batch job; what isn't taken is offered again.
 func (r *Runner) handIn(b *batchJob) {
 	r.mutex.Lock()
--- /dev/null
+++ b/internal/batch/runner/runner_test.go
@@ -0,0 +1,101 @@
+package runner
+
+import (
+	"context"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/replica"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// fakeStore holds one batch job, whose items were first sent at a time.
+type fakeStore struct {
+	mutex    sync.Mutex
+	sent     time.Time
+	route    string
+	finished map[int]job.State
+}
+
+func (s *fakeStore) Work(id string) (replica.Job, bool) {
+	return replica.Job{ID: id, Tenant: "t", Route: s.route, FirstSent: s.sent.UnixMilli(), Items: []replica.JobItem{
+		{Index: 0, Progress: replica.Progress{Last: -1}}, {Index: 1, Progress: replica.Progress{Last: -1}},
+	}}, true
+}
+
+func (s *fakeStore) ReadItem(journal.Location) (job.Item, error) {
+	return job.Item{ID: "i", Path: "/"}, nil
+}
+
+func (s *fakeStore) ReadEvents([]journal.Location) ([][]byte, error) { return nil, nil }
+func (s *fakeStore) MayRun(string, int) bool                         { return false }
+func (s *fakeStore) Progress(string, int, int64, int64, [][]byte)    {}
+func (s *fakeStore) Configuration() *configuration.Snapshot          { return testConfiguration() }
+func (s *fakeStore) Servers(string) []protocol.Server                { return nil }
+
+func (s *fakeStore) Finish(_ string, index int, state job.State, _ []byte) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.finished[index] = state
+	return true
+}
+
+func testConfiguration() *configuration.Snapshot {
+	return configuration.NewSnapshot(configuration.Document{Routes: []configuration.Route{
+		{Name: "limited", Backend: "b", RetentionSeconds: 20}, {Name: "endless", Backend: "b"},
+	}}, 1)
+}
+
+func given(sent time.Time, route string) *fakeStore {
+	store := &fakeStore{sent: sent, route: route, finished: map[int]job.State{}}
+	r := New("z", 10*time.Second, store, store, zerolog.Nop())
+	r.Start("job")
+	r.begin()
+	r.refresh()
+	return store
+}
+
+func TestGivingUp(t *testing.T) {
+	Convey("An item is given up after its retention, with room for clocks that jump, and never without one", t, func() {
+		now := time.Now()
+		So(given(now.Add(-29*time.Second), "limited").finished, ShouldBeEmpty)
+		So(given(now.Add(-31*time.Second), "limited").finished, ShouldResemble,
+			map[int]job.State{0: job.DeadLetter, 1: job.DeadLetter})
+		So(given(now.Add(-time.Hour), "endless").finished, ShouldBeEmpty)
+		So(given(now, "no such route").finished, ShouldBeEmpty)
+	})
+	Convey("A route has ended once it is missing for long", t, func() {
+		store := &fakeStore{sent: time.Now(), route: "no such route", finished: map[int]job.State{}}
+		r := New("z", 0, store, store, zerolog.Nop())
+		r.Start("job")
+		r.begin()
+		r.refresh()
+		r.jobs["job"].missingAt = time.Now().Add(-routeGoneFor - time.Second)
+		r.refresh()
+		So(store.finished, ShouldHaveLength, 2)
+		So(r.jobs, ShouldBeEmpty)
+	})
+}
+
+func TestEnd(t *testing.T) {
+	Convey("A runner without work ends with its context", t, func() {
+		store := &fakeStore{finished: map[int]job.State{}}
+		r := New("z", 0, store, store, zerolog.Nop())
+		ctx, cancel := context.WithCancel(context.Background())
+		done := make(chan struct{})
+		go func() {
+			r.Run(ctx)
+			close(done)
+		}()
+		cancel()
+		<-done
+		So(r.Counts().Runs, ShouldEqual, 0)
+	})
+}
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -95,7 +95,7 @@
 		return nil, err
 	}
 	s.registry = servers.NewRegistry(noPool{})
-	s.runner = runner.New(settings.Zone, s, s, log)
+	s.runner = runner.New(settings.Zone, 2*settings.Bounds.SkewMax, s, s, log)
 	s.subscription = subscription.New(subscription.Options{
 		Settings: settings, Process: s.process, Transport: s.options, Servers: s.registry,
 		Ready:   func() bool { return true },
