--- a/Makefile
+++ b/Makefile
@@ -57,7 +57,7 @@
 	chmod u+w deploy/sites/real.json deploy/sites/wire.json deploy/sites/unlock.txt
 
 # The programs of deploy/system.toml, into target/.
-.PHONY: build-system system simulate hunt
+.PHONY: build-system system simulate hunt scale
 build-system:
 	@line=$$(sed -n 's/^build = "\(.*\)".*/\1/p' deploy/system.toml); [ -n "$$line" ] && bash -ec "$$line"
 
@@ -66,6 +66,13 @@
 system: build build-system
 	bin/sprucelab system --programs target --seconds $(FOR)
 
+# Hollow gateways before real control processes; a line for each size: make scale SIZES=0,100,400 SERVERS=12000 TENANTS=10000.
+SIZES ?= 0,50,100,200,400
+SERVERS ?= 1000
+TENANTS ?= 1000
+scale: build build-system
+	bin/sprucelab scale --programs target --members $(SIZES) --servers $(SERVERS) --tenants $(TENANTS)
+
 # Random worlds with many seeds: make simulate SEEDS=1000.
 SEEDS ?= 200
 simulate:
