--- a/internal/lab/scale/hollow.go
+++ b/internal/lab/scale/hollow.go
@@ -106,10 +106,12 @@
 	}
 }
 
-// complete tells whether the gateway holds a configuration, and as many servers of the laboratory's service as were listed.
-func (h *hollow) complete(listed int) bool {
-	table := h.servers.Current()
-	return h.subscription.Configuration() != nil && (listed == 0 || table != nil && len(table.Of(system.ServiceName)) >= listed)
+// complete tells whether the gateway holds a configuration, as many servers of the laboratory's service as were listed, and a list
+// of processes with so many gateways.
+func (h *hollow) complete(listed, gateways int) bool {
+	table, members := h.servers.Current(), h.subscription.Members()
+	return h.subscription.Configuration() != nil && members != nil && len(members.Gateways) == gateways &&
+		(listed == 0 || table != nil && len(table.Of(system.ServiceName)) >= listed)
 }
 
 // since gives when a generation, or one above it, came into force; false: it hasn't.
--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -145,14 +145,14 @@
 	return nil
 }
 
-// awaitComplete waits until all members hold a configuration and the whole list of servers.
+// awaitComplete waits until all members hold a configuration, the whole list of servers and that of all members.
 func (r *run) awaitComplete(ctx context.Context) error {
 	ctx, cancel := context.WithTimeout(ctx, startWithin)
 	defer cancel()
 	for {
 		lacking := 0
 		for _, member := range r.members {
-			if !member.complete(r.plan.Servers) {
+			if !member.complete(r.plan.Servers, r.plan.Members) {
 				lacking++
 			}
 		}
@@ -161,7 +161,7 @@
 		}
 		select {
 		case <-ctx.Done():
-			return fmt.Errorf("scale: after %v %d of %d members lack the configuration or servers", startWithin, lacking, len(r.members))
+			return fmt.Errorf("scale: after %v %d of %d members lack the configuration, servers or members", startWithin, lacking, len(r.members))
 		case <-time.After(lookEvery):
 		}
 	}
