--- a/internal/batch/replica/accept.go
+++ b/internal/batch/replica/accept.go
@@ -18,6 +18,7 @@
 // acceptance is a batch job of which nothing was written yet.
 type acceptance struct {
 	content *job.Content
+	number  uint64 // of this attempt
 	calls   []parkedCall
 	votes   map[placement.Key]Reserved // of this epoch, by arbiter
 	askedAt time.Duration
@@ -43,7 +44,9 @@
 		m.answer(p.token, unavailable())
 		return
 	}
+	m.lastAttempt++
 	a := &acceptance{
+		number: m.lastAttempt,
 		content: &job.Content{
 			ID: id, Tenant: p.call.Tenant, Route: p.call.Route, FirstSent: m.env.Wall(), Items: p.items,
 		},
@@ -89,33 +92,53 @@
 		switch {
 		case a.votes[key].Owner == m.self:
 		case key != m.self:
-			m.env.Send(arbiter, Reserve{Stamp: m.stamp(), Job: id})
+			m.env.Send(arbiter, Reserve{Stamp: m.stamp(), Job: id, Number: a.number})
 		case m.settled:
-			a.votes[key] = m.vote(id, m.self)
+			a.votes[key] = m.vote(id, m.self, a.number)
 		}
 	}
 	m.decide(id)
 }
 
+// reservation is an arbiter's vote.
+type reservation struct {
+	store  placement.Key
+	number uint64 // of that store's newest attempt
+}
+
 // vote answers, as arbiter, who may accept a batch job: always the same store for an id in one epoch, unless that one gives
 // the vote back.
-func (m *Machine) vote(id string, asker placement.Key) Reserved {
-	if holder := m.holder(id); holder != "" {
-		return Reserved{Stamp: m.stamp(), Job: id, Owner: holder, Held: m.reservations[id] != holder}
+func (m *Machine) vote(id string, asker placement.Key, number uint64) Reserved {
+	answer := Reserved{Stamp: m.stamp(), Job: id, Number: number, Owner: m.holder(id)}
+	given, voted := m.reservations[id]
+	switch {
+	case answer.Owner == "":
+		answer.Owner = asker
+		m.reservations[id] = reservation{store: asker, number: number}
+	case voted && given.store == asker && answer.Owner == asker:
+		m.reservations[id] = reservation{store: asker, number: max(number, given.number)}
+	default:
+		answer.Held = !voted || given.store != answer.Owner
 	}
-	m.reservations[id] = asker
-	return Reserved{Stamp: m.stamp(), Job: id, Owner: asker}
+	return answer
 }
 
 func (m *Machine) reserve(from protocol.Process, message Reserve) {
 	if m.settled && m.Allowed() {
-		m.env.Send(from, m.vote(message.Job, placement.KeyOf(from)))
+		m.env.Send(from, m.vote(message.Job, placement.KeyOf(from), message.Number))
+	}
+}
+
+// release takes a vote back, unless it was asked for again since.
+func (m *Machine) release(from placement.Key, message Release) {
+	if given := m.reservations[message.Job]; given.store == from && given.number <= message.Number {
+		delete(m.reservations, message.Job)
 	}
 }
 
-// reserved takes an arbiter's answer.
+// reserved takes an arbiter's answer to this attempt. One to an earlier attempt may have been given back.
 func (m *Machine) reserved(from placement.Key, message Reserved) {
-	if a := m.acceptances[message.Job]; a != nil {
+	if a := m.acceptances[message.Job]; a != nil && a.number == message.Number {
 		a.votes[from] = message
 		m.decide(message.Job)
 	}
@@ -161,7 +184,7 @@
 // leaveTo sends the calls of an acceptance to the store that holds the batch job or goes on with it.
 func (m *Machine) leaveTo(owner placement.Key, id string, a *acceptance) {
 	delete(m.acceptances, id)
-	m.giveBack(id)
+	m.giveBack(id, a.number)
 	member, present := placement.MemberOf(m.view, owner)
 	for _, p := range a.calls {
 		switch {
@@ -181,7 +204,7 @@
 	replicas := placement.Replicas(id, m.view, []protocol.Process{m.options.Self}, m.options.Copies, m.slowStores()...)
 	if len(replicas) < m.options.Copies || m.retiring {
 		m.refuse(a)
-		m.giveBack(id)
+		m.giveBack(id, a.number)
 		return
 	}
 	content := a.content.Encode()
@@ -212,13 +235,14 @@
 	m.announce(id, m.self)
 }
 
-// giveBack frees the votes under which nothing was written.
-func (m *Machine) giveBack(id string) {
+// giveBack frees the votes of an attempt under which nothing was written.
+func (m *Machine) giveBack(id string, number uint64) {
+	message := Release{Stamp: m.stamp(), Job: id, Number: number}
 	for _, arbiter := range placement.Arbiters(id, m.view, m.options.Copies) {
 		if placement.KeyOf(arbiter) != m.self {
-			m.env.Send(arbiter, Release{Stamp: m.stamp(), Job: id})
-		} else if m.reservations[id] == m.self {
-			delete(m.reservations, id)
+			m.env.Send(arbiter, message)
+		} else {
+			m.release(m.self, message)
 		}
 	}
 }
--- a/internal/batch/replica/calls.go
+++ b/internal/batch/replica/calls.go
@@ -185,7 +185,7 @@
 	if m.jobs[id] != nil {
 		return m.self
 	}
-	return m.reservations[id]
+	return m.reservations[id].store
 }
 
 // found takes what an arbiter knew. Where it names this store, a batch job was about to be accepted here, and wasn't.
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -101,7 +101,8 @@
 	jobs         map[string]*held
 	order        []*held                  // of jobs, in the order in which they came
 	directory    map[string]placement.Key // owners of batch jobs that are not held here, or not owned
-	reservations map[string]placement.Key // as arbiter, in this epoch
+	reservations map[string]reservation   // votes as arbiter, in this epoch
+	lastAttempt  uint64                   // to accept a batch job
 	acceptances  map[string]*acceptance
 	lookups      map[string]*lookup // of batch jobs that aren't known here, at their arbiters
 	lastLookup   uint64
@@ -130,7 +131,7 @@
 		lives:        map[placement.Key]uint64{},
 		jobs:         map[string]*held{},
 		directory:    map[string]placement.Key{},
-		reservations: map[string]placement.Key{},
+		reservations: map[string]reservation{},
 		acceptances:  map[string]*acceptance{},
 		lookups:      map[string]*lookup{},
 		slow:         map[placement.Key]time.Duration{},
@@ -231,9 +232,7 @@
 	case Reserved:
 		m.reserved(key, message)
 	case Release:
-		if m.reservations[message.Job] == key {
-			delete(m.reservations, message.Job)
-		}
+		m.release(key, message)
 	case Lookup:
 		m.lookUp(from, message)
 	case Found:
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -40,21 +40,24 @@
 // Reserve asks an arbiter of a batch job's id for its vote that the sender may accept it.
 type Reserve struct {
 	Stamp
-	Job string
+	Job    string
+	Number uint64 // of the sender's attempt; it rises
 }
 
 // Reserved names the store that an arbiter's vote went to, or that holds the batch job.
 type Reserved struct {
 	Stamp
-	Job   string
-	Owner placement.Key
-	Held  bool // Owner holds it
+	Job    string
+	Number uint64 // of the attempt that is answered
+	Owner  placement.Key
+	Held   bool // Owner holds it
 }
 
-// Release gives a vote back: the sender has not accepted the batch job.
+// Release gives a vote back: the sender has not accepted the batch job in that attempt nor in an earlier one.
 type Release struct {
 	Stamp
-	Job string
+	Job    string
+	Number uint64
 }
 
 // Lookup asks an arbiter of a batch job's id who holds it.
--- a/internal/batch/replica/tick.go
+++ b/internal/batch/replica/tick.go
@@ -59,7 +59,7 @@
 	for _, id := range m.accepting() {
 		if a := m.acceptances[id]; now >= a.until {
 			delete(m.acceptances, id)
-			m.giveBack(id)
+			m.giveBack(id, a.number)
 			m.refuse(a)
 		}
 	}
