--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -19,6 +19,7 @@
 // gateways that were named and aren't gone still poll there, and a list of servers may be the difference to the one before.
 type peerReport struct {
 	Presence bool               // Gateways, Gone and Batch tell who polls there now
+	All      bool               // Gateways holds all, whatever was told before
 	Gateways []protocol.Process // new since the report before
 	Gone     []string           // nodes of gateways
 	Batch    []peerBatch        // to the head of the chain only
@@ -56,6 +57,7 @@
 	client   *transport.Client
 	servers  uint64                      // version of the list
 	gateways map[string]protocol.Process // by node
+	begun    bool                        // gateways were told at all
 	wanted   bool                        // still a control process
 }
 
@@ -91,6 +93,7 @@
 	forget := func(bool) {
 		p.mutex.Lock()
 		one.servers = 0
+		one.begun = false
 		clear(one.gateways)
 		p.mutex.Unlock()
 	}
@@ -126,7 +129,7 @@
 
 // presence gives what differs from what was told.
 func (o *peer) presence(gateways map[string]protocol.Process) peerReport {
-	report := peerReport{Presence: true}
+	report := peerReport{Presence: true, All: !o.begun}
 	for node, process := range gateways {
 		if o.gateways[node] != process {
 			report.Gateways = append(report.Gateways, process)
@@ -141,6 +144,7 @@
 }
 
 func (o *peer) told(report *peerReport) {
+	o.begun = true
 	for _, process := range report.Gateways {
 		o.gateways[process.Node] = process
 	}
--- /dev/null
+++ b/internal/control/peers_test.go
@@ -0,0 +1,46 @@
+package control
+
+import (
+	"fmt"
+	"maps"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"sprucelane.example/sprucelane/internal/control/presence"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// TestPresence tells random sets of gateways over a connection that ends now and then, at either side first; after each report
+// that arrives the receiver has the sender's set.
+func TestPresence(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		receiver := &Control{presence: presence.New()}
+		sender := &peer{gateways: map[string]protocol.Process{}}
+		known := &told{gateways: map[string]protocol.Process{}}
+		for range 30 {
+			switch rapid.IntRange(0, 8).Draw(t, "event") {
+			case 0: // the sender sees a new connection, whatever it has sent over it already
+				sender.begun = false
+				clear(sender.gateways)
+				continue
+			case 1: // a new connection at both
+				sender.begun = false
+				clear(sender.gateways)
+				known = &told{gateways: map[string]protocol.Process{}}
+				continue
+			}
+			gateways := map[string]protocol.Process{}
+			for _, id := range rapid.SliceOfNDistinct(rapid.IntRange(0, 5), 0, 5, rapid.ID[int]).Draw(t, "gateways") {
+				name := fmt.Sprint("front-", id)
+				gateways[name] = protocol.Process{Node: name, Role: protocol.RoleGateway, Incarnation: fmt.Sprint(rapid.IntRange(0, 1).Draw(t, "life"))}
+			}
+			report := sender.presence(gateways)
+			sender.told(&report)
+			receiver.takePresence(known, &report, 0)
+			if !maps.Equal(known.gateways, gateways) {
+				t.Fatalf("the receiver has %v, not %v", known.gateways, gateways)
+			}
+		}
+	})
+}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -101,6 +101,9 @@
 
 // takePresence takes in who polls at another process, and tells whether someone is new.
 func (c *Control) takePresence(known *told, report *peerReport, now time.Duration) bool {
+	if report.All {
+		clear(known.gateways)
+	}
 	for _, process := range report.Gateways {
 		known.gateways[process.Node] = process
 	}
@@ -123,7 +126,8 @@
 	if shared.List != nil {
 		list, err := serverlist.Follow(known.servers, shared.List)
 		if err != nil {
-			return false // this process reads the list itself before long
+			known.servers = nil // nothing that adds to it can be used: this process reads the list itself before long
+			return false
 		}
 		known.servers = list
 	}
