--- a/internal/lab/scale/scale.go
+++ b/internal/lab/scale/scale.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"runtime"
 	"sync"
 	"time"
 
@@ -46,6 +47,7 @@
 type Result struct {
 	Plan     Plan
 	Start    time.Duration // until all members held all
+	Held     float64       // bytes of heap a member, the stand-in platform's included
 	Messages float64       // updates a second that a member took
 	Asked    float64       // requests for quota a second of a member
 	Control  Control
@@ -65,7 +67,21 @@
 	}
 	defer func() { err = errors.Join(err, fleet.Close()) }()
 	r := &run{plan: plan, fleet: fleet}
-	return r.measure(ctx)
+	if result, err = r.measure(ctx); err != nil {
+		err = fmt.Errorf("%w%s", err, fleet.LastLines())
+	}
+	return result, err
+}
+
+// heapPerMember gives this process's live heap, divided by the members.
+func heapPerMember(members int) float64 {
+	if members == 0 {
+		return 0
+	}
+	var stats runtime.MemStats
+	runtime.GC()
+	runtime.ReadMemStats(&stats)
+	return float64(stats.HeapAlloc) / float64(members)
 }
 
 // run is a run under way.
@@ -110,6 +126,7 @@
 		return result, err
 	}
 	after.since(before, &result)
+	result.Held = heapPerMember(r.plan.Members)
 	result.Changes = r.inForce(ctx, changes)
 	return result, nil
 }
--- a/internal/lab/scale/table.go
+++ b/internal/lab/scale/table.go
@@ -8,7 +8,7 @@
 )
 
 // tableHead names the columns of Row.
-const tableHead = "members servers tenants start-s | control: busiest-% all-% peak-MB out-KB/s in-KB/s | a member: updates/s quota-asks/s | changes ack-p50-ms ack-worst-ms in-force-p50-ms in-force-worst-ms missing"
+const tableHead = "members servers tenants start-s | control: busiest-% all-% peak-MB out-KB/s in-KB/s | a member: heap-MB updates/s quota-asks/s | changes ack-p50-ms ack-worst-ms in-force-p50-ms in-force-worst-ms missing"
 
 // WriteHead writes the names of the columns.
 func WriteHead(out io.Writer) { fmt.Fprintln(out, tableHead) }
@@ -23,10 +23,10 @@
 		missing += one.Missing
 	}
 	const percent, kilo, mega = 100, 1e3, 1 << 20
-	fmt.Fprintf(out, "%7d %7d %7d %7.1f | %9.1f %5.1f %7.1f %8.1f %7.1f | %9.2f %12.2f | %7d %10.0f %12.0f %15.0f %17.0f %7d\n",
+	fmt.Fprintf(out, "%7d %7d %7d %7.1f | %9.1f %5.1f %7.1f %8.1f %7.1f | %7.2f %9.2f %12.2f | %7d %10.0f %12.0f %15.0f %17.0f %7d\n",
 		r.Plan.Members, r.Plan.Servers, r.Plan.Tenants, r.Start.Seconds(),
 		percent*r.Control.Busiest, percent*r.Control.All, float64(r.Control.Peak)/mega, r.Control.Sent/kilo, r.Control.Received/kilo,
-		r.Messages, r.Asked, len(r.Changes),
+		r.Held/mega, r.Messages, r.Asked, len(r.Changes),
 		milliseconds(middle(acknowledged)), milliseconds(worst(acknowledged)), milliseconds(middle(inForce)), milliseconds(worst(inForce)),
 		missing)
 }
--- a/internal/lab/system/hollow.go
+++ b/internal/lab/system/hollow.go
@@ -22,3 +22,6 @@
 		Roles: []string{RoleGateway}}
 	return node.Parse(machine.Name, []byte(f.settings.text(machine, RoleGateway)))
 }
+
+// LastLines gives the ends of all processes' logs.
+func (f *Fleet) LastLines() string { return f.lastLines() }
--- a/internal/standin/platform/platform.go
+++ b/internal/standin/platform/platform.go
@@ -7,9 +7,10 @@
 	"fmt"
 	"io"
 	"log"
+	"maps"
 	"net"
 	"net/http"
-	"sort"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -47,8 +48,9 @@
 
 // version is the list from a moment on.
 type version struct {
-	from  time.Time
-	items map[string]instance
+	from   time.Time
+	items  map[string]instance
+	sorted []instance // by id; nil until it is first shown
 }
 
 type instance struct {
@@ -161,7 +163,7 @@
 		items[id] = one
 	}
 	by(items)
-	p.versions = append(p.versions, version{now, items})
+	p.versions = append(p.versions, version{from: now, items: items})
 	for len(p.versions) > 1 && now.Sub(p.versions[1].from) > historyKept {
 		p.versions = p.versions[1:]
 	}
@@ -192,20 +194,25 @@
 func (p *Platform) shown(now time.Time, zone string) []instance {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	items := p.versions[0].items
-	for _, one := range p.versions {
-		if now.Sub(one.from) >= p.options.Lag {
-			items = one.items
+	newest := 0
+	for i := range p.versions {
+		if now.Sub(p.versions[i].from) >= p.options.Lag {
+			newest = i
 		}
 	}
-	var all []instance
-	for _, one := range items {
-		if zone == "" || one.Zone == zone {
-			all = append(all, one)
-		}
+	all := p.versions[newest].inOrder()
+	if zone == "" {
+		return all
+	}
+	return slices.DeleteFunc(slices.Clone(all), func(one instance) bool { return one.Zone != zone })
+}
+
+// inOrder gives the items in the order of ids. The list is sorted once: a long one is asked for page by page.
+func (v *version) inOrder() []instance {
+	if v.sorted == nil {
+		v.sorted = slices.SortedFunc(maps.Values(v.items), func(a, b instance) int { return strings.Compare(a.ID, b.ID) })
 	}
-	sort.Slice(all, func(i, j int) bool { return all[i].ID < all[j].ID })
-	return all
+	return v.sorted
 }
 
 func (p *Platform) list(w http.ResponseWriter, r *http.Request) {
