--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -78,6 +78,7 @@
 	h.owner, h.whole = false, false
 	h.handing = nil
 	h.peers = nil
+	h.replaceAt = 0
 }
 
 // leave stops what this store does for a batch job: it is out of the view.
--- a/internal/batch/replica/simulation_test.go
+++ b/internal/batch/replica/simulation_test.go
@@ -113,6 +113,18 @@
 	return text
 }
 
+// describeUndrained tells what keeps a retiring store.
+func (w *world) describeUndrained(leaving *store) string {
+	m := leaving.machine
+	text := fmt.Sprintf(" settled %v, %d acceptances", m.settled, len(m.acceptances))
+	for _, h := range m.order {
+		if !h.handed {
+			text += "\n" + h.id + fmt.Sprintf(" handing %v", len(h.handing)) + w.describe(h.id)
+		}
+	}
+	return text
+}
+
 func (w *world) someMember() *store {
 	for {
 		if s := w.anyStore(); s.up && w.isMember(s.key()) {
@@ -195,19 +207,28 @@
 
 // TestRetire empties a store, takes its disk, and right after that another one's.
 func TestRetire(t *testing.T) {
-	simulate(t, 4, 2, func(w *world) {
-		w.after(w.between(4*time.Second, 8*time.Second), func() {
-			leaving := w.stores[w.random.IntN(len(w.stores))]
-			w.setState(leaving.key(), protocol.StoreRetiring)
-			w.awaitDrained(leaving)
-		})
+	simulate(t, 4, 2, retireOne)
+}
+
+func retireOne(w *world) {
+	w.after(w.between(4*time.Second, 8*time.Second), func() {
+		leaving := w.stores[w.random.IntN(len(w.stores))]
+		w.setState(leaving.key(), protocol.StoreRetiring)
+		w.awaitDrained(leaving)
 	})
 }
 
+// TestRetireWhileAccepting empties a store that waits for a slow replica of a batch job which it accepts.
+func TestRetireWhileAccepting(t *testing.T) {
+	if err := play(1384, 4, 2, retireOne); err != nil {
+		t.Fatal(err)
+	}
+}
+
 func (w *world) awaitDrained(leaving *store) {
 	if !leaving.machine.Report().DrainedDown {
 		if w.now > 18*time.Second {
-			w.fail("%s isn't drained", leaving.node)
+			w.fail("%s isn't drained:%s", leaving.node, w.describeUndrained(leaving))
 		}
 		w.after(50*time.Millisecond, func() { w.awaitDrained(leaving) })
 		return
--- a/internal/batch/replica/slow.go
+++ b/internal/batch/replica/slow.go
@@ -57,7 +57,7 @@
 // replaceSlow chooses another replica set for a batch job that is being accepted, where members have not written it in time
 // and there are others. The version rises: what they may still write counts for nothing.
 func (m *Machine) replaceSlow(h *held, now time.Duration) {
-	if h.replaceAt == 0 || now < h.replaceAt || h.whole || !h.copyDurable {
+	if h.replaceAt == 0 || now < h.replaceAt || h.whole || !h.copyDurable || len(h.handing) > 0 {
 		return
 	}
 	h.replaceAt = now + replaceAfter
