--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -36,6 +36,8 @@
 	frameMost     = 64 << 20
 	shutdownHTTP  = 1200 * time.Millisecond
 	shutdownChain = 1500 * time.Millisecond
+	// shutdownLending is how long the word that this process lends no more may take: without it a successor waits a second.
+	shutdownLending = 300 * time.Millisecond
 )
 
 // Replica is what is needed of the chain. *replica.Node is one.
@@ -266,6 +268,9 @@
 		defer close(handed)
 		ctx, cancel := context.WithTimeout(context.Background(), shutdownChain)
 		defer cancel()
+		lending, stop := context.WithTimeout(ctx, shutdownLending)
+		c.endLending(lending)
+		stop()
 		if err := c.replica.HandOver(ctx); err != nil {
 			c.log.Warn().Err(err).Msg("handover-failed")
 		}
--- a/internal/control/machine/lending.go
+++ b/internal/control/machine/lending.go
@@ -13,13 +13,17 @@
 	Process string // its life
 }
 
+// Released is the lender on record where the last one has handed its task on: it lends nothing any more.
+var Released = Lender{Process: "released"}
+
 // Lending changes the record of the nodes that quota may be lent to. A lender begins before it lends, and from then on changes
 // of earlier ones have no effect. Its changes are numbered, so that one that comes late doesn't undo a later one.
 type Lending struct {
 	Lender Lender
 	Begin  bool
 	Before Lender // of a beginning: who is the lender now, else it has no effect
-	Number uint64 // of the change, from 1; of one that doesn't begin
+	End    bool   // the lender lends nothing from now on
+	Number uint64 // of the change, from 1; of one that neither begins nor ends
 	Add    []string
 	Remove []string
 	Floors []quota.Floor
@@ -48,6 +52,8 @@
 	case change.Begin && !taken && change.Before == l.Lender:
 		l.Lender, l.Before, l.Number = change.Lender, l.Lender, 0
 		taken = true
+	case change.End && taken:
+		l.Lender, l.Before = Released, l.Lender
 	case !change.Begin && taken && change.Number > l.Number:
 		l.Number = change.Number
 		l.Nodes = changed(l.Nodes, change.Add, change.Remove)
--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -34,8 +34,8 @@
 
 // Service is the allocator of a control process. It is safe for concurrent use.
 //
-// Before it acts the process has itself recorded as the lender, in the chain. Where the lender before was an earlier life of this
-// process, nobody else has acted since, so that can be as soon as the process heads the chain. Else it waits until the time of the
+// Before it acts the process has itself recorded as the lender, in the chain. Where the lender before has handed its task on, or
+// was an earlier life of this process, nobody else acts, so that can be as soon as the process heads the chain. Else it waits until the time of the
 // head before has passed. A beginning takes effect only on the record that it was judged by.
 type Service struct {
 	lead   Lead
@@ -48,6 +48,7 @@
 	allocator  *quota.Allocator
 	configured *configuration.Version // that the allocator works by
 	number     uint64                 // of the last change of the record
+	ended      bool                   // for good
 	term       *term                  // nil: not known to be the lender
 }
 
@@ -117,6 +118,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.ended {
+		return nil
+	}
 	lender := s.record.Lender()
 	if lender != s.self || s.term == nil {
 		return s.beginning(lender)
@@ -135,9 +139,23 @@
 	return &machine.Lending{Lender: s.self, Number: s.number, Add: adds, Remove: without(s.term.removes, adds), Floors: floors}
 }
 
+// End stops lending for good, and gives the change that lets a successor begin at once; nil where there is nothing to hand on.
+func (s *Service) End() *machine.Lending {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.ended = true
+	lends := s.term != nil && s.record.Lender() == s.self
+	s.term = nil
+	s.allocator.Stop()
+	if !lends {
+		return nil
+	}
+	return &machine.Lending{Lender: s.self, End: true}
+}
+
 // beginning gives the change by which this process becomes the lender, or nil while another may still act.
 func (s *Service) beginning(lender machine.Lender) *machine.Lending {
-	alone := lender == machine.Lender{} || lender.Member == s.self.Member
+	alone := lender == machine.Lender{} || lender == machine.Released || lender.Member == s.self.Member
 	if _, _, leads := s.lead.Lead(); !alone && !leads {
 		return nil
 	}
@@ -151,6 +169,9 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.ended {
+		return
+	}
 	if change.Begin {
 		s.allocator.Stop()
 		s.term = &term{founding: outcome.Before == machine.Lender{}, nodes: append([]string{}, outcome.Nodes...),
--- a/internal/control/quotas/quotas_test.go
+++ b/internal/control/quotas/quotas_test.go
@@ -104,6 +104,20 @@
 			So(err, ShouldBeNil)
 			refused(service)
 		})
+		Convey("one that ends lends no more, and another begins at once", func() {
+			lead.alone = false
+			end := service.End()
+			So(end, ShouldNotBeNil)
+			refused(service)
+			So(state.apply(end).Taken, ShouldBeTrue)
+			So(state.carryOut(service), ShouldBeNil)
+			next := New(bounds, lead, state, machine.Lender{Member: "m2", Process: "p3"}, func() {})
+			So(state.carryOut(next).Taken, ShouldBeTrue)
+			_, err := ask(next, 1)
+			So(err, ShouldBeNil)
+			So(state.apply(end).Taken, ShouldBeFalse)
+			So(state.Lender(), ShouldResemble, next.self)
+		})
 		Convey("another's waits until the time of the one before has passed, and ends this one's", func() {
 			lead.alone = false
 			next := New(bounds, lead, state, machine.Lender{Member: "m2", Process: "p3"}, func() {})
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -88,26 +88,38 @@
 	if change == nil {
 		return
 	}
+	ctx, cancel := context.WithTimeout(c.ended, roleAttempt)
+	defer cancel()
+	outcome := c.proposeLending(ctx, change)
+	c.quota.Changed(change, outcome)
+	if outcome != nil && outcome.Taken && change.Begin {
+		c.log.Info().Str("before", outcome.Before.Member).Int("nodes", len(outcome.Nodes)).Msg("lends-quota")
+	}
+}
+
+// endLending hands the lending of quota on.
+func (c *Control) endLending(ctx context.Context) {
+	if change := c.quota.End(); change != nil {
+		c.proposeLending(ctx, change)
+	}
+}
+
+// proposeLending proposes a change of the record; nil: what came of it isn't known, and the next round looks again.
+func (c *Control) proposeLending(ctx context.Context, change *machine.Lending) *machine.LendingOutcome {
 	raw, err := machine.Command{Lending: change}.Encode()
 	if err != nil {
 		c.log.Error().Err(err).Msg("lending-command")
-		return
+		return nil
 	}
-	ctx, cancel := context.WithTimeout(c.ended, roleAttempt)
-	defer cancel()
-	raw, err = c.replica.Propose(ctx, "lending-"+randomName(), raw)
-	if err != nil {
-		return // the next round looks again at what is needed
+	if raw, err = c.replica.Propose(ctx, "lending-"+randomName(), raw); err != nil {
+		return nil
 	}
 	outcome, err := machine.DecodeOutcome(raw)
 	if err != nil {
 		c.log.Error().Err(err).Msg("lending-outcome")
-		return
-	}
-	c.quota.Changed(change, outcome.Lending)
-	if change.Begin {
-		c.log.Info().Str("before", outcome.Lending.Before.Member).Int("nodes", len(outcome.Lending.Nodes)).Msg("lends-quota")
+		return nil
 	}
+	return outcome.Lending
 }
 
 // proposeRole proposes a command. Whatever comes of it, the next round looks again at what is needed.
