--- a/coord/replica/api.go
+++ b/coord/replica/api.go
@@ -186,7 +186,6 @@
 	}
 	select {
 	case <-out:
-		n.linger(ctx)
 		return nil
 	case <-n.done:
 		return ErrClosed
@@ -194,17 +193,3 @@
 		return ctx.Err()
 	}
 }
-
-// handOverLinger is how long a node that has left stays up: the word of the view that is without it is on its way to the others,
-// and without that word they take as long to go on as after a crash.
-const handOverLinger = 60 * time.Millisecond
-
-func (n *Node) linger(ctx context.Context) {
-	timer := time.NewTimer(handOverLinger)
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-	case <-n.done:
-	case <-ctx.Done():
-	}
-}
--- a/coord/replica/core.go
+++ b/coord/replica/core.go
@@ -85,7 +85,8 @@
 	lastHello  time.Duration
 	helloRound int
 	leaving    bool
-	onLeft     func() // called once this member is out of the chain
+	onLeft     func() // called once this member is out of the chain and the others know
+	leftAt     time.Duration
 	lead       leadState
 }
 
@@ -267,6 +268,7 @@
 	c.considerView()
 	c.followTick()
 	c.workTick()
+	c.checkLeft()
 }
 
 // persisted is called once all records taken are durable.
--- a/coord/replica/core_peers.go
+++ b/coord/replica/core_peers.go
@@ -183,6 +183,7 @@
 		p.heard[id] = true
 	}
 	c.takeEcho(p, m)
+	c.checkLeft()
 	if m.Urgent {
 		c.beatTo(from, false, c.heardIDs())
 	}
--- a/coord/replica/core_view.go
+++ b/coord/replica/core_view.go
@@ -52,10 +52,10 @@
 	}
 	c.takeLead(before, v)
 	c.enterView()
-	if c.onLeft != nil && !c.inChain() {
-		c.onLeft()
-		c.onLeft = nil
+	if before.InChain(c.self) && !c.inChain() {
+		c.leftAt = c.now
 	}
+	c.checkLeft()
 	if c.onView != nil {
 		c.onView(v)
 	}
@@ -579,3 +579,28 @@
 	}
 	c.beat(false)
 }
+
+// leaveLimit is how long a member that is out of the chain waits for the others to know.
+const leaveLimit = 600 * time.Millisecond
+
+// checkLeft calls onLeft once a member that leaves is out of the chain, and the others have shown that they know: before that they
+// take as long to go on as after a crash.
+func (c *core) checkLeft() {
+	if c.onLeft == nil || c.inChain() {
+		return
+	}
+	if c.othersKnow() || c.now-c.leftAt > leaveLimit {
+		c.onLeft()
+		c.onLeft = nil
+	}
+}
+
+// othersKnow reports whether all in the chain have shown themselves in the present epoch or a later one.
+func (c *core) othersKnow() bool {
+	for _, m := range c.acceptor.View.Chain {
+		if !m.Same(c.self) && c.peerOf(m).epoch < c.epoch() {
+			return false
+		}
+	}
+	return true
+}
--- a/coord/replica/history_test.go
+++ b/coord/replica/history_test.go
@@ -133,7 +133,18 @@
 					staying = n
 				}
 			}
-			leaving.handle(func() { leaving.core.handOver(w.now) })
+			left := false
+			leaving.handle(func() {
+				leaving.core.onLeft = func() {
+					left = true
+					for _, n := range w.nodes {
+						if n.core.epoch() < leaving.core.epoch() {
+							w.failf("%s ends, and %s doesn't know of the view without it", leaving.name, n.name)
+						}
+					}
+				}
+				leaving.core.handOver(w.now)
+			})
 			if !w.runWhile(200*time.Millisecond, leaving.core.inChain) {
 				w.failf("%s is in the chain 200 ms after it asked to leave", leaving.name)
 			}
@@ -141,6 +152,9 @@
 				t.Errorf("place %d, seed %d: next order after %v", place, seed, took)
 			}
 			w.runUntil(w.now + 3*time.Second)
+			if !left {
+				w.failf("%s hears nothing of its leave", leaving.name)
+			}
 			if leaving.core.inChain() {
 				w.failf("a member that leaves was let in again")
 			}
