--- a/internal/batch/server/life.go
+++ b/internal/batch/server/life.go
@@ -7,6 +7,8 @@
 	"fmt"
 	"os"
 	"path/filepath"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
 )
 
 // life names a disk's life, and counts the starts of the process on it.
@@ -33,7 +35,9 @@
 	case errors.Is(err, os.ErrNotExist):
 		l.incarnation, err = newIncarnation()
 	case err == nil:
-		_, err = fmt.Sscanf(string(text), "%s %d", &l.incarnation, &l.number)
+		if _, scanned := fmt.Sscanf(string(text), "%s %d", &l.incarnation, &l.number); scanned != nil {
+			err = fmt.Errorf("%w: %s: %w", job.ErrCorrupt, lifeFile, scanned)
+		}
 	}
 	if err != nil {
 		return life{}, err
@@ -71,3 +75,53 @@
 	}
 	return errors.Join(folder.Sync(), folder.Close())
 }
+
+// asideFolder holds what a disk held that could not be read, until that happens again.
+const asideFolder = "set-aside"
+
+// setAside moves all that a disk holds out of the way, for people to look at, or removes it where it is more than so many bytes:
+// the disk is empty then, and the process joins the others as a new store, to be filled by them.
+func setAside(directory string, most int64) error {
+	aside := filepath.Join(directory, asideFolder)
+	if err := os.RemoveAll(aside); err != nil {
+		return err
+	}
+	entries, err := os.ReadDir(directory)
+	if err != nil {
+		return err
+	}
+	if sizeOf(entries) > most {
+		return removeAll(directory, entries)
+	}
+	if err := os.Mkdir(aside, 0o755); err != nil {
+		return err
+	}
+	for _, entry := range entries {
+		if err := os.Rename(filepath.Join(directory, entry.Name()), filepath.Join(aside, entry.Name())); err != nil {
+			return err
+		}
+	}
+	folder, err := os.Open(directory)
+	if err != nil {
+		return err
+	}
+	return errors.Join(folder.Sync(), folder.Close())
+}
+
+func sizeOf(entries []os.DirEntry) (size int64) {
+	for _, entry := range entries {
+		if info, err := entry.Info(); err == nil {
+			size += info.Size()
+		}
+	}
+	return size
+}
+
+func removeAll(directory string, entries []os.DirEntry) error {
+	for _, entry := range entries {
+		if err := os.RemoveAll(filepath.Join(directory, entry.Name())); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -4,6 +4,7 @@
 
 import (
 	"context"
+	"errors"
 	"net"
 	"sync"
 	"time"
@@ -30,6 +31,7 @@
 	tickPressing = 50 * time.Millisecond  // while a client waits for an acceptance
 	leaseMargin  = 100 * time.Millisecond // for what is on its way when a lease ends
 	reserve      = 0.2                    // of the disk, which new batch jobs leave free
+	asideShare   = 0.15                   // of the disk, that may hold what could not be read
 	releaseWait  = 5 * time.Second        // between looks at what the log no longer needs
 	statsEvery   = 10 * time.Second
 )
@@ -59,20 +61,23 @@
 // New opens what is on the disk and assembles a server.
 func New(settings *node.Settings, log zerolog.Logger) (*Server, error) {
 	transport.Register(replica.Messages()...)
-	life, err := openLife(settings.DataDir)
-	if err != nil {
-		return nil, err
-	}
 	s := &Server{
 		settings: settings, log: log,
-		origin: time.Now(),
-		process: protocol.Process{
-			Node: settings.NodeName, Role: protocol.RoleBatch, Zone: settings.Zone, IP: settings.IP, Incarnation: life.incarnation,
-		},
+		origin:  time.Now(),
 		waiting: map[replica.Token]chan protocol.BatchAnswer{},
 		peers:   map[string]*transport.Client{},
 		failed:  make(chan error, 1),
 	}
+	err := s.openDisk()
+	if errors.Is(err, job.ErrCorrupt) {
+		log.Error().Err(err).Msg("disk_set_aside")
+		if err = setAside(settings.DataDir, int64(asideShare*float64(settings.Limits.DiskMB))<<20); err == nil {
+			err = s.openDisk()
+		}
+	}
+	if err != nil {
+		return nil, err
+	}
 	s.options = transport.Options{
 		Identity: transport.Identity{
 			System: protocol.System, Node: s.process.Node, Role: s.process.Role, Zone: s.process.Zone, Address: s.process.IP,
@@ -82,18 +87,6 @@
 		Heartbeat: heartbeat,
 		Queue:     1024,
 	}
-	capacity := int64(settings.Limits.DiskMB) << 20
-	s.machine = replica.New(replica.Options{
-		Self: s.process, Life: life.number,
-		Copies:  settings.Tolerance.Machines + 1,
-		KeepFor: settings.Bounds.Status + 2*settings.Bounds.SkewMax,
-		Reserve: int64(reserve * float64(capacity)),
-	}, s)
-	s.disk = &disk{capacity: capacity}
-	s.disk.journal, err = journal.Open(settings.DataDir, journal.Options{}, s.machine.Replay, s.written)
-	if err != nil {
-		return nil, err
-	}
 	s.registry = servers.NewRegistry(noPool{})
 	s.runner = runner.New(settings.Zone, 2*settings.Bounds.SkewMax, s, s, log)
 	s.subscription = subscription.New(subscription.Options{
@@ -107,6 +100,27 @@
 	return s, nil
 }
 
+// openDisk reads what the disk holds of earlier lives. job.ErrCorrupt says that it holds what no life of this program wrote so.
+func (s *Server) openDisk() error {
+	life, err := openLife(s.settings.DataDir)
+	if err != nil {
+		return err
+	}
+	s.process = protocol.Process{
+		Node: s.settings.NodeName, Role: protocol.RoleBatch, Zone: s.settings.Zone, IP: s.settings.IP, Incarnation: life.incarnation,
+	}
+	capacity := int64(s.settings.Limits.DiskMB) << 20
+	s.machine = replica.New(replica.Options{
+		Self: s.process, Life: life.number,
+		Copies:  s.settings.Tolerance.Machines + 1,
+		KeepFor: s.settings.Bounds.Status + 2*s.settings.Bounds.SkewMax,
+		Reserve: int64(reserve * float64(capacity)),
+	}, s)
+	s.disk = &disk{capacity: capacity}
+	s.disk.journal, err = journal.Open(s.settings.DataDir, journal.Options{}, s.machine.Replay, s.written)
+	return err
+}
+
 // noPool stands for the gateways' pool of connections, which a batch process doesn't have.
 type noPool struct{}
 
