--- /dev/null
+++ b/coord/leader/example_test.go
@@ -0,0 +1,45 @@
+package leader_test
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/leader"
+)
+
+// always is a source that leads in epoch 7 until it hands over.
+type always struct{ handed chan struct{} }
+
+func (a *always) Lead() (uint64, time.Time, bool) {
+	select {
+	case <-a.handed:
+		return 0, time.Time{}, false
+	default:
+		return 7, time.Now().Add(time.Minute), true
+	}
+}
+
+func (a *always) HandOver(context.Context) error {
+	close(a.handed)
+	return nil
+}
+
+// A role runs in its term, looks at the term before each act, and ends when the runner resigns.
+func Example() {
+	started := make(chan struct{})
+	role := func(ctx context.Context, term *leader.Term) {
+		fmt.Println("epoch", term.Epoch(), "valid", term.Valid())
+		close(started)
+		<-ctx.Done()
+		fmt.Println("over, valid", term.Valid())
+	}
+	runner := leader.Run(&always{handed: make(chan struct{})}, role, leader.Options{})
+	<-started
+	fmt.Println("resign:", runner.Resign(context.Background()))
+	runner.Close()
+	// Output:
+	// epoch 7 valid true
+	// over, valid false
+	// resign: <nil>
+}
--- a/coord/replica/api.go
+++ b/coord/replica/api.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"time"
 
@@ -19,6 +20,9 @@
 	if id == "" {
 		id = n.drawID()
 	}
+	if n.status.Load().ailing {
+		return nil, fmt.Errorf("%w: %w", ErrUnavailable, errDisk)
+	}
 	wait := &waiter{outcomes: make(chan chain.Outcome, 1)}
 	err := n.input(ctx, func() { n.core.submit(n.now(), id, order, wait) })
 	if err != nil {
@@ -67,6 +71,9 @@
 
 // Read returns once the local machine has applied every order acknowledged before the call.
 func (n *Node) Read(ctx context.Context) (index uint64, err error) {
+	if n.status.Load().ailing {
+		return 0, fmt.Errorf("%w: %w", ErrUnavailable, errDisk)
+	}
 	indexes := make(chan uint64, 1)
 	var read *pendingRead
 	err = n.input(ctx, func() {
@@ -96,6 +103,9 @@
 	return time.Since(current.freshSince), true
 }
 
+// errDisk says why a node refuses.
+var errDisk = errors.New("the disk refuses writes")
+
 // View returns the newest view that the node knows.
 func (n *Node) View() view.View { return n.status.Load().view }
 
--- /dev/null
+++ b/coord/replica/example_test.go
@@ -0,0 +1,100 @@
+package replica_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"sync"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/replica"
+	"sprucelane.example/sprucelane/coord/transport"
+)
+
+// greeting is a machine that holds one text. The lock is for readers outside of the node.
+type greeting struct {
+	mutex sync.Mutex
+	text  string
+}
+
+func (g *greeting) Apply(_ uint64, order []byte) []byte {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	before := g.text
+	g.text = string(order)
+	return []byte(before)
+}
+
+func (g *greeting) Snapshot() []byte {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return []byte(g.text)
+}
+
+func (g *greeting) Restore(snapshot []byte) error {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.text = string(snapshot)
+	return nil
+}
+
+func (g *greeting) read() string {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.text
+}
+
+// One machine founds a system of its own, takes two orders, and finds them again after a restart.
+func Example() {
+	folder, err := os.MkdirTemp("", "replica")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer os.RemoveAll(folder)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	address := listener.Addr().String()
+	_ = listener.Close()
+
+	state := &greeting{}
+	options := replica.Options{
+		Identity:  transport.Identity{System: "example", Node: "one"},
+		Listen:    address,
+		Seeds:     []string{address},
+		Bootstrap: true,
+		DataDir:   folder,
+		Machine:   state,
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), 10*time.Second)
+	defer cancel()
+	node, err := replica.Start(options)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	for i, text := range []string{"hello", "good morning"} {
+		before, err := node.Propose(ctx, fmt.Sprint("order-", i), []byte(text))
+		fmt.Printf("%q %v\n", before, err)
+	}
+	node.Close()
+
+	restarted := &greeting{}
+	options.Machine, options.Bootstrap = restarted, false
+	node, err = replica.Start(options)
+	if err != nil {
+		fmt.Println(err)
+		return
+	}
+	defer node.Close()
+	_, err = node.Read(ctx)
+	fmt.Printf("%q %v\n", restarted.read(), err)
+	// Output:
+	// "" <nil>
+	// "hello" <nil>
+	// "good morning" <nil>
+}
--- a/coord/replica/simulation_test.go
+++ b/coord/replica/simulation_test.go
@@ -24,7 +24,9 @@
 	duels   bool // proposers meet all the time
 	lastAck time.Duration
 	silent  bool // without the usual clients
-	onAcks  func()
+
+	fullDisks bool // the only faults are disks that take no more bytes
+	onAcks    func()
 }
 
 func runCampaign(seed uint64, duration time.Duration, plant string) *campaign {
@@ -240,6 +242,14 @@
 	}
 	c.faults++
 	nodes := c.machines()
+	if c.fullDisks {
+		n := nodes[c.random.IntN(len(nodes))]
+		down := 200*time.Millisecond + c.span(3*time.Second)
+		n.refuseWrites(down)
+		c.expect(down)
+		c.after(down+catchUp, c.fault)
+		return
+	}
 	c.random.Shuffle(len(nodes), func(i, j int) { nodes[i], nodes[j] = nodes[j], nodes[i] })
 	lost := nodes[:1+c.random.IntN(c.tolerance)]
 	down := 100*time.Millisecond + c.span(3*time.Second)
@@ -535,6 +545,15 @@
 	}
 }
 
+// TestFullDisks plays worlds in which disks refuse writes for a while.
+func TestFullDisks(t *testing.T) {
+	for seed := uint64(0); seed < plainWorlds/5; seed++ {
+		c := prepareCampaign(seed, worldLength, "")
+		c.fullDisks = true
+		c.run()
+	}
+}
+
 // TestPlantedBugs checks that the worlds find what they are for: each bug stands in the harness.
 func TestPlantedBugs(t *testing.T) {
 	firstSeeds := map[string]uint64{plantSkipRepair: 117} // saves the worlds that are known not to find it
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -106,6 +106,8 @@
 	syncing bool
 	stalled bool // the disk answers nothing
 	slow    int  // the disk takes this many times as long
+	full    bool // the disk refuses writes
+	ailing  bool // it has refused one
 	inbox   []func()
 	waits   []func() bool
 	torn    func() // what a loss of power during the sync leaves
@@ -232,7 +234,7 @@
 	w := n.world
 	n.life++
 	n.up, n.frozen, n.syncing, n.inbox, n.torn = true, false, false, nil, nil
-	n.waits = nil
+	n.waits, n.ailing = nil, false
 	n.machine = &historyMachine{}
 	options := coreOptions{
 		self:      view.Member{Node: n.name, Address: n.address},
@@ -342,7 +344,7 @@
 	if n.life != life || !n.up {
 		return
 	}
-	if !n.frozen {
+	if !n.frozen && !n.ailing {
 		n.handle(func() { n.core.tick(n.world.now) })
 	}
 	n.world.after(tickInterval, func() { n.tick(life) })
@@ -367,12 +369,22 @@
 	if n.disk != nil && n.disk.bytes > 16<<10 {
 		n.core.rewrite = true
 	}
+	if n.ailing {
+		n.core.takeMessages()
+		return
+	}
 	n.plantBefore()
 	records, whole := n.core.takeRecords()
 	if len(records) == 0 && whole == nil {
 		n.finish()
 		return
 	}
+	if n.full {
+		n.world.note("the disk of %s refuses a write", n.name)
+		n.ailing = true
+		n.core.takeMessages()
+		return
+	}
 	n.syncing = true
 	life := n.life
 	n.torn = func() {
@@ -388,6 +400,21 @@
 	w.after(duration*time.Duration(max(n.slow, 1)), func() { n.synced(life, records, whole) })
 }
 
+// refuseWrites has the disk take no bytes for a while. As Node does, the process then goes on from what
+// the disk holds.
+func (n *simulatedNode) refuseWrites(down time.Duration) {
+	n.full = true
+	n.world.after(down, func() {
+		n.full = false
+		if !n.ailing || !n.up {
+			return
+		}
+		n.ailing = false
+		n.core.reopened(n.world.now, mustRecover(n.disk.snapshot, n.disk.records))
+		n.flush()
+	})
+}
+
 func (n *simulatedNode) synced(life int, records [][]byte, whole []byte) {
 	if n.life != life || !n.up {
 		return
@@ -667,11 +694,11 @@
 	}
 }
 
-// serving returns nodes that run and aren't frozen.
+// serving returns nodes that run, aren't frozen and don't refuse for their disk.
 func (w *world) serving() []*simulatedNode {
 	var nodes []*simulatedNode
 	for _, n := range w.nodes {
-		if n.up && !n.frozen {
+		if n.up && !n.frozen && !n.ailing {
 			nodes = append(nodes, n)
 		}
 	}
