Send a member's orders around a broken link to the head; worlds' clients turn elsewhere

View 5 (n0, n2) took no order because none was given to it. Ruled out: a wedged or half-copied chain (both members whole at 21.66 s), held orders, lost forwards within the majority. So the world asked too little of the chain and too much of its clients: "sends one again elsewhere" drew among all.

- Clients go to a node that they have not tried yet.
- The check after a loss is stricter: each machine that reaches a majority both ways orders something at the loss and a second later, and each of these orders is acknowledged two seconds after the loss.

--- a/coord/replica/core_client.go
+++ b/coord/replica/core_client.go
@@ -115,9 +115,9 @@
 			order.sent = true
 		}
 	case c.isVoter():
-		if c.heard(head) {
+		if next := c.towards(head); !next.IsZero() {
 			order.sent = true
-			c.send(head, Forward{ID: order.id, Order: order.order})
+			c.send(next, Forward{ID: order.id, Order: order.order})
 		}
 	case c.feed.alive(c.now):
 		order.sent = true
@@ -125,6 +125,23 @@
 	}
 }
 
+// towards returns the member to which a voter sends its orders: the head, or where the link to it is broken a member of the chain
+// that is in touch with both.
+func (c *core) towards(head view.Member) view.Member {
+	if c.heard(head) {
+		return head
+	}
+	for _, m := range c.acceptor.View.Chain {
+		if m.Same(c.self) || !c.inTouch(m) {
+			continue
+		}
+		if c.peers[m.ID()].heard[head.ID()] {
+			return m
+		}
+	}
+	return view.Member{}
+}
+
 // take gives an order a place at the head, once.
 func (c *core) take(id string, order []byte) bool {
 	if !c.serving() || !c.enough() || c.leaving {
--- a/coord/replica/core_test.go
+++ b/coord/replica/core_test.go
@@ -78,3 +78,35 @@
 		t.Logf("back in the chain after %v", w.now-back)
 	}
 }
+
+// TestOrderAroundBrokenLink cuts, one way or both, the link between the last member of a chain and its head, which the chain
+// doesn't use: orders of the last member go by the one between them.
+func TestOrderAroundBrokenLink(t *testing.T) {
+	for _, ways := range [][]int{{0, 2}, {2, 0}, {0, 2, 2, 0}} {
+		w := startedWorld(20, 3, 1)
+		w.runUntil(2 * time.Second)
+		for i := 0; i < len(ways); i += 2 {
+			w.cuts[[2]string{w.nodes[ways[i]].address, w.nodes[ways[i+1]].address}] = true
+		}
+		w.runUntil(5 * time.Second)
+		if chain := w.nodes[1].core.view(); chain.Epoch != 1 {
+			t.Errorf("cut %v: the view changed to epoch %d, %v", ways, chain.Epoch, chain)
+		}
+		took := w.acknowledged(t, w.nodes[2], "around", time.Second)
+		t.Logf("cut %v: acknowledged after %v", ways, took)
+	}
+}
+
+// TestOrderOfMemberLeftOut cuts the link between the head and the second member, so that the next view leaves one of them out: both
+// still have their orders taken.
+func TestOrderOfMemberLeftOut(t *testing.T) {
+	w := startedWorld(21, 3, 1)
+	w.runUntil(2 * time.Second)
+	w.cuts[[2]string{w.nodes[0].address, w.nodes[1].address}] = true
+	w.cuts[[2]string{w.nodes[1].address, w.nodes[0].address}] = true
+	w.runUntil(5 * time.Second)
+	for _, n := range w.nodes {
+		took := w.acknowledged(t, n, "through "+n.name, time.Second)
+		t.Logf("through %s: acknowledged after %v", n.name, took)
+	}
+}
--- a/coord/replica/doc.go
+++ b/coord/replica/doc.go
@@ -37,7 +37,8 @@
 // Core machines exchange heartbeats every 200 ms, with the list of those that the sender is in touch
 // with. A member that is silent for 700 ms is left out by the next view, which its neighbours propose
 // first; a member that returns is let in once all of the chain hears it. Links that are cut one way,
-// or between two members only, don't matter where the chain doesn't use them. A process that finds a
+// or between two members only, don't matter where the chain doesn't use them: orders go around them,
+// by a member in touch with both ends. A process that finds a
 // gap of more than 400 ms between its ticks stood still itself: it forgets all silence and listens.
 //
 // Each heartbeat echoes the last one heard from its addressee. So a member learns, without a message
--- a/coord/replica/simulation_test.go
+++ b/coord/replica/simulation_test.go
@@ -19,6 +19,7 @@
 type campaign struct {
 	*world
 	orders  int
+	probes  int
 	end     time.Duration // no faults and no new orders after this
 	faults  int
 	duels   bool // proposers meet all the time
@@ -99,21 +100,24 @@
 		}
 		c.orders++
 		id := fmt.Sprintf("c%d-%d", number, c.orders)
-		c.try(id, 0, func() { c.after(c.span(150*time.Millisecond), next) })
+		c.try(id, nil, func() { c.after(c.span(150*time.Millisecond), next) })
 	}
 	c.after(c.span(time.Second), next)
 }
 
-func (c *campaign) try(id string, attempt int, done func()) {
+// maxTries is how often a client sends one order before it gives it up.
+const maxTries = 6
+
+// try sends an order through a node that hasn't had it yet, and after a second without an answer through another one.
+func (c *campaign) try(id string, tried []*simulatedNode, done func()) {
 	if c.now > c.end {
 		return
 	}
-	nodes := c.serving()
-	if len(nodes) == 0 {
-		c.after(50*time.Millisecond, func() { c.try(id, attempt, done) })
+	n := c.elsewhere(tried)
+	if n == nil {
+		c.after(50*time.Millisecond, func() { c.try(id, tried, done) })
 		return
 	}
-	n := nodes[c.random.IntN(len(nodes))]
 	finished := false
 	n.propose(id, func(chain.Outcome) {
 		if !finished {
@@ -129,14 +133,39 @@
 			return
 		}
 		finished = true
-		if attempt >= 5 {
+		tried = append(tried, n)
+		if len(tried) >= maxTries {
 			done()
 			return
 		}
-		c.try(id, attempt+1, done)
+		c.try(id, tried, done)
 	})
 }
 
+// elsewhere draws a node that serves, of those that were tried least often; nil where none serves.
+func (c *campaign) elsewhere(tried []*simulatedNode) *simulatedNode {
+	least := maxTries
+	var nodes []*simulatedNode
+	for _, n := range c.serving() {
+		times := 0
+		for _, other := range tried {
+			if other == n {
+				times++
+			}
+		}
+		if times < least {
+			least, nodes = times, nil
+		}
+		if times == least {
+			nodes = append(nodes, n)
+		}
+	}
+	if len(nodes) == 0 {
+		return nil
+	}
+	return nodes[c.random.IntN(len(nodes))]
+}
+
 func (c *campaign) watch() {
 	c.checkFresh()
 	if c.now < c.end {
@@ -179,12 +208,7 @@
 // settled reports whether the newest view has its voters among the machines that run, and its whole
 // chain holds the prefix.
 func (c *campaign) settled() bool {
-	var newest *simulatedNode
-	for _, n := range c.machines() {
-		if n.up && (newest == nil || n.core.epoch() > newest.core.epoch()) {
-			newest = n
-		}
-	}
+	newest := c.newest()
 	if newest == nil || len(newest.core.view().Chain) < 2*c.tolerance+1 {
 		return false
 	}
@@ -337,13 +361,19 @@
 	c.resets[[2]string{to.address, from.address}]++
 }
 
-// expect checks, where nothing but the losses to be borne goes on, that an order is acknowledged soon
-// after a loss, and that the chain is whole soon after its end.
+// expect checks, where nothing but the losses to be borne goes on, that soon after a loss each machine in touch with a majority has
+// its orders acknowledged, and that the chain is whole soon after the loss's end.
 func (c *campaign) expect(down time.Duration) {
 	if c.duels || c.unordered || c.silent {
 		return
 	}
 	lost, number := c.now, c.faults
+	c.after(0, func() { c.probe(lost) })
+	c.after(expectedPause/2, func() {
+		if c.faults == number {
+			c.probe(lost)
+		}
+	})
 	c.after(expectedPause, func() {
 		if c.now < c.end && c.faults == number && c.lastAck < lost && c.coreUp() {
 			c.failf("nothing is acknowledged since %v", c.lastAck)
@@ -356,6 +386,65 @@
 	})
 }
 
+// probe has each machine that is in touch with a majority order something, which must be acknowledged in time after the loss.
+func (c *campaign) probe(lost time.Duration) {
+	number := c.faults
+	for _, n := range c.machines() {
+		if !c.reachesMajority(n) {
+			continue
+		}
+		n, life := n, n.life
+		c.probes++
+		id := fmt.Sprintf("probe-%d-%s", c.probes, n.name)
+		acknowledged := false
+		n.propose(id, func(chain.Outcome) { acknowledged = true })
+		c.after(lost+expectedPause-c.now, func() {
+			if c.now >= c.end || c.faults != number || n.life != life || acknowledged {
+				return
+			}
+			if c.coreUp() && c.reachesMajority(n) {
+				c.failf("%s reaches a majority, and its order %s isn't acknowledged", n.name, id)
+			}
+		})
+	}
+}
+
+// reachesMajority reports whether a machine votes in the newest view and works, and so do a majority of the voters that it reaches
+// both ways.
+func (c *campaign) reachesMajority(n *simulatedNode) bool {
+	newest := c.newest()
+	if newest == nil || !c.works(n) || !newest.core.view().IsVoter(n.core.self) {
+		return false
+	}
+	reached := 0
+	for _, other := range c.machines() {
+		if !c.works(other) || !newest.core.view().IsVoter(other.core.self) {
+			continue
+		}
+		there, back := [2]string{n.address, other.address}, [2]string{other.address, n.address}
+		if !c.cuts[there] && !c.cuts[back] {
+			reached++
+		}
+	}
+	return reached >= newest.core.view().Majority()
+}
+
+// works reports whether a machine runs and its disk does.
+func (c *campaign) works(n *simulatedNode) bool {
+	return n.up && !n.gone && !n.frozen && !n.stalled && !n.full && !n.ailing
+}
+
+// newest returns the machine that runs and knows the newest view.
+func (c *campaign) newest() *simulatedNode {
+	var newest *simulatedNode
+	for _, n := range c.machines() {
+		if n.up && (newest == nil || n.core.epoch() > newest.core.epoch()) {
+			newest = n
+		}
+	}
+	return newest
+}
+
 // coreUp reports whether no more machines are lost than are to be borne.
 func (c *campaign) coreUp() bool {
 	lost := 0
@@ -573,3 +662,41 @@
 		})
 	}
 }
+
+// TestClientsTurnElsewhere checks that a client that gets no answer tries each other node before it comes back to one: three clients
+// that happened to choose the same cut-off machine again were seed 7002540's two seconds without an acknowledgement.
+func TestClientsTurnElsewhere(t *testing.T) {
+	for seed := uint64(1); seed <= 50; seed++ {
+		c := prepareCampaign(seed, worldLength, "")
+		c.runUntil(time.Second)
+		var tried []*simulatedNode
+		for range len(c.serving()) {
+			n := c.elsewhere(tried)
+			for _, earlier := range tried {
+				if n == earlier {
+					t.Fatalf("seed %d: a client comes back to %s before it has tried all", seed, n.name)
+				}
+			}
+			tried = append(tried, n)
+		}
+	}
+}
+
+// TestClientOfCutOffMachine plays the moment of seed 7002540 with all clients at the machine that is cut off: the orders are
+// acknowledged through the others in time.
+func TestClientOfCutOffMachine(t *testing.T) {
+	c := &campaign{world: startedWorld(22, 3, 1), end: worldLength}
+	c.runUntil(2 * time.Second)
+	mute := c.nodes[1]
+	c.cut(mute, c.nodes[0], 3*time.Second)
+	c.cut(mute, c.nodes[2], 3*time.Second)
+	lost, waiting := c.now, 3
+	for client := range 3 {
+		id := fmt.Sprint("order-", client)
+		mute.propose(id, nil)
+		c.after(time.Second, func() { c.try(id, []*simulatedNode{mute}, func() { waiting-- }) })
+	}
+	if !c.runWhile(expectedPause, func() bool { return waiting > 0 }) {
+		t.Errorf("%d orders aren't acknowledged %v after the cut", waiting, c.now-lost)
+	}
+}
