--- /dev/null
+++ b/coord/replica/core_plan.go
@@ -0,0 +1,204 @@
+package replica
+
+import (
+	"sort"
+
+	"sprucelane.example/sprucelane/coord/view"
+)
+
+// minimumVoters is the smallest set of voters that is worth a majority.
+const minimumVoters = 3
+
+func (c *core) hearsMajority() bool {
+	count := 0
+	for _, m := range c.acceptor.View.Voters {
+		if m.Same(c.self) {
+			count++
+		} else if p := c.peers[m.ID()]; p != nil && p.inTouch && c.heard(m) {
+			count++
+		}
+	}
+	return count >= c.acceptor.View.Majority()
+}
+
+// need tells why the view should change, or nothing.
+func (c *core) need() string {
+	if !c.hearsMajority() {
+		return ""
+	}
+	if c.acceptor.Wedged() {
+		if c.now-c.agree.wedgedSince > wedgeLimit {
+			return "wedged"
+		}
+		return ""
+	}
+	if silent, broken := c.silentMembers(); broken {
+		return "silent member"
+	} else if silent {
+		return "" // a view of this member's would leave out one that the chain has a use for
+	}
+	for _, m := range c.acceptor.View.Chain {
+		if c.isLeaving(m) && len(c.acceptor.View.Chain)-1 > c.tolerance {
+			return "leaving member"
+		}
+	}
+	voters := c.planVoters()
+	if !view.SameMembers(voters, c.acceptor.View.Voters) {
+		return "voters"
+	}
+	for _, m := range voters {
+		if !c.acceptor.View.InChain(m) && c.mayJoinChain(m) {
+			return "returned member"
+		}
+	}
+	return ""
+}
+
+// silentMembers reports whether members of the chain are silent here, and whether that breaks the chain.
+func (c *core) silentMembers() (silent, broken bool) {
+	for _, m := range c.acceptor.View.Chain {
+		if c.heard(m) {
+			continue
+		}
+		silent = true
+		broken = broken || c.adjacent(m) || !c.heardByChain(m)
+	}
+	return silent, broken
+}
+
+// adjacent reports whether m is this member's neighbour in the chain.
+func (c *core) adjacent(m view.Member) bool {
+	before, after := c.acceptor.View.Neighbours(c.self)
+	return before.Same(m) || after.Same(m)
+}
+
+// heardByChain reports whether a member of the chain that is in touch with this one hears m. Then only
+// the link between m and this member is broken, which the chain doesn't use.
+func (c *core) heardByChain(m view.Member) bool {
+	for _, other := range c.acceptor.View.Chain {
+		if other.Same(c.self) || other.Same(m) || !c.heard(other) {
+			continue
+		}
+		if p := c.peers[other.ID()]; p != nil && p.inTouch && p.heard[m.ID()] {
+			return true
+		}
+	}
+	return false
+}
+
+// mayJoinChain reports whether m is in touch with this member and with all of the chain.
+func (c *core) mayJoinChain(m view.Member) bool {
+	if !c.inTouch(m) || c.isLeaving(m) {
+		return false
+	}
+	for _, other := range c.acceptor.View.Chain {
+		if other.Same(c.self) || other.Same(m) {
+			continue
+		}
+		p := c.peers[other.ID()]
+		if p == nil || !c.heard(other) {
+			continue
+		}
+		if !p.heard[m.ID()] && c.acceptor.View.IsVoter(m) {
+			return false
+		}
+	}
+	return true
+}
+
+// targetVoters is the number of voters that the losses to be borne ask for.
+func (c *core) targetVoters() int { return max(2*c.tolerance+1, minimumVoters) }
+
+// candidates returns the machines with a disk that ask to become voters.
+func (c *core) candidates() []view.Member {
+	var members []view.Member
+	for _, p := range c.peers {
+		if p.candidate && !c.acceptor.View.IsVoter(p.member) && !p.leaving && c.inTouch(p.member) {
+			members = append(members, p.member)
+		}
+	}
+	sort.Slice(members, func(i, j int) bool { return members[i].ID() < members[j].ID() })
+	return members
+}
+
+// planVoters returns the voters that the next view should have.
+func (c *core) planVoters() []view.Member {
+	voters := append([]view.Member(nil), c.acceptor.View.Voters...)
+	for _, candidate := range c.candidates() {
+		if position := c.replaceable(voters, candidate); position >= 0 {
+			voters[position] = candidate
+		} else if len(voters) < c.targetVoters() {
+			voters = append(voters, candidate)
+		}
+	}
+	for len(voters) > c.targetVoters() {
+		position := c.longestAbsent(voters)
+		if position < 0 {
+			break
+		}
+		voters = append(voters[:position], voters[position+1:]...)
+	}
+	return voters
+}
+
+// replaceable returns the voter whose place a candidate takes: an earlier life of its disk or its
+// machine, else one that has been silent for long.
+func (c *core) replaceable(voters []view.Member, candidate view.Member) int {
+	for i, m := range voters {
+		known := m
+		if p := c.peers[m.ID()]; p != nil {
+			known = p.member
+		}
+		if m.Address == candidate.Address || known.Node != "" && known.Node == candidate.Node && !c.heard(m) {
+			return i
+		}
+	}
+	return c.longestAbsent(voters)
+}
+
+func (c *core) longestAbsent(voters []view.Member) int {
+	position, longest := -1, absenceLimit
+	for i, m := range voters {
+		if silent := c.silentFor(m); silent > longest && c.acceptor.View.IsVoter(m) {
+			position, longest = i, silent
+		}
+	}
+	return position
+}
+
+// isStaying reports whether m makes a good source.
+func (c *core) isStaying(m view.Member) bool { return !c.isLeaving(m) }
+
+// plan makes the members of the next view for the source that the promises gave.
+func (c *core) plan(source view.Member) (voters, members []view.Member, ok bool) {
+	voters = c.planVoters()
+	if view.Index(voters, source) < 0 {
+		return nil, nil, false
+	}
+	for _, m := range c.acceptor.View.Chain {
+		if m.Same(source) || view.Index(voters, m) >= 0 && c.heard(m) && !c.isLeaving(m) {
+			members = append(members, m)
+		}
+	}
+	if view.Index(members, source) < 0 {
+		members = append(members, source)
+	}
+	for _, m := range voters {
+		if view.Index(members, m) < 0 && c.mayJoinChain(m) {
+			members = append(members, m)
+		}
+	}
+	return c.named(voters), c.named(members), true
+}
+
+// named fills in the names that heartbeats brought.
+func (c *core) named(members []view.Member) []view.Member {
+	for i := range members {
+		if members[i].Same(c.self) {
+			members[i].Node = c.self.Node
+		} else if p := c.peers[members[i].ID()]; p != nil && p.member.Node != "" {
+			members[i].Node = p.member.Node
+		}
+	}
+	return members
+}
