Planning of the next view moves to coord/view as a Planner

Change: planVoters, replaceable, longestAbsent, targetVoters and plan of coord/replica/core_plan.go are now view.Planner (Voters, Plan) and view.TargetVoters in coord/view/plan.go, which ask the core through functions (Heard, Leaving, MayJoin, Absent, Known). core.planner() fills it in. Nothing else is changed: absent is silence beyond absenceLimit, compared as before.

--- a/coord/replica/core_plan.go
+++ b/coord/replica/core_plan.go
@@ -2,13 +2,11 @@
 
 import (
 	"sort"
+	"time"
 
 	"sprucelane.example/sprucelane/coord/view"
 )
 
-// minimumVoters is the smallest set of voters that is worth a majority.
-const minimumVoters = 3
-
 func (c *core) hearsMajority() bool {
 	count := 0
 	for _, m := range c.acceptor.View.Voters {
@@ -106,9 +104,6 @@
 	return true
 }
 
-// targetVoters is the number of voters that the losses to be borne ask for.
-func (c *core) targetVoters() int { return max(2*c.tolerance+1, minimumVoters) }
-
 // candidates returns the machines with a disk that ask to become voters.
 func (c *core) candidates() []view.Member {
 	var members []view.Member
@@ -121,49 +116,32 @@
 	return members
 }
 
-// planVoters returns the voters that the next view should have.
-func (c *core) planVoters() []view.Member {
-	voters := append([]view.Member(nil), c.acceptor.View.Voters...)
-	for _, candidate := range c.candidates() {
-		if position := c.replaceable(voters, candidate); position >= 0 {
-			voters[position] = candidate
-		} else if len(voters) < c.targetVoters() {
-			voters = append(voters, candidate)
-		}
+// planner tells what this member sees of the machines.
+func (c *core) planner() view.Planner {
+	return view.Planner{
+		Present:    c.acceptor.View,
+		Tolerance:  c.tolerance,
+		Candidates: c.candidates(),
+		Known:      c.knownAs,
+		Heard:      c.heard,
+		Leaving:    c.isLeaving,
+		MayJoin:    c.mayJoinChain,
+		Absent:     func(m view.Member) time.Duration { return max(c.silentFor(m)-absenceLimit, 0) },
 	}
-	for len(voters) > c.targetVoters() {
-		position := c.longestAbsent(voters)
-		if position < 0 {
-			break
-		}
-		voters = append(voters[:position], voters[position+1:]...)
-	}
-	return voters
 }
 
-// replaceable returns the voter whose place a candidate takes: an earlier life of its disk or its
-// machine, else one that has been silent for long.
-func (c *core) replaceable(voters []view.Member, candidate view.Member) int {
-	for i, m := range voters {
-		known := m
-		if p := c.peers[m.ID()]; p != nil {
-			known = p.member
-		}
-		if m.Address == candidate.Address || known.Node != "" && known.Node == candidate.Node && !c.heard(m) {
-			return i
-		}
-	}
-	return c.longestAbsent(voters)
+// planVoters returns the voters that the next view should have.
+func (c *core) planVoters() []view.Member {
+	planner := c.planner()
+	return planner.Voters()
 }
 
-func (c *core) longestAbsent(voters []view.Member) int {
-	position, longest := -1, absenceLimit
-	for i, m := range voters {
-		if silent := c.silentFor(m); silent > longest && c.acceptor.View.IsVoter(m) {
-			position, longest = i, silent
-		}
+// knownAs returns m with the name that heartbeats brought.
+func (c *core) knownAs(m view.Member) view.Member {
+	if p := c.peers[m.ID()]; p != nil {
+		return p.member
 	}
-	return position
+	return m
 }
 
 // isStaying reports whether m makes a good source.
@@ -171,24 +149,9 @@
 
 // plan makes the members of the next view for the source that the promises gave.
 func (c *core) plan(source view.Member) (voters, members []view.Member, ok bool) {
-	voters = c.planVoters()
-	if view.Index(voters, source) < 0 {
-		return nil, nil, false
-	}
-	for _, m := range c.acceptor.View.Chain {
-		if m.Same(source) || view.Index(voters, m) >= 0 && c.heard(m) && !c.isLeaving(m) {
-			members = append(members, m)
-		}
-	}
-	if view.Index(members, source) < 0 {
-		members = append(members, source)
-	}
-	for _, m := range voters {
-		if view.Index(members, m) < 0 && c.mayJoinChain(m) {
-			members = append(members, m)
-		}
-	}
-	return c.named(voters), c.named(members), true
+	planner := c.planner()
+	voters, members, ok = planner.Plan(source)
+	return c.named(voters), c.named(members), ok
 }
 
 // named fills in the names that heartbeats brought.
