Simulated disks: reads at an offset; what a loss of power left stays on the platter

Gap: the batch log reads payloads at an offset of a segment that is still written, which slots.File couldn't do, so that it couldn't run on the simulated disk. And after a loss of power the simulated disk kept one array for what processes see and for what is on the platter: a truncation and write that were not synced changed the platter, and Flip inverted a bit twice.

slots.File gets ReadAt; the folder of the operating system opens its files for reading, too. The simulated disk gives what processes see. PowerLoss copies what is on the platter. A test for each; the two about the platter fail without the copy.

--- a/coord/slots/benchmark_test.go
+++ b/coord/slots/benchmark_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 
 	"sprucelane.example/sprucelane/coord/slots"
@@ -14,10 +15,11 @@
 
 type discardFile struct{}
 
-func (discardFile) Write(data []byte) (int, error) { return len(data), nil }
-func (discardFile) Truncate(int64) error           { return nil }
-func (discardFile) Sync() error                    { return nil }
-func (discardFile) Close() error                   { return nil }
+func (discardFile) Write(data []byte) (int, error)    { return len(data), nil }
+func (discardFile) ReadAt([]byte, int64) (int, error) { return 0, io.EOF }
+func (discardFile) Truncate(int64) error              { return nil }
+func (discardFile) Sync() error                       { return nil }
+func (discardFile) Close() error                      { return nil }
 
 // BenchmarkAppend measures one append of one record: the store's own work, and with a real disk's write and sync.
 func BenchmarkAppend(b *testing.B) {
--- a/coord/slots/fs.go
+++ b/coord/slots/fs.go
@@ -13,7 +13,7 @@
 type FS interface {
 	// Create makes an empty file, or empties an existing one, for writing.
 	Create(name string) (File, error)
-	// Open opens an existing file for writing at its end.
+	// Open opens an existing file for reading, and for writing at its end.
 	Open(name string) (File, error)
 	// ReadAll returns the whole contents of a file.
 	ReadAll(name string) ([]byte, error)
@@ -33,6 +33,8 @@
 type File interface {
 	// Write appends to the file.
 	Write(data []byte) (int, error)
+	// ReadAt reads at an offset. It may be called while others write.
+	ReadAt(data []byte, offset int64) (int, error)
 	// Truncate sets the length in bytes.
 	Truncate(size int64) error
 	// Sync makes contents and length durable.
@@ -67,9 +69,9 @@
 	return d.open(name, 0)
 }
 
-// open opens a file for writing at its end.
+// open opens a file for reading, and for writing at its end.
 func (d directory) open(name string, flags int) (File, error) {
-	file, err := os.OpenFile(d.path(name), os.O_WRONLY|os.O_APPEND|flags, filePermissions)
+	file, err := os.OpenFile(d.path(name), os.O_RDWR|os.O_APPEND|flags, filePermissions)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/simulation/file.go
+++ b/internal/simulation/file.go
@@ -1,6 +1,7 @@
 package simulation
 
 import (
+	"io"
 	"io/fs"
 	"syscall"
 )
@@ -47,6 +48,24 @@
 	return fits, nil
 }
 
+// ReadAt implements slots.File.
+func (f *diskFile) ReadAt(data []byte, offset int64) (int, error) {
+	if err := f.check(); err != nil {
+		return 0, err
+	}
+	if f.disk.off {
+		return 0, ErrPowerLost
+	}
+	if offset >= int64(len(f.file.content)) {
+		return 0, io.EOF
+	}
+	count := copy(data, f.file.content[offset:])
+	if count < len(data) {
+		return count, io.EOF
+	}
+	return count, nil
+}
+
 // Truncate implements slots.File.
 func (f *diskFile) Truncate(size int64) error {
 	if err := f.check(); err != nil {
--- a/internal/simulation/inode.go
+++ b/internal/simulation/inode.go
@@ -1,5 +1,7 @@
 package simulation
 
+import "slices"
+
 // inode is the contents of one file: what is on the platter, and the changes since the last sync.
 type inode struct {
 	content []byte // as processes see it
@@ -47,7 +49,7 @@
 
 // losePower keeps, loses or tears each change since the last sync.
 func (n *inode) losePower(random *Rand, loseAll bool) {
-	content := n.durable
+	content := slices.Clone(n.durable)
 	for _, pending := range n.pending {
 		if loseAll || random.Chance(0.4) {
 			continue
--- a/internal/simulation/world_test.go
+++ b/internal/simulation/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"testing"
 	"time"
 
@@ -162,6 +163,51 @@
 			So(err, ShouldEqual, ErrPowerLost)
 		})
 
+		Convey("an open file is read at an offset", func() {
+			data := make([]byte, 4)
+			count, err := file.ReadAt(data, 2)
+			So(err, ShouldBeNil)
+			So(string(data[:count]), ShouldEqual, "nced")
+			count, err = file.ReadAt(data, 4)
+			So(err, ShouldEqual, io.EOF)
+			So(string(data[:count]), ShouldEqual, "ed")
+			_, err = file.ReadAt(data, 6)
+			So(err, ShouldEqual, io.EOF)
+			d.Kill()
+			_, err = file.ReadAt(data, 0)
+			So(err, ShouldEqual, ErrPowerLost)
+		})
+
+		Convey("what is on the platter after a loss of power stays until the next sync", func() {
+			d.PowerLoss()
+			for range 50 {
+				file, err := d.Open("a")
+				So(err, ShouldBeNil)
+				So(file.Truncate(0), ShouldBeNil)
+				_, err = file.Write([]byte("others"))
+				So(err, ShouldBeNil)
+				d.PowerLoss()
+				data, err := d.ReadAll("a")
+				So(err, ShouldBeNil)
+				if string(data) == "synced" {
+					return
+				}
+				again, _ := d.Open("a")
+				_ = again.Truncate(0)
+				_, _ = again.Write([]byte("synced"))
+				So(again.Sync(), ShouldBeNil)
+			}
+			t.Fatal("the loss of both changes never came")
+		})
+
+		Convey("a bit flips after a loss of power, too", func() {
+			d.PowerLoss()
+			So(d.Flip("a", 0, 0), ShouldBeTrue)
+			data, err := d.ReadAll("a")
+			So(err, ShouldBeNil)
+			So(string(data), ShouldEqual, "rynced")
+		})
+
 		Convey("a full disk takes what fits", func() {
 			d.SetCapacity(10)
 			count, err := file.Write([]byte("123456"))
