The operator's API refuses nothing before it has read through the chain

Cause: an order's shape, and the size of its body, were judged before the read. A machine that was cut off answered 400 or 413, and an order that another machine had taken could be refused here: for its size, where this one has less memory (the bound is a sixteenth of it), or for its shape, where a newer program has other rules of it.

The read now comes first, then whether the order was taken, then whether it builds on the version in force, and only then its shape. A body that is too large here is hashed without being held, and refused only if no order with its digest was taken or may have been. Ruled out: holding such bodies (memory), and answering 503 to all of them (an operator would come back for ever).

The bound of 64 MB whatever the memory is now 24 MB: a frame between processes holds 64 MB, and a copy of the state holds the document and the order that made it; a larger one would be in the log and could never be handed on.

An invalid order at a machine that is cut off gets 503 now, and one that is stale and invalid 412.

--- a/internal/configuration/order.go
+++ b/internal/configuration/order.go
@@ -3,6 +3,7 @@
 import (
 	"crypto/sha256"
 	"encoding/binary"
+	"io"
 
 	"sprucelane.example/sprucelane/internal/node"
 )
@@ -19,17 +20,32 @@
 
 // Digest gives the order's.
 func (o Order) Digest() Digest {
+	digester := NewDigester(o.IfMatch, o.Patch)
+	_, _ = digester.Write(o.Body) // a hash takes all
+	return digester.Digest()
+}
+
+// Digester finds the digest of an order whose body is written to it, for bodies that are not to be held.
+type Digester struct {
+	io.Writer
+	sum func() []byte
+}
+
+// NewDigester begins the digest of an order.
+func NewDigester(ifMatch uint64, patch bool) Digester {
 	var head [9]byte
-	binary.BigEndian.PutUint64(head[:], o.IfMatch)
-	if o.Patch {
+	binary.BigEndian.PutUint64(head[:], ifMatch)
+	if patch {
 		head[8] = 1
 	}
 	hash := sha256.New()
 	hash.Write(head[:])
-	hash.Write(o.Body)
-	return Digest(hash.Sum(nil)[:len(Digest{})])
+	return Digester{Writer: hash, sum: func() []byte { return hash.Sum(nil) }}
 }
 
+// Digest gives the digest of the order whose body was written.
+func (d Digester) Digest() Digest { return Digest(d.sum()[:len(Digest{})]) }
+
 // Status is what came of an order.
 type Status int
 
--- a/internal/configuration/state.go
+++ b/internal/configuration/state.go
@@ -35,8 +35,17 @@
 // Current gives the version in force. Its Generation is 0 before the first.
 func (s *State) Current() *Version { return s.current }
 
-// Taken tells whether exactly this order was taken before.
-func (s *State) Taken(order Order) bool { return s.taken[order.Digest()] }
+// Remembered tells what is remembered of the order with a digest: that it was taken, that it is too old to tell, and else
+// StatusStale: it was not taken.
+func (s *State) Remembered(digest Digest, ifMatch uint64) Status {
+	if s.taken[digest] {
+		return StatusTaken
+	}
+	if len(s.order) == historySize && ifMatch < s.order[0].IfMatch {
+		return StatusUnsure
+	}
+	return StatusStale
+}
 
 // Apply carries an order out as the one with an index in the chain. The caller doesn't change the order's body afterwards.
 func (s *State) Apply(index uint64, order Order) Result {
@@ -58,11 +67,11 @@
 
 func (s *State) evaluate(index uint64, order Order) (Result, *Version) {
 	generation := s.current.Generation
-	if s.taken[order.Digest()] {
+	switch status := s.Remembered(order.Digest(), order.IfMatch); {
+	case status == StatusTaken:
 		return Result{Status: StatusTaken, Generation: generation, Repeated: true}, nil
-	}
-	if order.IfMatch != generation {
-		return Result{Status: s.mismatch(order), Generation: generation}, nil
+	case order.IfMatch != generation:
+		return Result{Status: status, Generation: generation}, nil
 	}
 	next, err := s.build(index, order)
 	if err != nil {
@@ -71,14 +80,6 @@
 	return Result{Status: StatusTaken, Generation: next.Generation}, next
 }
 
-// mismatch tells a stale order from one that may have been taken before what is remembered.
-func (s *State) mismatch(order Order) Status {
-	if len(s.order) == historySize && order.IfMatch < s.order[0].IfMatch {
-		return StatusUnsure
-	}
-	return StatusStale
-}
-
 func (s *State) build(index uint64, order Order) (*Version, error) {
 	next, err := s.successor(index, order)
 	if err != nil {
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -137,9 +137,9 @@
 	return m.stores.retirement(node)
 }
 
-// Taken tells whether exactly this order was taken before.
-func (m *Machine) Taken(order configuration.Order) bool {
+// Remembered tells what is remembered of the operator's order with a digest.
+func (m *Machine) Remembered(digest configuration.Digest, ifMatch uint64) configuration.Status {
 	m.mutex.RLock()
 	defer m.mutex.RUnlock()
-	return m.configuration.Taken(order)
+	return m.configuration.Remembered(digest, ifMatch)
 }
--- a/internal/control/operator/change.go
+++ b/internal/control/operator/change.go
@@ -27,6 +27,9 @@
 			return c.JSON(http.StatusBadRequest, answer{Message: "If-Match must hold the number of the version that the change builds on"})
 		}
 		body, release, err := a.readBody(c.Request())
+		if errors.Is(err, errBodyTooLarge) {
+			return a.tooLarge(c, ifMatch, patch, body)
+		}
 		if err != nil {
 			return bodyFailed(c, err)
 		}
@@ -58,7 +61,8 @@
 	errBodiesBusy   = errors.New("other large configurations are under way")
 )
 
-// readBody reads a request's body within the bounds. The function that it gives returns what the body holds of them.
+// readBody reads a request's body within the bounds. The function that it gives returns what the body holds of them. With
+// errBodyTooLarge the bytes are the beginning that was read.
 func (a *API) readBody(request *http.Request) ([]byte, func(), error) {
 	if request.ContentLength > a.most {
 		return nil, nil, errBodyTooLarge
@@ -74,7 +78,7 @@
 	body, err := readAll(request, a.most)
 	if err != nil {
 		release()
-		return nil, nil, err
+		return body, nil, err
 	}
 	return body, release, nil
 }
@@ -87,17 +91,41 @@
 	}
 	body, err := io.ReadAll(io.LimitReader(request.Body, most+1))
 	if err == nil && int64(len(body)) > most {
-		return nil, errBodyTooLarge
+		return body, errBodyTooLarge
 	}
 	return body, err
 }
 
+// tooLarge answers an order whose body is over what this process takes. Another with more memory may have taken it: the order is
+// looked for by its digest, without holding the body, before it is refused.
+func (a *API) tooLarge(c echo.Context, ifMatch uint64, patch bool, beginning []byte) error {
+	c.Response().Header().Set("Connection", "close")
+	refusal := answer{Message: errBodyTooLarge.Error()}
+	if c.Request().ContentLength > bodyMost {
+		return c.JSON(http.StatusRequestEntityTooLarge, refusal) // none takes it
+	}
+	digester := configuration.NewDigester(ifMatch, patch)
+	_, _ = digester.Write(beginning) // a hash takes all
+	rest, err := io.Copy(digester, io.LimitReader(c.Request().Body, bodyMost+1))
+	if err != nil {
+		return bodyFailed(c, err)
+	}
+	if int64(len(beginning))+rest > bodyMost {
+		return c.JSON(http.StatusRequestEntityTooLarge, refusal)
+	}
+	if err := a.readable(c.Request().Context()); err != nil {
+		return unavailable(c, "it can't be told here now whether the order was taken: "+err.Error())
+	}
+	result := configuration.Result{Status: a.options.Machine.Remembered(digester.Digest(), ifMatch),
+		Generation: a.options.Machine.Configuration().Generation}
+	if result.Status == configuration.StatusStale {
+		return c.JSON(http.StatusRequestEntityTooLarge, refusal)
+	}
+	return fromResult(result).write(c)
+}
+
 func bodyFailed(c echo.Context, err error) error {
-	switch {
-	case errors.Is(err, errBodyTooLarge):
-		c.Response().Header().Set("Connection", "close")
-		return c.JSON(http.StatusRequestEntityTooLarge, answer{Message: err.Error()})
-	case errors.Is(err, errBodiesBusy):
+	if errors.Is(err, errBodiesBusy) {
 		return unavailable(c, err.Error())
 	}
 	c.Response().Header().Set("Connection", "close")
@@ -143,9 +171,6 @@
 }
 
 func (a *API) settle(order configuration.Order, arrived time.Time) verdict {
-	if findings := a.findings(order); len(findings) > 0 {
-		return verdict{status: http.StatusBadRequest, body: answer{Message: "the configuration is invalid", Findings: findings}}
-	}
 	raw, err := machine.Command{Configuration: &order}.Encode()
 	if err != nil {
 		return verdict{status: http.StatusServiceUnavailable, unknown: err.Error()}
@@ -155,11 +180,9 @@
 	return attempts.run()
 }
 
-// findings checks the shape, of orders that weren't taken before.
-func (a *API) findings(order configuration.Order) []answerFinding {
-	if a.options.Machine.Taken(order) {
-		return nil
-	}
+// shapeFindings checks the shape of an order that builds on the version in force. One that was taken is never held to it: the
+// rules may have changed since.
+func shapeFindings(order configuration.Order) []answerFinding {
 	if json.Valid(order.Body) {
 		if found := schema.Check(order.Body, order.Patch); len(found) > 0 {
 			return answerFindings(found)
@@ -185,6 +208,7 @@
 	hold      time.Time // how long it waits while it was surely not taken
 	deadline  time.Time // how long it waits at all
 	uncertain bool      // a proposal may be under way
+	shaped    bool      // the shape was checked and is sound
 }
 
 func (t *attempt) run() verdict {
@@ -213,7 +237,8 @@
 	return verdict{status: http.StatusServiceUnavailable, unknown: "no order is taken here now: " + err.Error()}
 }
 
-// once reads, and proposes what would be taken. An error leaves the matter open.
+// once reads, and proposes what would be taken. An error leaves the matter open. Nothing is refused before the read: what is known
+// here may be old, and the order may have been taken elsewhere.
 func (t *attempt) once() (verdict, error) {
 	ctx, cancel := context.WithTimeout(context.Background(), min(readAttempt, time.Until(t.until())))
 	err := t.api.options.Chain.Read(ctx)
@@ -221,7 +246,17 @@
 	if err != nil {
 		return verdict{}, err
 	}
-	if result := t.api.options.Machine.Evaluate(t.order); result.Status != configuration.StatusTaken || result.Repeated {
+	result := t.api.options.Machine.Evaluate(t.order)
+	if result.Repeated || result.Status != configuration.StatusTaken && result.Status != configuration.StatusInvalid {
+		return fromResult(result), nil
+	}
+	if !t.shaped {
+		if findings := shapeFindings(t.order); len(findings) > 0 {
+			return verdict{status: http.StatusBadRequest, body: answer{Message: "the configuration is invalid", Findings: findings}}, nil
+		}
+		t.shaped = true
+	}
+	if result.Status == configuration.StatusInvalid {
 		return fromResult(result), nil
 	}
 	return t.propose()
--- a/internal/control/operator/operator.go
+++ b/internal/control/operator/operator.go
@@ -32,7 +32,7 @@
 
 // Limits of the API.
 const (
-	bodyMost        = 64 << 20               // bytes of one configuration, whatever the memory
+	bodyMost        = 24 << 20               // bytes of one configuration, whatever the memory: a frame between processes holds two
 	holdFor         = 900 * time.Millisecond // how long an order waits for a chain that takes none; the operator moves on after 1 s
 	retryPause      = 60 * time.Millisecond
 	readAttempt     = 400 * time.Millisecond
@@ -47,7 +47,7 @@
 	Machine *machine.Machine
 	Chain   Chain
 	Bounds  node.Bounds
-	// BytesMost bounds one configuration; two of that size may be under way. 0: 64 MB.
+	// BytesMost bounds one configuration; two of that size may be under way. 0: 24 MB.
 	BytesMost int
 	Remain    int // active store machines that must remain when one retires: f + 1
 	Log       zerolog.Logger
--- a/internal/control/operator/operator_test.go
+++ b/internal/control/operator/operator_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"slices"
 	"strings"
 	"sync"
 	"testing"
@@ -101,6 +102,16 @@
 	return recorder
 }
 
+// sendChunked sends a first configuration without its length.
+func sendChunked(api http.Handler, body string) *httptest.ResponseRecorder {
+	request := httptest.NewRequest("PUT", "/config", io.MultiReader(strings.NewReader(body)))
+	request.ContentLength = -1
+	request.Header.Set("If-Match", "0")
+	recorder := httptest.NewRecorder()
+	api.ServeHTTP(recorder, request)
+	return recorder
+}
+
 func TestConfiguration(t *testing.T) {
 	Convey("Given a chain", t, func() {
 		chain := newSoleChain()
@@ -140,12 +151,7 @@
 		})
 		Convey("a body over the bound is refused", func() {
 			So(send(api, "PUT", "/config", "0", document+strings.Repeat(" ", 5000)).Code, ShouldEqual, 413)
-			request := httptest.NewRequest("PUT", "/config", io.MultiReader(strings.NewReader(document), strings.NewReader(strings.Repeat(" ", 5000))))
-			request.ContentLength = -1
-			request.Header.Set("If-Match", "0")
-			recorder := httptest.NewRecorder()
-			api.ServeHTTP(recorder, request)
-			So(recorder.Code, ShouldEqual, 413)
+			So(sendChunked(api, document+strings.Repeat(" ", 5000)).Code, ShouldEqual, 413)
 		})
 		Convey("a body that is cut off is refused", func() {
 			request := httptest.NewRequest("PUT", "/config", strings.NewReader(document[:50]))
@@ -191,6 +197,38 @@
 			}
 		}
 	})
+	inTime(t, "a chain that can't be read refuses nothing, whatever was sent", func(t *testing.T) {
+		chain := newSoleChain()
+		api := newAPI(chain)
+		expect(t, send(api, "PUT", "/config", "0", document), 200)
+		chain.cut = true
+		for _, one := range []struct{ method, path, ifMatch, body string }{
+			{"PUT", "/config", "7", document[:40]},                              // can't be read whole
+			{"PUT", "/config", "7", strings.Replace(document, ":5,", ":0,", 1)}, // a fault of the shape
+			{"PUT", "/config", "7", document},                                   // a generation that doesn't rise
+			{"PATCH", "/config", "3", `{"generation":9}`},                       // another version is current here
+			{"PUT", "/config", "0", document + strings.Repeat(" ", 5000)},       // too large here
+			{"POST", "/retire/s1", "", `{"deadline-s":10}`},                     // unknown here
+			{"GET", "/retire/s1", "", ""},
+			{"GET", "/config", "", ""},
+		} {
+			if one.method == "POST" {
+				chain.fates = slices.Repeat([]proposalFate{fateRefused}, 1000)
+			}
+			expect(t, send(api, one.method, one.path, one.ifMatch, one.body), 503)
+		}
+	})
+	inTime(t, "an order that is too large here, and was taken elsewhere, is acknowledged again", func(t *testing.T) {
+		chain := newSoleChain()
+		large := New(Options{Machine: chain.machine, Chain: chain, Bounds: node.Bounds{Acknowledge: 4 * time.Second}, Log: zerolog.Nop()}).Handler()
+		api := newAPI(chain)
+		body := document + strings.Repeat(" ", 5000)
+		expect(t, send(large, "PUT", "/config", "0", body), 200)
+		expect(t, send(api, "PUT", "/config", "0", body), 200)
+		expect(t, sendChunked(api, body), 200)
+		expect(t, send(api, "PUT", "/config", "0", body+" "), 413)
+		expect(t, sendChunked(api, body+" "), 413)
+	})
 	inTime(t, "an order whose outcome is unheard is proposed again under its id", func(t *testing.T) {
 		for _, fates := range [][]proposalFate{{fateUnheard}, {fateLost}, {fateRefused, fateLost, fateUnheard}, {fateRefused, fateRefused}} {
 			chain := newSoleChain()
