A machine that came in the place of an emptied one is retired in its turn

Cause: a retirement was remembered by the machine's name for good. POST /retire/NODE for a machine of that name that had joined since found the completed one and answered 200 with state completed at once: the operator takes such a machine away with its disk, which held whole copies. A life that started while the emptied one still stood in the set joined as an active member, although the machine is taken away any moment.

A retirement of an active member now begins anew, and nobody joins under the name of a member that stands as retired. The answer to an order that is sent again stays: completed, until a machine of that name has joined.

--- a/internal/control/machine/stores.go
+++ b/internal/control/machine/stores.go
@@ -74,10 +74,10 @@
 	return s.change(members)
 }
 
-// mayJoin refuses members, and one that was emptied and goes on running until it is taken away.
+// mayJoin refuses members, and one that was emptied and goes on running, or starts again, until it is taken away.
 func (s *storeSet) mayJoin(members []protocol.StoreMember, process protocol.Process) bool {
 	for i := range members {
-		if members[i].Process == process {
+		if members[i].Process == process || members[i].Node == process.Node && members[i].State == protocol.StoreRetired {
 			return false
 		}
 	}
@@ -110,11 +110,14 @@
 	return s.change(slices.Delete(slices.Clone(s.members), at, at+1))
 }
 
+// retire begins a retirement. One that is completed is of a former life: it says nothing of a machine of that name that has come
+// into the set since.
 func (s *storeSet) retire(order *Retire) StoreOutcome {
-	if s.retirement(order.Node) != NotRetiring {
+	at := slices.IndexFunc(s.members, func(one protocol.StoreMember) bool { return one.Node == order.Node })
+	returned := at >= 0 && s.members[at].State == protocol.StoreActive
+	if s.retirement(order.Node) != NotRetiring && !returned {
 		return StoreUnchanged
 	}
-	at := slices.IndexFunc(s.members, func(one protocol.StoreMember) bool { return one.Node == order.Node })
 	if at < 0 {
 		return StoreUnknown
 	}
@@ -169,7 +172,7 @@
 	return RetirementActive
 }
 
-// record gives what is remembered of a node's retirement. A node that came back after it with an empty disk is new.
+// record gives what is remembered of a node's last retirement.
 func (s *storeSet) record(node string) *retirementRecord {
 	at := slices.IndexFunc(s.retirements, func(one retirementRecord) bool { return one.Node == node })
 	if at < 0 {
@@ -179,6 +182,10 @@
 }
 
 func (s *storeSet) rememberRetirement(one retirementRecord) {
+	if record := s.record(one.Node); record != nil {
+		*record = one
+		return
+	}
 	if len(s.retirements) == retirementsMost {
 		s.retirements = slices.Delete(s.retirements, 0, 1)
 	}
