Leases are granted in the chain only, and evictions wait in each epoch

Gap: a batch process is evicted once it has polled nowhere for longer than its lease. Two control processes could grant it one of which the head knew nothing. (1) One that a view left out because the head doesn't hear it, with whom a majority was in touch up to the decision: it isn't asked for its reports any more, and its last grant is good for 1.5 s from there. The wait began anew only where the loop happened to see the moment without a lead. (2) One outside of the chain that is fresh through another member, and that the head doesn't hear: it granted without end.

Each epoch of the lead begins the wait of 2.2 s anew, seen or not, and a process outside of the chain vouches for no lease. With three control processes all are in the chain, and a view of theirs already made the lead pause, so that nothing takes longer.

--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -38,6 +38,7 @@
 	heard    map[key]Heard
 	coverage map[string]time.Duration // by the other control process's address: when its newest report was made, at the earliest
 	lead     bool
+	epoch    uint64 // of the lead
 	leadFrom time.Duration
 }
 
@@ -70,12 +71,13 @@
 	t.coverage[address] = max(at, t.coverage[address])
 }
 
-// Lead notes whether this process leads the chain.
-func (t *Table) Lead(now time.Duration, lead bool) {
-	if lead && !t.lead {
+// Lead notes whether this process leads the chain, and in which epoch. Each epoch begins anew: a control process that it left out
+// may have granted a lease, of which nothing was heard here, up to the decision on it.
+func (t *Table) Lead(now time.Duration, epoch uint64, lead bool) {
+	if lead && (!t.lead || epoch != t.epoch) {
 		t.leadFrom = now
 	}
-	t.lead = lead
+	t.lead, t.epoch = lead, epoch
 }
 
 // Gateways gives the gateways that are up, by name.
--- a/internal/control/presence/presence_test.go
+++ b/internal/control/presence/presence_test.go
@@ -26,7 +26,7 @@
 		So(table.Observe(Heard{Process: store("1", "a"), At: second}), ShouldBeTrue)
 		So(table.Observe(Heard{Process: store("1", "a"), At: second + 1}), ShouldBeFalse)
 		So(table.Joins(second, viewOf(0)), ShouldBeEmpty)
-		table.Lead(second, true)
+		table.Lead(second, 1, true)
 		So(table.Joins(second, viewOf(0)), ShouldResemble, []protocol.Process{store("1", "a")})
 		So(table.Joins(second, viewOf(1, member)), ShouldBeEmpty)
 		So(table.Observe(Heard{Process: store("1", "b"), At: 2 * second}), ShouldBeTrue)
@@ -36,7 +36,7 @@
 	Convey("A silent member is evicted, but not before a new lead has waited, nor while a control process is silent", t, func() {
 		table := New()
 		table.Observe(Heard{Process: store("1", "a"), At: 0})
-		table.Lead(10*second, true)
+		table.Lead(10*second, 1, true)
 		table.Cover("c2", 12*second)
 		So(table.Evictions(12*second, viewOf(1, member), []string{"c2"}), ShouldBeEmpty)
 		So(table.Evictions(10*second+EvictAfter, viewOf(1, member), []string{"c2"}), ShouldHaveLength, 1)
@@ -46,15 +46,27 @@
 		So(table.Evictions(13*second, viewOf(1, member), nil), ShouldBeEmpty)
 		So(table.Evictions(12*second+EvictAfter, viewOf(1, member), nil), ShouldHaveLength, 1)
 	})
+	Convey("A member whose lease a control process left out by the view may have granted last outlives that", t, func() {
+		table := New()
+		table.Lead(0, 1, true)
+		table.Observe(Heard{Process: store("1", "a"), At: 10 * second}) // it then polls c3, which this process can't hear
+		table.Cover("c2", 13*second)
+		So(table.Evictions(13*second, viewOf(1, member), []string{"c2", "c3"}), ShouldBeEmpty)
+		table.Lead(12*second, 2, true) // without c3, whose proof ended just now
+		So(table.Evictions(13*second, viewOf(1, member), []string{"c2"}), ShouldBeEmpty)
+		So(table.Evictions(12*second+StoreLease, viewOf(1, member), []string{"c2"}), ShouldBeEmpty)
+		table.Cover("c2", 12*second+EvictAfter)
+		So(table.Evictions(12*second+EvictAfter, viewOf(1, member), []string{"c2"}), ShouldHaveLength, 1)
+	})
 	Convey("A poll of a later life is no sign of the former one", t, func() {
 		table := New()
-		table.Lead(0, true)
+		table.Lead(0, 1, true)
 		table.Observe(Heard{Process: store("1", "b"), At: 3 * second})
 		So(table.Evictions(3*second, viewOf(1, member), nil), ShouldHaveLength, 1)
 	})
 	Convey("A retiring member is empty once it says so and all active ones have settled", t, func() {
 		table := New()
-		table.Lead(0, true)
+		table.Lead(0, 1, true)
 		retiring := protocol.StoreMember{Process: store("1", "a"), State: protocol.StoreRetiring}
 		active := protocol.StoreMember{Process: store("2", "a")}
 		view := viewOf(7, retiring, active)
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -40,13 +40,13 @@
 
 // storeCommands gives what the set of batch processes needs now.
 func (c *Control) storeCommands() []machine.Command {
-	_, _, leads := c.replica.Lead()
+	epoch, _, leads := c.replica.Lead()
 	stores := c.machine.Stores()
 	others := c.otherControls()
 	now := c.now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
-	c.presence.Lead(now, leads)
+	c.presence.Lead(now, epoch, leads)
 	c.presence.Forget(now)
 	var commands []machine.Command
 	if joins := c.presence.Joins(now, stores); len(joins) > 0 {
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -54,6 +54,9 @@
 // can't be overtaken by it.
 func (c *Control) handlePoll(session *transport.Session, poll protocol.Poll) protocol.Update {
 	age, fresh := c.fresh() // before anything is looked at that is vouched for
+	if poll.Process.Role == protocol.RoleBatch && !c.grantsLeases() {
+		fresh = false
+	}
 	c.mutex.Lock()
 	one := c.subscribe(session, poll)
 	news := c.presence.Observe(presence.Heard{Process: poll.Process, Ready: poll.Ready, Batch: poll.Batch, At: c.now()})
@@ -91,6 +94,10 @@
 	delete(c.subscribers, session)
 }
 
+// grantsLeases tells whether this process may grant leases: in the chain, so that nobody is evicted unheard of while it says nothing
+// of who polls here. One outside of it is fresh through another, and the head may not hear it.
+func (c *Control) grantsLeases() bool { return c.replica.View().InChain(c.replica.Self()) }
+
 // storeGrant gives a batch process's right to act. It is given only by a process that can vouch for the set, and shortened by the
 // age of what that knows: whoever was evicted has no right left StoreLease after that was acknowledged.
 func (c *Control) storeGrant(process protocol.Process, fresh bool, age time.Duration) *protocol.StoreGrant {
