Signals are caught from the start of a process; SIGTERM has room of its own

Cause: gateway, batch and control processes asked for signals only once they had read their settings, a batch process for SIGHUP only after it had opened its log: a SIGHUP before that ended the process, as the system does by default, though it asks for nothing but another look at the settings. In control four SIGHUPs that waited took the place of a SIGTERM, which was lost.

Now the three mains catch signals before anything else, in internal/node/program, with a place each for SIGTERM and SIGHUP.

TestSignals sends fifty SIGHUPs and then a SIGTERM.

--- a/cmd/sprucelane-batch/main.go
+++ b/cmd/sprucelane-batch/main.go
@@ -4,8 +4,6 @@
 import (
 	"context"
 	"os"
-	"os/signal"
-	"syscall"
 
 	"sprucelane.example/sprucelane/internal/batch/server"
 	"sprucelane.example/sprucelane/internal/node/program"
@@ -14,18 +12,19 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
+	signals := program.CatchSignals()
 	p, code := program.Begin(arguments, server.Check)
 	if p == nil {
 		return code
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
 	s, err := server.New(p.Settings, p.Log)
 	if err != nil {
 		p.Log.Error().Err(err).Msg("start_failed")
 		return program.ExitFailed
 	}
-	go watchReloads(s, p)
+	go watchSignals(signals, stop, s, p)
 	if err := s.Run(ctx); err != nil {
 		p.Log.Error().Err(err).Msg("failed")
 		return program.ExitFailed
@@ -34,11 +33,14 @@
 	return program.ExitDone
 }
 
-// watchReloads takes changed settings in on SIGHUP.
-func watchReloads(s *server.Server, p *program.Program) {
-	reloads := make(chan os.Signal, 1)
-	signal.Notify(reloads, syscall.SIGHUP)
-	for range reloads {
-		p.Reload(s.Reload)
+// watchSignals ends the process on SIGTERM, and takes changed settings in on SIGHUP.
+func watchSignals(signals *program.Signals, stop context.CancelFunc, s *server.Server, p *program.Program) {
+	for {
+		select {
+		case <-signals.Ends():
+			stop()
+		case <-signals.Reloads():
+			p.Reload(s.Reload)
+		}
 	}
 }
--- a/cmd/sprucelane-control/main.go
+++ b/cmd/sprucelane-control/main.go
@@ -6,9 +6,7 @@
 	"errors"
 	"fmt"
 	"os"
-	"os/signal"
 	"runtime/debug"
-	"syscall"
 	"time"
 
 	"github.com/jessevdk/go-flags"
@@ -16,6 +14,7 @@
 
 	"sprucelane.example/sprucelane/internal/control"
 	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/node/program"
 )
 
 // Exit codes.
@@ -43,6 +42,7 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(args []string) int {
+	signals := program.CatchSignals()
 	var given arguments
 	parser := flags.NewParser(&given, flags.HelpFlag|flags.PassDoubleDash)
 	parser.LongDescription = "Keeps the configuration of a sprucelane system and tells its gateways and batch processes what they need.\n" +
@@ -59,7 +59,7 @@
 		fmt.Println("the settings are in order")
 		return 0
 	}
-	return serve(settings, given)
+	return serve(settings, given, signals)
 }
 
 // parsed ends after flags that don't ask for a start.
@@ -92,13 +92,10 @@
 	return settings, findings.OrNil()
 }
 
-func serve(settings *node.Settings, given arguments) int {
+func serve(settings *node.Settings, given arguments, signals *program.Signals) int {
 	debug.SetGCPercent(collectAt)
 	debug.SetMemoryLimit(int64(settings.Limits.MemoryMB) << 20 * memoryPercent / 100)
 	log := node.NewLogger(settings, given.LogLevel)
-	signals := make(chan os.Signal, 4)
-	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	signal.Ignore(syscall.SIGPIPE)
 	process, err := control.Start(control.Options{Settings: settings, Log: log})
 	if err != nil {
 		log.Error().Err(err).Msg("start-failed")
@@ -110,16 +107,15 @@
 }
 
 // watch waits for the signal to end, and reads the settings again when told to or when the file changes.
-func watch(process *control.Control, path string, signals chan os.Signal, log zerolog.Logger) {
+func watch(process *control.Control, path string, signals *program.Signals, log zerolog.Logger) {
 	look := time.NewTicker(settingsLook)
 	defer look.Stop()
 	changed := modified(path)
 	for {
 		select {
-		case one := <-signals:
-			if one != syscall.SIGHUP {
-				return
-			}
+		case <-signals.Ends():
+			return
+		case <-signals.Reloads():
 		case <-look.C:
 			newest := modified(path)
 			if newest.Equal(changed) {
--- /dev/null
+++ b/cmd/sprucelane-control/main_test.go
@@ -0,0 +1,20 @@
+package main
+
+import (
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/node/program"
+	"sprucelane.example/sprucelane/internal/node/program/programtest"
+)
+
+func TestMain(m *testing.M) { programtest.Main(m, run) }
+
+func TestEarlySignals(t *testing.T) {
+	Convey("Signals that come while the process still starts don't end it", t, func() {
+		So(programtest.ExitAfterEarlySignals(t, syscall.SIGHUP, syscall.SIGHUP), ShouldEqual, program.ExitUsage)
+		So(programtest.ExitAfterEarlySignals(t, syscall.SIGTERM), ShouldEqual, program.ExitUsage)
+	})
+}
--- a/cmd/sprucelane-gateway/main.go
+++ b/cmd/sprucelane-gateway/main.go
@@ -3,8 +3,6 @@
 
 import (
 	"os"
-	"os/signal"
-	"syscall"
 
 	"sprucelane.example/sprucelane/internal/gateway"
 	"sprucelane.example/sprucelane/internal/node/program"
@@ -13,12 +11,13 @@
 func main() { os.Exit(run(os.Args[1:])) }
 
 func run(arguments []string) int {
+	signals := program.CatchSignals()
 	p, code := program.Begin(arguments, gateway.Check)
 	if p == nil {
 		return code
 	}
 	g := gateway.New(p.Settings, p.Log)
-	go watchSignals(g, p)
+	go watchSignals(signals, g, p)
 	if err := g.Run(); err != nil {
 		p.Log.Error().Err(err).Msg("failed")
 		return program.ExitFailed
@@ -27,15 +26,12 @@
 }
 
 // watchSignals ends the gateway on SIGTERM, and takes changed settings in on SIGHUP.
-func watchSignals(g *gateway.Gateway, p *program.Program) {
-	ends, reloads := make(chan os.Signal, 1), make(chan os.Signal, 1)
-	signal.Notify(ends, syscall.SIGTERM, os.Interrupt)
-	signal.Notify(reloads, syscall.SIGHUP)
+func watchSignals(signals *program.Signals, g *gateway.Gateway, p *program.Program) {
 	for {
 		select {
-		case <-ends:
+		case <-signals.Ends():
 			g.End()
-		case <-reloads:
+		case <-signals.Reloads():
 			p.Reload(g.Reload)
 		}
 	}
--- /dev/null
+++ b/internal/node/program/signals_test.go
@@ -0,0 +1,23 @@
+package program
+
+import (
+	"os"
+	"syscall"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestSignals(t *testing.T) {
+	Convey("A process that is told again and again to reload still hears that it is to end", t, func() {
+		signals := CatchSignals()
+		defer signals.Release()
+		send := func(one syscall.Signal) { So(syscall.Kill(os.Getpid(), one), ShouldBeNil) }
+		for range 50 {
+			send(syscall.SIGHUP)
+		}
+		send(syscall.SIGTERM)
+		So(<-signals.Ends(), ShouldEqual, syscall.SIGTERM)
+		So(<-signals.Reloads(), ShouldEqual, syscall.SIGHUP)
+	})
+}
