How long clients may rest and how long a head may be follow the configuration in force

The gap: a gateway's port held clients to idle-timeout-ms and max-header-bytes of the first configuration of its process. Where the operator raised them, a client that rested for four fifths of the new time found its connection closed, and a head that the new limit allows got net/http's 431: a proper request that the configuration in force allows, denied. A gateway that began without a configuration gave a head 2.5 s, less than an operator may allow.

The port takes heads of 64 KiB at least, the proxy refuses by the limit in force as before; without a configuration a head has ten seconds. header-timeout-ms stays that of the first configuration (docs/design/gateway.md).

internal/front is shared with the program in service, which gives no such function: nothing changes there.

--- a/internal/front/server.go
+++ b/internal/front/server.go
@@ -42,22 +42,24 @@
 	http     *http.Server
 	listener *listener
 	state    *service.State
+	idleFor  func() time.Duration // nil: net/http's limit counts
 	closed   chan struct{}
 }
 
 // Options are a virtual server's limits.
 type Options struct {
 	Listen          string
-	Sockets         int            // client connections at once
-	LongestDeadline time.Duration  // of any transaction
-	TLS             *tls.Config    // nil: plain
-	Admit           func() bool    // whether one more new connection may be taken; nil: all may
-	State           *service.State // nil: of its own, always serving
-	Listener        net.Listener   // taken over from a predecessor; nil: Listen is opened
-	Shared          bool           // others of the same gateway may listen at the address as well
-	HeaderWait      time.Duration  // in which a head has to come; 0: the standard
-	IdleWait        time.Duration  // that a client may rest between requests; 0: the standard
-	MaxHeader       int            // bytes of a head; 0: the standard
+	Sockets         int                  // client connections at once
+	LongestDeadline time.Duration        // of any transaction
+	TLS             *tls.Config          // nil: plain
+	Admit           func() bool          // whether one more new connection may be taken; nil: all may
+	State           *service.State       // nil: of its own, always serving
+	Listener        net.Listener         // taken over from a predecessor; nil: Listen is opened
+	Shared          bool                 // others of the same gateway may listen at the address as well
+	HeaderWait      time.Duration        // in which a head has to come; 0: the standard
+	IdleWait        time.Duration        // that a client may rest between requests; 0: the standard
+	IdleFor         func() time.Duration // the same, where it changes; nil: IdleWait counts
+	MaxHeader       int                  // bytes of a head; 0: the standard
 }
 
 // Listen opens the port. Nothing is taken before Serve.
@@ -77,7 +79,10 @@
 		opt.State = service.New()
 	}
 	s := &Server{listener: &listener{Listener: inner, most: opt.Sockets, opaque: opt.TLS != nil, admit: opt.Admit, conns: map[*client]bool{}},
-		state: opt.State, closed: make(chan struct{})}
+		state: opt.State, idleFor: opt.IdleFor, closed: make(chan struct{})}
+	if opt.IdleFor != nil {
+		opt.IdleWait = restMost
+	}
 	s.listener.freed = sync.NewCond(&s.listener.mu)
 	// A read time-out below the longest deadline would look like a client that left in the middle of its wait.
 	limit := opt.LongestDeadline + answerSlack
@@ -168,6 +173,9 @@
 // Serve takes connections until the process may end.
 func (s *Server) Serve() error {
 	go s.sendAway()
+	if s.idleFor != nil {
+		go s.endRests()
+	}
 	var err error
 	if s.http.TLSConfig != nil {
 		err = s.http.ServeTLS(s.listener, "", "")
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -60,8 +60,12 @@
 	// configurationWait is how long clients wait in the port's queue for the first configuration. After that they are read, and
 	// wait for it in the proxy.
 	configurationWait = 300 * time.Millisecond
-	// widestHeader (bytes) and longestIdleMs are the limits of the port of a gateway that began without a configuration.
-	widestHeader, longestIdleMs = 64 << 10, 60_000
+	// widestHeader (bytes) is what the port takes of a head at least: the operator's limit, which may change, is held to behind it.
+	widestHeader = 64 << 10
+	// longestHeadMs is how long a head may take at a gateway that began without a configuration.
+	longestHeadMs = 10_000
+	// longestIdle is how long clients may rest where the operator doesn't say.
+	longestIdle = time.Minute
 	// headerSlack is added to the operator's times: a client that keeps to them must not be cut by a moment.
 	headerSlack = 500 * time.Millisecond
 )
@@ -233,8 +237,8 @@
 		LongestDeadline: longestDeadline,
 		State:           g.state,
 		HeaderWait:      slack(limits.HeaderTimeoutMs),
-		IdleWait:        slack(limits.IdleTimeoutMs),
-		MaxHeader:       limits.MaxHeaderBytes,
+		IdleFor:         g.idleFor,
+		MaxHeader:       max(widestHeader, limits.MaxHeaderBytes),
 	}, g.proxy)
 	if err != nil {
 		return err
@@ -252,6 +256,15 @@
 	return time.Duration(ms*float64(time.Millisecond)) + headerSlack
 }
 
+// idleFor gives how long clients may rest now.
+func (g *Gateway) idleFor() time.Duration {
+	held := g.subscription.Configuration()
+	if held == nil || held.Limits.IdleTimeoutMs <= 0 {
+		return longestIdle
+	}
+	return slack(held.Limits.IdleTimeoutMs)
+}
+
 // awaitLimits waits for the first configuration, but not for long: clients give up what nobody reads.
 func (g *Gateway) awaitLimits() configuration.Limits {
 	for until := time.Now().Add(configurationWait); ; time.Sleep(lookAgain) {
@@ -259,7 +272,7 @@
 			return held.Limits
 		}
 		if time.Now().After(until) || g.state.Phase() == service.Ending {
-			return configuration.Limits{MaxHeaderBytes: widestHeader, IdleTimeoutMs: longestIdleMs}
+			return configuration.Limits{HeaderTimeoutMs: longestHeadMs}
 		}
 	}
 }
--- a/internal/gateway/gateway_test.go
+++ b/internal/gateway/gateway_test.go
@@ -115,13 +115,13 @@
 	return false
 }
 
-func ask(settings *node.Settings, key string) (int, string) {
+func ask(settings *node.Settings, key string, header ...string) (int, string) {
 	conn, err := net.Dial("tcp", settings.ListenFront)
 	if err != nil {
 		return 0, err.Error()
 	}
 	defer conn.Close()
-	fmt.Fprintf(conn, "POST /s/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\nApi-Key: %s\r\nContent-Length: 0\r\n\r\n", key)
+	fmt.Fprintf(conn, "POST /s/x HTTP/1.1\r\nHost: h.example\r\nX-Request-Id: 1\r\nApi-Key: %s\r\nContent-Length: 0\r\n%s\r\n", key, strings.Join(header, ""))
 	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
 	if err != nil {
 		return 0, err.Error()
@@ -217,3 +217,27 @@
 		So(<-ended, ShouldBeNil)
 	})
 }
+
+func TestLimitsFollowTheConfiguration(t *testing.T) {
+	Convey("A head that a later configuration allows is taken, and how long clients may rest follows as well", t, func() {
+		port := freePort(t)
+		server := standin.New(t, streamer(nil))
+		h := startHome(t, "127.0.0.1", port, protocol.Update{Fresh: true,
+			Configuration: &protocol.ConfigurationUpdate{Index: 1, Whole: []byte(document("k"))},
+			Servers:       &protocol.ServerList{Version: 1, Servers: []protocol.Server{{ID: "i", Backend: "b", Address: server.Addr, Slots: 4}}}})
+		g, settings, ended := startGateway(t, port, 5*time.Second, "127.0.0.1")
+		So(eventually(func() bool { return ready(settings) }), ShouldBeTrue)
+		So(g.idleFor(), ShouldEqual, longestIdle)
+		long := "X-Long: " + strings.Repeat("x", 24<<10) + "\r\n"
+		status, _ := ask(settings, "k", long)
+		So(status, ShouldEqual, 431)
+		wider := strings.NewReplacer(`"generation":3`, `"generation":4`, `"max-header-bytes":16384`,
+			`"max-header-bytes":32768,"idle-timeout-ms":30000`).Replace(document("k"))
+		h.set(func() { h.update.Configuration = &protocol.ConfigurationUpdate{Index: 2, Whole: []byte(wider)} })
+		So(eventually(func() bool { return g.idleFor() == 30*time.Second+headerSlack }), ShouldBeTrue)
+		status, _ = ask(settings, "k", long)
+		So(status, ShouldEqual, 200)
+		g.End()
+		So(<-ended, ShouldBeNil)
+	})
+}
