No wait for control or for a token outlasts the client; tests of what is handed on

The gap: a request that came before a process's first configuration (1.2 s), for an unknown route or key (0.4 s) or at its tenant's limit (0.25 s) waited its full time also where its client had told that it waits for less. A route without a time-out, from a client that tells no deadline, had none left at once.

Now each of these waits ends with the client's own deadline, and a request without any bound has a minute, what a connection gives.

TestDeadlineHandedOn (virtual time): three attempts, each hands on what is left, never more than the client's or the route's. TestServersOfOneAttempt: resumed, reset and failing requests on routes of one to four attempts reach as many servers of six, unsafe ones and streams that can't be resumed one, and none twice.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -64,7 +64,7 @@
 
 // Admit decides about a request. The tenant's limit goes first: what lies beyond it is not owed.
 func (l *limits) Admit(ctx context.Context, wish proxy.Wish) proxy.Refusal {
-	if token := l.quotas.Acquire(ctx, wish.Tenant, patienceOf(wish.Route)); !token.Admit {
+	if token := l.quotas.Acquire(ctx, wish.Tenant, patienceOf(wish.Route, time.Until(wish.Deadline))); !token.Admit {
 		return proxy.Refusal{Status: http.StatusTooManyRequests, RetryAfter: token.RetryAfter}
 	}
 	l.tellLoad(wish.Backend)
@@ -78,13 +78,14 @@
 }
 
 // patienceOf gives how long a request may wait for a token of its tenant: one that is refused must be so within a quarter of the
-// route's aim, one that is served has the rest of the aim for its server.
-func patienceOf(route *configuration.Route) quotas.Patience {
+// route's aim, one that is served has the rest of the aim for its server. None waits longer than its client.
+func patienceOf(route *configuration.Route, left time.Duration) quotas.Patience {
 	aim := route.TargetLatency()
 	if aim <= 0 {
 		aim = plainAim
 	}
-	return quotas.Patience{Unsure: min(aim/unsurePart, unsureMost), Sure: min(aim/surePart, sureMost)}
+	left = max(left, 0)
+	return quotas.Patience{Unsure: min(aim/unsurePart, unsureMost, left), Sure: min(aim/surePart, sureMost, left)}
 }
 
 // Sent counts a request that has been sent.
--- /dev/null
+++ b/internal/gateway/proxy/budget_test.go
@@ -0,0 +1,104 @@
+package proxy
+
+import (
+	"bufio"
+	"bytes"
+	"cmp"
+	"fmt"
+	"net"
+	"net/http"
+	"strconv"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/standin"
+)
+
+// aRequest is one on a route of three seconds whose client tells so much.
+func aRequest(told string, operation protocol.BatchOperation, timeoutMs float64) *request {
+	r, _ := http.NewRequest(http.MethodPost, "http://h.example/safe/x", nil)
+	r.RequestURI = "/safe/x"
+	if told != "" {
+		r.Header.Set(headerDeadline, told)
+	}
+	return &request{r: r, route: &configuration.Route{TimeoutMs: timeoutMs}, operation: operation, arrived: time.Now(),
+		proxy: &Proxy{}, tenant: &configuration.Tenant{Name: rigTenant}}
+}
+
+func TestPatience(t *testing.T) {
+	for told, want := range map[string]time.Duration{
+		"": 3000, "2000": 2000, "4000": 3000, "0": 0, "5": 0, "-1": 3000, "soon": 3000, "1e3": 3000, "99999999999999999999": 3000,
+	} {
+		assert.Equal(t, max(0, want*time.Millisecond-transit), aRequest(told, 0, 3000).patience(), told)
+	}
+	assert.Equal(t, time.Second-transit, aRequest("1000", 0, 0).patience())
+	assert.Equal(t, longestWait-transit, aRequest("", 0, 0).patience(), "a route without a time-out")
+	assert.Equal(t, batchPatience-transit, aRequest("", protocol.BatchSubmit, 0).patience())
+	assert.Equal(t, 2*time.Second-transit, aRequest("", protocol.BatchSubmit, 2000).patience())
+	assert.Equal(t, time.Second-transit, aRequest("1000", protocol.BatchSubmit, 2000).patience())
+}
+
+// Each attempt hands on what is left when it is written: never more than the client waits, nor than its route allows.
+func TestDeadlineHandedOn(t *testing.T) {
+	for told, most := range map[string]time.Duration{"2000": 2 * time.Second, "": 3 * time.Second, "60000": 3 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			q := aRequest(told, 0, 3000)
+			q.deadline = q.arrived.Add(q.patience())
+			q.head = passOn(q.r.Header)
+			for _, later := range []time.Duration{0, 700 * time.Millisecond, 600 * time.Millisecond} {
+				time.Sleep(later)
+				var head bytes.Buffer
+				q.writeHead(&head, "i-1")
+				seen, err := http.ReadRequest(bufio.NewReader(&head))
+				require.NoError(t, err)
+				require.Len(t, seen.Header[headerDeadline], 1)
+				handed, err := strconv.Atoi(seen.Header.Get(headerDeadline))
+				require.NoError(t, err)
+				assert.Equal(t, most-transit-time.Since(q.arrived), time.Duration(handed)*time.Millisecond)
+			}
+		})
+	}
+}
+
+// A stream that is cut again and again, and a request that fails again and again, reach as many servers as their route allows.
+func TestServersOfOneAttempt(t *testing.T) {
+	cutAfterAnEvent := func(p *standin.Peer, c net.Conn, s standin.Seen) bool {
+		after := 0
+		fmt.Sscan(s.Header.Get(headerLastEvent), &after)
+		return streams(after+1, "", false)(p, c, s)
+	}
+	for name, one := range map[string]struct {
+		route string
+		reply standin.Reply
+		most  int // whatever the route allows; 0: as it does
+	}{
+		"resumed":      {"resume", cutAfterAnEvent, 0},
+		"before it":    {"resume", standin.Reset, 0},
+		"failing":      {"safe", answers(500, stamp, "no"), 0},
+		"reset":        {"safe", standin.Reset, 0},
+		"not repeated": {"stream", cutAfterAnEvent, 1},
+		"unsafe":       {"unsafe", standin.Reset, 1},
+	} {
+		for allowed := 1; allowed <= 4; allowed++ {
+			r := start(t, 6, one.reply)
+			r.configure(func(d *configuration.Document) {
+				for i := range d.Routes {
+					d.Routes[i].MaxAttempts = allowed
+				}
+			})
+			r.ask(http.MethodPost, "/"+one.route+"/x")
+			reached := 0
+			for _, peer := range r.peers {
+				reached += min(1, len(peer.Seen()))
+			}
+			assert.Equal(t, cmp.Or(one.most, allowed), reached, "%s: %d allowed", name, allowed)
+			assert.Len(t, r.seen(), reached, "%s: a server twice", name)
+		}
+	}
+}
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -42,7 +42,9 @@
 	denyWait = 400 * time.Millisecond
 	// firstWait is how long a request waits for the first configuration of a process.
 	firstWait = 1200 * time.Millisecond
-	maxID     = 256 // bytes
+	// longestWait is how long a client waits that doesn't say, where its route doesn't either.
+	longestWait = time.Minute
+	maxID       = 256 // bytes
 )
 
 // request is one try of a client.
@@ -81,12 +83,12 @@
 		return nil, &problem{status: http.StatusBadRequest, text: "target: not a path"}
 	}
 	if p.Knowledge.Configuration() == nil { // the process has just begun
-		p.Knowledge.Await(r.Context(), q.arrived, q.arrived.Add(firstWait))
+		p.Knowledge.Await(r.Context(), q.arrived, q.arrived.Add(min(firstWait, q.told())))
 	}
 	if no := q.find(); no != nil && no.status == http.StatusServiceUnavailable {
 		return nil, no
 	} else if no != nil {
-		if !p.Knowledge.Await(r.Context(), q.arrived, q.arrived.Add(denyWait)) {
+		if !p.Knowledge.Await(r.Context(), q.arrived, q.arrived.Add(min(denyWait, q.told()))) {
 			return nil, &problem{status: http.StatusServiceUnavailable, text: "configuration: not sure", retryAfter: unready}
 		}
 		if no := q.find(); no != nil {
@@ -178,16 +180,21 @@
 	if q.operation != 0 && most == 0 {
 		most = batchPatience
 	}
-	wait, err := strconv.ParseUint(q.r.Header.Get(headerDeadline), 10, 31)
-	if err == nil {
-		told := time.Duration(wait) * time.Millisecond
-		if most == 0 || told < most {
-			most = told
-		}
+	if told := q.told(); most == 0 || told < most {
+		most = told
 	}
 	return max(0, most-transit)
 }
 
+// told gives how long the client says that it waits.
+func (q *request) told() time.Duration {
+	wait, err := strconv.ParseUint(q.r.Header.Get(headerDeadline), 10, 31)
+	if err != nil {
+		return longestWait
+	}
+	return time.Duration(wait) * time.Millisecond
+}
+
 // release gives back what the request holds.
 func (q *request) release() {
 	q.body.release(q.proxy.Bodies)
