Views remember the epochs in doubt below SourceEpoch; one lost disk stops nothing

Cause: when the only promiser of the chain of epoch e was its source, SourceEpoch moved to e though nobody else of that chain had its prefix. Views that follow each other before one is whole could so come to rest on one disk. With f = 1: view 1 (n0, n1, n2), n2 away, view 2 (n0, n1); n0 goes before it has the prefix, n2 is back, view 3 (n1, n2) with SourceEpoch 2; n1's disk is lost before n2 has its copy. n0 and n2, a majority, hold every acknowledged order, and ChooseSource never gave a source again.

Ruled out: a wrong source. Safety held; the rule waited for a proof that only the lost disk could have given.

Change: views carry Terms, the epochs that may have committed the last order with their chains, SourceEpoch first. A promiser that belonged to such a chain and wasn't whole in its epoch disproves it (it is wedged or has moved on), and the next lower term counts. Terms below one whose whole chain promised whole logs are dropped; eight are kept at most. Views from before have no Terms and are judged as before.

--- a/coord/view/agreement.go
+++ b/coord/view/agreement.go
@@ -120,7 +120,7 @@
 		p.Value = repaired
 		return true
 	}
-	source, sourceEpoch, ok := ChooseSource(p.View, p.promises, prefer)
+	source, terms, ok := ChooseSource(p.View, p.promises, prefer)
 	if !ok {
 		return false
 	}
@@ -133,7 +133,8 @@
 		Voters:      voters,
 		Chain:       chain,
 		Source:      source,
-		SourceEpoch: sourceEpoch,
+		SourceEpoch: terms[0].Epoch,
+		Terms:       terms,
 	}
 	return true
 }
@@ -168,31 +169,22 @@
 	return p.Value
 }
 
-// ChooseSource picks the member whose log the next chain starts from, and the last epoch in which
-// an order may have committed. It returns false when the promises don't prove that no committed
+// maximumTerms bounds what a view remembers of epochs in doubt. Without the older ones fewer losses in
+// a row of unfinished views are borne, but no order is ever left out.
+const maximumTerms = 8
+
+// ChooseSource picks the member whose log the next chain starts from, and the epochs in which an order
+// may have committed, the newest first. It returns false when the promises don't prove that no committed
 // order is left out; see the package comment for the argument. Any log that the argument allows will
 // do; a preferred member's comes first, and then the one with the most.
-func ChooseSource(present View, promises []Promise, prefer func(Member) bool) (source Member, sourceEpoch uint64, ok bool) {
-	promised, whole := 0, 0
-	for _, m := range promises {
-		if !present.InChain(m.From) {
-			continue
-		}
-		promised++
-		if m.Log.Synced == present.Epoch {
-			whole++
-		}
-	}
-	if promised == 0 {
-		return Member{}, 0, false
-	}
-	sourceEpoch = present.Epoch
-	if whole < promised {
-		sourceEpoch = present.SourceEpoch
+func ChooseSource(present View, promises []Promise, prefer func(Member) bool) (source Member, terms []Term, ok bool) {
+	terms = presentTerms(present)
+	for len(terms) > 1 && disproved(terms[0], promises) {
+		terms = terms[1:]
 	}
 	best := -1
 	for i, m := range promises {
-		if m.Log.Synced < sourceEpoch || m.Log.Synced == 0 {
+		if m.Log.Synced < terms[0].Epoch || m.Log.Synced == 0 {
 			continue
 		}
 		if best < 0 || betterSource(m, promises[best], prefer) {
@@ -200,9 +192,44 @@
 		}
 	}
 	if best < 0 {
-		return Member{}, 0, false
+		return Member{}, nil, false
+	}
+	if proven(terms[0], promises) {
+		terms = terms[:1]
+	}
+	return promises[best].From, terms[:min(len(terms), maximumTerms)], true
+}
+
+// presentTerms returns the epochs up to that of a view in which the last order may have committed.
+func presentTerms(present View) []Term {
+	terms := append([]Term{{Epoch: present.Epoch, Chain: present.Chain}}, present.Terms...)
+	if len(present.Terms) == 0 {
+		terms = append(terms, Term{Epoch: present.SourceEpoch})
+	}
+	return terms
+}
+
+// disproved reports whether a promiser shows that nothing was ever committed in an epoch: it belonged to
+// the chain, wasn't whole in it, and can't become so any more.
+func disproved(term Term, promises []Promise) bool {
+	for _, m := range promises {
+		if Index(term.Chain, m.From) >= 0 && m.Log.Synced < term.Epoch {
+			return true
+		}
+	}
+	return false
+}
+
+// proven reports whether all of an epoch's chain promise with logs that were whole in it: it can't be
+// disproved any more, and there are more of them than disks may be lost.
+func proven(term Term, promises []Promise) bool {
+	whole := 0
+	for _, m := range promises {
+		if Index(term.Chain, m.From) >= 0 && m.Log.Synced >= term.Epoch {
+			whole++
+		}
 	}
-	return promises[best].From, sourceEpoch, true
+	return whole > 0 && whole == len(term.Chain)
 }
 
 func betterSource(a, b Promise, prefer func(Member) bool) bool {
--- a/coord/view/doc.go
+++ b/coord/view/doc.go
@@ -25,22 +25,26 @@
 //	(I) The log of a member with Synced = x holds every order committed in epochs below x, and
 //	    those that were or will be committed in x.
 //
-// A proposer needs promises of a majority of the voters of e, among them one of the chain of e.
-//
-// A. All promisers of the chain of e have Synced = e. By (I), and because they are wedged, their
-// logs hold everything committed in epochs up to e. The longest becomes the source, with
-// SourceEpoch = e.
-//
-// B. A promiser p of the chain of e isn't whole in e. It can't become so any more, so nothing is
-// ever committed in e. By induction nothing was committed in the epochs after SourceEpoch(e) and
-// before e, so a promiser with Synced >= SourceEpoch(e) holds everything committed so far, by (I).
-// The one with the highest Synced, and then the longest log, becomes the source, and SourceEpoch
-// stays: however many views follow each other before one is whole, the logs that were whole in
-// SourceEpoch remain good enough, and there are more of them than disks may be lost. This is the
-// case of a source that died before the others had its prefix, and of members that learnt of the
-// decision late.
-//
-// Otherwise the promises prove nothing, and the proposer waits for more.
+// A proposer needs promises of a majority of the voters of e. It goes through the epochs that may have
+// committed the last order, e first, and then the Terms of the view of e.
+//
+// A. A promiser of the chain of an epoch x has Synced < x: it wasn't whole in x, and can't become so any
+// more, as it is wedged in x or has left it. So nothing was or will be committed in x. The next lower
+// term counts.
+//
+// B. No promiser of the chain of x shows this. Those with Synced >= x hold, by (I) and because they are
+// wedged in x or have left it, everything committed in epochs up to x, and the epochs above were shown to
+// have none. The one with the highest Synced, and then the longest log, becomes the source, with
+// SourceEpoch = x: however many views follow each other before one is whole, the logs that were whole in
+// SourceEpoch remain good enough. Should there be none, the promises prove nothing, and the proposer
+// waits for more.
+//
+// Where all of the chain of x have promised whole logs, there are more of them than disks may be lost,
+// and nobody can disprove x any more: it is the only term of the next view. Otherwise the lower ones stay
+// in Terms. Perhaps only the source of x was ever whole in it; when its disk is lost, another member of
+// the chain of x disproves x, and the logs that were whole in the term below count again. The last term
+// counts in any case. This is the case of a source that died before the others had its prefix, and of
+// members that learnt of the decision late.
 //
 // A source promised in epoch e and so stands still there until it adopts e+1: its log is then the
 // one that the proposer judged, also when another proposer repairs the value. A member that copies
--- a/coord/view/model_test.go
+++ b/coord/view/model_test.go
@@ -222,6 +222,9 @@
 	for _, m := range v.Chain {
 		text = appendMember(text, m)
 	}
+	for _, term := range v.Terms {
+		text = append(text, byte(term.Epoch), byte(len(term.Chain)))
+	}
 	return text
 }
 
--- a/coord/view/view.go
+++ b/coord/view/view.go
@@ -40,6 +40,17 @@
 	// SourceEpoch is the last epoch before this one in which an order may have committed. Every
 	// member whose log was whole in that epoch or later holds all of them.
 	SourceEpoch uint64
+
+	// Terms are the epochs, the newest first, in which the last order before this view may have
+	// committed: SourceEpoch, and those that come next should nothing have committed in it. Genesis has
+	// none, nor have views from before they were kept.
+	Terms []Term
+}
+
+// Term is an epoch and the chain that had to be whole in it before anything committed.
+type Term struct {
+	Epoch uint64
+	Chain []Member
 }
 
 // Genesis returns the first view, which every process derives alike from the same seeds.
