No chain of as few members as may be lost; absent voters whose disks count keep votes

Cause, two rules of the plan of a view that let one lost disk (f = 1) stop control for good while a majority held every acknowledged order: - plan() left out every leaving member whatever remained, though need() and mayLeave() look at the tolerance. n2 dies, and n1 is asked to leave as it is found silent: the chain is n0 alone. n0's disk is lost: no promise of the chain of that view is left, so no successor was ever chosen. - a voter silent for two seconds gave its place to a spare though its disk was one of the two with the newest order, and the others' copies weren't there yet. The other disk is lost: the one that counts doesn't vote any more.

Change: Planner.Plan lengthens a chain of f members or fewer by voters that are heard, then by leaving ones, and makes no plan with such a chain while there are 2f + 1 voters. Earlier lives of a candidate's disk or machine are replaced as before; absent voters only when more than f of the next voters promised with logs that hold everything (need() asks the same of what the member knows of its chain, so that no view changes in vain).

--- a/coord/replica/core_plan.go
+++ b/coord/replica/core_plan.go
@@ -133,7 +133,19 @@
 // planVoters returns the voters that the next view should have.
 func (c *core) planVoters() []view.Member {
 	planner := c.planner()
-	return planner.Voters()
+	return planner.Voters(c.knownWhole() > c.tolerance)
+}
+
+// knownWhole is the number of members of the chain that this one knows to be whole.
+func (c *core) knownWhole() int {
+	if !c.serving() || !c.link.whole {
+		return 0
+	}
+	known := view.Index(c.acceptor.View.Chain, c.self) + 1
+	if c.link.succWhole {
+		known++
+	}
+	return known
 }
 
 // knownAs returns m with the name that heartbeats brought.
@@ -148,9 +160,9 @@
 func (c *core) isStaying(m view.Member) bool { return !c.isLeaving(m) }
 
 // plan makes the members of the next view for the source that the promises gave.
-func (c *core) plan(source view.Member) (voters, members []view.Member, ok bool) {
+func (c *core) plan(source view.Member, holders []view.Member) (voters, members []view.Member, ok bool) {
 	planner := c.planner()
-	voters, members, ok = planner.Plan(source)
+	voters, members, ok = planner.Plan(source, holders)
 	return c.named(voters), c.named(members), ok
 }
 
--- a/coord/view/agreement.go
+++ b/coord/view/agreement.go
@@ -109,10 +109,14 @@
 // HasMajority reports whether a majority of the voters has promised.
 func (p *Proposal) HasMajority() bool { return len(p.promises) >= p.View.Majority() }
 
+// MakePlan makes the voters and the chain of a next view for its source. The holders are the promisers,
+// the source among them, that hold every order that may have committed.
+type MakePlan func(source Member, holders []Member) (voters, chain []Member, ok bool)
+
 // Choose fixes the value: the accepted one with the highest ballot, else the one that plan makes
 // for the source, which is one that the proposer prefers, if possible. It returns false while the
 // promises don't suffice.
-func (p *Proposal) Choose(prefer func(Member) bool, plan func(source Member) (voters, chain []Member, ok bool)) bool {
+func (p *Proposal) Choose(prefer func(Member) bool, plan MakePlan) bool {
 	if p.Value != nil || !p.HasMajority() {
 		return p.Value != nil
 	}
@@ -124,7 +128,7 @@
 	if !ok {
 		return false
 	}
-	voters, chain, ok := plan(source)
+	voters, chain, ok := plan(source, p.holders(terms[0].Epoch))
 	if !ok || Index(chain, source) < 0 {
 		return false
 	}
@@ -139,6 +143,17 @@
 	return true
 }
 
+// holders returns the promisers whose logs were whole in an epoch or later.
+func (p *Proposal) holders(epoch uint64) []Member {
+	var members []Member
+	for _, m := range p.promises {
+		if m.Log.Synced >= epoch {
+			members = append(members, m.From)
+		}
+	}
+	return members
+}
+
 func (p *Proposal) highestAccepted() *View {
 	var highest Ballot
 	var value *View
--- a/coord/view/doc.go
+++ b/coord/view/doc.go
@@ -50,6 +50,18 @@
 // one that the proposer judged, also when another proposer repairs the value. A member that copies
 // the prefix replaces its own log in one durable step, so it is never half of each.
 //
+// # The next loss
+//
+// Planner makes the voters and the chain of the next view. It keeps to two rules, without which a single
+// loss may leave a majority that can never go on. A chain has more members than disks may be lost, also
+// where some of them are about to leave: one of them is left to tell what it committed. And a voter that
+// is only absent keeps its vote until so many of the next voters hold everything without it.
+//
+// From the moment at which a view stands with 2 x Tolerance + 1 voters that all have the disk that they
+// vote with, and Tolerance + 1 members of its chain are whole in it, the loss of any Tolerance disks is
+// borne, with a loss of power of all: the others form a view that serves and has every acknowledged
+// order. The tests' model of the membership plays that loss in every state that it reaches.
+//
 // # Reads
 //
 // A decision on e+1 needs promises of a majority of the voters of e. Who asks all of them after a
--- a/coord/view/model_test.go
+++ b/coord/view/model_test.go
@@ -435,7 +435,7 @@
 		}
 	}
 	prefer := func(m Member) bool { return m.Address != w.rules.disliked }
-	chosen := p.Choose(prefer, func(source Member) ([]Member, []Member, bool) { return w.plan(p.View, source, short) })
+	chosen := p.Choose(prefer, func(source Member, _ []Member) ([]Member, []Member, bool) { return w.plan(p.View, source, short) })
 	if !chosen {
 		return
 	}
--- a/coord/view/plan.go
+++ b/coord/view/plan.go
@@ -22,18 +22,23 @@
 	Absent  func(Member) time.Duration // how long a voter is silent beyond what is put up with; zero: not so long
 }
 
-// Voters returns the voters that the next view should have.
-func (p *Planner) Voters() []Member {
+// Voters returns the voters that the next view should have. Earlier lives of the candidates' disks are
+// always replaced; voters that are only absent where their disks aren't needed.
+func (p *Planner) Voters(replaceAbsent bool) []Member {
 	voters := append([]Member(nil), p.Present.Voters...)
 	target := TargetVoters(p.Tolerance)
 	for _, candidate := range p.Candidates {
-		if position := p.replaceable(voters, candidate); position >= 0 {
+		position := p.earlierLife(voters, candidate)
+		if position < 0 && replaceAbsent {
+			position = p.longestAbsent(voters)
+		}
+		if position >= 0 {
 			voters[position] = candidate
 		} else if len(voters) < target {
 			voters = append(voters, candidate)
 		}
 	}
-	for len(voters) > target {
+	for replaceAbsent && len(voters) > target {
 		position := p.longestAbsent(voters)
 		if position < 0 {
 			break
@@ -43,16 +48,15 @@
 	return voters
 }
 
-// replaceable returns the voter whose place a candidate takes: an earlier life of its disk or its
-// machine, else one that has been silent for long.
-func (p *Planner) replaceable(voters []Member, candidate Member) int {
+// earlierLife returns the voter that was an earlier life of a candidate's disk or machine.
+func (p *Planner) earlierLife(voters []Member, candidate Member) int {
 	for i, m := range voters {
 		known := p.Known(m)
 		if m.Address == candidate.Address || known.Node != "" && known.Node == candidate.Node && !p.Heard(m) {
 			return i
 		}
 	}
-	return p.longestAbsent(voters)
+	return -1
 }
 
 func (p *Planner) longestAbsent(voters []Member) int {
@@ -69,11 +73,39 @@
 }
 
 // Plan returns the voters and the chain of the next view for the source that the promises gave.
-func (p *Planner) Plan(source Member) (voters, chain []Member, ok bool) {
-	voters = p.Voters()
+//
+// A voter that is absent keeps its vote until more members than may be lost hold everything without it:
+// its disk may be the one that the next loss asks for. And a chain that the losses to be borne can take
+// away whole would leave nobody who can tell what it committed: there is no plan with one while there are
+// voters enough to ask for more.
+func (p *Planner) Plan(source Member, holders []Member) (voters, chain []Member, ok bool) {
+	voters = p.Voters(true)
+	if common(voters, holders) <= p.Tolerance {
+		voters = p.Voters(false)
+	}
 	if Index(voters, source) < 0 {
 		return nil, nil, false
 	}
+	chain = p.chain(voters, source)
+	if len(chain) <= p.Tolerance {
+		chain = p.lengthened(chain, voters)
+	}
+	return voters, chain, len(chain) > p.Tolerance || len(voters) < TargetVoters(p.Tolerance)
+}
+
+func common(a, b []Member) int {
+	count := 0
+	for _, m := range a {
+		if Index(b, m) >= 0 {
+			count++
+		}
+	}
+	return count
+}
+
+// chain puts those that stay before those that return.
+func (p *Planner) chain(voters []Member, source Member) []Member {
+	var chain []Member
 	for _, m := range p.Present.Chain {
 		if m.Same(source) || Index(voters, m) >= 0 && p.Heard(m) && !p.Leaving(m) {
 			chain = append(chain, m)
@@ -87,5 +119,18 @@
 			chain = append(chain, m)
 		}
 	}
-	return voters, chain, true
+	return chain
+}
+
+// lengthened adds voters to a chain that is too short: those that are heard, and then those about to
+// leave, which have to wait until others can do without them.
+func (p *Planner) lengthened(chain, voters []Member) []Member {
+	for _, leaving := range []bool{false, true} {
+		for _, m := range voters {
+			if len(chain) <= p.Tolerance && Index(chain, m) < 0 && p.Heard(m) && p.Leaving(m) == leaving {
+				chain = append(chain, m)
+			}
+		}
+	}
+	return chain
 }
