A token that a gateway gives back long after it was taken is lost

Cause: a request that admission refuses gives its token back into the gateway's lease. A process that stood still between the two gave back a token whose place in the pool had long been granted anew: the levels of pool and leases then summed to more than the depth. Ruled out: the lease's end and depth bound what is given back, but not a token of the pool that lapsed meanwhile.

The keeper's Decision carries the moment.

--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -64,7 +64,8 @@
 
 // Admit decides about a request. The tenant's limit goes first: what lies beyond it is not owed.
 func (l *limits) Admit(ctx context.Context, wish proxy.Wish) proxy.Refusal {
-	if token := l.quotas.Acquire(ctx, wish.Tenant, patienceOf(wish.Route, time.Until(wish.Deadline))); !token.Admit {
+	token := l.quotas.Acquire(ctx, wish.Tenant, patienceOf(wish.Route, time.Until(wish.Deadline)))
+	if !token.Admit {
 		return proxy.Refusal{Status: http.StatusTooManyRequests, RetryAfter: token.RetryAfter}
 	}
 	l.tellLoad(wish.Backend)
@@ -73,7 +74,7 @@
 	if decision.Admit {
 		return proxy.Refusal{}
 	}
-	l.quotas.Return(wish.Tenant)
+	l.quotas.Return(wish.Tenant, token)
 	return proxy.Refusal{Status: http.StatusServiceUnavailable, RetryAfter: decision.RetryAfter}
 }
 
--- a/internal/gateway/limits/asking.go
+++ b/internal/gateway/limits/asking.go
@@ -108,7 +108,7 @@
 			kept = append(kept, one)
 			continue
 		}
-		one.decided <- k.count(one.tenant, verdict)
+		one.decided <- k.count(now, one.tenant, verdict)
 	}
 	clear(k.waiters[len(kept):])
 	k.waiters = kept
--- a/internal/gateway/limits/limits.go
+++ b/internal/gateway/limits/limits.go
@@ -40,6 +40,8 @@
 type Decision struct {
 	Admit      bool
 	RetryAfter time.Duration // of a refused one
+
+	taken time.Duration // when its token was
 }
 
 // Counts are totals since the start.
@@ -115,7 +117,7 @@
 	served := k.client.ServesIn(now, tenant)
 	verdict := k.client.Take(now, tenant)
 	if !verdict.Wait {
-		return k.count(tenant, verdict), nil, 0
+		return k.count(now, tenant, verdict), nil, 0
 	}
 	k.counts.Waited++
 	until := patience.Unsure
@@ -123,7 +125,7 @@
 	case served < patience.Sure:
 		until = max(until, served+certainMargin)
 	case k.client.Silent(now):
-		return k.count(tenant, quota.Verdict{RetryAfter: k.client.GiveUp(now, tenant)}), nil, 0
+		return k.count(now, tenant, quota.Verdict{RetryAfter: k.client.GiveUp(now, tenant)}), nil, 0
 	}
 	one := &waiter{tenant: tenant, decided: make(chan Decision, 1)}
 	k.waiters = append(k.waiters, one)
@@ -131,14 +133,14 @@
 	return Decision{}, one, until
 }
 
-func (k *Keeper) count(tenant *configuration.Tenant, verdict quota.Verdict) Decision {
+func (k *Keeper) count(now time.Duration, tenant *configuration.Tenant, verdict quota.Verdict) Decision {
 	if verdict.Admit {
 		k.counts.Admitted++
 	} else {
 		k.counts.Refused++
-		k.report.refused(tenant.Name, k.client.Silent(k.now()))
+		k.report.refused(tenant.Name, k.client.Silent(now))
 	}
-	return Decision{Admit: verdict.Admit, RetryAfter: verdict.RetryAfter}
+	return Decision{Admit: verdict.Admit, RetryAfter: verdict.RetryAfter, taken: now}
 }
 
 // giveUp ends a wait, unless it has just been decided.
@@ -148,7 +150,8 @@
 	for i, other := range k.waiters {
 		if other == one {
 			k.waiters = append(k.waiters[:i], k.waiters[i+1:]...)
-			return k.count(one.tenant, quota.Verdict{RetryAfter: k.client.GiveUp(k.now(), one.tenant)})
+			now := k.now()
+			return k.count(now, one.tenant, quota.Verdict{RetryAfter: k.client.GiveUp(now, one.tenant)})
 		}
 	}
 	return <-one.decided
@@ -161,11 +164,11 @@
 	k.client.Charge(k.now(), tenant)
 }
 
-// Return gives back the token of a request of which no byte went to a server.
-func (k *Keeper) Return(tenant *configuration.Tenant) {
+// Return gives back the token that a decision took, where no byte of the request went to a server.
+func (k *Keeper) Return(tenant *configuration.Tenant, decision Decision) {
 	k.mutex.Lock()
 	defer k.mutex.Unlock()
-	k.client.Return(k.now(), tenant)
+	k.client.Return(k.now(), decision.taken, tenant)
 }
 
 // Counts gives the totals.
--- a/internal/quota/client.go
+++ b/internal/quota/client.go
@@ -156,9 +156,11 @@
 	return c.tenantOf(of).servesIn(now)
 }
 
-// Return gives back the token of a request that was not sent to any server. Without a lease it is lost.
-func (c *Client) Return(now time.Duration, of *configuration.Tenant) {
-	if unlimited(of) {
+// Return gives back a token that was taken at a moment, of a request that was not sent to any server. Without a lease it is lost.
+// So is one that was taken longer ago than a token of the pool lasts, by a process that stood still since: the pool may have
+// granted its place anew.
+func (c *Client) Return(now, taken time.Duration, of *configuration.Tenant) {
+	if unlimited(of) || now-taken > longestExpiry {
 		return
 	}
 	c.expire(now)
