A pool never holds less than its floor on record, also under a limit that was lowered

Cause: a lowered limit cut the pool to its new depth at once, below the floor that stood on record until the next change of the record. A successor that began in between started at the floor and granted the difference once more. A tenant that was dropped, forgotten after 30 s and taken in again began in the books without the floor that is still on record.

Change: what lies up to the floor stays in the pool and can't be granted until the floor has been lowered on record; the allocator keeps floors of tenants that it doesn't know.

--- a/internal/quota/allocator.go
+++ b/internal/quota/allocator.go
@@ -40,7 +40,7 @@
 	dead         map[string]time.Duration // processes that ended, by when that was known
 	deadSwept    time.Duration
 	record       record
-	floors       map[string]amount // on record as the term began
+	floors       map[string]amount // on record, of tenants that no configuration has as well
 	pressed      bool
 }
 
@@ -109,7 +109,7 @@
 func (a *Allocator) begin(one *account, idle time.Duration) {
 	one.unknown = lease{one.budget.maxLentRate, one.budget.maxLent}
 	one.floor = floor{recorded: a.floors[one.tenant], raisedAt: a.now}
-	one.pool = bucket{level: min(one.floor.recorded, one.poolDepth()), at: a.now - idle}
+	one.pool = bucket{level: one.floor.recorded, at: a.now - idle}
 	a.refill(one)
 }
 
@@ -156,11 +156,12 @@
 	one.budget = budgetOf(a.options.Rules, tenant)
 	switch {
 	case !isNew && wasLimited:
-		one.pool.level = min(one.pool.level, one.poolDepth())
+		one.pool.level = min(one.pool.level, one.poolMost())
 	case a.now < a.unknownUntil:
 		a.begin(one, 0)
 	default:
-		one.pool = bucket{level: one.poolDepth(), at: a.now}
+		one.floor.recorded = a.floors[one.tenant]
+		one.pool = bucket{level: one.poolMost(), at: a.now}
 	}
 }
 
@@ -168,12 +169,12 @@
 func (a *Allocator) refill(one *account) {
 	if !one.unknown.none() {
 		known := min(a.now, a.unknownUntil)
-		one.pool.fill(known, one.budget.rate-one.lent.rate-one.unknown.rate, one.poolDepth())
+		one.pool.fill(known, one.budget.rate-one.lent.rate-one.unknown.rate, one.poolMost())
 		if a.now >= a.unknownUntil {
 			one.unknown = lease{}
 		}
 	}
-	one.pool.fill(a.now, one.budget.rate-one.lent.rate-one.unknown.rate, one.poolDepth())
+	one.pool.fill(a.now, one.budget.rate-one.lent.rate-one.unknown.rate, one.poolMost())
 }
 
 // poolDepth is the depth that isn't lent.
@@ -181,6 +182,11 @@
 	return max(0, one.budget.depth-one.lent.depth-one.unknown.depth)
 }
 
+// poolMost is what the pool holds at most. Under a limit that was lowered its depth may be less than its floor: what lies up to the
+// floor stays, though none of it can be granted, until the floor has been lowered on record. A successor then finds no more in the
+// pool than was there.
+func (one *account) poolMost() amount { return max(one.poolDepth(), one.floor.least()) }
+
 // Request answers a gateway. Now is when the allocator surely acts, read before that was made sure.
 func (a *Allocator) Request(now time.Duration, request protocol.QuotaRequest) protocol.QuotaReply {
 	a.now = max(a.now, now)
@@ -245,7 +251,7 @@
 
 // grant takes whole tokens from a pool.
 func (a *Allocator) grant(one *account, want int, grant *protocol.QuotaGrant) {
-	one.pool.level = min(one.pool.level, one.poolDepth()) // more may have been lent since it was filled
+	one.pool.level = min(one.pool.level, one.poolMost()) // more may have been lent since it was filled
 	there := int(one.free() / token)
 	grant.Tokens = min(want, there)
 	grant.ExpiresAfter = one.budget.expiry
--- a/internal/quota/floor.go
+++ b/internal/quota/floor.go
@@ -82,6 +82,9 @@
 // FloorsRecorded takes in that floors have been put on record.
 func (a *Allocator) FloorsRecorded(floors []Floor) {
 	for _, one := range floors {
+		if a.floors != nil {
+			a.floors[one.Tenant] = amount(one.Tokens) * token
+		}
 		if of := a.accounts[one.Tenant]; of != nil {
 			of.floor.recorded, of.floor.raising = amount(one.Tokens)*token, 0
 		}
--- /dev/null
+++ b/internal/quota/floor_test.go
@@ -0,0 +1,47 @@
+package quota
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+func TestFloors(t *testing.T) {
+	Convey("Given an allocator whose predecessor left a floor of 20 tokens on record", t, func() {
+		floors := []Floor{{Tenant: "a", Tokens: 20}}
+		a := NewAllocator(AllocatorOptions{Rules: testRules})
+		a.ConfigureTenants(limit("a", 100))
+		a.Start(0, 0, []string{}, floors)
+		a.Request(4*second, protocol.QuotaRequest{Sequence: 1, Process: protocol.Process{Node: "n", Incarnation: "1"}})
+		one := a.accounts["a"]
+
+		Convey("a lowered limit leaves what lies up to the floor, and grants none of it", func() {
+			a.ConfigureTenants(limit("a", 1))
+			So(one.poolDepth(), ShouldBeLessThan, 20*token)
+			So(one.pool.level, ShouldEqual, 20*token)
+			So(one.free(), ShouldEqual, 0)
+			Convey("until the floor has been lowered on record", func() {
+				lowered := a.Floors(4 * second)
+				So(lowered, ShouldHaveLength, 1)
+				a.FloorsRecorded(lowered)
+				a.refill(one)
+				So(one.pool.level, ShouldEqual, one.poolDepth())
+				So(one.free(), ShouldBeGreaterThan, 0)
+			})
+			Convey("also where it is raised again", func() {
+				a.ConfigureTenants(limit("a", 100))
+				So(one.pool.level, ShouldBeGreaterThanOrEqualTo, one.floor.recorded)
+			})
+		})
+		Convey("a tenant that was forgotten and comes back has its floor still", func() {
+			a.ConfigureTenants(nil)
+			a.now += 2 * rememberDropped
+			a.ConfigureTenants(nil)
+			So(a.accounts, ShouldBeEmpty)
+			a.ConfigureTenants(limit("a", 100))
+			So(a.accounts["a"].floor.recorded, ShouldEqual, 20*token)
+		})
+	})
+}
