--- a/internal/quota/failover_test.go
+++ b/internal/quota/failover_test.go
@@ -17,7 +17,7 @@
 		{"the allocator's machine dies", func(w *world) { w.failOver(0) }, 0.08},
 		{"the allocator's machine freezes and thaws", func(w *world) { w.failOver(3 * second) }, 0.08},
 		{"a gateway restarts", func(w *world) { w.gateways[0].kill(second) }, 0.005},
-		{"a gateway freezes for 3 s", func(w *world) { w.gateways[1].frozenUntil = w.now + 3*second }, 0.01},
+		{"a gateway freezes for 3 s", func(w *world) { w.gateways[1].freeze(3 * second) }, 0.01},
 		{"a gateway comes", func(w *world) { w.addGateway() }, 0.005},
 		{"six of eleven gateways restart", func(w *world) {
 			for _, g := range w.gateways[:6] {
@@ -36,7 +36,7 @@
 			refused, owed := 0, 0
 			for seed := range uint64(6) {
 				w := newWorld(seed+1, 11, siteTenants())
-				w.begin()
+				w.open()
 				w.play(20 * second)
 				for _, count := range w.counts {
 					*count = counts{}
--- a/internal/quota/size_test.go
+++ b/internal/quota/size_test.go
@@ -27,7 +27,7 @@
 			const seconds = 12
 			w := newWorld(1, one.gateways, spreadTenants(one.tenants, one.perSecond))
 			w.hollow, w.maxWait = true, 100*millisecond // a fifth of the aims at size, at most
-			w.elect(0, 0)
+			w.elect(0, 0, startAfter)
 			for name := range sortedNames(w.usage) {
 				w.at(5*second, func() { w.traffic(name) })
 			}
