Batch jobs of a route that has ended can still be read; a gateway's first 503 is tested

The gap: GET /lots, GET /items and DELETE /lots were given 404 by gateways once no batch route of their host was left, also for batch jobs whose results must stay readable until status-s. Stores look at the tenant alone there, so now such a call goes on to them wherever there are any; nothing new is taken without a route.

TestBatchCalls has the route end (404 without the mend). TestRequestsThatGoNowhere: the waits for control end with the client's deadline, and a process without a configuration answers 503 with Retry-After to requests and to all batch calls.

--- a/internal/gateway/proxy/batch.go
+++ b/internal/gateway/proxy/batch.go
@@ -20,6 +20,10 @@
 	readSlack = 1300 * time.Millisecond
 )
 
+// endedRoute stands for the route of a call for a batch job whose own has ended: what is listed can be read for as long as it is
+// kept, by the tenant that it belongs to.
+var endedRoute = &configuration.Route{Type: configuration.RouteBatch}
+
 // findBatch finds the route of a call for a batch job that is known by its path: one of the host's batch routes.
 func (q *request) findBatch(path string) {
 	operation := batchOperation(q.r.Method, path)
@@ -32,6 +36,9 @@
 			return
 		}
 	}
+	if members := q.proxy.Knowledge.Members(); members != nil && len(members.Stores.Members) > 0 {
+		q.route, q.operation = endedRoute, operation
+	}
 }
 
 func batchOperation(method, path string) protocol.BatchOperation {
--- a/internal/gateway/proxy/request_test.go
+++ b/internal/gateway/proxy/request_test.go
@@ -102,6 +102,25 @@
 		So(r.ask("POST", "/unsafe/x").status, ShouldEqual, 503)
 		So(r.seen(), ShouldHaveLength, 1)
 	})
+	Convey("No wait for control outlasts the client", t, func() {
+		r := start(t, 1, good)
+		for told, want := range map[string]time.Duration{"60": 60 * time.Millisecond, "9000": denyWait, "": denyWait} {
+			So(r.ask("POST", "/nowhere/x", "X-Deadline-Ms", told).status, ShouldEqual, 404)
+			So(r.knowledge.waited, ShouldEqual, want)
+		}
+		r.knowledge.configuration.Store(nil)
+		for told, want := range map[string]time.Duration{"60": 60 * time.Millisecond, "9000": firstWait, "": firstWait} {
+			got := r.ask("POST", "/unsafe/x", "X-Deadline-Ms", told)
+			So(got.status, ShouldEqual, 503)
+			So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+			So(r.knowledge.waited, ShouldEqual, want)
+		}
+		for path, method := range map[string]string{"/lots/job": http.MethodGet, "/items/job?id=i": http.MethodGet, "/lots/x": "POST"} {
+			got := r.ask(method, path)
+			So(got.status, ShouldEqual, 503)
+			So(got.header.Get("Retry-After"), ShouldNotBeEmpty)
+		}
+	})
 	Convey("The right is looked at once more right before the first byte", t, func() {
 		r := start(t, 1, good)
 		r.proxy.Admission = lapses{knowledge: r.knowledge}
@@ -141,6 +160,26 @@
 		})
 		So(r.seen(), ShouldBeEmpty)
 	})
+	Convey("Where the route has ended its batch jobs can still be read and ended, but none is taken", t, func() {
+		r := start(t, 1, good)
+		r.batch.answer = protocol.BatchAnswer{Status: 200}
+		r.configure(func(d *configuration.Document) { d.Routes = nil })
+		calls := map[string]string{"/lots/job?start-after=3": http.MethodGet, "/items/job?id=i": http.MethodGet, "/lots/job": http.MethodDelete}
+		for path, method := range calls {
+			So(r.ask(method, path, "X-Request-Id", "").status, ShouldEqual, 404)
+		}
+		r.knowledge.members = &protocol.MemberList{Stores: protocol.StoreView{Members: make([]protocol.StoreMember, 3)}}
+		for path, method := range calls {
+			So(r.ask(method, path, "X-Request-Id", "").status, ShouldEqual, 200)
+			So(r.ask(method, path, "Api-Key", "unknown").status, ShouldEqual, 401)
+		}
+		So(r.ask("POST", "/lots/abc").status, ShouldEqual, 404)
+		So(r.batch.calls, ShouldHaveLength, 3)
+		for _, call := range r.batch.calls {
+			So(call.Tenant, ShouldEqual, rigTenant)
+			So(call.BatchJob, ShouldEqual, "job")
+		}
+	})
 	Convey("Without a right to act on keys they are refused", t, func() {
 		r := start(t, 1, good)
 		r.knowledge.lapsed.Store(true)
--- a/internal/gateway/proxy/rig_test.go
+++ b/internal/gateway/proxy/rig_test.go
@@ -29,13 +29,16 @@
 	lapsed        atomic.Bool
 	reachable     atomic.Bool
 	onAwait       func()
+	waited        time.Duration // that the last Await was given
+	members       *protocol.MemberList
 }
 
 func (k *knowledge) Configuration() *configuration.Snapshot { return k.configuration.Load() }
-func (k *knowledge) Members() *protocol.MemberList          { return nil }
+func (k *knowledge) Members() *protocol.MemberList          { return k.members }
 func (k *knowledge) Holds(time.Time) bool                   { return !k.lapsed.Load() }
 
-func (k *knowledge) Await(context.Context, time.Time, time.Time) bool {
+func (k *knowledge) Await(_ context.Context, now, by time.Time) bool {
+	k.waited = by.Sub(now)
 	if k.onAwait != nil {
 		k.onAwait()
 	}
