A store that gave a read no answer is asked last for a moment; tests of batch calls

The gap: only submissions noted that a store said nothing. Now each call that gets no answer has its store asked last for a second, as submissions do.

Without the mend the frozen store is asked first at each read.

--- a/internal/gateway/batchcall/batchcall.go
+++ b/internal/gateway/batchcall/batchcall.go
@@ -34,6 +34,7 @@
 	settings *node.Settings
 	options  transport.Options
 	members  func() *protocol.MemberList
+	put      func(ctx context.Context, ip string, call protocol.BatchCall) (protocol.BatchAnswer, error) // ask, but in tests
 
 	mu    sync.Mutex
 	links map[string]*link     // by IP
@@ -51,7 +52,9 @@
 // New gives a caller that takes the set of batch processes from members.
 func New(settings *node.Settings, options transport.Options, members func() *protocol.MemberList) *Caller {
 	options.Heartbeat = 500 * time.Millisecond
-	return &Caller{settings: settings, options: options, members: members, links: map[string]*link{}, slow: map[string]time.Time{}}
+	c := &Caller{settings: settings, options: options, members: members, links: map[string]*link{}, slow: map[string]time.Time{}}
+	c.put = c.ask
+	return c
 }
 
 // Call asks until there is an answer or the context ends.
@@ -72,8 +75,9 @@
 		if ip == "" || ctx.Err() != nil {
 			break
 		}
-		answer, err := c.ask(ctx, ip, call)
+		answer, err := c.put(ctx, ip, call)
 		if err != nil {
+			c.passOver(ip)
 			uncertain = uncertain || !errors.Is(err, transport.ErrNotConnected)
 			continue
 		}
@@ -95,7 +99,7 @@
 
 // second asks one more process after one that could not be sure.
 func (c *Caller) second(ctx context.Context, route *route, call protocol.BatchCall) (protocol.BatchAnswer, bool) {
-	answer, err := c.ask(ctx, route.next(), call)
+	answer, err := c.put(ctx, route.next(), call)
 	return answer, err == nil && answer.Status != 0
 }
 
--- a/internal/gateway/batchcall/batchcall_test.go
+++ b/internal/gateway/batchcall/batchcall_test.go
@@ -2,10 +2,17 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
+	"slices"
+	"strconv"
+	"sync"
 	"testing"
+	"testing/synctest"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+	"github.com/stretchr/testify/assert"
 
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/node"
@@ -88,3 +95,111 @@
 		So(s.uncertain, ShouldBeTrue)
 	})
 }
+
+// store is how a batch process of a test takes a call.
+type store func(ctx context.Context, call protocol.BatchCall) (protocol.BatchAnswer, error)
+
+func says(status int) store {
+	return func(context.Context, protocol.BatchCall) (protocol.BatchAnswer, error) {
+		return protocol.BatchAnswer{Status: status}, nil
+	}
+}
+
+func names(owner string) store {
+	return func(context.Context, protocol.BatchCall) (protocol.BatchAnswer, error) {
+		return protocol.BatchAnswer{Owner: owner}, nil
+	}
+}
+
+// frozen says nothing until it is given up, dead can't be reached.
+func frozen(ctx context.Context, _ protocol.BatchCall) (protocol.BatchAnswer, error) {
+	<-ctx.Done()
+	return protocol.BatchAnswer{}, transport.ErrUncertain
+}
+
+func dead(context.Context, protocol.BatchCall) (protocol.BatchAnswer, error) {
+	return protocol.BatchAnswer{}, transport.ErrNotConnected
+}
+
+// caller gives one in zone z before stores 1 (near), 2 and 3 (far), and the list of those that it asks.
+func caller(stores ...store) (c *Caller, asked *[]string) {
+	list := &protocol.MemberList{}
+	for i := range stores {
+		list.Stores.Members = append(list.Stores.Members, protocol.StoreMember{
+			Process: protocol.Process{IP: fmt.Sprint(i + 1), Zone: []string{"z", "y"}[min(i, 1)]}, State: protocol.StoreActive})
+	}
+	c = New(&node.Settings{Zone: "z"}, transport.Options{}, func() *protocol.MemberList { return list })
+	var mu sync.Mutex
+	asked = &[]string{}
+	c.put = func(ctx context.Context, ip string, call protocol.BatchCall) (protocol.BatchAnswer, error) {
+		mu.Lock()
+		*asked = append(*asked, ip)
+		mu.Unlock()
+		at, _ := strconv.Atoi(ip)
+		ctx, cancel := context.WithTimeout(ctx, answerWait)
+		defer cancel()
+		return stores[at-1](ctx, call)
+	}
+	return c, asked
+}
+
+// Other clients look at batch jobs all day, through any gateway, whatever has become of some stores.
+func TestCallsOfOtherClients(t *testing.T) {
+	calls := []protocol.BatchOperation{protocol.BatchRead, protocol.BatchBody, protocol.BatchEnd}
+	for _, operation := range calls {
+		call := protocol.BatchCall{Operation: operation, BatchJob: "job"}
+		Convey(fmt.Sprint("Operation ", operation, " finds the owner, past stores that are dead"), t, func() {
+			c, asked := caller(dead, says(http.StatusOK), names("2"))
+			So(c.Call(context.Background(), call).Status, ShouldEqual, http.StatusOK)
+			So((*asked)[0], ShouldEqual, "1")
+			So(c.Call(context.Background(), call).Status, ShouldEqual, http.StatusOK)
+			So((*asked)[len(*asked)-1], ShouldEqual, "2")
+			So(slices.Index((*asked)[1:], "1"), ShouldEqual, -1)
+		})
+		Convey(fmt.Sprint("Operation ", operation, " is denied only by a store that is sure"), t, func() {
+			c, _ := caller(says(http.StatusServiceUnavailable), says(http.StatusServiceUnavailable), dead)
+			answer := c.Call(context.Background(), call)
+			So(answer.Status, ShouldEqual, http.StatusServiceUnavailable)
+			c, _ = caller(dead, dead, dead)
+			answer = c.Call(context.Background(), call)
+			So(answer.Status, ShouldEqual, http.StatusServiceUnavailable)
+			So(answer.RetryAfterMs, ShouldBeGreaterThan, 0)
+			c, _ = caller(dead, names("1"), names("1"))
+			So(c.Call(context.Background(), call).Status, ShouldEqual, http.StatusServiceUnavailable)
+			c, _ = caller(names("2"), says(http.StatusNotFound), dead)
+			So(c.Call(context.Background(), call).Status, ShouldEqual, http.StatusNotFound)
+		})
+	}
+	Convey("One that said nothing is asked last for a moment", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			c, asked := caller(frozen, says(http.StatusOK), says(http.StatusOK))
+			read := protocol.BatchCall{Operation: protocol.BatchRead, BatchJob: "job"}
+			began := time.Now()
+			assert.Equal(t, http.StatusOK, c.Call(context.Background(), read).Status)
+			assert.Equal(t, answerWait, time.Since(began))
+			for range 3 {
+				assert.Equal(t, http.StatusOK, c.Call(context.Background(), read).Status)
+			}
+			assert.Equal(t, answerWait, time.Since(began))
+			assert.Equal(t, "1", (*asked)[0])
+			assert.NotContains(t, (*asked)[1:], "1")
+			time.Sleep(passedOver + 1)
+			assert.Equal(t, http.StatusOK, c.Call(context.Background(), read).Status)
+			assert.Equal(t, "1", (*asked)[len(*asked)-2])
+		})
+	})
+	Convey("A batch job that is sent again is accepted again, whichever store is asked", t, func() {
+		synctest.Test(t, func(t *testing.T) {
+			for _, stores := range [][]store{
+				{says(http.StatusAccepted), dead, dead}, {names("2"), says(http.StatusAccepted), dead}, {dead, dead, says(http.StatusAccepted)},
+				{frozen, names("3"), says(http.StatusAccepted)}, {frozen, frozen, says(http.StatusAccepted)},
+			} {
+				c, _ := caller(stores...)
+				began := time.Now()
+				answer := c.Call(context.Background(), protocol.BatchCall{Operation: protocol.BatchSubmit, BatchJob: "job"})
+				assert.Equal(t, http.StatusAccepted, answer.Status)
+				assert.LessOrEqual(t, time.Since(began), 2*hedgeAfter)
+			}
+		})
+	})
+}
--- a/internal/gateway/batchcall/submit.go
+++ b/internal/gateway/batchcall/submit.go
@@ -41,7 +41,7 @@
 	defer cancel()
 	s := &submission{route: newRoute(order), came: make(chan attempt, hopsMost)}
 	s.ask = func(ip string) attempt {
-		answer, err := c.ask(ctx, ip, call)
+		answer, err := c.put(ctx, ip, call)
 		return attempt{answer: answer, err: err}
 	}
 	s.slow = c.passOver
