--- a/internal/batch/runner/run.go
+++ b/internal/batch/runner/run.go
@@ -1,6 +1,7 @@
 package runner
 
 import (
+	"math"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/batch/exchange"
@@ -96,10 +97,16 @@
 		r.planner.Full(assignment.Server.ID, now, againLater)
 	}
 	kept := b.items[assignment.Index]
-	if r.jobs[b.ID] != b || kept == nil {
+	if r.jobs[b.ID] != b {
+		r.setbacks.add(b.ID, assignment.Index, outcome.Ending)
 		return false
 	}
-	kept.events = append(kept.events, outcome.Events...)
+	if kept == nil {
+		return false
+	}
+	if !r.bugs.forgetEvents {
+		kept.events = append(kept.events, outcome.Events...)
+	}
 	kept.last = outcome.LastEventID
 	return r.follow(b, kept, assignment, outcome, now)
 }
@@ -111,13 +118,12 @@
 	case exchange.Completed:
 		b.finished = append(b.finished, finished{index: assignment.Index, state: job.Completed, text: text(kept.events)})
 		return true
-	case exchange.Impossible:
-		b.finished = append(b.finished, finished{index: assignment.Index, state: job.DeadLetter})
-		return true
-	case exchange.Failed:
-		r.counts.Failed++
-		kept.failures++
-		if kept.failures >= r.maxAttempts(b) {
+	case exchange.Impossible, exchange.Failed:
+		if outcome.Ending == exchange.Failed {
+			r.counts.Failed++
+		}
+		kept.add(outcome.Ending, r.bugs)
+		if kept.spent(r.maxAttempts(b)) {
 			b.finished = append(b.finished, finished{index: assignment.Index, state: job.DeadLetter})
 			return true
 		}
@@ -148,13 +154,16 @@
 	return false
 }
 
+// maxAttempts tells how often an item may fail. While its route isn't known nothing is given up for that: a route that has ended
+// ends its items by itself.
 func (r *Runner) maxAttempts(b *batchJob) int {
 	snapshot := r.knowledge.Configuration()
 	if snapshot == nil {
-		return 1
+		return math.MaxInt
 	}
-	if route := snapshot.RouteNamed(b.Route); route != nil {
-		return max(route.MaxAttempts, 1)
+	route := snapshot.RouteNamed(b.Route)
+	if route == nil {
+		return math.MaxInt
 	}
-	return 1
+	return max(route.MaxAttempts, 1)
 }
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -37,6 +37,13 @@
 	Servers(backend string) []protocol.Server
 }
 
+// Client speaks to servers. *exchange.Client is one.
+type Client interface {
+	Run(ctx context.Context, request *exchange.Request) exchange.Outcome
+	Dials() int64
+	Sweep(present func(instance string) bool)
+}
+
 const (
 	pollEvery     = 100 * time.Millisecond // for what waits on time, while something does
 	silence       = 3 * time.Second        // of a server, after which it is given up
@@ -53,7 +60,7 @@
 type Runner struct {
 	store     Store
 	knowledge Knowledge
-	client    *exchange.Client
+	client    Client
 	log       zerolog.Logger
 	origin    time.Time
 	skew      time.Duration // that clocks may differ or jump by
@@ -64,8 +71,10 @@
 	planner  *schedule.Planner
 	jobs     map[string]*batchJob
 	starting map[string]bool
+	setbacks setbacks // of batch jobs that were stopped
 	closed   bool
 	counts   Counts
+	bugs     bugs // of tests
 }
 
 // Counts are totals since the start.
@@ -84,10 +93,10 @@
 
 // progress is what is kept of an item between runs.
 type progress struct {
-	at       journal.Location
-	events   [][]byte
-	last     int64 // id of the last event, -1: none
-	failures int   // answers of 500
+	at     journal.Location
+	events [][]byte
+	last   int64 // id of the last event, -1: none
+	setback
 }
 
 type finished struct {
@@ -106,6 +115,7 @@
 		planner:  schedule.New(zone),
 		jobs:     map[string]*batchJob{},
 		starting: map[string]bool{},
+		setbacks: setbacks{},
 	}
 }
 
@@ -126,6 +136,9 @@
 		b.cancel()
 		delete(r.jobs, id)
 		r.planner.Remove(id)
+		for index, kept := range b.items {
+			r.setbacks.note(id, index, kept.setback)
+		}
 	}
 }
 
@@ -234,6 +247,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	b := &batchJob{Job: work, context: ctx, cancel: cancel, items: items}
 	r.jobs[work.ID] = b
+	tasks = r.takeUp(b, tasks)
 	target := defaultTarget
 	var backends []string
 	if snapshot != nil {
@@ -337,7 +351,7 @@
 		if taken {
 			delete(b.items, one.index)
 			r.countFinished(one.state)
-		} else {
+		} else if !r.bugs.dropUntaken {
 			b.finished = append(b.finished, one)
 		}
 		if len(b.items) == 0 && r.jobs[b.ID] == b {
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math"
 	"sync"
 	"testing"
 	"time"
@@ -84,6 +85,25 @@
 	})
 }
 
+func TestTimesAndTries(t *testing.T) {
+	Convey("While its route isn't known an item is not given up for failures", t, func() {
+		store := &fakeStore{}
+		r := New("z", 0, store, store, zerolog.Nop())
+		of := func(route string) *batchJob { return &batchJob{Job: replica.Job{Route: route}} }
+		So(r.maxAttempts(of("limited")), ShouldEqual, 1)
+		So(r.maxAttempts(of("no such route")), ShouldEqual, math.MaxInt)
+	})
+	Convey("A server gets half a minute for an item, or until it is given up, but time for a try", t, func() {
+		r := New("z", 0, nil, nil, zerolog.Nop())
+		for left, want := range map[time.Duration]time.Duration{time.Hour: mostDeadline, 10 * time.Second: 10 * time.Second,
+			0: time.Second, -time.Minute: time.Second} {
+			got := r.deadline(&batchJob{giveUpAt: time.Now().Add(left)})
+			So(got, ShouldBeBetweenOrEqual, want-time.Second, want)
+		}
+		So(r.deadline(&batchJob{}), ShouldEqual, mostDeadline)
+	})
+}
+
 func TestEnd(t *testing.T) {
 	Convey("A runner without work ends with its context", t, func() {
 		store := &fakeStore{finished: map[int]job.State{}}
