Batch stores: a record that can't be used costs no more than its own batch job

Ruled out by reading all writers: a copy record never goes back behind results in the same life. Only adopt writes one (and rewrite, new here), and it replaces what is held in memory by what the record holds, so that replay and memory agree; Finish and extend write position len(results) of that; hand-over writes nothing at the leaving store; an owner never copies itself.

Whatever the cause, a record that can't be used made the start fail. Now Replay gives a typed Finding with its place and goes on. The batch job keeps its sound prefix and is marked damaged until a new copy is written; what follows in the log counts for nothing, as it may be of a copy that isn't here. Altered records no longer panic (20,000 of them are tried; before, an item or result index out of range did).

A damaged copy is no whole copy of its version: - the inventory says so, with the sound prefix as its count; the store doesn't acknowledge it, and the owner sends it anew - a store that would own a batch job and has a damaged copy, an older one or none concedes it (Concede) to one with a whole copy, else to the longest sound prefix; only the store that would own it decides that, once an epoch - where no whole copy is left, the longest sound prefix is written as a whole copy of a new version, and served: all that was shown is on every copy, so no more is missing than was damaged - an owner forgets what it knew of copies at a store that starts again, and takes back that all stands whole until that store has told what it has: before, it counted on copies that were gone, showed results on their word, and told control that the next loss is borne - a store that can't name what it may have held counts like one that left where it is asked whether a batch job exists

Two faults beside, found by reading OldestSegment: the segment of a copy could go while the copy that replaces it was not durable, and a loss of power then took both; and the record of who is missing went with its segment, so that a later start forgot them. Both are kept now.

--- /dev/null
+++ b/internal/batch/replica/cluster_test.go
@@ -0,0 +1,274 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/simulation"
+)
+
+// This file owns a cluster for tests that go step by step: machines on the real log and simulated disks, messages that are
+// delivered in order when the test says so, a clock that the test moves. Nothing is left to chance but what a loss of power
+// leaves.
+
+type cluster struct {
+	copies   int
+	now      time.Duration
+	epoch    uint64
+	nodes    []*clusterNode
+	messages []clusterMessage
+}
+
+type clusterMessage struct {
+	from protocol.Process
+	to   placement.Key
+	body any
+}
+
+type clusterNode struct {
+	cluster     *cluster
+	number      int
+	incarnation int
+	life        uint64
+	state       protocol.StoreState
+	disk        *simulation.Disk
+	log         *journal.Log // nil: the process doesn't run
+	machine     *Machine
+	found       []*Finding
+	answers     map[Token]protocol.BatchAnswer
+	token       Token
+}
+
+func newCluster(nodes, copies int, seed uint64) *cluster {
+	c := &cluster{copies: copies, now: time.Second}
+	for i := range nodes {
+		c.nodes = append(c.nodes, &clusterNode{
+			cluster: c, number: i, incarnation: 1, disk: simulation.NewDisk(simulation.NewRand(seed + uint64(i))),
+		})
+		c.nodes[i].start()
+	}
+	c.view(c.nodes...)
+	return c
+}
+
+func (n *clusterNode) process() protocol.Process {
+	name := "store-" + strconv.Itoa(n.number+1)
+	return protocol.Process{
+		Node: name, Role: protocol.RoleBatch, Zone: "zone-" + strconv.Itoa(n.number+1), IP: name,
+		Incarnation: strconv.Itoa(n.incarnation),
+	}
+}
+
+func (n *clusterNode) key() placement.Key { return placement.KeyOf(n.process()) }
+
+// start reads the disk; a finding is noted.
+func (n *clusterNode) start() {
+	n.life++
+	n.found = nil
+	n.answers = map[Token]protocol.BatchAnswer{}
+	n.machine = New(Options{Self: n.process(), Life: n.life, Copies: n.cluster.copies, KeepFor: time.Hour}, n)
+	options := journal.Options{Segment: 4 << 10, Skipped: func(at journal.Location) {
+		n.found = append(n.found, n.machine.Skipped(at))
+	}}
+	log, err := journal.Load(n.disk, options, func(at journal.Location, record []byte) error {
+		if err := n.machine.Replay(at, record); err != nil {
+			n.found = append(n.found, err.(*Finding))
+		}
+		return nil
+	})
+	if err != nil {
+		panic(err)
+	}
+	n.log = log
+}
+
+func (n *clusterNode) kill() {
+	n.log = nil
+	n.disk.Kill()
+}
+
+func (n *clusterNode) losePower() {
+	n.log = nil
+	n.disk.PowerLoss()
+}
+
+func (n *clusterNode) wipe() {
+	n.log = nil
+	n.disk.Wipe()
+	n.incarnation++
+	n.life = 0
+}
+
+// view makes a set of stores the newest view.
+func (c *cluster) view(members ...*clusterNode) {
+	c.epoch++
+	view := protocol.StoreView{Epoch: c.epoch}
+	for _, n := range members {
+		view.Members = append(view.Members, protocol.StoreMember{Process: n.process(), State: n.state})
+	}
+	for _, n := range members {
+		if n.log != nil {
+			n.machine.View(view)
+			n.machine.Grant(true, time.Hour)
+		}
+	}
+}
+
+// rejoin hands a process that started again the view that it is still in.
+func (c *cluster) rejoin(n *clusterNode) {
+	for _, other := range c.nodes {
+		if other != n && other.log != nil {
+			n.machine.View(other.machine.view)
+			n.machine.Grant(true, time.Hour)
+			return
+		}
+	}
+}
+
+// flush makes all that a node wrote durable.
+func (n *clusterNode) flush() (wrote bool) {
+	if n.log == nil {
+		return false
+	}
+	for {
+		more, err := n.log.Step()
+		if err != nil {
+			panic(err)
+		}
+		if !more {
+			break
+		}
+		wrote = true
+	}
+	if wrote {
+		n.machine.Written(n.log.Durable())
+	}
+	return wrote
+}
+
+// settle delivers messages and writes until nothing more comes of them, over some ticks.
+func (c *cluster) settle() {
+	for range 12 {
+		c.calm()
+		c.now += 300 * time.Millisecond
+		for _, n := range c.nodes {
+			if n.log != nil {
+				n.machine.Tick()
+			}
+		}
+	}
+	c.calm()
+}
+
+func (c *cluster) calm() {
+	for busy := true; busy; {
+		busy = false
+		for len(c.messages) > 0 {
+			next := c.messages[0]
+			c.messages = c.messages[1:]
+			busy = true
+			c.deliver(next)
+		}
+		for _, n := range c.nodes {
+			busy = n.flush() || busy
+		}
+	}
+}
+
+func (c *cluster) deliver(message clusterMessage) {
+	for _, n := range c.nodes {
+		if n.key() == message.to && n.log != nil {
+			n.machine.Message(message.from, message.body)
+		}
+	}
+}
+
+// The machine's environment.
+
+func (n *clusterNode) Now() time.Duration { return n.cluster.now }
+func (n *clusterNode) Wall() int64        { return n.cluster.now.Milliseconds() }
+func (n *clusterNode) Free() int64        { return 1 << 40 }
+func (n *clusterNode) Start(string)       {}
+func (n *clusterNode) Stop(string)        {}
+
+func (n *clusterNode) Write(record []byte, _ bool) (uint64, journal.Location) {
+	return n.log.Append(record)
+}
+
+func (n *clusterNode) Read(at journal.Location) ([]byte, error) { return n.log.Read(at) }
+
+func (n *clusterNode) Send(to protocol.Process, message any) {
+	n.cluster.messages = append(n.cluster.messages, clusterMessage{from: n.process(), to: placement.KeyOf(to), body: message})
+}
+
+func (n *clusterNode) Answer(token Token, answer protocol.BatchAnswer) { n.answers[token] = answer }
+
+// call makes a call at a node and gives its answer once all is calm.
+func (n *clusterNode) call(call protocol.BatchCall, items []job.Item) protocol.BatchAnswer {
+	n.token++
+	token := n.token
+	n.machine.Call(token, call, items)
+	n.cluster.settle()
+	return n.answers[token]
+}
+
+// submit has a batch job accepted at a node.
+func (n *clusterNode) submit(id string, count int) protocol.BatchAnswer {
+	var items []job.Item
+	for i := range count {
+		items = append(items, job.Item{ID: fmt.Sprintf("%s-%d", id, i), Path: "/p", Body: []byte("body")})
+	}
+	return n.call(protocol.BatchCall{Operation: protocol.BatchSubmit, BatchJob: id, Tenant: "t", Route: "r"}, items)
+}
+
+// read gives the texts of a batch job's results, and the status.
+func (n *clusterNode) read(id string) ([]string, int) {
+	answer := n.call(protocol.BatchCall{Operation: protocol.BatchRead, BatchJob: id, Tenant: "t"}, nil)
+	var read page
+	_ = json.Unmarshal(answer.Body, &read)
+	var texts []string
+	for _, result := range read.Results {
+		texts = append(texts, result.Text)
+	}
+	return texts, answer.Status
+}
+
+// finish lists an item with its number as text.
+func (n *clusterNode) finish(id string, indexes ...int) {
+	for _, index := range indexes {
+		if !n.machine.Finish(id, index, job.Completed, []byte(strconv.Itoa(index))) {
+			panic(fmt.Sprintf("item %d of %s isn't taken on %s", index, id, n.key()))
+		}
+	}
+}
+
+// owner gives the node that owns a batch job.
+func (c *cluster) owner(id string) *clusterNode {
+	index := slices.IndexFunc(c.nodes, func(n *clusterNode) bool {
+		return n.log != nil && n.machine.jobs[id] != nil && n.machine.jobs[id].owner
+	})
+	if index < 0 {
+		return nil
+	}
+	return c.nodes[index]
+}
+
+// replicaOf gives the node of the batch job's set that doesn't own it.
+func (c *cluster) replicaOf(id string) *clusterNode {
+	owner := c.owner(id)
+	for _, replica := range owner.machine.jobs[id].replicas[1:] {
+		for _, n := range c.nodes {
+			if n.key() == placement.KeyOf(replica) {
+				return n
+			}
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/batch/replica/damage.go
@@ -0,0 +1,140 @@
+package replica
+
+import (
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns what becomes of copies that are not whole: who owns the batch job instead, and how they are replaced.
+
+// concession is a batch job that this store would own, given to another one.
+type concession struct {
+	to      placement.Key
+	version Version
+	sentAt  time.Duration
+}
+
+// takeOrConcede owns a batch job that falls to this store, or gives it to a store that holds a better copy of the newest
+// version. Only the store that would own it does so; so there is one decision in an epoch.
+func (m *Machine) takeOrConcede(id string, found *copies) {
+	h := m.jobs[id]
+	held := h != nil && h.version == found.version
+	if held && !h.damaged {
+		m.take(h)
+		return
+	}
+	mine := -1
+	if held {
+		mine = len(h.results)
+	}
+	if better := found.better(m.self, mine); better != "" {
+		m.concede(id, concession{to: better, version: found.version})
+		return
+	}
+	if held {
+		m.take(h)
+	}
+}
+
+// better gives the store that holds a whole copy, the first of the set where it is one of several, or else the longest
+// sound prefix, if it is of more than a count of results.
+func (c *copies) better(self placement.Key, count int) placement.Key {
+	candidates := slices.Sorted(slices.Values(c.holders))
+	for _, replica := range slices.Backward(c.replicas) {
+		if key := placement.KeyOf(replica); slices.Contains(candidates, key) {
+			candidates = slices.Insert(slices.DeleteFunc(candidates, func(k placement.Key) bool { return k == key }), 0, key)
+		}
+	}
+	var longest placement.Key
+	for _, key := range candidates {
+		prefix, damaged := c.damaged[key]
+		switch {
+		case key == self:
+		case !damaged:
+			return key
+		case prefix > count:
+			longest, count = key, prefix
+		}
+	}
+	return longest
+}
+
+func (m *Machine) concede(id string, c concession) {
+	member, present := placement.MemberOf(m.view, c.to)
+	if !present {
+		return
+	}
+	c.sentAt = m.env.Now()
+	m.concession[id] = c
+	m.directory[id] = c.to
+	if h := m.jobs[id]; h != nil {
+		m.pass(h)
+	}
+	m.env.Send(member.Process, Concede{Stamp: m.stamp(), Job: id, Version: c.version})
+}
+
+// concedeAgain sends what may have been lost: a store that owns a batch job says so.
+func (m *Machine) concedeAgain(now time.Duration) {
+	for id, c := range m.concession {
+		if now-c.sentAt >= inventoryAgain {
+			m.concede(id, c)
+		}
+	}
+}
+
+// conceded owns a batch job that the store which would own it holds no good copy of.
+func (m *Machine) conceded(from protocol.Process, message Concede) {
+	h := m.jobs[message.Job]
+	if h == nil || !m.settled || !h.owner && h.version != message.Version {
+		return
+	}
+	if h.owner {
+		m.env.Send(from, Notice{Stamp: m.stamp(), Job: h.id, Owner: m.self})
+		return
+	}
+	m.take(h)
+	m.unpark()
+}
+
+// forgetPeer forgets what is known of copies at a store that has started again: it may have found them damaged.
+func (m *Machine) forgetPeer(key placement.Key) {
+	for _, h := range m.order {
+		if p := h.peer(key); h.owner && p != nil {
+			*p = peer{process: p.process}
+			m.unsettle()
+		}
+	}
+}
+
+// unsettle takes back that all that this store owns stands whole.
+func (m *Machine) unsettle() {
+	if m.settledEpoch > 0 && m.settledEpoch == m.view.Epoch {
+		m.settledEpoch--
+	}
+}
+
+// rewrite replaces a damaged copy by its sound part, as a whole copy of a new version.
+func (m *Machine) rewrite(h *held) {
+	message := Replicate{}
+	if !m.fillCopy(h, &message, len(h.results)) {
+		return // neither content nor results can be read: calls wait and are refused, for as long as this store owns it
+	}
+	h.damaged, h.suspect = false, false
+	h.copyDurable = false
+	version := h.version
+	record := encodeCopy(h.id, version, h.replicas, h.ended, message.Content, message.Results)
+	h.replaces = h.oldest()
+	at := m.write(record, true, func() {
+		h.replaces = nil
+		if h.version == version {
+			h.copyDurable = true
+			m.pump(h)
+			m.judge(h)
+		}
+	})
+	h.contentAt, h.results = locate(h, record, at)
+	h.progress = nil // what is left of it stands in segments that may go now
+}
--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
 	"sprucelane.example/sprucelane/internal/batch/placement"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -25,6 +26,12 @@
 	last    []placement.Key          // members of the last view, and those that were missing then
 	emptied map[placement.Key]bool   // stores that retire and hold nothing that others need
 	toldAt  time.Duration
+
+	// Stores whose logs may have held batch jobs that they can't name any more, and since when that is known. They count
+	// like stores that left.
+	obscured   map[placement.Key]time.Duration
+	doubtUntil time.Duration     // too many of both were missing for ever: until then batch jobs that were lost may be asked for
+	at         *journal.Location // of the newest durable record of last
 }
 
 // change takes a new view.
@@ -37,6 +44,10 @@
 	for _, member := range view.Members {
 		delete(d.since, placement.KeyOf(member.Process))
 	}
+	maps.DeleteFunc(d.obscured, func(key placement.Key, _ time.Duration) bool {
+		_, present := placement.MemberOf(view, key)
+		return !present // it counts as one that left
+	})
 	d.last = d.last[:0]
 	for _, member := range view.Members {
 		if key := placement.KeyOf(member.Process); member.State != protocol.StoreRetired && !d.emptied[key] {
@@ -55,34 +66,52 @@
 	return out
 }
 
-func (d *departed) replay(record []byte) error {
+func (d *departed) replay(at journal.Location, record []byte) *Finding {
 	r := &job.Reader{Rest: record[1:]}
-	d.last = d.last[:0]
+	var last []placement.Key
 	count := r.Uvarint()
 	for i := uint64(0); i < count && !r.Failed; i++ {
-		d.last = append(d.last, placement.Key(r.Text()))
+		last = append(last, placement.Key(r.Text()))
 	}
 	if r.Failed {
-		return job.ErrCorrupt
+		return &Finding{Problem: ProblemRecord, Kind: recordView}
 	}
+	d.last, d.at = last, &at
 	return nil
 }
 
 // sure tells whether the members of the view together know of every batch job, and this store knows what they know.
-func (m *Machine) sure() bool { return m.settled && !m.tooManyMissing() }
+func (m *Machine) sure() bool {
+	return m.settled && !m.tooManyMissing() && m.env.Now() >= m.departed.doubtUntil
+}
 
-// tooManyMissing tells that a batch job's newest copies may all be on stores that left the view.
-func (m *Machine) tooManyMissing() bool { return len(m.departed.since) >= m.options.Copies }
+// missing counts the stores that may have held what the others don't know of.
+func (d *departed) missing() int { return len(d.since) + len(d.obscured) }
+
+// noteObscured takes what a store tells of its log.
+func (d *departed) noteObscured(key placement.Key, obscured bool, now time.Duration) {
+	_, noted := d.obscured[key]
+	switch {
+	case !obscured:
+		delete(d.obscured, key)
+	case !noted:
+		d.obscured[key] = now
+		clear(d.settled) // what they told before is asked for again
+	}
+}
+
+// tooManyMissing tells that a batch job's newest copies may all be on stores that left the view, or were damaged.
+func (m *Machine) tooManyMissing() bool { return m.departed.missing() >= m.options.Copies }
 
 // isNewest tells whether the highest version that the members hold is the highest there is. An owner's disk holds a new
 // version first, and the owner is one of the set before it; so that set's presence without a higher version proves it.
 func (m *Machine) isNewest(found *copies) bool {
-	return !m.tooManyMissing() || m.allActive(found.replicas)
+	return len(m.departed.since) < m.options.Copies || m.allActive(found.replicas)
 }
 
 // checkDeparted forgets who is missing, once all members stand whole without them.
 func (m *Machine) checkDeparted() {
-	if len(m.departed.since) == 0 || len(m.departed.since) >= m.options.Copies || m.settledEpoch != m.view.Epoch {
+	if m.departed.missing() == 0 || len(m.departed.since) >= m.options.Copies || m.settledEpoch != m.view.Epoch {
 		return
 	}
 	whole := true
@@ -95,13 +124,21 @@
 }
 
 func (m *Machine) forgetDeparted() {
+	if m.tooManyMissing() {
+		m.departed.doubtUntil = m.env.Now() + m.options.KeepFor
+	}
 	clear(m.departed.since)
+	clear(m.departed.obscured)
+	m.obscured = false
 	m.departed.last = nil
 	m.departed.change(m.view, m.env.Now())
 	m.writeDeparted()
 }
 
-func (m *Machine) writeDeparted() { m.write(m.departed.encode(), false, func() {}) }
+func (m *Machine) writeDeparted() {
+	var at journal.Location
+	at = m.write(m.departed.encode(), false, func() { m.departed.at = &at })
+}
 
 // expireDeparted forgets who has been missing for longer than batch jobs are kept.
 func (m *Machine) expireDeparted(now time.Duration) {
@@ -111,13 +148,16 @@
 			m.settled = false // what was left to them is looked at again
 		}
 	}
+	maps.DeleteFunc(m.departed.obscured, func(_ placement.Key, at time.Duration) bool { return now-at > m.options.KeepFor })
+	_, noted := m.departed.obscured[m.self]
+	m.obscured = m.obscured && noted
 }
 
 // tellSettled tells the others how far this store is, and asks them if that is awaited here.
 func (m *Machine) tellSettled() {
 	m.departed.toldAt = m.env.Now()
 	notice := SettledNotice{
-		Stamp: m.stamp(), Settled: m.settledEpoch, Ask: len(m.departed.since) > 0, Emptied: m.drained(),
+		Stamp: m.stamp(), Settled: m.settledEpoch, Ask: m.departed.missing() > 0, Emptied: m.drained(),
 	}
 	m.others(func(other protocol.Process) { m.env.Send(other, notice) })
 }
--- /dev/null
+++ b/internal/batch/replica/finding.go
@@ -0,0 +1,58 @@
+package replica
+
+import (
+	"fmt"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+)
+
+// Problem is what is wrong with a record of the log.
+type Problem string
+
+// The problems of records. None is left behind by a kill, a loss of power or a full disk.
+const (
+	ProblemRecord  Problem = "a record can't be decoded"
+	ProblemKind    Problem = "a record is of no known kind"
+	ProblemContent Problem = "a batch job can't be decoded"
+	ProblemResult  Problem = "a result can't be one of its batch job"
+	ProblemGap     Problem = "what was listed before a result is missing"
+	ProblemSkipped Problem = "a part of the log doesn't match its checksums"
+)
+
+// Finding is a record of the log that can't be used, or a part of it that can't be read. It wraps job.ErrCorrupt.
+type Finding struct {
+	Problem  Problem
+	At       journal.Location
+	Kind     byte   // of the record
+	Job      string // batch job, empty where that isn't known
+	Position int    // of a result
+	Held     int    // results of the batch job that are sound
+}
+
+// Error describes the finding with its place.
+func (f *Finding) Error() string {
+	text := fmt.Sprintf("%s: segment %d, byte %d", f.Problem, f.At.Segment, f.At.Offset)
+	if f.Job == "" {
+		return text
+	}
+	return fmt.Sprintf("%s, batch job %s, position %d of %d", text, f.Job, f.Position, f.Held)
+}
+
+// Unwrap makes the finding a job.ErrCorrupt.
+func (f *Finding) Unwrap() error { return job.ErrCorrupt }
+
+// hides tells whether the log may have held a batch job, or a version of one, that isn't known here.
+func (f *Finding) hides() bool {
+	switch f.Problem {
+	case ProblemKind, ProblemContent, ProblemSkipped:
+		return true
+	case ProblemRecord:
+		return f.Kind == recordCopy || f.Kind == recordReplicas || f.Kind == recordView || f.Job == ""
+	default:
+		return false
+	}
+}
+
+// damages tells whether the batch job's copy is no whole one. Events of items that run may be missing.
+func (f *Finding) damages() bool { return f.Kind != recordProgress }
--- a/internal/batch/replica/held.go
+++ b/internal/batch/replica/held.go
@@ -31,11 +31,14 @@
 	version           Version
 	replicas          []protocol.Process // the owner first
 	contentAt         journal.Location
+	replaces          *journal.Location // the content of an earlier copy, until this one is durable
 	items             []heldItem
 	results           []heldResult
 	durable           int  // results on this disk
 	copyDurable       bool // this version is on this disk
 	ended, endDurable bool
+	damaged           bool // records of this copy could not be used; its results are a sound prefix
+	suspect           bool // such records may be among those that couldn't be read
 
 	owner bool // this store owns it, in the present epoch
 	whole bool // all replicas are known to hold it at this version
@@ -135,6 +138,21 @@
 	h.whole = false
 }
 
+// oldest gives the first place in the log that this copy, or the one that it replaces, needs.
+func (h *held) oldest() *journal.Location {
+	if h.replaces != nil {
+		return h.replaces
+	}
+	at := h.contentAt
+	return &at
+}
+
+// stood tells whether all replicas are known to hold it with all that was shown.
+func (h *held) stood() bool {
+	whole, shown, _ := h.standing()
+	return h.whole && whole && shown >= h.shown
+}
+
 // standing gives what is on all replicas: the content, a count of results, the end.
 func (h *held) standing() (whole bool, shown int, ended bool) {
 	whole, shown, ended = h.copyDurable, h.durable, h.endDurable
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -34,6 +34,14 @@
 // Until the new set is whole nothing is shown or acknowledged. A copy of a lower version is never used again: a change of
 // the set shows something only after all members of the new set hold the higher version, one of which is left as long as
 // no more disks are lost at once than are allowed for.
+//
+// # Damage
+//
+// A copy of which records can't be used is no whole copy of its version, and says so. Whoever would own the batch job by
+// the rule above and has no whole copy of the highest version concedes it to a store that has one. Where there is none, the
+// longest sound prefix is owned: as all that was shown is on every copy, no more than what was damaged is missing from it.
+// A damaged copy is replaced by the owner's. A store whose log may have held batch jobs that it can't name any more counts
+// like one that left, where it is asked whether a batch job exists.
 package replica
 
 import (
@@ -114,6 +122,10 @@
 	settledEpoch uint64
 	emptiedAt    time.Duration // this store was first found to hold nothing that others need, 0: it does
 	lastExpiry   time.Duration
+
+	findings   int  // records of the log that could not be used at the start
+	obscured   bool // batch jobs may be missing here for them
+	concession map[string]concession
 }
 
 type pendingWrite struct {
@@ -135,15 +147,14 @@
 		acceptances:  map[string]*acceptance{},
 		lookups:      map[string]*lookup{},
 		slow:         map[placement.Key]time.Duration{},
+		concession:   map[string]concession{},
 		departed: departed{
 			since: map[placement.Key]time.Duration{}, settled: map[placement.Key]uint64{}, emptied: map[placement.Key]bool{},
+			obscured: map[placement.Key]time.Duration{},
 		},
 	}
 }
 
-// Replay applies a record of the log of earlier lives, in order.
-func (m *Machine) Replay(at journal.Location, record []byte) error { return m.replay(at, record) }
-
 // Grant renews the right to act. The lease ends at a time of Environment.Now; it was counted from when it was asked for.
 func (m *Machine) Grant(member bool, until time.Duration) {
 	if !member {
@@ -245,6 +256,8 @@
 		m.replicated(key, message)
 	case SettledNotice:
 		m.settledNotice(from, message)
+	case Concede:
+		m.conceded(from, message)
 	default:
 		panic(fmt.Sprintf("replica: message of type %T", message))
 	}
@@ -259,6 +272,7 @@
 	}
 	m.lives[key] = life
 	if heard && life > last {
+		m.forgetPeer(key)
 		for _, a := range m.acceptances {
 			delete(a.votes, key)
 		}
@@ -278,6 +292,9 @@
 	if _, present := placement.MemberOf(m.view, owner); present && owner != m.self {
 		m.directory[id] = owner
 		delete(m.lookups, id)
+		if m.concession[id].to == owner {
+			delete(m.concession, id)
+		}
 	}
 }
 
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -26,6 +26,8 @@
 	Round   uint64
 	Settled uint64 // highest epoch in which all that the sender owns stood whole
 	Entries []Entry
+	// Obscured tells that the sender may have held batch jobs, or newer versions of some, that it can't name any more.
+	Obscured bool
 }
 
 // Entry is one batch job of an inventory.
@@ -35,6 +37,14 @@
 	Replicas []protocol.Process
 	Count    int // results
 	Ended    bool
+	Damaged  bool // the results are a sound prefix, but this is no whole copy of the version
+}
+
+// Concede gives a batch job to a store that holds a better copy of the version. The sender would own it in this epoch.
+type Concede struct {
+	Stamp
+	Job     string
+	Version Version
 }
 
 // Reserve asks an arbiter of a batch job's id for its vote that the sender may accept it.
@@ -124,7 +134,7 @@
 func Messages() []any {
 	return []any{
 		InventoryRequest{}, Inventory{}, Reserve{}, Reserved{}, Release{}, Lookup{}, Found{}, Notice{}, Replicate{},
-		Replicated{}, SettledNotice{},
+		Replicated{}, SettledNotice{}, Concede{},
 	}
 }
 
@@ -158,6 +168,8 @@
 		return m.Stamp, true
 	case SettledNotice:
 		return m.Stamp, true
+	case Concede:
+		return m.Stamp, true
 	default:
 		return Stamp{}, false
 	}
--- a/internal/batch/replica/progress.go
+++ b/internal/batch/replica/progress.go
@@ -35,13 +35,14 @@
 }
 
 // replayProgress takes events up that follow those known; others are of a run that nothing came of.
-func (h *held) replayProgress(r *job.Reader, at journal.Location, record []byte) error {
-	index := int(r.Uvarint())
+func (h *held) replayProgress(r *job.Reader, at journal.Location, record []byte) *Finding {
+	item := r.Uvarint()
 	after, last := r.Varint(), r.Varint()
 	count := r.Uvarint()
-	if r.Failed || index >= len(h.items) {
-		return job.ErrCorrupt
+	if r.Failed || item >= uint64(len(h.items)) {
+		return &Finding{Problem: ProblemRecord}
 	}
+	index := int(item)
 	if h.items[index].listed {
 		return nil
 	}
@@ -58,7 +59,7 @@
 		known.Events = append(known.Events, at.Part(uint32(end-len(event)), uint32(len(event))))
 	}
 	if r.Failed {
-		return job.ErrCorrupt
+		return &Finding{Problem: ProblemRecord}
 	}
 	known.Last = last
 	if h.progress == nil {
--- /dev/null
+++ b/internal/batch/replica/recovery_test.go
@@ -0,0 +1,439 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// TestKilledThenPowerLost takes the way of the logs that contradicted themselves: results that were written and not synced
+// by a process that was killed, results behind them that were, and then a loss of power.
+func TestKilledThenPowerLost(t *testing.T) {
+	Convey("What a start found and told as durable is there after a loss of power", t, func() {
+		for seed := range uint64(20) {
+			c := newCluster(1, 1, seed)
+			n := c.nodes[0]
+			So(n.submit("job", 8).Status, ShouldEqual, 202)
+			n.finish("job", 0, 1, 2)
+			c.settle()
+			n.finish("job", 3, 4)
+			_, err := n.log.Step() // written, and not synced
+			So(err, ShouldBeNil)
+			n.kill()
+			n.start()
+			c.view(n)
+			c.settle()
+			So(n.machine.jobs["job"].durable, ShouldEqual, 5)
+			n.finish("job", 5)
+			c.settle()
+			n.losePower()
+			n.start()
+			So(n.found, ShouldBeEmpty)
+			So(n.machine.jobs["job"].durable, ShouldEqual, 6)
+		}
+	})
+}
+
+// inject writes a record to a node's log behind all that is there, and starts the node anew on it.
+func (n *clusterNode) inject(records ...[]byte) {
+	for _, record := range records {
+		n.log.Append(record)
+	}
+	n.flush()
+	n.kill()
+	n.start()
+}
+
+// gap is a result that stands behind others that are missing.
+func gap(id string, position, item int) []byte {
+	return encodeResult(id, position, &Result{Item: item, State: byte(job.Completed), Text: []byte("lost")})
+}
+
+func TestFindings(t *testing.T) {
+	Convey("A record that can't be used is told with its place, and costs no more than its own batch job", t, func() {
+		c := newCluster(1, 1, 1)
+		n := c.nodes[0]
+		for _, id := range []string{"sound", "job"} {
+			So(n.submit(id, 4).Status, ShouldEqual, 202)
+			n.finish(id, 0, 1)
+		}
+		c.settle()
+		h := n.machine.jobs["job"]
+		replicas := encodeReplicas("job", h.version, h.replicas)
+		garbled := encodeCopy("job", h.version+1, h.replicas, false, []byte("?"), nil)
+		for _, test := range []struct {
+			problem Problem
+			record  []byte
+			obscure bool
+		}{
+			{ProblemGap, gap("job", 3, 3), false},
+			{ProblemResult, gap("job", 2, 9), false},
+			{ProblemResult, gap("job", 2, 1), false},
+			{ProblemRecord, gap("job", 2, 2)[:8], false},
+			{ProblemRecord, replicas[:len(replicas)-1], true},
+			{ProblemRecord, garbled[:len(garbled)-8], true},
+			{ProblemContent, garbled, true},
+			{ProblemKind, job.AppendText([]byte{200}, "job"), true},
+		} {
+			n.inject(test.record, gap("job", 2, 3)) // the second may be of a copy that isn't here
+			So(n.found, ShouldHaveLength, 1)
+			finding := n.found[0]
+			So(finding.Problem, ShouldEqual, test.problem)
+			So(finding.Job, ShouldEqual, "job")
+			So(finding.At.Segment, ShouldBeGreaterThan, uint32(0))
+			So(errors.Is(finding, job.ErrCorrupt), ShouldBeTrue)
+			So(finding.Error(), ShouldContainSubstring, "job")
+			So(n.machine.obscured, ShouldEqual, test.obscure)
+			So(n.machine.jobs["job"].damaged, ShouldBeTrue)
+			So(n.machine.jobs["sound"].damaged, ShouldBeFalse)
+			c.view(n)
+			c.settle()
+			for _, id := range []string{"sound", "job"} {
+				texts, status := n.read(id)
+				So(status, ShouldEqual, 200)
+				So(texts, ShouldResemble, []string{"0", "1"})
+			}
+			n.kill()
+			n.start()
+			So(n.machine.jobs["job"].damaged, ShouldBeFalse) // a new copy of the sound part stands behind it
+			So(n.found, ShouldHaveLength, 1)
+			n.disk.Wipe()
+			n.start()
+			c.view(n)
+			for _, id := range []string{"sound", "job"} {
+				So(n.submit(id, 4).Status, ShouldEqual, 202)
+				n.finish(id, 0, 1)
+			}
+			c.settle()
+		}
+	})
+	Convey("Records of the store itself are told, too", t, func() {
+		c := newCluster(1, 1, 1)
+		n := c.nodes[0]
+		view := n.machine.departed.encode()
+		n.inject(view[:len(view)-1], []byte{recordCopy})
+		So(n.found, ShouldHaveLength, 2)
+		for _, finding := range n.found {
+			So(finding.Problem, ShouldEqual, ProblemRecord)
+			So(finding.Job, ShouldBeEmpty)
+		}
+		So(n.machine.obscured, ShouldBeTrue)
+		So(n.machine.Replay(journal.Location{}, nil), ShouldNotBeNil)
+	})
+}
+
+// TestReplayNeverPanics hands altered records to a start.
+func TestReplayNeverPanics(t *testing.T) {
+	c := newCluster(1, 1, 1)
+	n := c.nodes[0]
+	n.submit("job", 4)
+	n.finish("job", 0, 1)
+	n.machine.Progress("job", 2, -1, 3, [][]byte{[]byte("event")})
+	c.settle()
+	h := n.machine.jobs["job"]
+	content, err := n.Read(h.contentAt)
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole := [][]byte{
+		encodeCopy("job", h.version, h.replicas, false, content, []Result{{Item: 1, State: 1, Text: []byte("x")}}),
+		encodeReplicas("job", h.version, h.replicas), encodeEnded("job"), gap("job", 2, 2), n.machine.departed.encode(),
+		append(job.AppendText([]byte{recordProgress}, "job"), 2, 1, 6, 1, 1, 'x'), encodeDropped("job"),
+	}
+	random := rand.New(rand.NewPCG(1, 2))
+	n.kill()
+	n.start()
+	for range 20_000 {
+		record := append([]byte(nil), whole[random.IntN(len(whole))]...)
+		for range 1 + random.IntN(3) {
+			record[random.IntN(len(record))] = byte(random.Uint32())
+		}
+		_ = n.machine.Replay(journal.Location{Segment: 1}, record[:1+random.IntN(len(record))])
+		_ = n.machine.Replay(journal.Location{Segment: 1}, record)
+		_ = n.machine.Replay(journal.Location{Segment: 1}, whole[random.IntN(len(whole))])
+		if held := n.machine.jobs["job"]; held != nil && (held.durable != len(held.results) || len(held.results) > len(held.items)) {
+			t.Fatalf("%d results durable of %d, %d items", held.durable, len(held.results), len(held.items))
+		}
+	}
+}
+
+// TestDamagedOwner damages the owner's copy: the batch job goes to the store that holds a whole one, and the owner gets it.
+func TestDamagedOwner(t *testing.T) {
+	for _, test := range []struct {
+		name   string
+		record func(h *held) []byte
+	}{
+		{"a gap in the results", func(*held) []byte { return gap("job", 5, 5) }},
+		{"the whole batch job is gone", func(*held) []byte { return encodeDropped("job") }},
+		{"its copy can't be read", func(h *held) []byte {
+			return encodeCopy("job", h.version+1, h.replicas, false, []byte("?"), nil)
+		}},
+	} {
+		Convey("The better copy is owned, and the damaged one replaced, after "+test.name, t, func() {
+			for _, restart := range []string{"at once", "after it was taken out", "all at the same time"} {
+				c := newCluster(3, 2, 1)
+				So(c.nodes[0].submit("job", 6).Status, ShouldEqual, 202)
+				owner := c.owner("job")
+				owner.finish("job", 0, 1, 2)
+				c.settle()
+				replica := c.replicaOf("job")
+				owner.inject(test.record(owner.machine.jobs["job"]))
+				So(owner.found == nil, ShouldEqual, test.name == "the whole batch job is gone")
+				switch restart {
+				case "at once":
+					c.rejoin(owner)
+				case "after it was taken out":
+					c.view(replica)
+					c.settle()
+					c.view(c.nodes...)
+				default:
+					for _, n := range c.nodes {
+						if n != owner {
+							n.kill()
+							n.start()
+						}
+					}
+					c.view(c.nodes...)
+				}
+				c.settle()
+				for _, n := range c.nodes {
+					texts, status := n.readAnywhere("job")
+					So(status, ShouldEqual, 200)
+					So(texts, ShouldResemble, []string{"0", "1", "2"})
+				}
+				So(c.owner("job") == owner, ShouldBeFalse)
+				for _, n := range c.nodes {
+					if h := n.machine.jobs["job"]; h != nil && h.version == c.owner("job").machine.jobs["job"].version {
+						So(h.damaged, ShouldBeFalse)
+						So(h.durable, ShouldEqual, 3)
+					}
+				}
+				c.owner("job").wipe() // the next loss
+				c.view(c.alive()...)
+				c.settle()
+				texts, status := c.alive()[0].readAnywhere("job")
+				So(status, ShouldEqual, 200)
+				So(texts, ShouldResemble, []string{"0", "1", "2"})
+			}
+		})
+	}
+}
+
+func (c *cluster) alive() []*clusterNode {
+	var alive []*clusterNode
+	for _, n := range c.nodes {
+		if n.log != nil {
+			alive = append(alive, n)
+		}
+	}
+	return alive
+}
+
+// readAnywhere reads at a node, or where it points to.
+func (n *clusterNode) readAnywhere(id string) ([]string, int) {
+	call := protocol.BatchCall{Operation: protocol.BatchRead, BatchJob: id, Tenant: "t"}
+	answer := n.call(call, nil)
+	for _, other := range n.cluster.nodes {
+		if answer.Owner == other.process().IP {
+			return other.read(id)
+		}
+	}
+	return n.read(id)
+}
+
+// TestDamagedReplica damages a copy that its owner had counted on: the owner takes back that all stands whole until it has
+// replaced the copy, also where nobody left the view.
+func TestDamagedReplica(t *testing.T) {
+	for _, record := range [][]byte{encodeDropped("job"), gap("job", 5, 5)} {
+		Convey(fmt.Sprintf("A damaged replica is replaced before anything more is shown on its word: kind %d", record[0]), t, func() {
+			c := newCluster(2, 2, 1)
+			So(c.nodes[0].submit("job", 6).Status, ShouldEqual, 202)
+			owner := c.owner("job")
+			owner.finish("job", 0, 1, 2)
+			c.settle()
+			replica := c.replicaOf("job")
+			replica.inject(record)
+			So(owner.machine.Report().Settled, ShouldEqual, c.epoch)
+			c.rejoin(replica)
+			c.deliver(clusterMessage{from: replica.process(), to: owner.key(), body: InventoryRequest{Stamp: replica.machine.stamp()}})
+			So(owner.machine.Report().Settled, ShouldBeLessThan, c.epoch)
+			owner.finish("job", 3)
+			c.settle()
+			So(owner.machine.Report().Settled, ShouldEqual, c.epoch)
+			So(replica.machine.jobs["job"].durable, ShouldEqual, 4)
+			replica.kill()
+			replica.start()
+			So(replica.machine.jobs["job"].damaged, ShouldBeFalse)
+			So(replica.machine.jobs["job"].durable, ShouldEqual, 4)
+			owner.wipe()
+			c.view(replica)
+			c.settle()
+			So(replica.machine.jobs["job"].results, ShouldHaveLength, 4)
+		})
+	}
+}
+
+// TestOnlyDamagedCopies leaves damaged copies alone: the longest sound prefix is served, and nothing is said not to exist.
+func TestOnlyDamagedCopies(t *testing.T) {
+	Convey("The longest sound prefix is served where no whole copy is left", t, func() {
+		c := newCluster(2, 2, 1)
+		So(c.nodes[0].submit("job", 8).Status, ShouldEqual, 202)
+		owner := c.owner("job")
+		owner.finish("job", 0, 1)
+		c.settle()
+		replica := c.replicaOf("job")
+		longer := encodeResult("job", 2, &Result{Item: 2, State: byte(job.Completed), Text: []byte("2")})
+		owner.inject(gap("job", 6, 6))
+		replica.inject(longer, gap("job", 7, 7))
+		c.view(c.nodes...)
+		c.settle()
+		So(c.owner("job") == replica, ShouldBeTrue)
+		texts, status := replica.read("job")
+		So(status, ShouldEqual, 200)
+		So(texts, ShouldResemble, []string{"0", "1", "2"})
+		So(owner.machine.jobs["job"].durable, ShouldEqual, 3)
+		So(owner.machine.jobs["job"].damaged, ShouldBeFalse)
+		replica.finish("job", 6)
+		c.settle()
+		So(owner.machine.jobs["job"].durable, ShouldEqual, 4)
+	})
+	Convey("A batch job that may have been lost with a damaged log and a disk is refused for now, not denied", t, func() {
+		c := newCluster(2, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		_, status := c.nodes[0].read("no-such-job")
+		So(status, ShouldEqual, 404)
+		c.nodes[1].inject(encodeCopy("job", c.nodes[1].machine.jobs["job"].version, nil, false, []byte("?"), nil), encodeDropped("job"))
+		c.nodes[0].wipe()
+		c.nodes[0].start()
+		c.view(c.nodes...)
+		c.settle()
+		for _, n := range c.nodes {
+			_, status = n.read("job")
+			So(status, ShouldEqual, 503)
+		}
+	})
+}
+
+// TestDamagedRetires has a store leave whose only copy is damaged: it hands over what is sound.
+func TestDamagedRetires(t *testing.T) {
+	Convey("A store that leaves hands over the sound part of a damaged copy", t, func() {
+		c := newCluster(3, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		owner := c.owner("job")
+		owner.finish("job", 0)
+		c.settle()
+		replica := c.replicaOf("job")
+		owner.inject(gap("job", 3, 3))
+		replica.wipe()
+		replica.start()
+		owner.state = protocol.StoreRetiring
+		c.view(c.nodes...)
+		c.settle()
+		So(owner.machine.drained(), ShouldBeTrue)
+		texts, status := owner.readAnywhere("job")
+		So(status, ShouldEqual, 200)
+		So(texts, ShouldResemble, []string{"0"})
+		So(c.owner("job") == owner, ShouldBeFalse)
+	})
+}
+
+// TestSegmentsKept asks which segments may go while what replaces their records isn't durable.
+func TestSegmentsKept(t *testing.T) {
+	Convey("A copy's segment is kept until the copy that replaces it is durable", t, func() {
+		c := newCluster(2, 2, 1)
+		So(c.nodes[0].submit("job", 6).Status, ShouldEqual, 202)
+		replica := c.replicaOf("job")
+		h := replica.machine.jobs["job"]
+		before := h.contentAt.Segment
+		content, err := replica.Read(h.contentAt)
+		So(err, ShouldBeNil)
+		fillSegment(replica)
+		replica.machine.writeDeparted() // so that only the copy is in the way
+		replica.flush()
+		owner := c.owner("job").process()
+		message := Replicate{Stamp: replica.machine.stamp(), Job: "job", Version: h.version + 1, Replicas: h.replicas, Content: content}
+		for range 2 { // a further one, too
+			replica.machine.Message(owner, message)
+			message.Version++
+			So(replica.machine.jobs["job"].contentAt.Segment, ShouldBeGreaterThan, before)
+			So(replica.machine.OldestSegment(100), ShouldEqual, before)
+		}
+		replica.flush()
+		So(replica.machine.OldestSegment(100), ShouldBeGreaterThan, before)
+	})
+	Convey("Who is missing is written again before its segment goes", t, func() {
+		c := newCluster(2, 2, 1)
+		n := c.nodes[0]
+		c.settle()
+		before := n.machine.departed.at.Segment
+		last := n.machine.departed.last
+		fillSegment(n)
+		So(n.machine.OldestSegment(100), ShouldEqual, before) // still needed, for now
+		n.flush()
+		oldest := n.machine.OldestSegment(100)
+		So(oldest, ShouldBeGreaterThan, before)
+		for number, _ := n.log.Oldest(); number < oldest; number++ {
+			So(n.log.Release(number), ShouldBeNil)
+		}
+		n.kill()
+		n.start()
+		So(n.machine.departed.last, ShouldResemble, last)
+	})
+}
+
+// fillSegment has the next record of a node go to a new segment.
+func fillSegment(n *clusterNode) {
+	n.log.Append(append(encodeDropped("nothing"), make([]byte, 4<<10)...))
+	n.flush()
+}
+
+// TestSkippedPart damages a part of the log in which a newer copy may have stood.
+func TestSkippedPart(t *testing.T) {
+	Convey("Results behind a part that can't be read count for nothing, as they may be of a copy that stood there", t, func() {
+		c := newCluster(2, 2, 1)
+		for _, id := range []string{"before", "across"} {
+			So(c.nodes[0].submit(id, 4).Status, ShouldEqual, 202)
+			c.owner(id).finish(id, 0, 1)
+			c.settle()
+		}
+		owner := c.owner("across")
+		fillSegment(owner)
+		owner.finish("across", 2)
+		c.settle()
+		So(c.nodes[0].submit("behind", 4).Status, ShouldEqual, 202)
+		owner.kill()
+		So(owner.disk.Flip("segment-00000002", 1000, 0), ShouldBeTrue)
+		owner.start()
+		So(owner.found, ShouldHaveLength, 2)
+		So(owner.found[0].Problem, ShouldEqual, ProblemSkipped)
+		So(owner.found[1].Problem, ShouldEqual, ProblemGap)
+		So(owner.found[1].Job, ShouldEqual, "across")
+		So(owner.machine.obscured, ShouldBeTrue)
+		findings, damaged := owner.machine.Damage()
+		So(findings, ShouldEqual, 2)
+		So(damaged, ShouldEqual, 1)
+		So(owner.machine.jobs["before"].results, ShouldHaveLength, 2)
+		So(owner.machine.jobs["across"].results, ShouldHaveLength, 2)
+		c.rejoin(owner)
+		c.settle()
+		for _, n := range c.nodes {
+			texts, status := n.readAnywhere("across")
+			So(status, ShouldEqual, 200)
+			So(texts, ShouldResemble, []string{"0", "1", "2"})
+		}
+		So(owner.machine.jobs["across"].durable, ShouldEqual, 3)
+		So(owner.machine.obscured, ShouldBeFalse) // all stand whole again
+		_, status := owner.read("no-such-job")
+		So(status, ShouldEqual, 404)
+		findings, damaged = owner.machine.Damage()
+		So(findings, ShouldEqual, 2)
+		So(damaged, ShouldEqual, 0)
+	})
+}
--- a/internal/batch/replica/replicate.go
+++ b/internal/batch/replica/replicate.go
@@ -107,11 +107,11 @@
 	switch {
 	case h != nil && h.owner: // a retiring store asks whether the set is whole without it
 		m.acknowledge(h, from)
-	case h != nil && h.version == message.Version:
+	case h != nil && h.version == message.Version && !h.damaged:
 		m.extend(h, from, message)
 	case h != nil && h.version > message.Version:
 		return // the sender will learn of it
-	case message.Content == nil:
+	case message.Content == nil: // no copy of that version is here, or no whole one
 		m.env.Send(from, Replicated{Stamp: m.stamp(), Job: message.Job, Version: message.Version})
 	default:
 		m.adopt(from, message)
@@ -127,9 +127,10 @@
 	}
 	if old := m.jobs[message.Job]; old != nil {
 		m.pass(old)
+		h.replaces = old.oldest()
 	}
 	at := m.write(record, true, func() {
-		h.copyDurable = true
+		h.copyDurable, h.replaces = true, nil
 		h.durable = max(h.durable, len(message.Results))
 		h.endDurable = message.Ended
 		m.acknowledge(h, from)
@@ -231,6 +232,7 @@
 	if ended {
 		m.answerEnders(h)
 	}
+	m.checkSettled()
 }
 
 func (m *Machine) becameWhole(h *held) {
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -46,6 +46,7 @@
 	}
 	clear(m.reservations)
 	clear(m.lookups)
+	clear(m.concession)
 	for _, a := range m.acceptances {
 		a.askedAt = 0
 		clear(a.votes)
@@ -112,10 +113,10 @@
 	entries := make([]Entry, 0, len(m.jobs))
 	for _, h := range m.order {
 		entries = append(entries, Entry{
-			Job: h.id, Version: h.version, Replicas: h.replicas, Count: h.durable, Ended: h.endDurable,
+			Job: h.id, Version: h.version, Replicas: h.replicas, Count: h.durable, Ended: h.endDurable, Damaged: h.damaged,
 		})
 	}
-	return Inventory{Stamp: m.stamp(), Round: round, Settled: m.settledEpoch, Entries: entries}
+	return Inventory{Stamp: m.stamp(), Round: round, Settled: m.settledEpoch, Entries: entries, Obscured: m.obscured}
 }
 
 func (m *Machine) takeInventory(from placement.Key, inventory Inventory) {
@@ -124,6 +125,7 @@
 	}
 	m.inventories[from] = inventory
 	m.departed.settled[from] = max(m.departed.settled[from], inventory.Settled)
+	m.departed.noteObscured(from, inventory.Obscured, m.env.Now())
 	m.settle()
 }
 
@@ -132,6 +134,7 @@
 	version  Version
 	replicas []protocol.Process
 	holders  []placement.Key
+	damaged  map[placement.Key]int // those of them whose copies are not whole, with their sound results
 }
 
 // settle decides who owns what, once all inventories are here.
@@ -148,6 +151,7 @@
 		return
 	}
 	m.settled = true
+	m.departed.noteObscured(m.self, m.obscured, m.env.Now())
 	all := m.gather()
 	clear(m.inventories)
 	m.forgetDirectory(all)
@@ -157,9 +161,7 @@
 		}
 		owner := m.ownerOf(all[id])
 		if owner == m.self {
-			if h := m.jobs[id]; h != nil && h.version == all[id].version {
-				m.take(h)
-			}
+			m.takeOrConcede(id, all[id])
 			continue
 		}
 		m.directory[id] = owner
@@ -187,11 +189,16 @@
 
 func join(all map[string]*copies, holder placement.Key, entry Entry) {
 	found := all[entry.Job]
-	switch {
-	case found == nil || found.version < entry.Version:
-		all[entry.Job] = &copies{version: entry.Version, replicas: entry.Replicas, holders: []placement.Key{holder}}
-	case found.version == entry.Version:
-		found.holders = append(found.holders, holder)
+	if found == nil || found.version < entry.Version {
+		found = &copies{version: entry.Version, replicas: entry.Replicas, damaged: map[placement.Key]int{}}
+		all[entry.Job] = found
+	}
+	if found.version != entry.Version {
+		return
+	}
+	found.holders = append(found.holders, holder)
+	if entry.Damaged {
+		found.damaged[holder] = entry.Count
 	}
 }
 
@@ -233,7 +240,7 @@
 	switch {
 	case m.retiring:
 		m.handOver(h)
-	case m.stands(h) && placement.KeyOf(h.replicas[0]) == m.self:
+	case m.stands(h) && placement.KeyOf(h.replicas[0]) == m.self && !h.damaged:
 		h.setReplicas(h.version, h.replicas, m.self)
 	default:
 		m.renew(h)
@@ -291,7 +298,7 @@
 		return
 	}
 	for _, h := range m.order {
-		if h.owner && !h.whole {
+		if h.owner && !h.stood() {
 			return
 		}
 	}
--- a/internal/batch/replica/slow.go
+++ b/internal/batch/replica/slow.go
@@ -85,6 +85,10 @@
 
 // writeReplicas has a new version last before it is told to others.
 func (m *Machine) writeReplicas(h *held) {
+	if h.damaged {
+		m.rewrite(h)
+		return
+	}
 	h.copyDurable = false
 	version := h.version
 	m.write(encodeReplicas(h.id, version, h.replicas), true, func() {
--- a/internal/batch/replica/tick.go
+++ b/internal/batch/replica/tick.go
@@ -21,6 +21,7 @@
 		m.askInventories()
 		m.settle()
 	}
+	m.concedeAgain(now)
 	for _, id := range m.accepting() {
 		m.askArbiters(id, m.acceptances[id])
 	}
@@ -33,7 +34,7 @@
 	if m.retiring && m.settled {
 		m.checkEmptied()
 	}
-	if len(m.departed.since) > 0 && m.settledEpoch == m.view.Epoch && now-m.departed.toldAt >= noticeAgain {
+	if m.departed.missing() > 0 && m.settledEpoch == m.view.Epoch && now-m.departed.toldAt >= noticeAgain {
 		m.tellSettled()
 	}
 	if now-m.lastExpiry >= expiryEvery {
@@ -116,7 +117,11 @@
 func (m *Machine) OldestSegment(limit uint32) uint32 {
 	oldest := limit
 	for _, h := range m.order {
-		oldest = min(oldest, h.contentAt.Segment)
+		oldest = min(oldest, h.oldest().Segment)
+	}
+	if at := m.departed.at; at != nil && at.Segment < oldest {
+		oldest = at.Segment
+		m.writeDeparted() // behind all that may go
 	}
 	return oldest
 }
