Batch processes never give a disk up at a start; one that can't be read is tried again

Gap: one record of one batch job that could not be replayed had the start set the disk aside with all that it held, right after a loss of power, when other disks may be gone too.

disk_set_aside is out, with the folder. A start logs each record that it can't use (record_unreadable: problem, segment, offset, batch job, sound results) and uses the rest; the line state counts findings and damaged batch jobs. A life file that can't be made out (life_unreadable) begins another incarnation, with all that the log holds: its copies are those of a new store that joins. Where reading gives an error, the process logs disk_unreadable, leaves the disk as it is and tries again each second: it polls nobody meanwhile, so that control takes it out and the others make their sets whole. SIGTERM ends that wait, SIGHUP is kept until the disk is open.

The test of setting aside is replaced by stricter ones: same incarnation, all sound batch jobs held, every byte of the log unchanged, each finding told, three starts over; a damaged segment; four garbled lives; a disk that can't be read. Each was seen to fail without its part (a finding ends the start, no Skipped, garbled life refused, open not tried again).

--- a/cmd/sprucelane-batch/main.go
+++ b/cmd/sprucelane-batch/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"context"
+	"errors"
 	"os"
 
 	"sprucelane.example/sprucelane/internal/batch/server"
@@ -19,12 +20,18 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
-	s, err := server.New(p.Settings, p.Log)
+	opened := make(chan *server.Server, 1)
+	go watchSignals(signals, stop, opened, p)
+	s, err := server.Open(ctx, p.Settings, p.Log)
+	if errors.Is(err, context.Canceled) {
+		p.Log.Info().Msg("ended")
+		return program.ExitDone
+	}
 	if err != nil {
 		p.Log.Error().Err(err).Msg("start_failed")
 		return program.ExitFailed
 	}
-	go watchSignals(signals, stop, s, p)
+	opened <- s
 	if err := s.Run(ctx); err != nil {
 		p.Log.Error().Err(err).Msg("failed")
 		return program.ExitFailed
@@ -33,13 +40,17 @@
 	return program.ExitDone
 }
 
-// watchSignals ends the process on SIGTERM, and takes changed settings in on SIGHUP.
-func watchSignals(signals *program.Signals, stop context.CancelFunc, s *server.Server, p *program.Program) {
+// watchSignals ends the process on SIGTERM, and takes changed settings in on SIGHUP once the disk is open.
+func watchSignals(signals *program.Signals, stop context.CancelFunc, opened <-chan *server.Server, p *program.Program) {
+	var s *server.Server
+	var reloads <-chan os.Signal // one that comes earlier is kept until then
 	for {
 		select {
+		case s = <-opened:
+			reloads = signals.Reloads()
 		case <-signals.Ends():
 			stop()
-		case <-signals.Reloads():
+		case <-reloads:
 			p.Reload(s.Reload)
 		}
 	}
--- /dev/null
+++ b/internal/batch/server/damage_test.go
@@ -0,0 +1,175 @@
+package server
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/rs/zerolog"
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+)
+
+// writeLog appends records to a folder's log.
+func writeLog(directory string, records ...[]byte) {
+	log, err := journal.Open(directory, journal.Options{}, func(journal.Location, []byte) error { return nil }, func(uint64, error) {})
+	So(err, ShouldBeNil)
+	for _, record := range records {
+		log.Append(record, true)
+	}
+	log.Close()
+}
+
+// copyRecord is a whole batch job with one item, as a store writes it.
+func copyRecord(id string) []byte {
+	content := (&job.Content{ID: id, Tenant: "t", Route: "r", Items: []job.Item{{ID: "item", Path: "/p"}}}).Encode()
+	record := job.AppendText([]byte{1}, id)
+	record = append(record, 0, 0, 0) // version, replicas, not ended
+	record = job.AppendText(record, string(content))
+	return append(record, 0) // results
+}
+
+// contents gives all files of a folder but the life.
+func contents(directory string) map[string]string {
+	files := map[string]string{}
+	entries, err := os.ReadDir(directory)
+	So(err, ShouldBeNil)
+	for _, entry := range entries {
+		text, err := os.ReadFile(filepath.Join(directory, entry.Name()))
+		So(err, ShouldBeNil)
+		if entry.Name() != lifeFile {
+			files[entry.Name()] = string(text)
+		}
+	}
+	return files
+}
+
+// logged gives the lines of an event.
+func logged(log *bytes.Buffer, event string) (lines []map[string]any) {
+	decoder := json.NewDecoder(bytes.NewReader(log.Bytes()))
+	for {
+		var line map[string]any
+		if decoder.Decode(&line) != nil {
+			return lines
+		}
+		if line["message"] == event {
+			lines = append(lines, line)
+		}
+	}
+}
+
+func TestUnusableRecords(t *testing.T) {
+	Convey("A start uses all that is sound on a disk, tells the rest with its place, and changes none of it", t, func() {
+		directory := t.TempDir()
+		first, err := openLife(directory)
+		So(err, ShouldBeNil)
+		junk := make([][]byte, 16)
+		for kind := range junk {
+			junk[kind] = []byte{byte(kind)} // none is whole
+		}
+		writeLog(directory, append(append([][]byte{copyRecord("before")}, junk...), copyRecord("after"))...)
+		before := contents(directory)
+		for start := range 3 {
+			var log bytes.Buffer
+			s, err := New(testSettings("127.0.0.1", "store-1", directory), zerolog.New(&log))
+			So(err, ShouldBeNil)
+			s.disk.journal.Close()
+			So(s.process.Incarnation, ShouldEqual, first.incarnation)
+			So(s.report().BatchJobs, ShouldEqual, 2)
+			findings, damaged := s.damage()
+			So(findings, ShouldEqual, len(junk))
+			So(damaged, ShouldEqual, 0)
+			lines := logged(&log, "record_unreadable")
+			So(lines, ShouldHaveLength, len(junk))
+			for _, line := range lines {
+				So(line["segment"], ShouldEqual, 1)
+				So(line["offset"], ShouldBeGreaterThan, 0)
+				So(line["problem"], ShouldNotBeEmpty)
+			}
+			for file, text := range before {
+				now := contents(directory)[file]
+				So(now == text, ShouldBeTrue)
+			}
+			So(contents(directory), ShouldHaveLength, len(before)+start+1) // a segment for each start
+		}
+	})
+	Convey("A part of the log that doesn't match its checksums is told, and the rest is used", t, func() {
+		directory := t.TempDir()
+		writeLog(directory, copyRecord("one"), copyRecord("two"))
+		writeLog(directory, copyRecord("three"))
+		path := filepath.Join(directory, "segment-00000001")
+		text, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		text[12] ^= 1
+		So(os.WriteFile(path, text, 0o644), ShouldBeNil)
+		var log bytes.Buffer
+		s, err := New(testSettings("127.0.0.1", "store-1", directory), zerolog.New(&log))
+		So(err, ShouldBeNil)
+		s.disk.journal.Close()
+		So(s.report().BatchJobs, ShouldEqual, 2)
+		So(logged(&log, "record_unreadable"), ShouldHaveLength, 1)
+		So(contents(directory)["segment-00000001"] == string(text), ShouldBeTrue)
+	})
+	Convey("A life that can't be made out begins another, with all that the log holds", t, func() {
+		for _, garbled := range []string{"?", "", "0123456789abcdef", "0123456789abcdef x\n"} {
+			directory := t.TempDir()
+			first, err := openLife(directory)
+			So(err, ShouldBeNil)
+			writeLog(directory, copyRecord("one"))
+			So(os.WriteFile(filepath.Join(directory, lifeFile), []byte(garbled), 0o644), ShouldBeNil)
+			var log bytes.Buffer
+			s, err := New(testSettings("127.0.0.1", "store-1", directory), zerolog.New(&log))
+			So(err, ShouldBeNil)
+			s.disk.journal.Close()
+			So(s.process.Incarnation, ShouldNotEqual, first.incarnation)
+			So(s.process.Incarnation, ShouldHaveLength, len(first.incarnation))
+			So(s.report().BatchJobs, ShouldEqual, 1)
+			So(logged(&log, "life_unreadable"), ShouldHaveLength, 1)
+			again, err := openLife(directory)
+			So(err, ShouldBeNil)
+			So(again.incarnation, ShouldEqual, s.process.Incarnation)
+			So(again.garbled, ShouldBeFalse)
+		}
+	})
+}
+
+func TestUnreadableDisk(t *testing.T) {
+	Convey("A disk that can't be read at all is left as it is and tried again", t, func() {
+		directory := t.TempDir()
+		writeLog(directory, copyRecord("one"))
+		path := filepath.Join(directory, "segment-00000001")
+		So(os.Rename(path, path+".kept"), ShouldBeNil)
+		So(os.Mkdir(path, 0o755), ShouldBeNil) // reading it gives an error
+		var log bytes.Buffer
+		tries := 0
+		s, err := openUntil(context.Background(), testSettings("127.0.0.1", "store-1", directory), zerolog.New(&log), func(context.Context) error {
+			tries++
+			if tries == 3 {
+				So(os.Remove(path), ShouldBeNil)
+				So(os.Rename(path+".kept", path), ShouldBeNil)
+			}
+			return nil
+		})
+		So(err, ShouldBeNil)
+		s.disk.journal.Close()
+		So(tries, ShouldEqual, 3)
+		So(s.report().BatchJobs, ShouldEqual, 1)
+		So(logged(&log, "disk_unreadable"), ShouldHaveLength, 3)
+	})
+	Convey("It is tried until the process is to end; without a folder it doesn't begin", t, func() {
+		file := filepath.Join(t.TempDir(), "file")
+		So(os.WriteFile(file, nil, 0o644), ShouldBeNil)
+		ctx, cancel := context.WithCancel(context.Background())
+		cancel()
+		_, err := Open(ctx, testSettings("127.0.0.1", "store-1", file), zerolog.Nop())
+		So(errors.Is(err, context.Canceled), ShouldBeTrue)
+		_, err = Open(context.Background(), testSettings("127.0.0.1", "store-1", ""), zerolog.Nop())
+		So(errors.Is(err, errNoDisk), ShouldBeTrue)
+	})
+}
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -31,7 +31,6 @@
 	tickPressing = 50 * time.Millisecond  // while a client waits for an acceptance
 	leaseMargin  = 100 * time.Millisecond // for what is on its way when a lease ends
 	reserve      = 0.2                    // of the disk, which new batch jobs leave free
-	asideShare   = 0.15                   // of the disk, that may hold what could not be read
 	releaseWait  = 5 * time.Second        // between looks at what the log no longer needs
 	statsEvery   = 10 * time.Second
 )
@@ -68,14 +67,7 @@
 		peers:   map[string]*transport.Client{},
 		failed:  make(chan error, 1),
 	}
-	err := s.openDisk()
-	if errors.Is(err, job.ErrCorrupt) {
-		log.Error().Err(err).Msg("disk_set_aside")
-		if err = setAside(settings.DataDir, int64(asideShare*float64(settings.Limits.DiskMB))<<20); err == nil {
-			err = s.openDisk()
-		}
-	}
-	if err != nil {
+	if err := s.openDisk(); err != nil {
 		return nil, err
 	}
 	s.options = transport.Options{
@@ -100,7 +92,7 @@
 	return s, nil
 }
 
-// openDisk reads what the disk holds of earlier lives. job.ErrCorrupt says that it holds what no life of this program wrote so.
+// openDisk reads what the disk holds of earlier lives. What can't be used is told, and stays where it is.
 func (s *Server) openDisk() error {
 	life, err := openLife(s.settings.DataDir)
 	if err != nil {
@@ -117,10 +109,30 @@
 		Reserve: int64(reserve * float64(capacity)),
 	}, s)
 	s.disk = &disk{capacity: capacity}
-	s.disk.journal, err = journal.Open(s.settings.DataDir, journal.Options{}, s.machine.Replay, s.written)
+	if life.garbled {
+		s.log.Error().Str("incarnation", life.incarnation).Msg("life_unreadable")
+	}
+	options := journal.Options{Skipped: func(at journal.Location) { s.tell(s.machine.Skipped(at)) }}
+	s.disk.journal, err = journal.Open(s.settings.DataDir, options, s.replay, s.written)
 	return err
 }
 
+// replay hands a record to the machine. One that can't be used is told and keeps no other from being used.
+func (s *Server) replay(at journal.Location, record []byte) error {
+	var finding *replica.Finding
+	if errors.As(s.machine.Replay(at, record), &finding) {
+		s.tell(finding)
+	}
+	return nil
+}
+
+// tell logs a part of the log that can't be used.
+func (s *Server) tell(finding *replica.Finding) {
+	s.log.Error().Str("problem", string(finding.Problem)).Uint32("segment", finding.At.Segment).Uint32("offset", finding.At.Offset).
+		Uint32("length", finding.At.Length).Uint8("kind", finding.Kind).Str("batch_job", finding.Job).
+		Int("position", finding.Position).Int("sound", finding.Held).Msg("record_unreadable")
+}
+
 // noPool stands for the gateways' pool of connections, which a batch process doesn't have.
 type noPool struct{}
 
@@ -199,12 +211,21 @@
 func (s *Server) stats() {
 	report, counts := s.report(), s.runner.Counts()
 	waiting, running, allowed := s.runner.Load()
+	findings, damaged := s.damage()
 	s.log.Info().Int("waiting", waiting).Int("running", running).Int("allowed", allowed).Uint64("epoch", report.Epoch).Uint64("settled", report.Settled).Int("batch_jobs", report.BatchJobs).
+		Int("findings", findings).Int("damaged", damaged).
 		Int64("free", report.FreeBytes).Int64("runs", counts.Runs).Int64("completed", counts.Completed).
 		Int64("dead_letter", counts.DeadLetter).Int64("resumed", counts.Resumed).Int64("rejected", counts.Rejected).
 		Int64("cut", counts.Cut).Int64("failed", counts.Failed).Int64("connections", counts.Dials).Msg("state")
 }
 
+// damage counts the parts of the log that this start could not use, and the batch jobs that are still damaged for it.
+func (s *Server) damage() (findings, damaged int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machine.Damage()
+}
+
 // release removes segments of the log that nothing needs any more.
 func (s *Server) release() {
 	oldest, current := s.disk.journal.Oldest()
