Batch stores: no second acceptance while copies are missing, no copy outlives its job

- A batch job was accepted a second time while all stores that hold it were away: more had left than copies but one, and arbiters voted as soon as they had the inventories of those that were there; the newer version then won over the results.
Whoever knows that so many left now neither asks for votes nor gives any, but names a holder that it knows; the client gets 503 at once. 404 was already held back so.
- A copy of a lower version, left behind by a change of the set, was kept for twice as long as the newest ones, as it isn't closed there.
Once those were dropped it was the highest version there is, and items of an ended batch job ran again.
It is marked by the inventories and dropped, with a record, once all members stand whole.
- An owned batch job that wasn't whole could expire without anybody looking whether all stood whole then, so that a retirement could not complete until the next view.

Beside: a store no longer tells that it stands whole while the inventories hold batch jobs that nobody owns until others are back; control took the next store away on the word of it.

--- a/internal/batch/replica/accept.go
+++ b/internal/batch/replica/accept.go
@@ -40,7 +40,7 @@
 		m.sendToActive(p)
 		return
 	}
-	if !m.fits(p) {
+	if m.tooManyLeft() || !m.fits(p) {
 		m.answer(p.token, unavailable())
 		return
 	}
@@ -93,7 +93,7 @@
 		case a.votes[key].Owner == m.self:
 		case key != m.self:
 			m.env.Send(arbiter, Reserve{Stamp: m.stamp(), Job: id, Number: a.number})
-		case m.settled:
+		case m.settled && (m.holder(id) != "" || !m.tooManyLeft()):
 			a.votes[key] = m.vote(id, m.self, a.number)
 		}
 	}
@@ -124,7 +124,10 @@
 }
 
 func (m *Machine) reserve(from protocol.Process, message Reserve) {
-	if m.settled && m.Allowed() {
+	if !m.settled || !m.Allowed() {
+		return
+	}
+	if m.holder(message.Job) != "" || !m.tooManyLeft() { // else it may have been accepted by stores that are missing
 		m.env.Send(from, m.vote(message.Job, placement.KeyOf(from), message.Number))
 	}
 }
--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -103,26 +103,48 @@
 // tooManyMissing tells that a batch job's newest copies may all be on stores that left the view, or were damaged.
 func (m *Machine) tooManyMissing() bool { return m.departed.missing() >= m.options.Copies }
 
+// tooManyLeft tells that all copies of a batch job may be on stores that left the view, and may come back with them.
+func (m *Machine) tooManyLeft() bool { return len(m.departed.since) >= m.options.Copies }
+
 // isNewest tells whether the highest version that the members hold is the highest there is. An owner's disk holds a new
 // version first, and the owner is one of the set before it; so that set's presence without a higher version proves it.
 func (m *Machine) isNewest(found *copies) bool {
-	return len(m.departed.since) < m.options.Copies || m.allActive(found.replicas)
+	return !m.tooManyLeft() || m.allActive(found.replicas)
+}
+
+// awaitsWhole tells that something here ends once all members stand whole.
+func (m *Machine) awaitsWhole() bool {
+	return m.departed.missing() > 0 || slices.ContainsFunc(m.order, func(h *held) bool { return h.behind })
 }
 
-// checkDeparted forgets who is missing, once all members stand whole without them.
-func (m *Machine) checkDeparted() {
-	if m.departed.missing() == 0 || len(m.departed.since) >= m.options.Copies || m.settledEpoch != m.view.Epoch {
+// checkWhole forgets who is missing, and drops copies that were left behind, once all members stand whole without them.
+func (m *Machine) checkWhole() {
+	if m.tooManyLeft() || m.settledEpoch != m.view.Epoch || !m.awaitsWhole() {
 		return
 	}
 	whole := true
 	m.others(func(other protocol.Process) {
 		whole = whole && m.departed.settled[placement.KeyOf(other)] == m.view.Epoch
 	})
-	if whole {
+	if !whole {
+		return
+	}
+	m.dropBehind()
+	if m.departed.missing() > 0 {
 		m.forgetDeparted()
 	}
 }
 
+// dropBehind drops copies of versions that are not the newest: kept for longer than those, one could be taken for the newest
+// later, though the batch job was ended.
+func (m *Machine) dropBehind() {
+	for _, h := range slices.Clone(m.order) {
+		if h.behind && !h.owner {
+			m.discard(h)
+		}
+	}
+}
+
 func (m *Machine) forgetDeparted() {
 	if m.tooManyMissing() {
 		m.departed.doubtUntil = m.env.Now() + m.options.KeepFor
@@ -157,7 +179,7 @@
 func (m *Machine) tellSettled() {
 	m.departed.toldAt = m.env.Now()
 	notice := SettledNotice{
-		Stamp: m.stamp(), Settled: m.settledEpoch, Ask: m.departed.missing() > 0, Emptied: m.drained(),
+		Stamp: m.stamp(), Settled: m.settledEpoch, Ask: m.awaitsWhole(), Emptied: m.drained(),
 	}
 	m.others(func(other protocol.Process) { m.env.Send(other, notice) })
 }
@@ -173,5 +195,5 @@
 	if notice.Ask {
 		m.env.Send(from, SettledNotice{Stamp: m.stamp(), Settled: m.settledEpoch})
 	}
-	m.checkDeparted()
+	m.checkWhole()
 }
--- a/internal/batch/replica/finding.go
+++ b/internal/batch/replica/finding.go
@@ -32,11 +32,15 @@
 
 // Error describes the finding with its place.
 func (f *Finding) Error() string {
-	text := fmt.Sprintf("%s: segment %d, byte %d", f.Problem, f.At.Segment, f.At.Offset)
-	if f.Job == "" {
-		return text
+	text := job.ErrCorrupt.Error()
+	if f.Problem == ProblemGap || f.Problem == ProblemResult {
+		text += fmt.Sprintf(": result at position %d of %d", f.Position, f.Held)
 	}
-	return fmt.Sprintf("%s, batch job %s, position %d of %d", text, f.Job, f.Position, f.Held)
+	text += fmt.Sprintf(": %s: segment %d, byte %d", f.Problem, f.At.Segment, f.At.Offset)
+	if f.Job != "" {
+		text += ", batch job " + f.Job
+	}
+	return text
 }
 
 // Unwrap makes the finding a job.ErrCorrupt.
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -102,6 +102,7 @@
 
 	round       uint64 // of inventories
 	settled     bool   // all inventories of the epoch are here
+	unowned     bool   // they hold batch jobs that nobody owns until stores that left are back
 	asked       time.Duration
 	inventories map[placement.Key]Inventory
 	lives       map[placement.Key]uint64 // newest life heard of each member
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -155,8 +155,13 @@
 	all := m.gather()
 	clear(m.inventories)
 	m.forgetDirectory(all)
+	m.unowned = false
 	for _, id := range slices.Sorted(maps.Keys(all)) {
+		if h := m.jobs[id]; h != nil {
+			h.behind = h.version < all[id].version
+		}
 		if !m.isNewest(all[id]) {
+			m.unowned = true
 			continue // until those that left are back
 		}
 		owner := m.ownerOf(all[id])
@@ -294,7 +299,7 @@
 
 // checkSettled notes once all that this store owns stands whole in the present epoch.
 func (m *Machine) checkSettled() {
-	if !m.settled || !m.present || m.settledEpoch == m.view.Epoch {
+	if !m.settled || !m.present || m.unowned || m.settledEpoch == m.view.Epoch {
 		return
 	}
 	for _, h := range m.order {
@@ -304,7 +309,7 @@
 	}
 	m.settledEpoch = m.view.Epoch
 	m.tellSettled()
-	m.checkDeparted()
+	m.checkWhole()
 }
 
 // drained tells whether a retiring store keeps nothing that isn't whole on other stores.
--- a/internal/batch/replica/tick.go
+++ b/internal/batch/replica/tick.go
@@ -34,13 +34,14 @@
 	if m.retiring && m.settled {
 		m.checkEmptied()
 	}
-	if m.departed.missing() > 0 && m.settledEpoch == m.view.Epoch && now-m.departed.toldAt >= noticeAgain {
+	if m.awaitsWhole() && m.settledEpoch == m.view.Epoch && now-m.departed.toldAt >= noticeAgain {
 		m.tellSettled()
 	}
 	if now-m.lastExpiry >= expiryEvery {
 		m.lastExpiry = now
 		m.expireDeparted(now)
 		m.dropExpired()
+		m.checkSettled() // what was not whole may be among them
 	}
 }
 
@@ -106,13 +107,18 @@
 		if age < keep || !closed && (h.owner || age < 2*keep) {
 			continue
 		}
-		m.write(encodeDropped(h.id), false, func() {})
-		m.redirect(h)
-		m.env.Stop(h.id)
-		m.drop(h.id)
+		m.discard(h)
 	}
 }
 
+// discard drops a copy for good.
+func (m *Machine) discard(h *held) {
+	m.write(encodeDropped(h.id), false, func() {})
+	m.redirect(h)
+	m.env.Stop(h.id)
+	m.drop(h.id)
+}
+
 // OldestSegment gives the first segment of the log that something still needs; limit where there is nothing.
 func (m *Machine) OldestSegment(limit uint32) uint32 {
 	oldest := limit
