--- a/coord/view/doc.go
+++ b/coord/view/doc.go
@@ -57,10 +57,11 @@
 // where some of them are about to leave: one of them is left to tell what it committed. And a voter that
 // is only absent keeps its vote until so many of the next voters hold everything without it.
 //
-// From the moment at which a view stands with 2 x Tolerance + 1 voters that all have the disk that they
-// vote with, and Tolerance + 1 members of its chain are whole in it, the loss of any Tolerance disks is
-// borne, with a loss of power of all: the others form a view that serves and has every acknowledged
-// order. The tests' model of the membership plays that loss in every state that it reaches.
+// From the moment at which a view is decided and none of its voters has promised another, it has
+// 2 x Tolerance + 1 voters, all with the disk that they vote with, and Tolerance + 1 members of its chain
+// are whole in it, the loss of any Tolerance disks is borne, with a loss of power of all: the others form
+// a view that serves and has every acknowledged order. The tests' model of the membership plays these
+// losses in every state that it reaches.
 //
 // # Reads
 //
