The lease of keys is looked at before the configuration, not after it alone

Cause: a request looked its key up in the configuration in force and only then at the lease. Where the lease had lapsed, a gateway that got in touch again between the two took a newer configuration and a new lease, which then spoke for the key as the old configuration had it: a key removed longer than revoke-ms before would have been served. The gap is microseconds, or as long as a process stands still in it.

Ruled out: the look right before the first byte. It counts from the same lease; the rule counts from when the client sent.

Change: the lease is looked at first, and again after. Test: TestLeaseOfKeys (200 instead of 503 without the change).

--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -61,6 +61,7 @@
 	body     body
 
 	operation protocol.BatchOperation // 0: live
+	lapsed    bool                    // the lease of keys did not hold before the configuration was looked at
 
 	wish      Wish
 	admitted  time.Time
@@ -127,8 +128,10 @@
 	return size
 }
 
-// find looks the route and the tenant up in the configuration in force.
+// find looks the route and the tenant up in the configuration in force. The lease of keys is looked at before: one that is renewed
+// afterwards speaks for a newer configuration, which may have removed the key.
 func (q *request) find() *problem {
+	q.lapsed = !q.proxy.Knowledge.Holds(time.Now())
 	q.settings = q.proxy.Knowledge.Configuration()
 	if q.settings == nil {
 		return &problem{status: http.StatusServiceUnavailable, text: "no configuration yet", retryAfter: unready}
@@ -171,7 +174,7 @@
 
 // sure tells whether the request's key may still be acted on.
 func (q *request) sure(now time.Time) bool {
-	return q.tenant == nil || q.proxy.Knowledge.Holds(now)
+	return q.tenant == nil || !q.lapsed && q.proxy.Knowledge.Holds(now)
 }
 
 // patience gives how long the request may be held.
