Control tells its subscribers how old its list of servers is

Gap: a control process that was cut off or stood still hands its list of servers out like any other, and nobody can tell how long ago the platform was read for it.

Change: pushes and answers to polls carry ListRead and ListAge; an older process leaves ListRead unset.

--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -65,11 +65,12 @@
 		one.servers = 0
 	}
 	c.push(session, one)
+	update := protocol.Update{Sequence: poll.Sequence, Fresh: fresh, Age: age}
+	c.ageList(&update)
 	c.mutex.Unlock()
 	if news {
 		wake(c.wakeRoles)
 	}
-	update := protocol.Update{Sequence: poll.Sequence, Fresh: fresh, Age: age}
 	if poll.Process.Role == protocol.RoleBatch {
 		update.Store = c.storeGrant(poll.Process, fresh, age)
 	}
@@ -133,6 +134,12 @@
 	}
 }
 
+// ageList tells how old the list of servers is that is held here.
+func (c *Control) ageList(update *protocol.Update) {
+	update.ListRead = c.servers.version > 0
+	update.ListAge = c.now() - c.servers.readAt
+}
+
 // push queues what a subscriber lacks.
 func (c *Control) push(session *transport.Session, one *subscriber) {
 	update := protocol.Update{Configuration: c.machine.Since(one.configuration)}
@@ -146,6 +153,7 @@
 	if update.Configuration == nil && update.Servers == nil && update.Members == nil {
 		return
 	}
+	c.ageList(&update)
 	if err := session.Push(update); err != nil {
 		if !errors.Is(err, transport.ErrNotConnected) {
 			c.log.Warn().Err(err).Str("to", one.process.Node).Msg("push-failed")
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -55,6 +55,11 @@
 	Fresh bool
 	Age   time.Duration
 
+	// ListRead tells that control has a list of servers; ListAge is how long ago the platform was read for the newest, as of when
+	// this was sent.
+	ListRead bool
+	ListAge  time.Duration
+
 	Configuration *ConfigurationUpdate
 	Servers       *ServerList
 	Members       *MemberList
