A process that begins waits for a control that vouches; lists don't go back

Causes: (1) a gateway that began and reached only a control process that was cut off put its configuration in force, however old: it served public routes by it, and keyed ones too where keys don't end by lease. (2) a gateway whose home died and whose next home was cut off, or had just thawed, replaced its list of servers by that one's older one for up to 0.7 s, and sent requests to servers that had been draining or gone for longer than drain-ms.

Ruled out: going back in a configuration (indexes only rise), readiness (it hangs on what control vouches for), 401, 403 and 404 (given only after control vouched for what is known).

Change: the first configuration of a life is in force from the first answer that vouches on; later ones at once, as only committed orders are sent. A list that was surely read before the list held is not taken and asked for again, whole.

Tests: TestBeginning, TestListing.

--- a/internal/gateway/subscription/apply.go
+++ b/internal/gateway/subscription/apply.go
@@ -2,30 +2,30 @@
 
 import (
 	"errors"
+	"time"
 
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/protocol"
-	"sprucelane.example/sprucelane/internal/serverlist"
 )
 
 var errAnswer = errors.New("subscription: the answer to a poll is no update")
 
 // take puts what an update brings in force.
-func (s *Subscription) take(update *protocol.Update) {
-	s.apply(update)
+func (s *Subscription) take(update *protocol.Update, now time.Time) {
+	s.apply(update, now)
 	if s.opt.Updated != nil {
 		s.opt.Updated()
 	}
 }
 
-func (s *Subscription) apply(update *protocol.Update) {
+func (s *Subscription) apply(update *protocol.Update, now time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if update.Configuration != nil {
 		s.configure(update.Configuration)
 	}
 	if update.Servers != nil {
-		s.list(update.Servers)
+		s.list(update, now)
 	}
 	if update.Members != nil {
 		s.members.Store(update.Members)
@@ -33,23 +33,26 @@
 	}
 }
 
-// list puts a newer list of servers in force. Where a difference doesn't apply to the list held it is asked for whole.
-func (s *Subscription) list(update *protocol.ServerList) {
-	next, err := serverlist.Follow(s.listed, update)
-	s.unlisted = err != nil
+// list puts a newer list of servers in force.
+func (s *Subscription) list(update *protocol.Update, now time.Time) {
+	next, err := s.listing.follow(update, now)
 	if err != nil {
-		s.opt.Log.Warn().Err(err).Uint64("version", update.Version).Msg("servers_not_taken")
+		s.opt.Log.Warn().Err(err).Uint64("version", update.Servers.Version).Msg("servers_not_taken")
 		return
 	}
-	s.listed = next
 	s.opt.Servers.Apply(next)
 }
 
-// configure puts a newer configuration in force. Where the steps to it can't be taken it is asked for again: from what is held,
+func (s *Subscription) noteList(sent time.Time, update *protocol.Update) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.listing.answered(sent, update)
+}
+
+// configure takes a newer configuration in. Where the steps to it can't be taken it is asked for again: from what is held,
 // or whole where that leads nowhere.
 func (s *Subscription) configure(update *protocol.ConfigurationUpdate) {
-	held := s.configuration.Load()
-	if held != nil && update.Index <= held.Index {
+	if update.Index <= s.state.Current().Index {
 		return
 	}
 	version, err := s.state.Follow(update)
@@ -60,7 +63,15 @@
 		return
 	}
 	s.behind, s.whole = false, false
-	next := version.Snapshot()
+	if !s.begun {
+		s.pending = version.Snapshot()
+		return
+	}
+	s.enforce(version.Snapshot())
+}
+
+// enforce puts a configuration in force.
+func (s *Subscription) enforce(next *configuration.Snapshot) {
 	s.configuration.Store(next)
 	if s.opt.Configured != nil {
 		s.opt.Configured(next)
--- /dev/null
+++ b/internal/gateway/subscription/polling.go
@@ -0,0 +1,69 @@
+package subscription
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+const (
+	// unsureMost is how long a home may go without vouching for what it says.
+	unsureMost = 600 * time.Millisecond
+	// unsurePoll is the time between polls while it doesn't.
+	unsurePoll = 120 * time.Millisecond
+	// soonest is the least time between polls that somebody waits for.
+	soonest = 50 * time.Millisecond
+)
+
+// polling is how one home has answered since it became the home.
+type polling struct {
+	vouchedAt time.Time // when the last poll was sent that it vouched in the answer to
+}
+
+func newPolling(now time.Time) polling { return polling{vouchedAt: now} }
+
+// answered takes in what an answer says of itself, after what it brings was taken in: in how long after the poll the next is due,
+// and whether the home is still one.
+func (s *Subscription) answered(p *polling, sent, now time.Time, update *protocol.Update) (pause time.Duration, stays bool) {
+	s.noteList(sent, update)
+	pause = protocol.PollInterval
+	if update.Fresh {
+		p.vouchedAt = sent
+		s.vouched(sent, update.Age)
+	} else {
+		pause = unsurePoll
+		if now.Sub(p.vouchedAt) > unsureMost {
+			return 0, false
+		}
+	}
+	if s.lacks() {
+		pause = soonest
+	}
+	return pause, true
+}
+
+// vouched takes in that all which was acknowledged longer than age before an answer is known here. What waited for it is in force
+// before the lease counts from it.
+func (s *Subscription) vouched(sent time.Time, age time.Duration) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.behind {
+		return // what was sent could not be put in force
+	}
+	s.begun = true
+	if s.pending != nil {
+		s.enforce(s.pending)
+		s.pending = nil
+	}
+	s.lease.Renew(sent, age)
+	s.fresh.Store(int64(sent.Sub(s.origin)))
+	close(s.freed)
+	s.freed = make(chan struct{})
+}
+
+// lacks tells whether something newer is known to be in force than what is held here.
+func (s *Subscription) lacks() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.behind
+}
--- a/internal/gateway/subscription/pure_test.go
+++ b/internal/gateway/subscription/pure_test.go
@@ -1,11 +1,15 @@
 package subscription
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -57,3 +61,83 @@
 		So(NewLease(false, time.Second, now).Holds(now.Add(time.Hour)), ShouldBeTrue)
 	})
 }
+
+// unused is a pool of a gateway that sends nothing.
+type unused struct{}
+
+func (unused) Apply([]pool.Change) {}
+
+func testSubscription(now time.Time) *Subscription {
+	settings := &node.Settings{Bounds: node.Bounds{Closed: true, Revoke: 5 * time.Second}}
+	return newAt(Options{Settings: settings, Servers: servers.NewRegistry(unused{}), Ready: func() bool { return false }}, now)
+}
+
+func document(index uint64, routes string) *protocol.ConfigurationUpdate {
+	return &protocol.ConfigurationUpdate{Index: index, Whole: []byte(`{"generation":` + fmt.Sprint(index) + `,"routes":[` + routes + `],"backends":[],"tenants":[]}`)}
+}
+
+func TestBeginning(t *testing.T) {
+	now := time.Now()
+	Convey("Given a process that begins and hears a control process that vouches for nothing", t, func() {
+		s := testSubscription(now)
+		polling := newPolling(now)
+		unsure := &protocol.Update{Sequence: 1, Configuration: document(3, "")}
+		s.take(unsure, now)
+		_, stays := s.answered(&polling, now, now, unsure)
+		So(stays, ShouldBeTrue)
+
+		Convey("it has no configuration in force, and leaves", func() {
+			So(s.Configuration(), ShouldBeNil)
+			So(s.question(2).Configuration, ShouldEqual, 3)
+			later := now.Add(unsureMost + time.Millisecond)
+			_, stays := s.answered(&polling, later, later, &protocol.Update{Sequence: 2})
+			So(stays, ShouldBeFalse)
+		})
+		Convey("what it was handed is in force once one vouches for it", func() {
+			s.answered(&polling, now, now, &protocol.Update{Sequence: 2, Fresh: true})
+			So(s.Configuration().Index, ShouldEqual, 3)
+			So(s.Holds(now), ShouldBeTrue)
+			Convey("and later ones at once", func() {
+				s.take(&protocol.Update{Configuration: document(4, "")}, now)
+				So(s.Configuration().Index, ShouldEqual, 4)
+			})
+		})
+	})
+}
+
+func TestListing(t *testing.T) {
+	now := time.Now()
+	list := func(source string, version uint64) *protocol.ServerList {
+		return &protocol.ServerList{Version: version, Source: source, Servers: []protocol.Server{{ID: source}}}
+	}
+	Convey("Given a list that was as of a second ago when a poll was answered", t, func() {
+		var l listing
+		_, err := l.follow(&protocol.Update{Servers: list("a", 7), ListRead: true, ListAge: time.Second}, now)
+		So(err, ShouldBeNil)
+		l.answered(now, &protocol.Update{ListRead: true, ListAge: time.Second})
+
+		Convey("an older one of another control process isn't taken, and asked for again", func() {
+			_, err := l.follow(&protocol.Update{Servers: list("b", 9), ListRead: true, ListAge: 20 * time.Second}, now.Add(time.Second))
+			So(err, ShouldEqual, errOlder)
+			So(l.held.Source, ShouldEqual, "a")
+			So(l.incomplete, ShouldBeTrue)
+			Convey("nor do its answers make the list held any newer", func() {
+				l.answered(now.Add(time.Minute), &protocol.Update{ListRead: true})
+				So(l.asOf, ShouldEqual, now.Add(-time.Second))
+			})
+			Convey("until it has read the platform", func() {
+				_, err := l.follow(&protocol.Update{Servers: list("b", 10), ListRead: true}, now.Add(2*time.Second))
+				So(err, ShouldBeNil)
+				So(l.incomplete, ShouldBeFalse)
+			})
+		})
+		Convey("one that may be as new is taken", func() {
+			_, err := l.follow(&protocol.Update{Servers: list("b", 9), ListRead: true, ListAge: 3 * time.Second}, now.Add(2*time.Second))
+			So(err, ShouldBeNil)
+		})
+		Convey("so is one of a control process that doesn't tell", func() {
+			_, err := l.follow(&protocol.Update{Servers: list("b", 9)}, now.Add(time.Second))
+			So(err, ShouldBeNil)
+		})
+	})
+}
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -21,14 +21,8 @@
 const (
 	// answerWait is how long a home may take to come up or to answer.
 	answerWait = 700 * time.Millisecond
-	// unsureMost is how long a home may go without vouching for what it says.
-	unsureMost = 600 * time.Millisecond
-	// unsurePoll is the time between polls while it doesn't.
-	unsurePoll = 120 * time.Millisecond
 	// changePause is the time between two homes, where one after the other doesn't do.
 	changePause = 60 * time.Millisecond
-	// soonest is the least time between polls that somebody waits for.
-	soonest = 50 * time.Millisecond
 )
 
 // Options are a subscription's fixed parts.
@@ -59,20 +53,21 @@
 	fresh         atomic.Int64 // nanoseconds after origin: when the last poll was sent that control vouched for
 	origin        time.Time
 
-	mu     sync.Mutex
-	homes  *Homes
-	state  *configuration.State
-	behind bool // something newer could not be put in force
-	whole  bool // the next poll asks for the whole configuration
-	freed  chan struct{}
-
-	listed   *protocol.ServerList // the list of servers held, whole
-	unlisted bool                 // the next poll asks for the whole list
+	mu      sync.Mutex
+	homes   *Homes
+	state   *configuration.State
+	behind  bool // something newer could not be put in force
+	whole   bool // the next poll asks for the whole configuration
+	freed   chan struct{}
+	begun   bool                    // control has vouched for a configuration in this life
+	pending *configuration.Snapshot // not in force before control vouches for it
+	listing listing
 }
 
 // New gives a subscription; Run keeps it.
-func New(opt Options) *Subscription {
-	now := time.Now()
+func New(opt Options) *Subscription { return newAt(opt, time.Now()) }
+
+func newAt(opt Options, now time.Time) *Subscription {
 	opt.Transport.Identity.System = protocol.System
 	s := &Subscription{opt: opt, lease: NewLease(opt.Settings.Bounds.Closed, opt.Settings.Bounds.Revoke, now),
 		wake: make(chan struct{}, 1), origin: now, homes: NewHomes(opt.Process.Node, opt.Process.Zone), freed: make(chan struct{}),
@@ -89,7 +84,8 @@
 	s.homes.Seed(settings.SeedHosts())
 }
 
-// Configuration gives the configuration in force, or nil before the first.
+// Configuration gives the configuration in force, or nil before the first that control has vouched for: a control process that is
+// cut off hands out what may be old, and a process that begins has nothing to judge it by.
 func (s *Subscription) Configuration() *configuration.Snapshot { return s.configuration.Load() }
 
 // Members gives the processes of the system, or nil before the first list.
@@ -165,7 +161,7 @@
 	client := transport.NewClient(s.opt.Settings.EndpointAt(ip, node.PortControl), s.opt.Transport,
 		func(message any) {
 			if update, ok := message.(protocol.Update); ok {
-				s.take(&update)
+				s.take(&update, time.Now())
 			}
 		},
 		func(up bool) {
@@ -189,7 +185,7 @@
 }
 
 func (s *Subscription) poll(ctx context.Context, client *transport.Client, connected <-chan bool) string {
-	vouched := time.Now()
+	polling := newPolling(time.Now())
 	timer := time.NewTimer(0)
 	defer timer.Stop()
 	for sequence := uint64(1); ; sequence++ {
@@ -198,18 +194,9 @@
 		if err != nil {
 			return err.Error()
 		}
-		pause := protocol.PollInterval
-		if update.Fresh {
-			vouched = sent
-			s.vouched(sent, update.Age)
-		} else {
-			pause = unsurePoll
-			if time.Since(vouched) > unsureMost {
-				return "unsure"
-			}
-		}
-		if s.lacks() {
-			pause = soonest
+		pause, stays := s.answered(&polling, sent, time.Now(), update)
+		if !stays {
+			return "unsure"
 		}
 		timer.Reset(time.Until(sent.Add(pause)))
 		select {
@@ -236,7 +223,7 @@
 	if !ok {
 		return nil, errAnswer
 	}
-	s.take(&update)
+	s.take(&update, time.Now())
 	if update.Store != nil && s.opt.Granted != nil {
 		s.opt.Granted(*update.Store, sent)
 	}
@@ -249,7 +236,7 @@
 	if !s.whole {
 		poll.Configuration = s.state.Current().Index
 	}
-	poll.WholeServers = s.unlisted
+	poll.WholeServers = s.listing.incomplete
 	s.mu.Unlock()
 	if table := s.opt.Servers.Current(); table != nil {
 		poll.Servers = table.Version
@@ -262,23 +249,3 @@
 	}
 	return poll
 }
-
-// vouched takes in that all which was acknowledged longer than age before an answer is known here.
-func (s *Subscription) vouched(sent time.Time, age time.Duration) {
-	if s.lacks() {
-		return // what was sent could not be put in force
-	}
-	s.lease.Renew(sent, age)
-	s.fresh.Store(int64(sent.Sub(s.origin)))
-	s.mu.Lock()
-	close(s.freed)
-	s.freed = make(chan struct{})
-	s.mu.Unlock()
-}
-
-// lacks tells whether something newer is known to be in force than what is held here.
-func (s *Subscription) lacks() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.behind
-}
