An answer that comes before its request's body is whole counts, nothing runs twice

Cause: Pool.Open wrote a request whole before anybody read the answer. A server that answered early and then closed or read no further made the write fail or time out, and that end was told as "not sent": the gateway sent an unsafe request to another server, or promised by a 503 that it had not run, though the first server had perhaps answered 500 or 200. Likewise a long body that was cut without a word counted as not sent, though its head had gone.

A server that takes nothing for 50 ms and has answered is not sent the rest: its answer is read and the connection closed, so that no other request's bytes come where the rest is due. After the head a cut body leaves an exchange that ends in an error, so that the request may have run. Three smaller faults of the same review: a connection that was chosen and not used (key no longer sure, client gone) counted as freshly used, and outlived the time after which its server closes it, so that the close crossed the next request; behind an answer of no length to another request Wait returned at once, and a request that may be repeated waited for a silent server until its deadline; a connection on which an answer came that nobody asked for was kept.

Ruled out: reuse after the early answer was never possible, as the failed write closed the connection.

Connections may be opened by a function (Options.Dial), and internal/standin/memory has connections in memory for virtual time (testing/synctest): latency, bounded windows, closes, resets with and without loss.

--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -63,7 +63,7 @@
 	return core.EndNone, true
 }
 
-// Exchange is a request that has been written whole, and its answer on the way. It belongs to one goroutine.
+// Exchange is a request that has gone out, and its answer on the way. It belongs to one goroutine.
 type Exchange struct {
 	pool   *Pool
 	conn   *conn
@@ -72,14 +72,17 @@
 	detach func() bool // ends the watch for the caller's leaving; false: it has left
 	idle   time.Duration
 	used   bool // the connection had carried requests before
+	sent   sent
+	heads  int // of answers that have been read
 	resp   *http.Response
 	body   io.Reader
 	ready  func() bool
 	ended  bool
 }
 
-// Open writes a request whole. Where that doesn't come about the end says why, and nothing has run. The connection is closed
-// at once when the context ends, as the member then drops the request.
+// Open writes a request. Where not even its head goes out the end says why, and nothing has run. A member may answer before it
+// has read a long body, and then read it no further: the body ends there, and the exchange gives that answer, or the error with
+// which the connection broke. The connection is closed at once when the context ends, as the member then drops the request.
 func (p *Pool) Open(ctx context.Context, call *Call) (*Exchange, core.End) {
 	call.ctx = ctx
 	c, end := p.reach(call)
@@ -90,26 +93,13 @@
 	c.used = true
 	c.SetDeadline(call.Until)
 	x.detach = context.AfterFunc(ctx, func() { c.Close() })
-	if !call.write(c) {
+	if x.sent = call.write(c); x.sent == sentNoHead {
 		x.Close()
 		return nil, core.EndCutShort
 	}
 	return x, core.EndNone
 }
 
-// write writes the request, and tells whether all of it went.
-func (call *Call) write(c *conn) bool {
-	b := heads.Get().(*bytes.Buffer)
-	defer heads.Put(b)
-	b.Reset()
-	call.Head(b)
-	if len(call.Body) <= mostSmall {
-		b.Write(call.Body)
-		return c.writeAll(b.Bytes())
-	}
-	return c.writeAll(b.Bytes()) && c.writeAll(call.Body)
-}
-
 // mostInterim bounds the answers of the class 1xx before one answer.
 const mostInterim = 5
 
@@ -148,6 +138,7 @@
 
 func (x *Exchange) take(resp *http.Response) {
 	x.learn(nil)
+	x.heads++
 	x.resp = resp
 	x.conn.left = 8 * MaxLong
 	x.conn.keep = keepAlive(resp.Header.Get("Keep-Alive"))
@@ -171,7 +162,7 @@
 
 // Wait waits, before Head and before reads of the body, until something of the answer has come that was not read yet, until some moment. It may be called again after a time-out.
 func (x *Exchange) Wait(by time.Time) error {
-	if x.conn.in.Buffered() > 0 || x.resp != nil && x.resp.ContentLength == 0 {
+	if x.conn.in.Buffered() > 0 || x.resp != nil && !x.ended && x.resp.ContentLength == 0 {
 		return nil
 	}
 	if x.resp == nil {
@@ -205,15 +196,24 @@
 	return x.resp.ContentLength >= 0 || len(x.resp.TransferEncoding) > 0
 }
 
-// Close ends the exchange: the connection is kept where the answer has come whole and brought nothing more, else it is closed.
+// Close ends the exchange: the connection is kept where nothing is due on it any more, else it is closed.
 func (x *Exchange) Close() {
 	stays := x.detach()
-	if stays && x.ended && !x.resp.Close && x.conn.in.Buffered() == 0 {
+	if stays && x.settled() {
 		x.pool.put(x.to, x.conn)
 		return
 	}
 	x.pool.drop(x.conn)
 }
 
+// settled tells whether another request may follow: the member has this one whole, so that it reads nothing as the rest of it,
+// and has sent one answer, whole, and nothing more. One that sends answers that nobody asked for may go on with it.
+func (x *Exchange) settled() bool {
+	bugs := &x.pool.bugs
+	asked := x.sent == sentWhole || bugs.reuseUnsent
+	answered := x.ended && !x.resp.Close && x.heads == 1
+	return asked && answered && (x.conn.in.Buffered() == 0 || bugs.reuseStirred)
+}
+
 // TimedOut tells whether an error of Head or Read says only that nothing came in time.
 func TimedOut(err error) bool { return broken(err) == core.EndTimedOut }
--- /dev/null
+++ b/internal/pool/early_test.go
@@ -0,0 +1,226 @@
+package pool
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/internal/core"
+	"sprucelane.example/sprucelane/internal/standin/memory"
+	"sprucelane.example/sprucelane/policy"
+)
+
+const (
+	testWindow  = 4 << 10 // bytes
+	testLatency = time.Millisecond
+	testLife    = 10 * time.Second // of an idle connection
+)
+
+// inMemory plays a story in virtual time with a pool whose one member takes each connection by a function.
+func inMemory(t *testing.T, member func(*memory.Conn), story func(*Pool)) {
+	synctest.Test(t, func(t *testing.T) {
+		network := &memory.Network{Window: func() int { return testWindow }, Latency: func() time.Duration { return testLatency }}
+		l := network.Listen("member")
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go member(c.(*memory.Conn))
+			}
+		}()
+		p := New(Options{Sockets: 9, ConnIdle: testLife, ConnectWait: time.Second, Dial: network.Dial})
+		p.Set(1, "member", policy.Ready)
+		story(p)
+		p.Close()
+		l.Close()
+		time.Sleep(testLatency + 1) // all that was closed has heard of it
+	})
+}
+
+// call is a request with a body of so many bytes.
+func call(length int) *Call {
+	return &Call{Server: 1, Until: time.Now().Add(2 * time.Second), Method: http.MethodPost, Body: []byte(long(length)),
+		Head: func(b *bytes.Buffer) {
+			fmt.Fprintf(b, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: %d\r\n\r\n", length)
+		}}
+}
+
+const fine = okHead + "Content-Length: 2\r\n\r\nok"
+
+// answersAfter answers once it has read the head and so much of the body.
+func answersAfter(read int, text string, then func(c *memory.Conn, in *bufio.Reader)) func(*memory.Conn) {
+	return func(c *memory.Conn) {
+		in := bufio.NewReaderSize(c, 16)
+		r, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		io.CopyN(io.Discard, r.Body, int64(read))
+		io.WriteString(c, text)
+		then(c, in)
+	}
+}
+
+// A member answers before it has read a long body, and reads no further, or breaks the connection: its answer is given, nothing
+// of another request comes in the place of the rest, and the next request has a connection of its own.
+func TestAnswerBeforeTheBodyIsWhole(t *testing.T) {
+	const length = 200 << 10
+	for name, then := range map[string]func(*memory.Conn, *bufio.Reader){
+		"it reads no further": func(*memory.Conn, *bufio.Reader) {},
+		"it closes":           func(c *memory.Conn, _ *bufio.Reader) { c.Close() },
+		"it resets":           func(c *memory.Conn, _ *bufio.Reader) { c.Reset(false) },
+		"it reads on later": func(c *memory.Conn, in *bufio.Reader) {
+			time.Sleep(time.Second)
+			rest, _ := io.ReadAll(in)
+			if strings.Contains(string(rest), "HTTP/1.1") {
+				panic("another request came in the place of the rest")
+			}
+		},
+	} {
+		t.Run(name, func(t *testing.T) {
+			inMemory(t, answersAfter(1000, fine, then), func(p *Pool) {
+				for range 2 {
+					began := time.Now()
+					x, end := p.Open(context.Background(), call(length))
+					require.NotNil(t, x, "%v", end)
+					resp, err := x.Head(time.Now().Add(time.Second))
+					require.NoError(t, err)
+					assert.Equal(t, http.StatusOK, resp.StatusCode)
+					text, err := io.ReadAll(x)
+					assert.NoError(t, err)
+					assert.Equal(t, "ok", string(text))
+					assert.Less(t, time.Since(began), 200*time.Millisecond)
+					x.Close()
+				}
+				assert.Equal(t, Counts{Opened: 2}, p.Counts())
+				time.Sleep(3 * time.Second)
+			})
+		})
+	}
+}
+
+// A member that reads slowly, and answers before it has all, gets all, and the connection is kept.
+func TestAnswerBeforeTheBodyIsWholeWithoutStall(t *testing.T) {
+	const length = 40 << 10
+	var whole atomic.Int64
+	member := answersAfter(1000, fine, func(c *memory.Conn, in *bufio.Reader) {
+		n := 0
+		for piece := make([]byte, 1024); n < length-1000; time.Sleep(bodyStall / 5) {
+			read, err := in.Read(piece)
+			if n += read; err != nil {
+				break
+			}
+		}
+		whole.Store(int64(n) + 1000)
+	})
+	inMemory(t, member, func(p *Pool) {
+		x, end := p.Open(context.Background(), call(length))
+		require.NotNil(t, x, "%v", end)
+		_, err := x.Head(time.Now().Add(time.Second))
+		require.NoError(t, err)
+		_, err = io.ReadAll(x)
+		assert.NoError(t, err)
+		x.Close()
+		time.Sleep(time.Second)
+		assert.EqualValues(t, length, whole.Load())
+		assert.Equal(t, 1, p.Counts().IdleNow)
+	})
+}
+
+// Where a body breaks off without a word the request may have run, as its head was there; without its head it has not.
+func TestRequestCutAtEveryByte(t *testing.T) {
+	const length = 3 * testWindow
+	head := 0
+	var b bytes.Buffer
+	call(length).Head(&b)
+	head = b.Len()
+	for _, cut := range []int{0, 1, head - 1, head, head + 1, head + length/2, head + length - 1} {
+		inMemory(t, func(c *memory.Conn) {
+			io.CopyN(io.Discard, c, int64(cut))
+			c.Reset(false)
+		}, func(p *Pool) {
+			x, end := p.Open(context.Background(), call(length))
+			if x == nil {
+				assert.Equal(t, core.EndCutShort, end, cut)
+				assert.Less(t, cut, head)
+				return
+			}
+			_, err := x.Head(time.Now().Add(time.Second))
+			assert.Error(t, err, cut)
+			x.Close()
+			assert.Equal(t, 0, p.Counts().OpenNow)
+		})
+	}
+}
+
+// A connection that was chosen and then not used is as old as it was: its member closes it when it would have.
+func TestConnectionThatWasNotUsedDoesNotGrowYounger(t *testing.T) {
+	inMemory(t, func(c *memory.Conn) {
+		in := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			io.WriteString(c, fine)
+		}
+	}, func(p *Pool) {
+		ask := func(check func() bool) *Exchange {
+			one := call(0)
+			one.Check = check
+			x, _ := p.Open(context.Background(), one)
+			return x
+		}
+		x := ask(nil)
+		_, err := x.Head(time.Now().Add(time.Second))
+		require.NoError(t, err)
+		io.ReadAll(x)
+		x.Close()
+		for range 8 {
+			time.Sleep(testLife / 8)
+			assert.Nil(t, ask(func() bool { return false }))
+		}
+		x = ask(nil)
+		assert.False(t, x.used)
+		x.Close()
+	})
+}
+
+// What belongs to another request is waited behind as before the first answer, and its connection is not kept.
+func TestAnswerBehindAForeignOne(t *testing.T) {
+	const pause = 300 * time.Millisecond
+	inMemory(t, func(c *memory.Conn) {
+		if _, err := http.ReadRequest(bufio.NewReader(c)); err != nil {
+			return
+		}
+		io.WriteString(c, okHead+"Content-Length: 0\r\n\r\n")
+		time.Sleep(pause)
+		io.WriteString(c, fine)
+	}, func(p *Pool) {
+		x, _ := p.Open(context.Background(), call(0))
+		_, err := x.Head(time.Now().Add(time.Second))
+		require.NoError(t, err)
+		io.ReadAll(x)
+		assert.True(t, TimedOut(x.Wait(time.Now().Add(pause/2))))
+		assert.NoError(t, x.Wait(time.Now().Add(pause)))
+		_, err = x.Head(time.Now())
+		require.NoError(t, err)
+		text, err := io.ReadAll(x)
+		assert.NoError(t, err)
+		assert.Equal(t, "ok", string(text))
+		x.Close()
+		assert.Equal(t, 0, p.Counts().OpenNow)
+	})
+}
--- a/internal/pool/pool.go
+++ b/internal/pool/pool.go
@@ -5,6 +5,7 @@
 
 import (
 	"bufio"
+	"context"
 	"crypto/tls"
 	"errors"
 	"math"
@@ -14,7 +15,6 @@
 	"os"
 	"sync"
 	"sync/atomic"
-	"syscall"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/buffers"
@@ -43,14 +43,18 @@
 	Whole       bool            // answers are read whole, up to MaxWhole
 	ConnIdle    time.Duration   // after which the member's machine closes an idle connection
 	ConnectWait time.Duration
-	StaleWithin time.Duration  // a kept connection that had been gone breaks so soon; 0: the standard
-	TLS         *tls.Config    // nil: plain TCP
-	LoadFields  map[string]int // place of each field of members' load reports; nil: there are none
+	StaleWithin time.Duration // a kept connection that had been gone breaks so soon; 0: the standard
+	TLS         *tls.Config   // nil: plain TCP
+	// Dial opens a connection to a member; nil: over TCP. One that has an Arrived method, as Peeker says, is asked by that whether
+	// anything has come.
+	Dial       func(ctx context.Context, address string) (net.Conn, error)
+	LoadFields map[string]int // place of each field of members' load reports; nil: there are none
 }
 
 // Pool is all members that discovery has named.
 type Pool struct {
 	opt  Options
+	bugs bugs // of tests
 	stop chan struct{}
 	up   func(*core.Flow) // of tests, which force crossings there: a connection has come up and nothing is checked yet
 
@@ -94,7 +98,7 @@
 
 type conn struct {
 	net.Conn
-	raw   syscall.RawConn
+	peek  Peeker // nil: nothing can be told
 	in    *bufio.Reader
 	left  int64 // bytes that may still be read
 	to    string
@@ -236,14 +240,14 @@
 			if end == core.EndDrained {
 				p.drop(c)
 			} else {
-				p.put(f.To(), c)
+				p.putUnused(f.To(), c)
 			}
 			return nil, end
 		}
 		if c.since.IsZero() {
 			return c, core.EndNone
 		}
-		if !c.stirred() {
+		if p.bugs.reuseStirred || !c.stirred() {
 			p.note(func(n *Counts) { n.Reused++ })
 			return c, core.EndNone
 		}
@@ -336,35 +340,6 @@
 	p.mu.Unlock()
 }
 
-func (p *Pool) dial(f flow, addr string) (*conn, core.End) {
-	d := net.Dialer{Timeout: time.Duration(p.connectWait.Load()), Deadline: f.By(), KeepAlive: -1}
-	nc, err := d.Dial("tcp", addr)
-	if err != nil {
-		p.closed()
-		return nil, core.EndNoConnect
-	}
-	c := &conn{Conn: nc, to: addr}
-	if raw, ok := nc.(syscall.Conn); ok {
-		c.raw, _ = raw.SyscallConn()
-	}
-	if p.opt.TLS != nil {
-		host, _, _ := net.SplitHostPort(addr)
-		conf := p.opt.TLS.Clone()
-		if conf.ServerName == "" {
-			conf.ServerName = host
-		}
-		t := tls.Client(nc, conf)
-		nc.SetDeadline(earliest(f.By(), time.Now().Add(time.Duration(p.connectWait.Load()))))
-		if t.Handshake() != nil {
-			p.drop(c)
-			return nil, core.EndNoConnect
-		}
-		c.Conn = t
-	}
-	c.in = bufio.NewReaderSize(c, 2048)
-	return c, core.EndNone
-}
-
 func earliest(a, b time.Time) time.Time {
 	if a.Before(b) {
 		return a
@@ -385,29 +360,21 @@
 	return time.Since(c.since) <= limit*3/4
 }
 
-// stirred tells whether anything has come in that nobody has read, an end included.
-func (c *conn) stirred() bool {
-	if c.in.Buffered() > 0 {
-		return true
-	}
-	quiet := true
-	if c.raw != nil {
-		err := c.raw.Read(func(fd uintptr) bool {
-			var b [1]byte
-			_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-			if quiet = errors.Is(err, syscall.EAGAIN); !quiet && err != nil {
-				c.over = err // it is told once
-			}
-			return true
-		})
-		quiet = quiet && err == nil
+// put keeps a connection that has carried a flow for the next one to its member.
+func (p *Pool) put(id policy.ServerID, c *conn) {
+	c.since = time.Now()
+	p.keep(id, c)
+}
+
+// putUnused keeps one on which nothing was written: towards its member it has been idle all the while.
+func (p *Pool) putUnused(id policy.ServerID, c *conn) {
+	if c.since.IsZero() {
+		c.since = time.Now()
 	}
-	return !quiet
+	p.keep(id, c)
 }
 
-// put keeps a connection for the next flow to its member.
-func (p *Pool) put(id policy.ServerID, c *conn) {
-	c.since = time.Now()
+func (p *Pool) keep(id policy.ServerID, c *conn) {
 	c.SetDeadline(time.Time{})
 	p.mu.Lock()
 	m := p.members[id]
