A head that begins within another is no answer; seeded worlds of misbehaving servers

The gap: nothing played the real proxy on the real pool against servers that misbehave at every byte with many clients at once. The worlds do (internal/standin/unruly, internal/standin/memory): in virtual time, by a seed, ten clients on four routes, four servers that break off a request or an answer at any byte (close, reset with and without loss, silence), answer before a body is whole and read on or not, repeat an answer, send one late, for others, without a length or in part, and close as a request crosses. An audit holds that each answer (status, stamp, body, events) belongs to its request and is whole, that a request that may run once does so at most once, that nothing has run behind a 429, 503, 408 or 421, that no other bytes come where a body is due, that no request is sent where more had come than an answer, and that streams join only runs that were asked for the next event.

Found by it (seeds 4 and 6 of 8): a part of a head that came late in the place of the answer, and broke off in the value of a header, made one head of two: a status 200 with a foreign stamp over a server's own answer, and a refusal (X-Not-Executed) over the answer of a request that had run, which was then sent to a second server. An answer is now lost that has a status line in a header's value, or names two requests or two stamps. (internal/pool is shared with the program in service; only Exchange changed.)

Ruled out: reuse of the connection; the part crossed the request.

--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -54,6 +54,9 @@
 		panic(http.ErrAbortHandler) // nobody is there, or an answer that has begun must not look complete
 	}
 	status := q.account.Status(!time.Now().Before(q.deadline))
+	if q.proxy.bugs.alwaysRefuses {
+		status = http.StatusServiceUnavailable
+	}
 	if status == http.StatusServiceUnavailable {
 		q.refuse(status, comeBack)
 		return
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -23,7 +23,7 @@
 
 // prepare reads what the choice of a server and admission go by.
 func (q *request) prepare() {
-	q.account = attempts.Account{Repeatable: q.route.Repeatable(), MaxServers: q.route.MaxAttempts}
+	q.account = attempts.Account{Repeatable: q.route.Repeatable() || q.proxy.bugs.repeatAll, MaxServers: q.route.MaxAttempts}
 	q.wish = Wish{Route: q.route, Tenant: q.tenant, Backend: q.pickBackend(), Deadline: q.deadline,
 		Demand: placement.ParseDemand(q.r.Header.Get(headerPrefix), q.r.Header.Get(headerUsage))}
 	q.head = passOn(q.r.Header)
@@ -136,16 +136,22 @@
 		if err != nil {
 			return nil, err
 		}
-		if resp.Header.Get(headerID) == q.id {
+		if q.isNamed(resp) {
 			return resp, nil
 		}
-		if !x.Delimited() || !q.skip(x) {
+		if len(resp.Header[headerID]) > 1 || !x.Delimited() || !q.skip(x) {
 			break
 		}
 	}
 	return nil, errForeign
 }
 
+// isNamed tells whether an answer names this request, and no other one beside it.
+func (q *request) isNamed(resp *http.Response) bool {
+	ids := resp.Header[headerID]
+	return len(ids) == 1 && ids[0] == q.id || q.proxy.bugs.anyID
+}
+
 const (
 	// leastSilence is how long a server may leave a request without a word before one that may be repeated goes elsewhere.
 	leastSilence = 1200 * time.Millisecond
@@ -205,7 +211,11 @@
 	if resp.Header.Get(headerEncoding) != "" {
 		return false
 	}
-	return resp.StatusCode >= http.StatusMultipleChoices || resp.Header.Get(headerSignature) != ""
+	stamps := resp.Header[headerSignature]
+	if len(stamps) > 1 {
+		return false
+	}
+	return resp.StatusCode >= http.StatusMultipleChoices || len(stamps) == 1 && stamps[0] != ""
 }
 
 func isStream(resp *http.Response) bool {
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -76,6 +76,8 @@
 	Leaves func(now time.Time) (at time.Time, counts bool)
 	// Announce tells other gateways that a server has so many tokens to read. Nil: nobody is told.
 	Announce func(server uint64, tokens int)
+
+	bugs bugs // of tests
 }
 
 // unready is when to come back to a gateway that can't serve yet or now.
--- a/internal/gateway/proxy/stream.go
+++ b/internal/gateway/proxy/stream.go
@@ -140,6 +140,8 @@
 	if !q.route.Resumable || !any {
 		panic(http.ErrAbortHandler) // it must not look complete
 	}
-	q.lastEvent = strconv.FormatUint(last, 10)
+	if !q.proxy.bugs.noLastEvent {
+		q.lastEvent = strconv.FormatUint(last, 10)
+	}
 	return false
 }
--- a/internal/gateway/proxy/whole.go
+++ b/internal/gateway/proxy/whole.go
@@ -69,7 +69,7 @@
 		for len(text) < cap(text) {
 			n, err := x.Read(text[len(text):cap(text)])
 			text = text[:len(text)+n]
-			if errors.Is(err, io.EOF) {
+			if errors.Is(err, io.EOF) || err != nil && q.proxy.bugs.cutIsWhole && !x.Delimited() {
 				return text, nil
 			}
 			if err != nil {
--- /dev/null
+++ b/internal/gateway/proxy/world_test.go
@@ -0,0 +1,33 @@
+package proxy_test
+
+import (
+	"testing"
+
+	"sprucelane.example/sprucelane/internal/gateway/proxy"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/standin/unruly"
+)
+
+const (
+	fixedWorlds = 16
+	plantedMost = 60
+)
+
+// TestRandomServers plays worlds of clients and servers that misbehave; SEEDS=N plays N of them, FIRST=S starts at seed S.
+func TestRandomServers(t *testing.T) { unruly.Worlds(t, fixedWorlds) }
+
+// TestRandomServersFindBugs plants bugs one by one; some world must show each.
+func TestRandomServersFindBugs(t *testing.T) {
+	for name, plant := range map[string]func(*proxy.Bugs){
+		"an answer is taken whatever request it names":                        proxy.AnyID,
+		"a request that may run once is sent again after a cut":               proxy.RepeatAll,
+		"an answer without a length is whole though its connection was reset": proxy.CutIsWhole,
+		"a stream is taken up without the id of its last event":               proxy.NoLastEvent,
+		"the promise that nothing ran is given though something may have":     proxy.AlwaysRefuses,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			unruly.Finds(t, plantedMost, func(p *proxy.Proxy, _ *pool.Pool) { p.Plant(plant) })
+		})
+	}
+}
--- a/internal/pool/call.go
+++ b/internal/pool/call.go
@@ -6,6 +6,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -93,7 +94,7 @@
 	c.used = true
 	c.SetDeadline(call.Until)
 	x.detach = context.AfterFunc(ctx, func() { c.Close() })
-	if x.sent = call.write(c); x.sent == sentNoHead {
+	if x.sent = call.write(c); x.sent == sentNoHead || x.sent == sentPart && p.bugs.partNotSent {
 		x.Close()
 		return nil, core.EndCutShort
 	}
@@ -106,6 +107,25 @@
 // errInterim reports too many interim answers, or a change of the protocol that nobody asked for.
 var errInterim = errors.New("pool: no final answer")
 
+// errTorn reports a head that begins in the middle of another.
+var errTorn = errors.New("pool: a head that was not whole, and another behind it")
+
+// statusLine is what an answer begins with, as far as a header's value may be expected not to have it.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+// torn tells whether an answer stands in the head of another that breaks off in the value of a header: the two would be taken for
+// one, with the first one's status and the second one's id.
+func torn(header http.Header) bool {
+	for _, values := range header {
+		for _, value := range values {
+			if strings.Contains(value, "HTTP/1.") && statusLine.MatchString(value) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // Head reads the head of the answer, until some moment. It may be called again for the next answer on the connection once the
 // body of the last has been read to its end: one that came before the answer due belongs to nobody.
 func (x *Exchange) Head(by time.Time) (*http.Response, error) {
@@ -118,6 +138,9 @@
 			x.learn(err)
 			return nil, cut(err)
 		}
+		if torn(resp.Header) && !x.pool.bugs.tornHead {
+			return nil, errTorn
+		}
 		if resp.StatusCode == http.StatusSwitchingProtocols {
 			return nil, errInterim
 		}
--- /dev/null
+++ b/internal/pool/world_test.go
@@ -0,0 +1,27 @@
+package pool_test
+
+import (
+	"testing"
+
+	"sprucelane.example/sprucelane/internal/gateway/proxy"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/standin/unruly"
+)
+
+// plantedMost is how many worlds a bug may take to show. TestRandomServers of internal/gateway/proxy plays those without.
+const plantedMost = 60
+
+// TestRandomServersFindBugs plants bugs of the pool one by one; some world of the gateway on it must show each.
+func TestRandomServersFindBugs(t *testing.T) {
+	for name, plant := range map[string]func(*pool.Bugs){
+		"a connection is used again on which more has come than an answer":     pool.ReuseStirred,
+		"a connection is used again on which a request's body is due":          pool.ReuseUnsent,
+		"a request whose body went out in part counts as not sent":             pool.PartNotSent,
+		"a head that begins in the middle of another is taken for one with it": pool.TornHead,
+	} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			unruly.Finds(t, plantedMost, func(_ *proxy.Proxy, p *pool.Pool) { p.Plant(plant) })
+		})
+	}
+}
--- a/internal/standin/memory/conn.go
+++ b/internal/standin/memory/conn.go
@@ -39,6 +39,7 @@
 	closed   bool
 	deadline [2]time.Time // of reads, of writes
 	timers   [2]*time.Timer
+	readSent time.Time
 }
 
 func newPair(to string, window int, latency time.Duration) (near, far *Conn) {
@@ -88,6 +89,9 @@
 	in := c.in
 	for len(in.pieces) > 0 && n < len(into) && past(in.pieces[0].at) {
 		first := &in.pieces[0]
+		if n == 0 {
+			c.readSent = first.at.Add(-c.pair.latency)
+		}
 		moved := copy(into[n:], first.bytes)
 		n += moved
 		in.length -= moved
@@ -126,14 +130,11 @@
 	return true, nil
 }
 
-// NextSent tells when the first byte was sent that waits here or is on the way, if any is.
-func (c *Conn) NextSent() (at time.Time, any bool) {
+// ReadSent tells when the first byte was sent that the last read gave.
+func (c *Conn) ReadSent() time.Time {
 	c.pair.mu.Lock()
 	defer c.pair.mu.Unlock()
-	if len(c.in.pieces) == 0 {
-		return time.Time{}, false
-	}
-	return c.in.pieces[0].at.Add(-c.pair.latency), true
+	return c.readSent
 }
 
 // Latency is how long bytes are on the way.
