A body in chunks is never a byte too long; tests at the operator's limits

A body that came in chunks and was one byte longer than max-body-bytes was taken where its last byte and its end came in one read. Now its length is looked at before its end.

TestLimits: bodies by length and in chunks, of one byte, at the limit, a byte beyond it (failed now and then before) and far beyond it; heads close to the limit. Nothing within the limits was refused.

--- a/internal/gateway/proxy/body.go
+++ b/internal/gateway/proxy/body.go
@@ -33,7 +33,7 @@
 		most = defaultBody
 	}
 	if r.ContentLength > int64(most) {
-		return &problem{status: http.StatusRequestEntityTooLarge, text: "body: too long", close: true}
+		return tooLong()
 	}
 	limit := http.NewResponseController(w)
 	limit.SetReadDeadline(until)
@@ -46,6 +46,10 @@
 	return nil
 }
 
+func tooLong() *problem {
+	return &problem{status: http.StatusRequestEntityTooLarge, text: "body: too long", close: true}
+}
+
 func (b *body) fill(r *http.Request, most int, budget *buffers.Budget, until time.Time) *problem {
 	whole := int64(most) + 1
 	if r.ContentLength > 0 {
@@ -63,6 +67,8 @@
 			n, err := r.Body.Read(b.bytes[len(b.bytes):cap(b.bytes)])
 			b.bytes = b.bytes[:len(b.bytes)+n]
 			switch {
+			case len(b.bytes) > most:
+				return tooLong()
 			case errors.Is(err, io.EOF):
 				return nil
 			case errors.Is(err, os.ErrDeadlineExceeded):
@@ -71,9 +77,6 @@
 				return &problem{status: http.StatusBadRequest, text: "body: not whole", close: true}
 			}
 		}
-		if size == whole {
-			return &problem{status: http.StatusRequestEntityTooLarge, text: "body: too long", close: true}
-		}
 	}
 }
 
--- a/internal/gateway/proxy/request_test.go
+++ b/internal/gateway/proxy/request_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/http"
 	"strings"
 	"testing"
@@ -205,6 +206,34 @@
 	})
 }
 
+func TestLimits(t *testing.T) {
+	Convey("What keeps to the limits is taken, to the last byte, however it comes", t, func() {
+		const most = 10000
+		chunked := func(size int) string {
+			text := strings.Repeat("b", size)
+			return fmt.Sprintf("%x\r\n%s\r\n%x\r\n%s\r\n0\r\n\r\n", 1, text[:1], size-1, text[1:])
+		}
+		for size, want := range map[int]int{1: 200, 4 << 10: 200, most - 1: 200, most: 200, most + 1: 413, 5 * most: 413} {
+			r := start(t, 1, good)
+			So(r.askWith("POST", "/unsafe/x", strings.Repeat("b", size)).status, ShouldEqual, want)
+			So(r.askWith("POST", "/unsafe/x", chunked(max(2, size)), "Content-Length", "", "Transfer-Encoding", "chunked").status,
+				ShouldEqual, want)
+			for _, seen := range r.seen() {
+				So(len(seen.Text), ShouldBeIn, size, max(2, size))
+			}
+		}
+	})
+	Convey("A head as long as the operator allows is taken, with all that stands between its names and values", t, func() {
+		r := start(t, 1, good)
+		const most = 16 << 10
+		r.configure(func(d *configuration.Document) { d.Limits.MaxHeaderBytes = most })
+		for _, room := range []int{400, 300} {
+			got := r.ask("POST", "/unsafe/x", "X-Long", strings.Repeat("x", most-room))
+			So(got.status, ShouldEqual, 200)
+		}
+	})
+}
+
 func TestStandstill(t *testing.T) {
 	Convey("A process that stood still after it admitted a request doesn't send it on that", t, func() {
 		k := &knowledge{}
