Batch stores: a lost disk denies nothing, and stores forget together who is missing

- After a loss of power everywhere with one disk lost, the store with the empty disk could be the first in the view.
It knew of nobody who had left, took the view for all there is, answered 404 for accepted batch jobs and could have voted for them to be accepted again.
A disk that tells of no view, in a system that ran before (bootstrap is false), is blank now: its store is not sure, and gives no votes, until another one has told it who is missing, or status-s is over.
The record of the view keeps it.
- Each store forgot those who left by itself, once it had heard all others stand whole.
One that missed a notice counted them together with the next that left, found too many missing, and left batch jobs on one disk until status-s was over.
Inventories and notices now carry who is missing for their sender, with the epoch in which it last knew that all stood whole: what had left by then, and isn't missing for the sender, is forgotten.

--- a/internal/batch/replica/cluster_test.go
+++ b/internal/batch/replica/cluster_test.go
@@ -24,6 +24,7 @@
 	epoch    uint64
 	nodes    []*clusterNode
 	messages []clusterMessage
+	lost     func(clusterMessage) bool // tells of a message whether it is lost, nil: none is
 }
 
 type clusterMessage struct {
@@ -35,6 +36,7 @@
 type clusterNode struct {
 	cluster     *cluster
 	number      int
+	blank       bool // the system ran before its disk was there
 	incarnation int
 	life        uint64
 	state       protocol.StoreState
@@ -73,7 +75,7 @@
 	n.life++
 	n.found = nil
 	n.answers = map[Token]protocol.BatchAnswer{}
-	n.machine = New(Options{Self: n.process(), Life: n.life, Copies: n.cluster.copies, KeepFor: time.Hour}, n)
+	n.machine = New(Options{Self: n.process(), Life: n.life, Blank: n.blank, Copies: n.cluster.copies, KeepFor: time.Hour}, n)
 	options := journal.Options{Segment: 4 << 10, Skipped: func(at journal.Location) {
 		n.found = append(n.found, n.machine.Skipped(at))
 	}}
@@ -104,6 +106,7 @@
 	n.disk.Wipe()
 	n.incarnation++
 	n.life = 0
+	n.blank = true
 }
 
 // view makes a set of stores the newest view.
@@ -116,7 +119,7 @@
 	for _, n := range members {
 		if n.log != nil {
 			n.machine.View(view)
-			n.machine.Grant(true, time.Hour)
+			n.machine.Grant(true, 24*time.Hour)
 		}
 	}
 }
@@ -126,7 +129,7 @@
 	for _, other := range c.nodes {
 		if other != n && other.log != nil {
 			n.machine.View(other.machine.view)
-			n.machine.Grant(true, time.Hour)
+			n.machine.Grant(true, 24*time.Hour)
 			return
 		}
 	}
@@ -183,6 +186,9 @@
 }
 
 func (c *cluster) deliver(message clusterMessage) {
+	if c.lost != nil && c.lost(message) {
+		return
+	}
 	for _, n := range c.nodes {
 		if n.key() == message.to && n.log != nil {
 			n.machine.Message(message.from, message.body)
--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -27,6 +27,12 @@
 	emptied map[placement.Key]bool   // stores that retire and hold nothing that others need
 	toldAt  time.Duration
 
+	noted   map[placement.Key]uint64 // epoch in which each of since was found to be missing
+	whole   uint64                   // newest epoch of this life in which all members were known to stand whole
+	told    bool                     // the disk told of a view
+	blank   bool                     // it didn't, and no other store has yet told who is missing
+	blankAt time.Duration
+
 	// Stores whose logs may have held batch jobs that they can't name any more, and since when that is known. They count
 	// like stores that left.
 	obscured   map[placement.Key]time.Duration
@@ -38,7 +44,7 @@
 func (d *departed) change(view protocol.StoreView, now time.Duration) {
 	for _, key := range d.last {
 		if _, missing := d.since[key]; !missing && !d.emptied[key] {
-			d.since[key] = now
+			d.note(key, view, now)
 		}
 	}
 	for _, member := range view.Members {
@@ -48,6 +54,20 @@
 		_, present := placement.MemberOf(view, key)
 		return !present // it counts as one that left
 	})
+	d.list(view)
+}
+
+func (d *departed) note(key placement.Key, view protocol.StoreView, now time.Duration) {
+	d.since[key] = now
+	d.noted[key] = view.Epoch
+}
+
+// list makes last of the members of a view and those that are missing.
+func (d *departed) list(view protocol.StoreView) {
+	maps.DeleteFunc(d.noted, func(key placement.Key, _ uint64) bool {
+		_, missing := d.since[key]
+		return !missing
+	})
 	d.last = d.last[:0]
 	for _, member := range view.Members {
 		if key := placement.KeyOf(member.Process); member.State != protocol.StoreRetired && !d.emptied[key] {
@@ -63,7 +83,7 @@
 	for _, key := range d.last {
 		out = job.AppendText(out, string(key))
 	}
-	return out
+	return append(out, boolByte(d.blank))
 }
 
 func (d *departed) replay(at journal.Location, record []byte) *Finding {
@@ -76,13 +96,15 @@
 	if r.Failed {
 		return &Finding{Problem: ProblemRecord, Kind: recordView}
 	}
+	blank := len(r.Rest) > 0 && r.Rest[0] == 1 // earlier versions wrote none
 	d.last, d.at = last, &at
+	d.told, d.blank = true, blank
 	return nil
 }
 
 // sure tells whether the members of the view together know of every batch job, and this store knows what they know.
 func (m *Machine) sure() bool {
-	return m.settled && !m.tooManyMissing() && m.env.Now() >= m.departed.doubtUntil
+	return m.settled && !m.departed.blank && !m.tooManyMissing() && m.env.Now() >= m.departed.doubtUntil
 }
 
 // missing counts the stores that may have held what the others don't know of.
@@ -104,7 +126,9 @@
 func (m *Machine) tooManyMissing() bool { return m.departed.missing() >= m.options.Copies }
 
 // tooManyLeft tells that all copies of a batch job may be on stores that left the view, and may come back with them.
-func (m *Machine) tooManyLeft() bool { return len(m.departed.since) >= m.options.Copies }
+func (m *Machine) tooManyLeft() bool {
+	return m.departed.blank || len(m.departed.since) >= m.options.Copies
+}
 
 // isNewest tells whether the highest version that the members hold is the highest there is. An owner's disk holds a new
 // version first, and the owner is one of the set before it; so that set's presence without a higher version proves it.
@@ -149,6 +173,7 @@
 	if m.tooManyMissing() {
 		m.departed.doubtUntil = m.env.Now() + m.options.KeepFor
 	}
+	m.departed.whole = m.view.Epoch
 	clear(m.departed.since)
 	clear(m.departed.obscured)
 	m.obscured = false
@@ -171,6 +196,9 @@
 		}
 	}
 	maps.DeleteFunc(m.departed.obscured, func(_ placement.Key, at time.Duration) bool { return now-at > m.options.KeepFor })
+	if now-m.departed.blankAt > m.options.KeepFor {
+		m.departed.blank = false
+	}
 	_, noted := m.departed.obscured[m.self]
 	m.obscured = m.obscured && noted
 }
@@ -179,7 +207,7 @@
 func (m *Machine) tellSettled() {
 	m.departed.toldAt = m.env.Now()
 	notice := SettledNotice{
-		Stamp: m.stamp(), Settled: m.settledEpoch, Ask: m.awaitsWhole(), Emptied: m.drained(),
+		Stamp: m.stamp(), Settled: m.settledEpoch, Ask: m.awaitsWhole(), Emptied: m.drained(), Missing: m.missing(),
 	}
 	m.others(func(other protocol.Process) { m.env.Send(other, notice) })
 }
@@ -193,7 +221,45 @@
 		m.writeDeparted()
 	}
 	if notice.Ask {
-		m.env.Send(from, SettledNotice{Stamp: m.stamp(), Settled: m.settledEpoch})
+		m.env.Send(from, SettledNotice{Stamp: m.stamp(), Settled: m.settledEpoch, Missing: m.missing()})
 	}
+	m.takeMissing(notice.Missing)
 	m.checkWhole()
 }
+
+// missing is what this store tells of those that left.
+func (m *Machine) missing() Missing {
+	d := &m.departed
+	return Missing{Blank: d.blank, Stores: slices.Sorted(maps.Keys(d.since)), Whole: d.whole}
+}
+
+// takeMissing takes in what another store tells of those that left. A blank store learns all of it. One that isn't forgets
+// those that had left by an epoch in which all members were known to stand whole: each store learns that by itself, and
+// who did so later would count them together with the next that leaves.
+func (m *Machine) takeMissing(told Missing) {
+	d := &m.departed
+	if told.Blank {
+		return
+	}
+	before, tooMany := len(d.since), m.tooManyLeft()
+	learns := d.blank
+	if learns {
+		d.blank = false
+		for _, key := range told.Stores {
+			if _, present := placement.MemberOf(m.view, key); !present && !d.emptied[key] {
+				d.note(key, m.view, m.env.Now())
+			}
+		}
+	}
+	maps.DeleteFunc(d.since, func(key placement.Key, _ time.Duration) bool {
+		return d.noted[key] <= told.Whole && !slices.Contains(told.Stores, key)
+	})
+	if len(d.since) == before && !learns {
+		return
+	}
+	d.list(m.view)
+	m.writeDeparted()
+	if tooMany && !m.tooManyLeft() && m.settled {
+		m.restart() // what was left to them is looked at again
+	}
+}
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -83,6 +83,7 @@
 type Options struct {
 	Self      protocol.Process
 	Life      uint64        // differs for each start of the process
+	Blank     bool          // the system ran before: a disk that tells of no view is that of a new store, or was lost
 	Copies    int           // disks that a batch job is on: one more than may be lost at once
 	KeepFor   time.Duration // from a batch job's first send, and while it is open
 	Reserve   int64         // bytes of disk that new batch jobs must leave free
@@ -151,7 +152,7 @@
 		concession:   map[string]concession{},
 		departed: departed{
 			since: map[placement.Key]time.Duration{}, settled: map[placement.Key]uint64{}, emptied: map[placement.Key]bool{},
-			obscured: map[placement.Key]time.Duration{},
+			obscured: map[placement.Key]time.Duration{}, noted: map[placement.Key]uint64{},
 		},
 	}
 }
--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -140,3 +140,112 @@
 		So(owner.machine.Report().Settled, ShouldEqual, c.epoch)
 	})
 }
+
+// TestBlankStore has a store with an empty disk be the first to come back.
+func TestBlankStore(t *testing.T) {
+	Convey("A store whose disk was lost denies nothing until another one has told it who is missing", t, func() {
+		c := newCluster(4, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		rest := c.others(owner, replica)
+		for _, n := range c.nodes {
+			n.losePower()
+		}
+		owner.wipe()
+		owner.start()
+		c.view(owner)
+		c.settle()
+		deny := func(n *clusterNode) bool {
+			_, status := n.read("job")
+			So(status, ShouldBeIn, 404, 503)
+			return status == 404
+		}
+		So(deny(owner), ShouldBeFalse)
+		So(owner.machine.tooManyLeft(), ShouldBeTrue)
+		owner.kill() // nor after a further start
+		owner.start()
+		c.view(owner)
+		c.settle()
+		So(deny(owner), ShouldBeFalse)
+		rest[0].start() // this one knows that three left
+		c.view(owner, rest[0])
+		c.settle()
+		So(owner.machine.departed.blank, ShouldBeFalse)
+		So(owner.machine.departed.since, ShouldHaveLength, 3)
+		So(deny(owner) || deny(rest[0]), ShouldBeFalse)
+		replica.start()
+		rest[1].start()
+		c.view(c.nodes...)
+		c.settle()
+		_, status := owner.readAnywhere("job")
+		So(status, ShouldEqual, 200)
+		_, status = owner.read("no-such-job")
+		So(status, ShouldEqual, 404)
+	})
+	Convey("It doubts for as long as batch jobs are kept where nobody can tell it", t, func() {
+		c := newCluster(1, 1, 1)
+		n := c.nodes[0]
+		n.wipe()
+		n.start()
+		c.view(n)
+		c.settle()
+		_, status := n.read("no-such-job")
+		So(status, ShouldEqual, 503)
+		c.now += time.Hour
+		c.settle()
+		_, status = n.read("no-such-job")
+		So(status, ShouldEqual, 404)
+	})
+}
+
+// TestForgottenTogether has one store miss the word that all stand whole, right before the next loss.
+func TestForgottenTogether(t *testing.T) {
+	Convey("A store takes over from another that those who left are not needed any more", t, func() {
+		c := newCluster(5, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		first := c.others(owner, replica)[0]
+		first.kill()
+		c.lost = func(m clusterMessage) bool {
+			_, notice := m.body.(SettledNotice)
+			return notice && m.to == replica.key()
+		}
+		c.view(c.others(first)...)
+		c.settle()
+		So(owner.machine.departed.since, ShouldBeEmpty)
+		So(replica.machine.departed.since, ShouldHaveLength, 1)
+		owner.kill() // the next loss
+		c.view(c.others(first, owner)...)
+		c.settle()
+		So(replica.machine.departed.since, ShouldHaveLength, 1)
+		So(replica.machine.tooManyLeft(), ShouldBeFalse)
+		So(c.owner("job") == replica, ShouldBeTrue)
+		_, status := replica.read("job")
+		So(status, ShouldEqual, 200)
+		So(replica.machine.Report().Settled, ShouldEqual, c.epoch)
+	})
+	Convey("But not of one that left after that, though it was away for a while before", t, func() {
+		c := newCluster(4, 2, 1)
+		away, told := c.nodes[0], c.nodes[1]
+		away.kill()
+		c.view(c.others(away)...)
+		c.settle()
+		whole := told.machine.departed.whole
+		So(whole, ShouldEqual, c.epoch)
+		away.start()
+		c.view(c.nodes...)
+		c.settle()
+		away.kill()
+		c.view(c.others(away)...)
+		n := c.nodes[2]
+		So(n.machine.departed.since, ShouldHaveLength, 1)
+		n.machine.takeMissing(Missing{Whole: whole})
+		So(n.machine.departed.since, ShouldHaveLength, 1)
+		n.machine.takeMissing(Missing{Whole: c.epoch, Stores: []placement.Key{away.key()}})
+		So(n.machine.departed.since, ShouldHaveLength, 1)
+		n.machine.takeMissing(Missing{Whole: c.epoch, Blank: true})
+		So(n.machine.departed.since, ShouldHaveLength, 1)
+		n.machine.takeMissing(Missing{Whole: c.epoch})
+		So(n.machine.departed.since, ShouldBeEmpty)
+	})
+}
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -22,6 +22,9 @@
 		return
 	}
 	last := m.view
+	if m.options.Blank && !m.departed.told {
+		m.departed.told, m.departed.blank, m.departed.blankAt = true, true, m.env.Now()
+	}
 	wasPresent := m.present
 	m.view = view
 	m.departed.change(view, m.env.Now())
@@ -116,7 +119,7 @@
 			Job: h.id, Version: h.version, Replicas: h.replicas, Count: h.durable, Ended: h.endDurable, Damaged: h.damaged,
 		})
 	}
-	return Inventory{Stamp: m.stamp(), Round: round, Settled: m.settledEpoch, Entries: entries, Obscured: m.obscured}
+	return Inventory{Stamp: m.stamp(), Round: round, Settled: m.settledEpoch, Entries: entries, Obscured: m.obscured, Missing: m.missing()}
 }
 
 func (m *Machine) takeInventory(from placement.Key, inventory Inventory) {
@@ -126,6 +129,7 @@
 	m.inventories[from] = inventory
 	m.departed.settled[from] = max(m.departed.settled[from], inventory.Settled)
 	m.departed.noteObscured(from, inventory.Obscured, m.env.Now())
+	m.takeMissing(inventory.Missing)
 	m.settle()
 }
 
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -103,7 +103,7 @@
 	}
 	capacity := int64(s.settings.Limits.DiskMB) << 20
 	s.machine = replica.New(replica.Options{
-		Self: s.process, Life: life.number,
+		Self: s.process, Life: life.number, Blank: !s.settings.Bootstrap,
 		Copies:  s.settings.Tolerance.Machines + 1,
 		KeepFor: s.settings.Bounds.Status + 2*s.settings.Bounds.SkewMax,
 		Reserve: int64(reserve * float64(capacity)),
--- a/internal/batch/server/server_test.go
+++ b/internal/batch/server/server_test.go
@@ -121,8 +121,8 @@
 	return &node.Settings{
 		NodeName: name, Role: "store", Serves: []string{"store"}, IP: ip, Zone: "zone-" + name, FirstPort: testPorts, LastPort: testPorts + 15,
 		Seeds: []string{testControl + ":1"}, DataDir: directory, Limits: node.Limits{MemoryMB: 300, DiskMB: 100, MaxFDs: 1000},
-		Tolerance: node.Tolerance{Machines: 1},
-		Bounds:    node.Bounds{Status: 2 * time.Minute, Closed: true, Revoke: 5 * time.Second},
+		Bootstrap: true, Tolerance: node.Tolerance{Machines: 1},
+		Bounds: node.Bounds{Status: 2 * time.Minute, Closed: true, Revoke: 5 * time.Second},
 	}
 }
 
