--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -249,3 +249,39 @@
 		So(n.machine.departed.since, ShouldBeEmpty)
 	})
 }
+
+// TestLeavingWaitsForWholeSet has a store of the new set start again right after it was counted.
+func TestLeavingWaitsForWholeSet(t *testing.T) {
+	Convey("A leaving store isn't told that a set is whole before a store that started again has told what it has", t, func() {
+		c := newCluster(4, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		owner, leaving := c.owner("job"), c.replicaOf("job")
+		leaving.state = protocol.StoreRetiring
+		c.view(c.nodes...)
+		c.settle()
+		So(leaving.machine.drained(), ShouldBeTrue)
+		taker := c.replicaOf("job")
+		So(taker == leaving, ShouldBeFalse)
+		taker.inject(encodeDropped("job")) // what it had is gone
+		c.rejoin(taker)
+		ask := func() bool {
+			c.messages = nil
+			owner.machine.Message(leaving.process(), Replicate{Stamp: leaving.machine.stamp(), Job: "job"})
+			So(c.messages, ShouldHaveLength, 1)
+			return c.messages[0].body.(Replicated).Whole
+		}
+		So(ask(), ShouldBeTrue) // nothing was heard of it yet
+		owner.machine.Message(taker.process(), InventoryRequest{Stamp: taker.machine.stamp()})
+		So(ask(), ShouldBeFalse)
+		So(owner.machine.Report().Settled, ShouldBeLessThan, c.epoch)
+		c.settle()
+		So(ask(), ShouldBeTrue)
+		So(taker.machine.jobs["job"], ShouldNotBeNil)
+		So(owner.machine.Report().Settled, ShouldEqual, c.epoch)
+		owner.wipe() // the disk that goes right after
+		c.view(c.others(owner)...)
+		c.settle()
+		_, status := taker.read("job")
+		So(status, ShouldEqual, 200)
+	})
+}
