The bounds of a replica's log, batches and memory of outcomes are options of its core

No change of behaviour: the node sets what was constant, and simulated worlds can set small ones, so that logs are compacted all the time.

--- a/coord/chain/state.go
+++ b/coord/chain/state.go
@@ -9,9 +9,9 @@
 	Restore(snapshot []byte) error
 }
 
-// rememberedRequests is the number of request ids whose results are kept, so that an order that
+// RememberedRequests is the number of request ids whose results are kept, so that an order that
 // was sent again over a change of the view is applied once.
-const rememberedRequests = 4096
+const RememberedRequests = 4096
 
 // Outcome is what an order came to.
 type Outcome struct {
@@ -23,15 +23,17 @@
 // State is the machine with the requests that it has seen lately.
 type State struct {
 	machine  Machine
+	memory   int // request ids whose results are kept
 	applied  uint64
 	epoch    uint64 // of the entry last applied
 	outcomes map[string]Outcome
 	recent   []string // ids in order of application, oldest first
 }
 
-// NewState wraps an empty machine.
-func NewState(machine Machine) *State {
-	return &State{machine: machine, outcomes: make(map[string]Outcome)}
+// NewState wraps an empty machine and remembers the outcomes of the last requests, as many as memory says. All members of a chain
+// must remember the same number.
+func NewState(machine Machine, memory int) *State {
+	return &State{machine: machine, memory: memory, outcomes: make(map[string]Outcome)}
 }
 
 // Applied returns the index of the order last applied, and its epoch.
@@ -63,11 +65,11 @@
 func (s *State) remember(outcome Outcome) {
 	s.outcomes[outcome.ID] = outcome
 	s.recent = append(s.recent, outcome.ID)
-	if excess := len(s.recent) - rememberedRequests; excess > 0 {
+	if excess := len(s.recent) - s.memory; excess > 0 {
 		delete(s.outcomes, s.recent[excess-1])
 	}
-	if len(s.recent) >= 2*rememberedRequests {
-		s.recent = append([]string(nil), s.recent[len(s.recent)-rememberedRequests:]...)
+	if len(s.recent) >= 2*s.memory {
+		s.recent = append([]string(nil), s.recent[len(s.recent)-s.memory:]...)
 	}
 }
 
@@ -82,7 +84,7 @@
 // Image copies the state.
 func (s *State) Image() Image {
 	ids := s.recent
-	if excess := len(ids) - rememberedRequests; excess > 0 {
+	if excess := len(ids) - s.memory; excess > 0 {
 		ids = ids[excess:]
 	}
 	image := Image{Index: s.applied, Epoch: s.epoch, Machine: s.machine.Snapshot()}
--- a/coord/replica/core.go
+++ b/coord/replica/core.go
@@ -37,6 +37,21 @@
 	compactLogBytes = 1 << 20
 )
 
+// limits bound what a core keeps and sends at once. All members of a system have the same.
+type limits struct {
+	batchBytes  int // orders in one message
+	keptLog     int // bytes of applied orders that the log keeps for others
+	uncommitted int // orders
+	remembered  int // outcomes of the last orders
+}
+
+var usualLimits = limits{
+	batchBytes:  batchBytes,
+	keptLog:     keptLogBytes,
+	uncommitted: maxUncommitted,
+	remembered:  chain.RememberedRequests,
+}
+
 // envelope is a message on its way out.
 type envelope struct {
 	to   view.Member // without an incarnation: whoever is at the address
@@ -48,6 +63,7 @@
 	self      view.Member
 	disk      bool
 	tolerance int
+	limits    limits
 	seeds     []string
 	machine   chain.Machine
 	random    *rand.Rand
@@ -95,7 +111,7 @@
 	c := &core{
 		coreOptions: options,
 		log:         chain.NewLog(0, 0, nil),
-		state:       chain.NewState(options.machine),
+		state:       chain.NewState(options.machine, options.limits.remembered),
 		peers:       make(map[string]*peer),
 		now:         now,
 		lastTick:    now,
@@ -317,7 +333,7 @@
 	for index > base {
 		entry := c.log.Entry(index)
 		kept += len(entry.Order) + len(entry.ID)
-		if kept > keptLogBytes {
+		if kept > c.limits.keptLog {
 			break
 		}
 		index--
--- a/coord/replica/core_chain.go
+++ b/coord/replica/core_chain.go
@@ -209,7 +209,7 @@
 
 func (c *core) forwardTo(after view.Member) {
 	for c.link.sent < c.durableTo {
-		entries := c.log.After(c.link.sent, batchBytes)
+		entries := c.log.After(c.link.sent, c.limits.batchBytes)
 		if len(entries) == 0 {
 			return // compacted away: the successor's silence will change the view
 		}
--- a/coord/replica/core_client.go
+++ b/coord/replica/core_client.go
@@ -151,7 +151,7 @@
 		return true
 	}
 	applied, _ := c.state.Applied()
-	if c.log.End()-applied >= maxUncommitted {
+	if c.log.End()-applied >= uint64(c.limits.uncommitted) {
 		return false
 	}
 	for index := c.log.End(); index > applied; index-- {
--- a/coord/replica/core_follow.go
+++ b/coord/replica/core_follow.go
@@ -102,7 +102,7 @@
 	}
 	feed := &Feed{Prev: r.applied}
 	if r.applied < applied && applied <= c.log.End() {
-		feed.Entries = c.log.After(r.applied, batchBytes)
+		feed.Entries = c.log.After(r.applied, c.limits.batchBytes)
 		if excess := r.applied + uint64(len(feed.Entries)); excess > applied {
 			feed.Entries = feed.Entries[:applied-r.applied]
 		}
--- a/coord/replica/node.go
+++ b/coord/replica/node.go
@@ -125,6 +125,7 @@
 		self:      member,
 		disk:      n.options.DataDir != "",
 		tolerance: n.options.Tolerance,
+		limits:    usualLimits,
 		seeds:     n.options.Seeds,
 		machine:   n.options.Machine,
 		random:    rand.New(rand.NewPCG(seed(0), seed(1))),
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -124,6 +124,7 @@
 type world struct {
 	random    *rand.Rand
 	seed      uint64
+	limits    limits
 	now       time.Duration
 	queue     eventQueue
 	sequence  int
@@ -151,6 +152,7 @@
 		random:    rand.New(rand.NewPCG(seed, 77)),
 		seed:      seed,
 		tolerance: tolerance,
+		limits:    usualLimits,
 		syncTime:  time.Millisecond,
 		cuts:      make(map[[2]string]bool),
 		resets:    make(map[[2]string]int),
@@ -240,6 +242,7 @@
 		self:      view.Member{Node: n.name, Address: n.address},
 		disk:      n.disk != nil,
 		tolerance: w.tolerance,
+		limits:    w.limits,
 		seeds:     w.currentSeeds(bootstrap),
 		machine:   n.machine,
 		random:    rand.New(rand.NewPCG(w.random.Uint64(), 1)),
