A late Fetch doesn't end the source's process, a late Ack doesn't stall the chain

- An Ack that asked for what follows an old end (Gap), and that came late, took the head's or a middle member's position back to before what it had compacted.
The position never falls below what the successor has acknowledged, which is on its disk; that it isn't compacted away is an invariant now.

--- a/coord/replica/core_chain.go
+++ b/coord/replica/core_chain.go
@@ -68,8 +68,10 @@
 		c.send(from, Copy{Epoch: m.Epoch, Common: common, Entries: c.entriesBetween(common, end)})
 		return
 	}
+	if applied, _ := c.state.Applied(); applied > end {
+		return // the chain has committed in this epoch, so all of it was whole: the asker asked before it was
+	}
 	image := c.state.Image()
-	c.invariant(image.Index <= end, "image at %d beyond the prefix at %d", image.Index, end)
 	c.send(from, Copy{Epoch: m.Epoch, Common: image.Index, Image: &image, Entries: c.entriesBetween(image.Index, end)})
 }
 
@@ -210,9 +212,7 @@
 func (c *core) forwardTo(after view.Member) {
 	for c.link.sent < c.durableTo {
 		entries := c.log.After(c.link.sent, c.limits.batchBytes)
-		if len(entries) == 0 {
-			return // compacted away: the successor's silence will change the view
-		}
+		c.invariant(len(entries) > 0, "order %d is compacted away, the successor holds %d", c.link.sent+1, c.link.acked)
 		c.sendAppend(after, entries)
 		c.link.sent += uint64(len(entries))
 	}
@@ -247,11 +247,11 @@
 	}
 	c.invariant(m.End <= c.log.End(), "successor holds %d, its predecessor %d", m.End, c.log.End())
 	c.invariant(m.Commit <= c.log.End(), "committed %d, held %d", m.Commit, c.log.End())
-	if !c.link.known || m.Gap {
+	c.link.acked = max(c.link.acked, m.End)
+	if !c.link.known || m.Gap || c.link.sent < c.link.acked {
 		c.link.known = true
-		c.link.sent = m.End
+		c.link.sent = c.link.acked // an older Ack may come late, and what is acknowledged may be compacted away
 	}
-	c.link.acked = max(c.link.acked, m.End)
 	c.link.succWhole = m.Whole
 	c.commit = max(c.commit, m.Commit)
 	if c.serving() && c.link.whole && !m.Whole && c.link.sent >= c.durableTo {
