A head takes no order from before its view, nor one it may have forgotten

An order on its way to the head (Forward) was the one message of the chain without an epoch.

Forward now names the epoch that its node knew and the index up to which that node knows that the order wasn't applied. A head refuses it in a later epoch, and tells the sender of the view: the node where the order was proposed sends it again if anybody still waits. And it refuses it when an application since that index could be forgotten. A node that took an image across more orders than are remembered can't tell whether its waiting orders are among them: it keeps their old index, so they stay uncertain.

Ruled out: orders held at the head while a view changes live 300 ms at most, by the steady clock, and stay as they are. What stays by contract: a caller that proposes the same id itself again after more than 4,096 other orders has it applied again; control's own orders carry a version.

--- a/coord/replica/core_chain.go
+++ b/coord/replica/core_chain.go
@@ -124,7 +124,7 @@
 			panic("replica: " + err.Error())
 		}
 		c.commit = max(c.commit, m.Image.Index)
-		c.work.settleRestored(c)
+		c.work.settleRestored(c, applied)
 	}
 	c.rewrite = true
 	c.records = nil
--- a/coord/replica/core_client.go
+++ b/coord/replica/core_client.go
@@ -12,8 +12,10 @@
 type pendingOrder struct {
 	id     string
 	order  []byte
-	sent   bool // it left this node, or was given a place: it may be applied any time
+	sent   bool // it left this node, or was given a place: it may be applied
 	sentAt time.Duration
+	since  uint64 // the order wasn't applied at or below this index
+	unsure bool   // it may have been applied above since, and be forgotten
 	waits  []*waiter
 }
 
@@ -66,12 +68,16 @@
 	}
 }
 
-// settleRestored settles orders whose outcomes came with an image.
-func (w *clientWork) settleRestored(c *core) {
+// settleRestored settles orders whose outcomes came with an image, where the machine had applied orders to an index before.
+func (w *clientWork) settleRestored(c *core, before uint64) {
+	applied, _ := c.state.Applied()
 	for _, id := range sortedKeys(w.orders) {
 		if outcome, known := c.state.Outcome(id); known {
 			w.settle(id, outcome)
+			continue
 		}
+		order := w.orders[id]
+		order.unsure = order.unsure || order.sent && applied-before > uint64(c.limits.remembered)
 	}
 }
 
@@ -107,24 +113,31 @@
 // dispatch gives an order a place, or sends it towards the head.
 func (c *core) dispatch(order *pendingOrder) {
 	order.sentAt = c.now
+	if !order.unsure {
+		order.since, _ = c.state.Applied()
+	}
 	head := c.acceptor.View.Head()
 	switch {
 	case c.epoch() == 0:
 	case head.Same(c.self) && c.disk:
-		if c.take(order.id, order.order) {
+		if c.take(order.id, order.order, order.since) {
 			order.sent = true
 		}
 	case c.isVoter():
 		if next := c.towards(head); !next.IsZero() {
 			order.sent = true
-			c.send(next, Forward{ID: order.id, Order: order.order})
+			c.forward(next, order)
 		}
 	case c.feed.alive(c.now):
 		order.sent = true
-		c.send(c.feed.feeder, Forward{ID: order.id, Order: order.order})
+		c.forward(c.feed.feeder, order)
 	}
 }
 
+func (c *core) forward(to view.Member, order *pendingOrder) {
+	c.send(to, Forward{ID: order.id, Order: order.order, Epoch: c.epoch(), Since: order.since})
+}
+
 // towards returns the member to which a voter sends its orders: the head, or where the link to it is broken a member of the chain
 // that is in touch with both.
 func (c *core) towards(head view.Member) view.Member {
@@ -142,8 +155,8 @@
 	return view.Member{}
 }
 
-// take gives an order a place at the head, once.
-func (c *core) take(id string, order []byte) bool {
+// take gives an order a place at the head, once. An order that may have been applied so long ago that its outcome is forgotten gets none.
+func (c *core) take(id string, order []byte, since uint64) bool {
 	if !c.serving() || !c.enough() || c.leaving {
 		return false
 	}
@@ -159,14 +172,23 @@
 			return true
 		}
 	}
+	if since < c.log.End() && c.log.End()-since >= uint64(c.limits.remembered) {
+		return false
+	}
 	c.orderEntry(id, order)
 	return true
 }
 
+// onForward takes in an order from elsewhere. One that was sent in an earlier epoch may be as old as a cut or a standstill is long: its
+// node sends it again when it learns of the view, if its caller still waits.
 func (c *core) onForward(from view.Member, m Forward) {
+	if m.Epoch < c.epoch() {
+		c.tellView(from)
+		return
+	}
 	head := c.acceptor.View.Head()
 	if head.Same(c.self) {
-		if !c.take(m.ID, m.Order) && !c.serving() && len(c.work.held) < maxHeld {
+		if !c.take(m.ID, m.Order, m.Since) && !c.serving() && len(c.work.held) < maxHeld {
 			c.work.held = append(c.work.held, heldOrder{Forward: m, heldAt: c.now})
 		}
 		return
@@ -190,6 +212,7 @@
 	c.work.held = nil
 	for _, order := range held {
 		if c.now-order.heldAt <= retryInterval {
+			order.Epoch = max(order.Epoch, c.epoch())
 			c.onForward(c.self, order.Forward)
 		}
 	}
--- a/coord/replica/core_follow.go
+++ b/coord/replica/core_follow.go
@@ -146,7 +146,7 @@
 			panic("replica: " + err.Error())
 		}
 		c.commit = max(c.commit, m.Image.Index)
-		c.work.settleRestored(c)
+		c.work.settleRestored(c, applied)
 		applied = m.Image.Index
 	}
 	for _, entry := range m.Entries {
--- a/coord/replica/messages.go
+++ b/coord/replica/messages.go
@@ -62,11 +62,14 @@
 	Entries []chain.Entry
 }
 
-// Forward carries an order towards the head.
+// Forward carries an order towards the head. A head takes it only in the epoch in which it was sent, and only while an earlier
+// application of the order would still be remembered.
 type Forward struct {
 	ID    string
 	Order []byte
 	Hops  int
+	Epoch uint64 // the one that the node knew at which the order was proposed
+	Since uint64 // the order wasn't applied at or below this index
 }
 
 // Poll asks for committed orders and for a proof of freshness.
