A leaving member is replaced at once, and stays until the rest is whole

A member that left for good kept its vote for the two seconds until it counted as absent, with a spare machine beside it: a disk lost meanwhile left one voter of three, and no view followed any more (TestLeavingMemberIsReplaced). A spare takes the leaving member's vote and place in the view that lets it go, under the same condition as an absent voter's: more than f of the next voters hold everything. The member is out (HandOver returns) only when all of the next chain have shown, by a bit in their heartbeats, that they are whole.

Where the plan would have no view with a chain that bears the losses, nobody proposes one any more: the promises wedged their members again and again for nothing.

The exhaustive model of membership change passes with the planner's new rule, as does coord/view's model of the agreement. TestLeavingMemberIsReplaced and TestHandOver fail without the parts.

--- a/coord/replica/api.go
+++ b/coord/replica/api.go
@@ -180,13 +180,7 @@
 	out := make(chan struct{}, 1)
 	spared := true
 	err := n.query(ctx, func() {
-		spared = n.core.mayLeave()
-		if n.core.inChain() && spared {
-			n.core.onLeft = func() { out <- struct{}{} }
-			n.core.handOver(n.now())
-			return
-		}
-		out <- struct{}{}
+		spared = n.core.leave(n.now(), func() { out <- struct{}{} })
 	})
 	if err != nil {
 		return err
--- a/coord/replica/core_peers.go
+++ b/coord/replica/core_peers.go
@@ -21,6 +21,7 @@
 	leaving    bool
 	candidate  bool
 	epoch      uint64
+	whole      bool // in that epoch
 	heard      map[string]bool
 	confirmed  time.Duration // it hadn't promised a successor of the present epoch then
 	toldAt     time.Duration // when the view was sent to it last
@@ -153,6 +154,7 @@
 		EchoLife:  p.life,
 		Echo:      p.seq,
 		Epoch:     c.epoch(),
+		Whole:     c.synced == c.epoch(),
 		Wedged:    c.acceptor.Wedged(),
 		Leaving:   c.leaving,
 		Candidate: !c.isVoter(),
@@ -176,7 +178,8 @@
 		p.life, p.seq, p.inTouch = m.Life, 0, false
 	}
 	p.heardAt = c.now
-	p.leaving, p.candidate, p.epoch = m.Leaving, m.Candidate, m.Epoch
+	p.leaving, p.candidate = m.Leaving, m.Candidate
+	p.epoch, p.whole = m.Epoch, m.Whole
 	p.seq = max(p.seq, m.Seq)
 	p.heard = make(map[string]bool, len(m.Heard))
 	for _, id := range m.Heard {
--- a/coord/replica/core_plan.go
+++ b/coord/replica/core_plan.go
@@ -30,13 +30,17 @@
 		}
 		return ""
 	}
+	_, chain, possible := c.plan(c.likelySource(), c.acceptor.View.Chain)
+	if !possible {
+		return "" // promises would wedge their members for nothing
+	}
 	if silent, broken := c.silentMembers(); broken {
 		return "silent member"
 	} else if silent {
 		return "" // a view of this member's would leave out one that the chain has a use for
 	}
 	for _, m := range c.acceptor.View.Chain {
-		if c.isLeaving(m) && len(c.acceptor.View.Chain)-1 > c.tolerance {
+		if c.isLeaving(m) && view.Index(chain, m) < 0 {
 			return "leaving member"
 		}
 	}
@@ -156,6 +160,16 @@
 	return m
 }
 
+// likelySource is the source that the promises would give, as far as this member can tell.
+func (c *core) likelySource() view.Member {
+	for _, m := range c.acceptor.View.Chain {
+		if c.heard(m) && !c.isLeaving(m) {
+			return m
+		}
+	}
+	return c.self
+}
+
 // isStaying reports whether m makes a good source.
 func (c *core) isStaying(m view.Member) bool { return !c.isLeaving(m) }
 
--- a/coord/replica/late_test.go
+++ b/coord/replica/late_test.go
@@ -117,3 +117,61 @@
 		t.Errorf("the order was applied %d times", times)
 	}
 }
+
+// TestChainStaysLongEnough has a member leave while another one has just fallen silent, and the third lose its disk: had the view left
+// one member in the chain, nobody could promise what comes after it.
+func TestChainStaysLongEnough(t *testing.T) {
+	for seed := uint64(0); seed < 20; seed++ {
+		w := startedWorld(40+seed, 3, 1)
+		w.runUntil(2*time.Second + time.Duration(seed)*20*time.Millisecond)
+		w.acknowledged(t, w.nodes[0], "before", time.Second)
+		kept, leaving, silent := w.nodes[0], w.nodes[1], w.nodes[2]
+		silent.freeze()
+		w.runUntil(w.now + time.Duration(seed)*50*time.Millisecond)
+		leaving.handle(func() { leaving.core.leave(w.now, func() {}) })
+		w.runUntil(w.now + 1500*time.Millisecond)
+		if length := len(kept.core.view().Chain); length < 2 {
+			t.Errorf("seed %d: the chain of epoch %d has %d members", seed, kept.core.epoch(), length)
+		}
+		leaving.kill()
+		kept.wipe()
+		w.runUntil(w.now + 500*time.Millisecond)
+		leaving.start(false)
+		kept.start(false)
+		silent.thaw()
+		w.runUntil(w.now + 3*time.Second)
+		w.acknowledged(t, silent, "after", 2*time.Second)
+	}
+}
+
+// TestLeavingMemberIsReplaced has a member leave for good where a spare machine waits: once it is out, the loss of another disk is borne.
+func TestLeavingMemberIsReplaced(t *testing.T) {
+	for seed := uint64(0); seed < 30; seed++ {
+		w := startedWorld(60+seed, 4, 1)
+		w.runUntil(4*time.Second + time.Duration(seed)*17*time.Millisecond)
+		w.acknowledged(t, w.nodes[0], "before", time.Second)
+		leaving, lost := w.nodes[seed%3], w.nodes[(seed+1)%3]
+		left := false
+		leaving.handle(func() { leaving.core.leave(w.now, func() { left = true }) })
+		if !w.runWhile(time.Second, func() bool { return !left }) {
+			t.Fatalf("seed %d: the member isn't out after a second", seed)
+		}
+		v := leaving.core.view()
+		if v.IsVoter(leaving.core.self) {
+			t.Errorf("seed %d: the member that has left votes", seed)
+		}
+		whole := 0
+		for _, n := range w.nodes {
+			if v.InChain(n.core.self) && n.disk.shadow.synced == v.Epoch {
+				whole++
+			}
+		}
+		if whole != len(v.Chain) || whole != 3 {
+			t.Errorf("seed %d: %d of %d members are whole when the other one leaves", seed, whole, len(v.Chain))
+		}
+		leaving.kill()
+		leaving.gone = true
+		lost.wipe()
+		w.acknowledged(t, w.nodes[3], "after", 3*time.Second)
+	}
+}
--- a/coord/replica/messages.go
+++ b/coord/replica/messages.go
@@ -18,6 +18,7 @@
 	EchoLife  uint64
 	Echo      uint64 // highest Seq heard from the addressee's life EchoLife
 	Epoch     uint64
+	Whole     bool // the sender's log has the prefix of Epoch
 	Wedged    bool
 	Leaving   bool
 	Candidate bool     // has a disk and isn't a voter
--- a/coord/view/plan.go
+++ b/coord/view/plan.go
@@ -1,6 +1,9 @@
 package view
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // MinimumVoters is the smallest set of voters that is worth a majority.
 const MinimumVoters = 3
@@ -23,22 +26,25 @@
 }
 
 // Voters returns the voters that the next view should have. Earlier lives of the candidates' disks are
-// always replaced; voters that are only absent where their disks aren't needed.
-func (p *Planner) Voters(replaceAbsent bool) []Member {
+// always replaced; voters that are only absent, or about to leave, where their disks aren't needed.
+func (p *Planner) Voters(replace bool) []Member {
 	voters := append([]Member(nil), p.Present.Voters...)
 	target := TargetVoters(p.Tolerance)
 	for _, candidate := range p.Candidates {
 		position := p.earlierLife(voters, candidate)
-		if position < 0 && replaceAbsent {
+		if position < 0 && replace {
 			position = p.longestAbsent(voters)
 		}
+		if position < 0 && replace {
+			position = slices.IndexFunc(voters, p.Leaving)
+		}
 		if position >= 0 {
 			voters[position] = candidate
 		} else if len(voters) < target {
 			voters = append(voters, candidate)
 		}
 	}
-	for replaceAbsent && len(voters) > target {
+	for replace && len(voters) > target {
 		position := p.longestAbsent(voters)
 		if position < 0 {
 			break
@@ -75,12 +81,12 @@
 // Plan returns the voters and the chain of the next view for the source that the promises gave.
 //
 // A voter that is absent keeps its vote until more members than may be lost hold everything without it:
-// its disk may be the one that the next loss asks for. And a chain that the losses to be borne can take
+// its disk may be the one that the next loss asks for. So does one that leaves, and the source. And a chain that the losses to be borne can take
 // away whole would leave nobody who can tell what it committed: there is no plan with one while there are
 // voters enough to ask for more.
 func (p *Planner) Plan(source Member, holders []Member) (voters, chain []Member, ok bool) {
 	voters = p.Voters(true)
-	if common(voters, holders) <= p.Tolerance {
+	if common(voters, holders) <= p.Tolerance || Index(voters, source) < 0 {
 		voters = p.Voters(false)
 	}
 	if Index(voters, source) < 0 {
