Replicas can be given their connections and their disk

Worlds of packages that use a replica need the real Node: its API is what their code calls. Options.Bind, Dial and Disk take the place of TCP and of the folder; without them nothing changes. transport.Options.Dial serves the same for connections of other packages.

--- a/coord/replica/network.go
+++ b/coord/replica/network.go
@@ -45,6 +45,7 @@
 		node: n,
 		options: transport.Options{
 			Identity: identity,
+			Dial:     n.options.Dial,
 			MaxFrame: maxFrameBytes,
 			Queue:    sendQueue,
 		},
--- a/coord/replica/node.go
+++ b/coord/replica/node.go
@@ -6,13 +6,11 @@
 	"encoding/binary"
 	"fmt"
 	"math/rand/v2"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
 
 	"sprucelane.example/sprucelane/coord/chain"
-	"sprucelane.example/sprucelane/coord/slots"
 	"sprucelane.example/sprucelane/coord/view"
 )
 
@@ -86,7 +84,7 @@
 	if n.ailing {
 		return nil, n.abort(fmt.Errorf("replica: the disk takes no bytes: %w", ErrUnavailable))
 	}
-	listener, err := net.Listen("tcp", options.Listen)
+	listener, err := options.bind()
 	if err != nil {
 		return nil, n.abort(fmt.Errorf("replica: %w", err))
 	}
@@ -123,7 +121,7 @@
 	n.network = newNetwork(n, member)
 	n.core, err = newCore(coreOptions{
 		self:      member,
-		disk:      n.options.DataDir != "",
+		disk:      n.options.disk() != nil,
 		tolerance: n.options.Tolerance,
 		limits:    usualLimits,
 		seeds:     n.options.Seeds,
@@ -144,7 +142,7 @@
 func (n *Node) run() {
 	defer close(n.done)
 	interval := tickInterval
-	if n.options.DataDir == "" {
+	if n.options.disk() == nil {
 		interval = observerTick
 	}
 	ticker := time.NewTicker(interval)
@@ -234,7 +232,7 @@
 		return false
 	}
 	n.nextProbe = time.Now().Add(probeInterval)
-	store, found, err := openStore(slots.Directory(n.options.DataDir))
+	store, found, err := openStore(n.options.disk())
 	if err != nil || found == nil {
 		return false
 	}
--- a/coord/replica/options.go
+++ b/coord/replica/options.go
@@ -1,10 +1,13 @@
 package replica
 
 import (
+	"context"
 	"errors"
+	"net"
 	"time"
 
 	"sprucelane.example/sprucelane/coord/chain"
+	"sprucelane.example/sprucelane/coord/slots"
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/coord/view"
 )
@@ -28,12 +31,17 @@
 	Identity transport.Identity
 	// Listen is the coordination address, "ip:port", by which the node is known to others.
 	Listen string
+	// Bind listens on Listen, and Dial opens a connection to another machine. Nil takes TCP.
+	Bind func(address string) (net.Listener, error)
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// Seeds are coordination addresses of core machines. They may be stale.
 	Seeds []string
 	// Bootstrap says that the whole system starts for the first time. It counts only for an empty disk.
 	Bootstrap bool
 	// DataDir is the folder of the disk; empty for a machine without one, which only observes.
 	DataDir string
+	// Disk is the disk itself in place of DataDir, for worlds of tests.
+	Disk slots.FS
 	// Tolerance is the number of disks that may be lost at once: an acknowledged order is on more.
 	Tolerance int
 	// Machine is the state that orders change. It is called from one goroutine.
@@ -42,6 +50,22 @@
 	Log func(event string, fields ...any)
 }
 
+// disk gives the folder of the disk, nil for a machine without one.
+func (o *Options) disk() slots.FS {
+	if o.Disk != nil || o.DataDir == "" {
+		return o.Disk
+	}
+	return slots.Directory(o.DataDir)
+}
+
+// bind listens.
+func (o *Options) bind() (net.Listener, error) {
+	if o.Bind != nil {
+		return o.Bind(o.Listen)
+	}
+	return net.Listen("tcp", o.Listen)
+}
+
 // Peer is what a node knows of a core machine.
 type Peer struct {
 	Member    view.Member
--- a/coord/replica/store.go
+++ b/coord/replica/store.go
@@ -37,10 +37,10 @@
 // openDisk opens the disk of a starting node. A disk that has lost what it acknowledged is emptied:
 // its member is gone, and another one joins in its place.
 func (n *Node) openDisk() (*recovered, error) {
-	if n.options.DataDir == "" {
+	fs := n.options.disk()
+	if fs == nil {
 		return nil, nil
 	}
-	fs := slots.Directory(n.options.DataDir)
 	store, found, err := openStore(fs)
 	if errors.Is(err, slots.ErrDamaged) || errors.Is(err, errRecord) {
 		n.options.Log("disk damaged, joining anew", "error", err.Error())
@@ -73,7 +73,7 @@
 	}
 	genesis := view.Genesis(options.Seeds)
 	for _, seed := range options.Seeds {
-		if seed == options.Listen && options.DataDir != "" {
+		if seed == options.Listen && options.disk() != nil {
 			member.Incarnation = view.GenesisIncarnation
 		}
 	}
--- a/coord/transport/client.go
+++ b/coord/transport/client.go
@@ -146,8 +146,9 @@
 
 // dial opens a connection and greets the peer.
 func (c *Client) dial() (*timedReader, *bufio.Reader, hello, error) {
-	dialer := net.Dialer{Timeout: c.options.DialTimeout, KeepAlive: -1}
-	connection, err := dialer.DialContext(c.context, "tcp", c.address)
+	limited, cancel := context.WithTimeout(c.context, c.options.DialTimeout)
+	defer cancel()
+	connection, err := c.options.Dial(limited, c.address)
 	if err != nil {
 		return nil, nil, hello{}, err
 	}
--- a/coord/transport/options.go
+++ b/coord/transport/options.go
@@ -1,6 +1,10 @@
 package transport
 
-import "time"
+import (
+	"context"
+	"net"
+	"time"
+)
 
 // Defaults of Options.
 const (
@@ -41,6 +45,8 @@
 	Identity Identity
 	// MaxFrame bounds one message in bytes, in both directions.
 	MaxFrame int
+	// Dial opens a connection to an address. Nil dials TCP.
+	Dial func(ctx context.Context, address string) (net.Conn, error)
 	// DialTimeout bounds the opening of a connection.
 	DialTimeout time.Duration
 	// WriteTimeout bounds a write without progress.
@@ -67,6 +73,9 @@
 	if o.DialTimeout <= 0 {
 		o.DialTimeout = DefaultDialTimeout
 	}
+	if o.Dial == nil {
+		o.Dial = dialTCP
+	}
 	if o.WriteTimeout <= 0 {
 		o.WriteTimeout = DefaultWriteTimeout
 	}
@@ -81,3 +90,9 @@
 	}
 	return o
 }
+
+// dialTCP opens a TCP connection. Its probes are set once it stands.
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{KeepAlive: -1}
+	return dialer.DialContext(ctx, "tcp", address)
+}
