--- /dev/null
+++ b/internal/simulation/bubble/network_test.go
@@ -0,0 +1,101 @@
+package bubble
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const at = "10.0.0.2:70"
+
+// pair opens a connection between two machines.
+func pair(t *testing.T, n *Network) (from, to net.Conn, server *Host) {
+	t.Helper()
+	client, server := n.Host("10.0.0.1"), n.Host("10.0.0.2")
+	listener, err := server.Listen(at)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if from, err = client.Dial(t.Context(), at); err != nil {
+		t.Fatal(err)
+	}
+	if to, err = listener.Accept(); err != nil {
+		t.Fatal(err)
+	}
+	return from, to, server
+}
+
+func read(t *testing.T, c net.Conn, within time.Duration) (string, error) {
+	t.Helper()
+	_ = c.SetReadDeadline(time.Now().Add(within))
+	buffer := make([]byte, 100)
+	count, err := c.Read(buffer)
+	return string(buffer[:count]), err
+}
+
+func TestConnections(t *testing.T) {
+	trouble := func(name string, run func(t *testing.T, n *Network)) {
+		t.Run(name, func(t *testing.T) { synctest.Test(t, func(t *testing.T) { run(t, New(1)) }) })
+	}
+	trouble("bytes arrive in order, then the end", func(t *testing.T, n *Network) {
+		from, to, _ := pair(t, n)
+		for range 100 {
+			_, _ = from.Write([]byte("abc"))
+		}
+		_ = from.Close()
+		all, err := io.ReadAll(to)
+		if err != nil || len(all) != 300 || string(all[297:]) != "abc" {
+			t.Fatal(len(all), err)
+		}
+	})
+	trouble("a short cut holds bytes back", func(t *testing.T, n *Network) {
+		from, to, _ := pair(t, n)
+		n.Cut("10.0.0.1", "10.0.0.2")
+		_, _ = from.Write([]byte("held"))
+		if got, err := read(t, to, time.Second); got != "" || !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(got, err)
+		}
+		n.Heal("10.0.0.1", "10.0.0.2")
+		if got, err := read(t, to, time.Second); got != "held" || err != nil {
+			t.Fatal(got, err)
+		}
+	})
+	trouble("one way cut, the other way still delivers, and its sender gives up for want of acknowledgements", func(t *testing.T, n *Network) {
+		from, to, _ := pair(t, n)
+		n.Cut("10.0.0.1", "10.0.0.2")
+		_, _ = to.Write([]byte("back"))
+		if got, err := read(t, from, time.Second); got != "back" || err != nil {
+			t.Fatal(got, err)
+		}
+		time.Sleep(2 * userTimeout)
+		if _, err := to.Write(nil); !errors.Is(err, syscall.ETIMEDOUT) {
+			t.Fatal(err)
+		}
+		limited, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := n.hosts["10.0.0.1"].Dial(limited, at); !errors.Is(err, context.DeadlineExceeded) {
+			t.Fatal(err)
+		}
+	})
+	trouble("a killed process resets its connections, one without power says nothing", func(t *testing.T, n *Network) {
+		from, _, server := pair(t, n)
+		server.Kill()
+		if _, err := read(t, from, time.Second); !errors.Is(err, syscall.ECONNRESET) {
+			t.Fatal(err)
+		}
+		from, _, server = pair(t, n)
+		server.LosePower()
+		if _, err := read(t, from, time.Second); !errors.Is(err, os.ErrDeadlineExceeded) {
+			t.Fatal(err)
+		}
+		if _, err := read(t, from, probeTimeout); !errors.Is(err, syscall.ECONNRESET) {
+			t.Fatal(err)
+		}
+	})
+}
