Histories of operators are checked for linearizability over real control code

Gap: coord/replica checks histories of a register on its core; nothing checked PUT, PATCH and GET /config over the API, the state machine and a real replica together.

Two to four operators send orders to three or four control machines in virtual time: answers lost, resends of the same bytes to other machines and of orders of any age, callers that leave early, the same number with other bytes, the same bytes with another If-Match, PATCH against PUT, invalid and stale ones, versions that nobody was told of. Porcupine checks the history against a model of the page; besides, nothing refused is in force and all that was acknowledged is known everywhere in the end, a machine that is cut off answers 503 or 504 only, and an order is taken once all trouble is over.

--- /dev/null
+++ b/internal/control/operator/history_test.go
@@ -0,0 +1,484 @@
+package operator
+
+import (
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/anishathalye/porcupine"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+)
+
+// sentOrder is an order that an operator has sent, once or more.
+type sentOrder struct {
+	id         string // of its digest
+	tenant     string // that marks what it brings
+	method     string
+	ifMatch    uint64
+	generation uint64
+	invalid    bool
+	future     bool // builds on a version that nobody was told of: refused, it may be taken when it comes again
+	body       string
+	attempts   int
+	acked      bool // told so, at least once
+	refused    int  // status of a refusal
+}
+
+func (o *sentOrder) digest() configuration.Digest {
+	return configuration.Order{IfMatch: o.ifMatch, Patch: o.method == "PATCH", Body: []byte(o.body)}.Digest()
+}
+
+// seen is what a call of the history brought.
+type seen struct {
+	status  int
+	lineage string // of a GET: the tenants
+	number  uint64 // of a GET
+}
+
+// history is what all operators sent and saw.
+type history struct {
+	world      *world
+	clock      atomic.Int64 // orders calls and returns
+	mutex      sync.Mutex
+	operations []porcupine.Operation
+	orders     []*sentOrder
+	byID       map[string]*sentOrder
+	newest     uint64 // version that an operator was told of last
+	padding    int
+	lastAck    time.Duration
+	told       map[int]int // answers by status
+}
+
+func newHistory(w *world) *history {
+	h := &history{world: w, byID: map[string]*sentOrder{}, told: map[int]int{}}
+	if w.seed%2 == 0 {
+		h.padding = 24 << 10 // logs are cut and snapshots taken before long
+	}
+	return h
+}
+
+// operatorClient is one operator.
+type operatorClient struct {
+	*history
+	number int
+	count  int
+	random *rand.Rand
+}
+
+// run sends orders and reads until a moment.
+func (c *operatorClient) run(end time.Duration) {
+	for c.world.now() < end {
+		time.Sleep(time.Duration(c.random.Int64N(int64(400 * time.Millisecond))))
+		switch {
+		case c.random.IntN(3) == 0:
+			c.read()
+		case c.random.IntN(5) == 0:
+			c.again()
+		default:
+			c.deliver(c.draw(), 1+c.random.IntN(6))
+		}
+	}
+}
+
+func (c *operatorClient) anyMember() *member {
+	return c.world.members[c.random.IntN(len(c.world.members))]
+}
+
+// patience is mostly that of an operator; some leave early, and some wait for an answer whatever it is.
+func (c *operatorClient) patience() time.Duration {
+	switch c.random.IntN(12) {
+	case 0, 1:
+		return time.Millisecond + time.Duration(c.random.Int64N(int64(300*time.Millisecond)))
+	case 2:
+		return 5 * time.Second
+	}
+	return time.Second
+}
+
+// again sends an order of any age once more, as it was.
+func (c *operatorClient) again() {
+	c.mutex.Lock()
+	var order *sentOrder
+	if len(c.orders) > 0 {
+		order = c.orders[c.random.IntN(len(c.orders))]
+		if order.future {
+			order = nil
+		}
+	}
+	c.mutex.Unlock()
+	if order != nil {
+		c.deliver(order, 2)
+	}
+}
+
+// draw makes an order.
+func (c *operatorClient) draw() *sentOrder {
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.count++
+	order := &sentOrder{tenant: fmt.Sprintf("t%d-%d", c.number, c.count), method: "PATCH", ifMatch: c.newest}
+	if c.newest == 0 || c.random.IntN(4) == 0 {
+		order.method = "PUT"
+	}
+	order.generation = order.ifMatch + 1 + uint64(c.random.IntN(2))
+	switch c.random.IntN(14) {
+	case 0: // another If-Match
+		order.ifMatch -= min(order.ifMatch, uint64(c.random.IntN(4)))
+	case 1:
+		order.ifMatch += 1 + uint64(c.random.IntN(2))
+		order.generation = order.ifMatch + 1
+		order.future = true
+	case 2:
+		order.invalid = true
+	case 3:
+		order.generation = order.ifMatch - min(order.ifMatch, 1)
+	}
+	if len(c.orders) > 0 && c.random.IntN(12) == 0 { // the same bytes with another If-Match
+		earlier := c.orders[c.random.IntN(len(c.orders))]
+		again := *earlier
+		again.attempts, again.acked, again.refused, again.ifMatch = 0, false, 0, order.ifMatch
+		again.future = order.future
+		order = &again
+		return c.enter(order)
+	}
+	c.write(order)
+	return c.enter(order)
+}
+
+// write makes the body. The second PUT that marks a tenant of the same name is the same order.
+func (c *operatorClient) write(order *sentOrder) {
+	timeout := 5
+	if order.invalid {
+		timeout = 0
+	}
+	tenants := fmt.Sprintf(`"tenants":[{"name":%q,"api-keys":[%q]}]`, order.tenant, order.tenant)
+	route := fmt.Sprintf(`"routes":[{"name":"r","hostname":"h","path-prefix":"/","timeout-ms":%d,"backend":"b"}]`, timeout)
+	if order.method == "PUT" {
+		order.body = fmt.Sprintf(`{"generation":%d,%s,"backends":[{"name":"b"}],%s}`, order.generation, route, tenants)
+	} else {
+		order.body = fmt.Sprintf(`{"generation":%d,"upsert":{%s,%s}}`, order.generation, route, tenants)
+	}
+	order.body += strings.Repeat(" ", c.padding)
+}
+
+// enter notes an order, or finds that it was sent before.
+func (c *operatorClient) enter(order *sentOrder) *sentOrder {
+	order.id = fmt.Sprintf("%x", order.digest())
+	if known := c.byID[order.id]; known != nil {
+		known.future = known.future || order.future
+		return known
+	}
+	c.byID[order.id] = order
+	c.orders = append(c.orders, order)
+	return order
+}
+
+// deliver sends an order to one machine after the other until it has a clear answer, or the operator gives up.
+func (c *operatorClient) deliver(order *sentOrder, attempts int) {
+	if order.future {
+		attempts = 1
+	}
+	for range attempts {
+		if c.send(order) {
+			return
+		}
+		time.Sleep(time.Duration(c.random.Int64N(int64(300 * time.Millisecond))))
+	}
+}
+
+// send sends an order once and tells whether it got a clear answer.
+func (c *operatorClient) send(order *sentOrder) bool {
+	m := c.anyMember()
+	began := c.world.now()
+	call := c.clock.Add(1)
+	got := m.call(order.method, strconv.FormatUint(order.ifMatch, 10), order.body, c.patience())
+	if c.random.IntN(5) == 0 {
+		got = answered{} // the answer is lost
+	}
+	c.held(m, began, got)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	order.attempts++
+	operation := porcupine.Operation{ClientId: len(c.operations), Input: order, Call: call, Return: c.clock.Add(1), Output: seen{status: got.status}}
+	switch got.status {
+	case 200:
+		order.acked = true
+		c.newest = max(c.newest, order.generation)
+		c.lastAck = c.world.now()
+	case 400, 409, 412, 413:
+		order.refused = got.status
+	case 0, 503, 504:
+		operation.Return, operation.Output = openEnd, seen{}
+	default:
+		c.world.failf("%s answers %d: %s", m.ip, got.status, got.body)
+	}
+	c.told[got.status]++
+	c.operations = append(c.operations, operation)
+	return operation.Return != openEnd
+}
+
+// openEnd is the return of a call whose effect may come any time, or never.
+const openEnd = int64(1) << 60
+
+// held checks that a machine that is cut off tells nothing.
+func (c *operatorClient) held(m *member, began time.Duration, got answered) {
+	if got.status != 0 && got.status != 503 && got.status != 504 && c.world.outOfTouch(m, began) {
+		c.world.failf("%s is cut off and answers %d: %s", m.ip, got.status, got.body)
+	}
+}
+
+func (c *operatorClient) read() {
+	m := c.anyMember()
+	began := c.world.now()
+	call := c.clock.Add(1)
+	got := m.call("GET", "", "", c.patience())
+	c.held(m, began, got)
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	c.told[got.status]++
+	if got.status != 200 && got.status != 404 {
+		return
+	}
+	output := seen{status: got.status}
+	if got.status == 200 {
+		output.number, _ = strconv.ParseUint(strings.Trim(got.etag, `"`), 10, 64)
+		output.lineage = tenantsOf(c.world, got.body)
+		c.newest = max(c.newest, output.number)
+	}
+	c.operations = append(c.operations, porcupine.Operation{ClientId: len(c.operations), Call: call, Return: c.clock.Add(1), Output: output})
+}
+
+// tenantsOf lists who stands in a configuration, in order.
+func tenantsOf(w *world, body string) string {
+	var document configuration.Document
+	if err := json.Unmarshal([]byte(body), &document); err != nil {
+		w.failf("a configuration that can't be read: %v", err)
+	}
+	var list strings.Builder
+	for _, tenant := range document.Tenants {
+		list.WriteString(tenant.Name + ";")
+	}
+	return list.String()
+}
+
+// modelState is the configuration and the orders that were taken, as the page tells it.
+type modelState struct {
+	number  uint64
+	lineage string // tenants, each with a semicolon
+	taken   string // ids of orders, each with a semicolon
+}
+
+// step tells whether a call may have gone as it did, and what it left.
+func step(state modelState, order *sentOrder, output seen) (bool, modelState) {
+	if order == nil {
+		if output.status == 404 {
+			return state.number == 0, state
+		}
+		return output.number == state.number && output.lineage == state.lineage, state
+	}
+	taken := strings.Contains(state.taken, order.id+";")
+	rises := order.generation > state.number && (order.method == "PUT" || state.number > 0)
+	takes := !taken && !order.invalid && order.ifMatch == state.number && rises
+	switch output.status {
+	case 200:
+		return taken || takes, state.after(order, takes)
+	case 412:
+		return !taken && order.ifMatch != state.number, state
+	case 400:
+		return !taken && order.ifMatch == state.number && (order.invalid || !rises), state
+	case 0:
+		return true, state.after(order, takes)
+	}
+	return false, state
+}
+
+func (s modelState) after(order *sentOrder, takes bool) modelState {
+	if !takes {
+		return s
+	}
+	mark := order.tenant + ";"
+	next := modelState{number: order.generation, lineage: s.lineage, taken: s.taken + order.id + ";"}
+	if order.method == "PUT" {
+		next.lineage = mark
+	} else if !strings.Contains(";"+s.lineage, ";"+mark) {
+		next.lineage += mark
+	}
+	return next
+}
+
+var configurationModel = porcupine.Model{
+	Init: func() interface{} { return modelState{} },
+	Step: func(state, input, output interface{}) (bool, interface{}) {
+		order, _ := input.(*sentOrder)
+		return step(state.(modelState), order, output.(seen))
+	},
+	Equal: func(a, b interface{}) bool { return a == b },
+}
+
+// judge checks the whole history once the world has come together.
+func (h *history) judge() {
+	w := h.world
+	for _, m := range w.members {
+		for _, order := range h.orders {
+			status := m.machine.Remembered(order.digest(), order.ifMatch)
+			switch {
+			case status == configuration.StatusTaken && order.refused != 0 && !order.future && w.plant != plantForgetful:
+				w.failf("order %s on %d was refused with %d and is in force on %s", order.tenant, order.ifMatch, order.refused, m.ip)
+			case status != configuration.StatusTaken && order.acked && w.plant != plantForgetful:
+				w.failf("order %s on %d was acknowledged and isn't known to %s", order.tenant, order.ifMatch, m.ip)
+			}
+		}
+	}
+	switch porcupine.CheckOperationsTimeout(configurationModel, h.decisive(), 30*time.Second) {
+	case porcupine.Illegal:
+		w.failf("the history is not linearizable")
+	case porcupine.Unknown:
+		w.note("the history of %d calls isn't decided in time", len(h.operations))
+		w.t.Errorf("seed %d: the history isn't decided in time", w.seed)
+	}
+}
+
+// decisive leaves out what can't matter: calls without a clear answer of orders that were never taken, and all but the first of
+// those that were.
+func (h *history) decisive() []porcupine.Operation {
+	first := map[*sentOrder]bool{}
+	var kept []porcupine.Operation
+	for _, operation := range h.operations {
+		order, _ := operation.Input.(*sentOrder)
+		if operation.Return != openEnd {
+			kept = append(kept, operation)
+			continue
+		}
+		if first[order] || !h.wasTaken(order) {
+			continue
+		}
+		first[order] = true
+		operation.Call = h.firstCall(order)
+		kept = append(kept, operation)
+	}
+	return kept
+}
+
+func (h *history) firstCall(order *sentOrder) int64 {
+	call := openEnd
+	for _, operation := range h.operations {
+		if operation.Input == order && operation.Return == openEnd {
+			call = min(call, operation.Call)
+		}
+	}
+	return call
+}
+
+func (h *history) wasTaken(order *sentOrder) bool {
+	return order.acked || slices.ContainsFunc(h.world.members, func(m *member) bool {
+		return m.machine.Remembered(order.digest(), order.ifMatch) == configuration.StatusTaken
+	})
+}
+
+// playHistory plays one world and gives what was broken.
+func playHistory(t *testing.T, seed uint64, span time.Duration, planted plant) (failures []string, h *history) {
+	synctest.Test(t, func(t *testing.T) {
+		machines := 3
+		if seed%5 == 4 {
+			machines = 4
+		}
+		w := newWorld(t, seed, machines, planted)
+		h = newHistory(w)
+		var running sync.WaitGroup
+		for number := range 2 + int(seed%3) {
+			client := &operatorClient{history: h, number: number, random: rand.New(rand.NewPCG(seed, 100+uint64(number)))}
+			running.Go(func() { client.run(span) })
+		}
+		running.Go(func() { w.trouble(span) })
+		running.Wait()
+		time.Sleep(settle)
+		h.last()
+		h.judge()
+		w.stop()
+		failures = w.failures
+	})
+	return failures, h
+}
+
+// last holds the world to taking an order once all trouble is over, and waits until every machine has it.
+func (h *history) last() {
+	client := &operatorClient{history: h, number: 99, random: rand.New(rand.NewPCG(h.world.seed, 99))}
+	before := h.lastAck
+	for tries := 0; h.lastAck == before; tries++ {
+		if tries == 40 {
+			h.world.failf("no order is taken once all trouble is over")
+			return
+		}
+		client.read()
+		order := client.draw()
+		client.deliver(order, 8)
+	}
+	for _, m := range h.world.members {
+		for tries := 0; m.call("GET", "", "", time.Second).status != 200; tries++ {
+			if tries == 40 {
+				h.world.failf("%s can't be read once all trouble is over", m.ip)
+				return
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+	}
+}
+
+func number(name string, fallback uint64) uint64 {
+	if value, err := strconv.ParseUint(os.Getenv(name), 10, 64); err == nil {
+		return value
+	}
+	return fallback
+}
+
+func report(t *testing.T, seed uint64, failures []string, h *history) {
+	t.Helper()
+	tail := h.world.events
+	if len(tail) > 80 && os.Getenv("TRACE") == "" {
+		tail = tail[len(tail)-80:]
+	}
+	t.Fatalf("seed %d: %s\n%s", seed, strings.Join(failures, "\n"), strings.Join(tail, "\n"))
+}
+
+// TestRandomHistories checks what operators saw of real control processes in worlds with troubles. SEEDS=N plays N worlds,
+// FIRST=S begins at seed S, TRACE=1 prints a failing world whole.
+func TestRandomHistories(t *testing.T) {
+	first, worlds := number("FIRST", 0), number("SEEDS", plainHistories)
+	calls, told := 0, map[int]int{}
+	for seed := first; seed < first+worlds; seed++ {
+		failures, h := playHistory(t, seed, 60*time.Second, plantNone)
+		if len(failures) > 0 {
+			report(t, seed, failures, h)
+		}
+		calls += len(h.operations)
+		for status, count := range h.told {
+			told[status] += count
+		}
+	}
+	t.Logf("%d worlds, %d calls, by answer %v", worlds, calls, told)
+}
+
+// TestPlantedBugs checks that the checks find each bug.
+func TestPlantedBugs(t *testing.T) {
+	for _, planted := range []plant{plantNumbersOnly, plantOldState, plantUnproven, plantForgetful, plantHasty, plantLeftOver} {
+		t.Run(string(planted), func(t *testing.T) {
+			for seed := uint64(0); seed < 40; seed++ {
+				if failures, _ := playHistory(t, seed, 60*time.Second, planted); len(failures) > 0 {
+					t.Logf("seed %d: %s", seed, failures[0])
+					return
+				}
+			}
+			t.Fatal("not found")
+		})
+	}
+}
