A client's leaving is heard also where a further request was read in part

The gap: while a request is handled net/http reads one byte of the connection to hear of its end, and internal/front keeps bytes of further requests from it, as it hears of nothing after a byte. It kept them only where all that had been read ended with a message. Where net/http's buffer had taken the beginning of a further request together with the first, the next byte went to net/http, which then watched no longer: the client's leaving was not heard, and its server worked on to the end of the request's time.

Now a byte is kept wherever it stands behind the request that is handled, within a further one too.

TestClientLeavesWithRequestsBehind cuts what stands behind three kinds of first requests at each of its first 200 bytes (sent with the request before, sent while it is handled after the cut) and has the client leave: the handler hears of it. Virtual time, pipes.

internal/front is shared with the program in service, whose clients' leaving is heard there as well now.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -86,11 +86,16 @@
 	return n, err
 }
 
-// keeps keeps a byte that stands behind a request which is handled, or about to be, and tells whether it does.
+// keeps keeps a byte that stands behind a request which is handled, or about to be, and tells whether it does. What was read
+// before may end within a further request.
 func (c *client) keeps(b []byte) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.opaque || !c.framing.between() || !c.handled && c.framing.heads <= c.requests {
+	request := c.requests
+	if !c.handled {
+		request++
+	}
+	if c.opaque || c.framing.heads < request || !c.framing.between() && !c.framing.beyond(request) {
 		return false
 	}
 	c.ahead = slices.Insert(c.ahead, 0, b[0])
--- /dev/null
+++ b/internal/front/leaving_test.go
@@ -0,0 +1,64 @@
+package front
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+)
+
+// A handler hears that its client has left whatever stands behind its request, and wherever the reads of that end: all of it, or
+// the beginning, has been read together with the request; the rest comes while that is handled.
+func TestClientLeavesWithRequestsBehind(t *testing.T) {
+	const (
+		plain = "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+		long  = "POST /next HTTP/1.1\r\nHost: x\r\nContent-Length: 30\r\n\r\n"
+		parts = "POST /next HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n5\r\nhello\r\n0\r\n\r\n"
+	)
+	for _, first := range []string{plain, "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 2\r\n\r\nab",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"} {
+		for _, behind := range []string{"", plain + plain, long + strings.Repeat("b", 30), parts + plain, strings.Repeat(plain, 300)} {
+			for cut := 0; cut <= min(len(behind), 200); cut++ {
+				hears(t, first+behind[:cut], behind[cut:])
+			}
+		}
+	}
+}
+
+// hears has a client send what comes first, then, while its first request is handled, the rest, and leave.
+func hears(t *testing.T, before, rest string) {
+	synctest.Test(t, func(t *testing.T) {
+		port := newPipes()
+		handled, left := 0, false
+		s, err := Listen(Options{Listener: port, Sockets: 9, LongestDeadline: time.Minute}, http.HandlerFunc(
+			func(_ http.ResponseWriter, r *http.Request) {
+				handled++
+				io.Copy(io.Discard, r.Body)
+				<-r.Context().Done()
+				left = true
+				panic(http.ErrAbortHandler)
+			}))
+		require.NoError(t, err)
+		s.state.Started()
+		go s.Serve()
+		c := port.dial()
+		_, err = io.WriteString(c, before)
+		require.NoError(t, err)
+		synctest.Wait()
+		if rest != "" {
+			go io.WriteString(c, rest)
+		}
+		synctest.Wait()
+		assert.False(t, left)
+		c.Close()
+		synctest.Wait()
+		assert.True(t, left, "%q, then %q", before, rest)
+		assert.Equal(t, 1, handled)
+		s.Close()
+	})
+}
