Batch stores: a planned leave is known on all disks before it counts

Two holes, told by the model of replica sets and each brought about here:

- A store that leaves told the others for 250 ms that nothing of it is needed, and each kept that in memory.
What has emptied is kept with the record of the view now, told in inventories, and acknowledged once it is durable; DrainedDown waits for all others of the view instead of the 250 ms.
- A store that came back after others had forgotten who left counted those, too: it had noticed later than they.
Who is missing is now taken over from any store that has seen every view since all members stood whole, whenever it was noticed: what left before isn't needed, and what left later is missing for that one.
The record of who is missing is written at once.

Each part was seen to fail TestEmptiedIsKnown, TestForgottenTogether or TestBlankStore when taken out (nine ways).

--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -22,15 +22,15 @@
 // departed is who left the view since all members stood whole, and when.
 type departed struct {
 	since   map[placement.Key]time.Duration
-	settled map[placement.Key]uint64 // epoch in which each other member told that it stands whole
-	last    []placement.Key          // members of the last view, and those that were missing then
-	emptied map[placement.Key]bool   // stores that retire and hold nothing that others need
+	settled map[placement.Key]uint64        // epoch in which each other member told that it stands whole
+	last    []placement.Key                 // members of the last view, and those that were missing then
+	emptied map[placement.Key]time.Duration // stores that retire and hold nothing that others need, since when that is known
+	lasting map[placement.Key]time.Duration // of emptied, those that this disk keeps
 	toldAt  time.Duration
 
-	noted   map[placement.Key]uint64 // epoch in which each of since was found to be missing
-	whole   uint64                   // newest epoch of this life in which all members were known to stand whole
-	told    bool                     // the disk told of a view
-	blank   bool                     // it didn't, and no other store has yet told who is missing
+	whole   uint64 // newest epoch of this life in which all members stood whole, 0: not known, or a view was missed since
+	told    bool   // the disk told of a view
+	blank   bool   // it didn't, and no other store has yet told who is missing
 	blankAt time.Duration
 
 	// Stores whose logs may have held batch jobs that they can't name any more, and since when that is known. They count
@@ -43,8 +43,8 @@
 // change takes a new view.
 func (d *departed) change(view protocol.StoreView, now time.Duration) {
 	for _, key := range d.last {
-		if _, missing := d.since[key]; !missing && !d.emptied[key] {
-			d.note(key, view, now)
+		if _, missing := d.since[key]; !missing && !d.isEmptied(key) {
+			d.since[key] = now
 		}
 	}
 	for _, member := range view.Members {
@@ -57,20 +57,16 @@
 	d.list(view)
 }
 
-func (d *departed) note(key placement.Key, view protocol.StoreView, now time.Duration) {
-	d.since[key] = now
-	d.noted[key] = view.Epoch
+func (d *departed) isEmptied(key placement.Key) bool {
+	_, emptied := d.emptied[key]
+	return emptied
 }
 
 // list makes last of the members of a view and those that are missing.
 func (d *departed) list(view protocol.StoreView) {
-	maps.DeleteFunc(d.noted, func(key placement.Key, _ uint64) bool {
-		_, missing := d.since[key]
-		return !missing
-	})
 	d.last = d.last[:0]
 	for _, member := range view.Members {
-		if key := placement.KeyOf(member.Process); member.State != protocol.StoreRetired && !d.emptied[key] {
+		if key := placement.KeyOf(member.Process); member.State != protocol.StoreRetired && !d.isEmptied(key) {
 			d.last = append(d.last, key)
 		}
 	}
@@ -83,20 +79,39 @@
 	for _, key := range d.last {
 		out = job.AppendText(out, string(key))
 	}
-	return append(out, boolByte(d.blank))
+	out = append(out, boolByte(d.blank))
+	out = binary.AppendUvarint(out, uint64(len(d.emptied)))
+	for _, key := range slices.Sorted(maps.Keys(d.emptied)) {
+		out = job.AppendText(out, string(key))
+	}
+	return out
 }
 
-func (d *departed) replay(at journal.Location, record []byte) *Finding {
-	r := &job.Reader{Rest: record[1:]}
-	var last []placement.Key
+func readKeys(r *job.Reader) []placement.Key {
+	var keys []placement.Key
 	count := r.Uvarint()
 	for i := uint64(0); i < count && !r.Failed; i++ {
-		last = append(last, placement.Key(r.Text()))
+		keys = append(keys, placement.Key(r.Text()))
+	}
+	return keys
+}
+
+func (d *departed) replay(at journal.Location, record []byte) *Finding {
+	r := &job.Reader{Rest: record[1:]}
+	last := readKeys(r)
+	blank := false
+	var emptied []placement.Key
+	if !r.Failed && len(r.Rest) > 0 { // earlier versions wrote no more
+		blank = r.Take(1)[0] == 1
+		emptied = readKeys(r)
 	}
 	if r.Failed {
 		return &Finding{Problem: ProblemRecord, Kind: recordView}
 	}
-	blank := len(r.Rest) > 0 && r.Rest[0] == 1 // earlier versions wrote none
+	for _, key := range emptied {
+		d.emptied[key] = 0
+	}
+	d.lasting = maps.Clone(d.emptied)
 	d.last, d.at = last, &at
 	d.told, d.blank = true, blank
 	return nil
@@ -184,7 +199,8 @@
 
 func (m *Machine) writeDeparted() {
 	var at journal.Location
-	at = m.write(m.departed.encode(), false, func() { m.departed.at = &at })
+	emptied := maps.Clone(m.departed.emptied)
+	at = m.write(m.departed.encode(), true, func() { m.departed.at, m.departed.lasting = &at, emptied })
 }
 
 // expireDeparted forgets who has been missing for longer than batch jobs are kept.
@@ -195,6 +211,10 @@
 			m.settled = false // what was left to them is looked at again
 		}
 	}
+	maps.DeleteFunc(m.departed.emptied, func(key placement.Key, at time.Duration) bool {
+		_, present := placement.MemberOf(m.view, key)
+		return !present && now-at > 2*m.options.KeepFor
+	})
 	maps.DeleteFunc(m.departed.obscured, func(_ placement.Key, at time.Duration) bool { return now-at > m.options.KeepFor })
 	if now-m.departed.blankAt > m.options.KeepFor {
 		m.departed.blank = false
@@ -215,29 +235,38 @@
 func (m *Machine) settledNotice(from protocol.Process, notice SettledNotice) {
 	key := placement.KeyOf(from)
 	m.departed.settled[key] = notice.Settled
-	if notice.Emptied && !m.departed.emptied[key] {
-		m.departed.emptied[key] = true
-		m.departed.change(m.view, m.env.Now())
-		m.writeDeparted()
+	if notice.Emptied {
+		m.noteEmptied(key)
 	}
-	if notice.Ask {
-		m.env.Send(from, SettledNotice{Stamp: m.stamp(), Settled: m.settledEpoch, Missing: m.missing()})
+	m.takeMissing(key, notice.Missing)
+	if notice.Ask || notice.Emptied {
+		m.afterWrites(func() {
+			m.env.Send(from, SettledNotice{Stamp: m.stamp(), Settled: m.settledEpoch, Missing: m.missing()})
+		})
 	}
-	m.takeMissing(notice.Missing)
 	m.checkWhole()
 }
 
 // missing is what this store tells of those that left.
 func (m *Machine) missing() Missing {
 	d := &m.departed
-	return Missing{Blank: d.blank, Stores: slices.Sorted(maps.Keys(d.since)), Whole: d.whole}
+	return Missing{
+		Blank: d.blank, Stores: slices.Sorted(maps.Keys(d.since)), Whole: d.whole, Emptied: slices.Sorted(maps.Keys(d.lasting)),
+	}
 }
 
 // takeMissing takes in what another store tells of those that left. A blank store learns all of it. One that isn't forgets
-// those that had left by an epoch in which all members were known to stand whole: each store learns that by itself, and
-// who did so later would count them together with the next that leaves.
-func (m *Machine) takeMissing(told Missing) {
+// those that are not missing for a store that has seen each view since all members stood whole: what left before isn't
+// needed, and what left later is missing for that one, too. Each store learns that by itself, and who did so later would
+// count them together with the next that leaves.
+func (m *Machine) takeMissing(from placement.Key, told Missing) {
 	d := &m.departed
+	for _, key := range told.Emptied {
+		if key == m.self {
+			m.toldEmptied[from] = true
+		}
+		m.noteEmptied(key)
+	}
 	if told.Blank {
 		return
 	}
@@ -246,20 +275,36 @@
 	if learns {
 		d.blank = false
 		for _, key := range told.Stores {
-			if _, present := placement.MemberOf(m.view, key); !present && !d.emptied[key] {
-				d.note(key, m.view, m.env.Now())
+			if _, present := placement.MemberOf(m.view, key); !present && !d.isEmptied(key) {
+				d.since[key] = m.env.Now()
 			}
 		}
 	}
-	maps.DeleteFunc(d.since, func(key placement.Key, _ time.Duration) bool {
-		return d.noted[key] <= told.Whole && !slices.Contains(told.Stores, key)
-	})
-	if len(d.since) == before && !learns {
+	if told.Whole > 0 {
+		maps.DeleteFunc(d.since, func(key placement.Key, _ time.Duration) bool { return !slices.Contains(told.Stores, key) })
+	}
+	if len(d.since) != before || learns {
+		m.rewriteMissing(tooMany)
+	}
+}
+
+// noteEmptied notes that a store retires, or has, and holds nothing that others need: it isn't missed.
+func (m *Machine) noteEmptied(key placement.Key) {
+	d := &m.departed
+	if d.isEmptied(key) {
 		return
 	}
-	d.list(m.view)
+	tooMany := m.tooManyLeft()
+	d.emptied[key] = m.env.Now()
+	delete(d.since, key)
+	m.rewriteMissing(tooMany)
+}
+
+// rewriteMissing keeps who is missing, and looks again at what was left to stores that aren't.
+func (m *Machine) rewriteMissing(tooManyBefore bool) {
+	m.departed.list(m.view)
 	m.writeDeparted()
-	if tooMany && !m.tooManyLeft() && m.settled {
-		m.restart() // what was left to them is looked at again
+	if tooManyBefore && !m.tooManyLeft() && m.settled {
+		m.restart()
 	}
 }
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -122,7 +122,7 @@
 	slow         map[placement.Key]time.Duration // until when stores are passed over that took long to write
 	departed     departed
 	settledEpoch uint64
-	emptiedAt    time.Duration // this store was first found to hold nothing that others need, 0: it does
+	toldEmptied  map[placement.Key]bool // others that keep on their disks that this store, which retires, isn't needed
 	lastExpiry   time.Duration
 
 	findings   int  // records of the log that could not be used at the start
@@ -150,9 +150,10 @@
 		lookups:      map[string]*lookup{},
 		slow:         map[placement.Key]time.Duration{},
 		concession:   map[string]concession{},
+		toldEmptied:  map[placement.Key]bool{},
 		departed: departed{
-			since: map[placement.Key]time.Duration{}, settled: map[placement.Key]uint64{}, emptied: map[placement.Key]bool{},
-			obscured: map[placement.Key]time.Duration{}, noted: map[placement.Key]uint64{},
+			since: map[placement.Key]time.Duration{}, settled: map[placement.Key]uint64{}, emptied: map[placement.Key]time.Duration{},
+			obscured: map[placement.Key]time.Duration{},
 		},
 	}
 }
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -33,9 +33,10 @@
 
 // Missing is what a store knows of those that left the view.
 type Missing struct {
-	Blank  bool            // nothing: its disk was empty, and no other store has told it
-	Stores []placement.Key // those that left since all members stood whole
-	Whole  uint64          // the newest epoch in which it learnt, in this life, that all members stood whole
+	Blank   bool            // nothing: its disk was empty, and no other store has told it
+	Stores  []placement.Key // those that left since all members stood whole
+	Whole   uint64          // the newest epoch in which all members stood whole, 0: not known, or a view was missed since
+	Emptied []placement.Key // stores that retire, or have, and hold nothing that others need; durable
 }
 
 // Entry is one batch job of an inventory.
--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -224,7 +224,7 @@
 		So(status, ShouldEqual, 200)
 		So(replica.machine.Report().Settled, ShouldEqual, c.epoch)
 	})
-	Convey("But not of one that left after that, though it was away for a while before", t, func() {
+	Convey("But not from one that knows nothing, or has missed views since all stood whole", t, func() {
 		c := newCluster(4, 2, 1)
 		away, told := c.nodes[0], c.nodes[1]
 		away.kill()
@@ -239,14 +239,19 @@
 		c.view(c.others(away)...)
 		n := c.nodes[2]
 		So(n.machine.departed.since, ShouldHaveLength, 1)
-		n.machine.takeMissing(Missing{Whole: whole})
+		take := n.machine.takeMissing
+		take(told.key(), Missing{})
 		So(n.machine.departed.since, ShouldHaveLength, 1)
-		n.machine.takeMissing(Missing{Whole: c.epoch, Stores: []placement.Key{away.key()}})
+		take(told.key(), Missing{Whole: c.epoch, Stores: []placement.Key{away.key()}})
 		So(n.machine.departed.since, ShouldHaveLength, 1)
-		n.machine.takeMissing(Missing{Whole: c.epoch, Blank: true})
+		take(told.key(), Missing{Whole: c.epoch, Blank: true})
 		So(n.machine.departed.since, ShouldHaveLength, 1)
-		n.machine.takeMissing(Missing{Whole: c.epoch})
+		take(told.key(), Missing{Whole: c.epoch})
 		So(n.machine.departed.since, ShouldBeEmpty)
+		So(told.machine.departed.whole, ShouldEqual, whole)
+		c.epoch++ // a view that nobody was told of
+		c.view(c.others(away)...)
+		So(told.machine.departed.whole, ShouldEqual, 0)
 	})
 }
 
@@ -285,3 +290,55 @@
 		So(status, ShouldEqual, 200)
 	})
 }
+
+// TestEmptiedIsKnown has a store leave as planned while others are away.
+func TestEmptiedIsKnown(t *testing.T) {
+	Convey("A store that leaves counts as emptied once all others keep that on their disks", t, func() {
+		c := newCluster(4, 2, 1)
+		So(c.nodes[0].submit("job", 2).Status, ShouldEqual, 202)
+		leaving := c.others(c.owner("job"), c.replicaOf("job"))[0]
+		other := c.others(leaving)[0]
+		c.lost = func(m clusterMessage) bool { return m.to == other.key() }
+		leaving.state = protocol.StoreRetiring
+		c.view(c.nodes...)
+		c.settle()
+		So(leaving.machine.Report().DrainedDown, ShouldBeFalse) // nothing is known of what the other holds
+		c.lost = func(m clusterMessage) bool {
+			_, notice := m.body.(SettledNotice)
+			return notice && m.to == other.key()
+		}
+		c.settle()
+		So(leaving.machine.drained(), ShouldBeTrue)
+		So(leaving.machine.Report().DrainedDown, ShouldBeFalse)
+		c.lost = nil
+		other.machine.Message(leaving.process(), SettledNotice{Stamp: leaving.machine.stamp(), Emptied: true})
+		So(c.messages, ShouldBeEmpty) // nothing is told before it is on the disk
+		So(other.machine.missing().Emptied, ShouldBeEmpty)
+		c.settle()
+		So(leaving.machine.Report().DrainedDown, ShouldBeTrue)
+		for _, n := range c.others(leaving) {
+			n.losePower()
+			n.start()
+			So(n.machine.departed.isEmptied(leaving.key()), ShouldBeTrue)
+		}
+	})
+	Convey("One that was away learns it from the others, and misses only what was lost", t, func() {
+		c := newCluster(4, 2, 1)
+		So(c.nodes[0].submit("job", 2).Status, ShouldEqual, 202)
+		owner, away := c.owner("job"), c.replicaOf("job")
+		leaving, rest := c.others(owner, away)[0], c.others(owner, away)[1]
+		away.kill()
+		leaving.state = protocol.StoreRetiring
+		c.view(owner, leaving, rest)
+		owner.machine.disown(owner.machine.jobs["job"]) // it is not made whole before the disk goes
+		owner.wipe()
+		c.view(leaving, rest)
+		c.settle()
+		So(rest.machine.departed.isEmptied(leaving.key()), ShouldBeTrue)
+		away.start() // with the only copy
+		c.view(away, rest)
+		c.settle()
+		_, status := away.readAnywhere("job")
+		So(status, ShouldEqual, 200)
+	})
+}
--- a/internal/batch/replica/recovery_test.go
+++ b/internal/batch/replica/recovery_test.go
@@ -118,7 +118,7 @@
 		c := newCluster(1, 1, 1)
 		n := c.nodes[0]
 		view := n.machine.departed.encode()
-		n.inject(view[:len(view)-2], []byte{recordCopy})
+		n.inject(view[:len(view)-3], []byte{recordCopy})
 		So(n.found, ShouldHaveLength, 2)
 		for _, finding := range n.found {
 			So(finding.Problem, ShouldEqual, ProblemRecord)
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -13,7 +13,6 @@
 
 const (
 	inventoryAgain = 250 * time.Millisecond
-	emptiedTold    = 250 * time.Millisecond // that others are told of an emptied store before control is
 )
 
 // View takes a newer agreed set of stores.
@@ -32,6 +31,9 @@
 	member, present := placement.MemberOf(view, m.self)
 	m.present = present
 	m.retiring = present && member.State != protocol.StoreActive
+	if view.Epoch != last.Epoch+1 {
+		m.departed.whole = 0
+	}
 	next := wasPresent && present && view.Epoch == last.Epoch+1
 	for _, h := range m.order {
 		h.handed = false
@@ -129,7 +131,7 @@
 	m.inventories[from] = inventory
 	m.departed.settled[from] = max(m.departed.settled[from], inventory.Settled)
 	m.departed.noteObscured(from, inventory.Obscured, m.env.Now())
-	m.takeMissing(inventory.Missing)
+	m.takeMissing(from, inventory.Missing)
 	m.settle()
 }
 
@@ -297,7 +299,7 @@
 		Settled:     m.settledEpoch,
 		BatchJobs:   len(m.jobs),
 		FreeBytes:   m.env.Free(),
-		DrainedDown: m.emptiedAt > 0 && m.env.Now()-m.emptiedAt >= emptiedTold,
+		DrainedDown: m.drained() && m.allToldEmptied(),
 	}
 }
 
@@ -332,14 +334,20 @@
 // checkEmptied tells the others once this store, which retires, holds nothing that they need.
 func (m *Machine) checkEmptied() {
 	if !m.drained() {
-		m.emptiedAt = 0
 		m.askOwners()
 		return
 	}
-	if m.emptiedAt == 0 {
-		m.emptiedAt = m.env.Now()
+	if !m.allToldEmptied() {
+		m.tellSettled()
 	}
-	m.tellSettled()
+}
+
+// allToldEmptied tells whether all others keep on their disks that nothing of this store, which retires, is needed. One that
+// didn't know would miss it like a store that was lost, together with the next.
+func (m *Machine) allToldEmptied() bool {
+	told := true
+	m.others(func(other protocol.Process) { told = told && m.toldEmptied[placement.KeyOf(other)] })
+	return told
 }
 
 // askOwners asks, while this store retires, the owners of what it holds whether their sets are whole without it.
