A head that stood still passes on no order that waited for it

Orders that come in the midst of a change of the view are held by the head for 300 ms at most, counted from when it took them in. A process that has not ticked for over 400 ms takes in no order from elsewhere before its next tick, and what is held goes into the next view only. The senders repeat their orders as long as anybody waits for them.

TestOrderHeldByFrozenHead fails without it.

--- a/coord/replica/core.go
+++ b/coord/replica/core.go
@@ -265,10 +265,13 @@
 	c.enterView()
 }
 
+// stoodStill reports whether this process did nothing for long, and hasn't ticked since.
+func (c *core) stoodStill() bool { return c.now-c.lastTick > thawGap }
+
 // tick is called every tickInterval.
 func (c *core) tick(now time.Duration) {
 	c.now = now
-	if now-c.lastTick > thawGap {
+	if c.stoodStill() {
 		c.logEvent("stood still", "for", now-c.lastTick)
 		c.resetPeers()
 		c.agree.abandon(now, 0)
--- a/coord/replica/core_client.go
+++ b/coord/replica/core_client.go
@@ -179,10 +179,10 @@
 	return true
 }
 
-// onForward takes in an order from elsewhere. One that was sent in an earlier epoch may be as old as a cut or a standstill is long: its
-// node sends it again when it learns of the view, if its caller still waits.
+// onForward takes in an order from elsewhere. One that was sent in an earlier epoch may be as old as a cut is long, and one that waited
+// for this process as old as its standstill: its node sends it again, if its caller still waits.
 func (c *core) onForward(from view.Member, m Forward) {
-	if m.Epoch < c.epoch() {
+	if m.Epoch < c.epoch() || c.stoodStill() {
 		c.tellView(from)
 		return
 	}
@@ -199,7 +199,7 @@
 	}
 }
 
-// releaseHeld goes on with the orders that came while this head couldn't order. Their senders repeat
+// releaseHeld goes on, in the next view at most, with the orders that came while this head couldn't order. Their senders repeat
 // them, so an old one is dropped.
 func (c *core) releaseHeld() {
 	if len(c.work.held) == 0 || c.acceptor.Wedged() {
@@ -211,7 +211,7 @@
 	held := c.work.held
 	c.work.held = nil
 	for _, order := range held {
-		if c.now-order.heldAt <= retryInterval {
+		if c.now-order.heldAt <= retryInterval && order.Epoch+1 >= c.epoch() {
 			order.Epoch = max(order.Epoch, c.epoch())
 			c.onForward(c.self, order.Forward)
 		}
--- a/coord/replica/late_test.go
+++ b/coord/replica/late_test.go
@@ -60,6 +60,28 @@
 	}
 }
 
+// TestOrderHeldByFrozenHead has orders wait for a head that stands still in the midst of a change of the view, until their callers have
+// given up: it passes none of them on to the head after it.
+func TestOrderHeldByFrozenHead(t *testing.T) {
+	w := startedWorld(35, 3, 1)
+	w.runUntil(2 * time.Second)
+	head, sender := w.nodes[0], w.nodes[1].core.self
+	head.handle(func() { head.core.propose("test") })
+	w.runUntil(w.now + time.Millisecond/4)
+	head.freeze()
+	forward := Forward{ID: "held", Order: []byte("held"), Epoch: head.core.epoch()}
+	head.handle(func() { head.core.step(w.now, sender, forward) })
+	w.runUntil(w.now + 3*time.Second)
+	w.acknowledged(t, w.nodes[1], "meanwhile", time.Second)
+	head.thaw()
+	w.runUntil(w.now + 2*time.Second)
+	for _, order := range w.nodes[1].machine.orders {
+		if order == "held" {
+			t.Error("an order was taken that a frozen head held")
+		}
+	}
+}
+
 // TestOrderBeyondMemory brings the head an order again whose first outcome is forgotten.
 func TestOrderBeyondMemory(t *testing.T) {
 	w := startedWorld(33, 3, 1)
