A control process that can't vouch hands no configuration to one that begins

Gap: a gateway that started and reached only a control machine that was cut off got the configuration held there. It puts it in force, and serves by it what needs no proof; the others may have taken newer ones since. A push to a subscriber without a configuration now waits until this process vouches for what it knows; the poll that finds it so brings it. Subscribers that hold one get newer ones as before.

--- /dev/null
+++ b/internal/control/bubble_test.go
@@ -0,0 +1,170 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/simulation/bubble"
+)
+
+const (
+	platformAddress = "10.0.1.1:80"
+	operatorIP      = "10.0.2.1"
+)
+
+// bubbleSystem is a system in memory, in virtual time, with the platform and an operator.
+type bubbleSystem struct {
+	*system
+	t       *testing.T
+	network *bubble.Network
+	disks   []*bubble.Disk
+	hosts   []*bubble.Host
+	others  map[string]*bubble.Host // of the operator, of gateways and batch processes
+	mutex   sync.Mutex              // of servers
+	servers string
+	spoil   func(Replica) Replica
+}
+
+// newBubbleSystem starts three control processes. Call it in a bubble.
+func newBubbleSystem(t *testing.T, seed uint64, spoil func(Replica) Replica) *bubbleSystem {
+	s := &bubbleSystem{system: &system{running: make([]*Control, 3)}, t: t, spoil: spoil, network: bubble.New(seed), others: map[string]*bubble.Host{}}
+	s.dialFrom = func(ip string) func(context.Context, string) (net.Conn, error) { return s.host(ip).Dial }
+	s.client = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			return s.host(operatorIP).Dial(ctx, address)
+		}}}
+	s.servePlatform()
+	var seeds []string
+	for i := range s.running {
+		seeds = append(seeds, fmt.Sprintf("10.0.0.%d:8080", i+1))
+	}
+	for i := range s.running {
+		s.disks = append(s.disks, bubble.NewDisk(seed*8+uint64(i)))
+		s.hosts = append(s.hosts, nil)
+		s.settings = append(s.settings, &node.Settings{
+			NodeName: fmt.Sprint("front-", i+1), Role: "control", IP: fmt.Sprint("10.0.0.", i+1), Zone: fmt.Sprint("z", i), ListenControl: seeds[i],
+			FirstPort: 7000, LastPort: 7004, Seeds: seeds, Bootstrap: true, DataDir: "/disk",
+			Limits: node.Limits{MemoryMB: 284}, Tolerance: node.Tolerance{Machines: 1}, Cloud: node.Cloud{Address: platformAddress, Rate: 50},
+			Bounds: node.Bounds{Acknowledge: 4 * time.Second, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20},
+		})
+		s.begin(i)
+	}
+	return s
+}
+
+// host gives the machine of somebody else than control.
+func (s *bubbleSystem) host(ip string) *bubble.Host {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.others[ip] == nil {
+		s.others[ip] = s.network.Host(ip)
+	}
+	return s.others[ip]
+}
+
+func (s *bubbleSystem) servePlatform() {
+	listener, err := s.host("10.0.1.1").Listen(platformAddress)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.setServers(`{"id":"i-1","backend":"b","address":"10.0.0.1:80","zone":"z","slots":4,"state":"ready"}`)
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		s.mutex.Lock()
+		defer s.mutex.Unlock()
+		_, _ = io.WriteString(w, `{"instances":[`+s.servers+`],"next-token":null}`)
+	})}
+	go func() { _ = server.Serve(listener) }()
+	s.t.Cleanup(func() { _ = server.Close() })
+}
+
+func (s *bubbleSystem) setServers(servers string) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.servers = servers
+}
+
+// begin starts a control process.
+func (s *bubbleSystem) begin(i int) {
+	s.hosts[i] = s.network.Host(s.settings[i].IP)
+	around := &surroundings{bind: s.hosts[i].Listen, dial: s.hosts[i].Dial, disk: s.disks[i].Begin(), spoil: s.spoil}
+	one, err := Start(Options{Settings: s.settings[i], Log: zerolog.Nop(), surroundings: around})
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	s.running[i] = one
+}
+
+// finish ends all.
+func (s *bubbleSystem) finish() {
+	for i := range s.running {
+		if s.running[i] != nil {
+			s.running[i].Stop()
+		}
+	}
+	time.Sleep(time.Minute) // idle connections
+}
+
+// head gives which process heads the chain.
+func (s *bubbleSystem) head() int {
+	for i, one := range s.running {
+		if one != nil {
+			if _, _, ok := one.replica.Lead(); ok {
+				return i
+			}
+		}
+	}
+	return -1
+}
+
+// cut cuts a control process off from the others.
+func (s *bubbleSystem) cut(victim int, out, in bool) {
+	for i := range s.settings {
+		if i != victim && out {
+			s.network.Cut(s.settings[victim].IP, s.settings[i].IP)
+		}
+		if i != victim && in {
+			s.network.Cut(s.settings[i].IP, s.settings[victim].IP)
+		}
+	}
+}
+
+func (s *bubbleSystem) heal(victim int) {
+	for i := range s.settings {
+		s.network.Heal(s.settings[victim].IP, s.settings[i].IP)
+		s.network.Heal(s.settings[i].IP, s.settings[victim].IP)
+	}
+}
+
+// askQuota asks a process for tokens and tells whether it grants any.
+func (s *bubbleSystem) askQuota(i int, sequence uint64) bool {
+	process := protocol.Process{Node: "gateway-q", Role: protocol.RoleGateway, IP: "10.0.3.99", Incarnation: "x"}
+	client := transport.NewClient(s.settings[i].Endpoint(node.PortControl),
+		transport.Options{Identity: transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role}, Dial: s.host(process.IP).Dial}, nil, nil)
+	defer client.Close()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	for !client.Connected() {
+		if ctx.Err() != nil {
+			return false
+		}
+		time.Sleep(time.Millisecond)
+	}
+	reply, err := client.Call(ctx, protocol.QuotaRequest{Process: process, Sequence: sequence, Whole: true,
+		Demands: []protocol.QuotaDemand{{Tenant: "t", Rate: 3, Want: 2}}})
+	if err != nil {
+		return false
+	}
+	answer, ok := reply.(protocol.QuotaReply)
+	return ok && len(answer.Grants) > 0 && answer.Grants[0].Tokens > 0
+}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -19,6 +19,7 @@
 	"github.com/rs/zerolog"
 
 	"sprucelane.example/sprucelane/coord/replica"
+	"sprucelane.example/sprucelane/coord/slots"
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/coord/view"
 	"sprucelane.example/sprucelane/internal/control/discovery"
@@ -49,6 +50,7 @@
 	Self() view.Member
 	Members() []replica.Peer
 	Lead() (epoch uint64, until time.Time, ok bool)
+	Head() (until time.Time, ok bool)
 	OnView(call func(view.View))
 	SetSeeds(seeds []string)
 	HandOver(ctx context.Context) error
@@ -59,6 +61,25 @@
 type Options struct {
 	Settings *node.Settings
 	Log      zerolog.Logger
+
+	surroundings *surroundings // nil: TCP and the folder of the settings
+}
+
+// surroundings are the connections and the disk of a process, for worlds of tests.
+type surroundings struct {
+	bind func(address string) (net.Listener, error)
+	dial func(ctx context.Context, address string) (net.Conn, error)
+	disk slots.FS
+	// spoil plants a bug in what is known of the chain; nil: none.
+	spoil func(Replica) Replica
+}
+
+// listen listens where the process does.
+func (s *surroundings) listen(address string) (net.Listener, error) {
+	if s.bind != nil {
+		return s.bind(address)
+	}
+	return net.Listen("tcp", address)
 }
 
 // Control is a control process.
@@ -68,6 +89,7 @@
 	quota    *quotas.Service
 	source   string // of what this process numbers
 	started  time.Time
+	around   surroundings
 
 	machine *machine.Machine
 	replica Replica
@@ -96,8 +118,11 @@
 
 // Start starts a control process.
 func Start(options Options) (*Control, error) {
-	if err := prepareDisk(options.Settings); err != nil {
-		return nil, fmt.Errorf("control: data-dir: %w", err)
+	if options.surroundings == nil {
+		options.surroundings = &surroundings{}
+		if err := prepareDisk(options.Settings); err != nil {
+			return nil, fmt.Errorf("control: data-dir: %w", err)
+		}
 	}
 	c := newControl(options)
 	node, err := replica.Start(c.replicaOptions())
@@ -105,7 +130,10 @@
 		return nil, fmt.Errorf("control: the chain: %w", err)
 	}
 	c.replica = node
-	c.quota = quotas.New(options.Settings.Bounds, node, c.machine, machine.Lender{Member: node.Self().ID(), Process: c.source},
+	if c.around.spoil != nil {
+		c.replica = c.around.spoil(node)
+	}
+	c.quota = quotas.New(options.Settings.Bounds, c.replica, c.machine, machine.Lender{Member: node.Self().ID(), Process: c.source},
 		func() { wake(c.wakeRoles) })
 	if err := c.serve(); err != nil {
 		node.Close()
@@ -129,6 +157,7 @@
 		log:         options.Log,
 		source:      options.Settings.NodeName + "-" + randomName(),
 		started:     time.Now(),
+		around:      *options.surroundings,
 		machine:     machine.New(),
 		reader:      discovery.NewReader(options.Settings.Cloud.Address, "", options.Settings.Cloud.Rate),
 		ended:       ended,
@@ -140,6 +169,9 @@
 		subscribers: map[*transport.Session]*subscriber{},
 		told:        map[*transport.Session]*told{},
 	}
+	if c.around.dial != nil {
+		c.reader.DialBy(c.around.dial)
+	}
 	c.machine.OnChange(func() {
 		wake(c.changed)
 		wake(c.wakeRoles)
@@ -178,6 +210,9 @@
 		Seeds:     s.SeedEndpoints(node.PortCoordination),
 		Bootstrap: s.Bootstrap,
 		DataDir:   s.DataDir,
+		Bind:      c.around.bind,
+		Dial:      c.around.dial,
+		Disk:      c.around.disk,
 		Tolerance: s.Tolerance.Machines,
 		Machine:   c.machine,
 		Log: func(event string, fields ...any) {
@@ -187,7 +222,7 @@
 }
 
 func (c *Control) transportOptions() transport.Options {
-	return transport.Options{Identity: c.identity(), MaxFrame: frameMost, Heartbeat: heartbeat,
+	return transport.Options{Identity: c.identity(), Dial: c.around.dial, MaxFrame: frameMost, Heartbeat: heartbeat,
 		Log: func(event string, err error, remote string) {
 			c.log.Debug().Err(err).Str("remote", remote).Msg(event)
 		}}
@@ -195,11 +230,11 @@
 
 // serve opens the ports and starts all loops.
 func (c *Control) serve() error {
-	subscriptions, err := net.Listen("tcp", c.settings.Endpoint(node.PortControl))
+	subscriptions, err := c.around.listen(c.settings.Endpoint(node.PortControl))
 	if err != nil {
 		return fmt.Errorf("control: subscriptions: %w", err)
 	}
-	operators, err := net.Listen("tcp", c.settings.ListenControl)
+	operators, err := c.around.listen(c.settings.ListenControl)
 	if err != nil {
 		_ = subscriptions.Close()
 		return fmt.Errorf("control: operator's API: %w", err)
--- a/internal/control/discovery/reader.go
+++ b/internal/control/discovery/reader.go
@@ -6,6 +6,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"net/url"
 	"slices"
@@ -50,6 +51,12 @@
 	return &Reader{address: address, zone: zone, client: &http.Client{Transport: transport, Timeout: readWithin}, pace: newPace(rate)}
 }
 
+// DialBy has connections opened by a function in place of TCP. It is for before the first reading.
+func (r *Reader) DialBy(dial func(ctx context.Context, address string) (net.Conn, error)) {
+	r.client.Transport = &http.Transport{DisableKeepAlives: true, DisableCompression: true,
+		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) { return dial(ctx, address) }}
+}
+
 // RateError tells that the platform took too many calls.
 type RateError struct {
 	RetryAfter time.Duration
--- a/internal/control/rig_test.go
+++ b/internal/control/rig_test.go
@@ -54,13 +54,15 @@
 type system struct {
 	settings []*node.Settings
 	running  []*Control
+	client   *http.Client
+	dialFrom func(ip string) func(ctx context.Context, address string) (net.Conn, error) // nil: TCP
 }
 
 // networks tells the systems of one run of tests apart: 127.7.N.x.
 var networks atomic.Int32
 
 func newSystem(t *testing.T, cloud string) *system {
-	s := &system{running: make([]*Control, 3)}
+	s := &system{running: make([]*Control, 3), client: http.DefaultClient}
 	first := freePorts(t)
 	network := networks.Add(1)
 	var seeds []string
@@ -130,7 +132,7 @@
 	if ifMatch != "" {
 		request.Header.Set("If-Match", ifMatch)
 	}
-	response, err := http.DefaultClient.Do(request)
+	response, err := s.client.Do(request)
 	if err != nil {
 		return 0, err.Error()
 	}
@@ -155,7 +157,11 @@
 func (s *system) follow(t *testing.T, i int, process protocol.Process) *follower {
 	f := &follower{configuration: configuration.NewState()}
 	identity := transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role, Zone: process.Zone}
-	client := transport.NewClient(s.settings[i].Endpoint(node.PortControl), transport.Options{Identity: identity}, f.take, nil)
+	options := transport.Options{Identity: identity}
+	if s.dialFrom != nil {
+		options.Dial = s.dialFrom(process.IP)
+	}
+	client := transport.NewClient(s.settings[i].Endpoint(node.PortControl), options, f.take, nil)
 	ctx, cancel := context.WithCancel(context.Background())
 	done := make(chan struct{})
 	go func() {
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -64,7 +64,7 @@
 	if poll.WholeServers {
 		one.servers = 0
 	}
-	c.push(session, one)
+	c.push(session, one, fresh)
 	update := protocol.Update{Sequence: poll.Sequence, Fresh: fresh, Age: age}
 	c.ageList(&update)
 	c.mutex.Unlock()
@@ -127,10 +127,11 @@
 }
 
 func (c *Control) pushAll() {
+	_, fresh := c.fresh()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	for session, one := range c.subscribers {
-		c.push(session, one)
+		c.push(session, one, fresh)
 	}
 }
 
@@ -140,9 +141,13 @@
 	update.ListAge = c.now() - c.servers.readAt
 }
 
-// push queues what a subscriber lacks.
-func (c *Control) push(session *transport.Session, one *subscriber) {
-	update := protocol.Update{Configuration: c.machine.Since(one.configuration)}
+// push queues what a subscriber lacks. One that begins gets a configuration only where this process vouches for it: what is held by
+// one that is cut off may be old, and the subscriber would serve by it.
+func (c *Control) push(session *transport.Session, one *subscriber, fresh bool) {
+	update := protocol.Update{}
+	if fresh || one.configuration > 0 {
+		update.Configuration = c.machine.Since(one.configuration)
+	}
 	if c.servers.version > one.servers {
 		update.Servers = c.servers.message(c.source, one.servers, c.now())
 	}
