--- /dev/null
+++ b/internal/control/operator/many_test.go
@@ -0,0 +1,85 @@
+//go:build !race
+
+package operator
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+const (
+	manyOrders = 6_000 // ORDERS=N takes as many
+	remembered = 4096
+)
+
+// usage is what the world holds in memory and on the fullest disk.
+func (w *world) usage() (heap uint64, disk int64) {
+	for _, m := range w.members {
+		held, _, _ := m.disk.Used()
+		disk = max(disk, held)
+	}
+	runtime.GC()
+	var stats runtime.MemStats
+	runtime.ReadMemStats(&stats)
+	return stats.HeapAlloc, disk
+}
+
+// TestManyOrders takes thousands of orders, and holds memory, disk and the snapshot to standing still from the moment at which as
+// many orders are remembered as ever are.
+func TestManyOrders(t *testing.T) {
+	orders := int(number("ORDERS", manyOrders))
+	full := remembered + (orders-remembered)/4
+	synctest.Test(t, func(t *testing.T) {
+		w := newWorld(t, 1, 3, plantNone)
+		began := w.now()
+		w.take(1, full, w.members...)
+		heap, disk := w.usage()
+		snapshot := len(w.members[0].machine.Snapshot())
+		w.take(full+1, orders, w.members...)
+		heapAfter, diskAfter := w.usage()
+		snapshotAfter := len(w.members[0].machine.Snapshot())
+		t.Logf("%d and %d orders, three members: heap %.1f then %.1f MB, disk of one %.2f then %.2f MB, snapshot of the machine %d then %d bytes, document %d bytes, %.1f ms of virtual time an order",
+			full, orders, float64(heap)/1e6, float64(heapAfter)/1e6, float64(disk)/1e6, float64(diskAfter)/1e6, snapshot, snapshotAfter,
+			len(manyOrder(1).Body), float64((w.now()-began).Microseconds())/1e3/float64(orders))
+		if heapAfter > heap+heap/4+4<<20 {
+			t.Errorf("the heap grew from %d to %d", heap, heapAfter)
+		}
+		if diskAfter > 12<<20 {
+			t.Errorf("%d bytes on a disk", diskAfter)
+		}
+		if snapshotAfter > snapshot+snapshot/10 {
+			t.Errorf("the snapshot grew from %d to %d bytes", snapshot, snapshotAfter)
+		}
+		w.remembers(orders)
+		w.stop()
+		for _, failure := range w.failures {
+			t.Error(failure)
+		}
+	})
+}
+
+// remembers checks what orders of any age get: those remembered an acknowledgement, older ones no clear answer, and what was
+// never taken a refusal as long as that is known.
+func (w *world) remembers(orders int) {
+	for version := 1; version <= orders; version += 499 {
+		order := manyOrder(version)
+		method := "PUT"
+		if order.Patch {
+			method = "PATCH"
+		}
+		got := w.members[version%3].call(method, fmt.Sprint(order.IfMatch), string(order.Body), 2*time.Second).status
+		expected := 200
+		if version <= orders-remembered {
+			expected = 503
+		}
+		if got != expected {
+			w.failf("the order of version %d of %d gets %d, not %d", version, orders, got, expected)
+		}
+	}
+	if got := w.members[0].call("PATCH", fmt.Sprint(orders-10), `{"generation":1}`, 2*time.Second).status; got != 412 {
+		w.failf("a stale order gets %d", got)
+	}
+}
--- a/internal/simulation/bubble/connection.go
+++ b/internal/simulation/bubble/connection.go
@@ -179,6 +179,7 @@
 		e.other.finished = true
 	} else {
 		e.other.received = append(e.other.received, one.data...)
+		e.connection.network.bytes[e.other.host.ip] += int64(len(one.data))
 	}
 	e.other.stir()
 }
