What lay in the sockets of a process that stood still is no news

Cause: a control process that was frozen for 20 s read polls and reports of long ago after the thaw, timed them by when it read them, and told the head of them as of now. A batch process that had lost its disk meanwhile could so be put out of the set by its former life, and a report of then counted as covering a control process now.

A process notes every 100 ms that it runs, and before it takes anything in. After a gap of 1.5 s, at which the other sides give a connection up, it ends all connections, and takes nothing for news that comes over one that was there before.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -107,6 +107,7 @@
 	wakeRead  chan struct{}
 
 	mutex       sync.Mutex // of all below
+	still       standstill
 	presence    *presence.Table
 	subscribers map[*transport.Session]*subscriber
 	told        map[*transport.Session]*told // by the connections of other control processes
@@ -239,6 +240,7 @@
 		_ = subscriptions.Close()
 		return fmt.Errorf("control: operator's API: %w", err)
 	}
+	c.still.beatAt = c.now()
 	c.peers = newPeers(c)
 	c.replica.OnView(func(view.View) { c.viewChanged() })
 	c.server = transport.Serve(subscriptions, c.transportOptions(), c.handle)
@@ -247,6 +249,7 @@
 	c.run(c.pushLoop)
 	c.run(c.rolesLoop)
 	c.run(c.reportLoop)
+	c.run(c.beatLoop)
 	if c.settings.Cloud.Address != "" {
 		c.run(c.readLoop)
 	}
--- a/internal/control/reports.go
+++ b/internal/control/reports.go
@@ -12,6 +12,7 @@
 
 // told is what another control process has told over one connection.
 type told struct {
+	since    time.Duration               // first heard
 	gateways map[string]protocol.Process // that poll there, by node
 	servers  *protocol.ServerList
 }
@@ -65,7 +66,12 @@
 	}
 	now := c.now()
 	c.mutex.Lock()
+	c.beat()
 	known := c.toldOver(session)
+	if !c.bringsNews(session) {
+		c.mutex.Unlock()
+		return
+	}
 	news := report.Presence && c.takePresence(known, report, now)
 	if report.Presence {
 		c.presence.Cover(hostOf(from.Address), now)
@@ -86,7 +92,7 @@
 func (c *Control) toldOver(session *transport.Session) *told {
 	known := c.told[session]
 	if known == nil {
-		known = &told{gateways: map[string]protocol.Process{}}
+		known = &told{since: c.now(), gateways: map[string]protocol.Process{}}
 		c.told[session] = known
 		session.OnClose(func() { go c.forgetTold(session) })
 	}
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -30,6 +30,7 @@
 // or the connection ends: what was sent is what the other side has.
 type subscriber struct {
 	process       protocol.Process
+	since         time.Duration // first heard
 	polledAt      time.Duration
 	configuration uint64
 	servers       uint64
@@ -58,8 +59,10 @@
 		fresh = false
 	}
 	c.mutex.Lock()
+	c.beat()
 	one := c.subscribe(session, poll)
-	news := c.presence.Observe(presence.Heard{Process: poll.Process, Ready: poll.Ready, Batch: poll.Batch, At: c.now()})
+	news := c.bringsNews(session) &&
+		c.presence.Observe(presence.Heard{Process: poll.Process, Ready: poll.Ready, Batch: poll.Batch, At: c.now()})
 	one.configuration = poll.Configuration
 	if poll.WholeServers {
 		one.servers = 0
@@ -80,7 +83,7 @@
 func (c *Control) subscribe(session *transport.Session, poll protocol.Poll) *subscriber {
 	one, known := c.subscribers[session]
 	if !known {
-		one = &subscriber{}
+		one = &subscriber{since: c.now()}
 		c.subscribers[session] = one
 		session.OnClose(func() { go c.unsubscribe(session) })
 	}
