The bytes of an order whose caller has gone count as long as they are held

Cause: a flight goes on when its caller leaves, and holds the body, but the caller gave its share of the bound back: callers that send large bodies and leave could have control hold any number of them for up to 3.2 s. The share now goes back at the flight's end; who joins one gives its own back when it leaves.

--- a/internal/control/operator/change.go
+++ b/internal/control/operator/change.go
@@ -33,9 +33,8 @@
 		if err != nil {
 			return bodyFailed(c, err)
 		}
-		defer release()
 		order := configuration.Order{IfMatch: ifMatch, Patch: patch, Body: body}
-		verdict, finished := a.flights.join(c.Request().Context(), order.Digest(), func() verdict { return a.decide(order, arrived) })
+		verdict, finished := a.flights.join(c.Request().Context(), order.Digest(), func() verdict { return a.decide(order, arrived) }, release)
 		if !finished {
 			return c.Request().Context().Err()
 		}
--- a/internal/control/operator/flights.go
+++ b/internal/control/operator/flights.go
@@ -22,9 +22,12 @@
 func newFlights() flights { return flights{open: map[configuration.Digest]*flight{}} }
 
 // join gives what the order's flight comes to, and starts one where there is none. False: the caller's context ended first; the
-// flight goes on.
-func (f *flights) join(ctx context.Context, digest configuration.Digest, decide func() verdict) (verdict, bool) {
-	one := f.find(digest, decide)
+// flight goes on. release is called once the caller's body isn't held any more: that of a flight's first caller is up to its end.
+func (f *flights) join(ctx context.Context, digest configuration.Digest, decide func() verdict, release func()) (verdict, bool) {
+	one, begun := f.find(digest, decide, release)
+	if !begun {
+		defer release()
+	}
 	select {
 	case <-one.done:
 		return one.verdict, true
@@ -33,20 +36,21 @@
 	}
 }
 
-func (f *flights) find(digest configuration.Digest, decide func() verdict) *flight {
+func (f *flights) find(digest configuration.Digest, decide func() verdict, release func()) (one *flight, begun bool) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if one, found := f.open[digest]; found {
-		return one
+		return one, false
 	}
-	one := &flight{done: make(chan struct{})}
+	one = &flight{done: make(chan struct{})}
 	f.open[digest] = one
-	go f.fly(digest, one, decide)
-	return one
+	go f.fly(digest, one, decide, release)
+	return one, true
 }
 
-func (f *flights) fly(digest configuration.Digest, one *flight, decide func() verdict) {
+func (f *flights) fly(digest configuration.Digest, one *flight, decide func() verdict, release func()) {
 	one.verdict = decide()
+	release()
 	f.mutex.Lock()
 	delete(f.open, digest)
 	f.mutex.Unlock()
--- a/internal/control/operator/operator_test.go
+++ b/internal/control/operator/operator_test.go
@@ -288,6 +288,22 @@
 		synctest.Wait()
 		expect(t, send(api, "GET", "/config", "", ""), 200)
 	})
+	inTime(t, "the body of an order whose caller has gone counts as long as it is held", func(t *testing.T) {
+		chain := newSoleChain()
+		chain.held = make(chan struct{})
+		api := newAPI(chain)
+		for _, padding := range []int{3700, 3701} { // of 4096 bytes, of which there may be two
+			ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+			defer cancel()
+			request := httptest.NewRequestWithContext(ctx, "PUT", "/config", strings.NewReader(document+strings.Repeat(" ", padding)))
+			request.Header.Set("If-Match", "0")
+			api.ServeHTTP(httptest.NewRecorder(), request)
+		}
+		expect(t, send(api, "PUT", "/config", "0", document+strings.Repeat(" ", 3800)), 503)
+		close(chain.held)
+		synctest.Wait()
+		expect(t, send(api, "PUT", "/config", "0", document+strings.Repeat(" ", 3800)), 412)
+	})
 	inTime(t, "of two orders on one version one wins", func(t *testing.T) {
 		chain := newSoleChain()
 		api := newAPI(chain)
