--- /dev/null
+++ b/internal/control/operator/majority_test.go
@@ -0,0 +1,58 @@
+package operator
+
+import (
+	"fmt"
+	"testing"
+	"testing/synctest"
+	"time"
+)
+
+// TestMajorityLost checks what docs/operate/control.md says of a core that has lost more than half of its voters: it takes no order
+// and tells nothing, for good where their disks are gone, and until one is back at its address with its disk where they aren't.
+func TestMajorityLost(t *testing.T) {
+	for _, disks := range []bool{true, false} {
+		t.Run(fmt.Sprintf("disks come back %t", disks), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				w := newWorld(t, 4, 3, plantNone)
+				w.take(1, 20, w.members...)
+				left := w.members[2]
+				for _, lost := range w.members[:2] {
+					lost.end(true)
+					if !disks {
+						lost.disk.Wipe()
+					}
+				}
+				w.refusesAll(left, 20*time.Second)
+				if disks {
+					w.members[0].start(false)
+					time.Sleep(3 * time.Second)
+					w.take(21, 30, left)
+				} else {
+					w.members[0].start(false)
+					w.members[1].start(false)
+					w.refusesAll(left, 20*time.Second)
+				}
+				w.stop()
+				for _, failure := range w.failures {
+					t.Error(failure)
+				}
+			})
+		})
+	}
+}
+
+// refusesAll checks that a machine takes and tells nothing for a while.
+func (w *world) refusesAll(m *member, span time.Duration) {
+	order := manyOrder(21)
+	for end := w.now() + span; w.now() < end; {
+		for _, got := range []answered{
+			m.call("GET", "", "", 5*time.Second),
+			m.call("PATCH", fmt.Sprint(order.IfMatch), string(order.Body), 5*time.Second),
+			m.call("PATCH", "3", `{"generation":4}`, 5*time.Second),
+		} {
+			if got.status != 503 && got.status != 504 {
+				w.failf("%s answers %d without a majority: %s", m.ip, got.status, got.body)
+			}
+		}
+	}
+}
