A list of servers that was pushed before any answer counts as new as its connection allows

Cause: how old the list held is was noted by answers to polls only. A gateway that got a fresh list as it came to a new home, and lost that home before its first answer, took the next home's list of eight seconds before.

Change: what a home pushes it sent after the last answered poll, or after the connection to it was begun; the list's age counts from there. Test: TestListing.

--- a/internal/gateway/subscription/listing.go
+++ b/internal/gateway/subscription/listing.go
@@ -15,8 +15,12 @@
 	held       *protocol.ServerList // whole
 	asOf       time.Time            // the platform was read at that moment or later; zero: not known
 	incomplete bool                 // the next poll asks for the whole list
+	since      time.Time            // what the home sends now it sent after that moment
 }
 
+// turn begins with another home.
+func (l *listing) turn(now time.Time) { l.since = now }
+
 // follow gives the list after an update. One that was surely read before the list held is not taken: a control process that was
 // cut off or stood still has it, and a list must not go back. Where a list isn't taken it is asked for again, whole.
 func (l *listing) follow(update *protocol.Update, now time.Time) (*protocol.ServerList, error) {
@@ -27,17 +31,22 @@
 	l.incomplete = err != nil
 	if err == nil {
 		l.held = next
+		l.note(update)
 	}
 	return next, err
 }
 
-// answered takes in how old the home's newest list is, which is the one held unless it was not taken. The age is as of a moment
-// after the poll was sent.
+// answered takes in the answer to a poll, which tells how old the home's newest list is: the one held, unless it was not taken.
 func (l *listing) answered(sent time.Time, update *protocol.Update) {
-	if !update.ListRead || l.incomplete || l.held == nil {
-		return
+	l.since = sent
+	if !l.incomplete && l.held != nil {
+		l.note(update)
 	}
-	if asOf := sent.Add(-update.ListAge); asOf.After(l.asOf) {
+}
+
+// note takes in how old the list held was when an update was sent.
+func (l *listing) note(update *protocol.Update) {
+	if asOf := l.since.Add(-update.ListAge); update.ListRead && asOf.After(l.asOf) {
 		l.asOf = asOf
 	}
 }
--- a/internal/gateway/subscription/pure_test.go
+++ b/internal/gateway/subscription/pure_test.go
@@ -112,6 +112,7 @@
 	}
 	Convey("Given a list that was as of a second ago when a poll was answered", t, func() {
 		var l listing
+		l.turn(now.Add(-time.Minute))
 		_, err := l.follow(&protocol.Update{Servers: list("a", 7), ListRead: true, ListAge: time.Second}, now)
 		So(err, ShouldBeNil)
 		l.answered(now, &protocol.Update{ListRead: true, ListAge: time.Second})
@@ -131,6 +132,12 @@
 				So(l.incomplete, ShouldBeFalse)
 			})
 		})
+		Convey("one that was pushed before any answer makes the list held as new as the connection allows", func() {
+			l.turn(now.Add(time.Second))
+			_, err := l.follow(&protocol.Update{Servers: list("b", 9), ListRead: true, ListAge: time.Second}, now.Add(5*time.Second))
+			So(err, ShouldBeNil)
+			So(l.asOf, ShouldEqual, now)
+		})
 		Convey("one that may be as new is taken", func() {
 			_, err := l.follow(&protocol.Update{Servers: list("b", 9), ListRead: true, ListAge: 3 * time.Second}, now.Add(2*time.Second))
 			So(err, ShouldBeNil)
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -157,6 +157,9 @@
 
 // serve subscribes to one control process for as long as that does, and gives the reason why it doesn't any more.
 func (s *Subscription) serve(ctx context.Context, ip string) string {
+	s.mu.Lock()
+	s.listing.turn(time.Now())
+	s.mu.Unlock()
 	connected := make(chan bool, 16)
 	client := transport.NewClient(s.opt.Settings.EndpointAt(ip, node.PortControl), s.opt.Transport,
 		func(message any) {
