--- /dev/null
+++ b/internal/gateway/subscription/core_test.go
@@ -0,0 +1,395 @@
+package subscription
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// core is the chain as an abstract register: orders are committed while all of the chain of the present epoch are in touch, and an
+// epoch begins where some are not for long enough and a majority is.
+type core struct {
+	world    *world
+	controls []*simControl
+	chain    []*simControl
+	log      []configuration.Order
+	brokenAt time.Duration // since when the chain isn't whole; 0: it is
+	patience time.Duration
+	content  int // of the platform's list
+	readAt   map[int]time.Duration
+}
+
+// simControl is a control process.
+type simControl struct {
+	core      *core
+	name      string
+	clock     steadyClock
+	state     *configuration.State
+	applied   int
+	whole     bool // has a disk with all that its epoch began with
+	up        bool
+	frozen    bool
+	life      int
+	inTouchAt time.Duration
+	joinedAt  time.Duration
+	lagsUntil time.Duration // it applies orders late until then
+
+	proven     bool
+	freshSince time.Duration // in the world's time
+	pendingAt  time.Duration
+	pendingEnd int // 0: no proof is pending
+
+	sessions map[*session]*subscriber
+	list     *protocol.ServerList
+	listAt   time.Time // by its clock
+	listTrue time.Duration
+}
+
+// subscriber is what a session was sent, as control keeps it.
+type subscriber struct {
+	configuration, servers uint64
+	members                bool
+}
+
+func newCore(w *world, machines int) *core {
+	c := &core{world: w, readAt: map[int]time.Duration{}}
+	for i := range machines {
+		one := &simControl{core: c, name: fmt.Sprintf("control-%d", i), clock: w.newClock(), whole: true, up: true,
+			state: configuration.NewState(), sessions: map[*session]*subscriber{}}
+		c.controls = append(c.controls, one)
+		one.beat(one.life)
+	}
+	c.chain = slices.Clone(c.controls)
+	w.every(10*time.Millisecond, c.tick)
+	w.every(800*time.Millisecond, c.readPlatform)
+	return c
+}
+
+func (c *simControl) runs() bool { return c.up && !c.frozen }
+
+func (c *core) touch(one, other *simControl) bool {
+	links := c.world.Links
+	return one.runs() && other.runs() && (one == other || !links.IsCut(one.name, other.name) && !links.IsCut(other.name, one.name))
+}
+
+// healthy tells whether a machine is in touch with a majority.
+func (c *core) healthy(one *simControl) bool {
+	count := 0
+	for _, other := range c.controls {
+		if c.touch(one, other) {
+			count++
+		}
+	}
+	return one.runs() && 2*count > len(c.controls)
+}
+
+// serves tells whether the chain can commit.
+func (c *core) serves() bool {
+	for i, one := range c.chain {
+		if !one.whole || !c.healthy(one) {
+			return false
+		}
+		for _, other := range c.chain[:i] {
+			if !c.touch(one, other) {
+				return false
+			}
+		}
+	}
+	return len(c.chain) >= 2
+}
+
+func (c *core) tick() {
+	now := c.world.Elapsed()
+	for _, one := range c.controls {
+		if !c.healthy(one) {
+			one.inTouchAt = now
+		}
+	}
+	if !c.serves() {
+		if c.brokenAt == 0 {
+			c.brokenAt, c.patience = now, 700*time.Millisecond+c.world.span(600*time.Millisecond)
+		}
+		if now-c.brokenAt > c.patience {
+			c.change()
+		}
+		return
+	}
+	c.brokenAt = 0
+	c.takeBack()
+	c.commit()
+}
+
+// change begins an epoch with those of the chain that are whole and in touch.
+func (c *core) change() {
+	var next []*simControl
+	for _, one := range c.chain {
+		fits := one.whole && c.healthy(one)
+		for _, other := range next {
+			fits = fits && c.touch(one, other)
+		}
+		if fits {
+			next = append(next, one)
+		}
+	}
+	if len(next) == 0 {
+		return
+	}
+	c.begin(next)
+	c.takeBack()
+}
+
+// takeBack lets machines in that have been in touch for a while; they copy what they lack.
+func (c *core) takeBack() {
+	for _, one := range c.controls {
+		if slices.Contains(c.chain, one) || !c.healthy(one) || c.world.Elapsed()-one.inTouchAt < 300*time.Millisecond {
+			continue
+		}
+		if slices.ContainsFunc(c.chain, func(other *simControl) bool { return !c.touch(one, other) }) {
+			continue
+		}
+		one.whole = true
+		c.begin(append(slices.Clone(c.chain), one))
+	}
+}
+
+func (c *core) begin(chain []*simControl) {
+	c.chain, c.brokenAt = chain, 0
+	for _, one := range chain {
+		one.joinedAt = c.world.Elapsed()
+		one.applySoon(len(c.log))
+	}
+}
+
+// commit takes the operator's next order, which all of the chain have synced.
+func (c *core) commit() {
+	w := c.world
+	order, due := w.truth.next(w)
+	if !due {
+		return
+	}
+	c.log = append(c.log, order)
+	for _, one := range c.chain {
+		one.applySoon(len(c.log))
+	}
+	index := len(c.log)
+	w.After(w.span(20*time.Millisecond), func() { w.truth.acknowledged(index, w.Elapsed()) })
+}
+
+func (c *simControl) applySoon(end int) {
+	w := c.core.world
+	delay := w.span(30 * time.Millisecond)
+	if w.random.Chance(w.slow) || c.lagsUntil > w.Elapsed() {
+		delay = w.span(longestDelay)
+	}
+	w.AfterOn(c.name, delay, func() { c.apply(end) })
+}
+
+func (c *simControl) apply(end int) {
+	if !c.whole || c.applied >= end {
+		return
+	}
+	for c.applied < end {
+		c.applied++
+		c.state.Apply(uint64(c.applied), c.core.log[c.applied-1])
+	}
+	c.settle()
+	c.pushAll()
+}
+
+// beat asks the others again and again whether the epoch stands, and takes a proof of it.
+func (c *simControl) beat(life int) {
+	w := c.core.world
+	w.AfterOn(c.name, 150*time.Millisecond+w.span(100*time.Millisecond), func() {
+		if c.life != life {
+			return
+		}
+		if slices.Contains(c.core.chain, c) && c.whole && c.core.healthy(c) {
+			c.apply(c.applied)
+			if c.pendingEnd == 0 {
+				c.pendingAt = max(w.Elapsed()-w.span(10*time.Millisecond), c.joinedAt)
+				c.pendingEnd = len(c.core.log) + 1
+			}
+			c.settle()
+			c.applySoon(len(c.core.log))
+		}
+		c.beat(life)
+	})
+}
+
+// settle completes a proof once all that had been committed by then is applied.
+func (c *simControl) settle() {
+	if c.pendingEnd > 0 && c.applied+1 >= c.pendingEnd {
+		c.proven, c.freshSince, c.pendingEnd = true, max(c.freshSince, c.pendingAt), 0
+	}
+}
+
+// fresh gives the age of what is known here, and whether it can be vouched for.
+func (c *simControl) fresh() (age time.Duration, ok bool) {
+	w := c.core.world
+	age = w.Elapsed() - c.freshSince
+	switch {
+	case w.plant == plantUnproven:
+		return 0, true
+	case w.plant == plantNoAge && c.proven:
+		return 0, age <= freshMost
+	}
+	return age, c.proven && age <= freshMost
+}
+
+// stop ends the process, which may have its disk wiped; what it had not heard to be committed it applies anew.
+func (c *simControl) stop(wiped bool) {
+	c.up, c.frozen, c.proven, c.pendingEnd = false, false, false, 0
+	c.life++
+	c.core.world.Stop(c.name)
+	for _, one := range c.core.world.gateways {
+		if one.session != nil && one.session.control == c {
+			one.session.end()
+		}
+	}
+	clear(c.sessions)
+	c.state, c.list = configuration.NewState(), nil
+	known := max(0, c.applied-c.core.world.random.IntN(3))
+	c.applied = 0
+	if wiped {
+		c.whole = false
+		return
+	}
+	c.apply(known)
+}
+
+func (c *simControl) start() {
+	if c.up {
+		return
+	}
+	c.up = true
+	c.core.world.Start(c.name)
+	c.beat(c.life)
+}
+
+// readPlatform has a machine in touch read the platform's list and share it.
+func (c *core) readPlatform() {
+	w := c.world
+	c.content++
+	c.readAt[c.content] = w.Elapsed()
+	content, readAt := c.content, w.Elapsed()
+	for _, reader := range c.controls {
+		if !c.healthy(reader) {
+			continue
+		}
+		for _, one := range c.controls {
+			if c.touch(reader, one) {
+				w.AfterOn(one.name, w.span(30*time.Millisecond), func() { one.takeList(content, readAt) })
+			}
+		}
+		return
+	}
+}
+
+func (c *simControl) takeList(content int, readAt time.Duration) {
+	if c.list != nil && readAt < c.listTrue {
+		return
+	}
+	version := uint64(1)
+	if c.list != nil {
+		version = c.list.Version + 1
+	}
+	c.listTrue = readAt
+	c.listAt = c.clock.read().Add(readAt - c.core.world.Elapsed())
+	c.list = &protocol.ServerList{Version: version, Source: fmt.Sprint(c.name, c.life),
+		Servers: []protocol.Server{{ID: "i", Backend: "b", Address: "a", Slots: content}}}
+	c.pushAll()
+}
+
+// handlePoll does as control's does: it looks at its proof before anything that it vouches for, and pushes ahead of the answer.
+func (c *simControl) handlePoll(s *session, poll protocol.Poll) {
+	w := c.core.world
+	age, fresh := c.fresh()
+	w.truth.checkVouch(w, c, age, fresh)
+	subscribed := c.sessions[s]
+	if subscribed == nil {
+		subscribed = &subscriber{}
+		c.sessions[s] = subscribed
+	}
+	subscribed.configuration = poll.Configuration
+	if poll.WholeServers {
+		subscribed.servers = 0
+	}
+	answer := func() {
+		c.push(s, subscribed)
+		update := protocol.Update{Sequence: poll.Sequence, Fresh: fresh, Age: age}
+		c.ageList(&update)
+		proven := c.proven && age <= freshMost
+		s.back.send(func() { s.gateway.answered(s, update, proven) })
+	}
+	if w.random.Chance(0.002) && !w.calm { // it stands still in between
+		c.freeze(w.span(longestSleep))
+		w.AfterOn(c.name, 0, answer)
+		return
+	}
+	answer()
+}
+
+func (c *simControl) ageList(update *protocol.Update) {
+	update.ListRead = c.list != nil && c.core.world.plant != plantListBack
+	update.ListAge = c.clock.read().Sub(c.listAt)
+}
+
+func (c *simControl) pushAll() {
+	for _, one := range c.core.world.gateways { // in order, so that a seed replays
+		if s := one.session; s != nil && s.control == c && c.sessions[s] != nil {
+			c.push(s, c.sessions[s])
+		}
+	}
+}
+
+func (c *simControl) push(s *session, subscribed *subscriber) {
+	update := protocol.Update{Configuration: c.state.Since(subscribed.configuration)}
+	if c.list != nil && c.list.Version > subscribed.servers {
+		update.Servers = c.list
+		subscribed.servers = c.list.Version
+	}
+	if !subscribed.members {
+		subscribed.members = true
+		update.Members = &protocol.MemberList{Version: 1}
+		for _, one := range c.core.controls {
+			update.Members.Control = append(update.Members.Control, protocol.ControlMember{IP: one.name, Zone: "z"})
+		}
+	}
+	if update.Configuration == nil && update.Servers == nil && update.Members == nil {
+		return
+	}
+	c.ageList(&update)
+	if update.Configuration != nil {
+		subscribed.configuration = update.Configuration.Index
+	}
+	s.back.send(func() { s.gateway.pushed(s, update) })
+}
+
+func (c *simControl) freeze(length time.Duration) {
+	w := c.core.world
+	if !c.runs() {
+		return
+	}
+	c.frozen = true
+	life := c.life
+	w.Freeze(c.name)
+	w.After(length, func() {
+		if c.life == life {
+			c.frozen = false
+			w.Thaw(c.name)
+		}
+	})
+}
+
+// body gives a configuration as JSON.
+func body(document configuration.Document) []byte {
+	raw, err := json.Marshal(document)
+	if err != nil {
+		panic(err)
+	}
+	return raw
+}
--- /dev/null
+++ b/internal/gateway/subscription/gateway_test.go
@@ -0,0 +1,321 @@
+package subscription
+
+import (
+	"fmt"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// simGateway is a gateway: the real subscription, and the steps that its connection and the proxy take with it.
+type simGateway struct {
+	world   *world
+	name    string
+	clock   steadyClock
+	life    int
+	up      bool
+	frozen  bool
+	seeds   []string
+	table   *servers.Registry
+	s       *Subscription
+	session *session
+	eager   bool // clients ask often, by keys
+	wants   bool // somebody waits for control's word
+	waiters []*waiter
+
+	troubledAt time.Duration // in trouble last
+	heard      bool          // in this life a control process answered whose proof was true
+	index      uint64        // of the newest configuration seen in this life
+	content    int           // of the list of servers in force
+	served     int
+	refused    map[int]int // by status
+}
+
+// session is a connection to a control process.
+type session struct {
+	gateway  *simGateway
+	control  *simControl
+	life     int
+	out      *pipe
+	back     *pipe
+	polling  polling
+	sequence uint64
+	sent     time.Time
+	asking   bool // a poll is out
+	ended    bool
+}
+
+// waiter is a request that waits for control's word.
+type waiter struct {
+	since time.Time
+	then  func(vouched bool)
+	done  bool
+}
+
+func (w *world) addGateway() *simGateway {
+	g := &simGateway{world: w, name: fmt.Sprintf("gateway-%d", len(w.gateways)), clock: w.newClock(), refused: map[int]int{}}
+	for _, one := range w.core.controls[:3] {
+		g.seeds = append(g.seeds, one.name)
+	}
+	w.gateways = append(w.gateways, g)
+	g.start(g.seeds)
+	return g
+}
+
+// start begins a life that knows seeds only.
+func (g *simGateway) start(seeds []string) {
+	w := g.world
+	if g.up {
+		return
+	}
+	g.life++
+	g.up, g.frozen, g.session, g.waiters, g.heard, g.index, g.content = true, false, nil, nil, false, 0, 0
+	g.troubledAt = w.Elapsed()
+	w.Start(g.name)
+	g.table = servers.NewRegistry(unused{})
+	process := protocol.Process{Node: g.name, Role: protocol.RoleGateway, Zone: "z", IP: g.name, Incarnation: fmt.Sprint(g.life)}
+	settings := &node.Settings{Bounds: node.Bounds{Closed: true, Revoke: revoke}}
+	g.s = newAt(Options{Settings: settings, Process: process, Servers: g.table, Ready: g.ready}, g.clock.read())
+	g.s.begun = w.plant == plantUnvouched
+	g.s.homes.Seed(seeds)
+	g.later(changePause, g.turn)
+	g.ask()
+}
+
+func (g *simGateway) stop() {
+	if g.up {
+		g.up, g.frozen = false, false
+		g.troubledAt = g.world.Elapsed()
+		if g.session != nil {
+			g.session.end()
+		}
+		g.world.Stop(g.name)
+	}
+}
+
+func (g *simGateway) freeze(length time.Duration) {
+	w := g.world
+	if !g.up || g.frozen {
+		return
+	}
+	life := g.life
+	g.frozen = true
+	g.troubledAt = w.Elapsed() + length
+	w.Freeze(g.name)
+	w.After(length, func() {
+		if g.life == life && g.up {
+			g.frozen = false
+			w.Thaw(g.name)
+		}
+	})
+}
+
+// cutOff cuts a gateway off from all control processes.
+func (g *simGateway) cutOff(way int, length time.Duration) {
+	w := g.world
+	g.troubledAt = w.Elapsed() + length
+	for _, one := range w.core.controls {
+		w.cutBetween(g.name, one.name, way, length)
+	}
+}
+
+// later runs something in this life, late where the process stands still.
+func (g *simGateway) later(delay time.Duration, run func()) { g.world.AfterOn(g.name, delay, run) }
+
+// soon is the next step of what goes on; now and then the machine is busy in between.
+func (g *simGateway) soon(run func()) {
+	delay := time.Duration(g.world.random.IntN(20)) * time.Microsecond
+	if g.world.random.Chance(g.world.busy) {
+		delay = g.world.span(30 * time.Millisecond)
+	}
+	g.later(delay, run)
+}
+
+func (g *simGateway) ready() bool {
+	now := g.clock.read()
+	return g.s.Complete(now) && g.s.FreshSince(now.Add(-staleMost))
+}
+
+// turn connects to the control process that is to be asked.
+func (g *simGateway) turn() {
+	w := g.world
+	ip := g.s.homes.Next(g.clock.read())
+	s := &session{gateway: g, control: w.control(ip), life: g.life, out: w.newPipe(g.name, ip), back: w.newPipe(ip, g.name)}
+	g.session = s
+	g.s.listing.turn(g.clock.read())
+	if w.plant == plantGoesBack {
+		g.s.state = configuration.NewState()
+	}
+	s.out.send(func() {
+		s.back.send(func() { g.connected(s) })
+	})
+	g.later(answerWait, func() {
+		if s.sequence == 0 {
+			g.leave(s)
+		}
+	})
+}
+
+func (w *world) control(ip string) *simControl {
+	for _, one := range w.core.controls {
+		if one.name == ip {
+			return one
+		}
+	}
+	return nil
+}
+
+func (s *session) end() {
+	s.ended = true
+	s.out.broken, s.back.broken = true, true
+	delete(s.control.sessions, s)
+	if g := s.gateway; g.session == s && g.life == s.life {
+		g.session = nil
+		g.s.homes.Failed(s.control.name, g.clock.read())
+		g.later(changePause, g.turn)
+	}
+}
+
+func (g *simGateway) leave(s *session) {
+	if !s.ended && g.session == s {
+		s.end()
+	}
+}
+
+func (g *simGateway) connected(s *session) {
+	if s.ended {
+		return
+	}
+	s.polling = newPolling(g.clock.read())
+	g.poll(s)
+}
+
+func (g *simGateway) poll(s *session) {
+	if s.ended || s.asking {
+		return
+	}
+	s.sequence++
+	s.asking, g.wants = true, false
+	s.sent = g.clock.read()
+	question, sequence := g.s.question(s.sequence), s.sequence
+	s.out.send(func() { s.control.handlePoll(s, question) })
+	g.later(answerWait, func() {
+		if s.asking && s.sequence == sequence {
+			g.leave(s)
+		}
+	})
+}
+
+func (g *simGateway) pushed(s *session, update protocol.Update) {
+	if s.ended || g.session != s {
+		return
+	}
+	g.s.take(&update, g.clock.read())
+	g.look()
+}
+
+// answered takes an answer in. Proven: its sender's proof was true.
+func (g *simGateway) answered(s *session, update protocol.Update, proven bool) {
+	if s.ended || g.session != s || !s.asking || update.Sequence != s.sequence {
+		return
+	}
+	s.asking = false
+	g.heard = g.heard || proven && update.Fresh
+	now, sent := g.clock.read(), s.sent
+	if g.world.plant == plantFromReceipt {
+		sent = now
+	}
+	g.s.take(&update, now)
+	pause, stays := g.s.answered(&s.polling, sent, now, &update)
+	g.look()
+	g.release()
+	if !stays {
+		g.leave(s)
+		return
+	}
+	if g.wants {
+		pause = min(pause, soonest)
+	}
+	g.later(s.sent.Add(pause).Sub(now), func() { g.poll(s) })
+}
+
+// release tells those that wait for control's word.
+func (g *simGateway) release() {
+	waiters := g.waiters
+	g.waiters = nil
+	for _, one := range waiters {
+		switch {
+		case one.done:
+		case g.s.FreshSince(one.since):
+			one.done = true
+			g.soon(func() { one.then(true) })
+		default:
+			g.waiters = append(g.waiters, one)
+			g.wants = true
+		}
+	}
+}
+
+// await has control asked at once and waits for its word, for so long.
+func (g *simGateway) await(since time.Time, length time.Duration, then func(vouched bool)) {
+	if g.s.FreshSince(since) {
+		then(true)
+		return
+	}
+	one := &waiter{since: since, then: then}
+	g.waiters = append(g.waiters, one)
+	g.wants = true
+	if s := g.session; s != nil && s.sequence > 0 && !s.asking {
+		g.later(s.sent.Add(soonest).Sub(g.clock.read()), func() { g.poll(s) })
+	}
+	g.later(length, func() {
+		if !one.done {
+			one.done = true
+			then(false)
+		}
+	})
+}
+
+// look checks what is in force now against what was before.
+func (g *simGateway) look() {
+	w := g.world
+	if held := g.s.Configuration(); held != nil {
+		if held.Index < g.index {
+			w.failf("%s goes back from configuration %d to %d", g.name, g.index, held.Index)
+		}
+		g.index = held.Index
+	}
+	if table := g.table.Current(); table != nil {
+		content := table.Of("b")[0].Slots
+		readAt, before := w.core.readAt[content], w.core.readAt[g.content]
+		if calm := w.Elapsed()-g.troubledAt > listMemory; calm && readAt < before-listSlack {
+			w.failf("%s takes a list read at %v for one read at %v", g.name, readAt, before)
+		}
+		g.content = content
+	}
+	if g.ready() && !g.heard {
+		w.failf("%s is ready, and nobody has vouched for what it knows", g.name)
+	}
+}
+
+const (
+	// listSlack is how much older a list may be that follows another: how old a list is, is known as of the poll whose answer came
+	// last, and messages take up to longestDelay.
+	listSlack = answerWait + longestDelay
+	// listMemory is how long after it stood still a gateway may not know how new the list is that it took as it thawed.
+	listMemory = 2 * time.Second
+)
+
+// state tells how a gateway is, for a report.
+func (g *simGateway) state() string {
+	home, sequence := "none", uint64(0)
+	if g.session != nil {
+		home, sequence = g.session.control.name, g.session.sequence
+	}
+	now := g.clock.read()
+	return fmt.Sprintf("home %s after %d polls, lease %t, fresh %t, behind %t, configuration %d", home, sequence, g.s.Holds(now),
+		g.s.FreshSince(now.Add(-staleMost)), g.s.lacks(), g.index)
+}
--- /dev/null
+++ b/internal/gateway/subscription/proxy_test.go
@@ -0,0 +1,184 @@
+package subscription
+
+import (
+	"fmt"
+	"net/http"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+)
+
+const (
+	requestEvery = 25 * time.Millisecond
+	eagerEvery   = 6 * time.Millisecond
+)
+
+// wish is a client's request, on its way through the steps of the proxy.
+type wish struct {
+	gateway *simGateway
+	key     string
+	route   string
+	arrived time.Time
+	at      time.Duration // the same in the world's time
+	lookAt  time.Duration // when the configuration was looked at
+	lapsed  bool
+	tenant  *configuration.Tenant
+}
+
+// ask sends requests to the gateway, in this life.
+func (g *simGateway) ask() {
+	w := g.world
+	pause, kinds := requestEvery/2+w.span(requestEvery), 8
+	if g.eager {
+		pause, kinds = w.span(eagerEvery), 3
+	}
+	g.later(pause, func() {
+		q := &wish{gateway: g, key: stableKey, route: stableRoute}
+		switch w.random.IntN(kinds) {
+		case 0, 1, 2:
+			q.key = w.truth.someKey(w)
+		case 3, 4:
+			q.key, q.route = "", fmt.Sprint("open-", w.random.IntN(volatile))
+		case 5:
+			q.key, q.route = "", openRoute
+		case 6:
+			q.key = unknownKey
+		}
+		q.read()
+		g.ask()
+	})
+}
+
+// read is how the proxy begins with a request.
+func (q *wish) read() {
+	g := q.gateway
+	q.arrived, q.at = g.clock.read(), g.world.Elapsed()
+	if g.s.Configuration() == nil {
+		g.await(q.arrived, firstWait, func(bool) { q.decide() })
+		return
+	}
+	g.soon(q.decide)
+}
+
+func (q *wish) decide() {
+	q.find(func(status int) {
+		g := q.gateway
+		switch status {
+		case 0:
+			q.check()
+		case http.StatusServiceUnavailable:
+			q.answer(status)
+		default:
+			if g.world.plant == plantRefusesUnasked {
+				q.answer(status)
+				return
+			}
+			g.await(q.arrived, denyWait, q.judge)
+		}
+	})
+}
+
+// judge looks again once control has said its word.
+func (q *wish) judge(vouched bool) {
+	if !vouched {
+		q.answer(http.StatusServiceUnavailable)
+		return
+	}
+	q.find(func(status int) {
+		if status != 0 {
+			q.answer(status)
+			return
+		}
+		q.check()
+	})
+}
+
+// find looks at the lease, and then the route and the key up; 0: they are there.
+func (q *wish) find(then func(status int)) {
+	g := q.gateway
+	q.lookAt = g.world.Elapsed()
+	q.lapsed = !g.s.Holds(g.clock.read())
+	g.soon(func() {
+		held := g.s.Configuration()
+		if g.world.plant == plantLeaseLast {
+			q.lookAt, q.lapsed = g.world.Elapsed(), false
+		}
+		g.soon(func() { then(q.lookUp(held)) })
+	})
+}
+
+func (q *wish) lookUp(held *configuration.Snapshot) int {
+	if held == nil {
+		return http.StatusServiceUnavailable
+	}
+	route := held.RouteFor("h", "/"+q.route+"/x")
+	if route == nil {
+		return http.StatusNotFound
+	}
+	q.tenant = held.TenantFor(q.key)
+	if q.tenant == nil && !route.Public {
+		return http.StatusUnauthorized
+	}
+	return 0
+}
+
+func (q *wish) sure() bool {
+	g := q.gateway
+	return q.tenant == nil || !q.lapsed && g.s.Holds(g.clock.read())
+}
+
+// check looks at the lease, and once more right before the first byte to a server, after a wait for a token and a place.
+func (q *wish) check() {
+	w := q.gateway.world
+	if !q.sure() {
+		q.answer(http.StatusServiceUnavailable)
+		return
+	}
+	wait := w.span(5 * time.Millisecond)
+	if w.random.Chance(0.02) {
+		wait = w.span(time.Second)
+	}
+	q.gateway.later(wait, func() {
+		if !q.sure() {
+			q.answer(http.StatusServiceUnavailable)
+			return
+		}
+		q.serve()
+	})
+}
+
+// serve passes the request on: the auditor's part.
+func (q *wish) serve() {
+	g := q.gateway
+	w := g.world
+	g.served++
+	if !g.heard {
+		w.failf("%s serves, and nobody has vouched for what it knows", g.name)
+	}
+	if q.tenant == nil {
+		return
+	}
+	if ended := w.truth.ended(q.key); ended > 0 && q.lookAt > ended+revoke {
+		w.failf("%s serves %s, looked up at %v, removed for good at %v", g.name, q.key, q.lookAt, ended)
+	}
+}
+
+// answer refuses the request.
+func (q *wish) answer(status int) {
+	g := q.gateway
+	w := g.world
+	g.refused[status]++
+	if status == http.StatusServiceUnavailable {
+		return
+	}
+	if !g.heard {
+		w.failf("%s answers %d, and nobody has vouched for what it knows", g.name, status)
+	}
+	lacks := func(v *version) bool { return !v.routes[q.route] }
+	if status == http.StatusUnauthorized {
+		lacks = func(v *version) bool { return !v.keys[q.key] }
+	}
+	if !w.truth.mayLack(q.at, lacks) {
+		w.failf("%s answers %d for key %q and route %q, which every configuration in force has", g.name, status, q.key, q.route)
+	}
+}
--- /dev/null
+++ b/internal/gateway/subscription/truth_test.go
@@ -0,0 +1,147 @@
+package subscription
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+)
+
+const (
+	stableKey   = "stable"
+	volatile    = 4    // keys that are replaced, and routes that come and go
+	replaced    = 0.15 // share of the keys that an order replaces
+	oldKeys     = 4    // that clients use still
+	orderEvery  = 600 * time.Millisecond
+	unknownKey  = "never"
+	stableRoute = "stable"
+	openRoute   = "open"
+)
+
+// version is a configuration that was proposed, and what of it comes and goes.
+type version struct {
+	order      configuration.Order
+	keys       map[string]bool
+	routes     map[string]bool
+	proposedAt time.Duration
+	ackedAt    time.Duration // 0: not yet
+}
+
+// truth is what the operator sent and saw acknowledged.
+type truth struct {
+	versions  []*version
+	numbers   [volatile]int // of the newest key of each kind
+	dueAt     time.Duration
+	closed    bool // no more orders
+	replacing bool // the next order is the last, and replaces all keys
+}
+
+// next gives the operator's next order, if one is due.
+func (t *truth) next(w *world) (configuration.Order, bool) {
+	now := w.Elapsed()
+	if t.closed || now < t.dueAt || len(t.versions) > 0 && t.versions[len(t.versions)-1].ackedAt == 0 {
+		return configuration.Order{}, false
+	}
+	t.dueAt = now + w.span(2*orderEvery)
+	share := replaced
+	if t.replacing {
+		t.closed, share = true, 1
+	}
+	one := &version{proposedAt: now, keys: map[string]bool{stableKey: true}, routes: map[string]bool{stableRoute: true, openRoute: true}}
+	for i := range volatile {
+		if w.random.Chance(share) {
+			t.numbers[i]++
+		}
+		one.keys[keyName(i, t.numbers[i])] = true
+		one.routes[fmt.Sprint("open-", i)] = w.random.Chance(0.6)
+	}
+	generation := uint64(len(t.versions))
+	one.order = configuration.Order{IfMatch: generation, Body: body(one.document(generation + 1))}
+	t.versions = append(t.versions, one)
+	return one.order, true
+}
+
+// replaceAll has the last order replace all keys.
+func (t *truth) replaceAll(at time.Duration) { t.dueAt, t.replacing = at, true }
+
+func (v *version) document(generation uint64) configuration.Document {
+	d := configuration.Document{Generation: generation, Backends: []configuration.Backend{{Name: "b"}}}
+	tenant := configuration.Tenant{Name: "t"}
+	tenant.APIKeys = slices.Sorted(maps.Keys(v.keys))
+	d.Tenants = []configuration.Tenant{tenant}
+	for _, name := range routeNames() {
+		if v.routes[name] {
+			d.Routes = append(d.Routes, configuration.Route{Name: name, Hostname: "h", PathPrefix: "/" + name + "/", Type: configuration.RouteSafe,
+				TimeoutMs: 1000, Backend: "b", MaxAttempts: 1, Public: name != stableRoute})
+		}
+	}
+	return d
+}
+
+func keyName(kind, number int) string { return fmt.Sprintf("key-%d-%d", kind, number) }
+
+// someKey gives one of the newest keys, or one that was removed lately.
+func (t *truth) someKey(w *world) string {
+	kind := w.random.IntN(volatile)
+	if t.replacing {
+		return keyName(kind, t.replacedNumber(kind))
+	}
+	return keyName(kind, max(0, t.numbers[kind]-w.random.IntN(oldKeys)))
+}
+
+// replacedNumber is that of a key before all were replaced.
+func (t *truth) replacedNumber(kind int) int {
+	if t.closed {
+		return t.numbers[kind] - 1
+	}
+	return t.numbers[kind]
+}
+
+func routeNames() []string {
+	list := []string{stableRoute, openRoute}
+	for i := range volatile {
+		list = append(list, fmt.Sprint("open-", i))
+	}
+	return list
+}
+
+func (t *truth) acknowledged(index int, at time.Duration) { t.versions[index-1].ackedAt = at }
+
+// ended tells since when a key is in no configuration that may be in force: since the acknowledgement of the one that removed it.
+// 0: it may be in force.
+func (t *truth) ended(key string) time.Duration {
+	for i := len(t.versions) - 1; i >= 0; i-- {
+		if t.versions[i].keys[key] {
+			if i == len(t.versions)-1 {
+				return 0
+			}
+			return t.versions[i+1].ackedAt
+		}
+	}
+	return time.Nanosecond
+}
+
+// mayLack tells whether a configuration that may have been in force at a moment or later lacks a key or a route.
+func (t *truth) mayLack(since time.Duration, lacks func(*version) bool) bool {
+	for i, one := range t.versions {
+		replaced := i+1 < len(t.versions) && t.versions[i+1].ackedAt > 0 && t.versions[i+1].ackedAt+configApply < since
+		if !replaced && lacks(one) {
+			return true
+		}
+	}
+	return len(t.versions) == 0 || t.versions[0].ackedAt == 0 || t.versions[0].ackedAt+configApply >= since
+}
+
+// checkVouch checks what a control process says of itself: all that was acknowledged longer than age ago is applied there.
+func (t *truth) checkVouch(w *world, c *simControl, age time.Duration, fresh bool) {
+	if !fresh || w.plant != plantNone {
+		return // the checks at the gateways are to find it
+	}
+	for i, one := range t.versions {
+		if one.ackedAt > 0 && one.ackedAt < w.Elapsed()-age && c.applied <= i {
+			w.failf("%s vouches for all up to %v ago, and has not applied order %d, acknowledged at %v", c.name, age, i+1, one.ackedAt)
+		}
+	}
+}
