A floor is not raised above what is in the pool

Cause: a pool counts as full at nine tenths of the depth that isn't lent. Where that depth is nothing (a limit was lowered while leases of the larger one may still be held) an empty pool counted as full, and its floor was raised to a quarter of the tenant's depth on record. A successor that began then would have granted that much anew (11 tokens of a tenant of 76 a second).

Change: a floor is raised only where the pool holds that much. Test: TestFloors.

--- a/internal/quota/floor.go
+++ b/internal/quota/floor.go
@@ -42,9 +42,10 @@
 	return least > 0 && one.pool.level.float() < lowerAt*least.float()
 }
 
-// raises tells whether the pool has been full while the floor was low.
+// raises tells whether the pool has been full while the floor was low. Full may be less than the floor to be, where much is lent
+// under a limit that was lowered.
 func (one *account) raises(now time.Duration) bool {
-	return one.pool.level.float() >= fullShare*one.poolDepth().float() && now-one.floor.raisedAt >= raiseEvery &&
+	return one.pool.level >= one.calmFloor() && one.pool.level.float() >= fullShare*one.poolDepth().float() && now-one.floor.raisedAt >= raiseEvery &&
 		one.calmFloor() >= one.floor.recorded+leastRaise
 }
 
--- a/internal/quota/floor_test.go
+++ b/internal/quota/floor_test.go
@@ -35,6 +35,13 @@
 				So(one.pool.level, ShouldBeGreaterThanOrEqualTo, one.floor.recorded)
 			})
 		})
+		Convey("no floor is raised above what is in a pool that has lost its depth", func() {
+			a.ConfigureTenants(limit("a", 100))
+			a.FloorsRecorded([]Floor{{Tenant: "a"}})
+			one.pool.level, one.lent = 0, lease{one.budget.rate, one.budget.depth}
+			So(one.poolDepth(), ShouldEqual, 0)
+			So(a.Floors(20*second), ShouldBeEmpty)
+		})
 		Convey("a tenant that was forgotten and comes back has its floor still", func() {
 			a.ConfigureTenants(nil)
 			a.now += 2 * rememberDropped
