A late change of the record of lenders has no effect in a later time of the same lender

Gap: the numbers of a lender's changes began anew with each beginning. A process that lent, was followed by another and lent again could see a change of its first time, held up on its way, taken: nodes taken off the record that hold leases by now, floors that its pools no longer have.

Ruled out: that this was seen to happen; changes wait for their outcome one after the other, for two seconds.

Change: beginnings are numbered with the other changes. The quota worlds have the same rule. Test: TestService, which fails without the change.

--- a/internal/control/machine/lending.go
+++ b/internal/control/machine/lending.go
@@ -17,13 +17,14 @@
 var Released = Lender{Process: "released"}
 
 // Lending changes the record of the nodes that quota may be lent to. A lender begins before it lends, and from then on changes
-// of earlier ones have no effect. Its changes are numbered, so that one that comes late doesn't undo a later one.
+// of earlier ones have no effect. Its changes are numbered, beginnings too, so that one that comes late doesn't undo a later one, nor
+// has any effect in a later time of the same lender.
 type Lending struct {
 	Lender Lender
 	Begin  bool
 	Before Lender // of a beginning: who is the lender now, else it has no effect
 	End    bool   // the lender lends nothing from now on
-	Number uint64 // of the change, from 1; of one that neither begins nor ends
+	Number uint64 // of the change, from 1; none of an end
 	Add    []string
 	Remove []string
 	Floors []quota.Floor
@@ -50,8 +51,10 @@
 	taken := change.Lender == l.Lender
 	switch {
 	case change.Begin && !taken && change.Before == l.Lender:
-		l.Lender, l.Before, l.Number = change.Lender, l.Lender, 0
+		l.Lender, l.Before, l.Number = change.Lender, l.Lender, change.Number
 		taken = true
+	case change.Begin && taken:
+		l.Number = max(l.Number, change.Number)
 	case change.End && taken:
 		l.Lender, l.Before = Released, l.Lender
 	case !change.Begin && taken && change.Number > l.Number:
--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -159,7 +159,8 @@
 	if _, _, leads := s.lead.Lead(); !alone && !leads {
 		return nil
 	}
-	return &machine.Lending{Lender: s.self, Begin: true, Before: lender}
+	s.number++
+	return &machine.Lending{Lender: s.self, Begin: true, Before: lender, Number: s.number}
 }
 
 // Changed takes in what came of a change. One of which nothing is known is tried again by the next.
--- a/internal/control/quotas/quotas_test.go
+++ b/internal/control/quotas/quotas_test.go
@@ -11,6 +11,7 @@
 	"sprucelane.example/sprucelane/internal/control/machine"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/quota"
 )
 
 // fakeLead is what a test says of the lead.
@@ -139,6 +140,18 @@
 				So(state.apply(&machine.Lending{Lender: service.self, Begin: true}).Taken, ShouldBeFalse)
 				So(state.Lender(), ShouldResemble, next.self)
 			})
+			Convey("nor has it where this one lends again meanwhile", func() {
+				_, err := ask(service, 1)
+				So(err, ShouldNotBeNil)
+				service.number = 9
+				late := &machine.Lending{Lender: service.self, Number: 9, Remove: []string{"front-1"}, Floors: []quota.Floor{{Tenant: "a", Tokens: 9}}}
+				So(state.carryOut(service).Taken, ShouldBeTrue)
+				So(state.Lender(), ShouldResemble, service.self)
+				So(state.apply(late).Taken, ShouldBeFalse)
+				_, err = ask(service, 1)
+				So(err, ShouldBeNil)
+				So(state.carryOut(service).Taken, ShouldBeTrue)
+			})
 		})
 	})
 }
--- a/internal/quota/control_test.go
+++ b/internal/quota/control_test.go
@@ -109,6 +109,7 @@
 func (w *world) begin(next int) {
 	control := w.controls[next]
 	w.recordOwner = control
+	w.recordTerm++
 	nodes, floors := append([]string{}, w.recorded...), w.floorList()
 	w.at(w.now+w.spread(50*millisecond), func() {
 		if w.recordOwner != control || control.dead || w.now < max(control.frozenUntil, control.cut.until) {
@@ -141,13 +142,13 @@
 		return
 	}
 	if gone := control.allocator.Forget(now); len(gone) > 0 {
-		w.change(control, func() {
+		w.change(func() {
 			w.recorded = slices.DeleteFunc(w.recorded, func(node string) bool { return slices.Contains(gone, node) })
 		}, func() {})
 		return
 	}
 	if wanted := control.allocator.Unrecorded(); len(wanted) > 0 {
-		w.change(control, func() {
+		w.change(func() {
 			for _, node := range wanted {
 				if !slices.Contains(w.recorded, node) {
 					w.recorded = append(w.recorded, node)
@@ -158,16 +159,17 @@
 }
 
 // change changes the record, as long as its owner wants it, and tells the owner.
-func (w *world) change(control *simControl, record, told func()) {
+func (w *world) change(record, told func()) {
 	w.recording = true
+	term := w.recordTerm
 	w.at(w.now+w.spread(40*millisecond), func() {
 		w.recording = false
-		if w.recordOwner != control {
+		if w.recordTerm != term {
 			return
 		}
 		record()
 		w.at(w.now+w.spread(40*millisecond), func() {
-			if w.recordOwner == control {
+			if w.recordTerm == term {
 				told()
 			}
 		})
@@ -178,10 +180,11 @@
 func (w *world) recordFloors(control *simControl, floors []Floor) {
 	w.recording = true
 	share := min(0.1, 10*w.loss)
+	term := w.recordTerm
 	lost, unheard := w.random.Float64() < share, w.random.Float64() < share
 	w.at(w.now+w.spread(20*millisecond), func() {
 		w.recording = false
-		if w.recordOwner != control || lost {
+		if w.recordTerm != term || lost {
 			return
 		}
 		if w.floors == nil {
--- a/internal/quota/world_test.go
+++ b/internal/quota/world_test.go
@@ -47,6 +47,7 @@
 	recorded     []string // nodes that may be lent to, as agreed
 	floors       map[string]int64
 	recordOwner  *simControl
+	recordTerm   int  // counts the owners: a change of an earlier time of the same owner has no effect
 	recording    bool // a change of the record is on its way
 	calm         bool // no more troubles
 	maxWait      time.Duration
