A gateway that hears only a cut-off control process, stepped through twenty seconds

Gap: nothing said, second by second, what such a gateway does.

Change: TestIsland steps the real subscription, lease, readiness and quota (client and allocator) in steps of 100 ms through a cut of 20 s and back, and holds each act to its bounds: ready until 1.6 to 2.5 s after the cut, keyed requests until 4 to 4.6 s, a refusal (401, 404) within the first second only and 503 after it, tokens of quota until 3.8 s, public requests all the time; all again within 3 s of the end. TestIslandBeginning does so with a gateway that begins there: 503 alone, and not ready, until the end. TestIslandPlanted shows that a proof that isn't one, and a first configuration that nobody vouched for, are seen. Readiness is decided in the subscription now, where its other bounds are.

--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -53,8 +53,6 @@
 	killMargin = 500 * time.Millisecond
 	// lookAgain is how often an ending process looks whether it may end.
 	lookAgain = 25 * time.Millisecond
-	// staleMost is how long a gateway that control doesn't vouch for calls itself ready.
-	staleMost = 1600 * time.Millisecond
 	// listenFor is how long the port for clients may be another's.
 	listenFor = 3 * time.Second
 	// configurationWait is how long clients wait in the port's queue for the first configuration. After that they are read, and
@@ -134,12 +132,8 @@
 	return max(0, settings.Limits.MaxFDs-reservedFiles) - clientSockets(settings)
 }
 
-// Ready tells whether clients are to come here. One that control has not vouched for lately may still serve for a while, but its
-// clients are better off elsewhere.
-func (g *Gateway) Ready() bool {
-	now := time.Now()
-	return g.state.Ready() && g.subscription.Complete(now) && g.subscription.FreshSince(now.Add(-staleMost))
-}
+// Ready tells whether clients are to come here.
+func (g *Gateway) Ready() bool { return g.state.Ready() && g.subscription.Ready(time.Now()) }
 
 // Reload takes other settings in: machines that may know of control. What the process listens on stays.
 func (g *Gateway) Reload(settings *node.Settings) { g.subscription.Seed(settings) }
--- a/internal/gateway/subscription/gateway_test.go
+++ b/internal/gateway/subscription/gateway_test.go
@@ -134,10 +134,7 @@
 	g.later(delay, run)
 }
 
-func (g *simGateway) ready() bool {
-	now := g.clock.read()
-	return g.s.Complete(now) && g.s.FreshSince(now.Add(-staleMost))
-}
+func (g *simGateway) ready() bool { return g.s.Ready(g.clock.read()) }
 
 // turn connects to the control process that is to be asked.
 func (g *simGateway) turn() {
--- /dev/null
+++ b/internal/gateway/subscription/island_test.go
@@ -0,0 +1,236 @@
+package subscription
+
+import (
+	"fmt"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/quota"
+)
+
+// An island is a gateway and a control process, the head of the chain and allocator of quota, that reach only each other for twenty
+// seconds.
+const (
+	islandAt   = 6 * time.Second
+	islandFor  = 20 * time.Second
+	islandStep = 100 * time.Millisecond
+	leadTerm   = 800 * time.Millisecond // after the last proof of its epoch a head leads, as in coord/replica
+	quotaRate  = 20
+	quotaPause = 600 * time.Millisecond // between tokens of a lease, at most
+	islands    = 4
+	homeFound  = 6 * time.Second // a gateway that reaches one control process has found it
+)
+
+// island is what a gateway on one does: by the kind of act, when it did it last and first again, from the beginning of the cut.
+type island struct {
+	*world
+	gateway *simGateway
+	quota   *simQuota
+	began   time.Duration // the cut
+	last    map[string]time.Duration
+	again   map[string]time.Duration
+	tokenAt time.Duration // a token was had
+	rows    []string
+}
+
+// simQuota is a gateway's part of the quotas, and the allocator in the control process.
+type simQuota struct {
+	world     *world
+	control   *simControl
+	client    *quota.Client
+	allocator *quota.Allocator
+	tenant    *configuration.Tenant
+}
+
+func newSimQuota(w *world, c *simControl) *simQuota {
+	rules := quota.Rules{Window: 5 * time.Second, Overshoot: 0.1, Slack: 20}
+	q := &simQuota{world: w, control: c, tenant: &configuration.Tenant{Name: "t", RatePerSec: quotaRate, Burst: quotaRate},
+		client:    quota.NewClient(quota.ClientOptions{Process: protocol.Process{Node: "g", Incarnation: "1"}}),
+		allocator: quota.NewAllocator(quota.AllocatorOptions{Rules: rules})}
+	q.allocator.ConfigureTenants([]configuration.Tenant{*q.tenant})
+	q.allocator.Start(0, time.Hour, nil, nil)
+	w.every(10*time.Millisecond, q.pump)
+	return q
+}
+
+// pump asks the allocator as package limits does: it answers while its process leads.
+func (q *simQuota) pump() {
+	now := q.world.Elapsed()
+	request, due := q.client.NextRequest(now)
+	if !due {
+		return
+	}
+	if now >= q.control.freshSince+leadTerm {
+		q.client.Replied(now, &protocol.QuotaReply{Sequence: request.Sequence})
+		return
+	}
+	reply := q.allocator.Request(now, request)
+	q.world.After(2*time.Millisecond, func() { q.client.Replied(q.world.Elapsed(), &reply) })
+}
+
+// take asks for a token, and again a little later where it has to wait.
+func (q *simQuota) take(then func(admitted bool)) {
+	verdict := q.client.Take(q.world.Elapsed(), q.tenant)
+	if !verdict.Wait {
+		then(verdict.Admit)
+		return
+	}
+	q.world.After(30*time.Millisecond, func() {
+		now := q.world.Elapsed()
+		if verdict := q.client.Resolve(now, q.tenant); verdict.Wait {
+			q.client.GiveUp(now, q.tenant)
+			then(false)
+		} else {
+			then(verdict.Admit)
+		}
+	})
+}
+
+func (i *island) did(what string) {
+	at := i.Elapsed() - i.began
+	switch {
+	case i.began == 0:
+	case at < islandFor:
+		i.last[what] = at
+	case i.again[what] == 0:
+		i.again[what] = at - islandFor
+	}
+}
+
+// sample has the gateway do one of each, and notes what it did.
+func (i *island) sample(at time.Duration) {
+	g := i.gateway
+	row := map[string]string{"readyz": "503"}
+	if g.ready() {
+		row["readyz"] = "200"
+		i.did("readyz")
+	}
+	for name, q := range map[string]*wish{
+		"keyed": {gateway: g, key: stableKey, route: stableRoute}, "public": {gateway: g, route: openRoute},
+		"unknown key": {gateway: g, key: unknownKey, route: stableRoute}, "unknown route": {gateway: g, route: "nowhere"},
+	} {
+		q.done = func(status int) {
+			row[name] = fmt.Sprint(status)
+			if status != http.StatusServiceUnavailable {
+				i.did(name)
+			}
+		}
+		q.read()
+	}
+	row["quota"] = "429"
+	if i.Elapsed()-i.tokenAt < quotaPause {
+		row["quota"] = "token"
+	}
+	if at%time.Second == 0 {
+		i.After(3*firstWait/2, func() {
+			i.rows = append(i.rows, fmt.Sprintf("| %2.0f | %s |", at.Seconds(), strings.Join([]string{row["readyz"], row["keyed"], row["public"],
+				row["unknown key"], row["unknown route"], row["quota"]}, " | ")))
+		})
+	}
+}
+
+// playIsland plays one; a gateway that begins does so a second after the cut. A bug is planted
+// with the cut.
+func playIsland(seed uint64, begins bool, bug plant) *island {
+	w := newWorld(seed, plantNone)
+	w.calm = true
+	w.Links.Default.Jitter = 2 * time.Millisecond
+	w.busy, w.slow = 0, 0
+	i := &island{world: w, gateway: w.gateways[0], last: map[string]time.Duration{}, again: map[string]time.Duration{}}
+	w.Run(islandAt)
+	c := w.core.controls[0]
+	i.quota = newSimQuota(w, c)
+	w.every(70*time.Millisecond, func() {
+		i.quota.take(func(admitted bool) {
+			if admitted {
+				i.tokenAt = w.Elapsed()
+				i.did("quota")
+			}
+		})
+	})
+	w.Run(2 * time.Second)
+	i.gateway.session.end() // the home is the one that is cut off
+	for _, one := range w.core.controls {
+		if one != c {
+			w.cutFor(i.gateway.name, one.name, homeFound+islandFor)
+		}
+	}
+	w.Run(homeFound)
+	for _, one := range w.core.controls {
+		if one != c {
+			w.cutBetween(c.name, one.name, 0, islandFor)
+		}
+	}
+	i.began, w.plant = w.Elapsed(), bug
+	if begins {
+		w.Run(time.Second)
+		i.gateway.stop()
+		i.gateway.start([]string{c.name})
+	}
+	for w.Elapsed()-i.began <= islandFor+5*time.Second {
+		i.sample((w.Elapsed() - i.began).Round(islandStep))
+		w.Run(islandStep)
+	}
+	return i
+}
+
+// TestIsland steps a gateway that hears only a control process that is cut off through the twenty seconds, and back. The page on
+// guarantees has the table; its bounds are checked here.
+func TestIsland(t *testing.T) {
+	latest := map[string]time.Duration{"readyz": 2500 * time.Millisecond, "keyed": revoke - LeaseMargin, "unknown key": time.Second,
+		"unknown route": time.Second, "quota": leadTerm + 3*time.Second, "public": islandFor}
+	earliest := map[string]time.Duration{"readyz": 1600 * time.Millisecond, "keyed": 4 * time.Second, "quota": 2 * time.Second,
+		"public": islandFor - islandStep}
+	for seed := uint64(1); seed <= islands; seed++ {
+		i := playIsland(seed, false, plantNone)
+		for what, most := range latest {
+			if last := i.last[what]; last > most || last < earliest[what] {
+				t.Errorf("seed %d: %s until %v, not between %v and %v", seed, what, last, earliest[what], most)
+			}
+			if i.again[what] > 3*time.Second {
+				t.Errorf("seed %d: %s again %v after the end", seed, what, i.again[what])
+			}
+		}
+		if seed == 1 {
+			t.Logf("| second | readyz | keyed | public | unknown key | unknown route | quota |\n%s", strings.Join(i.rows, "\n"))
+		}
+		t.Logf("seed %d: until %v; again after %v", seed, i.last, i.again)
+	}
+}
+
+// TestIslandBeginning does so with a gateway that begins there: it is not ready and answers 503 alone until the end.
+func TestIslandBeginning(t *testing.T) {
+	for seed := uint64(1); seed <= islands; seed++ {
+		i := playIsland(seed, true, plantNone)
+		for what, last := range i.last {
+			if what != "quota" { // tokens of a process that has not begun
+				t.Errorf("seed %d: %s at %v", seed, what, last)
+			}
+		}
+		for _, what := range []string{"readyz", "keyed", "public", "unknown key", "unknown route"} {
+			if again := i.again[what]; again == 0 || again > 3*time.Second {
+				t.Errorf("seed %d: %s %v after the end", seed, what, again)
+			}
+		}
+	}
+}
+
+// TestIslandPlanted shows that a control process that vouches without a proof, and a gateway that takes what nobody vouched for, are
+// seen.
+func TestIslandPlanted(t *testing.T) {
+	for bug, reason := range map[plant]string{plantUnproven: "which every configuration in force has", plantUnvouched: "nobody has vouched"} {
+		if failure := islandFailure(bug); !strings.Contains(failure, reason) {
+			t.Errorf("%s: %s", bug, failure)
+		}
+	}
+}
+
+func islandFailure(bug plant) (failure string) {
+	defer func() { failure = fmt.Sprint(recover()) }()
+	playIsland(1, bug == plantUnvouched, bug)
+	return ""
+}
--- a/internal/gateway/subscription/proxy_test.go
+++ b/internal/gateway/subscription/proxy_test.go
@@ -23,6 +23,7 @@
 	lookAt  time.Duration // when the configuration was looked at
 	lapsed  bool
 	tenant  *configuration.Tenant
+	done    func(status int) // nil: nobody looks
 }
 
 // ask sends requests to the gateway, in this life.
@@ -152,6 +153,7 @@
 	g := q.gateway
 	w := g.world
 	g.served++
+	q.tell(http.StatusOK)
 	if !g.heard {
 		w.failf("%s serves, and nobody has vouched for what it knows", g.name)
 	}
@@ -168,6 +170,7 @@
 	g := q.gateway
 	w := g.world
 	g.refused[status]++
+	q.tell(status)
 	if status == http.StatusServiceUnavailable {
 		return
 	}
@@ -182,3 +185,9 @@
 		w.failf("%s answers %d for key %q and route %q, which every configuration in force has", g.name, status, q.key, q.route)
 	}
 }
+
+func (q *wish) tell(status int) {
+	if q.done != nil {
+		q.done(status)
+	}
+}
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -21,6 +21,8 @@
 const (
 	// answerWait is how long a home may take to come up or to answer.
 	answerWait = 700 * time.Millisecond
+	// staleMost is how long a gateway that control doesn't vouch for calls itself ready.
+	staleMost = 1600 * time.Millisecond
 	// changePause is the time between two homes, where one after the other doesn't do.
 	changePause = 60 * time.Millisecond
 )
@@ -104,6 +106,12 @@
 	return s.Configuration() != nil && s.opt.Servers.Current() != nil && s.Holds(now)
 }
 
+// Ready tells whether clients are to come to a gateway. One that control has not vouched for lately may still serve for a while, but
+// its clients are better off elsewhere.
+func (s *Subscription) Ready(now time.Time) bool {
+	return s.Complete(now) && s.FreshSince(now.Add(-staleMost))
+}
+
 // Await asks control at once, and waits until it has vouched for what is known at a moment no earlier than now, or until by.
 func (s *Subscription) Await(ctx context.Context, now, by time.Time) bool {
 	timer := time.NewTimer(time.Until(by))
--- a/internal/gateway/subscription/world_test.go
+++ b/internal/gateway/subscription/world_test.go
@@ -12,7 +12,6 @@
 	revoke       = 5 * time.Second
 	configApply  = 2 * time.Second
 	freshMost    = 800 * time.Millisecond  // of control's proof, where it vouches
-	staleMost    = 1600 * time.Millisecond // of a gateway's, where it calls itself ready
 	denyWait     = 400 * time.Millisecond  // that a request waits for control's word before it is refused
 	firstWait    = 1200 * time.Millisecond // and for the first configuration
 	longestCut   = 20 * time.Second
