--- a/internal/gateway/subscription/random_test.go
+++ b/internal/gateway/subscription/random_test.go
@@ -149,7 +149,9 @@
 		})
 		cutAfter = w.span(300 * time.Millisecond)
 	case 1: // the home is late to hear of the order
-		g.session.control.lagsUntil = w.Elapsed() + due + time.Second
+		if g.session != nil {
+			g.session.control.lagsUntil = w.Elapsed() + due + time.Second
+		}
 		cutAfter = 300*time.Millisecond + w.span(600*time.Millisecond)
 	case 2: // it comes back on a busy machine
 		w.busy = 0.5
