A batch item that comes again takes no late answer to its last run; seeded worlds

The gap: an item has one id for all its runs, so that the id doesn't tell an answer to the last run that comes late, or twice, from the one to the next, where both went over one connection. A doubled 500 counted as a second failure, a doubled refusal as one of a run that had begun, and a late stream as the next run's.

Change: a connection that is kept names the items that went over it and may come again; such an item takes another. Also, of the same review: a server that answers before it has read a long body, and then closes or reads no further, is heard (its 422 or 500 was lost as a cut, so that an item which can never be done went round); a head with a status line in a header's value, with two ids or two lengths is no answer; a connection whose gate said no doesn't count as freshly used.

Ruled out: the gateway sends a request to each server at most once, and a client's next try has an id of its own.

--- a/internal/batch/exchange/answer.go
+++ b/internal/batch/exchange/answer.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"io"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -55,15 +56,25 @@
 	if conn.SetDeadline(started.Add(request.Silence)) != nil {
 		return false
 	}
-	if _, err := conn.Write(head(request)); err != nil {
-		outcome.Cause = err
+	last := request.LastEventID
+	if c.bugs.noLastEvent {
+		last = -1
+	}
+	unsent := conn.send(ctx, request, last, started.Add(request.Silence))
+	if unsent != nil && conn.readBy(ctx, answerWait) != nil {
+		outcome.Cause = unsent
 		return false
 	}
-	answer, err := readHead(conn.in)
-	if err != nil || answer.requestID != request.Item.ID {
+	defer func() { reuse = reuse && (unsent == nil || c.bugs.reuseUnsent) }()
+	answer, err := readHead(conn.in, c.bugs.tornHead)
+	if err != nil || answer.requestID != request.Item.ID && !c.bugs.anyID {
 		outcome.Cause = cmp.Or(err, errOtherRequest)
 		return false
 	}
+	if unsent != nil && conn.readBy(ctx, request.Silence) != nil {
+		outcome.Cause = unsent
+		return false
+	}
 	outcome.Leaving = answer.closes
 	outcome.RetryAfter = answer.retryAfter
 	if answer.keep > 0 {
@@ -77,7 +88,7 @@
 		outcome.Cause = errUnbounded
 		return false
 	}
-	if !readEvents(ctx, conn, request, answer, outcome, started) {
+	if !c.readEvents(ctx, conn, request, answer, outcome, started) {
 		return false
 	}
 	outcome.Ending = Completed
@@ -107,7 +118,18 @@
 	return err == nil && n < maxErrorBody && body.whole
 }
 
-func readHead(in *bufio.Reader) (answerHead, error) {
+// readBy bounds reads from now on, unless the context has ended, which set its own bound.
+func (conn *connection) readBy(ctx context.Context, wait time.Duration) error {
+	if err := conn.SetReadDeadline(time.Now().Add(wait)); err != nil {
+		return err
+	}
+	return ctx.Err()
+}
+
+// statusLine is what an answer begins with, as far as a header's value may be expected not to have it.
+var statusLine = regexp.MustCompile(`HTTP/1\.[01] [1-5][0-9][0-9]( |$)`)
+
+func readHead(in *bufio.Reader, torn bool) (answerHead, error) {
 	answer := answerHead{length: -1}
 	line, err := readLine(in)
 	if err != nil {
@@ -127,7 +149,7 @@
 			return answer, nil
 		}
 		name, value, found := bytes.Cut(line, []byte(":"))
-		if !found {
+		if !found || !torn && statusLine.Match(value) { // another answer begins in this one's head
 			return answer, errProtocol
 		}
 		if err := answer.header(string(name), string(bytes.TrimSpace(value))); err != nil {
@@ -140,6 +162,9 @@
 func (a *answerHead) header(name, value string) error {
 	switch strings.ToLower(name) {
 	case "x-request-id":
+		if a.requestID != "" {
+			return errOtherRequest
+		}
 		a.requestID = value
 	case "x-response-signature":
 		a.signed = value != ""
@@ -149,7 +174,7 @@
 		a.chunked = strings.EqualFold(value, "chunked")
 	case "content-length":
 		length, err := strconv.ParseInt(value, 10, 64)
-		if err != nil || length < 0 {
+		if err != nil || length < 0 || a.length >= 0 && a.length != length {
 			return errProtocol
 		}
 		a.length = length
--- /dev/null
+++ b/internal/batch/exchange/early_test.go
@@ -0,0 +1,119 @@
+package exchange
+
+import (
+	"bufio"
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/standin/memory"
+)
+
+// inMemory plays a story in virtual time with a server that takes each connection by a function.
+func inMemory(t *testing.T, server func(*memory.Conn), story func(*Client, *Request)) {
+	synctest.Test(t, func(*testing.T) {
+		network := &memory.Network{Window: func() int { return 4 << 10 }, Latency: func() time.Duration { return time.Millisecond }}
+		l := network.Listen("server")
+		go func() {
+			for {
+				c, err := l.Accept()
+				if err != nil {
+					return
+				}
+				go server(c.(*memory.Conn))
+			}
+		}()
+		client := NewClient()
+		client.dial = network.Dial
+		story(client, request("server"))
+		client.Sweep(func(string) bool { return false })
+		l.Close()
+		time.Sleep(time.Second)
+	})
+}
+
+const impossible = "HTTP/1.1 422 No\r\nX-Request-Id: item\r\nContent-Length: 0\r\n\r\n"
+
+func TestAnswerBeforeTheBodyIsWhole(t *testing.T) {
+	for name, then := range map[string]func(*memory.Conn){
+		"reads no further": func(*memory.Conn) {},
+		"closes":           func(c *memory.Conn) { c.Close() },
+		"resets":           func(c *memory.Conn) { c.Reset(false) },
+	} {
+		for _, length := range []int{8 << 10, 200 << 10} {
+			var outcome Outcome
+			var took time.Duration
+			kept := false
+			inMemory(t, func(c *memory.Conn) {
+				if _, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err == nil {
+					io.WriteString(c, impossible)
+					then(c)
+				}
+			}, func(client *Client, r *Request) {
+				r.Item.Body = bytes.Repeat([]byte("x"), length)
+				began := time.Now()
+				outcome = client.Run(context.Background(), r)
+				took = time.Since(began)
+				time.Sleep(10 * time.Millisecond)
+				kept = client.takeIdle(r.Instance, "another") != nil
+			})
+			Convey("A server that answers before it has a long body, and then "+name+", is heard", t, func() {
+				So(outcome.Ending, ShouldEqual, Impossible)
+				So(kept, ShouldBeFalse)
+				So(took, ShouldBeLessThan, 2*time.Second)
+			})
+		}
+	}
+}
+
+func TestItemThatComesAgain(t *testing.T) {
+	const failure = "HTTP/1.1 500 No\r\nX-Request-Id: item\r\nContent-Length: 0\r\n\r\n"
+	connections, runs := 0, 0
+	var endings []Ending
+	inMemory(t, func(c *memory.Conn) {
+		connections++
+		in := bufio.NewReader(c)
+		for {
+			if _, err := http.ReadRequest(in); err != nil {
+				return
+			}
+			if runs++; runs > 1 {
+				io.WriteString(c, success+"Content-Length: 15\r\n\r\nid: 1\ndata: a\n\n")
+				return
+			}
+			io.WriteString(c, failure)
+			time.AfterFunc(50*time.Millisecond, func() { io.WriteString(c, failure) }) // late, in the place of the next
+		}
+	}, func(client *Client, r *Request) {
+		for range 2 {
+			endings = append(endings, client.Run(context.Background(), r).Ending)
+			time.Sleep(49 * time.Millisecond)
+		}
+	})
+	Convey("An item that comes again doesn't take a late answer to its last run for its own", t, func() {
+		So(connections, ShouldEqual, 2)
+		So(runs, ShouldEqual, 2)
+		So(endings, ShouldResemble, []Ending{Failed, Cut}) // the second answer names no item
+	})
+}
+
+func TestConnectionThatWasNotUsed(t *testing.T) {
+	var dials int64
+	inMemory(t, func(c *memory.Conn) { io.Copy(io.Discard, c) }, func(client *Client, r *Request) {
+		r.Gate = func() bool { return false }
+		for range 8 {
+			client.Run(context.Background(), r)
+			time.Sleep(idleFor / 5)
+		}
+		dials = client.Dials()
+	})
+	Convey("A connection on which nothing was written doesn't grow younger", t, func() {
+		So(dials, ShouldEqual, 2)
+	})
+}
--- a/internal/batch/exchange/events.go
+++ b/internal/batch/exchange/events.go
@@ -8,9 +8,9 @@
 )
 
 // readEvents reads a stream to its end. It tells whether all of it came, in order.
-func readEvents(ctx context.Context, conn *connection, request *Request, answer answerHead, outcome *Outcome, started time.Time) bool {
+func (c *Client) readEvents(ctx context.Context, conn *connection, request *Request, answer answerHead, outcome *Outcome, started time.Time) bool {
 	body := newBody(conn.in, answer)
-	parser := eventParser{outcome: outcome}
+	parser := eventParser{outcome: outcome, anyOrder: c.bugs.anyOrder}
 	buffer := make([]byte, 4<<10)
 	renewed := started
 	told := toldProgress{at: started, last: request.LastEventID}
@@ -53,6 +53,8 @@
 	hasData bool
 	id      int64
 	hasID   bool
+
+	anyOrder bool // of tests
 }
 
 // feed takes bytes. It tells whether they are events in order.
@@ -109,7 +111,7 @@
 	if !p.hasID {
 		return false
 	}
-	if o.LastEventID >= 0 && p.id != o.LastEventID+1 || o.LastEventID < 0 && p.id > 1 {
+	if !p.anyOrder && (o.LastEventID >= 0 && p.id != o.LastEventID+1 || o.LastEventID < 0 && p.id > 1) {
 		return false
 	}
 	o.LastEventID = p.id
--- a/internal/batch/exchange/exchange.go
+++ b/internal/batch/exchange/exchange.go
@@ -7,7 +7,7 @@
 	"context"
 	"errors"
 	"net"
-	"strconv"
+	"slices"
 	"sync"
 	"syscall"
 	"time"
@@ -74,6 +74,8 @@
 	mutex sync.Mutex
 	idle  map[string][]*connection // by instance
 	dials int64
+	dial  func(ctx context.Context, address string) (net.Conn, error)
+	bugs  bugs // of tests
 }
 
 type connection struct {
@@ -81,10 +83,15 @@
 	in    *bufio.Reader
 	since time.Time     // it is idle
 	keep  time.Duration // that it may be
+	// open names the items that went over it and may come again: an answer to one that arrives late has the same id as the next.
+	open []string
 }
 
+// mostOpen bounds them; beyond it a connection is not kept.
+const mostOpen = 64
+
 // NewClient gives a client without connections.
-func NewClient() *Client { return &Client{idle: map[string][]*connection{}} }
+func NewClient() *Client { return &Client{idle: map[string][]*connection{}, dial: dialTCP} }
 
 // Dials counts the connections that were opened.
 func (c *Client) Dials() int64 {
@@ -104,7 +111,7 @@
 	stop := context.AfterFunc(ctx, func() { _ = conn.SetDeadline(time.Unix(1, 0)) })
 	if ctx.Err() != nil || !request.Gate() {
 		stop()
-		c.keep(request.Instance, conn)
+		c.keep(request.Instance, conn) // it has been idle all the while
 		outcome.Ending = Closed
 		return outcome
 	}
@@ -120,23 +127,35 @@
 		}
 		return outcome
 	}
+	if outcome.Ending != Completed && outcome.Ending != Impossible {
+		conn.open = append(conn.open, request.Item.ID)
+	}
+	if len(conn.open) > mostOpen {
+		_ = conn.Close()
+		return outcome
+	}
+	conn.since = time.Now()
 	c.keep(request.Instance, conn)
 	return outcome
 }
 
 func (c *Client) connect(ctx context.Context, request *Request) (conn *connection, used bool, err error) {
-	if conn := c.takeIdle(request.Instance); conn != nil {
+	if conn := c.takeIdle(request.Instance, request.Item.ID); conn != nil {
 		return conn, true, nil
 	}
 	c.mutex.Lock()
 	c.dials++
 	c.mutex.Unlock()
-	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
-	raw, err := dialer.DialContext(ctx, "tcp", request.Address)
+	raw, err := c.dial(ctx, request.Address)
 	if err != nil {
 		return nil, false, err
 	}
-	return &connection{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer), keep: idleFor}, false, nil
+	return &connection{Conn: raw, in: bufio.NewReaderSize(raw, readBuffer), since: time.Now(), keep: idleFor}, false, nil
+}
+
+func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAlive: -1, Control: setUserTimeout}
+	return dialer.DialContext(ctx, "tcp", address)
 }
 
 const tcpUserTimeout = 18 // TCP_USER_TIMEOUT
@@ -149,21 +168,31 @@
 	return errors.Join(err, failure)
 }
 
-func (c *Client) takeIdle(instance string) *connection {
+// takeIdle gives an idle connection that an item may go over, or nil, and closes those past use.
+func (c *Client) takeIdle(instance, item string) (found *connection) {
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	var kept []*connection
 	list := c.idle[instance]
-	for len(list) > 0 {
-		conn := list[len(list)-1]
-		list = list[:len(list)-1]
-		c.idle[instance] = list
-		if time.Since(conn.since) < conn.keep && conn.quiet() {
-			return conn
+	for i := len(list) - 1; i >= 0 && found == nil; i-- {
+		conn := list[i]
+		switch {
+		case time.Since(conn.since) >= conn.keep || !c.bugs.reuseStirred && !conn.quiet():
+			_ = conn.Close()
+		case slices.Contains(conn.open, item) && !c.bugs.sameItem:
+			kept = append(kept, conn)
+		default:
+			found = conn
 		}
-		_ = conn.Close()
+		list = list[:i]
 	}
-	delete(c.idle, instance)
-	return nil
+	slices.Reverse(kept)
+	if list = append(list, kept...); len(list) > 0 {
+		c.idle[instance] = list
+	} else {
+		delete(c.idle, instance)
+	}
+	return found
 }
 
 // quiet tells whether nothing has come on an idle connection: neither its end nor bytes that belong to no request.
@@ -171,6 +200,15 @@
 	if conn.in.Buffered() > 0 {
 		return false
 	}
+	return conn.silent()
+}
+
+// silent tells whether nothing waits on a connection that was not read, as far as that can be told.
+func (conn *connection) silent() bool {
+	if peek, ok := conn.Conn.(interface{ Arrived() (bool, error) }); ok {
+		anything, _ := peek.Arrived()
+		return !anything
+	}
 	raw, err := conn.Conn.(*net.TCPConn).SyscallConn()
 	if err != nil {
 		return false
@@ -190,7 +228,6 @@
 		_ = conn.Close()
 		return
 	}
-	conn.since = time.Now()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	c.idle[instance] = append(c.idle[instance], conn)
@@ -229,39 +266,3 @@
 		_ = conn.Close()
 	}
 }
-
-// head writes a request's head and body in one piece.
-func head(request *Request) []byte {
-	item := request.Item
-	out := make([]byte, 0, 512+len(item.Body))
-	out = append(out, "POST "...)
-	out = append(out, item.Path...)
-	out = append(out, " HTTP/1.1\r\n"...)
-	out = appendHeader(out, "Host", request.Host)
-	out = appendHeader(out, "X-Request-Id", item.ID)
-	out = appendHeader(out, "X-Tenant", request.Tenant)
-	out = appendHeader(out, "X-Expect-Instance", request.Instance)
-	out = appendHeader(out, "X-Deadline-Ms", strconv.FormatInt(max(request.Deadline.Milliseconds(), 1), 10))
-	if request.LastEventID >= 0 {
-		out = appendHeader(out, "Last-Event-Id", strconv.FormatInt(request.LastEventID, 10))
-	}
-	for _, header := range item.Headers {
-		if !ownHeader(header.Name) {
-			out = appendHeader(out, header.Name, header.Value)
-		}
-	}
-	out = appendHeader(out, "Content-Length", strconv.Itoa(len(item.Body)))
-	out = append(out, "\r\n"...)
-	return append(out, item.Body...)
-}
-
-func appendHeader(out []byte, name, value string) []byte {
-	out = append(out, name...)
-	out = append(out, ": "...)
-	for i := range len(value) {
-		if value[i] != '\r' && value[i] != '\n' {
-			out = append(out, value[i])
-		}
-	}
-	return append(out, "\r\n"...)
-}
--- /dev/null
+++ b/internal/batch/exchange/send.go
@@ -0,0 +1,89 @@
+package exchange
+
+import (
+	"context"
+	"errors"
+	"os"
+	"strconv"
+	"time"
+)
+
+const (
+	// bodyStep is how much of a long body goes out between looks at the answer, in bytes.
+	bodyStep = 64 << 10
+	// bodyStall is how long a server may take nothing of a body before it is looked whether its answer is there.
+	bodyStall = 50 * time.Millisecond
+	// answerWait is how long the answer may take where the server took no more of its request.
+	answerWait = 50 * time.Millisecond
+)
+
+// send writes the request, until the server takes nothing more and has answered, and gives the error that kept it from being
+// whole: an answer may be there all the same.
+func (conn *connection) send(ctx context.Context, request *Request, lastEventID int64, by time.Time) error {
+	rest := head(request, lastEventID)
+	if len(request.Item.Body) <= bodyStep {
+		rest = append(rest, request.Item.Body...)
+		_, err := conn.Write(rest)
+		return err
+	}
+	if _, err := conn.Write(rest); err != nil {
+		return err
+	}
+	for rest = request.Item.Body; len(rest) > 0; {
+		if err := conn.SetWriteDeadline(earliest(time.Now().Add(bodyStall), by)); err != nil {
+			return err
+		}
+		if ctx.Err() != nil { // its end set the deadline that has just been moved
+			return ctx.Err()
+		}
+		n, err := conn.Write(rest[:min(bodyStep, len(rest))])
+		rest = rest[n:]
+		stalled := n == 0 && !conn.silent()
+		if err != nil && (!errors.Is(err, os.ErrDeadlineExceeded) || stalled || !time.Now().Before(by)) {
+			return err
+		}
+	}
+	return nil
+}
+
+func earliest(one, other time.Time) time.Time {
+	if one.Before(other) {
+		return one
+	}
+	return other
+}
+
+// head writes a request's head.
+func head(request *Request, lastEventID int64) []byte {
+	item := request.Item
+	out := make([]byte, 0, 512)
+	out = append(out, "POST "...)
+	out = append(out, item.Path...)
+	out = append(out, " HTTP/1.1\r\n"...)
+	out = appendHeader(out, "Host", request.Host)
+	out = appendHeader(out, "X-Request-Id", item.ID)
+	out = appendHeader(out, "X-Tenant", request.Tenant)
+	out = appendHeader(out, "X-Expect-Instance", request.Instance)
+	out = appendHeader(out, "X-Deadline-Ms", strconv.FormatInt(max(request.Deadline.Milliseconds(), 1), 10))
+	if lastEventID >= 0 {
+		out = appendHeader(out, "Last-Event-Id", strconv.FormatInt(lastEventID, 10))
+	}
+	for _, header := range item.Headers {
+		if !ownHeader(header.Name) {
+			out = appendHeader(out, header.Name, header.Value)
+		}
+	}
+	out = appendHeader(out, "Content-Length", strconv.Itoa(len(item.Body)))
+	return append(out, "\r\n"...)
+}
+
+func appendHeader(out []byte, name, value string) []byte {
+	out = append(out, name...)
+	out = append(out, ": "...)
+	for i := range len(value) {
+		if value[i] != '\r' && value[i] != '\n' {
+			out = append(out, value[i])
+		}
+	}
+	return append(out, "\r\n"...)
+}
--- a/internal/standin/unruly/audit.go
+++ b/internal/standin/unruly/audit.go
@@ -8,6 +8,7 @@
 	"fmt"
 	"net/http"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 )
@@ -21,18 +22,22 @@
 	Events          int // of its whole stream
 }
 
-func (t *Try) stream() bool { return t.Route == routeStream || t.Route == routeResume }
+func (t *Try) stream() bool {
+	return t.Route == routeStream || t.Route == routeResume || t.Route == RouteItem
+}
 
 func (t *Try) repeatable() bool { return t.Route == routeSafe || t.Route == routeResume }
 
 // Run is work that a server has begun on a try.
 type Run struct {
-	Try    *Try
-	Stamp  string
-	After  int // Last-Event-Id that it was asked with
-	Status int // 0: it gave no answer
-	Text   []byte
-	Cut    bool // its answer has no length, and was reset
+	Try   *Try
+	Stamp string
+	After int // Last-Event-Id that it was asked with
+	// Attempt is the value of X-Attempt that it was asked with.
+	Attempt string
+	Status  int // 0: it gave no answer
+	Text    []byte
+	Cut     bool // its answer has no length, and was reset
 }
 
 // event gives an event of a run's stream.
@@ -41,9 +46,12 @@
 	if (len(r.Try.ID)+id)%4 == 0 {
 		versions = fmt.Sprintf("versions: %d\n", id)
 	}
-	return fmt.Sprintf("%sid: %d\ndata: %s %d by %s\n\n", versions, id, r.Try.ID, id, r.Stamp)
+	return fmt.Sprintf("%sid: %d\ndata: %s\n\n", versions, id, r.data(id))
 }
 
+// data gives an event's data.
+func (r *Run) data(id int) string { return fmt.Sprintf("%s %d by %s", r.Try.ID, id, r.Stamp) }
+
 // Audit holds what clients sent, servers ran, and clients heard.
 type Audit struct {
 	mu       sync.Mutex
@@ -93,7 +101,7 @@
 		a.fail("a request that no client sent: %s %s", r.RequestURI, r.Header)
 		return nil
 	}
-	if r.Host != host || r.Method != http.MethodPost || r.RequestURI != try.Path || r.ContentLength != int64(len(try.Body)) {
+	if r.Host != Host || r.Method != http.MethodPost || r.RequestURI != try.Path || r.ContentLength != int64(len(try.Body)) {
 		a.fail("%s: other request line or length: %s %s %d", try.ID, r.Method, r.RequestURI, r.ContentLength)
 	}
 	for name, values := range try.Header {
@@ -101,7 +109,7 @@
 			a.fail("%s: header %s is %q", try.ID, name, r.Header[name])
 		}
 	}
-	if r.Header.Get("X-Tenant") != tenant || r.Header.Get("Api-Key") != "" || r.Header.Get("X-Expect-Instance") != server {
+	if r.Header.Get("X-Tenant") != Tenant || r.Header.Get("Api-Key") != "" || r.Header.Get("X-Expect-Instance") != server {
 		a.fail("%s: at %s with tenant, key or instance of others: %v", try.ID, server, r.Header)
 	}
 	return try
@@ -115,10 +123,12 @@
 }
 
 // run notes that a server begins work.
-func (a *Audit) run(try *Try, after, status int) *Run {
+func (a *Audit) run(try *Try, asked http.Header, status int) *Run {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	r := &Run{Try: try, Stamp: fmt.Sprintf("%s.%d", try.ID, len(a.runs[try.ID])+1), After: after, Status: status}
+	after, _ := strconv.Atoi(asked.Get("Last-Event-Id"))
+	r := &Run{Try: try, Stamp: fmt.Sprintf("%s.%d", try.ID, len(a.runs[try.ID])+1), After: after, Status: status,
+		Attempt: asked.Get("X-Attempt")}
 	a.runs[try.ID] = append(a.runs[try.ID], r)
 	a.stamps[r.Stamp] = r
 	a.counts["runs"]++
@@ -196,8 +206,8 @@
 	}
 }
 
-// finish checks what holds once all is over, and gives what was broken.
-func (a *Audit) finish() []string {
+// Finish checks what holds once all is over, and gives what was broken.
+func (a *Audit) Finish() []string {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	for id, runs := range a.runs {
@@ -205,7 +215,7 @@
 		if a.tries[id].repeatable() {
 			most = maxAttempts
 		}
-		if len(runs) > most {
+		if len(runs) > most && a.tries[id].Route != RouteItem {
 			a.fail("%s on %s: has run %d times", id, a.tries[id].Route, len(runs))
 		}
 		switch status := a.heard[id]; status {
--- a/internal/standin/unruly/client.go
+++ b/internal/standin/unruly/client.go
@@ -90,18 +90,22 @@
 	if route == routeResume && c.r.IntN(4) == 0 {
 		t.After = c.r.IntN(t.Events)
 	}
-	length := 0
-	switch c.r.IntN(10) {
+	t.Body = bodyOf(t.ID, lengthOf(c.r))
+	return t
+}
+
+// lengthOf draws the length of a body.
+func lengthOf(r *rand.Rand) int {
+	switch r.IntN(10) {
 	case 0:
+		return 0
 	case 1, 2, 3, 4:
-		length = c.r.IntN(200)
+		return r.IntN(200)
 	case 5, 6, 7:
-		length = c.r.IntN(8 << 10)
+		return r.IntN(8 << 10)
 	default:
-		length = c.r.IntN(maxBody)
+		return r.IntN(maxBody)
 	}
-	t.Body = bodyOf(t.ID, length)
-	return t
 }
 
 // bodyOf gives a body of which each piece tells whose it is and where it stands.
@@ -157,7 +161,7 @@
 func (c *client) head(t *Try, wait time.Duration) []byte {
 	var b bytes.Buffer
 	fmt.Fprintf(&b, "POST %s HTTP/1.1\r\nHost: %s\r\nApi-Key: %s\r\nX-Tenant: forged\r\nX-Deadline-Ms: %d\r\nContent-Length: %d\r\n",
-		t.Path, host, key, wait.Milliseconds(), len(t.Body))
+		t.Path, Host, key, wait.Milliseconds(), len(t.Body))
 	if t.After > 0 {
 		fmt.Fprintf(&b, "Last-Event-Id: %d\r\n", t.After)
 	}
--- /dev/null
+++ b/internal/standin/unruly/fleet.go
@@ -0,0 +1,47 @@
+package unruly
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/standin/memory"
+)
+
+// Fleet is the servers of a world.
+type Fleet struct {
+	Audit   *Audit
+	Network *memory.Network
+	Servers []Address
+
+	listeners []net.Listener
+}
+
+// Address is where a server is, and its id.
+type Address struct{ ID, Address string }
+
+// NewFleet starts so many servers.
+func NewFleet(seed uint64, count int) *Fleet {
+	f := &Fleet{Audit: newAudit(), Network: newNetwork(rand.New(rand.NewPCG(seed, 1)))}
+	for i := range count {
+		address := fmt.Sprintf("server-%d", i)
+		l := f.Network.Listen(address)
+		f.listeners = append(f.listeners, l)
+		f.Servers = append(f.Servers, Address{ID: "i-" + address, Address: address})
+		s := &server{id: "i-" + address, audit: f.Audit, hazards: hazards(seed)}
+		go s.accept(l, seed<<8+uint64(i))
+	}
+	return f
+}
+
+// hazards is the share of exchanges in which something goes wrong, against the usual: worlds differ.
+func hazards(seed uint64) float64 { return [...]float64{0.3, 1, 1, 3}[seed%4] }
+
+// Close ends the servers, and waits until all that waits on a connection has ended.
+func (f *Fleet) Close() {
+	for _, l := range f.listeners {
+		l.Close()
+	}
+	time.Sleep(2 * patience)
+}
--- a/internal/standin/unruly/network.go
+++ b/internal/standin/unruly/network.go
@@ -8,27 +8,25 @@
 	"sprucelane.example/sprucelane/internal/standin/memory"
 )
 
-// memoryNetwork is a network whose connections differ in room and latency.
-type memoryNetwork struct {
-	*memory.Network
+// conditions are what connections differ in.
+type conditions struct {
 	mu sync.Mutex
 	r  *rand.Rand
 }
 
-func newNetwork(r *rand.Rand) *memoryNetwork {
-	n := &memoryNetwork{r: r}
-	n.Network = &memory.Network{Window: n.window, Latency: n.latency}
-	return n
+func newNetwork(r *rand.Rand) *memory.Network {
+	c := &conditions{r: r}
+	return &memory.Network{Window: c.window, Latency: c.latency}
 }
 
-func (n *memoryNetwork) window() int {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return 1 << (10 + n.r.IntN(7))
+func (c *conditions) window() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return 1 << (10 + c.r.IntN(7))
 }
 
-func (n *memoryNetwork) latency() time.Duration {
-	n.mu.Lock()
-	defer n.mu.Unlock()
-	return time.Duration(50+n.r.Int64N(3000)) * time.Microsecond
+func (c *conditions) latency() time.Duration {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return time.Duration(50+c.r.Int64N(3000)) * time.Microsecond
 }
--- a/internal/standin/unruly/plan.go
+++ b/internal/standin/unruly/plan.go
@@ -28,6 +28,7 @@
 	failed
 	late
 	missing
+	impossible
 	full
 	overQuota
 	misdirected
@@ -53,6 +54,7 @@
 	failed:               {500, "", true, 0.6},
 	late:                 {504, "", true, 0.3},
 	missing:              {404, "", true, 0.2},
+	impossible:           {422, "", true, 0.2},
 	full:                 {503, "X-Not-Executed: 1\r\nRetry-After: 0.1\r\n", false, 0.8},
 	overQuota:            {429, "X-Not-Executed: 1\r\n", false, 0.3},
 	misdirected:          {421, "X-Instance-Id: i-other\r\n", false, 0.3},
@@ -119,7 +121,7 @@
 	chance := func(share float64) bool { return r.Float64() < share*hazards }
 	p := plan{kind: drawKind(r), framing: framing(r.IntN(2)), requestCut: -1, cut: -1, cutBy: breaks(r), breaks: breaks(r),
 		readsOn: action(r.IntN(5)), earlyAfter: r.Float64(), readPause: time.Duration(r.Int64N(int64(400 * time.Millisecond)))}
-	p.ran = kindOf[p.kind].ran && (p.kind == good || p.kind == failed || r.IntN(2) == 0)
+	p.ran = kindOf[p.kind].ran && (p.kind == good || p.kind == failed || p.kind == impossible || r.IntN(2) == 0)
 	if chance(0.1) {
 		p.framing = byClose
 	}
@@ -171,7 +173,7 @@
 }
 
 // answerTo gives the bytes of an answer, and where its body begins.
-func (p *plan) answerTo(try *Try, run *Run, after int, r *rand.Rand) (list []segment) {
+func (p *plan) answerTo(try *Try, run *Run, r *rand.Rand) (list []segment) {
 	of := kindOf[p.kind]
 	id, stamp := try.ID, ""
 	if p.kind == others {
@@ -184,7 +186,7 @@
 	kindHeader := "Content-Type: text/plain\r\n"
 	if p.kind == good && try.stream() {
 		kindHeader, parts = "Content-Type: text/event-stream\r\n", nil
-		for event := after + 1; event <= try.Events; event++ {
+		for event := run.After + 1; event <= try.Events; event++ {
 			parts = append(parts, run.event(event))
 		}
 	} else if p.kind == good {
--- a/internal/standin/unruly/server.go
+++ b/internal/standin/unruly/server.go
@@ -10,7 +10,6 @@
 	"net"
 	"net/http"
 	"os"
-	"strconv"
 	"syscall"
 	"time"
 
@@ -28,7 +27,7 @@
 type server struct {
 	id      string
 	audit   *Audit
-	hazards func() float64
+	hazards float64
 }
 
 // line is one connection to it.
@@ -56,7 +55,7 @@
 	if !l.awaitRequest() {
 		return false
 	}
-	p := draw(l.r, l.hazards())
+	p := draw(l.r, l.hazards)
 	if p.requestCut >= 0 {
 		return l.cutRequest(&p)
 	}
@@ -79,8 +78,7 @@
 		l.unreadable(err)
 		return false
 	}
-	after, _ := strconv.Atoi(r.Header.Get("Last-Event-Id"))
-	if !l.answer(&p, try, after) {
+	if !l.answer(&p, try, r.Header) {
 		return false
 	}
 	if read < len(try.Body) && !l.readRest(&p, r.Body, try, read) {
@@ -144,7 +142,7 @@
 			part, _ := io.ReadAll(r.Body)
 			l.audit.bodyPart(try, 0, part)
 			if l.r.IntN(2) == 0 {
-				l.audit.run(try, 0, 0)
+				l.audit.run(try, r.Header, 0)
 			}
 		}
 	}
@@ -153,18 +151,18 @@
 }
 
 // answer sends what the plan says, and tells whether the connection goes on.
-func (l *line) answer(p *plan, try *Try, after int) bool {
+func (l *line) answer(p *plan, try *Try, asked http.Header) bool {
 	var run *Run
 	status := kindOf[p.kind].status
 	if p.ran {
-		run = l.audit.run(try, after, status)
+		run = l.audit.run(try, asked, status)
 	}
 	if p.kind == silent {
 		run.silence()
 		l.end(p.breaks)
 		return false
 	}
-	list := p.answerTo(try, run, after, l.r)
+	list := p.answerTo(try, run, l.r)
 	size := 0
 	for _, one := range list {
 		size += len(one.text)
--- a/internal/standin/unruly/world.go
+++ b/internal/standin/unruly/world.go
@@ -20,9 +20,14 @@
 )
 
 const (
-	host, key, tenant = "h.example", "key-of-one", "one"
-	gateway           = "gateway"
-	backend           = "b"
+	// Host and Tenant are those of all tries.
+	Host, Tenant = "h.example", "one"
+	// RouteItem is the route of a batch job's items.
+	RouteItem = "item"
+
+	key     = "key-of-one"
+	gateway = "gateway"
+	backend = "b"
 
 	routeSafe, routeUnsafe, routeStream, routeResume = "safe", "unsafe", "stream", "resume"
 
@@ -53,7 +58,7 @@
 
 func document() configuration.Document {
 	d := configuration.Document{Generation: 1, Backends: []configuration.Backend{{Name: backend}},
-		Limits: configuration.Limits{MaxBodyBytes: 2 * maxBody}, Tenants: []configuration.Tenant{{Name: tenant, APIKeys: []string{key}}}}
+		Limits: configuration.Limits{MaxBodyBytes: 2 * maxBody}, Tenants: []configuration.Tenant{{Name: Tenant, APIKeys: []string{key}}}}
 	for _, name := range routes {
 		kind := configuration.RouteStreaming
 		switch name {
@@ -62,7 +67,7 @@
 		case routeUnsafe:
 			kind = configuration.RouteUnsafe
 		}
-		d.Routes = append(d.Routes, configuration.Route{Name: name, Hostname: host, PathPrefix: "/" + name + "/", Type: kind,
+		d.Routes = append(d.Routes, configuration.Route{Name: name, Hostname: Host, PathPrefix: "/" + name + "/", Type: kind,
 			TimeoutMs: float64(routeTime.Milliseconds()), TargetLatencyMs: 100, Backend: backend, MaxAttempts: maxAttempts,
 			Resumable: name == routeResume})
 	}
@@ -78,30 +83,26 @@
 			prepare(w.proxy, w.pool)
 		}
 		w.play(t)
-		failures, counts = w.audit.finish(), w.audit.counts
+		failures, counts = w.fleet.Audit.Finish(), w.fleet.Audit.counts
 	})
 	return failures, counts
 }
 
 type world struct {
-	size    Size
-	seed    uint64
-	r       *rand.Rand
-	audit   *Audit
-	network *memoryNetwork
-	pool    *pool.Pool
-	proxy   *proxy.Proxy
+	size  Size
+	seed  uint64
+	fleet *Fleet
+	pool  *pool.Pool
+	proxy *proxy.Proxy
 }
 
 func newWorld(seed uint64, size Size) *world {
-	w := &world{size: size, seed: seed, r: rand.New(rand.NewPCG(seed, 0)), audit: newAudit()}
-	w.network = newNetwork(rand.New(rand.NewPCG(seed, 1)))
-	w.pool = pool.New(pool.Options{Sockets: sockets, ConnIdle: connLife, ConnectWait: time.Second, Dial: w.network.Dial})
+	w := &world{size: size, seed: seed, fleet: NewFleet(seed, size.Servers)}
+	w.pool = pool.New(pool.Options{Sockets: sockets, ConnIdle: connLife, ConnectWait: time.Second, Dial: w.fleet.Network.Dial})
 	registry := servers.NewRegistry(w.pool)
 	list := &protocol.ServerList{Version: 1}
-	for i := range size.Servers {
-		address := fmt.Sprintf("server-%d", i)
-		list.Servers = append(list.Servers, protocol.Server{ID: "i-" + address, Backend: backend, Address: address})
+	for _, s := range w.fleet.Servers {
+		list.Servers = append(list.Servers, protocol.Server{ID: s.ID, Backend: backend, Address: s.Address})
 	}
 	registry.Apply(list)
 	w.proxy = &proxy.Proxy{Knowledge: knowledge{configuration.NewSnapshot(document(), 1)}, Servers: registry, Pool: w.pool,
@@ -109,35 +110,21 @@
 	return w
 }
 
-// hazards is the share of exchanges in which something goes wrong, against the usual: worlds differ.
-func (w *world) hazards() float64 {
-	return [...]float64{0.3, 1, 1, 3}[w.seed%4]
-}
-
 func (w *world) play(t *testing.T) {
-	var listeners []interface{ Close() error }
-	for i := range w.size.Servers {
-		address := fmt.Sprintf("server-%d", i)
-		l := w.network.Listen(address)
-		listeners = append(listeners, l)
-		s := &server{id: "i-" + address, audit: w.audit, hazards: w.hazards}
-		go s.accept(l, w.seed<<8+uint64(i))
-	}
-	served, err := front.Listen(front.Options{Listener: w.network.Listen(gateway), Sockets: sockets, LongestDeadline: time.Minute}, w.proxy)
+	served, err := front.Listen(front.Options{Listener: w.fleet.Network.Listen(gateway), Sockets: sockets, LongestDeadline: time.Minute},
+		w.proxy)
 	if err != nil {
 		t.Fatal(err)
 	}
 	go served.Serve()
 	var all sync.WaitGroup
 	for i := range w.size.Clients {
-		c := &client{name: fmt.Sprintf("c%d", i), audit: w.audit, network: w.network.Network, r: rand.New(rand.NewPCG(w.seed, 100+uint64(i)))}
+		c := &client{name: fmt.Sprintf("c%d", i), audit: w.fleet.Audit, network: w.fleet.Network,
+			r: rand.New(rand.NewPCG(w.seed, 100+uint64(i)))}
 		all.Go(func() { c.run(w.size.Requests) })
 	}
 	all.Wait()
 	served.Close()
 	w.pool.Close()
-	for _, l := range listeners {
-		l.Close()
-	}
-	time.Sleep(2 * patience) // all that waits on a connection has ended
+	w.fleet.Close()
 }
