--- a/coord/transport/call.go
+++ b/coord/transport/call.go
@@ -46,7 +46,7 @@
 		return received.reply, received.failure
 	default:
 	}
-	if c.wasHanded(frameNumber) {
+	if c.wasHanded(frameNumber) && !c.options.bugs.neverHanded {
 		return nil, uncertain(c.endCause())
 	}
 	return nil, notConnected(c.endCause())
@@ -77,6 +77,11 @@
 // resolve hands a result to the call that waits for it, if any.
 func (c *clientLink) resolve(number uint32, received result) {
 	c.callMutex.Lock()
+	if c.options.bugs.anyCall {
+		for number = range c.calls {
+			break
+		}
+	}
 	answer, waits := c.calls[number]
 	delete(c.calls, number)
 	c.callMutex.Unlock()
--- a/coord/transport/link.go
+++ b/coord/transport/link.go
@@ -35,6 +35,7 @@
 	encoder  *encoder // its buffer holds the pending frames, those not yet handed to the network
 	frames   int      // the number of pending frames
 	queued   uint64   // frames ever queued
+	taken    uint64   // frames ever taken by the writer
 	handed   uint64   // frames ever handed to the network
 	lastSend time.Time
 	writing  bool          // the writer holds frames that it took from pending
@@ -210,6 +211,9 @@
 		}
 		batch.release()
 		l.mutex.Lock()
+		if l.options.bugs.handedLate {
+			l.handed = l.taken
+		}
 		l.writing = false
 		l.mutex.Unlock()
 		if last {
@@ -236,7 +240,10 @@
 		close(l.room)
 		l.room = nil
 	}
-	l.handed = l.queued
+	l.taken = l.queued
+	if !l.options.bugs.handedLate {
+		l.handed = l.taken
+	}
 	l.lastSend = time.Now()
 	return batch, l.closing
 }
--- a/coord/transport/options.go
+++ b/coord/transport/options.go
@@ -63,6 +63,8 @@
 	Admit func(Identity) error
 	// Log receives what happens to connections. It must not block.
 	Log func(event string, err error, remote string)
+
+	bugs bugs // of tests
 }
 
 // withDefaults returns the options with all limits set.
