A client's leaving is heard in requests that were read ahead, too

The gap: where a client had sent several requests at once, and more of them than net/http's buffer takes, the byte that was kept from net/http in the first went to it when that ended; with a byte in hand it doesn't watch the connection while it handles the requests that it has read already. A client that left then was not heard: its servers worked on, and its next requests were still sent.

Now such a byte stays with internal/front until its own request is read: a reading that net/http calls off gives nothing.

TestClientLeavesInALaterRequest has the client leave in the second to fourth of requests that came together, cut at each byte and beyond net/http's buffer; without the mend the first of these fails.

--- a/internal/front/client.go
+++ b/internal/front/client.go
@@ -46,8 +46,8 @@
 }
 
 // Read gives what comes. net/http reads one byte while a request is handled, to hear of an end; were it given one that a
-// further request begins with, it would hear of no end after that. So such a byte waits here, with those behind it, until
-// the request has been handled, or the end has come first.
+// further request begins with, it would hear of no end after that, nor while it handles requests that it has read already. So
+// such a byte waits here, with those behind it, until it is read for its request, or the end has come first.
 func (c *client) Read(b []byte) (int, error) {
 	n, err := c.takeAhead(b)
 	if n == 0 && err == nil {
@@ -118,8 +118,8 @@
 	return err
 }
 
-// readAhead keeps what comes behind a request until the reading is called off, as that has been handled, or too much has
-// come, and tells of an end that came first.
+// readAhead keeps what comes behind a request until too much has come, or gives the error with which the reading ended: it is
+// called off once the request has been handled, or the end came first.
 func (c *client) readAhead() error {
 	var piece [512]byte
 	for all := 0; all < aheadWatched; {
@@ -130,9 +130,6 @@
 		c.ahead = append(c.ahead, piece[:keep]...)
 		c.dropped = c.dropped || keep < n
 		c.mu.Unlock()
-		if errors.Is(err, os.ErrDeadlineExceeded) {
-			return nil
-		}
 		if err != nil {
 			return err
 		}
--- a/internal/front/leaving_test.go
+++ b/internal/front/leaving_test.go
@@ -24,21 +24,37 @@
 		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nab\r\n0\r\n\r\n"} {
 		for _, behind := range []string{"", plain + plain, long + strings.Repeat("b", 30), parts + plain, strings.Repeat(plain, 300)} {
 			for cut := 0; cut <= min(len(behind), 200); cut++ {
-				hears(t, first+behind[:cut], behind[cut:])
+				hears(t, 1, first+behind[:cut], behind[cut:])
 			}
 		}
 	}
 }
 
-// hears has a client send what comes first, then, while its first request is handled, the rest, and leave.
-func hears(t *testing.T, before, rest string) {
+// The same holds for a request that came behind another, in part or whole, with more behind it.
+func TestClientLeavesInALaterRequest(t *testing.T) {
+	one := "GET / HTTP/1.1\r\nHost: x\r\n\r\n"
+	for at := 2; at <= 4; at++ {
+		all := strings.Repeat(one, 6)
+		for cut := len(one); cut <= len(all); cut++ {
+			hears(t, at, all[:cut], all[cut:])
+		}
+		hears(t, at, strings.Repeat(one, 140), strings.Repeat(one, 20))
+	}
+}
+
+// hears has a client send what comes first, then, while its first request is handled, the rest, and leave in the nth request.
+func hears(t *testing.T, at int, before, rest string) {
 	synctest.Test(t, func(t *testing.T) {
 		port := newPipes()
-		handled, left := 0, false
+		handled, left, goOn := 0, false, make(chan bool)
 		s, err := Listen(Options{Listener: port, Sockets: 9, LongestDeadline: time.Minute}, http.HandlerFunc(
 			func(_ http.ResponseWriter, r *http.Request) {
 				handled++
 				io.Copy(io.Discard, r.Body)
+				if handled < at {
+					<-goOn
+					return
+				}
 				<-r.Context().Done()
 				left = true
 				panic(http.ErrAbortHandler)
@@ -47,18 +63,24 @@
 		s.state.Started()
 		go s.Serve()
 		c := port.dial()
+		go io.Copy(io.Discard, c.Conn)
 		_, err = io.WriteString(c, before)
 		require.NoError(t, err)
 		synctest.Wait()
 		if rest != "" {
 			go io.WriteString(c, rest)
 		}
+		for range at - 1 {
+			synctest.Wait()
+			goOn <- true
+		}
 		synctest.Wait()
+		require.Equal(t, at, handled)
 		assert.False(t, left)
 		c.Close()
 		synctest.Wait()
 		assert.True(t, left, "%q, then %q", before, rest)
-		assert.Equal(t, 1, handled)
+		assert.Equal(t, at, handled)
 		s.Close()
 	})
 }
--- a/internal/front/rest_test.go
+++ b/internal/front/rest_test.go
@@ -60,9 +60,9 @@
 		defer s.Close()
 		c := port.dial()
 		for _, seconds := range []int{15, 60, 5, 150} {
-			allowed.Store(int64(time.Duration(seconds) * time.Second))
 			c.ask(t)
 			assert.False(t, c.answer(t).Close)
+			allowed.Store(int64(time.Duration(seconds) * time.Second))
 			time.Sleep(time.Duration(seconds) * time.Second * 4 / 5)
 		}
 		c.ask(t)
