Batch worlds: the real log on simulated disks, and control's own set of stores

Gap: the worlds of batch stores kept records in a list that lost a tail at most, played a few fixed seeds, and knew no replacement, no cut, no full or slow disk, no loss of power within an operation, no expiry, and no audit of copies.

One trouble follows the other: kills, losses of power everywhere, right after an acceptance, and within any operation, wiped, replaced, added and retired stores, freezes, cuts one way and both, slow, stalled and full disks, f disks lost as a store is taken away; two at once where f = 2, in a quarter. The next comes after 4.8 s, or in half of the worlds as soon as all stores stand whole and know it of each other. SEEDS, FIRST and TRACE as in coord/replica; a seed replays exactly (tested).

The kinds of trouble that stood as tests (calm, lossy links, one at a time, all lose power, with a disk, retire, grow, three copies, chaos) stay, in the new world and for 30 s instead of 20, as TestRandom...: their seeds come from SEEDS and FIRST instead of flags. Retiring while accepting was one seed of the old world; it is a kind of its own now.

Ten planted bugs stand in the harness (a copy record over results that are not durable, acknowledged before the second disk, shown before all replicas, lease ignored after a thaw, retirement completed too early, a wiped store that keeps its name and vote, durable before the sync, torn tail not cut, a start that doesn't sync, a needed segment released).

make simulate hands SEEDS and FIRST to all packages of coord and internal.

--- a/Makefile
+++ b/Makefile
@@ -73,10 +73,12 @@
 scale: build build-system
 	bin/sprucelab scale --programs target --members $(SIZES) --servers $(SERVERS) --tenants $(TENANTS)
 
-# Random worlds with many seeds: make simulate SEEDS=1000.
+# Random worlds, histories and models with many seeds, from the seed FIRST on: make simulate SEEDS=1000 [FIRST=S]. Whatever fails
+# prints its seed, and plays again with FIRST=seed SEEDS=1.
 SEEDS ?= 200
+FIRST ?=
 simulate:
-	SEEDS=$(SEEDS) SIMULATION_SEEDS=$(SEEDS) go test -count=1 -timeout 60m -run 'Random|Model|Histories' ./coord/... ./internal/configuration/... ./internal/control/... ./internal/quota/... ./internal/batch/... ./internal/gateway/...
+	SEEDS=$(SEEDS) SIMULATION_SEEDS=$(SEEDS) $(if $(FIRST),FIRST=$(FIRST)) go test -count=1 -timeout 120m -run 'Random|Model|Histories' ./coord/... ./internal/...
 
 # Our own days of trouble on the bench, one line a day: make hunt BENCH=program SITE=file [DAYS=files].
 DAYS ?= $(wildcard bench/days/*.toml)
--- /dev/null
+++ b/internal/batch/replica/norace_test.go
@@ -0,0 +1,9 @@
+//go:build !race
+
+package replica
+
+// plainWorlds is the number of random worlds that are played by default, plainKinds that of each kind of trouble.
+const (
+	plainWorlds = 200
+	plainKinds  = 10
+)
--- a/internal/batch/replica/progress_test.go
+++ b/internal/batch/replica/progress_test.go
@@ -10,7 +10,7 @@
 
 func TestProgress(t *testing.T) {
 	Convey("Events of running items are there after a start, only in an unbroken row, and not of listed items", t, func() {
-		w := newWorld(1, 1, 1)
+		w := newWorld(1, 1, 1, "")
 		w.runUntil(2e9)
 		s := w.stores[0]
 		s.idle = true
@@ -32,7 +32,7 @@
 		s.machine.Progress("job", 2, -1, 1, events("listed"))
 		So(s.machine.Finish("job", 2, job.Completed, []byte("whole")), ShouldBeTrue)
 		s.sync()
-		s.stop()
+		s.kill()
 		s.start()
 		w.runUntil(4e9)
 		work, ok := s.machine.Work("job")
@@ -52,7 +52,7 @@
 		So(text(work.Items[1]), ShouldEqual, "again ")
 	})
 	Convey("A single store, where none may be lost, accepts by itself", t, func() {
-		w := newWorld(2, 1, 1)
+		w := newWorld(2, 1, 1, "")
 		w.runUntil(2e9)
 		j := w.clients.submit("job", 3)
 		w.runUntil(8e9)
--- /dev/null
+++ b/internal/batch/replica/runs_test.go
@@ -0,0 +1,134 @@
+package replica
+
+import (
+	"fmt"
+	"strings"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+)
+
+// This file owns the running of items at a simulated store: each gives some events, which are kept as they come, and a run
+// that starts again takes up from the last one.
+
+// itemEvents is how many events an item has.
+const itemEvents = 3
+
+// jobRun is what runs of a batch job, until it is stopped.
+type jobRun struct {
+	items map[int]bool
+}
+
+// Start has a batch job's items run.
+func (s *store) Start(id string) {
+	if s.idle {
+		return
+	}
+	if s.running[id] == nil {
+		s.running[id] = &jobRun{items: map[int]bool{}}
+	}
+	run := s.running[id]
+	s.later(time.Millisecond, func() { s.runAll(id, run) })
+}
+
+// Stop has none of them run any more.
+func (s *store) Stop(id string) { delete(s.running, id) }
+
+func (s *store) runAll(id string, run *jobRun) {
+	if s.running[id] != run {
+		return
+	}
+	work, ok := s.machine.Work(id)
+	if !ok {
+		return
+	}
+	for _, item := range work.Items {
+		if run.items[item.Index] {
+			continue
+		}
+		run.items[item.Index] = true
+		if lines, ok := s.eventsOf(id, item); ok {
+			s.later(s.world.between(0, 200*time.Millisecond), func() { s.runItem(id, run, item.Index, lines) })
+		}
+	}
+}
+
+// eventsOf reads what an earlier life kept of an item.
+func (s *store) eventsOf(id string, item JobItem) (lines []string, ok bool) {
+	encoded, err := s.Read(item.At)
+	if err != nil {
+		s.world.fail("%s: item %d of %s can't be read: %v", s.node, item.Index, id, err)
+		return nil, false
+	}
+	if decoded, err := job.DecodeItem(encoded); err != nil || decoded.ID != s.world.clients.jobs[id].items[item.Index].ID {
+		s.world.fail("%s: item %d of %s is %q, %v", s.node, item.Index, id, decoded.ID, err)
+	}
+	for _, at := range item.Events {
+		line, err := s.Read(at)
+		if err != nil {
+			s.world.fail("%s: an event of item %d of %s can't be read: %v", s.node, item.Index, id, err)
+			return nil, false
+		}
+		lines = append(lines, string(line))
+	}
+	if item.Last >= 0 && int(item.Last) != len(lines) {
+		s.world.fail("%s: item %d of %s: %d events are kept, the last is %d", s.node, item.Index, id, len(lines), item.Last)
+	}
+	return lines, true
+}
+
+func (s *store) runItem(id string, run *jobRun, index int, lines []string) {
+	if s.running[id] != run {
+		return
+	}
+	if !s.machine.MayRun(id, index) {
+		s.later(300*time.Millisecond, func() { s.runItem(id, run, index, lines) })
+		return
+	}
+	s.world.clients.started(s, id)
+	s.nextEvent(id, run, index, lines)
+}
+
+// nextEvent takes the item's next event, or lists it after the last one.
+func (s *store) nextEvent(id string, run *jobRun, index int, lines []string) {
+	if s.running[id] != run {
+		return
+	}
+	if len(lines) == itemEvents {
+		s.finish(id, run, index, strings.Join(lines, "\n"))
+		return
+	}
+	s.later(s.world.between(20*time.Millisecond, 300*time.Millisecond), func() {
+		if s.running[id] != run {
+			return
+		}
+		after := int64(len(lines))
+		if after == 0 {
+			after = -1
+		}
+		line := fmt.Sprintf("%s/%d event %d by %s at %d", id, index, len(lines)+1, s.node, s.world.now)
+		lines := append(lines[:len(lines):len(lines)], line)
+		s.machine.Progress(id, index, after, int64(len(lines)), [][]byte{[]byte(line)})
+		s.nextEvent(id, run, index, lines)
+	})
+}
+
+func (s *store) finish(id string, run *jobRun, index int, text string) {
+	if s.running[id] == run && !s.machine.Finish(id, index, job.Completed, []byte(text)) {
+		s.later(200*time.Millisecond, func() { s.finish(id, run, index, text) })
+	}
+}
+
+// isWholeText tells whether a text is an item's output: each of its events once, in order.
+func isWholeText(text, id string, index int) bool {
+	lines := strings.Split(text, "\n")
+	if len(lines) != itemEvents {
+		return false
+	}
+	for i, line := range lines {
+		if !strings.HasPrefix(line, fmt.Sprintf("%s/%d event %d by ", id, index, i+1)) {
+			return false
+		}
+	}
+	return true
+}
--- /dev/null
+++ b/internal/batch/replica/store_test.go
@@ -0,0 +1,403 @@
+package replica
+
+import (
+	"errors"
+	"maps"
+	"slices"
+	"strconv"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/slots"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/simulation"
+)
+
+// This file owns a simulated store: a process with the real log on a simulated disk, whose steps take time.
+
+// fullAgain is the time between tries to write to a full disk.
+const fullAgain = 200 * time.Millisecond
+
+type store struct {
+	world       *world
+	node, ip    string
+	zone        string
+	incarnation int
+	skew        time.Duration // of its time of day
+	disk        *simulation.Disk
+	fs          slots.FS
+	life        uint64
+	up          bool
+	frozen      bool
+	gone        bool // taken away for good
+	inbox       []func()
+	machine     *Machine
+	generation  int // of the process
+	running     map[string]*jobRun
+	idle        bool // no items are run
+	answers     map[Token]func(protocol.BatchAnswer)
+	lastToken   Token
+
+	log      *journal.Log
+	stepping bool
+	wakeAt   time.Duration // 0: nothing is queued
+	told     uint64        // record up to which the machine was told
+	appended []journal.Location
+	frontier journal.Location // of the last durable record
+	stalled  bool
+	slow     int // what the disk's time is multiplied by
+}
+
+func newStore(w *world, node, ip, zone string) *store {
+	s := &store{world: w, node: node, ip: ip, zone: zone, slow: 1}
+	s.disk = simulation.NewDisk(w.random.Fork(node + ip))
+	s.fs = w.plantedDisk(s.disk)
+	s.skew = w.between(-worldSkew, worldSkew)
+	s.newIncarnation()
+	return s
+}
+
+func (s *store) newIncarnation() {
+	if s.incarnation > 0 && s.world.plant == plantWipedKeepsName {
+		return
+	}
+	s.world.lives++
+	s.incarnation = s.world.lives
+}
+
+// process gives the store's identity in its present incarnation.
+func (s *store) process() protocol.Process {
+	return protocol.Process{
+		Node: s.node, Role: protocol.RoleBatch, Zone: s.zone, IP: s.ip, Incarnation: strconv.Itoa(s.incarnation),
+	}
+}
+
+func (s *store) key() placement.Key { return placement.KeyOf(s.process()) }
+
+// start begins a life of the process on what is on the disk.
+func (s *store) start() {
+	w := s.world
+	s.life++
+	s.generation++
+	s.up, s.frozen = true, false
+	s.inbox = nil
+	s.running = map[string]*jobRun{}
+	s.answers = map[Token]func(protocol.BatchAnswer){}
+	s.stepping, s.wakeAt, s.told, s.appended, s.frontier = false, 0, 0, nil, journal.Location{}
+	s.machine = New(Options{
+		Self: s.process(), Life: s.life, Blank: w.now > 0, Copies: w.copies, KeepFor: w.status + 2*worldSkew,
+	}, s)
+	log, err := journal.Load(s.fs, journal.Options{Segment: w.segment}, func(at journal.Location, record []byte) error {
+		s.frontier = at
+		return s.machine.Replay(at, record)
+	})
+	switch {
+	case errors.Is(err, simulation.ErrPowerLost):
+		s.powerFails()
+		return
+	case err != nil:
+		w.fail("%s finds its own log unreadable: %v", s.node, err)
+		return
+	}
+	w.note("%s starts as %s, life %d, with %d batch jobs", s.node, s.key(), s.life, len(s.machine.jobs))
+	s.log = log
+	s.every(100*time.Millisecond, func() { s.machine.Tick() })
+	s.every(w.between(50*time.Millisecond, 700*time.Millisecond), s.release)
+	s.poll()
+}
+
+// do runs something in the process: at once, after a thaw, or never if it ended.
+func (s *store) do(run func()) {
+	if !s.up {
+		return
+	}
+	if s.frozen {
+		s.inbox = append(s.inbox, run)
+		return
+	}
+	run()
+}
+
+func (s *store) later(delay time.Duration, run func()) {
+	generation := s.generation
+	s.world.after(delay, func() {
+		if s.generation == generation {
+			s.do(run)
+		}
+	})
+}
+
+func (s *store) every(period time.Duration, run func()) {
+	s.later(period, func() {
+		run()
+		s.every(period, run)
+	})
+}
+
+// restart starts the process unless it runs.
+func (s *store) restart() {
+	if !s.up && !s.gone {
+		s.start()
+	}
+}
+
+// stop ends the process.
+func (s *store) stop() {
+	if !s.up {
+		return
+	}
+	s.up = false
+	s.generation++
+	answers := s.answers
+	s.answers = nil
+	for _, token := range slices.Sorted(maps.Keys(answers)) {
+		answers[token](protocol.BatchAnswer{})
+	}
+}
+
+// kill ends the process; all that it wrote stays in its files.
+func (s *store) kill() {
+	s.world.note("%s is killed", s.node)
+	s.stop()
+	s.disk.Kill()
+}
+
+// losePower ends the process and takes what was not synced, in part or all of it.
+func (s *store) losePower() {
+	s.world.note("%s loses power", s.node)
+	s.stop()
+	s.disk.PowerLoss()
+}
+
+// powerFails is a loss of power in the middle of an operation of the disk.
+func (s *store) powerFails() {
+	s.losePower()
+	s.world.after(s.world.between(100*time.Millisecond, 2*time.Second), s.restart)
+}
+
+// wipe ends the process and takes its disk.
+func (s *store) wipe() {
+	s.world.note("%s loses its disk", s.node)
+	s.stop()
+	s.disk.Wipe()
+	s.newIncarnation()
+}
+
+// remove takes the store away for good.
+func (s *store) remove() {
+	s.wipe()
+	s.gone = true
+}
+
+func (s *store) freeze(duration time.Duration) {
+	if !s.up || s.frozen {
+		return
+	}
+	s.world.note("%s freezes", s.node)
+	s.frozen = true
+	generation := s.generation
+	s.world.after(duration, func() {
+		if s.generation == generation {
+			s.thaw()
+		}
+	})
+}
+
+// thaw lets the process run on; what came meanwhile comes in any order.
+func (s *store) thaw() {
+	if !s.frozen {
+		return
+	}
+	s.world.note("%s thaws", s.node)
+	s.frozen = false
+	if s.world.plant == plantIgnoreLease {
+		s.machine.lease = s.world.now + time.Hour
+	}
+	inbox := s.inbox
+	s.inbox = nil
+	s.world.random.Shuffle(len(inbox), func(i, j int) { inbox[i], inbox[j] = inbox[j], inbox[i] })
+	generation := s.generation
+	for _, run := range inbox {
+		if s.generation == generation {
+			s.do(run)
+		}
+	}
+}
+
+// The log.
+
+// Write appends to the log, which is written after a while, or soon where the record is urgent.
+func (s *store) Write(record []byte, urgent bool) (uint64, journal.Location) {
+	sequence, at := s.log.Append(record)
+	s.appended = append(s.appended, at)
+	delay := s.world.between(0, time.Millisecond)
+	if !urgent {
+		delay += s.world.between(0, journal.DefaultLinger)
+	}
+	s.wake(delay)
+	return sequence, at
+}
+
+// wake has the log written after a delay, unless it is before.
+func (s *store) wake(delay time.Duration) {
+	at := s.world.now + delay
+	if s.stepping || s.wakeAt > 0 && s.wakeAt <= at {
+		return
+	}
+	s.wakeAt = at
+	s.later(delay, func() {
+		if !s.stepping && s.wakeAt == at {
+			s.stepping = true
+			s.step()
+		}
+	})
+}
+
+// step does the log's next thing with the disk, which takes time.
+func (s *store) step() {
+	if s.stalled {
+		s.later(20*time.Millisecond, s.step)
+		return
+	}
+	more, err := s.log.Step()
+	switch {
+	case errors.Is(err, journal.ErrFull):
+		s.later(fullAgain, s.step)
+		return
+	case errors.Is(err, simulation.ErrPowerLost):
+		s.powerFails()
+		return
+	case err != nil:
+		s.world.fail("%s: the log fails: %v", s.node, err)
+		return
+	}
+	if !more {
+		s.stepping, s.wakeAt = false, 0
+		return
+	}
+	took := s.world.between(100*time.Microsecond, 3*time.Millisecond) * time.Duration(s.slow)
+	s.later(took, func() {
+		s.tell()
+		s.step()
+	})
+}
+
+// sync has all that was appended durable, at once.
+func (s *store) sync() {
+	for more := true; more; {
+		var err error
+		if more, err = s.log.Step(); err != nil {
+			s.world.fail("%s: the log fails: %v", s.node, err)
+			return
+		}
+	}
+	s.tell()
+}
+
+// tell tells the machine what is durable.
+func (s *store) tell() {
+	durable := s.log.Durable()
+	if durable == s.told {
+		return
+	}
+	s.frontier = s.appended[durable-s.told-1]
+	s.appended = s.appended[durable-s.told:]
+	s.told = durable
+	s.machine.Written(durable)
+}
+
+// release removes segments of the log that nothing needs any more.
+func (s *store) release() {
+	oldest, current := s.log.Oldest()
+	needed := s.machine.OldestSegment(current)
+	if s.world.plant == plantReleaseNeeded {
+		needed = current
+	}
+	for ; oldest < needed; oldest++ {
+		switch err := s.log.Release(oldest); {
+		case errors.Is(err, simulation.ErrPowerLost):
+			s.powerFails()
+			return
+		case err != nil:
+			s.world.fail("%s: segment %d isn't released: %v", s.node, oldest, err)
+			return
+		}
+		s.world.note("%s releases segment %d", s.node, oldest)
+	}
+}
+
+// Read reads from the log; only what is durable may be asked for.
+func (s *store) Read(at journal.Location) ([]byte, error) {
+	if after(at, s.frontier) {
+		s.world.fail("%s reads %v, durable is all up to %v", s.node, at, s.frontier)
+	}
+	return s.log.Read(at)
+}
+
+func after(at, frontier journal.Location) bool {
+	return at.Segment > frontier.Segment ||
+		at.Segment == frontier.Segment && at.Offset+at.Length > frontier.Offset+frontier.Length
+}
+
+// Free tells what the disk still takes.
+func (s *store) Free() int64 {
+	if s.log.Full() {
+		return 0
+	}
+	return 1<<30 - s.log.Size()
+}
+
+// fill leaves room for so many bytes on the disk, for a while.
+func (s *store) fill(room int64, duration time.Duration) {
+	s.world.note("the disk of %s has room for %d bytes", s.node, room)
+	used := int64(0)
+	names, _ := s.disk.List()
+	for _, name := range names {
+		size, _ := s.disk.Size(name)
+		used += size
+	}
+	s.disk.SetCapacity(used + room)
+	s.world.after(duration, func() { s.disk.SetCapacity(0) })
+}
+
+// The rest of the machine's environment.
+
+// Now is the steady clock.
+func (s *store) Now() time.Duration { return s.world.now }
+
+// Wall is the time of day.
+func (s *store) Wall() int64 { return (s.world.now + s.skew + time.Hour).Milliseconds() }
+
+// Send sends a message to another store.
+func (s *store) Send(to protocol.Process, message any) {
+	w := s.world
+	target := w.storeOf(placement.KeyOf(to))
+	if target == nil || target.gone {
+		return
+	}
+	sender := s.process()
+	incarnation := target.incarnation
+	w.carry(s.node, target.node, func() {
+		if target.incarnation != incarnation {
+			return
+		}
+		target.do(func() {
+			target.machine.Message(sender, message)
+			target.plantAcknowledgement(sender, message)
+		})
+	})
+}
+
+// Answer ends a call, as the server does: only while the store may still act.
+func (s *store) Answer(token Token, answer protocol.BatchAnswer) {
+	answered := s.answers[token]
+	if answered == nil {
+		return
+	}
+	delete(s.answers, token)
+	if answer.Status != 503 && answer.Status != 504 && answer.Owner == "" && !s.machine.Allowed() {
+		answer = protocol.BatchAnswer{Status: 504}
+	}
+	answered(answer)
+}
