A successor whose told end is compacted away is asked again

An Ack from before a disk took bytes again (the link's state is new then) can tell an end whose following orders are compacted away here: instead of a violated invariant the successor is asked for a newer Ack, which is at least what was committed. TestLateAckAtFirst.

--- a/coord/replica/core_chain.go
+++ b/coord/replica/core_chain.go
@@ -212,12 +212,21 @@
 func (c *core) forwardTo(after view.Member) {
 	for c.link.sent < c.durableTo {
 		entries := c.log.After(c.link.sent, c.limits.batchBytes)
-		c.invariant(len(entries) > 0, "order %d is compacted away, the successor holds %d", c.link.sent+1, c.link.acked)
+		if len(entries) == 0 {
+			c.askAgain(after)
+			return
+		}
 		c.sendAppend(after, entries)
 		c.link.sent += uint64(len(entries))
 	}
 }
 
+// askAgain asks the successor for its end, where an Ack from long ago told one whose following orders are compacted away here.
+func (c *core) askAgain(after view.Member) {
+	c.link.known = false
+	c.send(after, Resume{Epoch: c.epoch()})
+}
+
 func (c *core) sendAppend(after view.Member, entries []chain.Entry) {
 	epoch, _ := c.log.EpochAt(c.link.sent)
 	c.send(after, Append{Epoch: c.epoch(), Prev: c.link.sent, PrevEpoch: epoch, Entries: entries})
--- a/coord/replica/late_test.go
+++ b/coord/replica/late_test.go
@@ -39,6 +39,18 @@
 	w.acknowledged(t, w.nodes[1], "after", time.Second)
 }
 
+// TestLateAckAtFirst brings a head that knows nothing of its successor's end, as after a disk that took no bytes, an Ack from long ago.
+func TestLateAckAtFirst(t *testing.T) {
+	w := busyWorld(t, 36)
+	head, after := w.nodes[0], w.nodes[1].core.self
+	head.handle(func() {
+		head.core.enterChain()
+		head.core.step(w.now, after, Ack{Epoch: head.core.epoch(), End: 1, Whole: true})
+	})
+	w.runUntil(w.now + 100*time.Millisecond)
+	w.acknowledged(t, w.nodes[1], "after", time.Second)
+}
+
 // TestOrderFromEarlierView brings the head an order that was sent before its view: the machine that it was proposed at sends it again
 // if anybody still waits for it.
 func TestOrderFromEarlierView(t *testing.T) {
