--- a/internal/control/quotas/quotas.go
+++ b/internal/control/quotas/quotas.go
@@ -42,6 +42,7 @@
 	record Record
 	self   machine.Lender
 	wake   func()
+	clock  func() time.Time
 	origin time.Time
 
 	mutex      sync.Mutex
@@ -64,15 +65,19 @@
 // New makes a service that doesn't act before the process is the lender on record. It calls wake where a change of the record
 // can't wait.
 func New(bounds node.Bounds, lead Lead, record Record, self machine.Lender, wake func()) *Service {
+	return newAt(bounds, lead, record, self, wake, time.Now)
+}
+
+func newAt(bounds node.Bounds, lead Lead, record Record, self machine.Lender, wake func(), clock func() time.Time) *Service {
 	rules := quota.Rules{Window: bounds.QuotaWindow, Overshoot: bounds.QuotaOvershoot, Slack: bounds.QuotaSlack}
-	return &Service{lead: lead, record: record, self: self, wake: wake, origin: time.Now(),
+	return &Service{lead: lead, record: record, self: self, wake: wake, clock: clock, origin: clock(),
 		allocator: quota.NewAllocator(quota.AllocatorOptions{Rules: rules})}
 }
 
 // Request answers a gateway. The clock is read before the lead is looked at: a process that stood still in between answers as of
 // the time when it surely led, or not at all.
 func (s *Service) Request(request protocol.QuotaRequest) (protocol.QuotaReply, error) {
-	now := time.Now()
+	now := s.clock()
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if !s.acts(now) {
@@ -129,7 +134,7 @@
 		return nil
 	}
 	adds := s.allocator.Unrecorded()
-	now := time.Since(s.origin)
+	now := s.clock().Sub(s.origin)
 	s.term.removes = append(s.term.removes, s.allocator.Forget(now)...)
 	floors := s.allocator.Floors(now)
 	if len(adds)+len(s.term.removes)+len(floors) == 0 {
