--- a/internal/standin/unruly/audit.go
+++ b/internal/standin/unruly/audit.go
@@ -160,6 +160,8 @@
 		a.fail("%s: a success without a stamp", try.ID)
 	case run != nil && heard.header.Get("X-Request-Id") != try.ID:
 		a.fail("%s: answered under the id %q", try.ID, heard.header.Get("X-Request-Id"))
+	case run != nil && heard.header.Get("Versions") != versions:
+		a.fail("%s: answered with the versions %q", try.ID, heard.header["Versions"])
 	case success && heard.header.Get("Content-Encoding") != "":
 		a.fail("%s: a success in an encoding", try.ID)
 	case success && try.stream():
--- a/internal/standin/unruly/client.go
+++ b/internal/standin/unruly/client.go
@@ -86,7 +86,7 @@
 	t := &Try{ID: fmt.Sprintf("%s-%d", c.name, c.next), Route: route, Events: 1 + c.r.IntN(mostEvents)}
 	t.Path = fmt.Sprintf("/%s/%x?q=%%2F", route, c.r.Uint32())
 	t.Header = http.Header{"X-Model": {"m"}, "X-Token-Usage": {fmt.Sprintf("%d,%d", c.r.IntN(900), t.Events)},
-		"X-Prompt-Prefix": {fmt.Sprintf("%x:40,%x:7", c.r.IntN(5), c.r.Uint32())}, "X-Request-Id": {t.ID}, "X-Other": {"a", "b"}}
+		"X-Prompt-Prefix": {fmt.Sprintf("%x:40,%x:7", c.r.IntN(5), c.r.Uint32())}, "X-Request-Id": {t.ID}, "X-Other": {"a", "b"}, "Expect-Version": {versions}}
 	if route == routeResume && c.r.IntN(4) == 0 {
 		t.After = c.r.IntN(t.Events)
 	}
--- a/internal/standin/unruly/fleet.go
+++ b/internal/standin/unruly/fleet.go
@@ -16,6 +16,7 @@
 	Servers []Address
 
 	listeners []net.Listener
+	servers   []*server
 }
 
 // Address is where a server is, and its id.
@@ -30,11 +31,19 @@
 		f.listeners = append(f.listeners, l)
 		f.Servers = append(f.Servers, Address{ID: "i-" + address, Address: address})
 		s := &server{id: "i-" + address, audit: f.Audit, hazards: hazards(seed)}
+		f.servers = append(f.servers, s)
 		go s.accept(l, seed<<8+uint64(i))
 	}
 	return f
 }
 
+// script has all servers take their plans from a script. It is called before anything is sent.
+func (f *Fleet) script(s *script) {
+	for _, one := range f.servers {
+		one.script = s
+	}
+}
+
 // hazards is the share of exchanges in which something goes wrong, against the usual: worlds differ.
 func hazards(seed uint64) float64 { return [...]float64{0.3, 1, 1, 3}[seed%4] }
 
--- a/internal/standin/unruly/server.go
+++ b/internal/standin/unruly/server.go
@@ -28,6 +28,7 @@
 	id      string
 	audit   *Audit
 	hazards float64
+	script  *script // nil: plans are drawn
 }
 
 // line is one connection to it.
@@ -55,7 +56,7 @@
 	if !l.awaitRequest() {
 		return false
 	}
-	p := draw(l.r, l.hazards)
+	p := l.plan()
 	if p.requestCut >= 0 {
 		return l.cutRequest(&p)
 	}
@@ -87,6 +88,13 @@
 	return l.follow(&p)
 }
 
+func (l *line) plan() plan {
+	if l.script != nil {
+		return l.script.next()
+	}
+	return draw(l.r, l.hazards)
+}
+
 // awaitRequest waits for the first byte of a request. None may come where the state of the connection can't be known.
 func (l *line) awaitRequest() bool {
 	l.conn.SetReadDeadline(time.Now().Add(patience))
@@ -171,6 +179,9 @@
 	if p.cut >= 0 {
 		l.audit.count("cut answers")
 		left = int(p.cut * float64(size))
+		if p.cutByte {
+			left = min(p.cutAt, size)
+		}
 		if run != nil {
 			run.Cut = p.framing == byClose
 		}
--- a/internal/standin/unruly/world.go
+++ b/internal/standin/unruly/world.go
@@ -25,6 +25,8 @@
 	// RouteItem is the route of a batch job's items.
 	RouteItem = "item"
 
+	versions = "3" // that all answers carry
+
 	key     = "key-of-one"
 	gateway = "gateway"
 	backend = "b"
