Batch items of a few kilobytes are heard early, too

A server that answered an item of up to 64 KB before it had read it, and read no further, was heard only after the silence of three seconds: the whole item was one write. Now what is longer than 4 KB goes out as long bodies do.

--- a/internal/batch/exchange/early_test.go
+++ b/internal/batch/exchange/early_test.go
@@ -66,7 +66,7 @@
 			Convey("A server that answers before it has a long body, and then "+name+", is heard", t, func() {
 				So(outcome.Ending, ShouldEqual, Impossible)
 				So(kept, ShouldBeFalse)
-				So(took, ShouldBeLessThan, 2*time.Second)
+				So(took, ShouldBeLessThan, 300*time.Millisecond)
 			})
 		}
 	}
--- a/internal/batch/exchange/send.go
+++ b/internal/batch/exchange/send.go
@@ -9,6 +9,8 @@
 )
 
 const (
+	// atOnce is what is written without looking at the answer, in bytes.
+	atOnce = 4 << 10
 	// bodyStep is how much of a long body goes out between looks at the answer, in bytes.
 	bodyStep = 64 << 10
 	// bodyStall is how long a server may take nothing of a body before it is looked whether its answer is there.
@@ -20,16 +22,23 @@
 // send writes the request, until the server takes nothing more and has answered, and gives the error that kept it from being
 // whole: an answer may be there all the same.
 func (conn *connection) send(ctx context.Context, request *Request, lastEventID int64, by time.Time) error {
-	rest := head(request, lastEventID)
+	first := head(request, lastEventID)
 	if len(request.Item.Body) <= bodyStep {
-		rest = append(rest, request.Item.Body...)
-		_, err := conn.Write(rest)
+		return conn.write(ctx, append(first, request.Item.Body...), by)
+	}
+	if err := conn.write(ctx, first, by); err != nil {
 		return err
 	}
-	if _, err := conn.Write(rest); err != nil {
+	return conn.write(ctx, request.Item.Body, by)
+}
+
+// write writes bytes; of long ones some at a time.
+func (conn *connection) write(ctx context.Context, rest []byte, by time.Time) error {
+	if len(rest) <= atOnce {
+		_, err := conn.Write(rest)
 		return err
 	}
-	for rest = request.Item.Body; len(rest) > 0; {
+	for len(rest) > 0 {
 		if err := conn.SetWriteDeadline(earliest(time.Now().Add(bodyStall), by)); err != nil {
 			return err
 		}
