--- /dev/null
+++ b/internal/gateway/proxy/drawn_test.go
@@ -0,0 +1,183 @@
+package proxy
+
+import (
+	"bufio"
+	"cmp"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"os"
+	"strconv"
+	"strings"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+
+	"sprucelane.example/sprucelane/internal/standin"
+)
+
+// This file draws exchanges by lot: what servers do with each try, how long the client waits, when it leaves and what stands behind
+// its request. It holds them to the rules on servers, deadlines, final answers and clients that leave.
+
+// fixedExchanges is how many are drawn where SEEDS doesn't say.
+const fixedExchanges = 400
+
+// drawn is one exchange.
+type drawn struct {
+	route   string
+	told    time.Duration // 0: nothing
+	leaves  time.Duration // 0: the client stays
+	body    int
+	behind  string
+	script  []standin.Reply
+	refuses int // tries that servers say they did not run
+	latency time.Duration
+}
+
+func draw(seed uint64) *drawn {
+	r := rand.New(rand.NewPCG(seed, 7))
+	d := &drawn{route: []string{"safe", "unsafe", "stream", "resume"}[r.IntN(4)], body: 8, latency: time.Duration(1+r.IntN(30)) * time.Millisecond}
+	if r.IntN(2) == 0 {
+		d.told = time.Duration(100+r.IntN(4000)) * time.Millisecond
+	}
+	if r.IntN(2) == 0 {
+		d.leaves = time.Duration(1+r.IntN(3000)) * time.Millisecond
+	}
+	if r.IntN(4) == 0 {
+		d.body = 64 << 10
+	}
+	if r.IntN(3) == 0 {
+		d.behind = strings.Repeat(pipelined, 1+r.IntN(50))
+		d.behind = d.behind[:r.IntN(len(d.behind))]
+	}
+	for range 8 {
+		d.script = append(d.script, d.reply(r))
+	}
+	return d
+}
+
+// reply draws what a server does with a try.
+func (d *drawn) reply(r *rand.Rand) standin.Reply {
+	wait := time.Duration(r.IntN(400)) * time.Millisecond
+	switch r.IntN(9) {
+	case 0:
+		return waits
+	case 1, 2:
+		return d.refusal(wait)
+	case 3:
+		return later(wait, says("", false))
+	case 4:
+		return later(wait, answers(500, stamp, ""))
+	case 5:
+		return later(wait, streams(r.IntN(6), "id: 9\nda", false))
+	case 6:
+		return trickles(wait, r.IntN(40), "")
+	case 7:
+		return later(wait, says("HTTP/1.1 200 OK\r\nX-Requ", false))
+	}
+	if d.route == "stream" || d.route == "resume" {
+		return later(wait, goodStream)
+	}
+	return later(wait, good)
+}
+
+// refusal counts itself once it has gone out.
+func (d *drawn) refusal(wait time.Duration) standin.Reply {
+	refuses := answers(503, "X-Not-Executed: 1\r\n", "")
+	return later(wait, func(p *standin.Peer, c net.Conn, s standin.Seen) bool {
+		d.refuses++
+		return refuses(p, c, s)
+	})
+}
+
+func (d *drawn) most() time.Duration { return min(timedRoute, cmp.Or(d.told, timedRoute)) }
+
+// exchange plays one, and holds it to the rules.
+func (g ruling) exchange(seed uint64) {
+	d := draw(seed)
+	g.play(6, d.script, func(w *timed) {
+		w.slower(d.latency)
+		told := ""
+		if d.told > 0 {
+			told = strconv.FormatInt(d.told.Milliseconds(), 10)
+		}
+		conn := w.send(d.route, told, strings.Repeat("b", d.body), d.behind)
+		defer conn.Close()
+		w.began = time.Now()
+		what := fmt.Sprintf("FIRST=%d SEEDS=1: %s, told %v, leaves after %v", seed, d.route, d.told, d.leaves)
+		if d.leaves == 0 {
+			_, _ = io.Copy(io.Discard, until(conn))
+			assert.LessOrEqual(w.check, time.Since(w.began), d.most()+ruled/2, what)
+		} else {
+			go io.Copy(io.Discard, conn)
+			time.Sleep(d.leaves)
+			_ = conn.Close()
+		}
+		w.judge(d, time.Now(), what)
+	})
+}
+
+// until gives what comes of a connection up to the end of the first answer.
+func until(conn net.Conn) io.Reader {
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil {
+		return strings.NewReader("")
+	}
+	return resp.Body
+}
+
+// judge looks at an exchange whose client has its answer, or has left.
+func (w *timed) judge(d *drawn, over time.Time, what string) {
+	time.Sleep(ruled)
+	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	servers := 1
+	if d.route == "safe" || d.route == "resume" {
+		servers = 2
+	}
+	arrivals := 0
+	for _, one := range w.arrivals {
+		if one.id != "id" {
+			continue // of a request behind it
+		}
+		arrivals++
+		assert.LessOrEqual(w.check, one.at.Add(one.deadline).Sub(w.began), d.most()+4*d.latency, what)
+		assert.LessOrEqual(w.check, one.at.Sub(over), 6*d.latency, what)
+	}
+	assert.LessOrEqual(w.check, arrivals-d.refuses, servers, what)
+	if d.leaves > 0 {
+		assert.Zero(w.check, w.working, what)
+	}
+}
+
+// TestRandomExchanges draws exchanges by lot; SEEDS=N plays N of them, FIRST=S starts at seed S.
+func TestRandomExchanges(t *testing.T) {
+	first, _ := strconv.ParseUint(os.Getenv("FIRST"), 10, 64)
+	count := uint64(fixedExchanges)
+	if told, err := strconv.ParseUint(os.Getenv("SEEDS"), 10, 64); err == nil {
+		count = told
+	}
+	for seed := first; seed < first+count && !t.Failed(); seed++ {
+		ruling{T: t, check: t}.exchange(seed)
+	}
+}
+
+// Drawn exchanges find planted bugs.
+func TestRandomExchangesFindBugs(t *testing.T) {
+	for name, planted := range map[string]bugs{
+		"each attempt hands on the first one's time":  {sameDeadline: true},
+		"servers are not told that a client has left": {deaf: true},
+		"what may run once is repeated":               {repeatAll: true},
+	} {
+		found := false
+		for seed := uint64(0); seed < fixedExchanges && !found; seed++ {
+			found = breaks(t, planted, func(g ruling) { g.exchange(seed) })
+		}
+		assert.True(t, found, name)
+	}
+}
--- a/internal/gateway/proxy/timed_test.go
+++ b/internal/gateway/proxy/timed_test.go
@@ -64,12 +64,14 @@
 	mu       sync.Mutex
 	latency  time.Duration // of connections that are opened
 	arrivals []arrival
+	working  int         // servers that have not answered to the end
 	ends     []time.Time // of servers' connections
 }
 
 // arrival is a request that has reached a server.
 type arrival struct {
 	at       time.Time
+	id       string
 	deadline time.Duration // that the server was handed
 }
 
@@ -100,8 +102,9 @@
 		w.began = time.Now()
 		play(w)
 		server.Close()
+		time.Sleep(time.Minute) // what is under way has ended
 		members.Close()
-		time.Sleep(2 * time.Minute) // all that waits on a connection has ended
+		time.Sleep(time.Minute) // and all that waits on a connection
 	})
 }
 
@@ -147,7 +150,12 @@
 		if err == nil {
 			_, err = io.Copy(io.Discard, r.Body)
 		}
-		if err != nil || !w.arrived(r, script)(nil, conn, standin.Seen{Request: r}) {
+		if err != nil {
+			break
+		}
+		goesOn := w.arrived(r, script)(nil, conn, standin.Seen{Request: r})
+		w.answered()
+		if !goesOn {
 			break
 		}
 	}
@@ -162,10 +170,17 @@
 	handed, _ := strconv.Atoi(r.Header.Get(headerDeadline))
 	w.mu.Lock()
 	defer w.mu.Unlock()
-	w.arrivals = append(w.arrivals, arrival{at: time.Now(), deadline: time.Duration(handed) * time.Millisecond})
+	w.working++
+	w.arrivals = append(w.arrivals, arrival{at: time.Now(), id: r.Header.Get(headerID), deadline: time.Duration(handed) * time.Millisecond})
 	return script[min(len(w.arrivals), len(script))-1]
 }
 
+func (w *timed) answered() {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	w.working--
+}
+
 // send sends a request, with a deadline where one is told, and with more behind it.
 func (w *timed) send(route, told, body, behind string) net.Conn {
 	conn, err := w.network.Dial(context.Background(), "gateway")
