Tests of rules in time read what servers note under its lock

The race detector found it in TestServersHearInTime: a server's connection that ends after a test has looked was noted while the test read the list. Refusals of drawn exchanges are counted atomically for the same reason.

--- a/internal/gateway/proxy/drawn_test.go
+++ b/internal/gateway/proxy/drawn_test.go
@@ -11,6 +11,7 @@
 	"os"
 	"strconv"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -34,7 +35,7 @@
 	body    int
 	behind  string
 	script  []standin.Reply
-	refuses int // tries that servers say they did not run
+	refuses atomic.Int64 // tries that servers say they did not run
 	latency time.Duration
 }
 
@@ -89,7 +90,7 @@
 func (d *drawn) refusal(wait time.Duration) standin.Reply {
 	refuses := answers(503, "X-Not-Executed: 1\r\n", "")
 	return later(wait, func(p *standin.Peer, c net.Conn, s standin.Seen) bool {
-		d.refuses++
+		d.refuses.Add(1)
 		return refuses(p, c, s)
 	})
 }
@@ -149,7 +150,7 @@
 		assert.LessOrEqual(w.check, one.at.Add(one.deadline).Sub(w.began), d.most()+4*d.latency, what)
 		assert.LessOrEqual(w.check, one.at.Sub(over), 6*d.latency, what)
 	}
-	assert.LessOrEqual(w.check, arrivals-d.refuses, servers, what)
+	assert.LessOrEqual(w.check, arrivals-int(d.refuses.Load()), servers, what)
 	if d.leaves > 0 {
 		assert.Zero(w.check, w.working, what)
 	}
--- a/internal/gateway/proxy/ruled_test.go
+++ b/internal/gateway/proxy/ruled_test.go
@@ -42,6 +42,8 @@
 				assert.Equal(g.check, 200, got.status, name)
 				assert.NoError(g.check, got.err, name)
 				assert.Contains(g.check, []string{"good", eventsTo(5)}, got.body, name)
+				w.mu.Lock()
+				defer w.mu.Unlock()
 				assert.Len(g.check, w.arrivals, len(one.script), name)
 				for i, a := range w.arrivals {
 					ends := a.at.Add(a.deadline).Sub(w.began)
@@ -66,6 +68,8 @@
 				g.play(3, []standin.Reply{reply}, func(w *timed) {
 					got := final(w.send(route, told, strings.Repeat("b", 64<<10), ""))
 					took := time.Since(w.began)
+					w.mu.Lock()
+					defer w.mu.Unlock()
 					what := fmt.Sprint(name, " on ", route, ", told ", told)
 					assert.LessOrEqual(g.check, took, most+ruled/10, what)
 					assert.GreaterOrEqual(g.check, took, most-2*transit, what)
@@ -95,9 +99,11 @@
 			conn := w.send(route, "", "the body", "")
 			time.Sleep(timedRoute + ruled)
 			synctest.Wait()
+			defer conn.Close()
+			w.mu.Lock()
+			defer w.mu.Unlock()
 			assert.Len(g.check, w.ends, len(w.arrivals), route)
 			assert.NotEmpty(g.check, w.arrivals)
-			conn.Close()
 		})
 	}
 }
@@ -131,6 +137,8 @@
 	const soon = 6 * timedLatency // to the gateway, for a connection, and to the server
 	time.Sleep(ruled)
 	synctest.Wait()
+	w.mu.Lock()
+	defer w.mu.Unlock()
 	assert.Len(w.check, w.ends, len(w.arrivals), what)
 	for _, one := range w.arrivals {
 		assert.LessOrEqual(w.check, one.at.Sub(left), soon, what)
@@ -153,6 +161,8 @@
 		conn.Close()
 		time.Sleep(time.Second)
 		synctest.Wait()
+		w.mu.Lock()
+		defer w.mu.Unlock()
 		assert.Empty(g.check, w.arrivals)
 	})
 }
