Batch stores: a store that is to be emptied stays in sets that too few others are left for

Gap, told by the model of replica sets: with as many active stores as copies, one that is to be emptied, and a lost disk, no set could be whole: every batch job was unreadable until a store was added, though the one that leaves was up. It is taken into the sets now, as long as fewer active ones than copies are there, and is not emptied meanwhile: an owner tells a store that a set is whole without it only where that store is none of the set.

So what has emptied may be needed again. That it is emptied holds for the epoch now, until it is retired; it tells it again in the next, and only once all others have told that they stand whole in that epoch, so that nobody has yet to choose sets.

--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -48,7 +48,12 @@
 		}
 	}
 	for _, member := range view.Members {
-		delete(d.since, placement.KeyOf(member.Process))
+		key := placement.KeyOf(member.Process)
+		delete(d.since, key)
+		if member.State != protocol.StoreRetired { // it may be needed again where others were lost
+			delete(d.emptied, key)
+			delete(d.lasting, key)
+		}
 	}
 	maps.DeleteFunc(d.obscured, func(key placement.Key, _ time.Duration) bool {
 		_, present := placement.MemberOf(view, key)
@@ -153,7 +158,7 @@
 
 // awaitsWhole tells that something here ends once all members stand whole.
 func (m *Machine) awaitsWhole() bool {
-	return m.departed.missing() > 0 || slices.ContainsFunc(m.order, func(h *held) bool { return h.behind })
+	return m.departed.missing() > 0 || m.retiring || slices.ContainsFunc(m.order, func(h *held) bool { return h.behind })
 }
 
 // checkWhole forgets who is missing, and drops copies that were left behind, once all members stand whole without them.
@@ -161,11 +166,7 @@
 	if m.tooManyLeft() || m.settledEpoch != m.view.Epoch || !m.awaitsWhole() {
 		return
 	}
-	whole := true
-	m.others(func(other protocol.Process) {
-		whole = whole && m.departed.settled[placement.KeyOf(other)] == m.view.Epoch
-	})
-	if !whole {
+	if !m.othersWhole() {
 		return
 	}
 	m.dropBehind()
@@ -174,6 +175,15 @@
 	}
 }
 
+// othersWhole tells whether all other members have told in this epoch that they stand whole.
+func (m *Machine) othersWhole() bool {
+	whole := true
+	m.others(func(other protocol.Process) {
+		whole = whole && m.departed.settled[placement.KeyOf(other)] == m.view.Epoch
+	})
+	return whole
+}
+
 // dropBehind drops copies of versions that are not the newest: kept for longer than those, one could be taken for the newest
 // later, though the batch job was ended.
 func (m *Machine) dropBehind() {
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -128,7 +128,7 @@
 	Version Version
 	Count   int
 	Ended   bool
-	Whole   bool // the sender owns the batch job, and all of its replicas hold it
+	Whole   bool // the sender owns the batch job, and all of its replicas hold it, of which the receiver is none
 }
 
 // SettledNotice tells the highest epoch in which all that the sender owns stood whole.
--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -342,3 +342,48 @@
 		So(status, ShouldEqual, 200)
 	})
 }
+
+// TestLossWhileLeaving loses a disk while another store is to be emptied, so that fewer active ones than copies are left.
+func TestLossWhileLeaving(t *testing.T) {
+	Convey("A store that is to be emptied stays in sets that too few others are left for", t, func() {
+		for lost := range 2 {
+			c := newCluster(3, 2, 1)
+			So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+			owner, replica := c.owner("job"), c.replicaOf("job")
+			owner.finish("job", 0)
+			c.settle()
+			leaving := c.others(owner, replica)[0]
+			gone, stays := owner, replica
+			if lost == 1 {
+				gone, stays = replica, owner
+			}
+			leaving.state = protocol.StoreRetiring
+			c.view(c.nodes...)
+			c.settle()
+			So(leaving.machine.Report().DrainedDown, ShouldBeTrue)
+			gone.wipe()
+			c.view(leaving, stays)
+			c.settle()
+			texts, status := stays.readAnywhere("job")
+			So(status, ShouldEqual, 200)
+			So(texts, ShouldResemble, []string{"0"})
+			So(leaving.machine.Report().DrainedDown, ShouldBeFalse) // it is needed again
+			So(stays.machine.departed.isEmptied(leaving.key()), ShouldBeFalse)
+			So(stays.machine.Report().Settled, ShouldEqual, c.epoch)
+			gone.start()
+			c.view(c.nodes...)
+			c.settle()
+			So(leaving.machine.Report().DrainedDown, ShouldBeTrue)
+			c.view(c.nodes...)
+			c.lost = func(m clusterMessage) bool { // what it told in the last epoch counts no more
+				_, notice := m.body.(SettledNotice)
+				return notice && m.from.Node == leaving.process().Node
+			}
+			c.settle()
+			So(leaving.machine.drained(), ShouldBeTrue)
+			So(leaving.machine.Report().DrainedDown, ShouldBeFalse)
+			So(gone.machine.jobs["job"].durable, ShouldEqual, 1)
+			So(stays.machine.jobs["job"].durable, ShouldEqual, 1)
+		}
+	})
+}
--- a/internal/batch/replica/replicate.go
+++ b/internal/batch/replica/replicate.go
@@ -180,7 +180,7 @@
 	}
 	m.env.Send(to, Replicated{
 		Stamp: m.stamp(), Job: h.id, Held: h.copyDurable, Version: h.version, Count: h.durable, Ended: h.endDurable,
-		Whole: h.owner && h.stood(),
+		Whole: h.owner && h.stood() && !placement.Contains(h.replicas, placement.KeyOf(to)),
 	})
 }
 
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -52,6 +52,7 @@
 	clear(m.reservations)
 	clear(m.lookups)
 	clear(m.concession)
+	clear(m.toldEmptied)
 	for _, a := range m.acceptances {
 		a.askedAt = 0
 		clear(a.votes)
@@ -271,11 +272,22 @@
 			kept = append(kept, replica)
 		}
 	}
-	replicas := placement.Replicas(h.id, m.view, kept, m.options.Copies)
+	replicas := m.fillUp(placement.Replicas(h.id, m.view, kept, m.options.Copies))
 	h.setReplicas(h.version.next(m.view.Epoch), replicas, m.self)
 	m.writeReplicas(h)
 }
 
+// fillUp adds stores that are to be emptied to a set that too few active ones are left for: they go once others have come.
+func (m *Machine) fillUp(replicas []protocol.Process) []protocol.Process {
+	for _, member := range m.view.Members {
+		missing := len(replicas) < m.options.Copies && member.State == protocol.StoreRetiring
+		if missing && !placement.Contains(replicas, placement.KeyOf(member.Process)) {
+			replicas = append(replicas, member.Process)
+		}
+	}
+	return replicas
+}
+
 // pass leaves a batch job to its owner. What runs here is stopped.
 func (m *Machine) pass(h *held) {
 	h.owner, h.whole = false, false
@@ -318,9 +330,10 @@
 	m.checkWhole()
 }
 
-// drained tells whether a retiring store keeps nothing that isn't whole on other stores.
+// drained tells whether a retiring store keeps nothing that isn't whole on other stores, and nobody has yet to choose sets
+// in this epoch.
 func (m *Machine) drained() bool {
-	if !m.retiring || !m.settled || len(m.acceptances) > 0 {
+	if !m.retiring || !m.settled || len(m.acceptances) > 0 || !m.othersWhole() {
 		return false
 	}
 	for _, h := range m.order {
