--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -15,7 +15,9 @@
 // This file owns whether the members of the view together know of every batch job. They do as long as no more of those that
 // left it are missing than copies but one, counted since all members stood whole: then one copy of each is among them. When
 // more are missing, as after a loss of power everywhere, what isn't known here may still come back, and nobody may be told
-// that it doesn't exist. What the last view was is kept on the disk, as a start in between must not forget who is missing.
+// that it doesn't exist, nor may anybody accept it again. What the last view was is kept on the disk, as a start in between
+// must not forget who is missing. A store with an empty disk learns it from another; so does one that was away while the
+// others stood whole without those that left.
 
 const noticeAgain = time.Second
 
