--- a/coord/replica/core_test.go
+++ b/coord/replica/core_test.go
@@ -8,15 +8,6 @@
 	"sprucelane.example/sprucelane/coord/chain"
 )
 
-func startedWorld(seed uint64, machines, tolerance int) *world {
-	w := newWorld(seed, machines, tolerance)
-	for _, n := range w.nodes {
-		n := n
-		w.after(time.Duration(w.random.Int64N(int64(300*time.Millisecond))), func() { n.start(true) })
-	}
-	return w
-}
-
 func (w *world) acknowledged(t *testing.T, n *simulatedNode, id string, limit time.Duration) time.Duration {
 	t.Helper()
 	start := w.now
@@ -86,7 +77,7 @@
 		w := startedWorld(20, 3, 1)
 		w.runUntil(2 * time.Second)
 		for i := 0; i < len(ways); i += 2 {
-			w.cuts[[2]string{w.nodes[ways[i]].address, w.nodes[ways[i+1]].address}] = true
+			w.cut(w.nodes[ways[i]], w.nodes[ways[i+1]])
 		}
 		w.runUntil(5 * time.Second)
 		if chain := w.nodes[1].core.view(); chain.Epoch != 1 {
@@ -102,8 +93,8 @@
 func TestOrderOfMemberLeftOut(t *testing.T) {
 	w := startedWorld(21, 3, 1)
 	w.runUntil(2 * time.Second)
-	w.cuts[[2]string{w.nodes[0].address, w.nodes[1].address}] = true
-	w.cuts[[2]string{w.nodes[1].address, w.nodes[0].address}] = true
+	w.cut(w.nodes[0], w.nodes[1])
+	w.cut(w.nodes[1], w.nodes[0])
 	w.runUntil(5 * time.Second)
 	for _, n := range w.nodes {
 		took := w.acknowledged(t, n, "through "+n.name, time.Second)
--- a/coord/replica/doc.go
+++ b/coord/replica/doc.go
@@ -15,7 +15,9 @@
 // An acknowledged order (Propose returned nil) is on the synced disks of the whole chain, which has
 // at least Tolerance+1 members. It survives the loss of Tolerance disks together with a loss of power
 // of all others. An order is applied once for each id, also when it is sent again through another
-// node over a change of the view. Reads are linearizable. ErrUnavailable means that the order never
+// node over a change of the view; the outcomes of the last 4,096 orders are remembered for that. Beyond
+// them no message brings an order in again, however late it comes: only a caller can, that proposes the
+// same id itself again so late. Reads are linearizable. ErrUnavailable means that the order never
 // left this node; ErrUncertain means that it may be applied at any time.
 //
 // A chain of fewer than Tolerance+1 members takes no orders, and a minority of the voters does
@@ -38,8 +40,8 @@
 // with. A member that is silent for 700 ms is left out by the next view, which its neighbours propose
 // first; a member that returns is let in once all of the chain hears it. Links that are cut one way,
 // or between two members only, don't matter where the chain doesn't use them: orders go around them,
-// by a member in touch with both ends. A process that finds a
-// gap of more than 400 ms between its ticks stood still itself: it forgets all silence and listens.
+// by a member in touch with both ends. A process that finds a gap of more than 400 ms between its ticks
+// stood still itself: it forgets all silence, drops the orders that waited for it, and listens.
 //
 // Each heartbeat echoes the last one heard from its addressee. So a member learns, without a message
 // of its own, up to when a majority of voters stood unwedged in its epoch: everything acknowledged
@@ -57,9 +59,9 @@
 // The protocol is a pure state machine (core): messages and time go in; records and messages come
 // out. Its carrier makes the records durable first, then sends the messages. Node carries it with
 // sockets (coord/transport), a disk (coord/slots) and the steady clock, on one goroutine. The tests
-// carry it through worlds in virtual time, with killed, wiped, frozen and replaced machines, torn
-// writes, cut links and duels of proposers, and check after each step that no two orders stand at one
-// index, that there is one view an epoch and one leader, that acknowledged orders are on enough disks
-// and are never lost, and what reads and Fresh claim. SEEDS=N plays N worlds, FIRST=S begins at seed
-// S, and TRACE=1 prints a failing world whole.
+// carry it through worlds in virtual time, with the real store on simulated disks. hazards_test.go lists
+// the troubles, from killed, wiped, frozen, cut-off, leaving and replaced machines to copies that are
+// interrupted and members that miss hundreds of orders; the next one may come as soon as the chain is
+// whole. checks_test.go holds what must be true at each step, plants_test.go the bugs that the worlds
+// must find. SEEDS=N plays N worlds, FIRST=S begins at seed S, and TRACE=1 prints a failing world whole.
 package replica
