--- /dev/null
+++ b/internal/batch/replica/set_check_test.go
@@ -0,0 +1,143 @@
+package replica
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns what the model holds to the rules after each step.
+
+const setLost = "no surviving copy of the highest version holds all that was acknowledged"
+
+func (w *setWorld) check() {
+	if w.bearsLoss() {
+		w.permitted = w.copies - 1
+	}
+	runs := ""
+	for _, s := range w.stores {
+		if !s.up || s.frozen {
+			continue
+		}
+		if w.mayRun(s) {
+			if runs != "" {
+				w.fail("%s and %s may both run items", runs, s.node)
+			}
+			runs = s.node
+		}
+		w.read(s)
+	}
+	w.audit()
+}
+
+// mayRun tells whether a store owns the batch job and may act on it.
+func (w *setWorld) mayRun(s *setStore) bool {
+	h := s.machine.jobs[setJob]
+	return h != nil && s.machine.Allowed() && h.owner && h.whole && !h.ended && len(h.handing) == 0
+}
+
+// read reads at the owner what it hasn't shown in this life yet.
+func (w *setWorld) read(s *setStore) {
+	h := s.machine.jobs[setJob]
+	if h == nil || !h.owner || !h.whole || !s.machine.Allowed() {
+		return
+	}
+	if h.shown > s.shown || w.client.ended != h.ended {
+		s.shown = h.shown
+		w.seeAll(s, h)
+	}
+}
+
+func (w *setWorld) seeAll(s *setStore, h *held) {
+	if w.client.ended && !h.ended {
+		w.fail("%s serves an ended batch job as open", s.node)
+	}
+	if h.shown < len(w.client.seen) && h.ended {
+		w.fail("%s shows %d results of an ended batch job, %d were", s.node, h.shown, len(w.client.seen))
+	}
+	for position := range h.shown {
+		result, ok := s.machine.result(h, position)
+		if !ok {
+			w.fail("%s can't read what it shows", s.node)
+			return
+		}
+		text := fmt.Sprintf("item %d: %s", result.Item, result.Text)
+		switch {
+		case position < len(w.client.seen) && w.client.seen[position] != text:
+			w.fail("%s shows %q at %d, %q was", s.node, text, position, w.client.seen[position])
+		case position == len(w.client.seen):
+			w.client.seen = append(w.client.seen, text)
+		}
+	}
+}
+
+// audit checks that what was acknowledged is on a surviving copy of the highest version.
+func (w *setWorld) audit() {
+	if !w.client.accepted {
+		return
+	}
+	var highest Version
+	for _, s := range w.stores {
+		if held := s.held(); held != nil {
+			highest = max(highest, held.version)
+		}
+	}
+	for _, s := range w.stores {
+		held := s.held()
+		if held != nil && held.version == highest && len(held.results) >= len(w.client.seen) &&
+			slices.Equal(held.results[:len(w.client.seen)], w.client.seen) && (held.ended || !w.client.ended) {
+			return
+		}
+	}
+	w.fail(setLost)
+}
+
+// held reads what the store's disk holds for sure.
+func (s *setStore) held() *setCopy {
+	if s.audited == s.durable {
+		return s.audit
+	}
+	m := New(Options{Self: s.process(), Copies: s.world.copies, KeepFor: time.Hour}, &setStore{world: s.world})
+	for i, record := range s.disk[:s.durable] {
+		_ = m.Replay(journal.Location{Segment: uint32(i), Length: uint32(len(record))}, record)
+	}
+	s.audited, s.audit = s.durable, nil
+	if h := m.jobs[setJob]; h != nil {
+		s.audit = &setCopy{version: h.version, ended: h.endDurable}
+		for _, result := range h.results {
+			text, _ := s.Read(result.at)
+			s.audit.results = append(s.audit.results, fmt.Sprintf("item %d: %s", result.item, text))
+		}
+	}
+	return s.audit
+}
+
+// checkEnd checks that all came to its end.
+func (w *setWorld) checkEnd() {
+	if !w.done() {
+		w.fail("not done %d rounds after the last trouble: accepted %v, shown %d, ended %v",
+			setRounds, w.client.accepted, len(w.client.seen), w.client.ended)
+	}
+}
+
+// retire asks for a store to be emptied, where enough others are there and remain.
+func (w *setWorld) retire(s *setStore) bool {
+	members := slices.Clone(w.view.Members)
+	at := slices.IndexFunc(members, func(m protocol.StoreMember) bool { return m.Process == s.process() })
+	active := 0
+	for _, member := range members {
+		if s := w.of(placement.KeyOf(member.Process)); member.State == protocol.StoreActive && s != nil && s.up {
+			active++
+		}
+	}
+	if at < 0 || members[at].State != protocol.StoreActive || active <= w.copies {
+		return false
+	}
+	members[at].State = protocol.StoreRetiring
+	w.change(members, "retires "+s.node)
+	return true
+}
--- /dev/null
+++ b/internal/batch/replica/set_world_test.go
@@ -0,0 +1,495 @@
+package replica
+
+import (
+	"encoding/json"
+	"fmt"
+	"slices"
+	"strconv"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns a world for the model of one batch job's replica set: real machines, and a fixed order of steps. A step
+// delivers a message, syncs a disk, or, where nothing of that is left, lets time pass. There is no chance in it: a run is
+// its troubles and the steps before which they come.
+
+const (
+	setRound  = 300 * time.Millisecond
+	setLease  = 2 * setRound
+	setSilent = 3 * setRound // after which the authority evicts a store whose lease is over
+	setJob    = "j"
+	setItems  = 2
+	setSteps  = 5000
+	setRounds = 80 // after the last trouble, in which all must come to its end
+)
+
+// setBugs are planted by tests that show that the model finds them.
+type setBugs struct {
+	sameLife     bool // a store whose disk was lost comes back as if it hadn't been away
+	lyingDisk    bool // records count as durable when they are written
+	fewCopies    bool // a batch job is on as many disks as may be lost
+	wholeEarly   bool // replicas count as whole before they are
+	emptyLists   bool // inventories list nothing
+	retireEarly  bool // a store counts as emptied once it is asked to be
+	endlessLease bool // a store that stood still never finds its lease ended
+}
+
+type setMessage struct {
+	from protocol.Process
+	to   placement.Key
+	body any
+}
+
+type setWorld struct {
+	bugs      setBugs
+	copies    int
+	now       time.Duration
+	stores    []*setStore
+	view      protocol.StoreView
+	messages  []setMessage
+	steps     int
+	rounds    int  // since the last trouble
+	permitted int  // disks that may be lost now
+	begun     bool // the client has
+	client    setClient
+	failure   string
+	events    []string
+}
+
+type setStore struct {
+	world       *setWorld
+	node        string
+	incarnation int
+	life        uint64
+	machine     *Machine
+	disk        [][]byte
+	durable     int // records that a loss of power leaves
+	base        int // records at the start of the process
+	up, frozen  bool
+	gone        bool          // taken away for good
+	startAt     time.Duration // where it is down
+	thawAt      time.Duration
+	heardAt     time.Duration
+	wipedAt     time.Duration // it lost its last disk
+	leaseUntil  time.Duration
+	inbox       []func()
+	answers     map[Token]func(protocol.BatchAnswer)
+	tokens      Token
+	shown       int // results that were read from this life
+	audited     int // records that audit stands for
+	audit       *setCopy
+}
+
+// setCopy is what a disk holds of the batch job for sure.
+type setCopy struct {
+	version Version
+	results []string // by position: item and text
+	ended   bool
+}
+
+func newSetWorld(count, copies int, bugs setBugs) *setWorld {
+	w := &setWorld{bugs: bugs, copies: copies}
+	w.client.begin()
+	for range count {
+		w.add()
+	}
+	return w
+}
+
+func (w *setWorld) fail(format string, values ...any) {
+	if w.failure == "" {
+		w.failure = fmt.Sprintf("step %d at %v: ", w.steps, w.now) + fmt.Sprintf(format, values...)
+	}
+}
+
+func (w *setWorld) note(format string, values ...any) {
+	w.events = append(w.events, fmt.Sprintf("%4d %6v ", w.steps, w.now)+fmt.Sprintf(format, values...))
+}
+
+func (w *setWorld) add() {
+	s := &setStore{world: w, node: "s" + strconv.Itoa(len(w.stores)+1), incarnation: 1}
+	w.stores = append(w.stores, s)
+	s.start()
+}
+
+func (s *setStore) process() protocol.Process {
+	return protocol.Process{Node: s.node, IP: s.node, Zone: "z-" + s.node, Incarnation: strconv.Itoa(s.incarnation)}
+}
+
+func (s *setStore) key() placement.Key { return placement.KeyOf(s.process()) }
+
+func (s *setStore) start() {
+	s.life++
+	s.up, s.frozen, s.inbox, s.shown = true, false, nil, 0
+	s.heardAt = s.world.now
+	s.base, s.durable = len(s.disk), len(s.disk)
+	s.answers = map[Token]func(protocol.BatchAnswer){}
+	copies := s.world.copies
+	if s.world.bugs.fewCopies {
+		copies--
+	}
+	s.machine = New(Options{Self: s.process(), Life: s.life, Copies: copies, KeepFor: time.Hour}, s)
+	for i, record := range s.disk {
+		if err := s.machine.Replay(journal.Location{Segment: uint32(i), Length: uint32(len(record))}, record); err != nil {
+			s.world.fail("%s finds its log unreadable: %v", s.node, err)
+		}
+	}
+}
+
+// stop ends the process; what wasn't synced may stay, as when only the process is killed.
+func (s *setStore) stop(keep bool, down time.Duration) {
+	if !s.up {
+		return
+	}
+	s.up = false
+	s.startAt = s.world.now + down
+	if !keep {
+		s.disk = s.disk[:s.durable]
+	}
+	s.durable = len(s.disk)
+}
+
+func (s *setStore) wipe(down time.Duration) {
+	s.stop(false, down)
+	s.wipedAt = s.world.now
+	s.disk, s.durable, s.audited, s.audit = nil, 0, 0, nil
+	if s.world.bugs.sameLife {
+		s.life--
+		return
+	}
+	s.incarnation++
+}
+
+// do runs an input now, after a thaw, or never.
+func (s *setStore) do(input func()) {
+	switch {
+	case !s.up:
+	case s.frozen:
+		s.inbox = append(s.inbox, input)
+	default:
+		input()
+	}
+}
+
+func (s *setStore) thaw() {
+	s.frozen = false
+	inbox := s.inbox
+	s.inbox = nil
+	for _, input := range inbox {
+		s.do(input)
+	}
+}
+
+// The machine's environment.
+
+func (s *setStore) Now() time.Duration { return s.world.now }
+func (s *setStore) Wall() int64        { return s.world.now.Milliseconds() }
+func (s *setStore) Free() int64        { return 1 << 40 }
+func (s *setStore) Start(string)       {}
+func (s *setStore) Stop(string)        {}
+
+func (s *setStore) Write(record []byte, _ bool) (uint64, journal.Location) {
+	s.disk = append(s.disk, record)
+	index := len(s.disk) - 1
+	return uint64(index + 1 - s.base), journal.Location{Segment: uint32(index), Length: uint32(len(record))}
+}
+
+func (s *setStore) Read(at journal.Location) ([]byte, error) {
+	return s.disk[at.Segment][at.Offset : at.Offset+at.Length], nil
+}
+
+func (s *setStore) Send(to protocol.Process, message any) {
+	s.world.messages = append(s.world.messages, setMessage{from: s.process(), to: placement.KeyOf(to), body: message})
+}
+
+func (s *setStore) Answer(token Token, answer protocol.BatchAnswer) {
+	answered := s.answers[token]
+	delete(s.answers, token)
+	if answered == nil {
+		return
+	}
+	if answer.Status != 503 && answer.Owner == "" && !s.machine.Allowed() {
+		return // Allowed is asked right before an answer leaves
+	}
+	answered(answer)
+}
+
+func (s *setStore) call(call protocol.BatchCall, items []job.Item, done func(protocol.BatchAnswer)) {
+	s.do(func() {
+		s.tokens++
+		s.answers[s.tokens] = done
+		s.machine.Call(s.tokens, call, items)
+	})
+}
+
+// sync makes all durable that was written.
+func (s *setStore) sync() {
+	s.durable = len(s.disk)
+	s.machine.Written(uint64(s.durable - s.base))
+}
+
+func (s *setStore) unsynced() bool { return s.up && !s.frozen && s.durable < len(s.disk) }
+
+// step does the next thing.
+func (w *setWorld) step() {
+	w.steps++
+	if w.steps > setSteps {
+		w.fail("steps without end")
+	}
+	if len(w.messages) > 0 {
+		message := w.messages[0]
+		w.messages = w.messages[1:]
+		w.deliver(message)
+	} else if at := slices.IndexFunc(w.stores, (*setStore).unsynced); at >= 0 {
+		w.stores[at].sync()
+	} else {
+		w.round()
+	}
+	if w.bugs.lyingDisk {
+		for _, s := range w.stores {
+			if s.up && !s.frozen && len(s.machine.pending) > 0 {
+				s.machine.Written(uint64(len(s.disk) - s.base))
+			}
+		}
+	}
+	w.check()
+}
+
+func (w *setWorld) deliver(message setMessage) {
+	at := slices.IndexFunc(w.stores, func(s *setStore) bool { return s.key() == message.to })
+	if at < 0 {
+		return
+	}
+	s := w.stores[at]
+	body := message.body
+	switch body := message.body.(type) {
+	case Replicated:
+		if w.bugs.wholeEarly {
+			body.Held, body.Count, body.Ended = true, setItems, true
+			message.body = body
+		}
+	case Inventory:
+		if w.bugs.emptyLists {
+			body.Entries = nil
+			message.body = body
+		}
+	}
+	body = message.body
+	s.do(func() { s.machine.Message(message.from, body) })
+}
+
+// round lets time pass: processes start, the authority looks at who is there, leases are renewed, machines tick, and the
+// client goes on.
+func (w *setWorld) round() {
+	w.rounds++
+	w.now += setRound
+	for _, s := range w.stores {
+		switch {
+		case s.gone:
+		case !s.up && w.now >= s.startAt:
+			s.start()
+		case s.up && s.frozen && w.now >= s.thawAt:
+			s.thaw()
+			continue // it hears of the view and of its lease in the next round
+		}
+		if s.up && !s.frozen {
+			s.heardAt = w.now
+		}
+	}
+	w.authority()
+	for _, s := range w.stores {
+		if !s.up || s.frozen {
+			continue
+		}
+		if s.heardAt < w.now {
+			s.machine.Tick()
+			continue
+		}
+		_, member := placement.MemberOf(w.view, s.key())
+		s.machine.View(w.view)
+		if member {
+			s.leaseUntil = w.now + setLease
+		}
+		until := s.leaseUntil
+		if w.bugs.endlessLease {
+			until += time.Hour
+		}
+		s.machine.Grant(member, until)
+		s.machine.Tick()
+	}
+	if w.begun {
+		w.client.act(w)
+	}
+}
+
+// authority changes the view, one change a round, as control does.
+func (w *setWorld) authority() {
+	members := slices.Clone(w.view.Members)
+	for i := range members {
+		s := w.byNode(members[i].Node)
+		switch {
+		case w.now-s.heardOf(members[i].Process) >= setSilent && w.now >= s.leaseUntil:
+			w.change(slices.Delete(members, i, i+1), "evicts "+s.node)
+			return
+		case members[i].State == protocol.StoreRetired && !s.gone:
+			w.change(slices.Delete(members, i, i+1), "takes "+s.node+" away")
+			s.wipe(0)
+			s.gone = true
+			return
+		case members[i].State == protocol.StoreRetiring && w.emptied(s):
+			members[i].State = protocol.StoreRetired
+			w.change(members, "notes that "+s.node+" is emptied")
+			return
+		}
+	}
+	for _, s := range w.stores {
+		if _, member := placement.MemberOf(w.view, s.key()); member || !s.up || s.frozen || s.gone {
+			continue
+		}
+		members = slices.DeleteFunc(members, func(m protocol.StoreMember) bool { return m.Node == s.node })
+		w.change(append(members, protocol.StoreMember{Process: s.process()}), "lets "+s.node+" in")
+		return
+	}
+}
+
+func (w *setWorld) byNode(node string) *setStore {
+	return w.stores[slices.IndexFunc(w.stores, func(s *setStore) bool { return s.node == node })]
+}
+
+// heardOf tells when a life of the store's disk was heard last.
+func (s *setStore) heardOf(process protocol.Process) time.Duration {
+	if process != s.process() || s.gone {
+		return s.wipedAt
+	}
+	return s.heardAt
+}
+
+func (w *setWorld) emptied(s *setStore) bool {
+	if w.bugs.retireEarly {
+		return true
+	}
+	report := s.machine.Report()
+	return s.up && !s.frozen && report.DrainedDown && report.Epoch == w.view.Epoch
+}
+
+func (w *setWorld) change(members []protocol.StoreMember, why string) {
+	w.view = protocol.StoreView{Epoch: w.view.Epoch + 1, Members: members}
+	w.note("control %s: epoch %d", why, w.view.Epoch)
+}
+
+func (w *setWorld) of(key placement.Key) *setStore {
+	for _, s := range w.stores {
+		if s.key() == key {
+			return s
+		}
+	}
+	return nil
+}
+
+// bearsLoss is the moment from which the next loss of as many disks as may be lost is borne: all members of the newest
+// view are there, enough of them active, each tells that all that it owns stands whole in that view, and has on its disk
+// that nobody is missed any more.
+func (w *setWorld) bearsLoss() bool {
+	active := 0
+	for _, member := range w.view.Members {
+		s := w.of(placement.KeyOf(member.Process))
+		if s == nil || !s.up || s.frozen || s.machine.Report().Settled != w.view.Epoch {
+			return false
+		}
+		if len(s.machine.departed.since) > 0 || s.unsynced() {
+			return false
+		}
+		if member.State == protocol.StoreActive {
+			active++
+		}
+	}
+	return active >= w.copies
+}
+
+// setClient submits the batch job, has its items run, reads and ends it.
+type setClient struct {
+	submission []byte
+	items      []job.Item
+	accepted   bool
+	seen       []string // by position
+	ended      bool
+	texts      int
+	turn       int
+}
+
+func (c *setClient) begin() {
+	type request struct {
+		ID     string `json:"id"`
+		Path   string `json:"path"`
+		Body   []byte `json:"body"`
+		Tokens int    `json:"tokens"`
+	}
+	var requests []request
+	for i := range setItems {
+		requests = append(requests, request{ID: "i" + strconv.Itoa(i), Path: "/p", Body: []byte{'b'}})
+	}
+	c.submission, _ = json.Marshal(map[string]any{"requests": requests})
+	items, err := job.ParseSubmission(c.submission)
+	if err != nil {
+		panic(err)
+	}
+	c.items = items
+}
+
+// act takes the next step of the client: one item a round, on every store that may run it.
+func (c *setClient) act(w *setWorld) {
+	c.turn++
+	switch {
+	case !c.accepted:
+		c.ask(w, protocol.BatchCall{Operation: protocol.BatchSubmit, Body: c.submission}, func(answer protocol.BatchAnswer) {
+			c.accepted = c.accepted || answer.Status == 202
+		})
+	case len(c.seen) < setItems:
+		c.run(w)
+	case !c.ended:
+		c.ask(w, protocol.BatchCall{Operation: protocol.BatchEnd}, func(answer protocol.BatchAnswer) {
+			c.ended = c.ended || answer.Status == 200
+		})
+	}
+}
+
+// ask sends a call to one store after the other, and to the owner that it names.
+func (c *setClient) ask(w *setWorld, call protocol.BatchCall, done func(protocol.BatchAnswer)) {
+	call.BatchJob, call.Tenant, call.Route = setJob, "t", "r"
+	s := w.stores[c.turn%len(w.stores)]
+	s.call(call, c.items, func(answer protocol.BatchAnswer) {
+		if answer.Owner == "" {
+			done(answer)
+			return
+		}
+		for _, other := range w.stores {
+			if other.node == answer.Owner {
+				other.call(call, c.items, done)
+			}
+		}
+	})
+}
+
+// run lists the next item wherever it may run, with a text of its own.
+func (c *setClient) run(w *setWorld) {
+	for _, s := range w.stores {
+		for index := range setItems {
+			if s.up && !s.frozen && index <= len(c.seen) && s.machine.MayRun(setJob, index) {
+				c.texts++
+				s.machine.Finish(setJob, index, job.Completed, fmt.Appendf(nil, "text %d", c.texts))
+				break
+			}
+		}
+	}
+}
+
+// done tells that all has been acknowledged, and that no store has yet to be emptied.
+func (w *setWorld) done() bool {
+	return w.client.ended && !slices.ContainsFunc(w.view.Members, func(m protocol.StoreMember) bool {
+		return m.State != protocol.StoreActive
+	})
+}
