Batch stores: an owner that was out of the view raises the version though its set stands

Cause: a store that found itself the first of a set whose members were all there went on under the version that it had. While it was out of the view another one may have owned the batch job by an older copy and have chosen a higher version, on its own disk only, and have left before it showed anything. Back in the view, the first one showed results under the lower version; the other one came back with the higher one and other results: a position showed another result, and an end could be lost. No disk had to be lost.

Ruled out: a copy that wasn't durable, and too many missing (one store was away, two copies).

Change: a store keeps with the record of the view which epoch it saw last and since which epoch it has been a member without a gap; a view that it may have missed is a gap. take goes on under a version only if it was made since then; else it raises it to the present epoch, which is above what any store that is away can have chosen. A restart without a missed view costs nothing more; after an absence the set is copied again, as after any change of it. Records of earlier versions lack the two numbers and count as a gap.

TestSetModelVersionAfterAbsence plays the trace, and finds the fault again where a store forgets its absence.

--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -40,6 +40,20 @@
 	obscured   map[placement.Key]time.Duration
 	doubtUntil time.Duration     // too many of both were missing for ever: until then batch jobs that were lost may be asked for
 	at         *journal.Location // of the newest durable record of last
+
+	epoch       uint64 // of the newest view that was seen, also in earlier lives
+	memberSince uint64 // this store has been a member of all views from this epoch on, 0: it isn't one
+}
+
+// follow notes since when this store has been a member without a gap. A view that it may have missed is a gap.
+func (d *departed) follow(epoch uint64, present bool) {
+	switch {
+	case !present:
+		d.memberSince = 0
+	case d.memberSince == 0 || epoch > d.epoch+1:
+		d.memberSince = epoch
+	}
+	d.epoch = epoch
 }
 
 // change takes a new view.
@@ -91,7 +105,8 @@
 	for _, key := range slices.Sorted(maps.Keys(d.emptied)) {
 		out = job.AppendText(out, string(key))
 	}
-	return out
+	out = binary.AppendUvarint(out, d.epoch)
+	return binary.AppendUvarint(out, d.memberSince)
 }
 
 func readKeys(r *job.Reader) []placement.Key {
@@ -112,6 +127,10 @@
 		blank = r.Take(1)[0] == 1
 		emptied = readKeys(r)
 	}
+	var epoch, memberSince uint64
+	if !r.Failed && len(r.Rest) > 0 {
+		epoch, memberSince = r.Uvarint(), r.Uvarint()
+	}
 	if r.Failed {
 		return &Finding{Problem: ProblemRecord, Kind: recordView}
 	}
@@ -121,6 +140,7 @@
 	d.lasting = maps.Clone(d.emptied)
 	d.last, d.at = last, &at
 	d.told, d.blank = true, blank
+	d.epoch, d.memberSince = epoch, memberSince
 	return nil
 }
 
--- a/internal/batch/replica/set_model_test.go
+++ b/internal/batch/replica/set_model_test.go
@@ -231,9 +231,31 @@
 	setSeconds = []int{setWipeLong, setPowerWipe, setDrop}
 )
 
+// TestSetModelVersionAfterAbsence has an owner come back to a set that stands, while another store, which is away, has
+// chosen a higher version that was never whole. A random run found it.
+func TestSetModelVersionAfterAbsence(t *testing.T) {
+	troubles := []setTrouble{{setFreeze, 1, 17}, {setCrashLong, 0, 30}, {setCrashLong, 2, 49}, {setCrashLong, 1, 72}}
+	playTrace(t, 3, 2, troubles...)
+	if w, _ := runSet(3, 2, setBugs{keepsVersion: true}, troubles...); !strings.Contains(w.failure, setLost) {
+		t.Errorf("not found where an owner keeps its version: %q", w.failure)
+	}
+}
+
+// playTrace plays troubles that were found to break something once.
+func playTrace(t *testing.T, stores, copies int, troubles ...setTrouble) {
+	t.Helper()
+	w, happened := runSet(stores, copies, setBugs{}, troubles...)
+	if w.failure != "" {
+		t.Error(setProblem(w, troubles))
+	}
+	if happened != len(troubles) {
+		t.Errorf("%v: only %d of them came about", troubles, happened)
+	}
+}
+
 // TestSetModelRandom plays several troubles in one run; SEEDS=N plays N runs of each size, FIRST=S starts at seed S.
 func TestSetModelRandom(t *testing.T) {
-	seeds, first := 300, uint64(0)
+	seeds, first := 600, uint64(0)
 	if number, err := strconv.Atoi(os.Getenv("SEEDS")); err == nil {
 		seeds = number
 	}
--- a/internal/batch/replica/set_world_test.go
+++ b/internal/batch/replica/set_world_test.go
@@ -36,6 +36,7 @@
 	emptyLists   bool // inventories list nothing
 	retireEarly  bool // a store counts as emptied once it is asked to be
 	endlessLease bool // a store that stood still never finds its lease ended
+	keepsVersion bool // an owner that was away goes on under the version that it had
 }
 
 type setMessage struct {
@@ -311,6 +312,9 @@
 		}
 		_, member := placement.MemberOf(w.view, s.key())
 		s.machine.View(w.view)
+		if w.bugs.keepsVersion {
+			s.machine.departed.memberSince = 1
+		}
 		if member {
 			s.leaseUntil = w.now + setLease
 		}
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -26,9 +26,10 @@
 	}
 	wasPresent := m.present
 	m.view = view
+	member, present := placement.MemberOf(view, m.self)
+	m.departed.follow(view.Epoch, present)
 	m.departed.change(view, m.env.Now())
 	m.writeDeparted()
-	member, present := placement.MemberOf(view, m.self)
 	m.present = present
 	m.retiring = present && member.State != protocol.StoreActive
 	if view.Epoch != last.Epoch+1 {
@@ -252,7 +253,7 @@
 	switch {
 	case m.retiring:
 		m.handOver(h)
-	case m.stands(h) && placement.KeyOf(h.replicas[0]) == m.self && !h.damaged:
+	case m.stands(h) && placement.KeyOf(h.replicas[0]) == m.self && !h.damaged && m.ownedSince(h.version):
 		h.setReplicas(h.version, h.replicas, m.self)
 	default:
 		m.renew(h)
@@ -262,6 +263,14 @@
 	m.judge(h)
 }
 
+// ownedSince tells that nobody else can have owned a batch job since its version was made here. In a view without this store
+// another one may have chosen a higher version, and left before it showed anything: to go on under this one would show what
+// that one doesn't hold when it is back.
+func (m *Machine) ownedSince(version Version) bool {
+	since := m.departed.memberSince
+	return since > 0 && version >= versionOf(since, 0)
+}
+
 // renew gives a batch job a new replica set: this store, those left of the old one, and others up to the count.
 func (m *Machine) renew(h *held) {
 	kept := []protocol.Process{m.options.Self}
