A silent batch process loses its right to leases before it leaves the set

It was out with up to 1.2 s of its lease left, while the others went by the set without it: an end that was synced on f + 1 of them was not known to it.

The head now records in the chain that a member has fallen silent (after 0.9 s without a poll, with reports of all others). Who is under suspicion gets no lease; the one that it has stays. It is cleared once the head hears it, and put out once the head has seen the suspicion stand for as long as a lease lasts, with the number of that suspicion, so that an order of a former head does nothing. As leases are shortened by the age of what a process knows, none outlasts that. Ruled out: a wait of whoever polls anew (every batch process would lose its lease whenever its control process ends), and waiting in the batch plane after each change of the set.

An order more for each. Orders from logs of before carry no number and do what they did.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -72,6 +72,8 @@
 	disk slots.FS
 	// spoil plants a bug in what is known of the chain; nil: none.
 	spoil func(Replica) Replica
+	// leaseSuspects plants the bug that a batch process under suspicion gets leases.
+	leaseSuspects bool
 }
 
 // listen listens where the process does.
--- /dev/null
+++ b/internal/control/eviction_test.go
@@ -0,0 +1,38 @@
+package control
+
+import (
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/control/presence"
+)
+
+// TestEviction checks when a batch process that falls silent leaves the set: after its lease, and soon after that.
+func TestEviction(t *testing.T) {
+	const within = 2900 * time.Millisecond
+	synctest.Test(t, func(t *testing.T) {
+		s := newBubbleSystem(t, 5, nil)
+		store := s.follow(t, 1, storeProcess(1, "a"))
+		other := s.follow(t, 2, storeProcess(2, "a"))
+		for range 5 {
+			eventually(t, "leases", func() bool {
+				return store.see(func() bool { return store.grant.Lease > 0 })() && other.see(func() bool { return other.grant.Lease > 0 })()
+			})
+			time.Sleep(5 * time.Second)
+			store.silent.Store(true)
+			began := time.Now()
+			eventually(t, "an eviction", func() bool { return len(s.running[0].machine.Stores().Members) == 1 })
+			took := time.Since(began)
+			t.Log("evicted after", took)
+			if took < presence.StoreLease || took > within {
+				t.Errorf("evicted after %v", took)
+			}
+			store.mutex.Lock()
+			store.grant.Lease = 0
+			store.mutex.Unlock()
+			store.silent.Store(false)
+		}
+		s.finish()
+	})
+}
--- a/internal/control/machine/command.go
+++ b/internal/control/machine/command.go
@@ -17,6 +17,7 @@
 	Configuration *configuration.Order
 	Join          *Join
 	Evict         *Evict
+	Suspect       *Suspect
 	Retire        *Retire
 	Retired       *Retired
 	Lending       *Lending
@@ -28,10 +29,19 @@
 	Processes []protocol.Process
 }
 
-// Evict removes a batch process whose lease has surely ended.
+// Suspect says that a batch process has fallen silent, or that it polls again. One that is suspected gets no lease, so that the one
+// that it has ends.
+type Suspect struct {
+	Node        string
+	Incarnation string
+	Over        bool
+}
+
+// Evict removes a batch process whose lease has surely ended: under a suspicion that is as old as a lease lasts.
 type Evict struct {
 	Node        string
 	Incarnation string
+	Suspicion   uint64 // its number; nothing is done where that is over. 0: of logs from before there were suspicions
 }
 
 // Retire asks for a batch process to be emptied.
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -51,6 +51,8 @@
 		return Outcome{Store: m.stores.join(command.Join)}
 	case command.Evict != nil:
 		return Outcome{Store: m.stores.evict(command.Evict)}
+	case command.Suspect != nil:
+		return Outcome{Store: m.stores.suspect(command.Suspect)}
 	case command.Retire != nil:
 		return Outcome{Store: m.stores.retire(command.Retire)}
 	case command.Retired != nil:
@@ -130,6 +132,13 @@
 	return m.stores.view()
 }
 
+// Suspicion gives the number of the suspicion that a life of a batch process is under, 0 for none.
+func (m *Machine) Suspicion(node, incarnation string) uint64 {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.stores.suspicion(node, incarnation)
+}
+
 // Retirement tells how far a batch process's retirement is.
 func (m *Machine) Retirement(node string) Retirement {
 	m.mutex.RLock()
--- a/internal/control/machine/stores.go
+++ b/internal/control/machine/stores.go
@@ -31,6 +31,15 @@
 	epoch       uint64
 	members     []protocol.StoreMember // in the order in which they joined
 	retirements []retirementRecord     // oldest first
+	suspicions  []suspicion            // of members
+	suspected   uint64                 // counts suspicions
+}
+
+// suspicion is that a member has fallen silent.
+type suspicion struct {
+	Node        string
+	Incarnation string
+	Number      uint64
 }
 
 // storeImage is the form of a storeSet in a snapshot.
@@ -38,16 +47,19 @@
 	Epoch       uint64
 	Members     []protocol.StoreMember
 	Retirements []retirementRecord
+	Suspicions  []suspicion
+	Suspected   uint64
 }
 
 func newStoreSet() *storeSet { return &storeSet{} }
 
 func (s *storeSet) image() storeImage {
-	return storeImage{Epoch: s.epoch, Members: s.members, Retirements: s.retirements}
+	return storeImage{Epoch: s.epoch, Members: s.members, Retirements: s.retirements, Suspicions: s.suspicions, Suspected: s.suspected}
 }
 
 func restoreStores(form storeImage) *storeSet {
-	return &storeSet{epoch: form.Epoch, members: form.Members, retirements: form.Retirements}
+	return &storeSet{epoch: form.Epoch, members: form.Members, retirements: form.Retirements, suspicions: form.Suspicions,
+		suspected: form.Suspected}
 }
 
 // view gives the set. Members are never changed in place.
@@ -58,9 +70,35 @@
 func (s *storeSet) change(members []protocol.StoreMember) StoreOutcome {
 	s.members = members
 	s.epoch++
+	s.suspicions = slices.DeleteFunc(slices.Clone(s.suspicions), func(one suspicion) bool { return s.find(one.Node, one.Incarnation) < 0 })
 	return StoreChanged
 }
 
+// suspect begins or ends a suspicion. The set stays as it is.
+func (s *storeSet) suspect(order *Suspect) StoreOutcome {
+	if s.find(order.Node, order.Incarnation) < 0 {
+		return StoreUnknown
+	}
+	others := slices.DeleteFunc(slices.Clone(s.suspicions), func(one suspicion) bool { return one.Node == order.Node })
+	switch known := len(others) < len(s.suspicions); {
+	case order.Over:
+		s.suspicions = others
+	case !known:
+		s.suspected++
+		s.suspicions = append(others, suspicion{Node: order.Node, Incarnation: order.Incarnation, Number: s.suspected})
+	}
+	return StoreUnchanged
+}
+
+func (s *storeSet) suspicion(node, incarnation string) uint64 {
+	for _, one := range s.suspicions {
+		if one.Node == node && one.Incarnation == incarnation {
+			return one.Number
+		}
+	}
+	return 0
+}
+
 func (s *storeSet) join(order *Join) StoreOutcome {
 	members := slices.Clone(s.members)
 	for _, process := range order.Processes {
@@ -104,7 +142,7 @@
 
 func (s *storeSet) evict(order *Evict) StoreOutcome {
 	at := s.find(order.Node, order.Incarnation)
-	if at < 0 {
+	if at < 0 || order.Suspicion != 0 && order.Suspicion != s.suspicion(order.Node, order.Incarnation) {
 		return StoreUnchanged
 	}
 	return s.change(slices.Delete(slices.Clone(s.members), at, at+1))
--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -15,6 +15,8 @@
 const (
 	// StoreLease is a batch process's right to act, from when it sent its poll, by its own clock.
 	StoreLease = 1500 * time.Millisecond
+	// SuspectAfter is the silence after which a batch process gets no lease any more: a poll and a report on it may take 0.65 s.
+	SuspectAfter = 900 * time.Millisecond
 	// EvictAfter is the silence after which a batch process leaves the set: its lease has surely ended.
 	EvictAfter = 2200 * time.Millisecond
 	// GatewayTime is how long a gateway that doesn't poll stays on the list.
@@ -40,13 +42,14 @@
 	lead     bool
 	epoch    uint64 // of the lead
 	leadFrom time.Duration
+	seen     map[uint64]time.Duration // when suspicions were seen first in this lead, by their numbers
 }
 
 type key struct{ node, role string }
 
 // New gives an empty table.
 func New() *Table {
-	return &Table{heard: map[key]Heard{}, coverage: map[string]time.Duration{}}
+	return &Table{heard: map[key]Heard{}, coverage: map[string]time.Duration{}, seen: map[uint64]time.Duration{}}
 }
 
 // Observe takes in a poll, heard here or told by another control process. It tells whether the process, or its life, is new.
@@ -76,6 +79,7 @@
 func (t *Table) Lead(now time.Duration, epoch uint64, lead bool) {
 	if lead && (!t.lead || epoch != t.epoch) {
 		t.leadFrom = now
+		clear(t.seen)
 	}
 	t.lead, t.epoch = lead, epoch
 }
@@ -148,6 +152,43 @@
 	return list
 }
 
+// Suspicion is a member of the set that is under suspicion, or that is to be.
+type Suspicion struct {
+	Member protocol.StoreMember
+	Number uint64 // in the chain; 0: none
+}
+
+// Suspects gives the members whose silence is to be recorded, and those that poll again and are to be cleared.
+func (t *Table) Suspects(now time.Duration, suspicions []Suspicion, others []string) (silent, back []protocol.StoreMember) {
+	if !t.lead {
+		return nil, nil
+	}
+	covered := t.covered(now, others)
+	for _, one := range suspicions {
+		quiet := now-t.heardAt(one.Member.Process) >= SuspectAfter
+		switch {
+		case one.Number != 0 && !quiet:
+			back = append(back, one.Member)
+		case one.Number == 0 && quiet && covered:
+			silent = append(silent, one.Member)
+		}
+	}
+	return silent, back
+}
+
+// Ripe tells whether a suspicion has stood for as long as a lease that was granted before it, and notes it. It is asked of all.
+func (t *Table) Ripe(now time.Duration, suspicion uint64) bool {
+	if suspicion == 0 {
+		return false
+	}
+	since, known := t.seen[suspicion]
+	if !known {
+		t.seen[suspicion] = now
+		return false
+	}
+	return now-since >= StoreLease
+}
+
 func (t *Table) covered(now time.Duration, others []string) bool {
 	for _, address := range others {
 		at, known := t.coverage[address]
--- a/internal/control/presence/presence_test.go
+++ b/internal/control/presence/presence_test.go
@@ -58,6 +58,33 @@
 		table.Cover("c2", 12*second+EvictAfter)
 		So(table.Evictions(12*second+EvictAfter, viewOf(1, member), []string{"c2"}), ShouldHaveLength, 1)
 	})
+	Convey("A silent member comes under suspicion, is cleared by a poll, and is ripe once that has stood for a lease", t, func() {
+		table := New()
+		table.Lead(0, 1, true)
+		table.Observe(Heard{Process: store("1", "a"), At: 10 * second})
+		table.Cover("c2", 10*second+SuspectAfter)
+		free, suspected := []Suspicion{{Member: member}}, []Suspicion{{Member: member, Number: 4}}
+		silent, back := table.Suspects(10*second+SuspectAfter-1, free, []string{"c2"})
+		So(silent, ShouldBeEmpty)
+		So(back, ShouldBeEmpty)
+		silent, _ = table.Suspects(10*second+SuspectAfter, free, []string{"c2", "c3"})
+		So(silent, ShouldBeEmpty) // it may be polling c3
+		silent, _ = table.Suspects(10*second+SuspectAfter, free, []string{"c2"})
+		So(silent, ShouldHaveLength, 1)
+		silent, back = table.Suspects(10*second+SuspectAfter, suspected, []string{"c2"})
+		So(silent, ShouldBeEmpty)
+		So(back, ShouldBeEmpty)
+		So(table.Ripe(11*second, 0), ShouldBeFalse)
+		So(table.Ripe(11*second, 4), ShouldBeFalse)
+		So(table.Ripe(11*second+StoreLease-1, 4), ShouldBeFalse)
+		So(table.Ripe(11*second+StoreLease, 4), ShouldBeTrue)
+		So(table.Ripe(11*second+StoreLease, 5), ShouldBeFalse)
+		table.Observe(Heard{Process: store("1", "a"), At: 12 * second})
+		_, back = table.Suspects(12*second, suspected, nil)
+		So(back, ShouldHaveLength, 1)
+		table.Lead(13*second, 2, true)
+		So(table.Ripe(13*second, 4), ShouldBeFalse) // a new lead counts from when it saw it
+	})
 	Convey("A poll of a later life is no sign of the former one", t, func() {
 		table := New()
 		table.Lead(0, 1, true)
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -10,6 +10,7 @@
 
 	"sprucelane.example/sprucelane/coord/replica"
 	"sprucelane.example/sprucelane/internal/control/machine"
+	"sprucelane.example/sprucelane/internal/control/presence"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -52,15 +53,41 @@
 	if joins := c.presence.Joins(now, stores); len(joins) > 0 {
 		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins}})
 	}
-	for _, member := range c.presence.Evictions(now, stores, others) {
-		commands = append(commands, machine.Command{Evict: &machine.Evict{Node: member.Node, Incarnation: member.Incarnation}})
-	}
+	commands = append(commands, c.evictions(now, stores, others)...)
 	for _, member := range c.presence.Emptied(now, stores) {
 		commands = append(commands, machine.Command{Retired: &machine.Retired{Node: member.Node, Incarnation: member.Incarnation, Epoch: stores.Epoch}})
 	}
 	return commands
 }
 
+// evictions gives what the silence of members calls for, first a suspicion, and an eviction once that has stood for a lease: whoever
+// polls again before gets none from a control process that hasn't told the head yet.
+func (c *Control) evictions(now time.Duration, stores protocol.StoreView, others []string) []machine.Command {
+	var suspicions []presence.Suspicion
+	ripe := map[string]uint64{}
+	for _, member := range stores.Members {
+		number := c.machine.Suspicion(member.Node, member.Incarnation)
+		suspicions = append(suspicions, presence.Suspicion{Member: member, Number: number})
+		if c.presence.Ripe(now, number) {
+			ripe[member.Node] = number
+		}
+	}
+	silent, back := c.presence.Suspects(now, suspicions, others)
+	var commands []machine.Command
+	for _, member := range back {
+		commands = append(commands, machine.Command{Suspect: &machine.Suspect{Node: member.Node, Incarnation: member.Incarnation, Over: true}})
+	}
+	for _, member := range silent {
+		commands = append(commands, machine.Command{Suspect: &machine.Suspect{Node: member.Node, Incarnation: member.Incarnation}})
+	}
+	for _, member := range c.presence.Evictions(now, stores, others) {
+		if number := ripe[member.Node]; number != 0 {
+			commands = append(commands, machine.Command{Evict: &machine.Evict{Node: member.Node, Incarnation: member.Incarnation, Suspicion: number}})
+		}
+	}
+	return commands
+}
+
 // otherControls gives the addresses of the other members of the chain. Founders' names aren't known to all at first.
 func (c *Control) otherControls() []string {
 	self := c.replica.Self()
@@ -142,6 +169,8 @@
 		for _, process := range command.Join.Processes {
 			event = event.Str("joins", process.Node)
 		}
+	case command.Suspect != nil:
+		event = event.Str("suspected", command.Suspect.Node).Bool("over", command.Suspect.Over)
 	case command.Evict != nil:
 		event = event.Str("evicted", command.Evict.Node)
 	case command.Retired != nil:
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -103,14 +103,16 @@
 func (c *Control) grantsLeases() bool { return c.replica.View().InChain(c.replica.Self()) }
 
 // storeGrant gives a batch process's right to act. It is given only by a process that can vouch for the set, and shortened by the
-// age of what that knows: whoever was evicted has no right left StoreLease after that was acknowledged.
+// age of what that knows: whoever is under suspicion has no right left StoreLease after that was acknowledged.
 func (c *Control) storeGrant(process protocol.Process, fresh bool, age time.Duration) *protocol.StoreGrant {
 	view := c.machine.Stores()
 	grant := &protocol.StoreGrant{Epoch: view.Epoch}
 	for i := range view.Members {
 		if fresh && view.Members[i].Process == process {
 			grant.Member = true
-			grant.Lease = presence.StoreLease - age
+			if c.around.leaseSuspects || c.machine.Suspicion(process.Node, process.Incarnation) == 0 {
+				grant.Lease = presence.StoreLease - age
+			}
 		}
 	}
 	return grant
--- /dev/null
+++ b/internal/control/world_test.go
@@ -0,0 +1,377 @@
+package control
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// serviceWorld is whole control processes with gateways, batch processes and an operator, in virtual time and under random troubles.
+type serviceWorld struct {
+	*bubbleSystem
+	random *rand.Rand // of the troubles
+	began  time.Time
+	end    time.Duration
+
+	lock     sync.Mutex // of all below
+	acked    []ackedVersion
+	leases   map[protocol.Process]time.Time // when the right of a life ends
+	newest   map[string]string              // the newest life of each batch process
+	members  protocol.StoreView             // newest set that was seen
+	isolated int                            // who is cut off; -1: nobody
+	since    time.Time
+	vouches  int // answers that vouched
+	grants   int // leases
+	changes  int // of the set
+	broken   []string
+	events   []string
+}
+
+// ackedVersion is a version whose acknowledgement an operator has had at a moment.
+type ackedVersion struct {
+	generation uint64
+	at         time.Time
+}
+
+func newServiceWorld(t *testing.T, seed uint64, end time.Duration, spoil func(Replica) Replica, lenient bool) *serviceWorld {
+	return &serviceWorld{bubbleSystem: newSpoiltSystem(t, seed, spoil, lenient), random: rand.New(rand.NewPCG(seed, 3)), began: time.Now(), end: end,
+		leases: map[protocol.Process]time.Time{}, newest: map[string]string{}, isolated: -1}
+}
+
+func (w *serviceWorld) over() bool { return time.Since(w.began) > w.end }
+
+func (w *serviceWorld) note(format string, arguments ...any) {
+	w.events = append(w.events, fmt.Sprintf("%8.3f ", time.Since(w.began).Seconds())+fmt.Sprintf(format, arguments...))
+}
+
+// failf notes a broken check, with the lock held.
+func (w *serviceWorld) failf(format string, arguments ...any) {
+	w.note("BROKEN: "+format, arguments...)
+	w.broken = append(w.broken, fmt.Sprintf(format, arguments...))
+}
+
+// operate sends one change after the other.
+func (w *serviceWorld) operate(random *rand.Rand) {
+	last := uint64(7)
+	for !w.over() {
+		order := fmt.Sprintf(`{"generation":%d,"upsert":{"tenants":[{"name":"t","api-keys":["k%d"],"rate-per-s":10,"burst":10}]}}`, last+1, last+1)
+		for !w.over() {
+			if status, _ := w.call(random.IntN(3), "PATCH", "/config", strconv.FormatUint(last, 10), order); status == 200 {
+				last++
+				w.lock.Lock()
+				w.acked = append(w.acked, ackedVersion{generation: last, at: time.Now()})
+				w.lock.Unlock()
+				break
+			}
+			time.Sleep(100 * time.Millisecond)
+		}
+		time.Sleep(time.Duration(random.Int64N(int64(500 * time.Millisecond))))
+	}
+}
+
+// ackedBefore gives the newest version that was acknowledged before a moment.
+func (w *serviceWorld) ackedBefore(moment time.Time) uint64 {
+	newest := uint64(0)
+	for _, one := range w.acked {
+		if !one.at.After(moment) {
+			newest = one.generation
+		}
+	}
+	return newest
+}
+
+// roamer is a gateway or batch process that polls one control process, and another when that doesn't vouch.
+type roamer struct {
+	world   *serviceWorld
+	random  *rand.Rand
+	process protocol.Process
+	state   *configuration.State
+	lock    sync.Mutex // of state
+	lives   int
+}
+
+// run polls over several lives.
+func (r *roamer) run() {
+	for !r.world.over() {
+		r.begin()
+		till := time.Now().Add(5*time.Second + time.Duration(r.random.Int64N(int64(20*time.Second))))
+		for !r.world.over() && time.Now().Before(till) {
+			r.subscribe(r.random.IntN(3), till)
+		}
+		time.Sleep(time.Duration(r.random.Int64N(int64(4 * time.Second))))
+	}
+}
+
+// begin begins a life: a gateway knows nothing then, and half of the batch processes have lost their disks.
+func (r *roamer) begin() {
+	r.lives++
+	r.lock.Lock()
+	r.state = configuration.NewState()
+	r.lock.Unlock()
+	if r.process.Role == protocol.RoleGateway || r.lives == 1 || r.random.IntN(2) == 0 {
+		r.process.Incarnation = fmt.Sprint(r.process.Node, "/", r.lives)
+	}
+	r.world.lock.Lock()
+	defer r.world.lock.Unlock()
+	r.world.newest[r.process.Node] = r.process.Incarnation
+}
+
+// subscribe polls a control process until it doesn't vouch.
+func (r *roamer) subscribe(at int, till time.Time) {
+	w := r.world
+	options := transport.Options{Identity: transport.Identity{System: protocol.System, Node: r.process.Node, Role: r.process.Role}, Dial: w.host(r.process.IP).Dial}
+	client := transport.NewClient(w.settings[at].Endpoint(node.PortControl), options, r.take, nil)
+	defer client.Close()
+	vouched := time.Now()
+	for sequence := uint64(1); time.Since(vouched) < 700*time.Millisecond && time.Now().Before(till) && !w.over(); sequence++ {
+		sent := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		reply, err := client.Call(ctx, r.question(sequence))
+		cancel()
+		if err == nil {
+			r.take(reply)
+			if r.judge(at, sent, reply.(protocol.Update)) {
+				vouched = sent
+			}
+		}
+		time.Sleep(100 * time.Millisecond)
+	}
+}
+
+func (r *roamer) question(sequence uint64) protocol.Poll {
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	poll := protocol.Poll{Process: r.process, Sequence: sequence, Configuration: r.state.Current().Index}
+	if r.process.Role == protocol.RoleBatch {
+		poll.Batch = &protocol.BatchReport{}
+	}
+	return poll
+}
+
+func (r *roamer) take(message any) {
+	update, ok := message.(protocol.Update)
+	if !ok || update.Configuration == nil {
+		return
+	}
+	r.lock.Lock()
+	defer r.lock.Unlock()
+	_, _ = r.state.Follow(update.Configuration) // one that doesn't follow is asked for again
+}
+
+// judge holds an answer to what it vouches for.
+func (r *roamer) judge(at int, sent time.Time, update protocol.Update) bool {
+	r.lock.Lock()
+	held := r.state.Current().Generation
+	r.lock.Unlock()
+	w := r.world
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if update.Store != nil && update.Store.Lease > 0 {
+		w.grants++
+		if till := sent.Add(update.Store.Lease); till.After(w.leases[r.process]) {
+			w.leases[r.process] = till
+		}
+	}
+	if !update.Fresh {
+		return false
+	}
+	w.vouches++
+	if least := w.ackedBefore(sent.Add(-update.Age)); held < least {
+		w.failf("%s vouches to %s for version %d at an age of %v, %d was acknowledged", w.settings[at].NodeName, r.process.Node, held, update.Age, least)
+	}
+	if w.isolated == at && sent.Sub(w.since) > freshMost {
+		w.failf("%s vouches %v after it was cut off", w.settings[at].NodeName, sent.Sub(w.since))
+	}
+	return true
+}
+
+// watchStep is how often the set of batch processes is looked at.
+const watchStep = 5 * time.Millisecond
+
+// watch holds the changes of the set to what leases say.
+func (w *serviceWorld) watch() {
+	for !w.over() {
+		w.mutex.Lock()
+		running := slices.Clone(w.running)
+		w.mutex.Unlock()
+		for _, one := range running {
+			if one != nil {
+				w.takeMembers(one.machine.Stores())
+			}
+		}
+		time.Sleep(watchStep)
+	}
+}
+
+func (w *serviceWorld) takeMembers(next protocol.StoreView) {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	if next.Epoch <= w.members.Epoch {
+		return
+	}
+	w.changes++
+	for _, member := range w.members.Members {
+		replaced := slices.ContainsFunc(next.Members, func(other protocol.StoreMember) bool { return other.Node == member.Node })
+		if left := time.Until(w.leases[member.Process]); !replaced && left > watchStep {
+			w.failf("%s is out of the set with %v of its lease left", member.Process.Incarnation, left)
+		}
+	}
+	for _, member := range next.Members {
+		newer := slices.ContainsFunc(w.members.Members, func(other protocol.StoreMember) bool {
+			return other.Node == member.Node && other.Incarnation == w.newest[member.Node] && other.Incarnation != member.Incarnation
+		})
+		if newer {
+			w.failf("the former life %s is in the set again, in place of %s", member.Incarnation, w.newest[member.Node])
+		}
+	}
+	w.note("set %d: %d members", next.Epoch, len(next.Members))
+	w.members = next
+}
+
+// trouble brings one trouble after the other.
+func (w *serviceWorld) trouble() {
+	time.Sleep(4 * time.Second)
+	for !w.over() {
+		victim, span := w.random.IntN(3), 200*time.Millisecond+time.Duration(w.random.Int64N(int64(3*time.Second)))
+		other := (victim + 1 + w.random.IntN(2)) % 3
+		kind := w.random.IntN(7)
+		w.lock.Lock()
+		w.note("trouble %d of %s and %s for %v", kind, w.settings[victim].NodeName, w.settings[other].NodeName, span)
+		w.lock.Unlock()
+		switch kind {
+		case 0, 1, 2:
+			w.isolate(victim, kind != 1, kind != 2)
+		case 3:
+			w.network.Cut(w.settings[victim].IP, w.settings[other].IP)
+			if w.random.IntN(2) == 0 {
+				w.network.Cut(w.settings[other].IP, w.settings[victim].IP)
+			}
+			time.Sleep(3 * span)
+			w.heal(victim)
+		case 4:
+			w.losePower(victim)
+			time.Sleep(span)
+			w.begin(victim)
+		case 5:
+			for i := range w.running {
+				w.losePower(i)
+			}
+			time.Sleep(span)
+			for i := range w.running {
+				w.begin(i)
+			}
+		case 6:
+			w.disks[victim].Stall(true)
+			time.Sleep(span)
+			w.disks[victim].Stall(false)
+		}
+		time.Sleep(5 * time.Second)
+	}
+}
+
+// isolate cuts a process off from the others for twenty seconds.
+func (w *serviceWorld) isolate(victim int, out, in bool) {
+	w.cut(victim, out, in)
+	w.lock.Lock()
+	w.isolated, w.since = victim, time.Now()
+	w.lock.Unlock()
+	time.Sleep(cutFor)
+	w.lock.Lock()
+	w.isolated = -1
+	w.lock.Unlock()
+	w.heal(victim)
+}
+
+// losePower ends a process without a word.
+func (w *serviceWorld) losePower(i int) {
+	w.hosts[i].LosePower()
+	w.disks[i].LosePower()
+	w.mutex.Lock()
+	gone := w.running[i]
+	w.running[i] = nil
+	w.mutex.Unlock()
+	gone.Stop()
+}
+
+// playServices plays a world and gives it.
+func playServices(t *testing.T, seed uint64, span time.Duration, spoil func(Replica) Replica, lenient bool) *serviceWorld {
+	var w *serviceWorld
+	synctest.Test(t, func(t *testing.T) {
+		w = newServiceWorld(t, seed, span, spoil, lenient)
+		if status := w.put(t, "PUT", "0", limitedDocument); status != 200 {
+			t.Fatal(status)
+		}
+		var running sync.WaitGroup
+		for number := range 5 {
+			process := gatewayProcess(number)
+			if number < 3 {
+				process = storeProcess(number, "")
+			}
+			one := &roamer{world: w, process: process, random: rand.New(rand.NewPCG(seed, 50+uint64(number)))}
+			running.Go(one.run)
+		}
+		running.Go(func() { w.operate(rand.New(rand.NewPCG(seed, 40))) })
+		running.Go(w.watch)
+		running.Go(w.trouble)
+		running.Wait()
+		w.finish()
+	})
+	return w
+}
+
+func seedNumber(name string, fallback uint64) uint64 {
+	if value, err := strconv.ParseUint(os.Getenv(name), 10, 64); err == nil {
+		return value
+	}
+	return fallback
+}
+
+// TestRandomServices holds whole control processes, in worlds with troubles, to what they vouch for, to the leases that they grant and
+// to the set of batch processes. SEEDS=N plays N worlds, FIRST=S begins at seed S.
+func TestRandomServices(t *testing.T) {
+	first, worlds := seedNumber("FIRST", 0), seedNumber("SEEDS", 4)
+	vouches, grants, changes, versions := 0, 0, 0, 0
+	for seed := first; seed < first+worlds; seed++ {
+		w := playServices(t, seed, time.Minute, nil, false)
+		if len(w.broken) > 0 {
+			t.Fatalf("seed %d: %s\n%s", seed, strings.Join(w.broken, "\n"), strings.Join(w.events, "\n"))
+		}
+		vouches, grants, changes, versions = vouches+w.vouches, grants+w.grants, changes+w.changes, versions+len(w.acked)
+	}
+	t.Logf("%d worlds: %d answers that vouch, %d leases, %d changes of the set, %d versions", worlds, vouches, grants, changes, versions)
+}
+
+// TestServicesPlanted checks that the checks of the worlds find each bug.
+func TestServicesPlanted(t *testing.T) {
+	for name, bug := range map[string]struct {
+		spoil   func(Replica) Replica
+		lenient bool
+		told    string
+	}{
+		"what is held counts as fresh":       {spoil: func(r Replica) Replica { return vouching{r} }, told: "vouches to"},
+		"who is under suspicion gets leases": {lenient: true, told: "of its lease left"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			for seed := uint64(0); seed < 30; seed++ {
+				if w := playServices(t, seed, time.Minute, bug.spoil, bug.lenient); strings.Contains(strings.Join(w.broken, "; "), bug.told) {
+					t.Logf("seed %d: %s", seed, w.broken[0])
+					return
+				}
+			}
+			t.Fatal("not found")
+		})
+	}
+}
