--- /dev/null
+++ b/internal/pool/early_tcp_test.go
@@ -0,0 +1,54 @@
+package pool
+
+import (
+	"bufio"
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"testing"
+	"time"
+
+	"github.com/stretchr/testify/assert"
+	"github.com/stretchr/testify/require"
+
+	"sprucelane.example/sprucelane/policy"
+)
+
+// Over TCP an answer that came before the reset of a connection is read after it, as the connections in memory have it: the
+// system tells the write of the reset, and gives what had come before to the next read.
+func TestAnswerBeforeAResetOverTCP(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	require.NoError(t, err)
+	defer l.Close()
+	go func() {
+		for {
+			c, err := l.Accept()
+			if err != nil {
+				return
+			}
+			if _, err := http.ReadRequest(bufio.NewReaderSize(c, 16)); err == nil {
+				io.WriteString(c, fine)
+			}
+			c.Close() // over bytes that were not read
+		}
+	}()
+	p := New(Options{Sockets: 9, ConnIdle: testLife, ConnectWait: time.Second})
+	defer p.Close()
+	p.Set(1, l.Addr().String(), policy.Ready)
+	body := call(8 << 20) // more than the system takes at once
+	for range 10 {
+		body.Until = time.Now().Add(2 * time.Second)
+		x, end := p.Open(context.Background(), body)
+		require.NotNil(t, x, "%v", end)
+		resp, err := x.Head(time.Now().Add(time.Second))
+		if assert.NoError(t, err) {
+			text, err := io.ReadAll(x)
+			assert.NoError(t, err)
+			assert.Equal(t, "ok", string(text))
+			assert.Equal(t, http.StatusOK, resp.StatusCode)
+		}
+		x.Close()
+	}
+	assert.Equal(t, 0, p.Counts().OpenNow)
+}
