Batch stores: a test that loses concessions

TestConcedeIsSentAgain loses the first two words that a batch job is given to a better copy; it was seen to fail where it isn't sent again, and where the sender never learns that the other owns it.

--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -125,9 +125,9 @@
 	toldEmptied  map[placement.Key]bool // others that keep on their disks that this store, which retires, isn't needed
 	lastExpiry   time.Duration
 
-	findings   int  // records of the log that could not be used at the start
-	obscured   bool // batch jobs may be missing here for them
-	concession map[string]concession
+	findings   int                   // records of the log that could not be used at the start
+	obscured   bool                  // batch jobs may be missing here for them
+	concession map[string]concession // batch jobs that this store would own in this epoch, and gave to others
 }
 
 type pendingWrite struct {
--- a/internal/batch/replica/recovery_test.go
+++ b/internal/batch/replica/recovery_test.go
@@ -435,3 +435,29 @@
 		So(damaged, ShouldEqual, 0)
 	})
 }
+
+// TestConcedeIsSentAgain loses the word that a batch job is given to a better copy.
+func TestConcedeIsSentAgain(t *testing.T) {
+	Convey("A store that concedes a batch job tells it until the other one owns it", t, func() {
+		c := newCluster(2, 2, 1)
+		So(c.nodes[0].submit("job", 6).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		owner.finish("job", 0)
+		c.settle()
+		owner.inject(gap("job", 3, 3))
+		lost := 0
+		c.lost = func(m clusterMessage) bool {
+			_, concede := m.body.(Concede)
+			if concede {
+				lost++
+			}
+			return concede && lost <= 2
+		}
+		c.rejoin(owner)
+		c.settle()
+		So(lost, ShouldEqual, 3)
+		So(c.owner("job") == replica, ShouldBeTrue)
+		So(owner.machine.concession, ShouldBeEmpty)
+		So(owner.machine.jobs["job"].durable, ShouldEqual, 1)
+	})
+}
