--- a/coord/replica/disk_test.go
+++ b/coord/replica/disk_test.go
@@ -11,11 +11,17 @@
 	"sprucelane.example/sprucelane/internal/simulation"
 )
 
-// historyMachine remembers all orders that it applied.
-type historyMachine struct{ orders []string }
+// historyMachine remembers all orders that it applied, or the last ones where it keeps so many.
+type historyMachine struct {
+	orders []string
+	keep   int
+}
 
 func (m *historyMachine) Apply(index uint64, order []byte) []byte {
 	m.orders = append(m.orders, string(order))
+	if m.keep > 0 && len(m.orders) > m.keep {
+		m.orders = append(m.orders[:0], m.orders[1:]...)
+	}
 	return []byte(fmt.Sprint(len(m.orders)))
 }
 
--- a/coord/replica/hazards_test.go
+++ b/coord/replica/hazards_test.go
@@ -356,7 +356,7 @@
 
 // hazardAway has a machine miss hundreds of orders, and come back with an old snapshot and a torn log.
 func (c *campaign) hazardAway(lost []*simulatedNode, _ time.Duration) {
-	const down = 2 * time.Second
+	const down = 3 * time.Second
 	c.think = busyTime
 	c.after(down, func() { c.think = thinkTime })
 	c.atAck(func() {
--- a/coord/replica/machine_test.go
+++ b/coord/replica/machine_test.go
@@ -42,7 +42,7 @@
 	n.life++
 	n.up, n.frozen, n.syncing, n.inbox, n.writing = true, false, false, nil, nil
 	n.waits, n.ailing = nil, false
-	n.machine = &historyMachine{}
+	n.machine = &historyMachine{keep: w.keepOrders}
 	options := coreOptions{
 		self:      view.Member{Node: n.name, Address: n.address},
 		disk:      n.disk != nil,
--- a/coord/replica/world_test.go
+++ b/coord/replica/world_test.go
@@ -41,6 +41,7 @@
 	random     *rand.Rand
 	seed       uint64
 	limits     limits
+	keepOrders int   // that machines remember; 0: all
 	compactAt  int64 // bytes of the disk's log at which it is compacted
 	now        time.Duration
 	queue      eventQueue
