--- a/internal/batch/replica/damage.go
+++ b/internal/batch/replica/damage.go
@@ -87,6 +87,17 @@
 	}
 }
 
+// concedes tells whether the new owner of a batch job that this store holds a damaged copy of has yet to say that it is that.
+// One that isn't held here may be gone everywhere: nobody answers then.
+func (m *Machine) concedes() bool {
+	for id := range m.concession {
+		if m.jobs[id] != nil {
+			return true
+		}
+	}
+	return false
+}
+
 // conceded owns a batch job that the store which would own it holds no good copy of.
 func (m *Machine) conceded(from protocol.Process, message Concede) {
 	h := m.jobs[message.Job]
