Batch stores: who drops a batch job that is conceded to it says so

But a copy that was lost with a damaged part is just that: until the other one owns it, it stands on one disk, and neither store says so. All concessions count again; instead the store that is conceded to and has dropped the batch job, or replaced its copy, answers so, and the giver looks again at who holds what. Whoever says that it owns the batch job ends the concession, not only the store it was given to.

TestConcedeInVain was seen to fail without the answer and where it isn't heard.

--- a/internal/batch/replica/damage.go
+++ b/internal/batch/replica/damage.go
@@ -87,21 +87,14 @@
 	}
 }
 
-// concedes tells whether the new owner of a batch job that this store holds a damaged copy of has yet to say that it is that.
-// One that isn't held here may be gone everywhere: nobody answers then.
-func (m *Machine) concedes() bool {
-	for id := range m.concession {
-		if m.jobs[id] != nil {
-			return true
-		}
-	}
-	return false
-}
-
 // conceded owns a batch job that the store which would own it holds no good copy of.
 func (m *Machine) conceded(from protocol.Process, message Concede) {
+	if !m.settled {
+		return
+	}
 	h := m.jobs[message.Job]
-	if h == nil || !m.settled || !h.owner && h.version != message.Version {
+	if h == nil || !h.owner && h.version != message.Version { // what the inventory listed was dropped or replaced since
+		m.env.Send(from, Replicated{Stamp: m.stamp(), Job: message.Job, Version: message.Version})
 		return
 	}
 	if h.owner {
@@ -113,6 +106,15 @@
 	m.unpark()
 }
 
+// concededInVain looks again at who holds what, where the store that a batch job was given to has it no more.
+func (m *Machine) concededInVain(from placement.Key, message Replicated) {
+	if c, conceded := m.concession[message.Job]; conceded && c.to == from && !message.Held {
+		delete(m.concession, message.Job)
+		delete(m.directory, message.Job)
+		m.restart()
+	}
+}
+
 // forgetPeer forgets what is known of copies at a store that has started again: it may have found them damaged.
 func (m *Machine) forgetPeer(key placement.Key) {
 	for _, h := range m.order {
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -295,7 +295,7 @@
 	if _, present := placement.MemberOf(m.view, owner); present && owner != m.self {
 		m.directory[id] = owner
 		delete(m.lookups, id)
-		if m.concession[id].to == owner {
+		if _, conceded := m.concession[id]; conceded {
 			delete(m.concession, id)
 			m.checkSettled()
 		}
--- a/internal/batch/replica/recovery_test.go
+++ b/internal/batch/replica/recovery_test.go
@@ -461,3 +461,27 @@
 		So(owner.machine.jobs["job"].durable, ShouldEqual, 1)
 	})
 }
+
+// TestConcedeInVain has the better copy dropped, as its time is over, before it is given the batch job.
+func TestConcedeInVain(t *testing.T) {
+	Convey("A store that concedes a batch job that is gone looks again, and stands whole", t, func() {
+		c := newCluster(2, 2, 1)
+		So(c.nodes[0].submit("job", 6).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		c.settle()
+		owner.inject(encodeDropped("job"))
+		c.lost = func(m clusterMessage) bool {
+			_, concede := m.body.(Concede)
+			return concede
+		}
+		c.rejoin(owner)
+		c.settle()
+		So(owner.machine.concession, ShouldHaveLength, 1)
+		So(owner.machine.Report().Settled, ShouldBeLessThan, c.epoch)
+		replica.machine.discard(replica.machine.jobs["job"])
+		c.lost = nil
+		c.settle()
+		So(owner.machine.concession, ShouldBeEmpty)
+		So(owner.machine.Report().Settled, ShouldEqual, c.epoch)
+	})
+}
--- a/internal/batch/replica/replicate.go
+++ b/internal/batch/replica/replicate.go
@@ -186,6 +186,7 @@
 
 // replicated takes a peer's account.
 func (m *Machine) replicated(from placement.Key, message Replicated) {
+	m.concededInVain(from, message)
 	h := m.jobs[message.Job]
 	if h == nil {
 		return
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -326,7 +326,7 @@
 
 // checkSettled notes once all that this store owns stands whole in the present epoch.
 func (m *Machine) checkSettled() {
-	if !m.settled || !m.present || m.unowned || m.concedes() || m.settledEpoch == m.view.Epoch {
+	if !m.settled || !m.present || m.unowned || len(m.concession) > 0 || m.settledEpoch == m.view.Epoch {
 		return
 	}
 	for _, h := range m.order {
