--- a/internal/batch/replica/planted_test.go
+++ b/internal/batch/replica/planted_test.go
@@ -134,14 +134,14 @@
 	from  uint64
 }{
 	{plantCopyOverResults, []string{"unreadable: job: corrupt encoding: result at position"}, []string{troublePower}, 0},
-	{plantAckEarly, lost, []string{troubleAllPower, troubleAllPowerDisks}, 90},
-	{plantShowEarly, lost, []string{troubleWipe, troubleAllPowerDisks}, 20},
+	{plantAckEarly, lost, []string{troubleAllPower, troubleAllPowerDisks}, 255},
+	{plantShowEarly, lost, []string{troubleWipe, troubleAllPowerDisks}, 140},
 	{plantIgnoreLease, append([]string{"owns it, too", "after the end"}, lost...), []string{troubleFreeze}, 0},
 	{plantRetireEarly, lost, []string{troubleRetire}, 5},
 	{plantWipedKeepsName, lost, []string{troubleWipe}, 4},
 	{plantDurableEarly, append([]string{"unreadable"}, lost...), []string{troubleAllPower}, 0},
-	{plantNoCut, []string{"unreadable"}, []string{troublePower, troubleKillThenPower}, 4},
-	{plantNoSyncAtStart, append([]string{"unreadable"}, lost...), []string{troubleKill, troubleKillThenPower}, 5},
+	{plantNoCut, []string{"unreadable"}, []string{troublePower, troubleKillThenPower}, 230},
+	{plantNoSyncAtStart, append([]string{"unreadable"}, lost...), []string{troubleKill, troubleKillThenPower}, 130},
 	{plantReleaseNeeded, lost, []string{troubleKill}, 0},
 }
 
