The model of replica sets starts empty disks as blank ones, as the server does

Cause: its stores began with an empty disk without Options.Blank, also in a system that ran before. Such a store took its first view for all there is, and had the others forget who was missing. A wrong start in the test, not a fault of the stores; no check is changed.

--- a/internal/batch/replica/set_world_test.go
+++ b/internal/batch/replica/set_world_test.go
@@ -133,7 +133,8 @@
 	if s.world.bugs.fewCopies {
 		copies--
 	}
-	s.machine = New(Options{Self: s.process(), Life: s.life, Copies: copies, KeepFor: time.Hour}, s)
+	blank := len(s.disk) == 0 && s.world.begun // as without bootstrap
+	s.machine = New(Options{Self: s.process(), Life: s.life, Copies: copies, KeepFor: time.Hour, Blank: blank}, s)
 	for i, record := range s.disk {
 		if err := s.machine.Replay(journal.Location{Segment: uint32(i), Length: uint32(len(record))}, record); err != nil {
 			s.world.fail("%s finds its log unreadable: %v", s.node, err)
