Silence counts as suspicious after 1 s

A batch process polls every 0.4 s and a control process reports to the head every 0.4 s: the head may hear of a poll 0.8 s after the one before. The bound of 0.9 s was set for a shorter cadence, and left 0.1 s on a busy machine; a wrong suspicion costs two orders and an answer without a lease, while the one that is held runs on.

--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -15,8 +15,9 @@
 const (
 	// StoreLease is a batch process's right to act, from when it sent its poll, by its own clock.
 	StoreLease = 1500 * time.Millisecond
-	// SuspectAfter is the silence after which a batch process gets no lease any more: a poll and a report on it may take 0.65 s.
-	SuspectAfter = 900 * time.Millisecond
+	// SuspectAfter is the silence after which a batch process gets no lease any more. The head hears of a poll 0.8 s after the one
+	// before at the latest: protocol.PollInterval, and the time between two reports.
+	SuspectAfter = time.Second
 	// EvictAfter is the silence after which a batch process leaves the set: its lease has surely ended.
 	EvictAfter = 2200 * time.Millisecond
 	// GatewayTime is how long a gateway that doesn't poll stays on the list.
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -147,7 +147,11 @@
 				vouched = sent
 			}
 		}
-		time.Sleep(100 * time.Millisecond)
+		if vouched == sent {
+			time.Sleep(protocol.PollInterval)
+		} else {
+			time.Sleep(100 * time.Millisecond)
+		}
 	}
 }
 
