--- a/coord/replica/plants_test.go
+++ b/coord/replica/plants_test.go
@@ -6,6 +6,7 @@
 	"testing"
 	"time"
 
+	"sprucelane.example/sprucelane/coord/chain"
 	"sprucelane.example/sprucelane/coord/view"
 )
 
@@ -24,6 +25,7 @@
 	plantSyncLate      plant = "messages leave before the sync"
 	plantNoRelay       plant = "orders aren't passed on by a member between"
 	plantOldOrders     plant = "the head takes orders from before its view"
+	plantConfirmAlone  plant = "a member that is cut off confirms orders"
 	plantOldSource     plant = "a view starts from any log"
 	plantHalfCopy      plant = "half of a copy counts as whole"
 	plantBareImage     plant = "an image comes without the outcomes of orders"
@@ -57,6 +59,8 @@
 		if n.cutOff && c.fresh.proven {
 			c.fresh.since = now
 		}
+	case plantConfirmAlone:
+		n.confirmAlone()
 	case plantEndlessLead:
 		if c.acceptor.View.Head().Same(c.self) && c.fresh.epochAt != never {
 			c.fresh.epochAt = max(c.fresh.epochAt, now-leadTerm/2)
@@ -64,6 +68,17 @@
 	}
 }
 
+// confirmAlone settles, where the node is cut off, the orders that wait there.
+func (n *simulatedNode) confirmAlone() {
+	if !n.cutOff {
+		return
+	}
+	applied, _ := n.core.state.Applied()
+	for _, id := range sortedKeys(n.core.work.orders) {
+		n.core.work.settle(id, chain.Outcome{ID: id, Index: applied + 1})
+	}
+}
+
 // plantMessage spoils a message on its way, and tells whether it goes at all.
 func (w *world) plantMessage(from, to *simulatedNode, m envelope) (envelope, bool) {
 	switch body := m.body.(type) {
@@ -137,6 +152,7 @@
 	{plantSyncLate, 0, 1},
 	{plantNoRelay, 16, 1},
 	{plantOldOrders, 0, 1},
+	{plantConfirmAlone, 0, 1},
 	{plantOldSource, 0, 1},
 	{plantHalfCopy, 0, 1},
 	{plantBareImage, 122, 1},
