--- a/internal/quota/random_test.go
+++ b/internal/quota/random_test.go
@@ -13,7 +13,7 @@
 )
 
 const (
-	plainWorlds   = 8 // played where SEEDS doesn't say
+	plainWorlds   = 12 // played where SEEDS doesn't say
 	troubledUntil = 60 * second
 	calmFrom      = 80 * second // all has healed by then
 	worldLength   = 90 * second
