--- a/internal/batch/replica/planted_test.go
+++ b/internal/batch/replica/planted_test.go
@@ -138,7 +138,7 @@
 	{plantShowEarly, lost, []string{troubleWipe, troubleAllPowerDisks}, 140},
 	{plantIgnoreLease, append([]string{"owns it, too", "after the end"}, lost...), []string{troubleFreeze}, 0},
 	{plantRetireEarly, lost, []string{troubleRetire}, 5},
-	{plantWipedKeepsName, lost, []string{troubleWipe}, 4},
+	{plantWipedKeepsName, lost, []string{troubleAllPowerDisks}, 0},
 	{plantDurableEarly, append([]string{"unreadable"}, lost...), []string{troubleAllPower}, 0},
 	{plantNoCut, []string{"unreadable"}, []string{troublePower, troubleKillThenPower}, 230},
 	{plantNoSyncAtStart, append([]string{"unreadable"}, lost...), []string{troubleKill, troubleKillThenPower}, 130},
