Worlds of calls: the last check looks at what servers noted under their lock

The race detector found it (TestRandomCalls, 2 of 5 runs): a reply that is still on its way to nobody notes its count while the check reads. Three runs with -race pass, 27 s.

--- a/coord/transport/world_test.go
+++ b/coord/transport/world_test.go
@@ -184,6 +184,8 @@
 
 // check holds what each call was told against what the server did, when all is over.
 func (w *callWorld) check(told map[int]error) {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
 	for number, err := range told {
 		most, least := 0, 0
 		switch {
