Batch stores say what they wait for; control says which set it tells, and whether proven

The line not_settled names awaited inventories, missing stores and batch jobs that nobody owns; store_view names the epoch acted in before. Control logs store-view-told with its proof, and the epoch that its disk held at a start. No decision changes: what was a bool (batch jobs unowned) is a count. TestStanding; packages internal/batch/... and internal/control pass.

--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -103,7 +103,7 @@
 
 	round       uint64 // of inventories
 	settled     bool   // all inventories of the epoch are here
-	unowned     bool   // they hold batch jobs that nobody owns until stores that left are back
+	unowned     int    // batch jobs that they hold and nobody owns until stores that left are back
 	asked       time.Duration
 	inventories map[placement.Key]Inventory
 	lives       map[placement.Key]uint64 // newest life heard of each member
@@ -173,6 +173,9 @@
 // Epoch gives the epoch of the newest view known here.
 func (m *Machine) Epoch() uint64 { return m.view.Epoch }
 
+// ActedIn gives the epoch of the newest view that this store acted in, earlier lives included, as far as its disk tells.
+func (m *Machine) ActedIn() uint64 { return m.departed.epoch }
+
 // Written tells that all records up to a number are durable.
 func (m *Machine) Written(sequence uint64) {
 	for len(m.pending) > 0 && m.pending[0].sequence <= sequence {
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -150,12 +150,7 @@
 	if m.settled || !m.present {
 		return
 	}
-	complete := true
-	m.others(func(other protocol.Process) {
-		_, here := m.inventories[placement.KeyOf(other)]
-		complete = complete && here
-	})
-	if !complete {
+	if len(m.awaited()) > 0 {
 		return
 	}
 	m.settled = true
@@ -163,13 +158,13 @@
 	all := m.gather()
 	clear(m.inventories)
 	m.forgetDirectory(all)
-	m.unowned = false
+	m.unowned = 0
 	for _, id := range slices.Sorted(maps.Keys(all)) {
 		if h := m.jobs[id]; h != nil {
 			h.behind = h.version < all[id].version
 		}
 		if !m.isNewest(all[id]) {
-			m.unowned = true
+			m.unowned++
 			continue // until those that left are back
 		}
 		owner := m.ownerOf(all[id])
@@ -326,7 +321,7 @@
 
 // checkSettled notes once all that this store owns stands whole in the present epoch.
 func (m *Machine) checkSettled() {
-	if !m.settled || !m.present || m.unowned || len(m.concession) > 0 || m.settledEpoch == m.view.Epoch {
+	if !m.settled || !m.present || m.unowned > 0 || len(m.concession) > 0 || m.settledEpoch == m.view.Epoch {
 		return
 	}
 	for _, h := range m.order {
--- /dev/null
+++ b/internal/batch/replica/standing_test.go
@@ -0,0 +1,43 @@
+package replica
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/batch/placement"
+)
+
+// TestStanding has a store tell what it waits for.
+func TestStanding(t *testing.T) {
+	Convey("A store that doesn't stand whole names the stores and the batch jobs that it waits for", t, func() {
+		c := newCluster(6, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		second := c.others(owner, replica)[0]
+		So(replica.machine.Standing(), ShouldResemble, Standing{Epoch: 1, Settled: 1})
+		for _, n := range c.nodes {
+			n.losePower()
+		}
+		rest := c.others(owner, second)
+		for _, n := range rest {
+			n.start()
+		}
+		c.view(rest...)
+		standing := replica.machine.Standing()
+		So(standing.HasSettled(), ShouldBeFalse)
+		So(standing.Awaited, ShouldHaveLength, len(rest)-1)
+		c.settle()
+		standing = replica.machine.Standing()
+		So(standing.Awaited, ShouldBeEmpty)
+		So(standing.Missing, ShouldHaveLength, 2)
+		So(standing.Missing, ShouldContain, owner.key())
+		So(standing.Missing, ShouldContain, second.key())
+		So(standing.Unowned, ShouldEqual, 1)
+		owner.start()
+		c.view(append([]*clusterNode{owner}, rest...)...)
+		c.settle()
+		So(replica.machine.Standing(), ShouldResemble, Standing{Epoch: c.epoch, Settled: c.epoch})
+		So(owner.machine.Standing().Missing, ShouldResemble, []placement.Key(nil))
+	})
+}
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -212,6 +212,7 @@
 	report, counts := s.report(), s.runner.Counts()
 	waiting, running, allowed := s.runner.Load()
 	findings, damaged := s.damage()
+	s.tellStanding()
 	s.log.Info().Int("waiting", waiting).Int("running", running).Int("allowed", allowed).Uint64("epoch", report.Epoch).Uint64("settled", report.Settled).Int("batch_jobs", report.BatchJobs).
 		Int("findings", findings).Int("damaged", damaged).
 		Int64("free", report.FreeBytes).Int64("runs", counts.Runs).Int64("completed", counts.Completed).
@@ -244,12 +245,14 @@
 func (s *Server) updated() {
 	if members := s.subscription.Members(); members != nil {
 		s.mutex.Lock()
-		before := s.machine.Epoch()
+		before, acted := s.machine.Epoch(), s.machine.ActedIn()
 		s.machine.View(members.Stores)
 		after := s.machine.Epoch()
+		missing := s.machine.Standing().Missing
 		s.mutex.Unlock()
 		if after != before {
-			s.log.Info().Uint64("epoch", after).Int("stores", len(members.Stores.Members)).Msg("store_view")
+			s.log.Info().Uint64("epoch", after).Uint64("acted_in", acted).Int("stores", len(members.Stores.Members)).
+				Strs("missing", names(missing)).Msg("store_view")
 			s.dropPeers(members.Stores)
 		}
 	}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -255,7 +255,8 @@
 	if c.settings.Cloud.Address != "" {
 		c.run(c.readLoop)
 	}
-	c.log.Info().Str("control", c.settings.ListenControl).Str("data", c.settings.DataDir).Bool("bootstrap", c.settings.Bootstrap).Msg("started")
+	c.log.Info().Str("control", c.settings.ListenControl).Str("data", c.settings.DataDir).Bool("bootstrap", c.settings.Bootstrap).
+		Uint64("store_epoch", c.machine.Stores().Epoch).Msg("started")
 	return nil
 }
 
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -173,5 +173,8 @@
 	if update.Configuration != nil {
 		one.configuration = update.Configuration.Index
 	}
+	if update.Members != nil && one.process.Role == protocol.RoleBatch {
+		c.log.Info().Str("to", one.process.Node).Uint64("epoch", update.Members.Stores.Epoch).Bool("fresh", fresh).Msg("store-view-told")
+	}
 	one.servers, one.members = c.servers.version, c.members.Version
 }
