--- /dev/null
+++ b/internal/batch/replica/stale_view_test.go
@@ -0,0 +1,118 @@
+package replica
+
+import (
+	"fmt"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file tests what an old set of stores may do that a process which has just started tells a store that has just started.
+
+// history is a cluster of three copies whose set has changed a few times, and that has lost power everywhere and two disks for good.
+type history struct {
+	*cluster
+	views []protocol.StoreView // by epoch, from 1 on
+	jobs  []string
+}
+
+// newHistory has a store retire that leaves and one come back with an empty disk, each settled before the next, then takes batch
+// jobs; last, the first two stores lose their disks and all others lose power.
+func newHistory(seed uint64) *history {
+	h := &history{cluster: newCluster(9, 3, seed)}
+	h.note()
+	h.settle()
+	h.change(h.nodes[:8]...)
+	h.nodes[7].wipe()
+	h.nodes[7].start()
+	h.change(h.nodes[:7]...)
+	h.change(h.nodes[:8]...)
+	for i := range 24 {
+		id := fmt.Sprint("job-", i)
+		h.jobs = append(h.jobs, id)
+		So(h.nodes[i%8].submit(id, 2).Status, ShouldEqual, 202)
+	}
+	for i, n := range h.nodes[:8] {
+		if i < 2 {
+			n.wipe()
+		} else {
+			n.losePower()
+		}
+	}
+	for _, n := range h.nodes[:8] {
+		n.start()
+	}
+	return h
+}
+
+// note remembers the newest view.
+func (h *history) note() { h.views = append(h.views, h.nodes[0].machine.Members()) }
+
+// change makes a set of stores the newest view, in which all settle.
+func (h *history) change(members ...*clusterNode) {
+	h.view(members...)
+	h.settle()
+	h.note()
+	for _, n := range members {
+		So(n.machine.Standing().HasSettled(), ShouldBeTrue)
+	}
+}
+
+// tell has a store take a view that was in force once.
+func (h *history) tell(n *clusterNode, epoch uint64) { n.machine.View(h.views[epoch-1]) }
+
+// rejoinAll tells all that ran before of the set that they are in, and all of the one that the empty disks join.
+func (h *history) rejoinAll() {
+	for _, n := range h.nodes[2:8] {
+		h.tell(n, h.epoch)
+	}
+	h.settle()
+	h.view(h.nodes[:8]...)
+	h.settle()
+}
+
+// check wants all batch jobs to be there and all stores to have settled.
+func (h *history) check() {
+	for _, n := range h.nodes[:8] {
+		So(n.machine.Standing(), ShouldResemble, Standing{Epoch: h.epoch, Settled: h.epoch})
+	}
+	for _, id := range h.jobs {
+		_, status := h.nodes[3].readAnywhere(id)
+		So(status, ShouldEqual, 200)
+	}
+}
+
+// TestToldOfAnEndedView has stores that lost power be told a set that ended before they did.
+func TestToldOfAnEndedView(t *testing.T) {
+	Convey("All batch jobs are there after a loss of power with two disks", t, func() {
+		h := newHistory(1)
+		h.rejoinAll()
+		h.check()
+	})
+	for ended := uint64(1); ended <= 3; ended++ {
+		Convey(fmt.Sprintf("So they are where stores are told of the set of epoch %d first, which ended long ago", ended), t, func() {
+			for _, told := range [][]int{{3}, {2, 3, 4}, {2, 3, 4, 5, 6, 7}} {
+				h := newHistory(1)
+				for _, number := range told {
+					h.tell(h.nodes[number], ended)
+				}
+				h.calm()
+				h.rejoinAll()
+				h.check()
+			}
+		})
+	}
+	Convey("Nor does a store act in it, nor forget which one it acted in", t, func() {
+		h := newHistory(1)
+		n := h.nodes[3]
+		h.tell(n, 3)
+		h.calm()
+		So(n.machine.Epoch(), ShouldEqual, 0)
+		So(n.machine.ActedIn(), ShouldEqual, h.epoch)
+		n.kill()
+		n.start()
+		So(n.machine.ActedIn(), ShouldEqual, h.epoch)
+	})
+}
