Who departed from the store set is agreed in the chain; the set is told only with proof

Deeper: each store concluded by itself, from the views that it happened to see, who left since all stood whole, kept that on its disk, and nothing undid it: three spurious or forgotten departures of three copies, and what it owns is owned by nobody.

Change: departures and 'all members stood whole' are part of the agreed set (StoreView.Departed, Settled; command Settle, proposed by the head once all members tell so in the epoch); stores take them from the view, count machines and not disks, and keep only the epoch that they acted in, below which no view is taken. The set, quota's address and the gateways are told only by a process that vouches, as they are at that moment and not from a cache; without proof only other control processes are named. A lease of a later set than the store's gives no right to act. A join judged by an earlier set does nothing. A retirement of a lost machine ends. Invariants of views are counted in service.

All of internal/ and coord/ passed.

--- a/internal/batch/placement/placement.go
+++ b/internal/batch/placement/placement.go
@@ -5,6 +5,7 @@
 import (
 	"cmp"
 	"slices"
+	"strings"
 
 	"github.com/cespare/xxhash/v2"
 
@@ -17,6 +18,11 @@
 // KeyOf gives the key of a process.
 func KeyOf(process protocol.Process) Key { return Key(process.Node + "/" + process.Incarnation) }
 
+// Node gives the node whose disk it is.
+func (k Key) Node() string {
+	return string(k[:max(strings.LastIndexByte(string(k), '/'), 0)])
+}
+
 // Active gives the members of a view that take batch jobs.
 func Active(view protocol.StoreView) []protocol.Process {
 	active := make([]protocol.Process, 0, len(view.Members))
--- /dev/null
+++ b/internal/batch/replica/invariants.go
@@ -0,0 +1,58 @@
+package replica
+
+import (
+	"slices"
+
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns what must hold of the views that a store acts in. Each is checked as the view is taken, in service, too: a violation
+// is counted and goes on to the log, as to end the process would cost a copy besides.
+
+// Invariant names something that must always hold.
+type Invariant string
+
+// The invariants of views.
+const (
+	// InvariantEpochRises: a store never acts in a view of an epoch below one that it acted in, earlier lives included.
+	InvariantEpochRises Invariant = "a store goes back to a view that ended"
+	// InvariantOneViewAnEpoch: all that is told of one epoch has the same members.
+	InvariantOneViewAnEpoch Invariant = "two views of one epoch differ"
+	// InvariantDepartedLeft: who is told to have departed isn't a member.
+	InvariantDepartedLeft Invariant = "a member counts as departed"
+	// InvariantSettledMissesNobody: once all members stood whole, nobody who left before is missed.
+	InvariantSettledMissesNobody Invariant = "all stood whole and somebody is missed"
+)
+
+// Violations counts what did not hold, by invariant.
+type Violations map[Invariant]int
+
+// Total gives the number of all violations.
+func (v Violations) Total() int {
+	total := 0
+	for _, count := range v {
+		total += count
+	}
+	return total
+}
+
+// Violations gives what did not hold in this life.
+func (m *Machine) Violations() Violations { return m.violations }
+
+func (m *Machine) must(holds bool, invariant Invariant) {
+	if !holds {
+		m.violations[invariant]++
+	}
+}
+
+// checkView checks a view that is about to be taken in place of the one held.
+func (m *Machine) checkView(next protocol.StoreView) {
+	m.must(next.Epoch >= m.departed.epoch, InvariantEpochRises)
+	m.must(next.Epoch != m.view.Epoch || slices.Equal(next.Members, m.view.Members), InvariantOneViewAnEpoch)
+	m.must(!next.Settled || len(next.Departed) == 0, InvariantSettledMissesNobody)
+	for _, process := range next.Departed {
+		_, member := placement.MemberOf(next, placement.KeyOf(process))
+		m.must(!member, InvariantDepartedLeft)
+	}
+}
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -83,7 +83,6 @@
 type Options struct {
 	Self      protocol.Process
 	Life      uint64        // differs for each start of the process
-	Blank     bool          // the system ran before: a disk that tells of no view is that of a new store, or was lost
 	Copies    int           // disks that a batch job is on: one more than may be lost at once
 	KeepFor   time.Duration // from a batch job's first send, and while it is open
 	Reserve   int64         // bytes of disk that new batch jobs must leave free
@@ -122,11 +121,11 @@
 	slow         map[placement.Key]time.Duration // until when stores are passed over that took long to write
 	departed     departed
 	settledEpoch uint64
-	toldEmptied  map[placement.Key]bool // others that keep on their disks that this store, which retires, isn't needed
 	lastExpiry   time.Duration
 
 	findings   int                   // records of the log that could not be used at the start
 	obscured   bool                  // batch jobs may be missing here for them
+	violations Violations            // of invariants, in this life
 	concession map[string]concession // batch jobs that this store would own in this epoch, and gave to others
 }
 
@@ -150,21 +149,23 @@
 		lookups:      map[string]*lookup{},
 		slow:         map[placement.Key]time.Duration{},
 		concession:   map[string]concession{},
-		toldEmptied:  map[placement.Key]bool{},
+		violations:   Violations{},
 		departed: departed{
-			since: map[placement.Key]time.Duration{}, settled: map[placement.Key]uint64{}, emptied: map[placement.Key]time.Duration{},
-			obscured: map[placement.Key]time.Duration{},
+			since: map[placement.Key]departure{}, settled: map[placement.Key]uint64{}, obscured: map[placement.Key]time.Duration{},
 		},
 	}
 }
 
-// Grant renews the right to act. The lease ends at a time of Environment.Now; it was counted from when it was asked for.
-func (m *Machine) Grant(member bool, until time.Duration) {
-	if !member {
+// Grant renews the right to act as a member of the view of an epoch. The lease ends at a time of Environment.Now; it was counted from
+// when it was asked for. One of a later epoch than the view known here gives none: the store may have been out of the set in between,
+// and others may have taken its place.
+func (m *Machine) Grant(epoch uint64, member bool, until time.Duration) {
+	switch {
+	case !member:
 		m.lease = 0
-		return
+	case epoch <= m.view.Epoch:
+		m.lease = max(m.lease, until)
 	}
-	m.lease = max(m.lease, until)
 }
 
 // Allowed tells whether this store may act now. It is asked right before anything leaves that depends on it.
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -28,15 +28,6 @@
 	Entries []Entry
 	// Obscured tells that the sender may have held batch jobs, or newer versions of some, that it can't name any more.
 	Obscured bool
-	Missing  Missing
-}
-
-// Missing is what a store knows of those that left the view.
-type Missing struct {
-	Blank   bool            // nothing: its disk was empty, and no other store has told it
-	Stores  []placement.Key // those that left since all members stood whole
-	Whole   uint64          // the newest epoch in which all members stood whole, 0: not known, or a view was missed since
-	Emptied []placement.Key // stores that retire, or have, and hold nothing that others need; durable
 }
 
 // Entry is one batch job of an inventory.
@@ -136,8 +127,6 @@
 	Stamp
 	Settled uint64
 	Ask     bool // the receiver is to tell, too
-	Missing Missing
-	Emptied bool // the sender retires, and holds nothing that isn't whole without it
 }
 
 // Messages lists one value of each type, for registration with a transport.
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -17,24 +17,41 @@
 
 // View takes a newer agreed set of stores.
 func (m *Machine) View(view protocol.StoreView) {
-	if view.Epoch <= m.view.Epoch {
+	if !view.Newer(m.view) || m.hasEnded(view) {
 		return
 	}
-	last := m.view
-	if m.options.Blank && !m.departed.told {
-		m.departed.told, m.departed.blank, m.departed.blankAt = true, true, m.env.Now()
+	m.checkView(view)
+	if view.Epoch == m.view.Epoch {
+		m.takeSettled(view)
+		return
 	}
-	wasPresent := m.present
+	m.change(view)
+}
+
+// hasEnded tells whether this store acted in a later view, as its disk tells after a start. A process of control that knows less than
+// others may still hand the earlier one out.
+func (m *Machine) hasEnded(view protocol.StoreView) bool { return view.Epoch < m.departed.epoch }
+
+// takeSettled takes in that all members stood whole in the present epoch, so that nobody who left before is missed.
+func (m *Machine) takeSettled(view protocol.StoreView) {
+	tooMany := m.tooManyLeft()
+	m.view = view
+	m.departed.take(view, m.env.Now())
+	if tooMany && m.settled {
+		m.restart()
+	}
+}
+
+// change goes on in the view of another epoch.
+func (m *Machine) change(view protocol.StoreView) {
+	last, wasPresent := m.view, m.present
 	m.view = view
 	member, present := placement.MemberOf(view, m.self)
 	m.departed.follow(view.Epoch, present)
-	m.departed.change(view, m.env.Now())
-	m.writeDeparted()
+	m.departed.take(view, m.env.Now())
+	m.writeView()
 	m.present = present
 	m.retiring = present && member.State != protocol.StoreActive
-	if view.Epoch != last.Epoch+1 {
-		m.departed.whole = 0
-	}
 	next := wasPresent && present && view.Epoch == last.Epoch+1
 	for _, h := range m.order {
 		h.handed = false
@@ -53,7 +70,6 @@
 	clear(m.reservations)
 	clear(m.lookups)
 	clear(m.concession)
-	clear(m.toldEmptied)
 	for _, a := range m.acceptances {
 		a.askedAt = 0
 		clear(a.votes)
@@ -123,7 +139,7 @@
 			Job: h.id, Version: h.version, Replicas: h.replicas, Count: h.durable, Ended: h.endDurable, Damaged: h.damaged,
 		})
 	}
-	return Inventory{Stamp: m.stamp(), Round: round, Settled: m.settledEpoch, Entries: entries, Obscured: m.obscured, Missing: m.missing()}
+	return Inventory{Stamp: m.stamp(), Round: round, Settled: m.settledEpoch, Entries: entries, Obscured: m.obscured}
 }
 
 func (m *Machine) takeInventory(from placement.Key, inventory Inventory) {
@@ -133,7 +149,6 @@
 	m.inventories[from] = inventory
 	m.departed.settled[from] = max(m.departed.settled[from], inventory.Settled)
 	m.departed.noteObscured(from, inventory.Obscured, m.env.Now())
-	m.takeMissing(from, inventory.Missing)
 	m.settle()
 }
 
@@ -313,9 +328,10 @@
 	return protocol.BatchReport{
 		Epoch:       m.view.Epoch,
 		Settled:     m.settledEpoch,
+		Missing:     m.departed.left(),
 		BatchJobs:   len(m.jobs),
 		FreeBytes:   m.env.Free(),
-		DrainedDown: m.drained() && m.allToldEmptied(),
+		DrainedDown: m.drained(),
 	}
 }
 
@@ -335,8 +351,7 @@
 }
 
 // drained tells whether a retiring store keeps nothing that isn't whole on other stores. It waits until all members stand
-// whole, so that nobody has yet to choose sets in this epoch, and for one that stays: a store that is away, perhaps with the
-// only copy of a batch job, has to learn from somebody that this one isn't missing.
+// whole, so that nobody has yet to choose sets in this epoch, and for one that stays.
 func (m *Machine) drained() bool {
 	if !m.retiring || !m.settled || len(m.acceptances) > 0 {
 		return false
@@ -352,25 +367,6 @@
 	return true
 }
 
-// checkEmptied tells the others once this store, which retires, holds nothing that they need.
-func (m *Machine) checkEmptied() {
-	if !m.drained() {
-		m.askOwners()
-		return
-	}
-	if !m.allToldEmptied() {
-		m.tellSettled()
-	}
-}
-
-// allToldEmptied tells whether all others keep on their disks that nothing of this store, which retires, is needed. One that
-// didn't know would miss it like a store that was lost, together with the next.
-func (m *Machine) allToldEmptied() bool {
-	told := true
-	m.others(func(other protocol.Process) { told = told && m.toldEmptied[placement.KeyOf(other)] })
-	return told
-}
-
 // askOwners asks, while this store retires, the owners of what it holds whether their sets are whole without it.
 func (m *Machine) askOwners() {
 	for _, h := range m.order {
--- a/internal/batch/replica/stale_view_test.go
+++ b/internal/batch/replica/stale_view_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
@@ -116,3 +117,29 @@
 		So(n.machine.ActedIn(), ShouldEqual, h.epoch)
 	})
 }
+
+// TestGrantOfALaterView has a store that was out of the set be granted a lease before it hears of the view that it is in again.
+func TestGrantOfALaterView(t *testing.T) {
+	Convey("A lease of a later view than the one known here gives no right to act", t, func() {
+		c := newCluster(3, 2, 1)
+		So(c.nodes[0].submit("job", 1).Status, ShouldEqual, 202)
+		owner := c.owner("job")
+		rest := c.others(owner)
+		owner.machine.Grant(c.epoch, false, 0)
+		c.lost = func(m clusterMessage) bool { return m.to == owner.key() || m.from.Node == owner.process().Node }
+		c.view(rest...)
+		c.settle()
+		now := rest[0]
+		if !now.machine.jobs["job"].owner {
+			now = rest[1]
+		}
+		So(now.call(protocol.BatchCall{Operation: protocol.BatchEnd, BatchJob: "job", Tenant: "t"}, nil).Status, ShouldEqual, 200)
+		owner.machine.Grant(c.epoch+1, true, c.now+time.Second)
+		So(owner.machine.Allowed(), ShouldBeFalse)
+		So(owner.machine.MayRun("job", 0), ShouldBeFalse)
+		c.lost = nil
+		c.view(c.nodes...)
+		So(owner.machine.Allowed(), ShouldBeTrue)
+		So(owner.machine.MayRun("job", 0), ShouldBeFalse)
+	})
+}
--- a/internal/batch/replica/tick.go
+++ b/internal/batch/replica/tick.go
@@ -32,7 +32,7 @@
 		}
 	}
 	if m.retiring && m.settled {
-		m.checkEmptied()
+		m.askOwners()
 	}
 	if m.awaitsWhole() && m.settledEpoch == m.view.Epoch && now-m.departed.toldAt >= noticeAgain {
 		m.tellSettled()
@@ -108,6 +108,7 @@
 			continue
 		}
 		m.discard(h)
+		m.settled = m.settled && m.unowned == 0 // it may be what nobody owned: all is looked at again
 	}
 }
 
@@ -127,7 +128,7 @@
 	}
 	if at := m.departed.at; at != nil && at.Segment < oldest {
 		oldest = at.Segment
-		m.writeDeparted() // behind all that may go
+		m.writeView() // behind all that may go
 	}
 	return oldest
 }
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -103,7 +103,7 @@
 	}
 	capacity := int64(s.settings.Limits.DiskMB) << 20
 	s.machine = replica.New(replica.Options{
-		Self: s.process, Life: life.number, Blank: !s.settings.Bootstrap,
+		Self: s.process, Life: life.number,
 		Copies:  s.settings.Tolerance.Machines + 1,
 		KeepFor: s.settings.Bounds.Status + 2*s.settings.Bounds.SkewMax,
 		Reserve: int64(reserve * float64(capacity)),
@@ -213,6 +213,7 @@
 	waiting, running, allowed := s.runner.Load()
 	findings, damaged := s.damage()
 	s.tellStanding()
+	s.tellViolations()
 	s.log.Info().Int("waiting", waiting).Int("running", running).Int("allowed", allowed).Uint64("epoch", report.Epoch).Uint64("settled", report.Settled).Int("batch_jobs", report.BatchJobs).
 		Int("findings", findings).Int("damaged", damaged).
 		Int64("free", report.FreeBytes).Int64("runs", counts.Runs).Int64("completed", counts.Completed).
@@ -264,7 +265,7 @@
 	until := sent.Sub(s.origin) + grant.Lease - leaseMargin
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.machine.Grant(grant.Member, until)
+	s.machine.Grant(grant.Epoch, grant.Member, until)
 }
 
 func (s *Server) report() *protocol.BatchReport {
--- a/internal/batch/server/standing.go
+++ b/internal/batch/server/standing.go
@@ -1,6 +1,20 @@
 package server
 
-import "sprucelane.example/sprucelane/internal/batch/placement"
+import (
+	"maps"
+
+	"sprucelane.example/sprucelane/internal/batch/placement"
+)
+
+// tellViolations logs the invariants that did not hold in this life.
+func (s *Server) tellViolations() {
+	s.mutex.Lock()
+	violations := maps.Clone(s.machine.Violations())
+	s.mutex.Unlock()
+	for invariant, count := range violations {
+		s.log.Error().Str("invariant", string(invariant)).Int("count", count).Msg("invariant_violated")
+	}
+}
 
 // tellStanding logs what this store waits for, where it doesn't stand whole in the present epoch.
 func (s *Server) tellStanding() {
@@ -11,7 +25,7 @@
 		return
 	}
 	s.log.Warn().Uint64("epoch", standing.Epoch).Uint64("settled", standing.Settled).Strs("awaited", names(standing.Awaited)).
-		Strs("missing", names(standing.Missing)).Int("obscured", standing.Obscured).Bool("blank", standing.Blank).
+		Strs("missing", names(standing.Missing)).Int("obscured", standing.Obscured).
 		Int("unowned", standing.Unowned).Int("conceded", standing.Conceded).Int("partial", standing.Partial).Msg("not_settled")
 }
 
--- a/internal/control/machine/command.go
+++ b/internal/control/machine/command.go
@@ -20,6 +20,7 @@
 	Suspect       *Suspect
 	Retire        *Retire
 	Retired       *Retired
+	Settle        *Settle
 	Lending       *Lending
 }
 
@@ -27,6 +28,7 @@
 // lost or its machine replaced.
 type Join struct {
 	Processes []protocol.Process
+	Epoch     uint64 // of the set as it was when they were found missing; nothing is done in a later one. 0: in any
 }
 
 // Suspect says that a batch process has fallen silent, or that it polls again. One that is suspected gets no lease, so that the one
@@ -57,6 +59,11 @@
 	Epoch       uint64
 }
 
+// Settle states that all members of the set stood whole in an epoch: whoever left before holds nothing that others need.
+type Settle struct {
+	Epoch uint64
+}
+
 // Outcome is what came of a command.
 type Outcome struct {
 	Configuration *configuration.Result
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -57,6 +57,8 @@
 		return Outcome{Store: m.stores.retire(command.Retire)}
 	case command.Retired != nil:
 		return Outcome{Store: m.stores.retired(command.Retired)}
+	case command.Settle != nil:
+		return Outcome{Store: m.stores.settle(command.Settle)}
 	case command.Lending != nil:
 		return Outcome{Lending: m.lending.apply(command.Lending)}
 	}
--- a/internal/control/machine/stores.go
+++ b/internal/control/machine/stores.go
@@ -30,6 +30,8 @@
 type storeSet struct {
 	epoch       uint64
 	members     []protocol.StoreMember // in the order in which they joined
+	departed    []protocol.Process     // see protocol.StoreView; oldest first
+	settled     bool                   // all members stood whole in this epoch
 	retirements []retirementRecord     // oldest first
 	suspicions  []suspicion            // of members
 	suspected   uint64                 // counts suspicions
@@ -46,6 +48,8 @@
 type storeImage struct {
 	Epoch       uint64
 	Members     []protocol.StoreMember
+	Departed    []protocol.Process
+	Settled     bool
 	Retirements []retirementRecord
 	Suspicions  []suspicion
 	Suspected   uint64
@@ -54,26 +58,76 @@
 func newStoreSet() *storeSet { return &storeSet{} }
 
 func (s *storeSet) image() storeImage {
-	return storeImage{Epoch: s.epoch, Members: s.members, Retirements: s.retirements, Suspicions: s.suspicions, Suspected: s.suspected}
+	return storeImage{Epoch: s.epoch, Members: s.members, Departed: s.departed, Settled: s.settled, Retirements: s.retirements,
+		Suspicions: s.suspicions, Suspected: s.suspected}
 }
 
 func restoreStores(form storeImage) *storeSet {
-	return &storeSet{epoch: form.Epoch, members: form.Members, retirements: form.Retirements, suspicions: form.Suspicions,
-		suspected: form.Suspected}
+	return &storeSet{epoch: form.Epoch, members: form.Members, departed: form.Departed, settled: form.Settled,
+		retirements: form.Retirements, suspicions: form.Suspicions, suspected: form.Suspected}
 }
 
-// view gives the set. Members are never changed in place.
+// view gives the set. Its lists are never changed in place.
 func (s *storeSet) view() protocol.StoreView {
-	return protocol.StoreView{Epoch: s.epoch, Members: s.members}
+	return protocol.StoreView{Epoch: s.epoch, Members: s.members, Departed: s.departed, Settled: s.settled}
 }
 
 func (s *storeSet) change(members []protocol.StoreMember) StoreOutcome {
+	s.departed = departures(s.departed, s.members, members)
+	s.settled = false
 	s.members = members
 	s.epoch++
 	s.suspicions = slices.DeleteFunc(slices.Clone(s.suspicions), func(one suspicion) bool { return s.find(one.Node, one.Incarnation) < 0 })
 	return StoreChanged
 }
 
+// departures gives who has departed after a change of the members: those that had and aren't back, and those that leave by it without
+// having been emptied.
+func departures(departed []protocol.Process, before, after []protocol.StoreMember) []protocol.Process {
+	var list []protocol.Process
+	for _, process := range departed {
+		if !isMember(after, process) {
+			list = append(list, process)
+		}
+	}
+	for _, member := range before {
+		if member.State != protocol.StoreRetired && !isMember(after, member.Process) {
+			list = append(list, member.Process)
+		}
+	}
+	return list
+}
+
+// isMember tells whether a life of a process's disk is among members.
+func isMember(members []protocol.StoreMember, process protocol.Process) bool {
+	return slices.ContainsFunc(members, func(one protocol.StoreMember) bool {
+		return one.Node == process.Node && one.Incarnation == process.Incarnation
+	})
+}
+
+// settle notes that all members stood whole in an epoch, if that is still the present one.
+func (s *storeSet) settle(order *Settle) StoreOutcome {
+	if order.Epoch != s.epoch || s.settled {
+		return StoreUnchanged
+	}
+	s.settled = true
+	s.departed = nil
+	s.completeLost()
+	return StoreChanged
+}
+
+// completeLost completes the retirements of machines that left before they were emptied: all that they held stands whole elsewhere.
+func (s *storeSet) completeLost() {
+	retirements := slices.Clone(s.retirements)
+	for i := range retirements {
+		node := retirements[i].Node
+		if !slices.ContainsFunc(s.members, func(one protocol.StoreMember) bool { return one.Node == node }) {
+			retirements[i].Completed = true
+		}
+	}
+	s.retirements = retirements
+}
+
 // suspect begins or ends a suspicion. The set stays as it is.
 func (s *storeSet) suspect(order *Suspect) StoreOutcome {
 	if s.find(order.Node, order.Incarnation) < 0 {
@@ -100,6 +154,9 @@
 }
 
 func (s *storeSet) join(order *Join) StoreOutcome {
+	if order.Epoch != 0 && order.Epoch != s.epoch {
+		return StoreUnchanged
+	}
 	members := slices.Clone(s.members)
 	for _, process := range order.Processes {
 		if s.mayJoin(members, process) {
--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -209,6 +209,24 @@
 	return max(one.At, t.leadFrom)
 }
 
+// Settled tells that all members of the set that may hold something have told that they stand whole in its newest epoch, and wait for
+// no more machines than may be lost at once.
+func (t *Table) Settled(now time.Duration, view protocol.StoreView, tolerance int) bool {
+	if !t.lead || view.Settled || len(view.Members) == 0 {
+		return false
+	}
+	for _, member := range view.Members {
+		if member.State == protocol.StoreRetired {
+			continue
+		}
+		report := t.report(now, member.Process)
+		if report == nil || report.Settled < view.Epoch || report.Missing > tolerance {
+			return false
+		}
+	}
+	return true
+}
+
 // Emptied gives the retiring members that hold nothing any more that others need: they say so themselves in the newest epoch, and
 // all active members have settled it.
 func (t *Table) Emptied(now time.Duration, view protocol.StoreView) []protocol.StoreMember {
--- a/internal/control/presence/presence_test.go
+++ b/internal/control/presence/presence_test.go
@@ -113,6 +113,43 @@
 	})
 }
 
+func TestSettled(t *testing.T) {
+	Convey("All members stand whole once each says so of the newest set, and waits for no more than may be lost", t, func() {
+		table := New()
+		table.Lead(0, 1, true)
+		retiring := protocol.StoreMember{Process: store("1", "a"), State: protocol.StoreRetiring}
+		retired := protocol.StoreMember{Process: store("2", "a"), State: protocol.StoreRetired}
+		view := viewOf(7, retiring, retired, protocol.StoreMember{Process: store("3", "a")})
+		tell := func(node, incarnation string, report protocol.BatchReport) {
+			table.Observe(Heard{Process: store(node, incarnation), Batch: &report, At: second})
+		}
+		tell("1", "a", protocol.BatchReport{Settled: 7})
+		So(table.Settled(second, view, 1), ShouldBeFalse) // one is silent
+		tell("3", "a", protocol.BatchReport{Settled: 6})
+		So(table.Settled(second, view, 1), ShouldBeFalse)
+		tell("3", "a", protocol.BatchReport{Settled: 7, Missing: 2})
+		So(table.Settled(second, view, 1), ShouldBeFalse)
+		So(table.Settled(second, view, 2), ShouldBeTrue)
+		tell("3", "a", protocol.BatchReport{Settled: 7, Missing: 1})
+		So(table.Settled(second, view, 1), ShouldBeTrue)
+		So(table.Settled(5*second, view, 1), ShouldBeFalse) // what was told is old
+		So(table.Settled(second, viewOf(8, view.Members...), 1), ShouldBeFalse)
+		view.Settled = true
+		So(table.Settled(second, view, 1), ShouldBeFalse) // it is agreed already
+		view.Settled = false
+		table.Lead(second, 1, false)
+		So(table.Settled(second, view, 1), ShouldBeFalse)
+		table.Lead(second, 2, true)
+		tell("3", "b", protocol.BatchReport{Settled: 7})
+		So(table.Settled(second, view, 1), ShouldBeFalse) // another disk
+	})
+	Convey("An empty set doesn't", t, func() {
+		table := New()
+		table.Lead(0, 1, true)
+		So(table.Settled(second, viewOf(0), 1), ShouldBeFalse)
+	})
+}
+
 func TestGateways(t *testing.T) {
 	Convey("Gateways that polled lately are listed by name", t, func() {
 		table := New()
--- a/internal/control/proof_test.go
+++ b/internal/control/proof_test.go
@@ -7,6 +7,14 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/coord/replica"
+	"sprucelane.example/sprucelane/coord/view"
+	"sprucelane.example/sprucelane/internal/control/machine"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
 )
 
 // losePower ends a control process without a word, with what its disk hasn't synced.
@@ -88,3 +96,45 @@
 		}
 	})
 }
+
+// provenReplica stands for a chain whose proof the test sets.
+type provenReplica struct {
+	Replica
+	proven bool
+}
+
+func (r *provenReplica) Fresh() (time.Duration, bool) { return 0, r.proven }
+func (r *provenReplica) Self() view.Member            { return view.Member{Node: "c", Address: "127.0.0.1:1"} }
+func (r *provenReplica) Members() []replica.Peer      { return nil }
+func (r *provenReplica) View() view.View {
+	return view.View{Epoch: 1, Chain: []view.Member{r.Self()}}
+}
+
+// TestSetOfTheLease has the set of batch processes change right before a poll is answered, when the list of processes that is at hand
+// is still of the one before.
+func TestSetOfTheLease(t *testing.T) {
+	c := newControl(Options{Settings: &node.Settings{NodeName: "c", IP: "127.0.0.1", FirstPort: 1, LastPort: 10}, Log: zerolog.Nop(),
+		surroundings: &surroundings{}})
+	c.replica = &provenReplica{proven: true}
+	c.peers = newPeers(c)
+	c.still.beatAt = c.now()
+	for index, number := range []int{1, 2} {
+		raw, err := machine.Command{Join: &machine.Join{Processes: []protocol.Process{storeProcess(number, "a")}}}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		if index == 1 {
+			c.refreshMembers()
+		}
+		c.machine.Apply(uint64(index+1), raw)
+	}
+	c.mutex.Lock()
+	defer c.mutex.Unlock()
+	list := c.membersFor(&subscriber{process: storeProcess(1, "a")}, true)
+	if list == nil || !list.Vouched || list.Stores.Epoch != 2 {
+		t.Fatalf("told is %+v, where the lease is of epoch 2", list)
+	}
+	if hint := c.membersFor(&subscriber{}, false); hint == nil || hint.Vouched || hint.Stores.Epoch != 0 || hint.QuotaAddress != "" {
+		t.Fatalf("without proof told is %+v", hint)
+	}
+}
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -51,9 +51,12 @@
 	c.presence.Forget(now)
 	var commands []machine.Command
 	if joins := c.presence.Joins(now, stores); len(joins) > 0 {
-		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins}})
+		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins, Epoch: stores.Epoch}})
 	}
 	commands = append(commands, c.evictions(now, stores, others)...)
+	if c.presence.Settled(now, stores, c.settings.Tolerance.Machines) {
+		commands = append(commands, machine.Command{Settle: &machine.Settle{Epoch: stores.Epoch}})
+	}
 	for _, member := range c.presence.Emptied(now, stores) {
 		commands = append(commands, machine.Command{Retired: &machine.Retired{Node: member.Node, Incarnation: member.Incarnation, Epoch: stores.Epoch}})
 	}
@@ -175,6 +178,8 @@
 		event = event.Str("evicted", command.Evict.Node)
 	case command.Retired != nil:
 		event = event.Str("retired", command.Retired.Node)
+	case command.Settle != nil:
+		event = event.Uint64("settled", command.Settle.Epoch)
 	}
 	event.Uint64("epoch", c.machine.Stores().Epoch).Msg("store-set")
 }
@@ -184,9 +189,10 @@
 
 // refreshMembers brings the list of processes up to date.
 func (c *Control) refreshMembers() {
-	next := protocol.MemberList{Control: c.controlMembers(), Stores: c.machine.Stores(), QuotaAddress: c.quotaAddress()}
+	next := protocol.MemberList{Control: c.controlMembers(), QuotaAddress: c.quotaAddress()}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
+	next.Stores = c.machine.Stores()
 	next.Gateways = c.members.Gateways
 	if now := c.now(); c.members.Version == 0 || now-c.gatewaysAt >= gatewaysPause {
 		next.Gateways = c.presence.Gateways(now)
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -34,7 +34,8 @@
 	polledAt      time.Duration
 	configuration uint64
 	servers       uint64
-	members       uint64
+	members       uint64 // version of the list of processes that it was told whole
+	hinted        uint64 // ... of which it was told the control processes
 }
 
 // handle answers the messages of one session.
@@ -156,10 +157,7 @@
 	if c.servers.version > one.servers {
 		update.Servers = c.servers.message(c.source, one.servers, c.now())
 	}
-	if c.members.Version > one.members {
-		list := c.members
-		update.Members = &list
-	}
+	update.Members = c.membersFor(one, fresh)
 	if update.Configuration == nil && update.Servers == nil && update.Members == nil {
 		return
 	}
@@ -173,8 +171,46 @@
 	if update.Configuration != nil {
 		one.configuration = update.Configuration.Index
 	}
-	if update.Members != nil && one.process.Role == protocol.RoleBatch {
-		c.log.Info().Str("to", one.process.Node).Uint64("epoch", update.Members.Stores.Epoch).Bool("fresh", fresh).Msg("store-view-told")
+	one.servers = c.servers.version
+	if update.Members != nil {
+		c.noteMembersTold(one, update.Members)
+	}
+}
+
+// membersFor gives the list of processes where a subscriber lacks it, or nil. The set of batch processes is told only where this
+// process vouches for it: what one holds that has just started, or that is cut off, may have ended long ago.
+func (c *Control) membersFor(one *subscriber, fresh bool) *protocol.MemberList {
+	if !fresh {
+		if c.members.Version <= max(one.members, one.hinted) {
+			return nil
+		}
+		return &protocol.MemberList{Version: c.members.Version, Control: c.members.Control}
+	}
+	c.takeStores()
+	if c.members.Version <= one.members {
+		return nil
+	}
+	list := c.members
+	list.Vouched = true
+	return &list
+}
+
+// takeStores brings the set of batch processes in the list of processes up to date with the chain's state.
+func (c *Control) takeStores() {
+	if stores := c.machine.Stores(); stores.Newer(c.members.Stores) {
+		c.members.Stores = stores
+		c.members.Version++
+	}
+}
+
+func (c *Control) noteMembersTold(one *subscriber, list *protocol.MemberList) {
+	one.hinted = list.Version
+	if !list.Vouched {
+		return
+	}
+	one.members = list.Version
+	if one.process.Role == protocol.RoleBatch {
+		c.log.Info().Str("to", one.process.Node).Uint64("epoch", list.Stores.Epoch).Bool("settled", list.Stores.Settled).
+			Int("departed", len(list.Stores.Departed)).Msg("store-view-told")
 	}
-	one.servers, one.members = c.servers.version, c.members.Version
 }
--- a/internal/gateway/subscription/apply.go
+++ b/internal/gateway/subscription/apply.go
@@ -28,11 +28,25 @@
 		s.list(update, now)
 	}
 	if update.Members != nil {
-		s.members.Store(update.Members)
-		s.homes.Learn(update.Members.Control)
+		s.processes(update.Members)
 	}
 }
 
+// processes takes a list of processes in. Who else may be asked is a hint from whomever it comes; all else is taken only from one
+// that vouches for it, and a set of batch processes never goes back.
+func (s *Subscription) processes(list *protocol.MemberList) {
+	s.homes.Learn(list.Control)
+	if !list.Vouched {
+		return
+	}
+	if held := s.members.Load(); held != nil && held.Stores.Newer(list.Stores) {
+		next := *list
+		next.Stores = held.Stores
+		list = &next
+	}
+	s.members.Store(list)
+}
+
 // list puts a newer list of servers in force.
 func (s *Subscription) list(update *protocol.Update, now time.Time) {
 	next, err := s.listing.follow(update, now)
--- a/internal/gateway/subscription/pure_test.go
+++ b/internal/gateway/subscription/pure_test.go
@@ -148,3 +148,27 @@
 		})
 	})
 }
+
+// TestProcesses holds the list of processes to what was vouched for.
+func TestProcesses(t *testing.T) {
+	set := func(epoch uint64, settled bool) protocol.StoreView {
+		return protocol.StoreView{Epoch: epoch, Settled: settled}
+	}
+	Convey("Only a list that control vouches for is put in force, and the set of batch processes never goes back", t, func() {
+		s := New(Options{Settings: &node.Settings{}, Ready: func() bool { return true }})
+		s.processes(&protocol.MemberList{Version: 4, Stores: set(9, false), Control: []protocol.ControlMember{{IP: "127.0.0.9", Zone: "z"}}})
+		So(s.Members(), ShouldBeNil)
+		So(s.homes.Next(time.Now()), ShouldEqual, "127.0.0.9") // it may be asked nevertheless
+		s.processes(&protocol.MemberList{Version: 1, Vouched: true, Stores: set(5, true), QuotaAddress: "a"})
+		So(s.Members().Stores, ShouldResemble, set(5, true))
+		s.processes(&protocol.MemberList{Version: 7, Stores: set(6, false)})
+		So(s.Members().QuotaAddress, ShouldEqual, "a")
+		for _, older := range []protocol.StoreView{set(4, true), set(5, false), {}} {
+			s.processes(&protocol.MemberList{Version: 1, Vouched: true, Stores: older, QuotaAddress: "b"})
+			So(s.Members().Stores, ShouldResemble, set(5, true))
+			So(s.Members().QuotaAddress, ShouldEqual, "b")
+		}
+		s.processes(&protocol.MemberList{Version: 2, Vouched: true, Stores: set(6, false)})
+		So(s.Members().Stores, ShouldResemble, set(6, false))
+	})
+}
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -105,7 +105,10 @@
 
 // MemberList is the processes of the system that control hears.
 type MemberList struct {
-	Version  uint64
+	Version uint64
+	// Vouched tells that Stores is at least as new as what the sender has proof of. Where it isn't set, only Control is told: it says
+	// where else to ask.
+	Vouched  bool
 	Control  []ControlMember
 	Gateways []Process
 	Stores   StoreView
@@ -118,10 +121,23 @@
 	Node, Zone, IP string
 }
 
-// StoreView is the agreed set of batch processes; it is part of the chain's state. Epoch rises with each change.
+// StoreView is the agreed set of batch processes; it is part of the chain's state. Epoch rises with each change of Members.
 type StoreView struct {
 	Epoch   uint64
 	Members []StoreMember
+	// Departed are the processes that left the set since all members of one epoch stood whole: they may hold what no member knows
+	// of. Those that were emptied before they left are not among them.
+	Departed []Process
+	// Settled tells that all members stood whole in this epoch. Nobody that left before is needed then: Departed is empty.
+	Settled bool
+}
+
+// Newer tells whether a view is of a later moment than another one.
+func (v StoreView) Newer(than StoreView) bool {
+	if v.Epoch != than.Epoch {
+		return v.Epoch > than.Epoch
+	}
+	return v.Settled && !than.Settled
 }
 
 // StoreMember is a batch process in the agreed set.
@@ -151,6 +167,7 @@
 type BatchReport struct {
 	Epoch       uint64 // of the store view that it works in
 	Settled     uint64 // highest epoch for which all that it should hold or hand over is done
+	Missing     int    // machines that left and that it waits for, as they may hold what the members don't know of
 	BatchJobs   int
 	FreeBytes   int64
 	DrainedDown bool // retiring: nothing is left here that others don't hold on f + 1 disks
