Play control and stores in one world: an old set of stores after a loss of power

The worlds of control had pollers without a log, those of stores a control that never fails, so neither could bring this about. Now whole control processes and batch processes (the real machine and log on simulated disks, the real subscription, the real connections) run in one bubble, in virtual time.

--- a/internal/control/bubble_test.go
+++ b/internal/control/bubble_test.go
@@ -43,7 +43,12 @@
 }
 
 func newSpoiltSystem(t *testing.T, seed uint64, spoil func(Replica) Replica, lenient bool) *bubbleSystem {
-	s := &bubbleSystem{system: &system{running: make([]*Control, 3)}, t: t, spoil: spoil, lenient: lenient, network: bubble.New(seed), others: map[string]*bubble.Host{}}
+	return newSizedSystem(t, seed, 3, 1, spoil, lenient)
+}
+
+// newSizedSystem starts so many control processes, of which as many disks may be lost at once as tolerance says.
+func newSizedSystem(t *testing.T, seed uint64, members, tolerance int, spoil func(Replica) Replica, lenient bool) *bubbleSystem {
+	s := &bubbleSystem{system: &system{running: make([]*Control, members)}, t: t, spoil: spoil, lenient: lenient, network: bubble.New(seed), others: map[string]*bubble.Host{}}
 	s.dialFrom = func(ip string) func(context.Context, string) (net.Conn, error) { return s.host(ip).Dial }
 	s.client = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
@@ -60,7 +65,7 @@
 		s.settings = append(s.settings, &node.Settings{
 			NodeName: fmt.Sprint("front-", i+1), Role: "control", IP: fmt.Sprint("10.0.0.", i+1), Zone: fmt.Sprint("z", i), ListenControl: seeds[i],
 			FirstPort: 7000, LastPort: 7004, Seeds: seeds, Bootstrap: true, DataDir: "/disk",
-			Limits: node.Limits{MemoryMB: 284}, Tolerance: node.Tolerance{Machines: 1}, Cloud: node.Cloud{Address: platformAddress, Rate: 50},
+			Limits: node.Limits{MemoryMB: 284}, Tolerance: node.Tolerance{Machines: tolerance}, Cloud: node.Cloud{Address: platformAddress, Rate: 50},
 			Bounds: node.Bounds{Acknowledge: 4 * time.Second, QuotaWindow: 5 * time.Second, QuotaOvershoot: 0.1, QuotaSlack: 20},
 		})
 		s.begin(i)
--- /dev/null
+++ b/internal/control/deployment_store_test.go
@@ -0,0 +1,458 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"math/rand/v2"
+	"net"
+	"slices"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/rs/zerolog"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/batch/replica"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/gateway/subscription"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/simulation/bubble"
+)
+
+// This file owns a batch process of a deployment: the real machine and log on a simulated disk, the real subscription to control
+// and the real connections to other stores, put together as internal/batch/server does.
+
+// Constants of a store, as internal/batch/server has them.
+const (
+	storeFrame       = 48 << 20
+	storeHeartbeat   = 500 * time.Millisecond
+	storeTick        = 80 * time.Millisecond
+	storeLeaseMargin = 100 * time.Millisecond
+	storeRelease     = 5 * time.Second
+	storeAnswer      = 4 * time.Second
+	storeSegment     = 8000 // bytes
+	storeKeep        = time.Hour
+	storeRun         = 150 * time.Millisecond // between two items that it runs
+)
+
+func init() { transport.Register(replica.Messages()...) }
+
+// deployedStore is a store machine over all lives of its process.
+type deployedStore struct {
+	world       *deployment
+	number      int
+	node, ip    string
+	zone        string
+	disk        *bubble.Disk
+	host        *bubble.Host // of the last life
+	incarnation int
+	starts      uint64
+	acted       uint64     // newest epoch that the disk's life acted in, or has on its disk
+	life        *storeLife // nil: the process doesn't run
+	gone        bool       // taken away for good
+}
+
+// storeLife is one life of the process.
+type storeLife struct {
+	store        *deployedStore
+	process      protocol.Process
+	host         *bubble.Host
+	origin       time.Time
+	journal      *journal.Journal
+	server       *transport.Server
+	options      transport.Options
+	subscription *subscription.Subscription
+	random       *rand.Rand // of the items that run
+	ended        context.Context
+	end          context.CancelFunc
+	wait         sync.WaitGroup
+
+	mutex      sync.Mutex // of all below
+	machine    *replica.Machine
+	waiting    map[replica.Token]chan protocol.BatchAnswer
+	lastToken  replica.Token
+	peers      map[string]*transport.Client // by IP
+	jobs       map[string]bool              // whose items it is to run
+	runs       int
+	home       string // address of the control process that was dialled last
+	written    uint64 // number of the record queued last
+	viewEpoch  uint64 // newest view that was taken
+	viewRecord uint64 // number of its record
+	closed     bool
+}
+
+// noConnections stands for the gateways' pool of connections, which a batch process doesn't have.
+type noConnections struct{}
+
+func (noConnections) Apply([]pool.Change) {}
+
+// start begins a life on what is on the disk.
+func (s *deployedStore) start() {
+	w := s.world
+	s.starts++
+	s.host = w.network.Host(s.ip)
+	ended, end := context.WithCancel(context.Background())
+	l := &storeLife{
+		store: s, host: s.host, origin: time.Now(), ended: ended, end: end,
+		random:  rand.New(rand.NewPCG(w.seed, uint64(s.number)<<32+s.starts)),
+		waiting: map[replica.Token]chan protocol.BatchAnswer{}, peers: map[string]*transport.Client{}, jobs: map[string]bool{},
+		process: protocol.Process{Node: s.node, Role: protocol.RoleBatch, Zone: s.zone, IP: s.ip, Incarnation: strconv.Itoa(s.incarnation)},
+	}
+	l.machine = replica.New(replica.Options{
+		Self: l.process, Life: s.starts, Copies: w.tolerance + 1, KeepFor: storeKeep,
+	}, l)
+	if err := l.open(); err != nil {
+		w.failf("%s doesn't start: %v", s.node, err)
+		end()
+		return
+	}
+	w.lock.Lock()
+	s.life = l
+	w.lock.Unlock()
+	w.note("%s starts as %s", s.node, placement.KeyOf(l.process))
+	l.serve()
+}
+
+func (l *storeLife) open() error {
+	var err error
+	l.journal, err = journal.OpenFS(l.store.disk.Begin(), journal.Options{Segment: storeSegment}, l.machine.Replay, l.durable)
+	return err
+}
+
+// serve opens the port and starts all loops.
+func (l *storeLife) serve() {
+	w, s := l.store.world, l.store
+	settings := &node.Settings{
+		NodeName: s.node, Role: "batch", IP: s.ip, Zone: s.zone, FirstPort: w.settings[0].FirstPort, LastPort: w.settings[0].LastPort,
+		Seeds: w.settings[0].Seeds, Tolerance: node.Tolerance{Machines: w.tolerance},
+	}
+	l.options = transport.Options{
+		Identity: transport.Identity{System: protocol.System, Node: s.node, Role: protocol.RoleBatch, Zone: s.zone, Address: s.ip,
+			Incarnation: l.process.Incarnation},
+		MaxFrame: storeFrame, Heartbeat: storeHeartbeat, Queue: 1024, Dial: l.host.Dial,
+	}
+	listener, err := l.host.Listen(settings.Endpoint(node.PortBatch))
+	if err != nil {
+		w.failf("%s doesn't listen: %v", s.node, err)
+		return
+	}
+	l.server = transport.Serve(listener, l.options, l.handle)
+	subscribing := l.options
+	subscribing.Dial = l.dialControl
+	l.subscription = subscription.New(subscription.Options{
+		Settings: settings, Process: l.process, Transport: subscribing, Servers: servers.NewRegistry(noConnections{}),
+		Ready: func() bool { return true }, Report: l.report, Granted: l.granted, Updated: l.updated, Log: zerolog.Nop(),
+	})
+	l.wait.Go(func() { l.subscription.Run(l.ended) })
+	l.wait.Go(l.tick)
+	l.wait.Go(l.run)
+}
+
+// halt ends the life at once, for its disk and connections how they end.
+func (s *deployedStore) halt(how func()) {
+	w := s.world
+	w.lock.Lock()
+	l := s.life
+	s.life = nil
+	w.lock.Unlock()
+	if l != nil {
+		l.mutex.Lock()
+		l.closed = true
+		l.mutex.Unlock()
+	}
+	how()
+	if l != nil {
+		l.end()
+		w.ending.Go(l.close)
+	}
+}
+
+// close waits until nothing of the life runs any more.
+func (l *storeLife) close() {
+	l.mutex.Lock()
+	peers := l.peers
+	l.peers = nil
+	l.mutex.Unlock()
+	for _, peer := range peers {
+		peer.Close()
+	}
+	if l.server != nil {
+		l.server.Close()
+	}
+	l.wait.Wait()
+	l.journal.Close()
+}
+
+// kill ends the process; what it wrote stays.
+func (s *deployedStore) kill() {
+	s.halt(func() {
+		s.host.Kill()
+		s.disk.Kill()
+	})
+}
+
+// losePower ends the process and takes what was not synced.
+func (s *deployedStore) losePower() {
+	s.halt(func() {
+		s.host.LosePower()
+		s.disk.LosePower()
+	})
+}
+
+// wipe ends the process and empties its disk.
+func (s *deployedStore) wipe() {
+	s.halt(func() {
+		s.host.LosePower()
+		s.disk.Wipe()
+	})
+	s.incarnation++
+	s.world.lock.Lock()
+	defer s.world.lock.Unlock()
+	s.acted = 0
+}
+
+// durable takes word of the log.
+func (l *storeLife) durable(sequence uint64, err error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.closed || err != nil {
+		return // the disk's life is over
+	}
+	l.machine.Written(sequence)
+	if l.viewEpoch > 0 && sequence >= l.viewRecord {
+		l.acts(l.viewEpoch)
+	}
+}
+
+// acts notes the newest epoch, with the lock held.
+func (l *storeLife) acts(epoch uint64) {
+	w := l.store.world
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	l.store.acted = max(l.store.acted, epoch)
+}
+
+func (l *storeLife) dialControl(ctx context.Context, address string) (net.Conn, error) {
+	l.mutex.Lock()
+	l.home = address
+	l.mutex.Unlock()
+	return l.host.Dial(ctx, address)
+}
+
+// updated takes in what control sent.
+func (l *storeLife) updated() {
+	members := l.subscription.Members()
+	if members == nil {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.closed {
+		return
+	}
+	before := l.machine.Epoch()
+	l.machine.View(members.Stores)
+	if l.machine.Epoch() != before {
+		l.viewed(before, members.Stores)
+	}
+}
+
+// viewed holds a view that was taken to what this store did before.
+func (l *storeLife) viewed(before uint64, view protocol.StoreView) {
+	w, s := l.store.world, l.store
+	l.viewEpoch, l.viewRecord = view.Epoch, l.written
+	w.lock.Lock()
+	acted := s.acted
+	w.lock.Unlock()
+	w.note("%s takes view %d of %d members from %s (before %d, its disk %d)", s.node, view.Epoch, len(view.Members), l.home, before, acted)
+	if view.Epoch < acted {
+		w.failf("%s works in view %d, told by %s, though it has acted in %d", s.node, view.Epoch, l.home, acted)
+	}
+	for ip, peer := range l.peers {
+		if !slices.ContainsFunc(view.Members, func(one protocol.StoreMember) bool { return one.IP == ip }) {
+			peer.Close()
+			delete(l.peers, ip)
+		}
+	}
+}
+
+func (l *storeLife) granted(grant protocol.StoreGrant, sent time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.machine.Grant(grant.Epoch, grant.Member, sent.Sub(l.origin)+grant.Lease-storeLeaseMargin)
+	if !l.closed && l.machine.Allowed() {
+		l.acts(l.machine.Epoch())
+	}
+}
+
+func (l *storeLife) report() *protocol.BatchReport {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	report := l.machine.Report()
+	return &report
+}
+
+func (l *storeLife) tick() {
+	released := time.Now()
+	for l.ended.Err() == nil {
+		time.Sleep(storeTick)
+		l.mutex.Lock()
+		if !l.closed {
+			l.machine.Tick()
+		}
+		l.mutex.Unlock()
+		if time.Since(released) > storeRelease {
+			released = time.Now()
+			l.release()
+		}
+	}
+}
+
+// release removes segments of the log that nothing needs any more.
+func (l *storeLife) release() {
+	oldest, current := l.journal.Oldest()
+	l.mutex.Lock()
+	needed := l.machine.OldestSegment(current)
+	l.mutex.Unlock()
+	for ; oldest < needed; oldest++ {
+		if l.journal.Release(oldest) != nil {
+			return
+		}
+	}
+}
+
+// run runs the items of batch jobs that it owns, one after the other.
+func (l *storeLife) run() {
+	for l.ended.Err() == nil {
+		time.Sleep(storeRun/2 + time.Duration(l.random.Int64N(int64(storeRun))))
+		l.mutex.Lock()
+		for id := range l.jobs {
+			l.runItem(id)
+		}
+		l.mutex.Unlock()
+	}
+}
+
+func (l *storeLife) runItem(id string) {
+	work, ok := l.machine.Work(id)
+	if !ok || l.closed || len(work.Items) == 0 {
+		return
+	}
+	index := work.Items[l.random.IntN(len(work.Items))].Index
+	if !l.machine.MayRun(id, index) {
+		return
+	}
+	l.runs++
+	text := fmt.Sprintf("item %d of %s by %s in life %d, run %d", index, id, placement.KeyOf(l.process), l.store.starts, l.runs)
+	l.machine.Finish(id, index, job.Completed, []byte(text))
+}
+
+var errStoreMessage = errors.New("a message of an unknown kind")
+
+// handle takes other stores' messages.
+func (l *storeLife) handle(_ context.Context, session *transport.Session, message any) (any, error) {
+	remote := session.Remote()
+	if remote.Role != protocol.RoleBatch {
+		return nil, errStoreMessage
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	key := placement.KeyOf(protocol.Process{Node: remote.Node, Incarnation: remote.Incarnation})
+	if member, present := placement.MemberOf(l.machine.Members(), key); present && !l.closed {
+		l.machine.Message(member.Process, message)
+	}
+	return nil, nil
+}
+
+// call answers a client's call. Status 0: the process ended, or the time was over.
+func (l *storeLife) call(call protocol.BatchCall, items []job.Item) protocol.BatchAnswer {
+	ctx, cancel := context.WithTimeout(l.ended, storeAnswer)
+	defer cancel()
+	answered := make(chan protocol.BatchAnswer, 1)
+	l.mutex.Lock()
+	if l.closed {
+		l.mutex.Unlock()
+		return protocol.BatchAnswer{}
+	}
+	l.lastToken++
+	token := l.lastToken
+	l.waiting[token] = answered
+	l.machine.Call(token, call, items)
+	l.mutex.Unlock()
+	select {
+	case answer := <-answered:
+		return l.checked(answer)
+	case <-ctx.Done():
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	delete(l.waiting, token)
+	l.machine.Forget(token)
+	return protocol.BatchAnswer{}
+}
+
+// checked lets an answer go only while the store may still act.
+func (l *storeLife) checked(answer protocol.BatchAnswer) protocol.BatchAnswer {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	promise := answer.Status == 503 || answer.Status == 504 || answer.Owner != ""
+	if l.closed || !promise && !l.machine.Allowed() {
+		return protocol.BatchAnswer{}
+	}
+	return answer
+}
+
+// The machine's environment. All of it is called with the mutex held.
+
+// Now implements replica.Environment.
+func (l *storeLife) Now() time.Duration { return time.Since(l.origin) }
+
+// Wall implements replica.Environment.
+func (l *storeLife) Wall() int64 { return time.Now().UnixMilli() }
+
+// Write implements replica.Environment.
+func (l *storeLife) Write(record []byte, urgent bool) (uint64, journal.Location) {
+	sequence, at := l.journal.Append(record, urgent)
+	l.written = sequence
+	return sequence, at
+}
+
+// Read implements replica.Environment.
+func (l *storeLife) Read(at journal.Location) ([]byte, error) { return l.journal.Read(at) }
+
+// Free implements replica.Environment.
+func (l *storeLife) Free() int64 { return 1<<30 - l.journal.Size() }
+
+// Send implements replica.Environment.
+func (l *storeLife) Send(to protocol.Process, message any) {
+	if l.closed || l.peers == nil {
+		return
+	}
+	peer := l.peers[to.IP]
+	if peer == nil {
+		peer = transport.NewClient(l.store.world.settings[0].EndpointAt(to.IP, node.PortBatch), l.options, nil, nil)
+		l.peers[to.IP] = peer
+	}
+	_ = peer.Send(message) // what matters is sent again
+}
+
+// Answer implements replica.Environment.
+func (l *storeLife) Answer(token replica.Token, answer protocol.BatchAnswer) {
+	if waiting := l.waiting[token]; waiting != nil {
+		delete(l.waiting, token)
+		waiting <- answer
+	}
+}
+
+// Start implements replica.Environment.
+func (l *storeLife) Start(id string) { l.jobs[id] = true }
+
+// Stop implements replica.Environment.
+func (l *storeLife) Stop(id string) { delete(l.jobs, id) }
--- /dev/null
+++ b/internal/control/deployment_world_test.go
@@ -0,0 +1,643 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/simulation/bubble"
+)
+
+// This file owns a deployment: whole control processes and batch processes in one world, in virtual time, with clients, an
+// operator, and the checks on what each plane tells the other. What a world does follows from its seed but for the order in which
+// goroutines run: a seed that failed fails again in most runs, not in all.
+
+// Times of a deployment.
+const (
+	// settleWithin is how long after the last trouble all must be well.
+	settleWithin = 20 * time.Second
+	// steadyFor is how long all must have been well before the next disk may be lost.
+	steadyFor = 3 * time.Second
+	// deploymentLook is the time between two looks at the whole.
+	deploymentLook = 100 * time.Millisecond
+	// witnessPoll is the time between polls of who checks what control vouches for.
+	witnessPoll = 120 * time.Millisecond
+)
+
+// deployment is one world.
+type deployment struct {
+	*bubbleSystem
+	seed      uint64
+	random    *rand.Rand // of the troubles
+	began     time.Time
+	tolerance int
+	ending    sync.WaitGroup // lives that end
+	loops     sync.WaitGroup
+	stores    []*deployedStore
+	removed   map[int]bool // control processes that are gone for good
+
+	lock      sync.Mutex // of all below
+	over      bool
+	jobs      []*deployedJob
+	calm      bool // no new batch jobs
+	bulk      int  // changes of the configuration that are to come at once
+	acked     []ackedVersion
+	ackedSets []ackedVersion // epochs of the set of stores
+	onAck     func()         // called once at the next acknowledgement
+	broken    []string
+	events    []string
+	counts    deploymentCounts
+}
+
+// deploymentCounts is what a world did.
+type deploymentCounts struct {
+	accepted, read, powerLosses, views, vouches, versions int
+}
+
+// deployedJob is a batch job as its client knows it.
+type deployedJob struct {
+	id       string
+	body     []byte
+	items    []job.Item
+	accepted bool
+	ending   bool
+	seen     map[int]string // results by position
+}
+
+func newDeployment(t *testing.T, seed uint64, members, stores, tolerance int) *deployment {
+	w := &deployment{seed: seed, random: rand.New(rand.NewPCG(seed, 21)), began: time.Now(), tolerance: tolerance, removed: map[int]bool{}}
+	w.bubbleSystem = newSizedSystem(t, seed, members, tolerance, func(r Replica) Replica { return &acknowledging{Replica: r, world: w} }, false)
+	if status := w.put(t, "PUT", "0", limitedDocument); status != 200 {
+		t.Fatal(status)
+	}
+	for i := range w.settings {
+		w.settings[i].Bootstrap = false
+	}
+	for range stores {
+		w.addStore()
+	}
+	for i := range w.settings {
+		w.witness(i)
+	}
+	w.loops.Go(w.operate)
+	w.loops.Go(w.load)
+	return w
+}
+
+// addStore starts a store on an empty disk.
+func (w *deployment) addStore() *deployedStore {
+	number := len(w.stores) + 1
+	s := &deployedStore{world: w, number: number, node: fmt.Sprint("store-", number), ip: fmt.Sprint("10.0.4.", number),
+		zone: fmt.Sprint("z", number%3), incarnation: 1, disk: bubble.NewDisk(w.seed*64 + 32 + uint64(number))}
+	w.stores = append(w.stores, s)
+	s.start()
+	return s
+}
+
+func (w *deployment) note(format string, arguments ...any) {
+	line := fmt.Sprintf("%8.3f ", time.Since(w.began).Seconds()) + fmt.Sprintf(format, arguments...)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.events = append(w.events, line)
+	if os.Getenv("TRACE") != "" {
+		fmt.Println(line)
+	}
+}
+
+func (w *deployment) failf(format string, arguments ...any) {
+	w.note("BROKEN: "+format, arguments...)
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.broken = append(w.broken, fmt.Sprintf(format, arguments...))
+}
+
+func (w *deployment) isOver() bool {
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	return w.over
+}
+
+// acknowledging notes which changes of the set of stores were acknowledged, and when.
+type acknowledging struct {
+	Replica
+	world *deployment
+}
+
+// Propose implements Replica.
+func (a *acknowledging) Propose(ctx context.Context, id string, order []byte) ([]byte, error) {
+	result, err := a.Replica.Propose(ctx, id, order)
+	if err == nil && (strings.HasPrefix(id, "stores-") || strings.HasPrefix(id, "retire-")) {
+		a.world.setAcknowledged(a)
+	}
+	return result, err
+}
+
+func (w *deployment) setAcknowledged(by *acknowledging) {
+	for _, one := range w.controls() {
+		if one.replica == Replica(by) {
+			epoch := one.machine.Stores().Epoch
+			w.lock.Lock()
+			w.ackedSets = append(w.ackedSets, ackedVersion{generation: epoch, at: time.Now()})
+			w.lock.Unlock()
+			w.acknowledged()
+		}
+	}
+}
+
+// acknowledged does what waits for an acknowledgement.
+func (w *deployment) acknowledged() {
+	w.lock.Lock()
+	act := w.onAck
+	w.onAck = nil
+	w.lock.Unlock()
+	if act != nil {
+		act()
+	}
+}
+
+// controls gives the control processes that run.
+func (w *deployment) controls() []*Control {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return slices.DeleteFunc(slices.Clone(w.running), func(one *Control) bool { return one == nil })
+}
+
+// haltControls ends control processes at one moment.
+func (w *deployment) haltControls(members []int, how func(i int)) {
+	for _, i := range members {
+		how(i)
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	for _, i := range members {
+		if gone := w.running[i]; gone != nil {
+			w.ending.Go(gone.Stop)
+		}
+		w.running[i] = nil
+	}
+}
+
+func (w *deployment) losePowerOfControl(i int) {
+	w.hosts[i].LosePower()
+	w.disks[i].LosePower()
+}
+
+// witness polls a control process over all its lives, and holds its answers to what was acknowledged.
+func (w *deployment) witness(i int) {
+	process := protocol.Process{Node: fmt.Sprint("witness-", i), Role: protocol.RoleGateway, IP: fmt.Sprint("10.0.3.", 100+i), Incarnation: "x"}
+	one := &witness{world: w, at: w.settings[i].NodeName, process: process, state: configuration.NewState()}
+	options := transport.Options{Identity: transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role}, Dial: w.host(process.IP).Dial}
+	one.client = transport.NewClient(w.settings[i].Endpoint(node.PortControl), options, one.take, nil)
+	w.loops.Go(one.run)
+}
+
+type witness struct {
+	world   *deployment
+	at      string
+	process protocol.Process
+	client  *transport.Client
+	lock    sync.Mutex // of all below
+	state   *configuration.State
+	epoch   uint64
+}
+
+func (o *witness) run() {
+	defer o.client.Close()
+	for sequence := uint64(1); !o.world.isOver(); sequence++ {
+		o.poll(sequence)
+		time.Sleep(witnessPoll)
+	}
+}
+
+func (o *witness) poll(sequence uint64) {
+	ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	o.lock.Lock()
+	index := o.state.Current().Index
+	o.lock.Unlock()
+	sent := time.Now()
+	reply, err := o.client.Call(ctx, protocol.Poll{Process: o.process, Sequence: sequence, Configuration: index})
+	if err != nil {
+		return
+	}
+	o.take(reply)
+	if update := reply.(protocol.Update); update.Fresh {
+		o.judge(sent.Add(-update.Age))
+	}
+}
+
+func (o *witness) take(message any) {
+	update, ok := message.(protocol.Update)
+	if !ok {
+		return
+	}
+	o.lock.Lock()
+	defer o.lock.Unlock()
+	if update.Configuration != nil {
+		_, _ = o.state.Follow(update.Configuration) // one that doesn't follow is asked for again
+	}
+	if update.Members != nil {
+		o.epoch = update.Members.Stores.Epoch
+	}
+}
+
+// judge holds what is known here to what was acknowledged before a moment.
+func (o *witness) judge(moment time.Time) {
+	o.lock.Lock()
+	generation, epoch := o.state.Current().Generation, o.epoch
+	o.lock.Unlock()
+	w := o.world
+	w.lock.Lock()
+	w.counts.vouches++
+	version, set := newestBefore(w.acked, moment), newestBefore(w.ackedSets, moment)
+	w.lock.Unlock()
+	if generation < version {
+		w.failf("%s vouches for version %d, %d was acknowledged", o.at, generation, version)
+	}
+	if epoch < set {
+		w.failf("%s vouches for view %d, %d was acknowledged", o.at, epoch, set)
+	}
+}
+
+func newestBefore(list []ackedVersion, moment time.Time) uint64 {
+	newest := uint64(0)
+	for _, one := range list {
+		if !one.at.After(moment) {
+			newest = max(newest, one.generation)
+		}
+	}
+	return newest
+}
+
+// operate sends one change of the configuration after the other.
+func (w *deployment) operate() {
+	random := rand.New(rand.NewPCG(w.seed, 41))
+	for last := uint64(7); !w.isOver(); last++ {
+		pad, pause := 10, 300*time.Millisecond+time.Duration(random.Int64N(int64(time.Second)))
+		w.lock.Lock()
+		if w.bulk > 0 {
+			w.bulk--
+			pad, pause = bulkBytes, 0
+		}
+		w.lock.Unlock()
+		order := fmt.Sprintf(`{"generation":%d,"x":"%s"}`, last+1, strings.Repeat("x", pad))
+		for !w.isOver() {
+			if status, _ := w.call(random.IntN(len(w.settings)), "PATCH", "/config", strconv.FormatUint(last, 10), order); status == 200 {
+				break
+			}
+			time.Sleep(50 * time.Millisecond)
+		}
+		w.lock.Lock()
+		w.acked = append(w.acked, ackedVersion{generation: last + 1, at: time.Now()})
+		w.counts.versions++
+		w.lock.Unlock()
+		w.acknowledged()
+		time.Sleep(pause)
+	}
+}
+
+// bulkBytes is the size of one of many changes that come at once: the log of a disk is written anew after some ninety of them.
+const bulkBytes = 12_000
+
+// load submits batch jobs and reads some all the time.
+func (w *deployment) load() {
+	random := rand.New(rand.NewPCG(w.seed, 42))
+	for number := 1; !w.isOver(); number++ {
+		time.Sleep(50*time.Millisecond + time.Duration(random.Int64N(int64(600*time.Millisecond))))
+		w.lock.Lock()
+		calm, known := w.calm, slices.Clone(w.jobs)
+		w.lock.Unlock()
+		if len(known) > 0 {
+			w.loops.Go(func() { w.readJob(known[len(known)-1-len(known)/4]) })
+		}
+		if !calm {
+			one := newDeployedJob(fmt.Sprint("job-", number), 1+random.IntN(4))
+			at, ends := random.IntN(len(w.stores)), random.IntN(10) == 0
+			w.loops.Go(func() { w.submit(one, at, ends) })
+		}
+	}
+}
+
+func newDeployedJob(id string, count int) *deployedJob {
+	type request struct {
+		ID   string `json:"id"`
+		Path string `json:"path"`
+		Body []byte `json:"body"`
+	}
+	var requests []request
+	for i := range count {
+		requests = append(requests, request{ID: fmt.Sprint(id, "-", i), Path: "/p", Body: []byte("body")})
+	}
+	body, err := json.Marshal(map[string]any{"requests": requests})
+	if err != nil {
+		panic(err)
+	}
+	items, err := job.ParseSubmission(body)
+	if err != nil {
+		panic(err)
+	}
+	return &deployedJob{id: id, body: body, items: items, seen: map[int]string{}}
+}
+
+// ask sends a call to a store and follows it to the owner.
+func (w *deployment) ask(at int, call protocol.BatchCall, items []job.Item) protocol.BatchAnswer {
+	for range 4 {
+		w.lock.Lock()
+		life := w.stores[at].life
+		w.lock.Unlock()
+		if life == nil {
+			return protocol.BatchAnswer{}
+		}
+		time.Sleep(time.Millisecond) // on its way
+		answer := life.call(call, items)
+		if answer.Owner == "" {
+			return answer
+		}
+		at = slices.IndexFunc(w.stores, func(s *deployedStore) bool { return s.ip == answer.Owner })
+	}
+	return protocol.BatchAnswer{}
+}
+
+// submit submits a batch job up to four times.
+func (w *deployment) submit(one *deployedJob, at int, ends bool) {
+	call := protocol.BatchCall{Operation: protocol.BatchSubmit, BatchJob: one.id, Tenant: "t", Route: "r", Body: one.body}
+	for try := range 4 {
+		answer := w.ask((at+try)%len(w.stores), call, one.items)
+		if answer.Status == 202 {
+			w.lock.Lock()
+			one.accepted = true
+			w.jobs = append(w.jobs, one)
+			w.counts.accepted++
+			w.lock.Unlock()
+			w.acknowledged()
+			break
+		}
+		time.Sleep(300 * time.Millisecond)
+	}
+	if !one.accepted || !ends {
+		return
+	}
+	time.Sleep(2 * time.Second)
+	w.lock.Lock()
+	one.ending = true
+	w.lock.Unlock()
+	w.ask(at, protocol.BatchCall{Operation: protocol.BatchEnd, BatchJob: one.id, Tenant: "t"}, nil)
+}
+
+type resultPage struct {
+	Total   int `json:"total"`
+	Results []struct {
+		ID   string `json:"id"`
+		Text string `json:"text"`
+	} `json:"results"`
+}
+
+// readJob reads a batch job at some store, and tells what is missing; empty: nothing.
+func (w *deployment) readJob(one *deployedJob) string {
+	failure := "no store is up"
+	for at := range w.stores {
+		answer := w.ask(at, protocol.BatchCall{Operation: protocol.BatchRead, BatchJob: one.id, Tenant: "t"}, nil)
+		if answer.Status == 200 {
+			return w.takePage(one, answer.Body)
+		}
+		w.lock.Lock()
+		ending, up := one.ending, w.stores[at].life != nil
+		w.lock.Unlock()
+		if answer.Status == 404 && !ending {
+			w.failf("%s: %s answers 404 though it was accepted", one.id, w.stores[at].node)
+		}
+		if up {
+			failure = fmt.Sprintf("%s answers %d", w.stores[at].node, answer.Status)
+		}
+	}
+	return failure
+}
+
+// takePage holds results to those that were read before.
+func (w *deployment) takePage(one *deployedJob, body []byte) string {
+	var page resultPage
+	if err := json.Unmarshal(body, &page); err != nil {
+		w.failf("%s: %v", one.id, err)
+		return err.Error()
+	}
+	var changed []string
+	w.lock.Lock()
+	w.counts.read++
+	for position, result := range page.Results {
+		content := result.ID + " " + result.Text
+		if earlier, read := one.seen[position]; read && earlier != content {
+			changed = append(changed, fmt.Sprintf("position %d held %q, now %q", position, earlier, content))
+		}
+		one.seen[position] = content
+	}
+	w.lock.Unlock()
+	for _, change := range changed {
+		w.failf("%s: %s", one.id, change)
+	}
+	if page.Total != len(one.items) || len(page.Results) < page.Total {
+		return fmt.Sprintf("%d results of %d items", len(page.Results), len(one.items))
+	}
+	return ""
+}
+
+// newestSet gives the newest set of stores that a control process which runs knows.
+func (w *deployment) newestSet() protocol.StoreView {
+	var newest protocol.StoreView
+	for _, one := range w.controls() {
+		if set := one.machine.Stores(); set.Epoch > newest.Epoch {
+			newest = set
+		}
+	}
+	return newest
+}
+
+// unwell tells what isn't as it should be; nothing: all processes run, agree on the set of stores, and have settled in it.
+func (w *deployment) unwell() []string {
+	var list []string
+	newest := w.newestSet()
+	for i := range w.settings {
+		if !w.removed[i] {
+			list = append(list, w.unwellControl(i, newest)...)
+		}
+	}
+	for _, s := range w.stores {
+		if !s.gone {
+			list = append(list, w.unwellStore(s, newest)...)
+		}
+	}
+	there := len(slices.DeleteFunc(slices.Clone(w.stores), func(s *deployedStore) bool { return s.gone }))
+	if len(newest.Members) != there {
+		list = append(list, fmt.Sprintf("view %d has %d members of %d stores", newest.Epoch, len(newest.Members), there))
+	}
+	return list
+}
+
+func (w *deployment) unwellControl(i int, newest protocol.StoreView) []string {
+	w.mutex.Lock()
+	one := w.running[i]
+	w.mutex.Unlock()
+	name := w.settings[i].NodeName
+	if one == nil {
+		return []string{name + " doesn't run"}
+	}
+	var list []string
+	if _, fresh := one.fresh(); !fresh {
+		list = append(list, name+" doesn't vouch")
+	}
+	if set := one.machine.Stores(); set.Epoch != newest.Epoch || !slices.Equal(set.Members, newest.Members) {
+		list = append(list, fmt.Sprintf("%s has view %d, the newest is %d", name, set.Epoch, newest.Epoch))
+	}
+	return list
+}
+
+func (w *deployment) unwellStore(s *deployedStore, newest protocol.StoreView) []string {
+	w.lock.Lock()
+	life := s.life
+	w.lock.Unlock()
+	if life == nil {
+		return []string{s.node + " doesn't run"}
+	}
+	life.mutex.Lock()
+	report, view, allowed := life.machine.Report(), life.machine.Members(), life.machine.Allowed()
+	life.mutex.Unlock()
+	at := slices.IndexFunc(newest.Members, func(one protocol.StoreMember) bool { return one.Process == life.process })
+	switch {
+	case at < 0:
+		return []string{fmt.Sprintf("%s is no member of view %d", s.node, newest.Epoch)}
+	case newest.Members[at].State == protocol.StoreRetiring:
+		return []string{s.node + " isn't emptied"}
+	case newest.Members[at].State == protocol.StoreRetired:
+		return nil
+	case view.Epoch != newest.Epoch || !slices.Equal(view.Members, newest.Members):
+		return []string{fmt.Sprintf("%s has view %d, the newest is %d", s.node, view.Epoch, newest.Epoch)}
+	case report.Settled != newest.Epoch:
+		return []string{fmt.Sprintf("%s has settled in %d, the newest view is %d", s.node, report.Settled, newest.Epoch)}
+	case !allowed:
+		return []string{s.node + " has no lease"}
+	}
+	return nil
+}
+
+// recovers waits until all has been well for a time, and tells what isn't within a bound.
+func (w *deployment) recovers(within, steady time.Duration) []string {
+	deadline, well := time.Now().Add(within), time.Now()
+	for {
+		list := w.unwell()
+		switch {
+		case len(list) > 0:
+			well = time.Now()
+		case time.Since(well) >= steady:
+			return nil
+		}
+		if time.Now().After(deadline) {
+			return list
+		}
+		time.Sleep(deploymentLook)
+	}
+}
+
+// audit holds the world, once its troubles are over, to what it promised.
+func (w *deployment) audit() {
+	w.note("the troubles are over")
+	w.lock.Lock()
+	w.calm = true
+	w.lock.Unlock()
+	deadline := time.Now().Add(settleWithin)
+	for _, one := range w.recovers(settleWithin, 0) {
+		w.failf("%v after the last trouble: %s", settleWithin, one)
+	}
+	w.lock.Lock()
+	known := slices.Clone(w.jobs)
+	w.lock.Unlock()
+	var readers sync.WaitGroup
+	for _, one := range known {
+		readers.Go(func() { w.auditJob(one, deadline) })
+	}
+	readers.Wait()
+	w.lock.Lock()
+	defer w.lock.Unlock()
+	w.counts.views = int(newestBefore(w.ackedSets, time.Now()))
+}
+
+// auditJob reads a batch job until it is whole. One that a client wanted to end may be gone.
+func (w *deployment) auditJob(one *deployedJob, deadline time.Time) {
+	for {
+		failure := w.readJob(one)
+		w.lock.Lock()
+		ending := one.ending
+		w.lock.Unlock()
+		if failure == "" || ending {
+			return
+		}
+		if time.Now().After(deadline) {
+			w.failf("%s was accepted and can't be read: %s", one.id, failure)
+			return
+		}
+		time.Sleep(deploymentLook)
+	}
+}
+
+// close ends the world.
+func (w *deployment) close() {
+	w.lock.Lock()
+	w.over = true
+	w.lock.Unlock()
+	w.loops.Wait()
+	for _, s := range w.stores {
+		s.kill()
+	}
+	w.ending.Wait()
+	w.finish()
+}
+
+// verdict gives what broke, with what happened.
+func (w *deployment) verdict() error {
+	if len(w.broken) == 0 {
+		return nil
+	}
+	return fmt.Errorf("seed %d:\n%s\n%s", w.seed, strings.Join(w.broken, "\n"), strings.Join(w.events, "\n"))
+}
+
+// sendBulk waits until so many changes of the configuration are through.
+func (w *deployment) sendBulk(changes int) {
+	w.lock.Lock()
+	w.bulk += changes
+	w.lock.Unlock()
+	for left := 1; left > 0; time.Sleep(deploymentLook) {
+		w.lock.Lock()
+		left = w.bulk
+		w.lock.Unlock()
+	}
+}
+
+// losePowerOfAll takes the power of all machines at one moment.
+func (w *deployment) losePowerOfAll() {
+	var members []int
+	for i := range w.running {
+		if !w.removed[i] {
+			members = append(members, i)
+		}
+	}
+	w.haltControls(members, w.losePowerOfControl)
+	for _, s := range w.stores {
+		if !s.gone {
+			s.losePower()
+		}
+	}
+	w.lock.Lock()
+	w.counts.powerLosses++
+	w.lock.Unlock()
+}
