Random histories of lost and absent machines, with views told late or to nobody

These histories, on the step-by-step cluster, keep machines away for long, take disks and all power meanwhile, tell views late to some or skip them, lose messages, add and retire stores; no more machines are lost or away than may be, since control agreed that all stand whole. In the end all accepted batch jobs are there and all have settled.

--- a/internal/batch/replica/cluster_test.go
+++ b/internal/batch/replica/cluster_test.go
@@ -25,7 +25,7 @@
 	newest   protocol.StoreView // that control agreed on
 	nodes    []*clusterNode
 	messages []clusterMessage
-	deaf     *clusterNode              // is told nothing by control
+	deaf     func(*clusterNode) bool   // tells whether control tells a node nothing, nil: none
 	lost     func(clusterMessage) bool // tells of a message whether it is lost, nil: none is
 }
 
@@ -154,15 +154,17 @@
 	}
 	c.newest.Settled, c.newest.Departed = true, nil
 	for _, n := range c.nodes {
-		if n.log != nil && n != c.deaf && n.machine.Epoch() == c.newest.Epoch {
+		if n.log != nil && !c.isDeaf(n) && n.machine.Epoch() == c.newest.Epoch {
 			n.machine.View(c.newest)
 		}
 	}
 }
 
+func (c *cluster) isDeaf(n *clusterNode) bool { return c.deaf != nil && c.deaf(n) }
+
 // rejoin tells a process of the newest set, and that it may act in it.
 func (c *cluster) rejoin(n *clusterNode) {
-	if n.log != nil && n != c.deaf {
+	if n.log != nil && !c.isDeaf(n) {
 		n.machine.View(c.newest)
 		n.machine.Grant(c.newest.Epoch, true, 24*time.Hour)
 	}
--- /dev/null
+++ b/internal/batch/replica/losses_test.go
@@ -0,0 +1,315 @@
+package replica
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"os"
+	"slices"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/simulation"
+)
+
+// This file plays random histories of losses on a cluster, step by step: machines that stay away over the losses and returns of others,
+// lost disks, losses of all power, restarts, views that some are told late or not at all, added and retired stores. No more machines
+// are away or without their disks at once than may be, counted since control agreed that all stand whole.
+
+const (
+	lossSteps    = 14
+	lossJobsStep = 3 // batch jobs that one step submits
+)
+
+// lossHistory is one history.
+type lossHistory struct {
+	*cluster
+	random   *rand.Rand
+	seed     uint64
+	allowed  int // machines that may be lost at once
+	late     bool
+	lost     map[int]bool // machines that were lost or went away since all stood whole
+	away     map[int]bool
+	gone     map[int]bool // retired and taken away
+	accepted []string
+	events   []string
+	failure  string
+}
+
+func newLossHistory(seed uint64, late bool) *lossHistory {
+	allowed := 1 + int(seed%2)
+	h := &lossHistory{
+		cluster: newCluster(2*allowed+2, allowed+1, seed), random: rand.New(rand.NewPCG(seed, 1)), seed: seed, allowed: allowed, late: late,
+		lost: map[int]bool{}, away: map[int]bool{}, gone: map[int]bool{},
+	}
+	h.cluster.settle()
+	return h
+}
+
+func (h *lossHistory) note(format string, arguments ...any) {
+	h.events = append(h.events, fmt.Sprintf(format, arguments...))
+}
+
+func (h *lossHistory) failf(format string, arguments ...any) {
+	if h.failure == "" {
+		h.failure = fmt.Sprintf(format, arguments...)
+	}
+}
+
+// there gives the machines that are neither away nor gone.
+func (h *lossHistory) there() (list []*clusterNode) {
+	for _, n := range h.nodes {
+		if !h.away[n.number] && !h.gone[n.number] {
+			list = append(list, n)
+		}
+	}
+	return list
+}
+
+func (h *lossHistory) chance(one int) bool { return h.random.IntN(one) == 0 }
+
+// change has control agree on the set of those that are there; now and then a view before it was told to nobody. Late histories
+// have some of them hear of it only after the others have gone on, with messages lost meanwhile.
+func (h *lossHistory) change() {
+	if h.chance(3) {
+		h.epoch++
+	}
+	list := h.there()
+	if !h.late {
+		h.cluster.view(list...)
+		return
+	}
+	var unaware []*clusterNode
+	for i, n := range list {
+		if i > 0 && h.chance(3) {
+			unaware = append(unaware, n)
+		}
+	}
+	h.deaf = func(n *clusterNode) bool { return slices.Contains(unaware, n) }
+	h.cluster.view(list...)
+	h.cluster.lost = func(clusterMessage) bool { return h.chance(8) }
+	for range h.random.IntN(4) {
+		h.round()
+	}
+	h.deaf = nil
+	for _, n := range unaware {
+		if !h.chance(3) {
+			h.rejoin(n)
+		}
+	}
+}
+
+// round delivers what is on its way and lets time pass.
+func (h *lossHistory) round() {
+	h.calm()
+	h.now += 300 * time.Millisecond
+	for _, n := range h.nodes {
+		if n.log != nil {
+			n.machine.Tick()
+		}
+	}
+	h.noteSettled()
+}
+
+// settle has all hear of the newest set and come to rest.
+func (h *lossHistory) settle() {
+	h.cluster.lost, h.deaf = nil, nil
+	for _, n := range h.there() {
+		h.rejoin(n)
+	}
+	h.cluster.settle()
+	if h.newest.Settled && len(h.newest.Members) == len(h.there()) {
+		clear(h.lost)
+	}
+}
+
+// step has the next thing happen.
+func (h *lossHistory) step() {
+	list := h.there()
+	n := list[h.random.IntN(len(list))]
+	switch kind := h.random.IntN(11); {
+	case kind <= 1 && len(h.lost) < h.allowed && len(list) > h.allowed+1:
+		h.note("%s goes away", n.key())
+		n.kill()
+		h.away[n.number], h.lost[n.number] = true, true
+		h.change()
+	case kind == 2 && len(h.lost) < h.allowed:
+		h.note("%s loses its disk", n.key())
+		h.lost[n.number] = true
+		n.wipe()
+		n.start()
+		h.change()
+	case kind == 3 && len(h.away) > 0:
+		h.comeBack(h.firstAway())
+		h.change()
+	case kind == 4:
+		h.note("all processes start again")
+		for _, n := range list {
+			n.kill()
+			n.start()
+			h.rejoin(n)
+		}
+	case kind <= 6:
+		h.losePower(list)
+	case kind == 7 && len(h.nodes) < 2*h.allowed+5:
+		h.add()
+	case kind == 8 && len(list) > h.allowed+2 && len(h.lost) == 0:
+		h.retire(n)
+	default:
+		h.submit(n)
+	}
+}
+
+func (h *lossHistory) firstAway() *clusterNode {
+	for _, n := range h.nodes {
+		if h.away[n.number] {
+			return n
+		}
+	}
+	return nil
+}
+
+func (h *lossHistory) comeBack(n *clusterNode) {
+	h.note("%s comes back", n.key())
+	delete(h.away, n.number)
+	n.start()
+}
+
+// losePower takes the power of all that are there, and some disks; they come back one by one, those that were away perhaps first.
+func (h *lossHistory) losePower(list []*clusterNode) {
+	for _, n := range list {
+		n.losePower()
+	}
+	for _, n := range list {
+		if len(h.lost) < h.allowed && !h.lost[n.number] && h.chance(2) {
+			h.lost[n.number] = true
+			n.wipe()
+		}
+	}
+	h.note("all lose power; lost or away since all stood whole: %v", h.lost)
+	h.random.Shuffle(len(list), func(i, j int) { list[i], list[j] = list[j], list[i] })
+	if h.chance(2) {
+		for n := h.firstAway(); n != nil; n = h.firstAway() {
+			delete(h.away, n.number)
+			list = append([]*clusterNode{n}, list...)
+		}
+	}
+	for _, n := range list {
+		h.away[n.number] = true
+	}
+	for i, n := range list {
+		h.comeBack(n)
+		if i == len(list)-1 || h.chance(2) {
+			h.change()
+		}
+		if h.chance(3) {
+			h.cluster.settle()
+		}
+		h.askFor(n)
+	}
+}
+
+// askFor asks a store, which may be one of the first that are back, for a batch job that was accepted.
+func (h *lossHistory) askFor(n *clusterNode) {
+	if len(h.accepted) == 0 || !h.chance(3) {
+		return
+	}
+	id := h.accepted[h.random.IntN(len(h.accepted))]
+	if _, status := n.read(id); status == 404 {
+		h.failf("%s denies %s", n.key(), id)
+	}
+}
+
+func (h *lossHistory) add() {
+	n := &clusterNode{cluster: h.cluster, number: len(h.nodes), incarnation: 1,
+		disk: simulation.NewDisk(simulation.NewRand(h.seed + uint64(100*len(h.nodes))))}
+	h.note("%s is added", n.key())
+	h.nodes = append(h.nodes, n)
+	n.start()
+	h.change()
+}
+
+// retire empties a store and takes it away, where all are there.
+func (h *lossHistory) retire(n *clusterNode) {
+	h.note("%s is to be emptied", n.key())
+	n.state = protocol.StoreRetiring
+	h.change()
+	h.settle()
+	h.settle()
+	if !n.machine.Report().DrainedDown {
+		h.failf("%s isn't emptied", n.key())
+		return
+	}
+	n.state = protocol.StoreRetired
+	h.change()
+	if h.chance(2) {
+		h.cluster.settle()
+	}
+	n.wipe()
+	h.gone[n.number] = true
+	h.change()
+}
+
+func (h *lossHistory) submit(n *clusterNode) {
+	for range lossJobsStep {
+		id := fmt.Sprint("job-", len(h.accepted))
+		if n.submit(id, 1).Status == 202 {
+			h.accepted = append(h.accepted, id)
+		}
+	}
+	h.note("%d batch jobs", len(h.accepted))
+}
+
+// play plays a history to its end, when all are back: all that was accepted is there, and all stand whole.
+func (h *lossHistory) play() {
+	for range lossSteps {
+		h.step()
+		if !h.chance(4) {
+			h.settle()
+		}
+	}
+	for n := h.firstAway(); n != nil; n = h.firstAway() {
+		h.comeBack(n)
+	}
+	h.change()
+	h.settle()
+	h.settle()
+	for _, id := range h.accepted {
+		if _, status := h.there()[0].readAnywhere(id); status != 200 {
+			h.failf("%s is answered with %d", id, status)
+		}
+	}
+	for _, n := range h.there() {
+		if standing := n.machine.Standing(); !standing.HasSettled() {
+			h.failf("%s hasn't settled: %+v", n.key(), standing)
+		}
+	}
+	if !h.newest.Settled {
+		h.failf("control hasn't heard that all stand whole")
+	}
+}
+
+// TestRandomLosses plays histories; SEEDS=N plays N of each kind, FIRST=S begins at seed S.
+func TestRandomLosses(t *testing.T) {
+	seeds, first := uint64(250), uint64(0)
+	if number, err := strconv.ParseUint(os.Getenv("SEEDS"), 10, 64); err == nil {
+		seeds = number
+	}
+	if number, err := strconv.ParseUint(os.Getenv("FIRST"), 10, 64); err == nil {
+		first = number
+	}
+	for _, late := range []bool{false, true} {
+		accepted := 0
+		for seed := first; seed < first+seeds; seed++ {
+			h := newLossHistory(seed, late)
+			h.play()
+			accepted += len(h.accepted)
+			if h.failure != "" {
+				t.Errorf("late %t, FIRST=%d SEEDS=1: %s\n%s", late, seed, h.failure, strings.Join(h.events, "\n"))
+			}
+		}
+		t.Logf("late %t: %d histories, %d batch jobs accepted", late, seeds, accepted)
+	}
+}
--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -209,7 +209,7 @@
 		owner, replica := c.owner("job"), c.replicaOf("job")
 		first := c.others(owner, replica)[0]
 		first.kill()
-		c.deaf = replica
+		c.deaf = func(n *clusterNode) bool { return n == replica }
 		c.view(c.others(first)...)
 		replica.machine.View(c.newest)
 		replica.machine.Grant(c.epoch, true, time.Hour)
@@ -231,7 +231,7 @@
 		first := c.nodes[8]
 		first.wipe()
 		first.start()
-		c.deaf = c.nodes[3]
+		c.deaf = func(n *clusterNode) bool { return n == c.nodes[3] }
 		c.view(c.nodes...)
 		c.nodes[3].machine.View(c.newest)
 		c.nodes[3].machine.Grant(c.epoch, true, time.Hour)
