--- a/coord/transport/options.go
+++ b/coord/transport/options.go
@@ -93,8 +93,8 @@
 	return o
 }
 
-// dialTCP opens a TCP connection. Its probes are set once it stands.
-func dialTCP(ctx context.Context, address string) (net.Conn, error) {
+// dialPlain opens a TCP connection. Its probes are set once it stands.
+func dialPlain(ctx context.Context, address string) (net.Conn, error) {
 	dialer := net.Dialer{KeepAlive: -1}
 	return dialer.DialContext(ctx, "tcp", address)
 }
