--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -32,7 +32,6 @@
 	leaseMargin  = 100 * time.Millisecond // for what is on its way when a lease ends
 	reserve      = 0.2                    // of the disk, which new batch jobs leave free
 	releaseWait  = 5 * time.Second        // between looks at what the log no longer needs
-	statsEvery   = 10 * time.Second
 )
 
 // Server is a batch process.
--- /dev/null
+++ b/internal/batch/server/stats.go
@@ -0,0 +1,8 @@
+//go:build !faultinjection
+
+package server
+
+import "time"
+
+// statsEvery is how often the process logs its state.
+const statsEvery = 10 * time.Second
