Lab: a soak of the whole system under random troubles, judged from outside

Change: sprucelab soak (make soak SEEDS=N FOR=S) starts five control and gateway machines and six stores, loads them with streams, batch jobs, changes of the configuration and retirements, and plays rounds of overlapping kills, standstills, cuts, lost disks and losses of all power by a seed. A referee counts what clients and the operator were told: batch jobs, positions, refusals, answers, configurations, and the recovery after each round. What breaks a rule is told with the troubles before it; logs and disks stay.

--- a/Makefile
+++ b/Makefile
@@ -66,6 +66,17 @@
 system: build build-system
 	bin/sprucelab system --programs target --seconds $(FOR)
 
+# The whole system under random troubles with a referee, FOR seconds a seed and up to a minute more, SEEDS seeds from FIRST on, one
+# after the other: make soak SEEDS=5 FOR=300 FIRST=7. What breaks a rule leaves its logs in found/. The programs are built so that
+# connections between them can be cut off; normal ones can't be.
+.PHONY: soak
+soak: FOR = 120
+soak: SEEDS = 1
+soak: build
+	mkdir -p target/soak found
+	CGO_ENABLED=1 go build -buildvcs=false -tags faultinjection -o target/soak/ ./cmd/sprucelane-gateway ./cmd/sprucelane-control ./cmd/sprucelane-batch
+	bin/sprucelab soak --programs target/soak --seconds $(FOR) --seed $(or $(FIRST),1) --seeds $(SEEDS) --logs found
+
 # Hollow gateways before real control processes; a line for each size: make scale SIZES=0,100,400 SERVERS=12000 TENANTS=10000.
 SIZES ?= 0,50,100,200,400
 SERVERS ?= 1000
--- /dev/null
+++ b/cmd/sprucelab/soak.go
@@ -0,0 +1,89 @@
+package main
+
+import (
+	"errors"
+	"fmt"
+	"io"
+	"time"
+
+	"github.com/spf13/cobra"
+
+	"sprucelane.example/sprucelane/internal/lab/soak"
+)
+
+// errBroken tells that a rule was broken; what and when stands before it.
+var errBroken = errors.New("rules were broken")
+
+func soakCommand() *cobra.Command {
+	plan := soak.DefaultPlan("")
+	var seconds float64
+	var seeds int
+	cmd := &cobra.Command{
+		Use:   "soak",
+		Short: "The whole system under load and random troubles, with a referee that counts from outside",
+		Long: `Starts control processes, gateways and stores on loopback addresses of their own and lets things go wrong by chance, several at
+a time: kills of some processes or of all, lost disks, processes that stand still, cuts between machines, answers that clients
+don't wait for. A line for each seed tells what came of it; a broken rule is told with the troubles before it, and the folder
+with the logs stays.
+
+The programs are built with -tags faultinjection: make soak does so. Without the tag nothing is cut off.`,
+		Example: "  sprucelab soak --programs target/soak --seconds 120 --seed 7",
+		Args:    cobra.NoArgs,
+		RunE: func(cmd *cobra.Command, _ []string) error {
+			ctx, stop := until()
+			defer stop()
+			plan.For = time.Duration(seconds * float64(time.Second))
+			plan.Out = cmd.OutOrStdout()
+			broken := false
+			for range seeds {
+				result, err := soak.Run(ctx, plan)
+				if err != nil {
+					return err
+				}
+				printSoak(plan.Out, result)
+				broken = broken || len(result.Violations) > 0
+				if ctx.Err() != nil {
+					break
+				}
+				plan.Seed++
+			}
+			if broken {
+				return errBroken
+			}
+			return nil
+		},
+	}
+	f := cmd.Flags()
+	f.StringVar(&plan.Programs, "programs", "target/soak", "the `folder` of the system's programs, built with -tags faultinjection")
+	f.Float64Var(&seconds, "seconds", plan.For.Seconds(), "how long there are troubles")
+	f.Uint64Var(&plan.Seed, "seed", plan.Seed, "what all chance follows from")
+	f.IntVar(&seeds, "seeds", 1, "how many seeds are played, one after the other, each one more than that before")
+	f.StringSliceVar(&plan.Zones, "zones", plan.Zones, "the zones")
+	f.IntVar(&plan.Fronts, "fronts", plan.Fronts, "machines with control and gateway")
+	f.IntVar(&plan.Stores, "stores", plan.Stores, "machines with batch processes")
+	f.IntVar(&plan.Lost, "lost", plan.Lost, "disks that may be lost at once")
+	f.Float64Var(&plan.Rate, "rate", plan.Rate, "streams a second")
+	f.Float64Var(&plan.Jobs, "jobs", plan.Jobs, "batch jobs a second")
+	f.StringVar(&plan.Logs, "logs", "", "the `folder` in which those of a run with broken rules stay")
+	return cmd
+}
+
+// printSoak prints a seed's line.
+func printSoak(out io.Writer, result soak.Result) {
+	var line figures
+	line.add("seed", "%d", result.Plan.Seed)
+	for _, kind := range soak.TroubleKinds {
+		line.add(string(kind), "%d", result.Troubles[kind])
+	}
+	line.add("disks", "%d", result.Wiped)
+	line.add("requests", "%d", result.Requests)
+	line.add("accepted", "%d", result.Accepted)
+	line.add("refused", "%d", result.Refused)
+	line.add("ended", "%d", result.Ended)
+	line.add("orders", "%d", result.Orders)
+	line.add("violations", "%d", len(result.Violations)+result.More)
+	if result.Folder != "" {
+		line.add("logs", "%s", result.Folder)
+	}
+	fmt.Fprintln(out, "SOAK"+line.text.String())
+}
--- /dev/null
+++ b/internal/lab/soak/network.go
@@ -0,0 +1,89 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"strings"
+	"sync"
+
+	"sprucelane.example/sprucelane/coord/transport/cut"
+	"sprucelane.example/sprucelane/internal/lab/system"
+)
+
+// network keeps which machines are cut off from which, in a file that the processes read.
+type network struct {
+	path string
+
+	mu   sync.Mutex
+	next int
+	cuts map[int][]cut.Way
+}
+
+func newNetwork(path string) (*network, error) {
+	n := &network{path: path, cuts: map[int][]cut.Way{}}
+	return n, n.write()
+}
+
+// logLevel makes the processes tell each call.
+const logLevel = "SPRUCELANE_LOG_LEVEL=debug"
+
+// environment tells a machine's processes where the file is and who they are.
+func (n *network) environment(m system.Machine) []string {
+	return []string{cut.FileVariable + "=" + n.path, cut.HostVariable + "=" + m.IP, logLevel}
+}
+
+// cut cuts ways off, and gives what heals them.
+func (n *network) cut(ways []cut.Way) (heal func(), err error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.next++
+	number := n.next
+	n.cuts[number] = ways
+	heal = func() {
+		n.mu.Lock()
+		defer n.mu.Unlock()
+		delete(n.cuts, number)
+		_ = n.write() // the next one mends it, heal at the latest
+	}
+	return heal, n.write()
+}
+
+// heal heals all.
+func (n *network) heal() error {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	clear(n.cuts)
+	return n.write()
+}
+
+// write replaces the file whole.
+func (n *network) write() error {
+	var text strings.Builder
+	for _, ways := range n.cuts {
+		for _, way := range ways {
+			fmt.Fprintln(&text, way.From, way.To)
+		}
+	}
+	next := n.path + ".next"
+	if err := os.WriteFile(next, []byte(text.String()), 0o600); err != nil {
+		return err
+	}
+	return os.Rename(next, n.path)
+}
+
+// between gives the ways between two groups of machines, in one direction or both.
+func between(from, to []system.Machine, both bool) []cut.Way {
+	var ways []cut.Way
+	for _, a := range from {
+		for _, b := range to {
+			if a.IP == b.IP {
+				continue
+			}
+			ways = append(ways, cut.Way{From: a.IP, To: b.IP})
+			if both {
+				ways = append(ways, cut.Way{From: b.IP, To: a.IP})
+			}
+		}
+	}
+	return ways
+}
--- /dev/null
+++ b/internal/lab/soak/retire.go
@@ -0,0 +1,86 @@
+package soak
+
+import (
+	"context"
+	"encoding/json"
+	"math/rand/v2"
+	"net/http"
+	"time"
+)
+
+// Figures of retirements.
+const (
+	retireInterval = 500 * time.Millisecond
+	longestAbsence = 3 * time.Second
+)
+
+// retirement is how far one is.
+type retirement string
+
+// The states that control tells, and one for a retirement that was not ordered.
+const (
+	retirementNone      retirement = ""
+	retirementActive    retirement = "active"
+	retirementCompleted retirement = "completed"
+)
+
+// retire orders one retirement and sees it through. Completed without having been active may be said of a former life of the store:
+// then its disk counts as lost.
+func (r *run) retire(ctx context.Context, random *rand.Rand, one *unit) {
+	over := r.timeline.add(KindRetire, "%s", one.machine.Name)
+	defer over()
+	state, clear := r.askRetirement(ctx, random, one, http.MethodPost)
+	for !clear && sleep(ctx, retireInterval) {
+		state, clear = r.askRetirement(ctx, random, one, http.MethodPost)
+	}
+	if state == retirementNone {
+		return
+	}
+	surely := state == retirementActive
+	for state != retirementCompleted || !surely && r.budget.take(1) == 0 {
+		if !sleep(ctx, retireInterval) {
+			r.referee.broken(RuleRecovery, "the retirement of %s is not over", one.machine.Name)
+			return
+		}
+		if told, clear := r.askRetirement(ctx, random, one, http.MethodGet); clear {
+			state = told
+		}
+	}
+	r.takeAway(ctx, random, one)
+}
+
+// askRetirement orders a retirement, or asks how far it is. It tells whether the answer was clear.
+func (r *run) askRetirement(ctx context.Context, random *rand.Rand, one *unit, method string) (state retirement, clear bool) {
+	m := r.anyFront(random)
+	var body []byte
+	if method == http.MethodPost {
+		body = []byte("{}")
+	}
+	status, answer, _ := r.operator.call(ctx, m, method, "/retire/"+one.machine.Name, 0, body)
+	switch status {
+	case http.StatusOK:
+		var told struct {
+			State retirement `json:"state"`
+		}
+		err := json.Unmarshal(answer, &told)
+		return told.State, err == nil
+	case 0, http.StatusServiceUnavailable:
+		return retirementNone, false
+	case http.StatusNotFound, http.StatusConflict: // it is out of the set, or too few would remain
+		return retirementNone, true
+	default:
+		r.referee.broken(RuleConfiguration, "%s of the retirement of %s got %d from %s: %s", method, one.machine.Name, status, m.Name, answer)
+		return retirementNone, true
+	}
+}
+
+// takeAway takes a store that was emptied away with its disk, which nobody needs, and brings it back.
+func (r *run) takeAway(ctx context.Context, random *rand.Rand, one *unit) {
+	after := drawTimes(random, 1, longestAbsence)
+	over := r.timeline.add(KindRetire, "%s is completed and goes away", withTimes([]*unit{one}, after))
+	defer over()
+	if err := one.wipe(); err != nil {
+		r.referee.broken(RuleProcesses, "the disk could not be emptied: %v", err)
+	}
+	r.startAgain(ctx, []*unit{one}, after)
+}
