Batch stores: who inherits or starts again no longer counts as standing whole

A store that inherits a batch job from one that retires kept telling that it stands whole, so the leaving one, started again, dropped its copy and counted as emptied with the batch job on one disk. And what a former life of an owner told of standing whole counted after its restart, while it chose its sets anew: another store dropped its copy as left behind; two disks lost, and the batch job was gone. Owning a batch job anew takes the word back now, a new life clears it, and control waits while a store counts damaged logs and departures beyond what may be lost. Also: a join raises the epochs above those that the joining disk acted in, as no store goes back, so that a chain that is founded anew (docs/operate/control.md) isn't ignored for ever.

Taken back: completing the retirement of a machine that was lost meanwhile: one that comes back with a new disk is active, and would be taken away. Measured: TestRestartWhileHandingOver, TestRestartOfAnOwner, TestObscuredAndAway fail without the change, pass with it; packages of batch and control pass.

--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -279,6 +279,7 @@
 	}
 	m.lives[key] = life
 	if heard && life > last {
+		delete(m.departed.settled, key) // it has to choose sets anew
 		m.forgetPeer(key)
 		for _, a := range m.acceptances {
 			delete(a.votes, key)
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -147,7 +147,7 @@
 		return
 	}
 	m.inventories[from] = inventory
-	m.departed.settled[from] = max(m.departed.settled[from], inventory.Settled)
+	m.departed.settled[from] = inventory.Settled
 	m.departed.noteObscured(from, inventory.Obscured, m.env.Now())
 	m.settle()
 }
@@ -260,6 +260,7 @@
 	}
 	delete(m.directory, h.id)
 	h.owner = true
+	m.unsettle() // its set has to be made whole first
 	switch {
 	case m.retiring:
 		m.handOver(h)
@@ -327,8 +328,9 @@
 func (m *Machine) Report() protocol.BatchReport {
 	return protocol.BatchReport{
 		Epoch:       m.view.Epoch,
+		ActedIn:     m.ActedIn(),
 		Settled:     m.settledEpoch,
-		Missing:     m.departed.left(),
+		Missing:     m.departed.missing(),
 		BatchJobs:   len(m.jobs),
 		FreeBytes:   m.env.Free(),
 		DrainedDown: m.drained(),
--- a/internal/control/machine/command.go
+++ b/internal/control/machine/command.go
@@ -29,6 +29,9 @@
 type Join struct {
 	Processes []protocol.Process
 	Epoch     uint64 // of the set as it was when they were found missing; nothing is done in a later one. 0: in any
+	// ActedIn is the highest epoch that one of them acted in. It is above that of the set where the control state was founded anew;
+	// epochs go on from there, as no batch process goes back.
+	ActedIn uint64
 }
 
 // Suspect says that a batch process has fallen silent, or that it polls again. One that is suspected gets no lease, so that the one
--- a/internal/control/machine/stores.go
+++ b/internal/control/machine/stores.go
@@ -112,22 +112,9 @@
 	}
 	s.settled = true
 	s.departed = nil
-	s.completeLost()
 	return StoreChanged
 }
 
-// completeLost completes the retirements of machines that left before they were emptied: all that they held stands whole elsewhere.
-func (s *storeSet) completeLost() {
-	retirements := slices.Clone(s.retirements)
-	for i := range retirements {
-		node := retirements[i].Node
-		if !slices.ContainsFunc(s.members, func(one protocol.StoreMember) bool { return one.Node == node }) {
-			retirements[i].Completed = true
-		}
-	}
-	s.retirements = retirements
-}
-
 // suspect begins or ends a suspicion. The set stays as it is.
 func (s *storeSet) suspect(order *Suspect) StoreOutcome {
 	if s.find(order.Node, order.Incarnation) < 0 {
@@ -157,6 +144,8 @@
 	if order.Epoch != 0 && order.Epoch != s.epoch {
 		return StoreUnchanged
 	}
+	before := s.epoch
+	s.epoch = max(s.epoch, order.ActedIn)
 	members := slices.Clone(s.members)
 	for _, process := range order.Processes {
 		if s.mayJoin(members, process) {
@@ -164,6 +153,7 @@
 		}
 	}
 	if slices.Equal(members, s.members) {
+		s.epoch = before
 		return StoreUnchanged
 	}
 	return s.change(members)
--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -134,6 +134,17 @@
 	return list
 }
 
+// ActedIn gives the highest epoch that one of some batch processes acted in.
+func (t *Table) ActedIn(processes []protocol.Process) uint64 {
+	highest := uint64(0)
+	for _, process := range processes {
+		if one, known := t.Newest(process); known && one.Batch != nil {
+			highest = max(highest, one.Batch.ActedIn)
+		}
+	}
+	return highest
+}
+
 func contains(view protocol.StoreView, process protocol.Process) bool {
 	return slices.ContainsFunc(view.Members, func(one protocol.StoreMember) bool { return one.Process == process })
 }
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -51,7 +51,7 @@
 	c.presence.Forget(now)
 	var commands []machine.Command
 	if joins := c.presence.Joins(now, stores); len(joins) > 0 {
-		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins, Epoch: stores.Epoch}})
+		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins, Epoch: stores.Epoch, ActedIn: c.presence.ActedIn(joins)}})
 	}
 	commands = append(commands, c.evictions(now, stores, others)...)
 	if c.presence.Settled(now, stores, c.settings.Tolerance.Machines) {
--- a/internal/protocol/messages.go
+++ b/internal/protocol/messages.go
@@ -166,8 +166,9 @@
 // BatchReport is what a batch process tells of itself.
 type BatchReport struct {
 	Epoch       uint64 // of the store view that it works in
+	ActedIn     uint64 // highest epoch that it worked in, earlier lives of the same disk included
 	Settled     uint64 // highest epoch for which all that it should hold or hand over is done
-	Missing     int    // machines that left and that it waits for, as they may hold what the members don't know of
+	Missing     int    // machines that may hold what the members don't know of: that left, or whose logs can't tell
 	BatchJobs   int
 	FreeBytes   int64
 	DrainedDown bool // retiring: nothing is left here that others don't hold on f + 1 disks
