A machine whose retirement was completed joins again only after it has polled for 10 s

What is completed is removed at once, with its disk. One that lost its disk and started again in between joined as an active store, took batch jobs, and went with them: a second loss beside another one's. The head lets a life of such a machine join once it has polled for 10 s; by then it isn't the one that was to be removed.

It passes; TestRejoin.

--- a/internal/batch/replica/world_test.go
+++ b/internal/batch/replica/world_test.go
@@ -222,7 +222,7 @@
 func (w *world) authority() {
 	w.after(100*time.Millisecond, w.authority)
 	view := w.view()
-	if joins := w.table.Joins(w.now, view); len(joins) > 0 {
+	if joins := w.table.Joins(w.now, view, func(node string) bool { return w.control.Retirement(node) == machine.RetirementCompleted }); len(joins) > 0 {
 		w.command(machine.Command{Join: &machine.Join{Processes: joins}})
 	}
 	for _, member := range w.table.Evictions(w.now, view, nil) {
--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -24,6 +24,9 @@
 	GatewayTime = 3 * time.Second
 	// CoverageMost is how old the newest report of every other control process may be where silence is to be concluded.
 	CoverageMost = time.Second
+	// RejoinAfter is how long a machine whose retirement was completed polls before it joins under another disk. It is to be removed at
+	// once, so what it took meanwhile would be lost; one that stays is another machine under that name.
+	RejoinAfter = 10 * time.Second
 	// ForgetAfter is how long a process that doesn't poll is remembered.
 	ForgetAfter = 30 * time.Second
 )
@@ -34,6 +37,7 @@
 	Ready   bool
 	Batch   *protocol.BatchReport
 	At      time.Duration // of the newest poll
+	since   time.Duration // of the first poll of this life that this table heard of
 }
 
 // Table is what one control process knows. It isn't safe for concurrent use.
@@ -60,8 +64,13 @@
 	if known && old.At > one.At {
 		return false
 	}
+	same := known && old.Process == one.Process
+	one.since = one.At
+	if same {
+		one.since = old.since
+	}
 	t.heard[id] = one
-	return !known || old.Process != one.Process
+	return !same
 }
 
 // Newest gives what a life of a process told last.
@@ -120,14 +129,17 @@
 	}
 }
 
-// Joins gives the batch processes that poll and are not in the set.
-func (t *Table) Joins(now time.Duration, view protocol.StoreView) []protocol.Process {
+// Joins gives the batch processes that poll and are not in the set. emptied tells of a node whether its retirement was completed.
+func (t *Table) Joins(now time.Duration, view protocol.StoreView, emptied func(node string) bool) []protocol.Process {
 	if !t.lead {
 		return nil
 	}
 	var list []protocol.Process
 	for _, one := range t.Since(now - StoreLease) {
-		if one.Process.Role == protocol.RoleBatch && !contains(view, one.Process) {
+		if one.Process.Role != protocol.RoleBatch || contains(view, one.Process) {
+			continue
+		}
+		if now-one.since >= RejoinAfter || !emptied(one.Process.Node) {
 			list = append(list, one.Process)
 		}
 	}
--- a/internal/control/presence/presence_test.go
+++ b/internal/control/presence/presence_test.go
@@ -25,13 +25,13 @@
 		table := New()
 		So(table.Observe(Heard{Process: store("1", "a"), At: second}), ShouldBeTrue)
 		So(table.Observe(Heard{Process: store("1", "a"), At: second + 1}), ShouldBeFalse)
-		So(table.Joins(second, viewOf(0)), ShouldBeEmpty)
+		So(table.Joins(second, viewOf(0), nobody), ShouldBeEmpty)
 		table.Lead(second, 1, true)
-		So(table.Joins(second, viewOf(0)), ShouldResemble, []protocol.Process{store("1", "a")})
-		So(table.Joins(second, viewOf(1, member)), ShouldBeEmpty)
+		So(table.Joins(second, viewOf(0), nobody), ShouldResemble, []protocol.Process{store("1", "a")})
+		So(table.Joins(second, viewOf(1, member), nobody), ShouldBeEmpty)
 		So(table.Observe(Heard{Process: store("1", "b"), At: 2 * second}), ShouldBeTrue)
-		So(table.Joins(2*second, viewOf(1, member)), ShouldResemble, []protocol.Process{store("1", "b")})
-		So(table.Joins(5*second, viewOf(1, member)), ShouldBeEmpty)
+		So(table.Joins(2*second, viewOf(1, member), nobody), ShouldResemble, []protocol.Process{store("1", "b")})
+		So(table.Joins(5*second, viewOf(1, member), nobody), ShouldBeEmpty)
 	})
 	Convey("A silent member is evicted, but not before a new lead has waited, nor while a control process is silent", t, func() {
 		table := New()
@@ -113,6 +113,26 @@
 	})
 }
 
+// nobody was emptied.
+func nobody(string) bool { return false }
+
+func TestRejoin(t *testing.T) {
+	Convey("A machine whose retirement was completed joins only once it has polled for long", t, func() {
+		table := New()
+		table.Lead(0, 1, true)
+		emptied := func(node string) bool { return node == store("1", "b").Node }
+		for at := time.Duration(0); at < RejoinAfter; at += second {
+			table.Observe(Heard{Process: store("1", "b"), At: at})
+			table.Observe(Heard{Process: store("2", "a"), At: at})
+			So(table.Joins(at, viewOf(3), emptied), ShouldResemble, []protocol.Process{store("2", "a")})
+		}
+		table.Observe(Heard{Process: store("1", "b"), At: RejoinAfter})
+		So(table.Joins(RejoinAfter, viewOf(3), emptied), ShouldHaveLength, 2)
+		table.Observe(Heard{Process: store("1", "c"), At: RejoinAfter + second}) // another disk
+		So(table.Joins(RejoinAfter+second, viewOf(3), emptied), ShouldBeEmpty)
+	})
+}
+
 func TestSettled(t *testing.T) {
 	Convey("All members stand whole once each says so of the newest set, and waits for no more than may be lost", t, func() {
 		table := New()
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -50,7 +50,7 @@
 	c.presence.Lead(now, epoch, leads)
 	c.presence.Forget(now)
 	var commands []machine.Command
-	if joins := c.presence.Joins(now, stores); len(joins) > 0 {
+	if joins := c.presence.Joins(now, stores, c.wasEmptied); len(joins) > 0 {
 		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins, Epoch: stores.Epoch, ActedIn: c.presence.ActedIn(joins)}})
 	}
 	commands = append(commands, c.evictions(now, stores, others)...)
@@ -63,6 +63,11 @@
 	return commands
 }
 
+// wasEmptied tells whether the retirement of a node was completed.
+func (c *Control) wasEmptied(node string) bool {
+	return c.machine.Retirement(node) == machine.RetirementCompleted
+}
+
 // evictions gives what the silence of members calls for, first a suspicion, and an eviction once that has stood for a lease: whoever
 // polls again before gets none from a control process that hasn't told the head yet.
 func (c *Control) evictions(now time.Duration, stores protocol.StoreView, others []string) []machine.Command {
