--- a/internal/batch/replica/cluster_test.go
+++ b/internal/batch/replica/cluster_test.go
@@ -194,20 +194,25 @@
 // settle delivers messages and writes until nothing more comes of them, over some ticks.
 func (c *cluster) settle() {
 	for range 12 {
-		c.calm()
-		c.now += 300 * time.Millisecond
-		for _, n := range c.nodes {
-			if n.log != nil {
-				n.machine.Tick()
-			}
-		}
-		c.noteSettled()
+		c.round()
 	}
 	c.calm()
 	c.noteSettled()
 	c.checkInvariants()
 }
 
+// round delivers what is on its way and lets some time pass.
+func (c *cluster) round() {
+	c.calm()
+	c.now += 300 * time.Millisecond
+	for _, n := range c.nodes {
+		if n.log != nil {
+			n.machine.Tick()
+		}
+	}
+	c.noteSettled()
+}
+
 // checkInvariants fails the test where something that must always hold didn't.
 func (c *cluster) checkInvariants() {
 	for _, n := range c.nodes {
--- a/internal/batch/replica/losses_test.go
+++ b/internal/batch/replica/losses_test.go
@@ -8,7 +8,6 @@
 	"strconv"
 	"strings"
 	"testing"
-	"time"
 
 	"sprucelane.example/sprucelane/internal/protocol"
 	"sprucelane.example/sprucelane/internal/simulation"
@@ -101,18 +100,6 @@
 	}
 }
 
-// round delivers what is on its way and lets time pass.
-func (h *lossHistory) round() {
-	h.calm()
-	h.now += 300 * time.Millisecond
-	for _, n := range h.nodes {
-		if n.log != nil {
-			n.machine.Tick()
-		}
-	}
-	h.noteSettled()
-}
-
 // settle has all hear of the newest set and come to rest.
 func (h *lossHistory) settle() {
 	h.cluster.lost, h.deaf = nil, nil
--- a/internal/control/world_test.go
+++ b/internal/control/world_test.go
@@ -299,17 +299,6 @@
 	w.heal(victim)
 }
 
-// losePower ends a process without a word.
-func (w *serviceWorld) losePower(i int) {
-	w.hosts[i].LosePower()
-	w.disks[i].LosePower()
-	w.mutex.Lock()
-	gone := w.running[i]
-	w.running[i] = nil
-	w.mutex.Unlock()
-	gone.Stop()
-}
-
 // playServices plays a world and gives it.
 func playServices(t *testing.T, seed uint64, span time.Duration, spoil func(Replica) Replica, lenient bool) *serviceWorld {
 	var w *serviceWorld
