Play random troubles over control and stores in one world

One history showed that a control process which has started again hands out an old set of stores. Which other orders of events do harm, and whether a mend closes all of them, only many worlds can tell.

TestRandomDeployments plays three rounds of two or three troubles that overlap, on 3 to 6 control processes and 4 to 7 stores with f of 1 or 2: losses of all power, also right after an acknowledgement, kills, lost disks, cuts between control processes and to stores, disks that stand still, retirements with lost disks, replaced control machines, changes that have the chain's log written anew. Worlds that do nothing of a kind fail.

Dialling of the operator's client ends after 5 s: a machine that never comes back kept it for ever, and the bubble didn't end.

--- a/internal/control/bubble_test.go
+++ b/internal/control/bubble_test.go
@@ -21,6 +21,7 @@
 const (
 	platformAddress = "10.0.1.1:80"
 	operatorIP      = "10.0.2.1"
+	operatorDial    = 5 * time.Second
 )
 
 // bubbleSystem is a system in memory, in virtual time, with the platform and an operator.
@@ -52,6 +53,8 @@
 	s.dialFrom = func(ip string) func(context.Context, string) (net.Conn, error) { return s.host(ip).Dial }
 	s.client = &http.Client{Timeout: 5 * time.Second, Transport: &http.Transport{DisableKeepAlives: true,
 		DialContext: func(ctx context.Context, _, address string) (net.Conn, error) {
+			ctx, cancel := context.WithTimeout(ctx, operatorDial) // a call's own end doesn't end its dialling
+			defer cancel()
 			return s.host(operatorIP).Dial(ctx, address)
 		}}}
 	s.servePlatform()
--- a/internal/control/deployment_store_test.go
+++ b/internal/control/deployment_store_test.go
@@ -216,6 +216,7 @@
 	s.world.lock.Lock()
 	defer s.world.lock.Unlock()
 	s.acted = 0
+	s.world.counts.wipes++
 }
 
 // durable takes word of the log.
--- /dev/null
+++ b/internal/control/deployment_troubles_test.go
@@ -0,0 +1,596 @@
+package control
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+// This file owns random troubles of a deployment. They come in rounds: those of one overlap, on machines of their own but for
+// those that strike all. No more disks are lost in a round than may be lost at once, and the next round begins once all is well.
+
+const (
+	deploymentRounds = 3
+	recoverWithin    = 25 * time.Second // of a round, after its last trouble
+	startSpread      = 1500 * time.Millisecond
+	downMost         = 5 * time.Second
+	acknowledgeWait  = 3 * time.Second
+	bulkChanges      = 100
+)
+
+// round is a few troubles that overlap.
+type round struct {
+	*deployment
+	random   *rand.Rand
+	stores   []*deployedStore // that no trouble was drawn for yet
+	controls []int
+	left     int // disks that may be lost yet
+	striking sync.WaitGroup
+}
+
+// deployedTrouble strikes from a moment on, for a time.
+type deployedTrouble struct {
+	name string
+	draw func(*round) func(down time.Duration) // claims machines; nil: none are left
+}
+
+var deployedTroubles = []deployedTrouble{
+	{"all lose power", drawPowerOfAll},
+	{"all lose power", drawPowerOfAll},
+	{"all lose power right after an acknowledgement", drawPowerAfterAcknowledgement},
+	{"processes are killed", drawKills},
+	{"machines lose power", drawPower},
+	{"disks are lost", drawWipes},
+	{"a control machine is cut off", drawCutOff},
+	{"control is split", drawSplit},
+	{"stores are cut off from control machines", drawStoresCut},
+	{"disks stand still", drawStall},
+	{"a store retires, and disks are lost", drawRetirement},
+	{"a control machine is replaced", drawReplacement},
+	{"many changes of the configuration", drawBulk},
+}
+
+// newRound draws what comes in a round.
+func (w *deployment) newRound() *round {
+	r := &round{deployment: w, random: w.random, stores: w.there(), controls: w.members(), left: w.tolerance}
+	w.random.Shuffle(len(r.stores), func(i, j int) { r.stores[i], r.stores[j] = r.stores[j], r.stores[i] })
+	w.random.Shuffle(len(r.controls), func(i, j int) { r.controls[i], r.controls[j] = r.controls[j], r.controls[i] })
+	return r
+}
+
+// play plays a round, and tells whether all is well after it.
+func (r *round) play() bool {
+	for range 2 + r.random.IntN(2) {
+		kind := deployedTroubles[r.random.IntN(len(deployedTroubles))]
+		strike := kind.draw(r)
+		if strike == nil {
+			continue
+		}
+		r.count(func(c *deploymentCounts) { c.troubles++ })
+		after, down := r.between(0, startSpread), r.between(100*time.Millisecond, downMost)
+		r.striking.Go(func() {
+			time.Sleep(after)
+			r.note("trouble: %s for %v", kind.name, down)
+			strike(down)
+		})
+	}
+	r.striking.Wait()
+	r.restoreAll()
+	if !r.wellAgain() {
+		return false
+	}
+	return r.removeRetired()
+}
+
+func (r *round) wellAgain() bool {
+	list := r.recovers(recoverWithin, steadyFor)
+	if len(list) > 0 {
+		r.failf("%v after a round of troubles: %s", recoverWithin, strings.Join(list, "; "))
+		return false
+	}
+	r.note("all is well")
+	r.count(func(c *deploymentCounts) { c.recoveries++ })
+	return true
+}
+
+func (w *deployment) between(least, most time.Duration) time.Duration {
+	return least + time.Duration(w.random.Int64N(int64(most-least)+1))
+}
+
+// exclusively has nobody else start or end processes meanwhile.
+func (w *deployment) exclusively(act func()) {
+	w.turn <- struct{}{}
+	defer func() { <-w.turn }()
+	act()
+}
+
+// restoreAll ends what is left of the troubles.
+func (w *deployment) restoreAll() {
+	w.lock.Lock()
+	w.onAck = nil
+	w.lock.Unlock()
+	for _, from := range w.addresses() {
+		for _, to := range w.addresses() {
+			w.network.Heal(from, to)
+		}
+	}
+	for _, i := range w.members() {
+		w.bringControl(i)
+	}
+	for _, s := range w.there() {
+		w.bringStore(s)
+	}
+}
+
+// addresses gives those of control processes and stores.
+func (w *deployment) addresses() []string {
+	var list []string
+	for _, i := range w.members() {
+		list = append(list, w.settings[i].IP)
+	}
+	for _, s := range w.there() {
+		list = append(list, s.ip)
+	}
+	return list
+}
+
+// bringControl starts a control process unless it runs.
+func (w *deployment) bringControl(i int) {
+	w.exclusively(func() {
+		w.mutex.Lock()
+		runs := w.running[i] != nil
+		w.mutex.Unlock()
+		if !runs && slices.Contains(w.members(), i) {
+			w.note("%s starts", w.settings[i].NodeName)
+			w.begin(i)
+		}
+	})
+}
+
+// bringStore starts a store unless it runs.
+func (w *deployment) bringStore(s *deployedStore) {
+	w.exclusively(func() {
+		w.lock.Lock()
+		idle := s.life == nil && !s.gone
+		w.lock.Unlock()
+		if idle {
+			s.start()
+		}
+	})
+}
+
+// claimStores takes up to so many stores that no trouble strikes yet.
+func (r *round) claimStores(count int) []*deployedStore {
+	count = min(count, len(r.stores))
+	claimed := r.stores[:count]
+	r.stores = r.stores[count:]
+	return claimed
+}
+
+func (r *round) claimControls(count int) []int {
+	count = min(count, len(r.controls))
+	claimed := r.controls[:count]
+	r.controls = r.controls[count:]
+	return claimed
+}
+
+// victims are machines of both kinds.
+type victims struct {
+	stores   []*deployedStore
+	controls []int
+}
+
+func (v victims) String() string {
+	var names []string
+	for _, i := range v.controls {
+		names = append(names, fmt.Sprint("front-", i+1))
+	}
+	for _, s := range v.stores {
+		names = append(names, s.node)
+	}
+	return strings.Join(names, ", ")
+}
+
+func (v victims) none() bool { return len(v.stores)+len(v.controls) == 0 }
+
+// claim takes up to so many machines, more stores than control machines.
+func (r *round) claim(count int) victims {
+	var v victims
+	for range count {
+		if r.random.IntN(3) == 0 {
+			v.controls = append(v.controls, r.claimControls(1)...)
+		} else {
+			v.stores = append(v.stores, r.claimStores(1)...)
+		}
+	}
+	return v
+}
+
+// claimDisks takes up to so many machines whose disks are to be lost.
+func (r *round) claimDisks(most int) victims {
+	v := r.claim(min(most, r.left))
+	r.left -= len(v.stores) + len(v.controls)
+	return v
+}
+
+// wipe takes the disks of machines.
+func (r *round) wipe(v victims) {
+	if v.none() {
+		return
+	}
+	r.note("%v: the disk is lost", v)
+	r.haltControls(v.controls, r.wipeControl)
+	for _, s := range v.stores {
+		s.wipe()
+	}
+	r.count(func(c *deploymentCounts) { c.wipes += len(v.controls) })
+}
+
+// bring starts machines again.
+func (r *round) bring(v victims) {
+	for _, i := range v.controls {
+		r.bringControl(i)
+	}
+	for _, s := range v.stores {
+		r.bringStore(s)
+	}
+}
+
+// powerOfAll takes the power of all at once with some disks; each machine is back in its own time.
+func (r *round) powerOfAll(lost victims, down time.Duration, delays *rand.Rand) {
+	r.exclusively(func() {
+		r.note("all lose power")
+		r.losePowerOfAll()
+		r.wipe(lost)
+	})
+	time.Sleep(down / 4)
+	var starting sync.WaitGroup
+	later := func(start func()) {
+		delay := time.Duration(delays.Int64N(int64(down)))
+		starting.Go(func() {
+			time.Sleep(delay)
+			start()
+		})
+	}
+	for _, i := range r.members() {
+		later(func() { r.bringControl(i) })
+	}
+	for _, s := range r.there() {
+		later(func() { r.bringStore(s) })
+	}
+	starting.Wait()
+}
+
+// ownRandom gives chance to a trouble that runs beside others.
+func (r *round) ownRandom() *rand.Rand { return rand.New(rand.NewPCG(r.random.Uint64(), 1)) }
+
+func drawPowerOfAll(r *round) func(time.Duration) {
+	lost, delays := r.claimDisks(r.random.IntN(r.tolerance+1)), r.ownRandom()
+	return func(down time.Duration) { r.powerOfAll(lost, down, delays) }
+}
+
+func drawPowerAfterAcknowledgement(r *round) func(time.Duration) {
+	lost, delays := r.claimDisks(r.random.IntN(r.tolerance+1)), r.ownRandom()
+	return func(down time.Duration) {
+		acknowledged := make(chan struct{})
+		r.lock.Lock()
+		r.onAck = func() { close(acknowledged) }
+		r.lock.Unlock()
+		select {
+		case <-acknowledged:
+		case <-time.After(acknowledgeWait):
+		}
+		r.powerOfAll(lost, down, delays)
+	}
+}
+
+func drawKills(r *round) func(time.Duration) {
+	v := r.claim(1 + r.random.IntN(r.tolerance+1))
+	return func(down time.Duration) {
+		r.exclusively(func() {
+			r.note("%v: killed", v)
+			r.haltControls(v.controls, r.killControl)
+			for _, s := range v.stores {
+				s.kill()
+			}
+		})
+		time.Sleep(down)
+		r.bring(v)
+	}
+}
+
+func drawPower(r *round) func(time.Duration) {
+	v := r.claim(1 + r.random.IntN(r.tolerance+1))
+	return func(down time.Duration) {
+		r.exclusively(func() {
+			r.note("%v: power lost", v)
+			r.haltControls(v.controls, r.losePowerOfControl)
+			for _, s := range v.stores {
+				s.losePower()
+			}
+		})
+		time.Sleep(down)
+		r.bring(v)
+	}
+}
+
+func drawWipes(r *round) func(time.Duration) {
+	v := r.claimDisks(1 + r.random.IntN(r.tolerance))
+	if v.none() {
+		return nil
+	}
+	return func(down time.Duration) {
+		r.exclusively(func() { r.wipe(v) })
+		time.Sleep(down)
+		r.bring(v)
+	}
+}
+
+// cutBetween cuts all links between two groups of machines, in one direction or both, for a time.
+func (r *round) cutBetween(from, to []string, both bool, down time.Duration) {
+	for _, one := range from {
+		for _, other := range to {
+			if one == other {
+				continue
+			}
+			r.network.Cut(one, other)
+			if both {
+				r.network.Cut(other, one)
+			}
+		}
+	}
+	time.Sleep(down)
+	for _, one := range from {
+		for _, other := range to {
+			r.network.Heal(one, other)
+			r.network.Heal(other, one)
+		}
+	}
+}
+
+func (r *round) controlAddresses(members []int) []string {
+	var list []string
+	for _, i := range members {
+		list = append(list, r.settings[i].IP)
+	}
+	return list
+}
+
+func drawCutOff(r *round) func(time.Duration) {
+	all := r.members()
+	victim, direction := all[r.random.IntN(len(all))], r.random.IntN(3)
+	return func(down time.Duration) {
+		one, others := r.controlAddresses([]int{victim}), r.controlAddresses(all)
+		r.note("%s is cut off, %d", r.settings[victim].NodeName, direction)
+		if direction == 1 {
+			one, others = others, one
+		}
+		r.cutBetween(one, others, direction == 2, down)
+	}
+}
+
+func drawSplit(r *round) func(time.Duration) {
+	all := r.members()
+	at := 1 + r.random.IntN(len(all)-1)
+	return func(down time.Duration) {
+		r.note("control is split before %s", r.settings[all[at]].NodeName)
+		r.cutBetween(r.controlAddresses(all[:at]), r.controlAddresses(all[at:]), true, down)
+	}
+}
+
+func drawStoresCut(r *round) func(time.Duration) {
+	stores, all := r.there(), r.members()
+	var from []string
+	for _, s := range stores[:1+r.random.IntN(len(stores))] {
+		from = append(from, s.ip)
+	}
+	r.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	to := r.controlAddresses(all[:1+r.random.IntN(len(all)-1)])
+	return func(down time.Duration) {
+		r.note("%v cut off from %v", from, to)
+		r.cutBetween(from, to, true, down)
+	}
+}
+
+// drawStall has the disks of control machines stand still, and those of stores take forty times as long.
+func drawStall(r *round) func(time.Duration) {
+	v := r.claim(1 + r.random.IntN(2))
+	return func(down time.Duration) {
+		r.note("%v: the disk stands still", v)
+		for _, i := range v.controls {
+			r.bubbleSystem.disks[i].Stall(true)
+		}
+		for _, s := range v.stores {
+			s.disk.Slow(40)
+		}
+		time.Sleep(down)
+		for _, i := range v.controls {
+			r.bubbleSystem.disks[i].Stall(false)
+		}
+		for _, s := range v.stores {
+			s.disk.Slow(1)
+		}
+	}
+}
+
+// drawRetirement has an operator retire a store, and takes the disks of others right after.
+func drawRetirement(r *round) func(time.Duration) {
+	one := r.claimStores(1)
+	if len(one) == 0 || len(r.there()) <= r.tolerance+2 {
+		return nil
+	}
+	lost, at := r.claimDisks(r.random.IntN(r.tolerance+1)), r.random.IntN(len(r.members()))
+	return func(down time.Duration) {
+		if !r.retire(one[0].node, at) {
+			return
+		}
+		r.exclusively(func() { r.wipe(lost) })
+		time.Sleep(down)
+		r.bring(lost)
+	}
+}
+
+// retire orders a retirement, and tells whether that was acknowledged.
+func (w *deployment) retire(node string, at int) bool {
+	for try := range 8 {
+		members := w.members()
+		status, answer := w.call(members[(at+try)%len(members)], "POST", "/retire/"+node, "", `{"deadline-s":10}`)
+		if status == 200 {
+			w.note("%s is to retire", node)
+			w.count(func(c *deploymentCounts) { c.retired++ })
+			return true
+		}
+		w.note("the retirement of %s is answered %d %s", node, status, answer)
+	}
+	return false
+}
+
+// removeRetired takes away the stores that were emptied, and brings new ones in their places.
+func (r *round) removeRetired() bool {
+	removed := false
+	newest := r.newestSet()
+	for _, member := range newest.Members {
+		for _, s := range r.there() {
+			if member.Node == s.node && member.State == protocol.StoreRetired {
+				r.exclusively(func() { r.takeAway(s) })
+				removed = true
+			}
+		}
+	}
+	return !removed || r.wellAgain()
+}
+
+func (w *deployment) takeAway(s *deployedStore) {
+	w.note("%s is taken away", s.node)
+	s.losePower()
+	w.lock.Lock()
+	s.gone = true
+	w.lock.Unlock()
+	w.addStore()
+}
+
+// drawReplacement brings a new control machine for another: before that one ends in order, or after its disk is lost. Either way a
+// disk is gone, and counts as lost: others may be before the new machine has all.
+func drawReplacement(r *round) func(time.Duration) {
+	planned := r.random.IntN(2) == 0
+	if r.left == 0 || len(r.controls) == 0 {
+		return nil
+	}
+	spare := r.spare()
+	if spare < 0 {
+		return nil
+	}
+	old := r.claimControls(1)
+	r.left--
+	return func(down time.Duration) {
+		r.count(func(c *deploymentCounts) { c.replaced++ })
+		r.note("%s comes for %s, planned %v", r.settings[spare].NodeName, r.settings[old[0]].NodeName, planned)
+		if !planned {
+			r.exclusively(func() { r.removeControl(old[0], r.wipeControl) })
+			time.Sleep(down)
+		}
+		r.lock.Lock()
+		r.removed[spare] = false
+		r.lock.Unlock()
+		r.bringControl(spare)
+		if planned {
+			time.Sleep(down)
+			r.exclusively(func() { r.removeControl(old[0], func(int) {}) })
+		}
+	}
+}
+
+// spare gives a control machine that hasn't come yet; -1: none.
+func (r *round) spare() int {
+	first := len(r.settings) - spareControls
+	for i := first; i < len(r.settings); i++ {
+		if !r.used[i] {
+			r.used[i] = true
+			return i
+		}
+	}
+	return -1
+}
+
+// removeControl takes a control machine away for good.
+func (w *deployment) removeControl(i int, how func(i int)) {
+	w.lock.Lock()
+	w.removed[i] = true
+	w.lock.Unlock()
+	w.haltControls([]int{i}, how)
+}
+
+func drawBulk(r *round) func(time.Duration) {
+	return func(time.Duration) {
+		r.lock.Lock()
+		r.bulk = bulkChanges
+		r.lock.Unlock()
+	}
+}
+
+// playDeployment plays a world.
+func playDeployment(t *testing.T, seed uint64) *deployment {
+	var w *deployment
+	synctest.Test(t, func(t *testing.T) {
+		tolerance, members, stores := 1, 3+int(seed%2), 4+int(seed/2%2)
+		if seed%3 == 2 {
+			tolerance, members, stores = 2, 5+int(seed%2), 6+int(seed/2%2)
+		}
+		w = newDeployment(t, seed, members, stores, tolerance)
+		defer w.close()
+		w.note("%d control machines, %d stores, %d disks may be lost", members, stores, tolerance)
+		well := (&round{deployment: w}).wellAgain()
+		for number := 0; well && number < deploymentRounds; number++ {
+			well = w.newRound().play()
+		}
+		w.audit()
+	})
+	return w
+}
+
+// TestRandomDeployments plays worlds of control processes and stores under random troubles. SEEDS=N plays N worlds, FIRST=S begins
+// at seed S. With -parallel 1 goroutines of one world interleave more, and more is found than in worlds side by side.
+func TestRandomDeployments(t *testing.T) {
+	first, worlds := seedNumber("FIRST", 0), seedNumber("SEEDS", 12)
+	var lock sync.Mutex
+	var counts deploymentCounts
+	t.Run("worlds", func(t *testing.T) {
+		for seed := first; seed < first+worlds; seed++ {
+			t.Run(fmt.Sprint("seed ", seed), func(t *testing.T) {
+				t.Parallel()
+				w := playDeployment(t, seed)
+				lock.Lock()
+				counts.add(w.counts)
+				lock.Unlock()
+				if err := w.verdict(); err != nil {
+					t.Error(err)
+				}
+			})
+		}
+	})
+	t.Logf("%d worlds: %+v", worlds, counts)
+	if worlds >= 8 {
+		checkExercised(t, counts)
+	}
+}
+
+// checkExercised fails where worlds did nothing of a kind.
+func checkExercised(t *testing.T, counts deploymentCounts) {
+	for what, count := range map[string]int{"accepted batch jobs": counts.accepted, "readings": counts.read,
+		"losses of all power": counts.powerLosses, "lost disks": counts.wipes, "vouches": counts.vouches, "versions": counts.versions,
+		"recoveries": counts.recoveries, "retirements": counts.retired, "replacements": counts.replaced} {
+		if count == 0 {
+			t.Errorf("the worlds had no %s", what)
+		}
+	}
+	if counts.views < 2*counts.recoveries/3 {
+		t.Errorf("%d changes of the set in %d rounds", counts.views, counts.recoveries)
+	}
+}
