--- a/internal/batch/replica/standing.go
+++ b/internal/batch/replica/standing.go
@@ -20,8 +20,8 @@
 	Partial  int             // batch jobs owned here that are not on all disks of their sets
 }
 
-// HasSettled tells whether all that this store owns stands whole in the present epoch.
-func (s Standing) HasSettled() bool { return s.Settled == s.Epoch }
+// HasSettled tells whether all that this store owns stands whole in the present epoch. One that control has told no view has not.
+func (s Standing) HasSettled() bool { return s.Epoch > 0 && s.Settled == s.Epoch }
 
 // Standing tells how far this store is.
 func (m *Machine) Standing() Standing {
