Soak: what servers ran is held against every result that was listed

Cause: the runs were looked at for refused batch jobs only; a name that never matched would have passed unseen. Change: each listed result needs a run of its batch job at a stand-in server, too.

--- a/internal/lab/soak/recovery.go
+++ b/internal/lab/soak/recovery.go
@@ -158,7 +158,7 @@
 	for _, m := range r.fronts {
 		r.readAllAt(ctx, m)
 	}
-	r.judgeRefused()
+	r.judgeRuns()
 }
 
 // readAllAt reads all batch jobs whole at a gateway.
@@ -186,8 +186,9 @@
 	return listed == one.items
 }
 
-// judgeRefused looks for runs of batch jobs that were refused only.
-func (r *run) judgeRefused() {
+// judgeRuns compares what servers ran with what clients were told: nothing of a batch job that was refused only, and each item of one
+// that was read whole.
+func (r *run) judgeRuns() {
 	runs := map[string]int{}
 	for _, ran := range r.fleet.Ledger.Runs() {
 		if name, _, found := cutLast(ran.Request, "-"); found {
@@ -196,11 +197,14 @@
 	}
 	for _, one := range r.jobs.all() {
 		one.mu.Lock()
-		refused := one.refused
+		refused, listed := one.refused, len(one.results)
 		one.mu.Unlock()
 		if refused && runs[one.name] > 0 {
 			r.referee.broken(RuleRefusal, "%s got refusals only, and %d of its items ran", one.name, runs[one.name])
 		}
+		if runs[one.name] < listed {
+			r.referee.broken(RulePositions, "%s has %d results, and servers ran %d", one.name, listed, runs[one.name])
+		}
 	}
 }
 
