Control orders no join that would do nothing

Found by the soak: a batch process that may not join, as its retirement was completed and it goes on polling, was proposed again and again: each order that did nothing woke the loop that proposed it, 280 of them a second through the chain. The head asks whether a join would be taken before it proposes it.

--- a/internal/batch/replica/world_test.go
+++ b/internal/batch/replica/world_test.go
@@ -222,7 +222,7 @@
 func (w *world) authority() {
 	w.after(100*time.Millisecond, w.authority)
 	view := w.view()
-	if joins := w.table.Joins(w.now, view, func(node string) bool { return w.control.Retirement(node) == machine.RetirementCompleted }); len(joins) > 0 {
+	if joins := w.table.Joins(w.now, view, w.admission); len(joins) > 0 {
 		w.command(machine.Command{Join: &machine.Join{Processes: joins}})
 	}
 	for _, member := range w.table.Evictions(w.now, view, nil) {
@@ -236,6 +236,17 @@
 	}
 }
 
+// admission tells whether a store may join, as control does.
+func (w *world) admission(process protocol.Process) presence.Admission {
+	switch {
+	case !w.control.MayJoin(process):
+		return presence.Refused
+	case w.control.Retirement(process.Node) == machine.RetirementCompleted:
+		return presence.AdmittedLater
+	}
+	return presence.Admitted
+}
+
 // emptied gives the members that may be taken away.
 func (w *world) emptied(view protocol.StoreView) []protocol.StoreMember {
 	if w.plant != plantRetireEarly {
--- a/internal/control/machine/machine.go
+++ b/internal/control/machine/machine.go
@@ -134,6 +134,13 @@
 	return m.stores.view()
 }
 
+// MayJoin tells whether an order to let a batch process into the set would.
+func (m *Machine) MayJoin(process protocol.Process) bool {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.stores.mayJoin(m.stores.members, process)
+}
+
 // Suspicion gives the number of the suspicion that a life of a batch process is under, 0 for none.
 func (m *Machine) Suspicion(node, incarnation string) uint64 {
 	m.mutex.RLock()
--- a/internal/control/presence/presence.go
+++ b/internal/control/presence/presence.go
@@ -129,8 +129,18 @@
 	}
 }
 
-// Joins gives the batch processes that poll and are not in the set. emptied tells of a node whether its retirement was completed.
-func (t *Table) Joins(now time.Duration, view protocol.StoreView, emptied func(node string) bool) []protocol.Process {
+// Admission is whether a batch process that isn't in the set may join it.
+type Admission int
+
+// The admissions.
+const (
+	Admitted      Admission = iota
+	AdmittedLater           // once it has polled for RejoinAfter
+	Refused
+)
+
+// Joins gives the batch processes that poll, are not in the set and may join it.
+func (t *Table) Joins(now time.Duration, view protocol.StoreView, admission func(protocol.Process) Admission) []protocol.Process {
 	if !t.lead {
 		return nil
 	}
@@ -139,7 +149,8 @@
 		if one.Process.Role != protocol.RoleBatch || contains(view, one.Process) {
 			continue
 		}
-		if now-one.since >= RejoinAfter || !emptied(one.Process.Node) {
+		verdict := admission(one.Process)
+		if verdict == Admitted || verdict == AdmittedLater && now-one.since >= RejoinAfter {
 			list = append(list, one.Process)
 		}
 	}
--- a/internal/control/presence/presence_test.go
+++ b/internal/control/presence/presence_test.go
@@ -25,13 +25,13 @@
 		table := New()
 		So(table.Observe(Heard{Process: store("1", "a"), At: second}), ShouldBeTrue)
 		So(table.Observe(Heard{Process: store("1", "a"), At: second + 1}), ShouldBeFalse)
-		So(table.Joins(second, viewOf(0), nobody), ShouldBeEmpty)
+		So(table.Joins(second, viewOf(0), anybody), ShouldBeEmpty)
 		table.Lead(second, 1, true)
-		So(table.Joins(second, viewOf(0), nobody), ShouldResemble, []protocol.Process{store("1", "a")})
-		So(table.Joins(second, viewOf(1, member), nobody), ShouldBeEmpty)
+		So(table.Joins(second, viewOf(0), anybody), ShouldResemble, []protocol.Process{store("1", "a")})
+		So(table.Joins(second, viewOf(1, member), anybody), ShouldBeEmpty)
 		So(table.Observe(Heard{Process: store("1", "b"), At: 2 * second}), ShouldBeTrue)
-		So(table.Joins(2*second, viewOf(1, member), nobody), ShouldResemble, []protocol.Process{store("1", "b")})
-		So(table.Joins(5*second, viewOf(1, member), nobody), ShouldBeEmpty)
+		So(table.Joins(2*second, viewOf(1, member), anybody), ShouldResemble, []protocol.Process{store("1", "b")})
+		So(table.Joins(5*second, viewOf(1, member), anybody), ShouldBeEmpty)
 	})
 	Convey("A silent member is evicted, but not before a new lead has waited, nor while a control process is silent", t, func() {
 		table := New()
@@ -113,17 +113,26 @@
 	})
 }
 
-// nobody was emptied.
-func nobody(string) bool { return false }
+// anybody may join.
+func anybody(protocol.Process) Admission { return Admitted }
 
 func TestRejoin(t *testing.T) {
 	Convey("A machine whose retirement was completed joins only once it has polled for long", t, func() {
 		table := New()
 		table.Lead(0, 1, true)
-		emptied := func(node string) bool { return node == store("1", "b").Node }
+		emptied := func(process protocol.Process) Admission {
+			switch process.Node {
+			case store("1", "b").Node:
+				return AdmittedLater
+			case store("3", "a").Node:
+				return Refused
+			}
+			return Admitted
+		}
 		for at := time.Duration(0); at < RejoinAfter; at += second {
 			table.Observe(Heard{Process: store("1", "b"), At: at})
 			table.Observe(Heard{Process: store("2", "a"), At: at})
+			table.Observe(Heard{Process: store("3", "a"), At: at}) // may not join at all
 			So(table.Joins(at, viewOf(3), emptied), ShouldResemble, []protocol.Process{store("2", "a")})
 		}
 		table.Observe(Heard{Process: store("1", "b"), At: RejoinAfter})
--- a/internal/control/proof_test.go
+++ b/internal/control/proof_test.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"context"
 	"fmt"
 	"strconv"
 	"strings"
@@ -138,3 +139,48 @@
 		t.Fatalf("without proof told is %+v", hint)
 	}
 }
+
+// TestEmptiedStoreGoesOn has a batch process go on polling after its retirement was completed and it left the set.
+func TestEmptiedStoreGoesOn(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		s := newBubbleSystem(t, 1, nil)
+		defer s.finish()
+		var stores []*follower
+		for i := range 4 {
+			stores = append(stores, s.follow(t, i%3, storeProcess(i, "a")))
+			eventually(t, fmt.Sprint("the lease of store ", i), stores[i].see(func() bool { return stores[i].grant.Lease > 0 }))
+		}
+		if status, body := s.call(0, "POST", "/retire/store-3", "", `{"deadline-s":10}`); status != 200 {
+			t.Errorf("the retirement: %d %s", status, body)
+			return
+		}
+		eventually(t, "that the store is emptied", func() bool {
+			for _, one := range stores {
+				one.mutex.Lock()
+				one.report = protocol.BatchReport{Epoch: one.grant.Epoch, Settled: one.grant.Epoch, DrainedDown: true}
+				one.mutex.Unlock()
+			}
+			return s.running[0].machine.Retirement("store-3") == machine.RetirementCompleted
+		})
+		stores[3].silent.Store(true)
+		eventually(t, "that it is out of the set", func() bool { return len(s.running[0].machine.Stores().Members) == 3 })
+		stores[3].silent.Store(false)
+		time.Sleep(5 * time.Second) // longer than a lease: whatever is to be ordered has been
+		before := s.ordered(t)
+		time.Sleep(20 * time.Second)
+		if orders := s.ordered(t) - before; orders > 0 {
+			t.Errorf("%d orders while nothing changes", orders)
+		}
+	})
+}
+
+// ordered gives how many orders the chain has taken.
+func (s *bubbleSystem) ordered(t *testing.T) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	index, err := s.running[0].replica.Read(ctx)
+	if err != nil {
+		t.Error(err)
+	}
+	return index
+}
--- a/internal/control/roles.go
+++ b/internal/control/roles.go
@@ -50,7 +50,7 @@
 	c.presence.Lead(now, epoch, leads)
 	c.presence.Forget(now)
 	var commands []machine.Command
-	if joins := c.presence.Joins(now, stores, c.wasEmptied); len(joins) > 0 {
+	if joins := c.presence.Joins(now, stores, c.admission); len(joins) > 0 {
 		commands = append(commands, machine.Command{Join: &machine.Join{Processes: joins, Epoch: stores.Epoch, ActedIn: c.presence.ActedIn(joins)}})
 	}
 	commands = append(commands, c.evictions(now, stores, others)...)
@@ -63,9 +63,15 @@
 	return commands
 }
 
-// wasEmptied tells whether the retirement of a node was completed.
-func (c *Control) wasEmptied(node string) bool {
-	return c.machine.Retirement(node) == machine.RetirementCompleted
+// admission tells whether a batch process may join the set. An order to let one in that may not would do nothing, again and again.
+func (c *Control) admission(process protocol.Process) presence.Admission {
+	switch {
+	case !c.machine.MayJoin(process):
+		return presence.Refused
+	case c.machine.Retirement(process.Node) == machine.RetirementCompleted:
+		return presence.AdmittedLater
+	}
+	return presence.Admitted
 }
 
 // evictions gives what the silence of members calls for, first a suspicion, and an eviction once that has stood for a lease: whoever
