--- a/internal/lab/soak/referee.go
+++ b/internal/lab/soak/referee.go
@@ -19,6 +19,7 @@
 	RuleBelongs       Rule = "belongs"       // an answer is the whole one of the request that asked
 	RuleConfiguration Rule = "configuration" // what was acknowledged is read back, and acknowledged again
 	RuleRecovery      Rule = "recovery"      // all is well RecoverWithin after the last trouble
+	RuleInvariants    Rule = "invariants"    // no process says that something happened that never may
 	RuleProcesses     Rule = "processes"     // none ends by itself, and all end when they are asked to
 )
 
--- a/internal/lab/soak/referee_test.go
+++ b/internal/lab/soak/referee_test.go
@@ -137,6 +137,12 @@
 			tell("b", state(4, 4))
 			So(w.settled(began), ShouldBeTrue)
 		})
+		Convey("An invariant that doesn't hold is told once", func() {
+			So(w.takeBroken(), ShouldBeEmpty)
+			tell("b", `{"event":"invariant_violated","invariant":"two views differ","count":2}`+"\n")
+			So(w.takeBroken(), ShouldResemble, map[string][]string{"b-batch": {"two views differ"}})
+			So(w.takeBroken(), ShouldBeEmpty)
+		})
 		Convey("What was told before a start counts no more, and half a line not yet", func() {
 			tell("b", `{"event":"serving"}`+"\n")
 			So(w.settled(began), ShouldBeFalse)
--- a/internal/lab/soak/stores.go
+++ b/internal/lab/soak/stores.go
@@ -26,6 +26,7 @@
 	at      time.Time // of the newest state of the life that runs, when it was read; zero: none yet
 	epoch   uint64
 	settled uint64
+	broken  []string // invariants that the store said not to hold, since they were taken
 }
 
 // controlLog is the log of one control process and the newest view of the chain that it told.
@@ -60,6 +61,20 @@
 	}
 }
 
+// takeBroken gives the invariants that stores said not to hold, by store, and forgets them.
+func (w *watch) takeBroken() map[string][]string {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	broken := map[string][]string{}
+	for _, one := range w.stores {
+		if len(one.broken) > 0 {
+			broken[one.unit.name()] = one.broken
+			one.broken = nil
+		}
+	}
+	return broken
+}
+
 // settled tells whether all stores said, after a moment, that all is whole under the newest epoch.
 func (w *watch) settled(after time.Time) bool {
 	w.mu.Lock()
@@ -107,6 +122,7 @@
 	eventState     = "state"
 	eventStoreView = "store_view"
 	eventView      = "view"
+	eventInvariant = "invariant_violated"
 )
 
 // entry is what matters of a line.
@@ -115,6 +131,8 @@
 	Epoch   uint64 `json:"epoch"`
 	Settled uint64 `json:"settled"`
 	Chain   string `json:"chain"`
+	// Invariant is what didn't hold.
+	Invariant string `json:"invariant"`
 }
 
 func (s *storeLog) take(line entry) {
@@ -125,6 +143,8 @@
 		s.epoch = max(s.epoch, line.Epoch)
 	case eventState:
 		s.at, s.epoch, s.settled = time.Now(), line.Epoch, line.Settled
+	case eventInvariant:
+		s.broken = append(s.broken, line.Invariant)
 	}
 }
 
@@ -144,6 +164,9 @@
 			}
 		}
 		r.watch.look()
+		for name, invariants := range r.watch.takeBroken() {
+			r.referee.broken(RuleInvariants, "%s: %s", name, strings.Join(invariants, "; "))
+		}
 	}
 }
 
