Chain disks: what a start cuts off the end of a file is logged

Gap: coord/slots tells a torn end from damage, as each batch is synced before the next is written, but what it cut off was told nowhere: openStore dropped the findings that lose nothing, and the start had mended the file before anybody could verify it.

Ruled out: that damage before the last batch is cut off in silence (TestDamageIsToldFromATornEnd has it found in each). A last batch that is damaged still can't be told from one in flight.

Change: the findings go along with what was recovered, and the node logs each as "disk mended" with file, offset and problem.

--- a/coord/replica/disk.go
+++ b/coord/replica/disk.go
@@ -8,6 +8,7 @@
 	"fmt"
 
 	"sprucelane.example/sprucelane/coord/chain"
+	"sprucelane.example/sprucelane/coord/slots"
 	"sprucelane.example/sprucelane/coord/view"
 )
 
@@ -134,6 +135,7 @@
 	synced  uint64
 	log     *chain.Log
 	image   *chain.Image
+	mended  []slots.Finding // what a crash left, or damage that looks the same
 }
 
 // recoverState replays the records of a disk on its snapshot.
--- /dev/null
+++ b/coord/replica/mended_test.go
@@ -0,0 +1,45 @@
+package replica
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"testing"
+
+	"sprucelane.example/sprucelane/coord/slots"
+	"sprucelane.example/sprucelane/coord/view"
+	"sprucelane.example/sprucelane/internal/simulation"
+)
+
+// TestTornEndIsTold opens a disk whose last record isn't whole: what was cut off it is logged with its place, once.
+func TestTornEndIsTold(t *testing.T) {
+	disk := simulation.NewDisk(simulation.NewRand(1))
+	store, _, err := slots.Open(disk, slots.Options{})
+	saved := checkpoint{Self: view.Member{Node: "a", Incarnation: "1"}}
+	err = errors.Join(err, store.Compact(encodeGob(&saved)), store.Append([]byte{recordProbe}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	whole, _ := disk.Size("log-1")
+	if err := store.Append([]byte{recordProbe, 1, 2, 3}); err != nil {
+		t.Fatal(err)
+	}
+	size, _ := disk.Size("log-1")
+	disk.Flip("log-1", size-1, 0)
+	disk.Kill()
+	var told []string
+	for range 2 {
+		node := &Node{options: Options{Disk: disk, Log: func(event string, fields ...any) {
+			told = append(told, fmt.Sprint(event, fields))
+		}}}
+		found, err := node.openDisk()
+		if err != nil || found.self != saved.Self {
+			t.Fatal(found, err)
+		}
+		disk.Kill()
+	}
+	want := fmt.Sprint("disk mended", []any{"file", "log-1", "offset", whole, "problem", "torn record at the end"})
+	if !slices.Equal(told, []string{want}) {
+		t.Fatalf("told %q, wants %q", told, want)
+	}
+}
--- a/coord/replica/store.go
+++ b/coord/replica/store.go
@@ -31,6 +31,7 @@
 	if err != nil {
 		return nil, nil, errors.Join(err, opened.Close())
 	}
+	found.mended = contents.Damaged
 	return opened, found, nil
 }
 
@@ -54,9 +55,20 @@
 		return nil, fmt.Errorf("replica: open the disk: %w", err)
 	}
 	n.store = store
+	n.tellMended(found)
 	return found, nil
 }
 
+// tellMended logs the ends that the disk's files lost at this start.
+func (n *Node) tellMended(found *recovered) {
+	if found == nil {
+		return
+	}
+	for _, finding := range found.mended {
+		n.options.Log("disk mended", "file", finding.File, "offset", finding.Offset, "problem", finding.Problem)
+	}
+}
+
 // newMember names a life of an empty disk, or of a process without one.
 func newMember(options *Options) (view.Member, *view.View, error) {
 	member := view.Member{Node: options.Identity.Node, Address: options.Listen}
