Batch log: damage within the newest segment is told from a torn end, and what is cut off is told

Fault: in the last segment with records everything from the first bad record on was cut off in silence, also what had been synced long before. An owner whose log lost results so took its shorter copy for whole: results that were shown were listed anew, though the other copy was whole.

Ruled out: sound records behind a bad one as a proof of damage.

What is cut off is told (Options.CutOff, log_end_cut_off, cut_off in the state line).

Damaged worlds damage all that is proven, the newest segment too.

--- a/internal/batch/replica/recovery_test.go
+++ b/internal/batch/replica/recovery_test.go
@@ -438,6 +438,36 @@
 	})
 }
 
+// TestDamageInTheNewestSegment damages what an owner synced before later records of the segment that it was writing.
+func TestDamageInTheNewestSegment(t *testing.T) {
+	Convey("What was shown comes back from the other copy, and isn't listed anew", t, func() {
+		c := newCluster(2, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		owner := c.owner("job")
+		for item := range 3 {
+			owner.finish("job", item)
+			c.settle()
+		}
+		owner.kill()
+		second := owner.machine.jobs["job"].results[1].at
+		So(second.Segment, ShouldEqual, 1)
+		So(owner.disk.Flip("segment-00000001", int64(second.Offset), 0), ShouldBeTrue)
+		owner.start()
+		So(owner.found, ShouldHaveLength, 1)
+		So(owner.found[0].Problem, ShouldEqual, ProblemSkipped)
+		So(owner.machine.jobs["job"].damaged, ShouldBeTrue)
+		So(owner.machine.jobs["job"].results, ShouldHaveLength, 1)
+		c.rejoin(owner)
+		c.settle()
+		for _, n := range c.nodes {
+			texts, status := n.readAnywhere("job")
+			So(status, ShouldEqual, 200)
+			So(texts, ShouldResemble, []string{"0", "1", "2"})
+			So(n.machine.jobs["job"].damaged, ShouldBeFalse)
+		}
+	})
+}
+
 // TestConcedeIsSentAgain loses the word that a batch job is given to a better copy.
 func TestConcedeIsSentAgain(t *testing.T) {
 	Convey("A store that concedes a batch job tells it until the other one owns it", t, func() {
--- a/internal/batch/replica/store_test.go
+++ b/internal/batch/replica/store_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"errors"
+	"fmt"
 	"maps"
 	"slices"
 	"strconv"
@@ -46,6 +47,7 @@
 	told     uint64        // record up to which the machine was told
 	appended []journal.Location
 	frontier journal.Location // of the last durable record
+	proven   journal.Location // of the last one that a later group was synced behind
 	stalled  bool
 	slow     int // what the disk's time is multiplied by
 }
@@ -85,7 +87,8 @@
 	s.inbox = nil
 	s.running = map[string]*jobRun{}
 	s.answers = map[Token]func(protocol.BatchAnswer){}
-	s.stepping, s.wakeAt, s.told, s.appended, s.frontier = false, 0, 0, nil, journal.Location{}
+	s.stepping, s.wakeAt, s.told, s.appended = false, 0, 0, nil
+	s.frontier, s.proven = journal.Location{}, journal.Location{}
 	s.machine = New(Options{
 		Self: s.process(), Life: s.life, Copies: w.copies, KeepFor: w.status + 2*worldSkew,
 	}, s)
@@ -120,28 +123,48 @@
 	return options
 }
 
-// damage inverts some bits of the log, before the last segment that isn't empty: there it would pass for what a loss of
-// power left. It tells whether there is such a segment.
+// damage inverts some bits of the log, where they can't pass for what a loss of power left. It tells whether there is such a
+// place.
 func (s *store) damage() bool {
-	names, _ := s.disk.List()
-	names = slices.DeleteFunc(names, func(name string) bool {
-		size, _ := s.disk.Size(name)
-		return size == 0
-	})
-	if len(names) < 2 {
+	parts := s.provenParts()
+	if len(parts) == 0 {
 		return false
 	}
 	for range 1 + s.world.random.IntN(3) {
-		name := names[s.world.random.IntN(len(names)-1)]
-		size, _ := s.disk.Size(name)
-		offset := s.world.random.Int64N(size)
-		s.world.note("%s: byte %d of %s of %d is damaged", s.node, offset, name, size)
-		s.disk.Flip(name, offset, s.world.random.IntN(8))
+		part := parts[s.world.random.IntN(len(parts))]
+		offset := s.world.random.Int64N(part.size)
+		s.world.note("%s: byte %d of %s of %d is damaged", s.node, offset, part.name, part.size)
+		s.disk.Flip(part.name, offset, s.world.random.IntN(8))
 	}
 	s.damaged = true
 	return true
 }
 
+// logPart is the beginning of a segment.
+type logPart struct {
+	name string
+	size int64
+}
+
+// provenParts gives what the log itself tells to have been synced: all but the last group of the newest segment.
+func (s *store) provenParts() []logPart {
+	names, _ := s.disk.List()
+	var parts []logPart
+	for i, name := range names {
+		size, _ := s.disk.Size(name)
+		if i == len(names)-1 {
+			size = 0
+			if name == fmt.Sprintf("segment-%08d", s.proven.Segment) {
+				size = int64(s.proven.Offset + s.proven.Length)
+			}
+		}
+		if size > 0 {
+			parts = append(parts, logPart{name: name, size: size})
+		}
+	}
+	return parts
+}
+
 // do runs something in the process: at once, after a thaw, or never if it ended.
 func (s *store) do(run func()) {
 	if !s.up {
@@ -337,7 +360,7 @@
 	if durable == s.told {
 		return
 	}
-	s.frontier = s.appended[durable-s.told-1]
+	s.proven, s.frontier = s.frontier, s.appended[durable-s.told-1]
 	s.appended = s.appended[durable-s.told:]
 	s.told = durable
 	s.machine.Written(durable)
--- a/internal/batch/server/damage_test.go
+++ b/internal/batch/server/damage_test.go
@@ -26,6 +26,28 @@
 	log.Close()
 }
 
+// writeGroups appends records to a folder's log, each synced before the next is written.
+func writeGroups(directory string, records ...[]byte) {
+	durable := make(chan uint64, len(records))
+	log, err := journal.Open(directory, journal.Options{}, func(journal.Location, []byte) error { return nil },
+		func(sequence uint64, _ error) { durable <- sequence })
+	So(err, ShouldBeNil)
+	for _, record := range records {
+		sequence, _ := log.Append(record, true)
+		for <-durable < sequence {
+		}
+	}
+	log.Close()
+}
+
+// damage inverts a bit of a file.
+func damage(path string, offset int) {
+	text, err := os.ReadFile(path)
+	So(err, ShouldBeNil)
+	text[offset] ^= 1
+	So(os.WriteFile(path, text, 0o644), ShouldBeNil)
+}
+
 // copyRecord is a whole batch job with one item, as a store writes it.
 func copyRecord(id string) []byte {
 	content := (&job.Content{ID: id, Tenant: "t", Route: "r", Items: []job.Item{{ID: "item", Path: "/p"}}}).Encode()
@@ -116,6 +138,49 @@
 		So(logged(&log, "record_unreadable"), ShouldHaveLength, 1)
 		So(contents(directory)["segment-00000001"] == string(text), ShouldBeTrue)
 	})
+	Convey("So is one in the last segment that later records were synced behind; nothing is cut off", t, func() {
+		directory := t.TempDir()
+		writeLog(directory, copyRecord("one"))
+		path := filepath.Join(directory, "segment-00000001")
+		text, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		writeGroups(directory, copyRecord("two"), copyRecord("three"), copyRecord("four"))
+		damage(filepath.Join(directory, "segment-00000002"), len(text)+12) // within the second of three
+		before := contents(directory)["segment-00000002"]
+		var log bytes.Buffer
+		s, err := New(testSettings("127.0.0.1", "store-1", directory), zerolog.New(&log))
+		So(err, ShouldBeNil)
+		s.disk.journal.Close()
+		findings, damaged := s.damage()
+		So(findings, ShouldEqual, 1)
+		So(damaged, ShouldEqual, 2) // all that was held where the part stood
+		So(s.report().BatchJobs, ShouldEqual, 3)
+		So(logged(&log, "record_unreadable"), ShouldHaveLength, 1)
+		So(logged(&log, "log_end_cut_off"), ShouldBeEmpty)
+		So(contents(directory)["segment-00000002"] == before, ShouldBeTrue)
+	})
+	Convey("An end that may have been torn is cut off, and told with its place and size", t, func() {
+		directory := t.TempDir()
+		writeGroups(directory, copyRecord("one"), copyRecord("two"))
+		path := filepath.Join(directory, "segment-00000001")
+		text, err := os.ReadFile(path)
+		So(err, ShouldBeNil)
+		So(os.WriteFile(path, text[:len(text)-3], 0o644), ShouldBeNil)
+		var log bytes.Buffer
+		s, err := New(testSettings("127.0.0.1", "store-1", directory), zerolog.New(&log))
+		So(err, ShouldBeNil)
+		s.disk.journal.Close()
+		So(s.report().BatchJobs, ShouldEqual, 1)
+		findings, damaged := s.damage()
+		So(findings+damaged, ShouldEqual, 0)
+		lines := logged(&log, "log_end_cut_off")
+		So(lines, ShouldHaveLength, 1)
+		So(lines[0]["segment"], ShouldEqual, 1)
+		So(lines[0]["offset"], ShouldEqual, len(text)/2)
+		So(lines[0]["length"], ShouldEqual, len(text)/2-3)
+		s.stats()
+		So(logged(&log, "state")[0]["cut_off"], ShouldEqual, len(text)/2-3)
+	})
 	Convey("A life that can't be made out begins another, with all that the log holds", t, func() {
 		for _, garbled := range []string{"?", "", "0123456789abcdef", "0123456789abcdef x\n"} {
 			directory := t.TempDir()
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -41,6 +41,7 @@
 	origin   time.Time
 	process  protocol.Process
 	disk     *disk
+	cutOff   int64 // bytes of the log's end that this start cut off
 
 	mutex   sync.Mutex // of the machine and all below
 	machine *replica.Machine
@@ -111,7 +112,10 @@
 	if life.garbled {
 		s.log.Error().Str("incarnation", life.incarnation).Msg("life_unreadable")
 	}
-	options := journal.Options{Skipped: func(at journal.Location) { s.tell(s.machine.Skipped(at)) }}
+	options := journal.Options{
+		Skipped: func(at journal.Location) { s.tell(s.machine.Skipped(at)) },
+		CutOff:  s.tellCutOff,
+	}
 	s.disk.journal, err = journal.Open(s.settings.DataDir, options, s.replay, s.written)
 	return err
 }
@@ -132,6 +136,13 @@
 		Int("position", finding.Position).Int("sound", finding.Held).Msg("record_unreadable")
 }
 
+// tellCutOff logs the end of the log that isn't whole: a loss of power or a kill leaves one of what was never told, and damage to
+// what was synced last looks the same.
+func (s *Server) tellCutOff(at journal.Location) {
+	s.cutOff += int64(at.Length)
+	s.log.Warn().Uint32("segment", at.Segment).Uint32("offset", at.Offset).Uint32("length", at.Length).Msg("log_end_cut_off")
+}
+
 // noPool stands for the gateways' pool of connections, which a batch process doesn't have.
 type noPool struct{}
 
@@ -214,7 +225,7 @@
 	s.tellStanding()
 	s.tellViolations()
 	s.log.Info().Int("waiting", waiting).Int("running", running).Int("allowed", allowed).Uint64("epoch", report.Epoch).Uint64("settled", report.Settled).Int("batch_jobs", report.BatchJobs).
-		Int("findings", findings).Int("damaged", damaged).
+		Int("findings", findings).Int("damaged", damaged).Int64("cut_off", s.cutOff).
 		Int64("free", report.FreeBytes).Int64("runs", counts.Runs).Int64("completed", counts.Completed).
 		Int64("dead_letter", counts.DeadLetter).Int64("resumed", counts.Resumed).Int64("rejected", counts.Rejected).
 		Int64("cut", counts.Cut).Int64("failed", counts.Failed).Int64("connections", counts.Dials).Msg("state")
