--- a/internal/batch/replica/kinds_test.go
+++ b/internal/batch/replica/kinds_test.go
@@ -94,6 +94,30 @@
 	})
 }
 
+// TestRandomRetireOfLostDisk loses the disk that was emptied before its machine is taken away, with whatever is on the next one by
+// then; right after, another store's disk is lost in half of the worlds.
+func TestRandomRetireOfLostDisk(t *testing.T) {
+	simulate(t, 4, 1, func(c *campaign) {
+		s := c.anyStore()
+		c.after(c.between(4*time.Second, 8*time.Second), func() {
+			c.retire([]*store{s}, 0)
+			c.onRetired(s, func() {
+				s.wipe()
+				c.after(100*time.Millisecond, s.restart)
+			})
+		})
+	})
+}
+
+// onRetired calls a function as soon as a store is emptied.
+func (c *campaign) onRetired(s *store, then func()) {
+	if c.control.Retirement(s.node) == machine.RetirementCompleted {
+		then()
+		return
+	}
+	c.after(time.Millisecond, func() { c.onRetired(s, then) })
+}
+
 // TestRandomRetireWhileAccepting empties a store that waits for slow replicas of batch jobs that it accepts.
 func TestRandomRetireWhileAccepting(t *testing.T) {
 	simulate(t, 4, 1, func(c *campaign) {
