--- a/internal/lab/faults/faults_test.go
+++ b/internal/lab/faults/faults_test.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"encoding/binary"
-	"fmt"
 	"math"
 	"os"
 	"os/exec"
@@ -17,6 +16,7 @@
 
 	"sprucelane.example/sprucelane/internal/emulator"
 	"sprucelane.example/sprucelane/internal/lab/load"
+	"sprucelane.example/sprucelane/internal/lab/programs"
 	"sprucelane.example/sprucelane/internal/lab/referee"
 	"sprucelane.example/sprucelane/internal/standin/members"
 	"sprucelane.example/sprucelane/internal/store"
@@ -28,17 +28,7 @@
 
 // The stories of this package run real gateways.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "sprucelane-")
-	if err != nil {
-		panic(err)
-	}
-	program = filepath.Join(dir, "sprucelane")
-	if out, err := exec.Command("go", "build", "-o", program, "sprucelane.example/sprucelane/cmd/sprucelane").CombinedOutput(); err != nil {
-		panic(fmt.Sprint(err, ": ", string(out)))
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(programs.Run(m, func(folder string) { program = filepath.Join(folder, "sprucelane") }, "sprucelane"))
 }
 
 // small is a site that a busy machine can bear: four gateways, six members, some thirty tries a second.
--- a/internal/lab/lab_test.go
+++ b/internal/lab/lab_test.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"context"
-	"fmt"
 	"io"
 	"os"
 	"os/exec"
@@ -18,26 +17,16 @@
 
 	pb "sprucelane.example/sprucelane/api/sprucelane/v1"
 	"sprucelane.example/sprucelane/internal/lab/load"
+	"sprucelane.example/sprucelane/internal/lab/programs"
 	"sprucelane.example/sprucelane/internal/standin/members"
 	"sprucelane.example/sprucelane/internal/standin/teller"
 )
 
-var programs string // folder
+var built string // folder
 
 // The stories of this package run the real programs.
 func TestMain(m *testing.M) {
-	dir, err := os.MkdirTemp("", "sprucelane-")
-	if err != nil {
-		panic(err)
-	}
-	programs = dir
-	build := exec.Command("go", "build", "-o", dir+"/", "sprucelane.example/sprucelane/cmd/sprucelane", "sprucelane.example/sprucelane/cmd/sprucelane-link")
-	if out, err := build.CombinedOutput(); err != nil {
-		panic(fmt.Sprint(err, ": ", string(out)))
-	}
-	code := m.Run()
-	os.RemoveAll(dir)
-	os.Exit(code)
+	os.Exit(programs.Run(m, func(folder string) { built = folder }, "sprucelane", "sprucelane-link"))
 }
 
 func site(t *testing.T, gateways, n int) *Site {
@@ -47,7 +36,7 @@
 	for i := range asks.Plans {
 		asks.Plans[i].Rate, asks.Plans[i].Burst = 1000, 10000
 	}
-	s, err := Open(Plan{Binary: filepath.Join(programs, "sprucelane"), Seed: 3, Gateways: gateways, Members: n, Spec: spec, Load: asks, Peers: gateways > 1})
+	s, err := Open(Plan{Binary: filepath.Join(built, "sprucelane"), Seed: 3, Gateways: gateways, Members: n, Spec: spec, Load: asks, Peers: gateways > 1})
 	require.NoError(t, err)
 	t.Cleanup(s.Close)
 	return s
@@ -66,7 +55,7 @@
 	s.Member("m-002").Hang()
 	s.Run(context.Background(), 3*time.Second)
 	require.NotZero(t, s.Audit().Swallowed[0]) // the first learns it the hard way
-	told, err := exec.Command(filepath.Join(programs, "sprucelane"), "knowledge", "--peer", s.Links[0], "--plain").CombinedOutput()
+	told, err := exec.Command(filepath.Join(built, "sprucelane"), "knowledge", "--peer", s.Links[0], "--plain").CombinedOutput()
 	require.NoError(t, err, string(told))
 	assert.Contains(t, string(told), "m-002")
 	_, err = s.StartGateway(1, knows(s.Links[1], s.Links[0]))
@@ -123,7 +112,7 @@
 // The demonstration plays to its end without a broken rule.
 func TestDemo(t *testing.T) {
 	var out bytes.Buffer
-	require.NoError(t, Demo{Binary: filepath.Join(programs, "sprucelane"), Seed: 1, Rate: 40, For: 6 * time.Second, Out: &out}.Run(context.Background()))
+	require.NoError(t, Demo{Binary: filepath.Join(built, "sprucelane"), Seed: 1, Rate: 40, For: 6 * time.Second, Out: &out}.Run(context.Background()))
 	assert.Contains(t, out.String(), "m-003 takes work and answers none")
 	assert.Contains(t, out.String(), "ran twice: 0, sends to draining members after the grace: 0")
 	assert.Equal(t, 3, strings.Count(out.String()[strings.LastIndex(out.String(), "GATEWAY"):], "│ g"))
@@ -136,14 +125,14 @@
 	s.Binary = "/no/such/program"
 	_, err = s.StartGateway(0, nil)
 	assert.Error(t, err)
-	s.Binary = filepath.Join(programs, "sprucelane")
+	s.Binary = filepath.Join(built, "sprucelane")
 	_, err = s.StartGateway(0, map[string]any{"knowledge": map[string]any{"peers": []string{"x"}}})
 	assert.ErrorContains(t, err, "knowledge.peers[0]")
 }
 
 // An upgrade costs no client its answer and holds the limits; a restart of the same load does cost some.
 func TestUpgradeAgainstRestart(t *testing.T) {
-	runs, err := Upgrade{Binary: filepath.Join(programs, "sprucelane"), Seeds: []uint64{1}, Parallel: 1, Rate: 60, Upgrades: 1,
+	runs, err := Upgrade{Binary: filepath.Join(built, "sprucelane"), Seeds: []uint64{1}, Parallel: 1, Rate: 60, Upgrades: 1,
 		Every: 1500 * time.Millisecond, Bulk: 1, MemoryMB: 64, Progress: io.Discard}.Run(context.Background())
 	require.NoError(t, err)
 	require.Len(t, runs, 2)
--- a/internal/lab/scale/scale_test.go
+++ b/internal/lab/scale/scale_test.go
@@ -3,27 +3,23 @@
 import (
 	"bytes"
 	"context"
-	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/lab/programs"
 )
 
 func TestSmoke(t *testing.T) {
-	programs := t.TempDir()
-	build := exec.Command("go", "build", "-o", programs+string(filepath.Separator), "./cmd/sprucelane-control")
-	build.Dir = filepath.Join("..", "..", "..")
-	build.Stderr = os.Stderr
-	if err := build.Run(); err != nil {
+	built := t.TempDir()
+	if err := programs.Build(built, "sprucelane-control"); err != nil {
 		t.Fatal(err)
 	}
 	Convey("Twenty hollow gateways before three control processes have every change in force", t, func() {
 		ctx, cancel := context.WithTimeout(context.Background(), 2*time.Minute)
 		defer cancel()
-		result, err := Run(ctx, Plan{Programs: programs, Members: 20, Servers: 120, Tenants: 50, Requests: 2, For: 2 * time.Second,
+		result, err := Run(ctx, Plan{Programs: built, Members: 20, Servers: 120, Tenants: 50, Requests: 2, For: 2 * time.Second,
 			ChangeEvery: 400 * time.Millisecond})
 		So(err, ShouldBeNil)
 		So(len(result.Changes), ShouldBeGreaterThan, 0)
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -2,38 +2,22 @@
 
 import (
 	"context"
-	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"testing"
 	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
-)
 
-// programs is the folder of the programs that the tests build.
-var programs string
+	"sprucelane.example/sprucelane/internal/lab/programs"
+)
 
-func TestMain(m *testing.M) { os.Exit(runTests(m)) }
+// built is the folder of the programs that the tests build.
+var built string
 
-func runTests(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "sprucelane-programs-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(folder)
-	programs = folder
-	build := exec.Command("go", "build", "-tags", "faultinjection", "-o", folder+string(filepath.Separator), "./cmd/sprucelane-gateway",
-		"./cmd/sprucelane-control", "./cmd/sprucelane-batch")
-	build.Dir = filepath.Join("..", "..", "..")
-	if text, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, text)
-		return 1
-	}
-	return m.Run()
+func TestMain(m *testing.M) {
+	os.Exit(programs.Run(m, func(folder string) { built = folder }, programs.FaultInjection, "sprucelane-gateway", "sprucelane-control",
+		"sprucelane-batch"))
 }
 
 // shortSoak is how long the troubles of the test are.
@@ -41,7 +25,7 @@
 
 func TestSoak(t *testing.T) {
 	Convey("A short soak breaks no rule, and played something", t, func() {
-		plan := DefaultPlan(programs)
+		plan := DefaultPlan(built)
 		plan.For = shortSoak
 		plan.Out = t.Output()
 		result, err := Run(t.Context(), plan)
@@ -64,7 +48,7 @@
 // TestCut shows that the programs mind the file of cuts.
 func TestCut(t *testing.T) {
 	Convey("A control process that is cut off from all others tells no configuration, and tells it again", t, func() {
-		r, err := newRun(DefaultPlan(programs), t.TempDir())
+		r, err := newRun(DefaultPlan(built), t.TempDir())
 		So(err, ShouldBeNil)
 		defer r.fleet.Close()
 		So(r.begin(t.Context()), ShouldBeNil)
--- a/internal/lab/system/system_test.go
+++ b/internal/lab/system/system_test.go
@@ -5,38 +5,21 @@
 	"fmt"
 	"net/http"
 	"os"
-	"os/exec"
-	"path/filepath"
 	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/controlclient"
+	"sprucelane.example/sprucelane/internal/lab/programs"
 	"sprucelane.example/sprucelane/internal/standin/engine"
 )
 
-// programs is the folder of the programs that the tests build.
-var programs string
+// built is the folder of the programs that the tests build.
+var built string
 
-func TestMain(m *testing.M) { os.Exit(runTests(m)) }
-
-func runTests(m *testing.M) int {
-	folder, err := os.MkdirTemp("", "sprucelane-programs-")
-	if err != nil {
-		fmt.Fprintln(os.Stderr, err)
-		return 1
-	}
-	defer os.RemoveAll(folder)
-	programs = folder
-	build := exec.Command("go", "build", "-o", folder+string(filepath.Separator), "./cmd/sprucelane-gateway", "./cmd/sprucelane-control",
-		"./cmd/sprucelane-batch")
-	build.Dir = filepath.Join("..", "..", "..")
-	if text, err := build.CombinedOutput(); err != nil {
-		fmt.Fprintf(os.Stderr, "%v\n%s", err, text)
-		return 1
-	}
-	return m.Run()
+func TestMain(m *testing.M) {
+	os.Exit(programs.Run(m, func(folder string) { built = folder }, "sprucelane-gateway", "sprucelane-control", "sprucelane-batch"))
 }
 
 // open starts a whole system and gives it once it serves.
@@ -44,7 +27,7 @@
 	t.Helper()
 	ctx, cancel := context.WithTimeout(context.Background(), time.Minute)
 	t.Cleanup(cancel)
-	f, err := Open(DefaultPlan(programs))
+	f, err := Open(DefaultPlan(built))
 	if err != nil {
 		t.Fatal(err)
 	}
