A store lets go only on the owner's own word that its set is whole

A store tells that all that it owns stands whole, then comes to a batch job that another one hands over; that one starts again, owns nothing, and tells the same. The head had both words, agreed that all stand whole, and forgot two stores that were off: with both others off as well, 404 for an accepted batch job, and it was taken a second time. The same where a batch job is given to a store with a better copy: that ended with the notice of its new owner, before its set was whole.

Change: a store whose copy was left behind, or that gave a batch job away, doesn't count as standing whole, nor drops the copy, until the owner has told in this epoch that all of the set hold it (Replicated.Stands); who is asked in vain names the owner. A copy that is handed over isn't sent again at once while the successor's disk is slow. Where quotas are is told as of the proof, like the set.

--- a/internal/batch/replica/damage.go
+++ b/internal/batch/replica/damage.go
@@ -77,7 +77,7 @@
 	m.env.Send(member.Process, Concede{Stamp: m.stamp(), Job: id, Version: c.version})
 }
 
-// concedeAgain sends what may have been lost: a store that owns a batch job says so.
+// concedeAgain sends what may have been lost, and asks whether the batch job stands whole where it was given to.
 func (m *Machine) concedeAgain(now time.Duration) {
 	for _, id := range slices.Sorted(maps.Keys(m.concession)) {
 		c := m.concession[id]
@@ -99,6 +99,11 @@
 	}
 	if h.owner {
 		m.env.Send(from, Notice{Stamp: m.stamp(), Job: h.id, Owner: m.self})
+		m.acknowledge(h, from)
+		return
+	}
+	if h.handed { // to the next owner
+		m.tellOwner(from, h.id)
 		return
 	}
 	m.unsettle() // its set has to be made whole first
--- a/internal/batch/replica/departed.go
+++ b/internal/batch/replica/departed.go
@@ -203,7 +203,7 @@
 // later, though the batch job was ended.
 func (m *Machine) dropBehind() {
 	for _, h := range slices.Clone(m.order) {
-		if h.behind && !h.owner {
+		if h.behind && !h.owner && h.relieved {
 			m.discard(h)
 		}
 	}
--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -42,6 +42,10 @@
 	}
 	message := Replicate{Stamp: m.stamp(), Job: h.id, Version: m.handoverVersion(h)}
 	if p.known && !p.held {
+		if p.fillAt > 0 && now-p.fillAt < replicateAgain {
+			return // it may have yet to be written there
+		}
+		p.fillAt = now
 		if !m.fillCopy(h, &message, h.durable) {
 			return
 		}
--- a/internal/batch/replica/held.go
+++ b/internal/batch/replica/held.go
@@ -37,8 +37,10 @@
 	durable           int  // results on this disk
 	copyDurable       bool // this version is on this disk
 	ended, endDurable bool
-	damaged           bool // records of this copy could not be used; its results are a sound prefix
-	behind            bool // there is a newer version, as the inventories of the epoch say
+	damaged           bool          // records of this copy could not be used; its results are a sound prefix
+	behind            bool          // there is a newer version, as the inventories of the epoch say
+	relieved          bool          // ... whose owner has told in this epoch that all of its set hold it
+	askedAt           time.Duration // its owner was asked whether that is so
 
 	owner bool // this store owns it, in the present epoch
 	whole bool // all replicas are known to hold it at this version
@@ -79,6 +81,7 @@
 	ended   bool
 	busy    bool
 	sentAt  time.Duration
+	fillAt  time.Duration // it was sent a whole copy
 }
 
 // reader waits for a result.
@@ -138,6 +141,9 @@
 	h.whole = false
 }
 
+// awaitsOwner tells that this copy was left behind, and that it isn't known yet whether all of the newer set hold theirs.
+func (h *held) awaitsOwner() bool { return h.behind && !h.owner && !h.relieved }
+
 // oldest gives the first place in the log that this copy, or the one that it replaces, needs.
 func (h *held) oldest() *journal.Location {
 	if h.replaces != nil {
--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -300,9 +300,9 @@
 	if _, present := placement.MemberOf(m.view, owner); present && owner != m.self {
 		m.directory[id] = owner
 		delete(m.lookups, id)
-		if _, conceded := m.concession[id]; conceded {
-			delete(m.concession, id)
-			m.checkSettled()
+		if c, conceded := m.concession[id]; conceded { // until it stands whole there
+			c.to = owner
+			m.concession[id] = c
 		}
 	}
 }
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -119,7 +119,8 @@
 	Version Version
 	Count   int
 	Ended   bool
-	Whole   bool // the sender owns the batch job, and all of its replicas hold it, of which the receiver is none
+	Stands  bool // the sender owns the batch job, and all of its replicas hold it
+	Whole   bool // Stands, and the receiver is none of them
 }
 
 // SettledNotice tells the highest epoch in which all that the sender owns stood whole.
--- a/internal/batch/replica/replicate.go
+++ b/internal/batch/replica/replicate.go
@@ -110,8 +110,9 @@
 	case h != nil && h.version == message.Version && !h.damaged:
 		m.extend(h, from, message)
 	case h != nil && h.version > message.Version:
-		return // the sender will learn of it
+		m.tellOwner(from, message.Job) // who may be asked instead
 	case message.Content == nil: // no copy of that version is here, or no whole one
+		m.tellOwner(from, message.Job)
 		m.env.Send(from, Replicated{Stamp: m.stamp(), Job: message.Job, Version: message.Version})
 	default:
 		m.adopt(from, message)
@@ -178,15 +179,40 @@
 	if m.jobs[h.id] != h {
 		return
 	}
+	stands := h.owner && h.stood()
 	m.env.Send(to, Replicated{
 		Stamp: m.stamp(), Job: h.id, Held: h.copyDurable, Version: h.version, Count: h.durable, Ended: h.endDurable,
-		Whole: h.owner && h.stood() && !placement.Contains(h.replicas, placement.KeyOf(to)),
+		Stands: stands, Whole: stands && !placement.Contains(h.replicas, placement.KeyOf(to)),
 	})
 }
 
+// tellOwner names the owner of a batch job to a store that took this one for it.
+func (m *Machine) tellOwner(to protocol.Process, id string) {
+	if owner := m.directory[id]; owner != "" && owner != placement.KeyOf(to) && owner != m.self {
+		m.env.Send(to, Notice{Stamp: m.stamp(), Job: id, Owner: owner})
+	}
+}
+
+// standsElsewhere takes the word of a batch job's owner that all of its set hold it: nothing of it hangs on this store any more. It
+// must be the owner's own word in this epoch. What all stores tell of themselves isn't of one moment, and an owner that has just
+// come to it may have told before that all that it owned stood whole.
+func (m *Machine) standsElsewhere(from placement.Key, id string) {
+	if c, conceded := m.concession[id]; conceded && c.to == from {
+		delete(m.concession, id)
+	}
+	if h := m.jobs[id]; h != nil && !h.owner && h.behind {
+		h.relieved = true
+	}
+	m.checkSettled()
+	m.checkWhole()
+}
+
 // replicated takes a peer's account.
 func (m *Machine) replicated(from placement.Key, message Replicated) {
 	m.concededInVain(from, message)
+	if message.Stands {
+		m.standsElsewhere(from, message.Job)
+	}
 	h := m.jobs[message.Job]
 	if h == nil {
 		return
--- a/internal/batch/replica/restart_test.go
+++ b/internal/batch/replica/restart_test.go
@@ -1,11 +1,14 @@
 package replica
 
 import (
+	"slices"
 	"testing"
+	"time"
 
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/control/presence"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -117,3 +120,84 @@
 		}
 	})
 }
+
+// TestWordsOfDifferentMoments has the head hear of a successor what it told before it came to the batch job, and of the store that
+// handed it over what it tells after it has started again.
+func TestWordsOfDifferentMoments(t *testing.T) {
+	Convey("All stand whole only where nothing hangs on what one of them has taken back since", t, func() {
+		c := newCluster(8, 3, 1)
+		So(c.nodes[0].submit("job", 2).Status, ShouldEqual, 202)
+		c.settle()
+		table := presence.New()
+		table.Lead(c.now, 1, true)
+		poll := func(nodes []*clusterNode) {
+			for _, n := range nodes {
+				report := n.machine.Report()
+				table.Observe(presence.Heard{Process: n.process(), Ready: true, Batch: &report, At: c.now})
+			}
+		}
+		leaving := c.owner("job")
+		var off []*clusterNode // the other two copies
+		for _, n := range c.nodes {
+			if n != leaving && n.machine.jobs["job"] != nil {
+				off = append(off, n)
+				n.kill()
+			}
+		}
+		leaving.state = protocol.StoreRetiring
+		rest := c.others(off...)
+		c.lost = func(m clusterMessage) bool { // the copy comes later
+			replicate, is := m.body.(Replicate)
+			return is && replicate.Content != nil
+		}
+		c.view(rest...)
+		for range 4 {
+			c.calm()
+			c.now += 100 * time.Millisecond
+		}
+		handing := leaving.machine.jobs["job"].handing[0]
+		successor := c.nodes[slices.IndexFunc(c.nodes, func(n *clusterNode) bool { return n.process() == handing })]
+		So(successor.machine.Report().Settled, ShouldEqual, c.epoch)
+		poll(rest)
+		c.silence(successor)
+		c.now += 700 * time.Millisecond
+		leaving.machine.Tick()
+		c.calm()
+		So(successor.machine.jobs["job"].owner, ShouldBeTrue)
+		leaving.kill()
+		leaving.start()
+		c.rejoin(leaving)
+		for range 3 {
+			c.calm()
+			c.now += 300 * time.Millisecond
+			for _, n := range rest {
+				n.machine.Tick()
+			}
+		}
+		poll(c.others(append(off, successor)...)) // the successor's polls don't come through
+		So(leaving.machine.Report().DrainedDown, ShouldBeFalse)
+		So(table.Settled(c.now, c.newest, 2), ShouldBeFalse)
+		c.lost = nil
+		c.settle()
+		So(c.newest.Settled, ShouldBeTrue)
+		So(leaving.machine.Report().DrainedDown, ShouldBeTrue)
+	})
+	Convey("A store that gives a batch job to one with a better copy waits for its set to be whole, too", t, func() {
+		c := newCluster(4, 2, 1)
+		So(c.nodes[0].submit("job", 6).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		owner.finish("job", 0)
+		c.settle()
+		owner.inject(gap("job", 3, 3))
+		c.silence(replica)
+		c.rejoin(owner)
+		c.settle()
+		So(replica.machine.jobs["job"].owner, ShouldBeTrue)
+		So(owner.machine.Report().Settled, ShouldBeLessThan, c.epoch)
+		So(owner.machine.Standing().Conceded, ShouldEqual, 1)
+		c.lost = nil
+		c.settle()
+		So(owner.machine.Report().Settled, ShouldEqual, c.epoch)
+		So(owner.machine.Standing().Conceded, ShouldEqual, 0)
+	})
+}
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -54,7 +54,7 @@
 	m.retiring = present && member.State != protocol.StoreActive
 	next := wasPresent && present && view.Epoch == last.Epoch+1
 	for _, h := range m.order {
-		h.handed = false
+		h.handed, h.relieved = false, false
 		if h.owner && !(next && m.stands(h)) {
 			m.disown(h)
 		}
@@ -343,7 +343,7 @@
 		return
 	}
 	for _, h := range m.order {
-		if h.owner && !h.stood() {
+		if h.owner && !h.stood() || h.awaitsOwner() {
 			return
 		}
 	}
@@ -369,12 +369,16 @@
 	return true
 }
 
-// askOwners asks, while this store retires, the owners of what it holds whether their sets are whole without it.
+// askOwners asks the owners of what this store lets go whether their sets are whole: of all that it holds while it retires, else of
+// copies that were left behind.
 func (m *Machine) askOwners() {
+	now := m.env.Now()
 	for _, h := range m.order {
-		if h.handed || h.owner {
+		lets := h.awaitsOwner() || m.retiring && !h.handed
+		if h.owner || !lets || now-h.askedAt < inventoryAgain {
 			continue
 		}
+		h.askedAt = now
 		member, present := placement.MemberOf(m.view, m.directory[h.id])
 		if present {
 			m.env.Send(member.Process, Replicate{Stamp: m.stamp(), Job: h.id, Version: h.version})
--- a/internal/batch/replica/tick.go
+++ b/internal/batch/replica/tick.go
@@ -31,7 +31,7 @@
 			m.pump(h)
 		}
 	}
-	if m.retiring && m.settled {
+	if m.settled {
 		m.askOwners()
 	}
 	if m.awaitsWhole() && m.settledEpoch == m.view.Epoch && now-m.departed.toldAt >= noticeAgain {
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -186,7 +186,7 @@
 		}
 		return &protocol.MemberList{Version: c.members.Version, Control: c.members.Control}
 	}
-	c.takeStores()
+	c.takeStores() // what is at hand may be of before the proof
 	if c.members.Version <= one.members {
 		return nil
 	}
@@ -195,12 +195,14 @@
 	return &list
 }
 
-// takeStores brings the set of batch processes in the list of processes up to date with the chain's state.
+// takeStores brings the set of batch processes, and where quotas are, up to date with the chain's state.
 func (c *Control) takeStores() {
-	if stores := c.machine.Stores(); stores.Newer(c.members.Stores) {
-		c.members.Stores = stores
-		c.members.Version++
+	stores, address := c.machine.Stores(), c.quotaAddress()
+	if !stores.Newer(c.members.Stores) && address == c.members.QuotaAddress {
+		return
 	}
+	c.members.Stores, c.members.QuotaAddress = stores, address
+	c.members.Version++
 }
 
 func (c *Control) noteMembersTold(one *subscriber, list *protocol.MemberList) {
