--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -325,6 +325,55 @@
 	})
 }
 
+// TestMissingNoMore has a store wait for others that may hold a newer version, until it needn't.
+func TestMissingNoMore(t *testing.T) {
+	// waiting has a store with the one copy that is there wait, as two machines of two copies are missing.
+	waiting := func() (*cluster, *clusterNode) {
+		c := newCluster(6, 2, 1)
+		So(c.nodes[0].submit("job", 4).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		second := c.others(owner, replica)[0]
+		owner.kill()
+		second.kill()
+		c.view(c.others(owner, second)...)
+		c.settle()
+		So(replica.machine.Standing().Unowned, ShouldEqual, 1)
+		return c, replica
+	}
+	Convey("It owns what it has once they have been missing for as long as batch jobs are kept", t, func() {
+		c, replica := waiting()
+		c.now += time.Hour + time.Minute
+		c.settle()
+		So(replica.machine.Standing().HasSettled(), ShouldBeTrue)
+		So(replica.machine.jobs["job"].owner, ShouldBeTrue)
+	})
+	Convey("And once control has agreed that all stand whole without them", t, func() {
+		c, replica := waiting()
+		c.newest.Settled, c.newest.Departed = true, nil
+		for _, n := range c.nodes {
+			if n.log != nil {
+				n.machine.View(c.newest)
+			}
+		}
+		c.settle()
+		So(replica.machine.Standing().HasSettled(), ShouldBeTrue)
+		So(replica.machine.jobs["job"].owner, ShouldBeTrue)
+	})
+	Convey("A machine that lost its disk, and whose next one can't tell what it held, is missing once", t, func() {
+		c := newCluster(4, 3, 1)
+		n := c.nodes[0]
+		n.wipe()
+		n.start()
+		c.view(c.nodes...)
+		other := c.nodes[1].machine
+		other.departed.noteObscured(n.key(), true, c.now)
+		So(other.departed.since, ShouldHaveLength, 1)
+		So(other.departed.missing(), ShouldEqual, 1)
+		other.departed.noteObscured(c.nodes[2].key(), true, c.now)
+		So(other.departed.missing(), ShouldEqual, 2)
+	})
+}
+
 // TestLeavingWaitsForWholeSet has a store of the new set start again right after it was counted.
 func TestLeavingWaitsForWholeSet(t *testing.T) {
 	Convey("A leaving store isn't told that a set is whole before a store that started again has told what it has", t, func() {
--- a/internal/control/proof_test.go
+++ b/internal/control/proof_test.go
@@ -14,6 +14,7 @@
 	"sprucelane.example/sprucelane/coord/replica"
 	"sprucelane.example/sprucelane/coord/view"
 	"sprucelane.example/sprucelane/internal/control/machine"
+	"sprucelane.example/sprucelane/internal/control/presence"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -105,6 +106,10 @@
 	head   string // its address
 }
 
+func (r *provenReplica) Lead() (uint64, time.Time, bool) {
+	return 1, time.Now().Add(time.Second), true
+}
+
 func (r *provenReplica) Fresh() (time.Duration, bool) { return 0, r.proven }
 func (r *provenReplica) Self() view.Member            { return view.Member{Node: "c", Address: "127.0.0.1:1"} }
 func (r *provenReplica) Members() []replica.Peer      { return nil }
@@ -112,15 +117,38 @@
 	return view.View{Epoch: 1, Chain: []view.Member{{Node: "head", Address: r.head}}}
 }
 
-// TestSetOfTheLease has the set of batch processes change right before a poll is answered, when the list of processes that is at hand
-// is still of the one before.
-func TestSetOfTheLease(t *testing.T) {
+// newProvenControl gives a control process without ports, on a chain that is always proven.
+func newProvenControl() (*Control, *provenReplica) {
 	c := newControl(Options{Settings: &node.Settings{NodeName: "c", IP: "127.0.0.1", FirstPort: 1, LastPort: 10}, Log: zerolog.Nop(),
 		surroundings: &surroundings{}})
 	chain := &provenReplica{proven: true, head: "127.0.0.1:1"}
 	c.replica = chain
 	c.peers = newPeers(c)
 	c.still.beatAt = c.now()
+	return c, chain
+}
+
+// TestJoinIsOfASet has the head let a batch process in.
+func TestJoinIsOfASet(t *testing.T) {
+	c, _ := newProvenControl()
+	for index := uint64(1); index <= 2; index++ {
+		raw, err := machine.Command{Join: &machine.Join{Processes: []protocol.Process{storeProcess(int(index), "a")}}}.Encode()
+		if err != nil {
+			t.Fatal(err)
+		}
+		c.machine.Apply(index, raw)
+	}
+	c.presence.Observe(presence.Heard{Process: storeProcess(3, "b"), At: c.now(), Batch: &protocol.BatchReport{ActedIn: 40}})
+	commands := c.storeCommands()
+	if len(commands) != 1 || commands[0].Join == nil || commands[0].Join.Epoch != 2 || commands[0].Join.ActedIn != 40 {
+		t.Fatalf("the head orders %+v for one that joins the set of epoch 2, and acted in 40", commands)
+	}
+}
+
+// TestSetOfTheLease has the set of batch processes change right before a poll is answered, when the list of processes that is at hand
+// is still of the one before.
+func TestSetOfTheLease(t *testing.T) {
+	c, chain := newProvenControl()
 	for index, number := range []int{1, 2} {
 		raw, err := machine.Command{Join: &machine.Join{Processes: []protocol.Process{storeProcess(number, "a")}}}.Encode()
 		if err != nil {
