A copy left behind goes with a batch job whose time is over at its owner

Since a store lets a copy go only on the owner's word, one of a batch job that the owner had dropped by then waited for ever: the copy here may not know that it was closed. Where the owner has none any more and the time is over here, too, it goes.

TestDroppedElsewhere fails without the change.

--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -142,6 +142,38 @@
 	})
 }
 
+// TestDroppedElsewhere has a copy be left behind of a batch job that its owner has dropped since.
+func TestDroppedElsewhere(t *testing.T) {
+	Convey("A copy that was left behind goes with the batch job, also where it doesn't know that it was closed", t, func() {
+		c := newCluster(3, 2, 1)
+		So(c.nodes[0].submit("job", 1).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		replica.kill()
+		c.view(c.others(replica)...)
+		c.settle()
+		owner.finish("job", 0)
+		c.settle()
+		replica.start()
+		c.lost = func(m clusterMessage) bool {
+			_, told := m.body.(Replicated)
+			return told && m.to == replica.key()
+		}
+		c.view(c.nodes...)
+		c.settle()
+		So(replica.machine.jobs["job"].awaitsOwner(), ShouldBeTrue)
+		So(replica.machine.Standing().HasSettled(), ShouldBeFalse)
+		So(replica.machine.Standing().Behind, ShouldEqual, 1)
+		c.now += time.Hour
+		c.settle()
+		So(owner.machine.jobs["job"], ShouldBeNil)
+		So(replica.machine.jobs["job"], ShouldNotBeNil)
+		c.lost = nil
+		c.settle()
+		So(replica.machine.jobs["job"], ShouldBeNil)
+		So(replica.machine.Standing().HasSettled(), ShouldBeTrue)
+	})
+}
+
 // TestBlankStore has a store with an empty disk be the first to come back.
 func TestBlankStore(t *testing.T) {
 	Convey("A store whose disk was lost denies nothing while more are missing than copies but one", t, func() {
--- a/internal/batch/replica/replicate.go
+++ b/internal/batch/replica/replicate.go
@@ -207,6 +207,13 @@
 	m.checkWhole()
 }
 
+// wasDropped tells that the owner of a batch job whose copy was left behind here has none any more, as its time is over. The copy here may
+// not know that the batch job is closed.
+func (m *Machine) wasDropped(h *held, from placement.Key, message Replicated) bool {
+	has := message.Held || message.Version != h.version // else it has none of this version, nor a later one
+	return h.awaitsOwner() && from == m.directory[h.id] && !has && m.isOver(h)
+}
+
 // replicated takes a peer's account.
 func (m *Machine) replicated(from placement.Key, message Replicated) {
 	m.concededInVain(from, message)
@@ -217,6 +224,11 @@
 	if h == nil {
 		return
 	}
+	if m.wasDropped(h, from, message) {
+		m.discard(h)
+		m.checkSettled()
+		return
+	}
 	if !h.owner {
 		h.handed = h.handed || m.retiring && message.Whole
 		return
--- a/internal/batch/replica/tick.go
+++ b/internal/batch/replica/tick.go
@@ -99,12 +99,9 @@
 // dropExpired forgets batch jobs whose time is over: closed ones after KeepFor, copies that were left behind after twice
 // that.
 func (m *Machine) dropExpired() {
-	wall := m.env.Wall()
-	keep := m.options.KeepFor.Milliseconds()
 	for _, h := range slices.Clone(m.order) {
-		age := wall - h.firstSent
 		closed := h.ended || h.complete()
-		if age < keep || !closed && (h.owner || age < 2*keep) {
+		if !m.isOver(h) || !closed && (h.owner || m.age(h) < 2*m.options.KeepFor) {
 			continue
 		}
 		m.discard(h)
@@ -112,6 +109,14 @@
 	}
 }
 
+// age is how long ago a batch job was sent first, by the time of day.
+func (m *Machine) age(h *held) time.Duration {
+	return time.Duration(m.env.Wall()-h.firstSent) * time.Millisecond
+}
+
+// isOver tells whether a batch job needn't be kept any more, if it is closed.
+func (m *Machine) isOver(h *held) bool { return m.age(h) >= m.options.KeepFor }
+
 // discard drops a copy for good.
 func (m *Machine) discard(h *held) {
 	m.write(encodeDropped(h.id), false, func() {})
--- a/internal/batch/replica/world_test.go
+++ b/internal/batch/replica/world_test.go
@@ -73,6 +73,14 @@
 	return w
 }
 
+// keepFor sets how long batch jobs are kept, for all stores as the settings of a deployment do.
+func (w *world) keepFor(status time.Duration) {
+	w.status = status
+	for _, s := range w.stores {
+		s.machine.options.KeepFor = status + 2*worldSkew
+	}
+}
+
 // addStore starts a store on an empty disk.
 func (w *world) addStore() *store {
 	number := len(w.stores) + 1
--- a/internal/batch/server/standing.go
+++ b/internal/batch/server/standing.go
@@ -26,7 +26,7 @@
 	}
 	s.log.Warn().Uint64("epoch", standing.Epoch).Uint64("settled", standing.Settled).Strs("awaited", names(standing.Awaited)).
 		Strs("missing", names(standing.Missing)).Int("obscured", standing.Obscured).
-		Int("unowned", standing.Unowned).Int("conceded", standing.Conceded).Int("partial", standing.Partial).Msg("not_settled")
+		Int("unowned", standing.Unowned).Int("conceded", standing.Conceded).Int("behind", standing.Behind).Int("partial", standing.Partial).Msg("not_settled")
 }
 
 func names(keys []placement.Key) []string {
