--- a/internal/lab/soak/referee.go
+++ b/internal/lab/soak/referee.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"sync"
@@ -53,18 +54,18 @@
 	kept  []Violation
 	count int
 	told  time.Time // when the time line was told last
-	over  bool
+	run   context.Context
 }
 
-// close lets it judge nothing any more.
-func (r *referee) close() {
+// judge lets it judge for as long as a run isn't interrupted.
+func (r *referee) judge(run context.Context) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	r.over = true
+	r.run = run
 }
 
 func newReferee(timeline *timeline, out io.Writer) *referee {
-	return &referee{timeline: timeline, out: out}
+	return &referee{timeline: timeline, out: out, run: context.Background()}
 }
 
 // broken enters a violation.
@@ -73,7 +74,7 @@
 	one := Violation{Rule: rule, At: now.Sub(r.timeline.start), Text: fmt.Sprintf(format, arguments...)}
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.over {
+	if r.run.Err() != nil {
 		return
 	}
 	r.count++
--- a/internal/lab/soak/referee_test.go
+++ b/internal/lab/soak/referee_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"os"
@@ -105,6 +106,16 @@
 		So(kept[1].Timeline, ShouldBeEmpty)
 		So(line.kinds()[KindPause], ShouldEqual, 1)
 	})
+	Convey("Nothing is judged once the run is interrupted", t, func() {
+		referee := newReferee(newTimeline(), io.Discard)
+		ctx, cancel := context.WithCancel(context.Background())
+		referee.judge(ctx)
+		referee.broken(RuleAnswer, "none")
+		cancel()
+		referee.broken(RuleAnswer, "none")
+		kept, _ := referee.list()
+		So(kept, ShouldHaveLength, 1)
+	})
 }
 
 func TestStoreLogs(t *testing.T) {
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -84,7 +84,7 @@
 		return Result{}, errors.Join(err, os.RemoveAll(folder))
 	}
 	defer r.fleet.Close()
-	defer context.AfterFunc(ctx, r.referee.close)()
+	r.referee.judge(ctx)
 	if err := r.begin(ctx); err != nil {
 		return Result{}, err // the folder stays: its logs tell why
 	}
