--- a/internal/batch/replica/machine.go
+++ b/internal/batch/replica/machine.go
@@ -6,7 +6,9 @@
 //
 // The set of stores is agreed elsewhere (protocol.StoreView). A store acts only while its lease runs and only as a member
 // of the newest view that it knows; a store is taken out of the set only after its lease has surely ended. Messages carry
-// the epoch, and those of another one are dropped: whoever needs an answer sends again.
+// the epoch, and those of another one are dropped: whoever needs an answer sends again. A view names who departed since all members
+// stood whole, and whether they do in its epoch; no store concludes that for itself. The epoch is on the disk, and no view below it is
+// taken, also after a start.
 //
 // # Acceptance
 //
@@ -33,7 +35,8 @@
 // version is on every copy of it, so the owner's list is at least what was shown, and it becomes the list of the new set.
 // Until the new set is whole nothing is shown or acknowledged. A copy of a lower version is never used again: a change of
 // the set shows something only after all members of the new set hold the higher version, one of which is left as long as
-// no more disks are lost at once than are allowed for.
+// no more disks are lost at once than are allowed for. Who holds one lets it go only on the word of the owner, in the present
+// epoch, that all of the newer set hold theirs.
 //
 // # Damage
 //
