Batch stores: a batch job given away is followed to its end

One that was given away, as the copy here is damaged, counted as given in vain while its new owner had yet to write the version that it chose: the giver settled, all stood whole by what was told, and a departed store was forgotten that held the other copy (404, then accepted again). The memory of a gift outlived the batch job's return to the giver, which gave it away again and made two lists of one version. A copy left behind whose batch job's time is over stayed until all stood whole, and could be taken for the newest. Now an answer counts as 'in vain' only for the version that was given; a batch job that is taken is given no more; copies whose time is over are asked for, and only one that is settled and knows of no holder says that there is none.

--- a/internal/batch/replica/damage.go
+++ b/internal/batch/replica/damage.go
@@ -111,9 +111,11 @@
 	m.unpark()
 }
 
-// concededInVain looks again at who holds what, where the store that a batch job was given to has it no more.
+// concededInVain looks again at who holds what, where the store that a batch job was given to has it no more: it has none of the version
+// that it was given. One that has taken it may have yet to write a newer one.
 func (m *Machine) concededInVain(from placement.Key, message Replicated) {
-	if c, conceded := m.concession[message.Job]; conceded && c.to == from && !message.Held {
+	c, conceded := m.concession[message.Job]
+	if conceded && c.to == from && !message.Held && message.Version == c.version {
 		delete(m.concession, message.Job)
 		delete(m.directory, message.Job)
 		m.restart()
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -119,6 +119,7 @@
 	Version Version
 	Count   int
 	Ended   bool
+	None    bool // the sender has no copy and, as far as it is settled, knows of nobody who has
 	Stands  bool // the sender owns the batch job, and all of its replicas hold it
 	Whole   bool // Stands, and the receiver is none of them
 }
--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -174,6 +174,32 @@
 	})
 }
 
+// TestDroppedWhileKept has a copy stay that could go, as not all have told that they stand whole, until the batch job's time is over.
+func TestDroppedWhileKept(t *testing.T) {
+	Convey("A copy that was left behind doesn't outlive the batch job", t, func() {
+		c := newCluster(3, 2, 1)
+		So(c.nodes[0].submit("job", 1).Status, ShouldEqual, 202)
+		owner, replica := c.owner("job"), c.replicaOf("job")
+		replica.kill()
+		c.view(c.others(replica)...)
+		c.settle()
+		owner.finish("job", 0)
+		c.settle()
+		replica.start()
+		c.lost = func(m clusterMessage) bool {
+			_, notice := m.body.(SettledNotice)
+			return notice && m.to == replica.key()
+		}
+		c.view(c.nodes...)
+		c.settle()
+		So(replica.machine.jobs["job"].relieved, ShouldBeTrue)
+		c.now += time.Hour
+		c.settle()
+		So(owner.machine.jobs["job"], ShouldBeNil)
+		So(replica.machine.jobs["job"], ShouldBeNil)
+	})
+}
+
 // TestBlankStore has a store with an empty disk be the first to come back.
 func TestBlankStore(t *testing.T) {
 	Convey("A store whose disk was lost denies nothing while more are missing than copies but one", t, func() {
--- a/internal/batch/replica/replicate.go
+++ b/internal/batch/replica/replicate.go
@@ -113,7 +113,8 @@
 		m.tellOwner(from, message.Job) // who may be asked instead
 	case message.Content == nil: // no copy of that version is here, or no whole one
 		m.tellOwner(from, message.Job)
-		m.env.Send(from, Replicated{Stamp: m.stamp(), Job: message.Job, Version: message.Version})
+		none := h == nil && m.settled && m.directory[message.Job] == ""
+		m.env.Send(from, Replicated{Stamp: m.stamp(), Job: message.Job, Version: message.Version, None: none})
 	default:
 		m.adopt(from, message)
 	}
@@ -210,8 +211,7 @@
 // wasDropped tells that the owner of a batch job whose copy was left behind here has none any more, as its time is over. The copy here may
 // not know that the batch job is closed.
 func (m *Machine) wasDropped(h *held, from placement.Key, message Replicated) bool {
-	has := message.Held || message.Version != h.version // else it has none of this version, nor a later one
-	return h.awaitsOwner() && from == m.directory[h.id] && !has && m.isOver(h)
+	return h.behind && !h.owner && from == m.directory[h.id] && message.None && m.isOver(h)
 }
 
 // replicated takes a peer's account.
--- a/internal/batch/replica/restart_test.go
+++ b/internal/batch/replica/restart_test.go
@@ -201,3 +201,43 @@
 		So(owner.machine.Standing().Conceded, ShouldEqual, 0)
 	})
 }
+
+// TestConcessionStands has a batch job be given to a store with a better copy, whose disk is slow.
+func TestConcessionStands(t *testing.T) {
+	// given has the owner of a batch job give it to the replica, which doesn't hear of it.
+	given := func() (owner, replica *clusterNode) {
+		c := newCluster(4, 2, 1)
+		So(c.nodes[0].submit("job", 6).Status, ShouldEqual, 202)
+		owner, replica = c.owner("job"), c.replicaOf("job")
+		owner.finish("job", 0)
+		c.settle()
+		owner.inject(gap("job", 3, 3))
+		c.lost = func(m clusterMessage) bool {
+			_, concede := m.body.(Concede)
+			return concede
+		}
+		c.rejoin(owner)
+		c.settle()
+		So(owner.machine.concession, ShouldHaveLength, 1)
+		return owner, replica
+	}
+	Convey("It isn't in vain where the new owner has yet to write the version that it chose", t, func() {
+		owner, replica := given()
+		version := owner.machine.concession["job"].version
+		owner.machine.replicated(replica.key(), Replicated{Job: "job", Version: version + 1})
+		So(owner.machine.concession, ShouldHaveLength, 1)
+		So(owner.machine.Report().Settled, ShouldBeLessThan, owner.machine.Epoch())
+		owner.machine.replicated(replica.key(), Replicated{Job: "job", Version: version})
+		So(owner.machine.settled, ShouldBeFalse) // it looks again at who holds what
+	})
+	Convey("It ends where the batch job falls to this store again", t, func() {
+		owner, _ := given()
+		h := owner.machine.jobs["job"]
+		h.damaged = false
+		owner.machine.take(h)
+		So(owner.machine.concession, ShouldBeEmpty)
+		owner.cluster.now += time.Second
+		owner.machine.Tick()
+		So(h.owner, ShouldBeTrue)
+	})
+}
--- a/internal/batch/replica/settle.go
+++ b/internal/batch/replica/settle.go
@@ -259,6 +259,7 @@
 		return
 	}
 	delete(m.directory, h.id)
+	delete(m.concession, h.id) // what was given away falls to this store again
 	h.owner = true
 	m.unsettle() // its set has to be made whole first
 	switch {
@@ -374,7 +375,7 @@
 func (m *Machine) askOwners() {
 	now := m.env.Now()
 	for _, h := range m.order {
-		lets := h.awaitsOwner() || m.retiring && !h.handed
+		lets := h.awaitsOwner() || h.behind && m.isOver(h) || m.retiring && !h.handed
 		if h.owner || !lets || now-h.askedAt < inventoryAgain {
 			continue
 		}
