--- a/internal/batch/replica/missing_test.go
+++ b/internal/batch/replica/missing_test.go
@@ -142,18 +142,24 @@
 	})
 }
 
+// leftBehind has a store start again that was away while its batch job was closed without it; it has heard of no view yet.
+func leftBehind() (c *cluster, owner, replica *clusterNode) {
+	c = newCluster(3, 2, 1)
+	So(c.nodes[0].submit("job", 1).Status, ShouldEqual, 202)
+	owner, replica = c.owner("job"), c.replicaOf("job")
+	replica.kill()
+	c.view(c.others(replica)...)
+	c.settle()
+	owner.finish("job", 0)
+	c.settle()
+	replica.start()
+	return c, owner, replica
+}
+
 // TestDroppedElsewhere has a copy be left behind of a batch job that its owner has dropped since.
 func TestDroppedElsewhere(t *testing.T) {
 	Convey("A copy that was left behind goes with the batch job, also where it doesn't know that it was closed", t, func() {
-		c := newCluster(3, 2, 1)
-		So(c.nodes[0].submit("job", 1).Status, ShouldEqual, 202)
-		owner, replica := c.owner("job"), c.replicaOf("job")
-		replica.kill()
-		c.view(c.others(replica)...)
-		c.settle()
-		owner.finish("job", 0)
-		c.settle()
-		replica.start()
+		c, owner, replica := leftBehind()
 		c.lost = func(m clusterMessage) bool {
 			_, told := m.body.(Replicated)
 			return told && m.to == replica.key()
@@ -177,15 +183,7 @@
 // TestDroppedWhileKept has a copy stay that could go, as not all have told that they stand whole, until the batch job's time is over.
 func TestDroppedWhileKept(t *testing.T) {
 	Convey("A copy that was left behind doesn't outlive the batch job", t, func() {
-		c := newCluster(3, 2, 1)
-		So(c.nodes[0].submit("job", 1).Status, ShouldEqual, 202)
-		owner, replica := c.owner("job"), c.replicaOf("job")
-		replica.kill()
-		c.view(c.others(replica)...)
-		c.settle()
-		owner.finish("job", 0)
-		c.settle()
-		replica.start()
+		c, owner, replica := leftBehind()
 		c.lost = func(m clusterMessage) bool {
 			_, notice := m.body.(SettledNotice)
 			return notice && m.to == replica.key()
