--- a/cmd/sprucelab/main.go
+++ b/cmd/sprucelab/main.go
@@ -38,7 +38,7 @@
 		beside = filepath.Join(filepath.Dir(self), beside)
 	}
 	root.PersistentFlags().StringVar(&binary, "gateway", beside, "the gateway's `program`")
-	root.AddCommand(demoCommand(&binary), loadCommand(&binary), costCommand(&binary), learningCommand(&binary), stormCommand(&binary), upgradeCommand(&binary), faultsCommand(&binary), recoveryCommand(&binary), simCommand(), deploymentsCommand(), systemCommand(), soakCommand(), scaleCommand(),
+	root.AddCommand(demoCommand(&binary), loadCommand(&binary), costCommand(&binary), learningCommand(&binary), stormCommand(&binary), upgradeCommand(&binary), faultsCommand(&binary), recoveryCommand(&binary), simCommand(), deploymentsCommand(), systemCommand(), soakCommand(),
 		&cobra.Command{Use: "version", Short: "Print the program's version", Args: cobra.NoArgs,
 			RunE: func(cmd *cobra.Command, _ []string) error {
 				_, err := fmt.Fprintln(cmd.OutOrStdout(), "sprucelab", cli.Version())
