--- a/internal/batch/exchange/answer.go
+++ b/internal/batch/exchange/answer.go
@@ -47,6 +47,7 @@
 	closes      bool
 	keep        time.Duration // 0: not told
 	retryAfter  time.Duration
+	load        string // as the server tells it
 }
 
 // exchange writes the request and reads the answer. It tells whether the connection may be used again.
@@ -71,6 +72,9 @@
 		outcome.Cause = cmp.Or(err, errOtherRequest)
 		return false
 	}
+	if request.Load != nil && answer.load != "" {
+		request.Load(answer.load)
+	}
 	if unsent != nil && conn.readBy(ctx, request.Silence) != nil {
 		outcome.Cause = unsent
 		return false
@@ -189,6 +193,8 @@
 			seconds, _ := strconv.Atoi(strings.TrimSpace(text))
 			a.keep = time.Duration(seconds) * time.Second
 		}
+	case "x-server-load":
+		a.load = value
 	case "retry-after":
 		seconds, _ := strconv.ParseFloat(value, 64)
 		a.retryAfter = time.Duration(seconds * float64(time.Second))
--- a/internal/batch/exchange/exchange.go
+++ b/internal/batch/exchange/exchange.go
@@ -37,6 +37,8 @@
 	Silence     time.Duration // after which the server is given up
 	// Gate is asked right before the first byte; false ends the exchange.
 	Gate func() bool
+	// Load is given what the server tells of its load. Nil: nobody is.
+	Load func(header string)
 	// First is told how long the first event took.
 	First func(time.Duration)
 	// Progress is told now and then of events that came since it was told last: those after the event with an id, up to
--- a/internal/batch/replica/backlog.go
+++ b/internal/batch/replica/backlog.go
@@ -136,6 +136,15 @@
 	return used
 }
 
+// Queued sums the tokens that wait in the batch jobs that this store answers for.
+func (m *Machine) Queued() int64 {
+	sum := int64(0)
+	for _, tokens := range m.used() {
+		sum += tokens
+	}
+	return sum
+}
+
 // seekRoom finds out whether a batch job that is being accepted fits.
 func (m *Machine) seekRoom(a *acceptance) {
 	if a.room != roomOpen {
--- a/internal/batch/runner/run.go
+++ b/internal/batch/runner/run.go
@@ -4,6 +4,8 @@
 	"math"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
+
 	"sprucelane.example/sprucelane/internal/batch/exchange"
 	"sprucelane.example/sprucelane/internal/batch/job"
 	"sprucelane.example/sprucelane/internal/batch/schedule"
@@ -12,13 +14,24 @@
 // run sends one item to one server.
 func (r *Runner) run(b *batchJob, assignment schedule.Assignment) {
 	defer r.runs.Done()
+	began := time.Now()
 	outcome := r.send(b, assignment)
+	if outcome.Ending == exchange.Completed {
+		r.completed(time.Since(began))
+	}
 	if r.ended(b, assignment, outcome) {
 		r.handIn(b)
 	}
 	r.Wake()
 }
 
+// completed takes in how long a run to its end took.
+func (r *Runner) completed(took time.Duration) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.planner.Completed(took)
+}
+
 func (r *Runner) send(b *batchJob, assignment schedule.Assignment) exchange.Outcome {
 	r.mutex.Lock()
 	kept := *b.items[assignment.Index]
@@ -46,6 +59,9 @@
 		Progress: func(after, last int64, events [][]byte) {
 			r.store.Progress(b.ID, assignment.Index, after, last, events)
 		},
+		Load: func(header string) {
+			r.loads.Note(time.Now(), xxhash.Sum64String(assignment.Server.ID), header)
+		},
 		First: func(took time.Duration) {
 			r.mutex.Lock()
 			defer r.mutex.Unlock()
@@ -93,6 +109,7 @@
 	defer r.mutex.Unlock()
 	now := r.now()
 	r.planner.Ended(assignment.Server.ID)
+	r.noteResult(assignment.Server.ID, outcome.Ending, now)
 	if outcome.Leaving {
 		r.planner.Full(assignment.Server.ID, now, againLater)
 	}
@@ -111,6 +128,21 @@
 	return r.follow(b, kept, assignment, outcome, now)
 }
 
+// noteResult takes in what a run's end says of its server. The mutex is held.
+func (r *Runner) noteResult(instance string, ending exchange.Ending, now time.Duration) {
+	hash := xxhash.Sum64String(instance)
+	switch ending {
+	case exchange.Completed, exchange.Impossible:
+		r.loads.Ended(time.Now(), hash, false)
+		r.planner.Served(instance)
+	case exchange.Failed:
+		r.loads.Ended(time.Now(), hash, true)
+		r.planner.Failed(instance, now)
+	case exchange.Cut, exchange.NotSent:
+		r.loads.Ended(time.Now(), hash, true)
+	}
+}
+
 // follow decides what follows a run. The mutex is held.
 func (r *Runner) follow(b *batchJob, kept *progress, assignment schedule.Assignment, outcome exchange.Outcome, now time.Duration) bool {
 	instance := assignment.Server.ID
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -6,10 +6,12 @@
 import (
 	"bytes"
 	"context"
+	"math/rand/v2"
 	"strings"
 	"sync"
 	"time"
 
+	"github.com/cespare/xxhash/v2"
 	"github.com/rs/zerolog"
 
 	"sprucelane.example/sprucelane/internal/batch/exchange"
@@ -19,6 +21,7 @@
 	"sprucelane.example/sprucelane/internal/batch/schedule"
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverload"
 )
 
 // Store is what items belong to.
@@ -62,6 +65,7 @@
 	knowledge Knowledge
 	client    Client
 	log       zerolog.Logger
+	loads     *serverload.Board
 	origin    time.Time
 	skew      time.Duration // that clocks may differ or jump by
 	wake      chan struct{}
@@ -107,18 +111,44 @@
 
 // New gives a runner; Run makes it work.
 func New(zone string, skew time.Duration, store Store, knowledge Knowledge, log zerolog.Logger) *Runner {
-	return &Runner{
+	r := &Runner{
 		store: store, knowledge: knowledge, log: log, skew: skew,
 		client:   exchange.NewClient(),
+		loads:    serverload.NewBoard(),
 		origin:   time.Now(),
 		wake:     make(chan struct{}, 1),
-		planner:  schedule.New(zone),
 		jobs:     map[string]*batchJob{},
 		starting: map[string]bool{},
 		setbacks: setbacks{},
 	}
+	r.planner = schedule.New(zone, rand.Uint64(), r)
+	return r
 }
 
+// Loads gives the board of what servers tell of their load.
+func (r *Runner) Loads() *serverload.Board { return r.loads }
+
+// Told tells the planner what a server told of its load.
+func (r *Runner) Told(id string) (present, places int, at time.Duration, known bool) {
+	told, when, known := r.loads.Known(time.Now(), xxhash.Sum64String(id))
+	return told.Present(), told.Slots, when.Sub(r.origin), known
+}
+
+// Stores tells how many stores run items, this one included.
+func (r *Runner) Stores(count int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.planner.Stores(count)
+}
+
+// Reading tells the planner for how long a server reads long prompts.
+func (r *Runner) Reading(id string) time.Duration {
+	return r.loads.Reading(time.Now(), xxhash.Sum64String(id))
+}
+
+// Fails tells the planner whether a server fails what it gets.
+func (r *Runner) Fails(id string) bool { return r.loads.Fails(time.Now(), xxhash.Sum64String(id)) }
+
 // Start notes a batch job whose items are to be run. It doesn't call the store back.
 func (r *Runner) Start(id string) {
 	r.mutex.Lock()
--- a/internal/batch/schedule/planner.go
+++ b/internal/batch/schedule/planner.go
@@ -5,9 +5,11 @@
 
 import (
 	"cmp"
+	"math/rand/v2"
 	"slices"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -27,11 +29,16 @@
 // Planner holds what waits and what the servers take.
 type Planner struct {
 	zone    string
+	random  *rand.Rand
+	load    Load
 	jobs    map[string]*work
 	queue   []*work // nearest due first
 	servers map[string]*server
 	lists   map[string][]*server // by service
 	running int
+	stores  int // that compete for the servers' places, this one included
+	pace    pace
+	typical time.Duration // that a run to its end takes, running mean
 }
 
 type work struct {
@@ -47,9 +54,10 @@
 	avoid     string // server that the last try ended badly on
 }
 
-// New gives a planner for a store in a zone.
-func New(zone string) *Planner {
-	return &Planner{zone: zone, jobs: map[string]*work{}, servers: map[string]*server{}, lists: map[string][]*server{}}
+// New gives a planner for a store in a zone. load tells what servers told of their load, nil where nobody does.
+func New(zone string, seed uint64, load Load) *Planner {
+	return &Planner{zone: zone, random: rand.New(rand.NewPCG(seed, 0)), load: load, typical: firstTypical, jobs: map[string]*work{},
+		servers: map[string]*server{}, lists: map[string][]*server{}}
 }
 
 // Add takes a batch job's items.
@@ -123,9 +131,40 @@
 	return waiting, p.running
 }
 
-// Next gives the next task and its server, and counts it as running there; false where nothing can start now.
+// firstTypical is the time that a run is taken to need before any has ended.
+const firstTypical = time.Second
+
+// typicalShare is the weight of one run in the mean.
+const typicalShare = 0.05
+
+// Stores tells how many stores compete for the servers' places.
+func (p *Planner) Stores(count int) { p.stores = max(count, 1) }
+
+// Completed takes in how long a run to its end took.
+func (p *Planner) Completed(took time.Duration) {
+	p.typical += time.Duration(typicalShare * float64(took-p.typical))
+}
+
+// isLate tells whether items of a batch job that start now can't be in time any more.
+func (p *Planner) isLate(w *work, now time.Duration) bool { return now+p.typical > w.due }
+
+// Next gives the next task and its server, and counts it as running there; false where nothing can start now. What can't be in time
+// any more lets the rest pass: to be later costs it little, and one late batch job would make all that follow late.
 func (p *Planner) Next(now time.Duration) (Assignment, bool) {
+	if ablation.Off(ablation.BatchLateLast) {
+		return p.next(now, func(*work) bool { return true })
+	}
+	if assignment, found := p.next(now, func(w *work) bool { return !p.isLate(w, now) }); found {
+		return assignment, true
+	}
+	return p.next(now, func(w *work) bool { return p.isLate(w, now) })
+}
+
+func (p *Planner) next(now time.Duration, wanted func(*work) bool) (Assignment, bool) {
 	for _, w := range p.queue {
+		if !wanted(w) {
+			continue
+		}
 		index := slices.IndexFunc(w.waiting, func(one waiting) bool { return one.notBefore <= now })
 		if index < 0 {
 			continue
@@ -145,6 +184,9 @@
 
 // choose gives the server with the least cost that has room, nil where none has.
 func (p *Planner) choose(w *work, one *waiting, now time.Duration) *server {
+	if chosen, told := p.chooseTold(w, one, now); told {
+		return chosen
+	}
 	var best *server
 	bestCost := 0.0
 	for _, backend := range w.backends {
@@ -177,7 +219,7 @@
 	if s.ID == one.avoid {
 		cost += costAvoided
 	}
-	if one.task.Prefix != "" && s.isWarm(one.task.Prefix, now) {
+	if one.task.Prefix != "" && s.isWarm(one.task.Prefix, now) && !ablation.Off(ablation.BatchWarmth) {
 		cost -= gainWarm
 	}
 	return cost
--- a/internal/batch/schedule/server.go
+++ b/internal/batch/schedule/server.go
@@ -22,7 +22,10 @@
 	goodFirst    = 100 * time.Millisecond // to the first event: the limit grows
 	refusedPause = 150 * time.Millisecond
 	brokenPause  = time.Second
-	maxWarm      = 64 // prompts' first parts that are remembered
+	// A server that failed an item is left alone for failedFirst, twice as long with each further one.
+	failedFirst, failedMost = 200 * time.Millisecond, 4 * time.Second
+	failedDoublings         = 5
+	maxWarm                 = 64 // prompts' first parts that are remembered
 )
 
 // server is what is known of a server.
@@ -33,6 +36,8 @@
 	cutAt    time.Duration
 	until    time.Duration // nothing is sent before
 	warm     map[string]time.Duration
+	recent   []time.Duration // when items went there, as far as its load may not tell
+	failures int             // since it served an item
 }
 
 // Servers takes the present list.
@@ -74,6 +79,7 @@
 
 func (s *server) start(prefix string, now time.Duration) {
 	s.inFlight++
+	s.went(now)
 	if prefix == "" {
 		return
 	}
@@ -133,6 +139,25 @@
 	}
 }
 
+// Failed notes that a server failed an item: it is left alone, for longer each time until it serves one. An item that fails everywhere
+// costs each server a short pause.
+func (p *Planner) Failed(id string, now time.Duration) {
+	s := p.servers[id]
+	if s == nil {
+		return
+	}
+	s.failures++
+	pause := min(failedMost, failedFirst<<min(s.failures-1, failedDoublings))
+	s.until = max(s.until, now+pause)
+}
+
+// Served notes that a server did what it could of an item.
+func (p *Planner) Served(id string) {
+	if s := p.servers[id]; s != nil {
+		s.failures = 0
+	}
+}
+
 // Full notes that a server turned an item away; it is left alone for a moment, or as long as it asks.
 func (p *Planner) Full(id string, now, pause time.Duration) {
 	if s := p.servers[id]; s != nil {
--- /dev/null
+++ b/internal/batch/schedule/told.go
@@ -0,0 +1,167 @@
+package schedule
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/ablation"
+)
+
+// This file owns what follows where servers tell their load: items go where places are free, and leave some of them to live requests,
+// fewer the nearer their batch job is due. All stores see nearly the same loads; so each draws two of the servers with room and takes
+// the one with less to do.
+
+// Load tells what is known of servers beyond what this store sees itself.
+type Load interface {
+	// Told gives the requests that are at a server by its own word, of how many places, and when it said so; false where that isn't known.
+	Told(id string) (present, places int, at time.Duration, known bool)
+	// Reading gives for how long a server reads long prompts that other processes sent.
+	Reading(id string) time.Duration
+	// Fails tells whether a server fails what it gets from the processes of this zone.
+	Fails(id string) bool
+}
+
+const (
+	// reserveFar of a server's places are left free while the due time is far, reserveNear within slackNear of it, and reserveLast when
+	// items have to start now. Late ones leave as many as those that have time.
+	reserveFar, reserveNear, reserveLast = 0.16, 0.08, 0.0
+	slackFar, slackNear                  = 3 * time.Second, time.Second
+	// assumedFree is the share of the places that are taken to be free at a server of which nothing is known, where others tell.
+	assumedFree = 0.5
+	// costPresent is that of a server whose places are all taken.
+	costPresent = 1.0
+	// costToldZone is that of another zone where loads are told: what is gained by more equal loads is worth its bytes.
+	costToldZone = 0.1
+	// readingMost is how long a server may have to read before an item goes there.
+	readingMost = 100 * time.Millisecond
+	// recentMost bounds the items that are remembered beside a server's word.
+	recentMost = 16
+)
+
+// pace holds a store to its part of the places that are free: all stores see the same ones, and learn only by the servers' next word what
+// the others have taken.
+type pace struct {
+	began time.Duration
+	part  float64 // of the places that were free then
+	taken int
+}
+
+// paceFor is about the time until what one store takes is known to the others.
+const paceFor = 50 * time.Millisecond
+
+// take takes one place of a part, which is one at least, unless all of it was taken lately.
+func (p *pace) take(now time.Duration, part float64) bool {
+	if p.taken == 0 || now-p.began >= paceFor {
+		*p = pace{began: now, part: max(part, 1)}
+	}
+	if p.exhausted(now) {
+		return false
+	}
+	p.taken++
+	return true
+}
+
+// exhausted tells whether all of the part was taken lately.
+func (p *pace) exhausted(now time.Duration) bool {
+	return p.taken > 0 && now-p.began < paceFor && float64(p.taken)+1 > p.part
+}
+
+// reserve gives the share of a server's places that a batch job's items leave free.
+func (p *Planner) reserve(w *work, now time.Duration) float64 {
+	if ablation.Off(ablation.BatchReserve) {
+		return 0
+	}
+	switch slack := w.due - now - p.typical; {
+	case slack < 0 || slack >= slackFar:
+		return reserveFar
+	case slack >= slackNear:
+		return reserveNear
+	}
+	return reserveLast
+}
+
+// chooseTold chooses by what servers tell, nil where none has room; false where they don't tell.
+func (p *Planner) chooseTold(w *work, one *waiting, now time.Duration) (chosen *server, told bool) {
+	if p.load == nil || ablation.Off(ablation.ToldLoad) {
+		return nil, false
+	}
+	if p.pace.exhausted(now) {
+		return nil, true
+	}
+	free := 1 - p.reserve(w, now)
+	var first, second *server
+	count, room := 0, 0.0
+	for _, backend := range w.backends {
+		for _, s := range p.lists[backend] {
+			present, places, known := p.present(s, now)
+			told = told || known
+			if !s.hasRoom(now) || float64(present+1) > free*float64(places) || p.fails(s) || p.reads(s) {
+				continue
+			}
+			count++
+			room += free*float64(places) - float64(present)
+			if p.random.IntN(count) == 0 {
+				first, second = s, first
+			} else if second == nil || p.random.IntN(count-1) == 0 {
+				second = s
+			}
+		}
+	}
+	if first == nil || told && !p.pace.take(now, room/float64(max(p.stores, 1))) {
+		return nil, told
+	}
+	if second != nil && p.toldCost(second, one, now) < p.toldCost(first, one, now) {
+		first = second
+	}
+	return first, told
+}
+
+// present gives the requests at a server and its places, with what went there from here since it told.
+func (p *Planner) present(s *server, now time.Duration) (present, places int, known bool) {
+	present, places, at, known := p.load.Told(s.ID)
+	if !known {
+		places = max(s.Slots, 1)
+		return int((1-assumedFree)*float64(places)) + s.inFlight, places, false
+	}
+	return present + s.wentSince(at), max(places, 1), true
+}
+
+// reads tells whether a server is busy reading, so that its load as it told it is out of date.
+func (p *Planner) reads(s *server) bool {
+	return !ablation.Off(ablation.Announcements) && p.load.Reading(s.ID) > readingMost
+}
+
+func (p *Planner) fails(s *server) bool {
+	return !ablation.Off(ablation.SharedFailures) && p.load.Fails(s.ID)
+}
+
+func (p *Planner) toldCost(s *server, one *waiting, now time.Duration) float64 {
+	present, places, _ := p.present(s, now)
+	cost := costPresent * float64(present) / float64(places)
+	if s.Zone != p.zone {
+		cost += costToldZone
+	}
+	if s.ID == one.avoid {
+		cost += costAvoided
+	}
+	if one.task.Prefix != "" && s.isWarm(one.task.Prefix, now) && !ablation.Off(ablation.BatchWarmth) {
+		cost -= gainWarm
+	}
+	return cost
+}
+
+// went notes that an item goes to a server.
+func (s *server) went(now time.Duration) {
+	if len(s.recent) == recentMost {
+		s.recent = append(s.recent[:0], s.recent[1:]...)
+	}
+	s.recent = append(s.recent, now)
+}
+
+// wentSince counts the items that went there after a moment.
+func (s *server) wentSince(moment time.Duration) int {
+	count := 0
+	for i := len(s.recent) - 1; i >= 0 && s.recent[i] > moment; i-- {
+		count++
+	}
+	return count
+}
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -12,8 +12,10 @@
 	"github.com/rs/zerolog"
 
 	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/batch/job"
 	"sprucelane.example/sprucelane/internal/batch/journal"
+	"sprucelane.example/sprucelane/internal/batch/placement"
 	"sprucelane.example/sprucelane/internal/batch/replica"
 	"sprucelane.example/sprucelane/internal/batch/runner"
 	"sprucelane.example/sprucelane/internal/configuration"
@@ -22,6 +24,7 @@
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverload"
 )
 
 const (
@@ -161,6 +164,7 @@
 	tasks.Go(func() { s.subscription.Run(ctx) })
 	tasks.Go(func() { s.runner.Run(ctx) })
 	tasks.Go(func() { s.tick(ctx) })
+	s.shareLoads(ctx)
 	s.log.Info().Str("incarnation", s.process.Incarnation).Msg("serving")
 	select {
 	case <-ctx.Done():
@@ -174,6 +178,27 @@
 	return err
 }
 
+// shareLoads passes on what servers tell of their load. Where the port can't be had, this process knows what it hears itself.
+func (s *Server) shareLoads(ctx context.Context) {
+	if ablation.Off(ablation.SharedLoad) {
+		return
+	}
+	sharing, err := serverload.Listen(s.runner.Loads(), s.process, s.settings.Port(node.PortLoad), s.subscription.Members)
+	if err != nil {
+		s.log.Warn().Err(err).Msg("shared_loads_off")
+		return
+	}
+	sharing.Waiting(s.queued)
+	go sharing.Run(ctx)
+}
+
+// queued gives the tokens that wait in the batch jobs of this store.
+func (s *Server) queued() int64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.machine.Queued()
+}
+
 func (s *Server) close() {
 	s.mutex.Lock()
 	s.closed = true
@@ -261,6 +286,7 @@
 		after := s.machine.Epoch()
 		missing := s.machine.Standing().Missing
 		s.mutex.Unlock()
+		s.runner.Stores(len(placement.Active(members.Stores)))
 		if after != before {
 			s.log.Info().Uint64("epoch", after).Uint64("acted_in", acted).Int("stores", len(members.Stores.Members)).
 				Strs("missing", names(missing)).Msg("store_view")
--- a/internal/gateway/admission/admission.go
+++ b/internal/gateway/admission/admission.go
@@ -18,6 +18,7 @@
 	"sync"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/configuration"
 )
 
@@ -149,7 +150,7 @@
 	g.offered(class)
 	returning := g.returning(size.Remaining)
 	share := g.effective[class]
-	if share <= 0 || !a.mayRefuse(g, now) {
+	if share <= 0 || ablation.Off(ablation.AdmissionCuts) || !a.mayRefuse(g, now) {
 		return Decision{Admit: true}
 	}
 	if returning {
--- a/internal/gateway/batchcall/batchcall.go
+++ b/internal/gateway/batchcall/batchcall.go
@@ -14,6 +14,7 @@
 	"sprucelane.example/sprucelane/coord/transport"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverload"
 )
 
 const (
@@ -34,6 +35,7 @@
 	settings *node.Settings
 	options  transport.Options
 	members  func() *protocol.MemberList
+	board    *serverload.Board                                                                           // what waits at batch processes
 	put      func(ctx context.Context, ip string, call protocol.BatchCall) (protocol.BatchAnswer, error) // ask, but in tests
 
 	mu    sync.Mutex
@@ -49,10 +51,10 @@
 	users  int
 }
 
-// New gives a caller that takes the set of batch processes from members.
-func New(settings *node.Settings, options transport.Options, members func() *protocol.MemberList) *Caller {
+// New gives a caller that takes the set of batch processes from members, and what waits there from a board.
+func New(settings *node.Settings, options transport.Options, members func() *protocol.MemberList, board *serverload.Board) *Caller {
 	options.Heartbeat = 500 * time.Millisecond
-	c := &Caller{settings: settings, options: options, members: members, links: map[string]*link{}, slow: map[string]time.Time{}}
+	c := &Caller{settings: settings, options: options, members: members, board: board, links: map[string]*link{}, slow: map[string]time.Time{}}
 	c.put = c.ask
 	return c
 }
@@ -66,7 +68,7 @@
 	call.StoreView = members.Stores.Epoch
 	order := c.order(members.Stores.Members)
 	if call.Operation == protocol.BatchSubmit {
-		return c.submit(ctx, call, order)
+		return c.submit(ctx, call, c.leastBusyFirst(order, members.Stores.Members))
 	}
 	route := newRoute(order)
 	uncertain := false
--- /dev/null
+++ b/internal/gateway/batchcall/busy_test.go
@@ -0,0 +1,45 @@
+package batchcall
+
+import (
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+func TestLeastBusyFirst(t *testing.T) {
+	active := func(node, zone string) protocol.StoreMember {
+		return protocol.StoreMember{Process: protocol.Process{Node: node, IP: node, Zone: zone}, State: protocol.StoreActive}
+	}
+	members := []protocol.StoreMember{active("busy", "z"), active("free", "z"), active("far", "y")}
+	members = append(members, protocol.StoreMember{Process: protocol.Process{Node: "leaving", IP: "leaving", Zone: "z"}, State: protocol.StoreRetiring})
+	order := []string{"busy", "free", "far", "leaving"}
+	firsts := func(c *Caller) map[string]int {
+		count := map[string]int{}
+		for range 300 {
+			list := c.leastBusyFirst(order, members)
+			if len(list) != len(order) {
+				t.Fatal("somebody is lost or asked twice")
+			}
+			count[list[0]]++
+		}
+		return count
+	}
+	Convey("The order stays where nothing is told", t, func() {
+		c, _ := caller()
+		So(firsts(c), ShouldResemble, map[string]int{"busy": 300})
+	})
+	Convey("Of two that are drawn the one at which less waits is asked first; another zone counts as some more", t, func() {
+		c, _ := caller()
+		c.board.Tell("busy", 900_000)
+		c.board.Tell("free", 50_000)
+		count := firsts(c)
+		So(count["busy"], ShouldEqual, 0)
+		So(count["leaving"], ShouldEqual, 0)
+		So(count["free"], ShouldBeGreaterThan, 150)
+		So(count["far"], ShouldBeGreaterThan, 50)
+		c.passOver("free")
+		So(firsts(c), ShouldResemble, map[string]int{"far": 300})
+	})
+}
--- a/internal/gateway/batchcall/submit.go
+++ b/internal/gateway/batchcall/submit.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -67,6 +68,9 @@
 				return came.answer, true
 			}
 		case <-hedge.C:
+			if ablation.Off(ablation.HedgedSubmit) {
+				continue
+			}
 			s.slow(s.last)
 			s.next()
 			hedge.Reset(hedgeAfter)
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -19,11 +19,12 @@
 	"github.com/rs/zerolog"
 
 	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/buffers"
 	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/front"
-	"sprucelane.example/sprucelane/internal/gateway/announce"
 	"sprucelane.example/sprucelane/internal/gateway/batchcall"
+	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/gateway/proxy"
 	"sprucelane.example/sprucelane/internal/gateway/servers"
@@ -31,6 +32,7 @@
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverload"
 	"sprucelane.example/sprucelane/internal/service"
 )
 
@@ -64,6 +66,8 @@
 	longestHeadMs = 10_000
 	// longestIdle is how long clients may rest where the operator doesn't say.
 	longestIdle = time.Minute
+	// outcomesEvery is how often what became of requests is logged.
+	outcomesEvery = 10 * time.Second
 	// headerSlack is added to the operator's times: a client that keeps to them must not be cut by a moment.
 	headerSlack = 500 * time.Millisecond
 )
@@ -71,6 +75,7 @@
 // Gateway is a gateway's process.
 type Gateway struct {
 	settings     *node.Settings
+	process      protocol.Process
 	log          zerolog.Logger
 	state        *service.State
 	pool         *pool.Pool
@@ -90,6 +95,7 @@
 	g.servers = servers.NewRegistry(g.pool)
 	process := protocol.Process{Node: settings.NodeName, Role: protocol.RoleGateway, Zone: settings.Zone, IP: settings.IP,
 		Incarnation: incarnation()}
+	g.process = process
 	options := transport.Options{Identity: transport.Identity{System: protocol.System, Node: process.Node, Role: process.Role, Zone: process.Zone,
 		Address: process.IP, Incarnation: process.Incarnation}}
 	placer := placement.New(settings.Zone, seed(process))
@@ -97,7 +103,7 @@
 	g.subscription = subscription.New(subscription.Options{Settings: settings, Process: process, Transport: options,
 		Servers: g.servers, Ready: g.Ready, Log: log, Configured: g.limits.Configure})
 	g.limits.members = g.subscription.Members
-	g.batch = batchcall.New(settings, options, g.subscription.Members)
+	g.batch = batchcall.New(settings, options, g.subscription.Members, placer.Loads())
 	g.proxy = &proxy.Proxy{
 		Knowledge: g.subscription,
 		Servers:   g.servers,
@@ -106,6 +112,7 @@
 		Admission: g.limits,
 		Batch:     g.batch,
 		Bodies:    buffers.New(int64(bodyShare * float64(settings.Limits.MemoryMB) * (1 << 20))),
+		Outcomes:  outcomes.New(),
 		Log:       log,
 		Leaves:    g.state.Leaves,
 	}
@@ -156,9 +163,8 @@
 	ready := &http.Server{Addr: g.settings.ListenReady, Handler: http.HandlerFunc(g.serveReady), ReadTimeout: time.Minute}
 	go func() { failed <- fmt.Errorf("listen.ready: %w", ready.ListenAndServe()) }()
 	defer ready.Close()
-	if announcer := g.announce(); announcer != nil {
-		defer announcer.Close()
-	}
+	g.shareLoads(ctx)
+	go g.tellOutcomes(ctx)
 	go g.subscription.Run(ctx)
 	go g.limits.quotas.Run(ctx)
 	go func() {
@@ -180,16 +186,19 @@
 	}
 }
 
-// announce opens the port between gateways. One that can't be had is done without.
-func (g *Gateway) announce() *announce.Announcer {
-	announcer, err := announce.Listen(g.settings.IP, g.settings.Port(node.PortGateway), g.subscription.Members)
+// shareLoads passes on what servers tell of their load, and tells others of long prompts. Where the port can't be had, this gateway knows
+// what it hears itself.
+func (g *Gateway) shareLoads(ctx context.Context) {
+	if ablation.Off(ablation.SharedLoad) {
+		return
+	}
+	sharing, err := serverload.Listen(g.proxy.Placer.Loads(), g.process, g.settings.Port(node.PortLoad), g.subscription.Members)
 	if err != nil {
-		g.log.Warn().Err(err).Msg("announcements_off")
-		return nil
+		g.log.Warn().Err(err).Msg("shared_loads_off")
+		return
 	}
-	g.proxy.Announce = announcer.Tell
-	go announcer.Receive(func(server uint64, tokens int) { g.proxy.Placer.Told(time.Now(), server, tokens) })
-	return announcer
+	g.proxy.Announce = sharing.Tell
+	go sharing.Run(ctx)
 }
 
 func (g *Gateway) nextLook() time.Duration {
@@ -209,6 +218,8 @@
 
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
+	case r.URL.Path == "/metrics":
+		g.serveMetrics(w)
 	case r.URL.Path != "/readyz":
 		http.NotFound(w, r)
 	case g.Ready():
@@ -218,6 +229,28 @@
 	}
 }
 
+// serveMetrics tells what became of clients' requests, in Prometheus' text format.
+func (g *Gateway) serveMetrics(w http.ResponseWriter) {
+	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
+	_ = g.proxy.Outcomes.Write(w) // whoever asked has left
+}
+
+// tellOutcomes logs what became of clients' requests, now and then.
+func (g *Gateway) tellOutcomes(ctx context.Context) {
+	ticker := time.NewTicker(outcomesEvery)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+		}
+		for _, one := range g.proxy.Outcomes.Since() {
+			g.log.Info().Str("route", one.Route).Str("outcome", string(one.Outcome)).Uint64("requests", one.Count).Msg("outcomes")
+		}
+	}
+}
+
 // serveClients takes clients' connections. The port is open from the start, so that those that come while a process starts wait
 // for a moment in its queue; they are served once there is a configuration, whose limits are those of the port, or it is late.
 func (g *Gateway) serveClients() error {
--- a/internal/gateway/limits.go
+++ b/internal/gateway/limits.go
@@ -102,8 +102,8 @@
 	l.admission.Attempt(l.now(), wish.Route.Name, took)
 }
 
-// tellLoad estimates the share of a service's places that are taken from this gateway's own requests there, as if all gateways
-// had as many.
+// tellLoad tells the share of a service's places that are taken by the servers' own word. Where they don't tell, it is estimated from
+// this gateway's own requests there, as if all gateways had as many.
 func (l *limits) tellLoad(backend string) {
 	now := time.Now()
 	l.mu.Lock()
@@ -117,6 +117,10 @@
 		return
 	}
 	list := table.Of(backend)
+	if taken, waiting, told := l.placer.Taken(now, list); told {
+		l.admission.Load(l.now(), backend, min(1, taken), waiting)
+		return
+	}
 	places := 0
 	for _, server := range list {
 		places += server.Slots
--- a/internal/gateway/placement/health.go
+++ b/internal/gateway/placement/health.go
@@ -1,6 +1,10 @@
 package placement
 
-import "time"
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/ablation"
+)
 
 const (
 	// A server that turned a request away is left alone for a moment, which doubles with each further one.
@@ -64,6 +68,9 @@
 // open tells whether a server may be chosen that has so many requests from here: one that gave trouble lately comes back with one
 // at a time.
 func (h *health) open(now time.Time, active int) bool {
+	if ablation.Off(ablation.Ejection) {
+		return true
+	}
 	if now.Before(h.shunned) {
 		return false
 	}
--- /dev/null
+++ b/internal/gateway/placement/load.go
@@ -0,0 +1,146 @@
+package placement
+
+import (
+	"time"
+
+	"sprucelane.example/sprucelane/internal/ablation"
+	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/serverload"
+)
+
+// This file owns what follows from the loads that servers tell. All gateways see nearly the same loads, and would send what comes within
+// a tenth of a second to the same server if each took the one with the least: so each looks at a few servers that it draws.
+
+const (
+	// sampleSize is how many servers are drawn.
+	sampleSize = 2
+	// drawsMost bounds the draws: servers that fail are drawn in vain.
+	drawsMost = 4 * sampleSize
+	// What a request costs that runs or waits at a server by its own word. A waiting one is ahead of a new one for a place.
+	presentCost, waitingCost = 300, 5000
+	// assumedShare of its places is taken to be in use at a server of which nothing is known, where others tell.
+	assumedShare = 0.5
+	// tellingFor is how long a service counts as one that tells its load after it did.
+	tellingFor = 3 * time.Second
+	// recentMost bounds the requests that are remembered beside a server's word.
+	recentMost = 16
+)
+
+// sample draws some servers of a service that tells its load, and adds those that a part of the prompt meets at. All are given where
+// loads are not told.
+func (p *Placer) sample(now time.Time, list []*servers.Server, order preference) []*servers.Server {
+	if len(list) <= sampleSize || ablation.Off(ablation.ToldLoad) {
+		return list
+	}
+	drawn := make([]*servers.Server, 0, sampleSize+2)
+	tells := false
+	for range drawsMost {
+		one := list[p.random.IntN(len(list))]
+		_, _, known := p.loads.Known(now, one.Hash)
+		tells = tells || known
+		if !p.fails(now, one) {
+			drawn = append(drawn, one)
+		}
+		if len(drawn) == sampleSize {
+			break
+		}
+	}
+	if !tells {
+		return list
+	}
+	p.telling[list[0].Backend] = now
+	if order.first != 0 {
+		for _, one := range list {
+			if (one.Number == order.first || one.Number == order.second) && !p.fails(now, one) {
+				drawn = append(drawn, one)
+			}
+		}
+	}
+	return drawn
+}
+
+// fails tells whether the zone's processes have seen a server fail what it gets.
+func (p *Placer) fails(now time.Time, server *servers.Server) bool {
+	return !ablation.Off(ablation.SharedFailures) && p.loads.Fails(now, server.Hash)
+}
+
+// presence gives what the requests cost that are at a server: by its own word and what went there from here since, else by what is
+// there from here.
+func (p *Placer) presence(now time.Time, server *servers.Server, s *state) float64 {
+	if ablation.Off(ablation.ToldLoad) {
+		return runningCost * float64(s.active)
+	}
+	load, at, known := p.loads.Known(now, server.Hash)
+	if !known && !p.tells(now, server.Backend) {
+		return runningCost * float64(s.active)
+	}
+	if !known {
+		return presentAt(int(assumedShare*float64(server.Slots))+s.active, max(server.Slots, 1))
+	}
+	return presentAt(load.Present()+s.wentSince(at), load.Slots)
+}
+
+// presentThere gives the requests at a server by its own word, and what went there from here since.
+func (p *Placer) presentThere(now time.Time, server *servers.Server, s *state) int {
+	load, at, known := p.loads.Known(now, server.Hash)
+	if !known {
+		return 0
+	}
+	return load.Present() + s.wentSince(at)
+}
+
+// tells tells whether a service's servers told their load lately.
+func (p *Placer) tells(now time.Time, backend string) bool {
+	last, told := p.telling[backend]
+	return told && now.Sub(last) < tellingFor
+}
+
+// presentAt gives what a number of requests costs at a server with so many places.
+func presentAt(present, slots int) float64 {
+	cost := presentCost * float64(present)
+	if ahead := present + 1 - slots; ahead > 0 {
+		cost += waitingCost * float64(ahead)
+	}
+	return cost
+}
+
+// went notes that a request goes to a server.
+func (s *state) went(now time.Time) {
+	if len(s.recent) == recentMost {
+		s.recent = append(s.recent[:0], s.recent[1:]...)
+	}
+	s.recent = append(s.recent, now)
+}
+
+// wentSince counts those that went there after a moment.
+func (s *state) wentSince(moment time.Time) int {
+	count := 0
+	for i := len(s.recent) - 1; i >= 0 && s.recent[i].After(moment); i-- {
+		count++
+	}
+	return count
+}
+
+// Taken gives the share of the places of servers that are taken and whether requests wait there, by the servers' own word; false where
+// fewer than half of them have told.
+func (p *Placer) Taken(now time.Time, list []*servers.Server) (share float64, waiting, known bool) {
+	if ablation.Off(ablation.ToldLoad) {
+		return 0, false, false
+	}
+	var sum serverload.Load
+	told := 0
+	for _, server := range list {
+		load, _, known := p.loads.Known(now, server.Hash)
+		if !known {
+			continue
+		}
+		told++
+		sum.Running += load.Running
+		sum.Waiting += load.Waiting
+		sum.Slots += load.Slots
+	}
+	if 2*told < len(list) || sum.Slots == 0 {
+		return 0, false, false
+	}
+	return float64(sum.Present()) / float64(sum.Slots), 2*sum.Waiting >= told, true
+}
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -10,7 +10,9 @@
 	"sync"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/gateway/servers"
+	"sprucelane.example/sprucelane/internal/serverload"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -25,7 +27,7 @@
 	// jitter keeps gateways from choosing alike.
 	jitter = 120
 	// tokensPerMs turns what a server was slower than others into tokens.
-	tokensPerMs = 100
+	tokensPerMs = serverload.ReadPerMs
 	// affinityLeast is the least shared beginning for which requests meet at the same servers.
 	affinityLeast = 1024
 	// cacheLeast is the least beginning that is remembered.
@@ -41,9 +43,9 @@
 	mu      sync.Mutex
 	random  *rand.Rand
 	servers map[policy.ServerID]*state
-	divided map[string]division // by service
-	told    map[uint64]told     // by the servers' hashes
-	delay   float64             // milliseconds, running mean of the times to the first sign, over all servers
+	loads   *serverload.Board    // what servers tell
+	telling map[string]time.Time // services of which a server's word was known, and when last
+	delay   float64              // milliseconds, running mean of the times to the first sign, over all servers
 	swept   time.Time
 }
 
@@ -58,14 +60,18 @@
 	delay   float64   // milliseconds to the first sign, running mean
 	delayed time.Time // when that was learnt last
 	used    time.Time
+	recent  []time.Time // when requests went there, as far as the servers' loads may not tell
 }
 
 // New gives a placer of a gateway in a zone.
 func New(zone string, seed uint64) *Placer {
 	return &Placer{zone: zone, random: rand.New(rand.NewPCG(seed, 0)), servers: map[policy.ServerID]*state{},
-		divided: map[string]division{}, told: map[uint64]told{}}
+		loads: serverload.NewBoard(), telling: map[string]time.Time{}}
 }
 
+// Loads gives the board of what servers tell of their load, for whoever hears it.
+func (p *Placer) Loads() *serverload.Board { return p.loads }
+
 // Choice is what a server is chosen by and from.
 type Choice struct {
 	Demand  Demand
@@ -81,6 +87,7 @@
 	placer  *Placer
 	state   *state
 	tokens  int
+	present int // requests at the server by its own word, as it was chosen
 	began   time.Time
 	waiting bool
 	done    bool
@@ -90,13 +97,26 @@
 func (p *Placer) Pick(now time.Time, choice *Choice) *Ticket {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	divided := p.division(choice.Servers)
 	var order preference
-	if chain, meets := choice.Demand.affinity(); meets {
-		order = prefer(chain, choice.Servers, divided.among(&choice.Demand))
+	if chain, meets := choice.Demand.affinity(); meets && !ablation.Off(ablation.Affinity) {
+		order = prefer(chain, choice.Servers)
+	}
+	best, shunned := p.cheapest(now, choice, p.sample(now, choice.Servers, order), order)
+	if best.server == nil {
+		best, shunned = p.cheapest(now, choice, choice.Servers, order)
 	}
-	var best, shunned candidate
-	for _, server := range choice.Servers {
+	if best.server == nil {
+		best = shunned // all are: the one whose time is over first
+	}
+	if best.server == nil {
+		return nil
+	}
+	return p.take(now, best, &choice.Demand)
+}
+
+// cheapest gives the server that costs the request least, and of those that are to be left alone the one whose time is over first.
+func (p *Placer) cheapest(now time.Time, choice *Choice, list []*servers.Server, order preference) (best, shunned candidate) {
+	for _, server := range list {
 		if passed(choice.Passed, server.Number) {
 			continue
 		}
@@ -105,7 +125,6 @@
 			continue
 		}
 		one := candidate{server: server, state: s, cost: p.cost(now, server, s, &choice.Demand, order)}
-		one.cost += divided.cost(&choice.Demand, server.Number)
 		if s.health.open(now, s.active) {
 			best = cheaper(best, one)
 		} else {
@@ -113,13 +132,7 @@
 			shunned = cheaper(shunned, one)
 		}
 	}
-	if best.server == nil {
-		best = shunned // all are: the one whose time is over first
-	}
-	if best.server == nil {
-		return nil
-	}
-	return p.take(now, best, &choice.Demand)
+	return best, shunned
 }
 
 type candidate struct {
@@ -160,8 +173,8 @@
 		all := float64(shared[len(shared)-1].Tokens)
 		held = max(held, int(order.share(server.Number)*all))
 	}
-	cost := float64(demand.Prompt-held) + float64(s.pending) + runningCost*float64(s.active)
-	if server.Zone != p.zone {
+	cost := float64(demand.Prompt-held) + float64(s.pending) + p.presence(now, server, s)
+	if server.Zone != p.zone && !ablation.Off(ablation.ZonePreference) {
 		cost += zoneCost
 	}
 	return cost + p.elsewhere(now, server) + s.silence(now) + p.slowness(now, s) + jitter*p.random.Float64()
@@ -169,7 +182,7 @@
 
 // silence gives what is to be waited for at a server that has shown no sign of life while something waits there: as long again.
 func (s *state) silence(now time.Time) float64 {
-	if s.waiting == 0 {
+	if s.waiting == 0 || ablation.Off(ablation.Silence) {
 		return 0
 	}
 	return min(silentMost, tokensPerMs*float64(now.Sub(s.sign))/float64(time.Millisecond))
@@ -191,6 +204,7 @@
 	s := chosen.state
 	t := &Ticket{Server: chosen.server, placer: p, state: s, began: now, waiting: true}
 	t.tokens = demand.Prompt - s.cache.holds(demand.Parts, now)
+	t.present = p.presentThere(now, chosen.server, s)
 	if s.waiting == 0 {
 		s.sign = now
 	}
@@ -198,7 +212,10 @@
 	s.waiting++
 	s.pending += t.tokens
 	s.used = now
-	s.cache.note(demand.Parts, now)
+	s.went(now)
+	if !ablation.Off(ablation.CacheMemory) {
+		s.cache.note(demand.Parts, now)
+	}
 	p.sweep(now)
 	return t
 }
@@ -206,6 +223,9 @@
 // Unread gives the tokens that the server was thought to have to read.
 func (t *Ticket) Unread() int { return t.tokens }
 
+// Present gives the requests that were at the server as it was chosen, by its own word; 0 where it doesn't tell.
+func (t *Ticket) Present() int { return t.present }
+
 // First notes a first sign of the answer.
 func (t *Ticket) First(now time.Time) {
 	t.placer.mu.Lock()
@@ -253,6 +273,12 @@
 		t.state.sign = now
 	}
 	t.state.health.note(result, now)
+	switch result {
+	case Succeeded:
+		t.placer.loads.Ended(now, t.Server.Hash, false)
+	case Failed, Broken, Unreachable:
+		t.placer.loads.Ended(now, t.Server.Hash, true)
+	}
 }
 
 const (
@@ -271,11 +297,6 @@
 			delete(p.servers, number)
 		}
 	}
-	for hash, one := range p.told {
-		if now.After(one.until) {
-			delete(p.told, hash)
-		}
-	}
 }
 
 // Active counts this gateway's requests at servers.
--- a/internal/gateway/placement/prefer.go
+++ b/internal/gateway/placement/prefer.go
@@ -11,13 +11,10 @@
 	first, second policy.ServerID
 }
 
-// prefer gives the two servers with the highest weights for a chain, among those of a set where there is one.
-func prefer(chain uint64, list []*servers.Server, among map[policy.ServerID]bool) (order preference) {
+// prefer gives the two servers with the highest weights for a chain.
+func prefer(chain uint64, list []*servers.Server) (order preference) {
 	var highest, next uint64
 	for _, server := range list {
-		if among != nil && !among[server.Number] {
-			continue
-		}
 		weight := mix(chain ^ server.Hash)
 		switch {
 		case weight >= highest || order.first == 0:
--- a/internal/gateway/placement/speed.go
+++ b/internal/gateway/placement/speed.go
@@ -3,6 +3,8 @@
 import (
 	"math"
 	"time"
+
+	"sprucelane.example/sprucelane/internal/ablation"
 )
 
 const (
@@ -28,7 +30,7 @@
 
 // slowness gives what a server is slower than others, in tokens; it is forgotten with time, so that the server is asked again.
 func (p *Placer) slowness(now time.Time, s *state) float64 {
-	if s.delay <= p.delay {
+	if s.delay <= p.delay || ablation.Off(ablation.Slowness) {
 		return 0
 	}
 	left := math.Exp(-float64(now.Sub(s.delayed)) / float64(slowMemory))
--- a/internal/gateway/proxy/answer.go
+++ b/internal/gateway/proxy/answer.go
@@ -4,6 +4,8 @@
 	"net/http"
 	"strconv"
 	"time"
+
+	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 )
 
 // problem is an answer of the gateway's own to a request that goes nowhere.
@@ -51,15 +53,18 @@
 // giveUp ends a request that no attempt answered.
 func (q *request) giveUp() {
 	if q.r.Context().Err() != nil || q.started {
-		panic(http.ErrAbortHandler) // nobody is there, or an answer that has begun must not look complete
+		q.count(outcomes.ClientLeft) // unless its answer has begun
+		panic(http.ErrAbortHandler)  // nobody is there, or an answer that has begun must not look complete
 	}
 	status := q.account.Status(!time.Now().Before(q.deadline))
 	if q.proxy.bugs.alwaysRefuses {
 		status = http.StatusServiceUnavailable
 	}
 	if status == http.StatusServiceUnavailable {
+		q.count(outcomes.NoServer)
 		q.refuse(status, comeBack)
 		return
 	}
+	q.count(outcomes.Lost)
 	writeOwn(q.w, status, 0, "")
 }
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -7,11 +7,13 @@
 	"strings"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/core"
 	"sprucelane.example/sprucelane/internal/front"
 	"sprucelane.example/sprucelane/internal/gateway/attempts"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/pool"
+	"sprucelane.example/sprucelane/internal/serverload"
 )
 
 const (
@@ -23,7 +25,8 @@
 
 // prepare reads what the choice of a server and admission go by.
 func (q *request) prepare() {
-	q.account = attempts.Account{Repeatable: q.route.Repeatable() || q.proxy.bugs.repeatAll, MaxServers: q.route.MaxAttempts}
+	repeatable := q.route.Repeatable() && !ablation.Off(ablation.Retries) || q.proxy.bugs.repeatAll
+	q.account = attempts.Account{Repeatable: repeatable, MaxServers: q.route.MaxAttempts}
 	q.wish = Wish{Route: q.route, Tenant: q.tenant, Backend: q.pickBackend(), Deadline: q.deadline,
 		Demand: placement.ParseDemand(q.r.Header.Get(headerPrefix), q.r.Header.Get(headerUsage))}
 	q.head = passOn(q.r.Header)
@@ -57,12 +60,14 @@
 		return q.unsent(ticket, end)
 	}
 	defer x.Close()
+	q.sentAt = time.Now()
 	q.proxy.Admission.Sent(q.wish, q.account.MayHaveRun())
 	resp, err := q.answerHead(x, ticket)
 	if err != nil {
 		q.attempted(began)
 		return q.lost(ticket)
 	}
+	q.proxy.Placer.Loads().Note(time.Now(), ticket.Server.Hash, resp.Header.Get(serverload.Header))
 	if notExecuted(resp) {
 		q.skip(x)
 		result := placement.Refused
--- a/internal/gateway/proxy/choose.go
+++ b/internal/gateway/proxy/choose.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/internal/gateway/placement"
+	"sprucelane.example/sprucelane/internal/serverload"
 )
 
 // errForeign reports answers that are not to this request.
@@ -45,7 +46,7 @@
 	}
 	ticket := q.proxy.Placer.Pick(time.Now(), &placement.Choice{Demand: q.wish.Demand, Servers: table.Of(q.wish.Backend),
 		Passed: q.passed, Most: q.connectionsAtMost()})
-	if ticket != nil && ticket.Unread() >= placement.AnnounceLeast && q.proxy.Announce != nil {
+	if ticket != nil && ticket.Unread() >= serverload.ReadingLeast && q.proxy.Announce != nil {
 		q.proxy.Announce(ticket.Server.Hash, ticket.Unread())
 	}
 	return ticket
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -16,6 +16,7 @@
 
 	"sprucelane.example/sprucelane/internal/buffers"
 	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/gateway/servers"
 	"sprucelane.example/sprucelane/internal/pool"
@@ -73,10 +74,12 @@
 	Bodies    *buffers.Budget
 	Log       zerolog.Logger
 	// Leaves gives when the process ends, and tells whether that counts for a request that is read now. Nil: it never does.
-	Leaves func(now time.Time) (at time.Time, counts bool)
+	Leaves   func(now time.Time) (at time.Time, counts bool)
+	Outcomes *outcomes.Counts
 	// Announce tells other gateways that a server has so many tokens to read. Nil: nobody is told.
 	Announce func(server uint64, tokens int)
 
+	late lateRecords
 	bugs bugs // of tests
 }
 
@@ -101,6 +104,7 @@
 	}
 	q, no := p.read(w, r)
 	if no != nil {
+		p.countRefusal(no)
 		no.write(w)
 		return
 	}
@@ -111,6 +115,7 @@
 	}
 	q.prepare()
 	if refusal := p.Admission.Admit(r.Context(), q.wish); refusal.Status != 0 {
+		q.count(refusal.outcome())
 		q.refuse(refusal.Status, refusal.RetryAfter)
 		return
 	}
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -65,7 +65,9 @@
 
 	wish      Wish
 	admitted  time.Time
-	head      []byte // lines of headers that are passed on as they came
+	sentAt    time.Time // to the server that is asked now
+	counted   bool      // what became of it
+	head      []byte    // lines of headers that are passed on as they came
 	account   attempts.Account
 	passed    []policy.ServerID
 	scanner   *events.Scanner // of a stream
--- a/internal/gateway/proxy/stream.go
+++ b/internal/gateway/proxy/stream.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/internal/gateway/events"
+	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/pool"
 )
@@ -45,7 +46,7 @@
 				ticket.Sign(time.Now())
 			} else {
 				first = true
-				q.firstEvent(ticket, began)
+				q.firstEvent(ticket, began, resp.Header)
 			}
 			if q.scanner.Gap() {
 				q.lost(ticket)
@@ -85,12 +86,11 @@
 	q.scanner, q.buffer = nil, nil
 }
 
-func (q *request) firstEvent(ticket *placement.Ticket, began time.Time) {
+func (q *request) firstEvent(ticket *placement.Ticket, began time.Time, head http.Header) {
 	ticket.First(time.Now())
 	q.attempted(began)
-	if took := time.Since(began); took > q.route.TargetLatency() {
-		q.proxy.Log.Debug().Str("route", q.route.Name).Str("server", ticket.Server.ID).Str("zone", ticket.Server.Zone).
-			Dur("took", took).Int("prompt", q.wish.Demand.Prompt).Int("unread", ticket.Unread()).Msg("slow_first_event")
+	if !q.started {
+		q.answered(ticket, head)
 	}
 }
 
@@ -142,6 +142,7 @@
 	}
 	last, any := q.scanner.Last()
 	if !q.route.Resumable || !any {
+		q.proxy.countMore(q.route.Name, outcomes.Cut)
 		panic(http.ErrAbortHandler) // it must not look complete
 	}
 	if !q.proxy.bugs.noLastEvent {
--- a/internal/gateway/proxy/whole.go
+++ b/internal/gateway/proxy/whole.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/internal/gateway/attempts"
+	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/placement"
 	"sprucelane.example/sprucelane/internal/pool"
 )
@@ -40,6 +41,11 @@
 		}
 	}
 	q.attempted(began)
+	if resp.StatusCode >= http.StatusInternalServerError {
+		q.count(outcomes.ServerFailed)
+	} else {
+		q.answered(ticket, resp.Header)
+	}
 	copyHead(q.w.Header(), resp.Header)
 	q.w.Header().Set(headerLength, strconv.Itoa(len(text)))
 	if resp.StatusCode == http.StatusNoContent || resp.StatusCode == http.StatusNotModified {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -22,6 +22,7 @@
 	PortControl                     // control for gateways and batch processes: subscriptions
 	PortGateway                     // reserved for what gateways tell each other
 	PortBatch                       // batch processes for gateways and each other
+	PortLoad                        // gateways and batch processes for each other: what servers tell of their load
 	portUses
 )
 
--- /dev/null
+++ b/internal/serverload/load.go
@@ -0,0 +1,158 @@
+// Package serverload owns what servers tell of their load, how requests end there, which long prompts they have yet to read, and what
+// waits at batch processes: how a load is read from answers, how all that ages, and how gateways and batch processes pass it on, so that
+// each knows what the whole zone has seen. A server's word is a
+// hint: what can't be read is dropped and counted, and what is too old counts as not told. It must never fail a request, nor choose a
+// server.
+package serverload
+
+import (
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Header is the header of answers that tells the load: requests running, requests waiting and slots, separated by commas.
+const Header = "X-Server-Load"
+
+// validFor is how long a load stands: about as long as the requests that make it up last.
+const validFor = 1500 * time.Millisecond
+
+// mostCount bounds what is believed of each number.
+const mostCount = 1<<16 - 1
+
+// Load is what a server tells.
+type Load struct {
+	Running int
+	Waiting int
+	Slots   int // requests that it runs at once; above 0
+}
+
+// Present counts the requests that are at the server.
+func (l Load) Present() int { return l.Running + l.Waiting }
+
+// Parse reads a load as it stands in a header.
+func Parse(text string) (Load, bool) {
+	var numbers [3]int
+	rest, more := text, true
+	for i := range numbers {
+		var number string
+		if !more {
+			return Load{}, false
+		}
+		number, rest, more = strings.Cut(rest, ",")
+		value, err := strconv.Atoi(strings.TrimSpace(number))
+		if err != nil || value < 0 || value > mostCount {
+			return Load{}, false
+		}
+		numbers[i] = value
+	}
+	if more || numbers[2] == 0 {
+		return Load{}, false
+	}
+	return Load{Running: numbers[0], Waiting: numbers[1], Slots: numbers[2]}, true
+}
+
+// Board holds the newest load of each server, by the hash of its id. It is safe for concurrent use.
+type Board struct {
+	mu      sync.RWMutex
+	entries map[uint64]entry
+	results results
+
+	backlogs     map[uint64]waiting   // of batch processes
+	readings     map[uint64]time.Time // until when servers read what other processes sent
+	readingsLeft int                  // of them, after those that were over had been dropped
+	told         time.Time            // newest load of any server
+	swept        time.Time
+	invalid      atomic.Int64
+}
+
+// entry is the newest load of a server that is known here.
+type entry struct {
+	load    Load
+	at      time.Time // it was told
+	heard   time.Time // here
+	own     bool      // to this process
+	foreign bool      // heard from another zone
+}
+
+// NewBoard gives an empty board.
+func NewBoard() *Board {
+	return &Board{entries: map[uint64]entry{}, results: newResults(), readings: map[uint64]time.Time{}, backlogs: map[uint64]waiting{}}
+}
+
+// Note takes in the header of an answer; an empty one tells nothing.
+func (b *Board) Note(now time.Time, server uint64, header string) {
+	if header == "" {
+		return
+	}
+	load, ok := Parse(header)
+	if !ok {
+		b.invalid.Add(1)
+		return
+	}
+	b.learn(server, entry{load: load, at: now, heard: now, own: true})
+}
+
+// Invalid counts the headers that could not be read.
+func (b *Board) Invalid() int64 { return b.invalid.Load() }
+
+func (b *Board) learn(server uint64, one entry) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if known, held := b.entries[server]; held && !one.at.After(known.at) {
+		return
+	}
+	b.entries[server] = one
+	if one.at.After(b.told) {
+		b.told = one.at
+	}
+	b.sweep(one.at)
+}
+
+// sweep forgets what is too old. The mutex is held.
+func (b *Board) sweep(now time.Time) {
+	if now.Sub(b.swept) < validFor {
+		return
+	}
+	b.swept = now
+	for server, one := range b.entries {
+		if now.Sub(one.at) > validFor {
+			delete(b.entries, server)
+		}
+	}
+	b.results.sweep(now)
+}
+
+// Known gives a server's load and when it was told; false where nothing is known that still stands.
+func (b *Board) Known(now time.Time, server uint64) (load Load, at time.Time, known bool) {
+	b.mu.RLock()
+	one, held := b.entries[server]
+	b.mu.RUnlock()
+	if !held || now.Sub(one.at) > validFor {
+		return Load{}, time.Time{}, false
+	}
+	return one.load, one.at, true
+}
+
+// Report is what is known of a server on its way to others.
+type Report struct {
+	Server  uint64
+	Load    Load // without places: none is told
+	Age     time.Duration
+	Results Results
+}
+
+// since lists what was heard after a moment and fits.
+func (b *Board) since(now, moment time.Time, fits func(entry) bool) []Report {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	var list []Report
+	for server, one := range b.entries {
+		if age := now.Sub(one.at); one.heard.After(moment) && age <= validFor && fits(one) {
+			list = append(list, Report{Server: server, Load: one.load, Age: age})
+		}
+	}
+	return list
+}
--- /dev/null
+++ b/internal/serverload/load_test.go
@@ -0,0 +1,235 @@
+package serverload
+
+import (
+	"testing"
+	"time"
+
+	. "github.com/smartystreets/goconvey/convey"
+
+	"sprucelane.example/sprucelane/internal/protocol"
+)
+
+var start = time.Unix(1000, 0)
+
+func TestParse(t *testing.T) {
+	Convey("Three numbers are a load, and nothing else is", t, func() {
+		load, ok := Parse("3, 1,12")
+		So(ok, ShouldBeTrue)
+		So(load, ShouldResemble, Load{Running: 3, Waiting: 1, Slots: 12})
+		for _, text := range []string{"", "3", "3,1", "3,1,0", "3,1,12,4", "-1,0,12", "a,b,c", "1.5,0,12", "3,1,99999999999999999999", ",,"} {
+			_, ok := Parse(text)
+			So(ok, ShouldBeFalse)
+		}
+	})
+}
+
+func TestBoard(t *testing.T) {
+	Convey("The newest word stands for a while, and noise is dropped and counted", t, func() {
+		b := NewBoard()
+		b.Note(start, 7, "3,0,12")
+		b.Note(start.Add(time.Millisecond), 7, "noise")
+		b.Note(start, 7, "")
+		load, at, known := b.Known(start.Add(validFor), 7)
+		So(known, ShouldBeTrue)
+		So(load.Running, ShouldEqual, 3)
+		So(at, ShouldEqual, start)
+		So(b.Invalid(), ShouldEqual, 1)
+		_, _, known = b.Known(start.Add(validFor+time.Millisecond), 7)
+		So(known, ShouldBeFalse)
+		b.learn(7, entry{load: Load{Running: 9, Slots: 12}, at: start.Add(-time.Second)})
+		load, _, _ = b.Known(start, 7)
+		So(load.Running, ShouldEqual, 3)
+	})
+	Convey("What is old is forgotten", t, func() {
+		b := NewBoard()
+		for i := range 100 {
+			b.Note(start.Add(time.Duration(i)*100*time.Millisecond), uint64(i), "1,0,12")
+		}
+		So(len(b.entries), ShouldBeLessThan, 40)
+	})
+}
+
+func TestResults(t *testing.T) {
+	Convey("A server that fails is told by the zone's count, and is tried again when that has faded", t, func() {
+		home, other := NewBoard(), NewBoard()
+		for _, b := range []*Board{home, other} {
+			b.Note(start, 1, "0,0,12")
+		}
+		other.Ended(start, 7, true)
+		So(other.Fails(start, 7), ShouldBeFalse)
+		heard := attach(nil, other.takeFresh())
+		home.take(start, encode(nil, kindHeard, heard))
+		home.take(start, encode(nil, kindHeard, heard))
+		home.Ended(start, 8, false)
+		So(home.Fails(start, 7), ShouldBeTrue)
+		So(home.Fails(start, 8), ShouldBeFalse)
+		other.take(start, encode(nil, kindZone, attach(nil, home.summed(start))))
+		So(other.Fails(start, 7), ShouldBeTrue)
+		later := start.Add(2 * resultsFade)
+		So(home.Fails(later, 7), ShouldBeFalse)
+		So(other.Fails(later, 7), ShouldBeFalse)
+	})
+	Convey("A server that serves most is not left alone for some failures, nor where loads aren't told", t, func() {
+		b := NewBoard()
+		b.Ended(start, 7, true)
+		b.Ended(start, 7, true)
+		So(b.Fails(start, 7), ShouldBeFalse)
+		b.Note(start, 7, "0,0,12")
+		for i := range 40 {
+			b.Ended(start, 7, i%8 == 0)
+		}
+		So(b.Fails(start, 7), ShouldBeFalse)
+	})
+}
+
+func TestDatagram(t *testing.T) {
+	Convey("What is written is read, within what a datagram holds", t, func() {
+		var reports []Report
+		for i := range 2 * mostReports {
+			reports = append(reports, Report{Server: uint64(i), Load: Load{Running: i, Waiting: 1, Slots: 12}, Age: 40 * time.Millisecond,
+				Results: Results{Served: 3, Failed: 1}})
+		}
+		datagram := encode(nil, kindZone, reports)
+		So(len(datagram), ShouldEqual, datagramBytes)
+		of, read, ok := decode(datagram)
+		So(ok, ShouldBeTrue)
+		So(of, ShouldEqual, kindZone)
+		So(read, ShouldResemble, reports[:mostReports])
+	})
+	Convey("Anything else is dropped whole", t, func() {
+		good := encode(nil, kindHeard, []Report{{Server: 1, Load: Load{Slots: 12}}})
+		for _, bad := range [][]byte{nil, good[:3], good[:len(good)-1], append(append([]byte{}, good...), 0), []byte("SPL1\x09\x00"), []byte("XXXX\x01\x00")} {
+			_, _, ok := decode(bad)
+			So(ok, ShouldBeFalse)
+		}
+	})
+}
+
+func FuzzDatagram(f *testing.F) {
+	f.Add(encode(nil, kindZone, []Report{{Server: 1, Load: Load{Running: 1, Slots: 12}}}))
+	f.Fuzz(func(t *testing.T, datagram []byte) {
+		b := NewBoard()
+		b.take(start, datagram)
+		if of, reports, ok := decode(datagram); ok {
+			again, read, ok := decode(encode(nil, of, reports))
+			if !ok || again != of || len(read) != len(reports) {
+				t.Fatal("a datagram that was read isn't written alike")
+			}
+		}
+	})
+}
+
+func TestReadings(t *testing.T) {
+	Convey("What others sent keeps a server busy until it is read, for a bounded time", t, func() {
+		b := NewBoard()
+		b.Read(start, 7, 20_000)
+		b.Read(start, 7, 20_000)
+		So(b.Reading(start, 7), ShouldEqual, 400*time.Millisecond)
+		So(b.Reading(start.Add(time.Second), 7), ShouldEqual, 0)
+		for range 100 {
+			b.Read(start, 7, 1<<20)
+		}
+		So(b.Reading(start, 7), ShouldEqual, readingMost)
+		for i := range 10_000 {
+			b.Read(start.Add(time.Duration(i)*time.Millisecond), uint64(i), ReadingLeast)
+		}
+		So(len(b.readings), ShouldBeLessThan, 3000)
+	})
+	Convey("A datagram is read as it was written, and anything else is dropped", t, func() {
+		sent := []reading{{server: 7, tokens: 16_000, source: 9}, {server: 8, tokens: 32, source: 1}}
+		datagram := encodeReadings(nil, kindReading, sent)
+		of, read, ok := decodeReadings(datagram)
+		So(ok, ShouldBeTrue)
+		So(of, ShouldEqual, kindReading)
+		So(read, ShouldResemble, sent)
+		_, _, ok = decodeReadings(datagram[:len(datagram)-1])
+		So(ok, ShouldBeFalse)
+		_, _, ok = decode(datagram)
+		So(ok, ShouldBeFalse)
+	})
+}
+
+func TestBacklogs(t *testing.T) {
+	Convey("What batch processes told stands for a while, and a home passes on only what it was told by them", t, func() {
+		home, gateway := NewBoard(), NewBoard()
+		home.takeBacklogs(start, kindBacklog, []backlog{{store: 1, tokens: 5120}})
+		home.takeBacklogs(start, kindBacklogs, []backlog{{store: 2, tokens: 5120}})
+		So(home.heardBacklogs(start), ShouldResemble, []backlog{{store: 1, tokens: 5120}})
+		of, list, ok := decodeBacklogs(encodeBacklogs(nil, kindBacklogs, home.heardBacklogs(start)))
+		So(ok, ShouldBeTrue)
+		gateway.takeBacklogs(start, of, list)
+		So(gateway.heardBacklogs(start), ShouldBeEmpty)
+		So(gateway.backlogs[1].tokens, ShouldEqual, 5120)
+		So(home.heardBacklogs(start.Add(backlogAgain+1)), ShouldBeEmpty)
+		gateway.takeBacklogs(start.Add(backlogFor+1), of, nil)
+		So(gateway.backlogs, ShouldBeEmpty)
+		for _, bad := range [][]byte{nil, []byte("SPL1\x06\x01"), encodeReadings(nil, kindSent, nil)} {
+			_, _, ok := decodeBacklogs(bad)
+			So(ok, ShouldBeFalse)
+		}
+	})
+}
+
+func TestHomes(t *testing.T) {
+	Convey("Each zone has two homes that all find alike, and losing one leaves the other", t, func() {
+		var gateways []protocol.Process
+		for _, node := range []string{"a", "b", "c", "d", "e"} {
+			gateways = append(gateways, protocol.Process{Node: node, Zone: "z"})
+		}
+		of := homesByZone(gateways)["z"]
+		So(of, ShouldHaveLength, homesMost)
+		var left []protocol.Process
+		for _, one := range gateways {
+			if one.Node != of[0].Node {
+				left = append(left, one)
+			}
+		}
+		So(homesByZone(left)["z"][0], ShouldResemble, of[1])
+	})
+}
+
+// TestSharing has processes of two zones on loopback pass on what they heard.
+func TestSharing(t *testing.T) {
+	Convey("What one process hears, all learn", t, func() {
+		const port = 47391
+		var gateways []protocol.Process
+		for i, zone := range []string{"a", "a", "a", "a", "b", "b", "b"} {
+			gateways = append(gateways, protocol.Process{Node: string(rune('p' + i)), Zone: zone, IP: "127.91.7." + string(rune('1'+i))})
+		}
+		store := protocol.StoreMember{Process: protocol.Process{Node: "store", Zone: "b", IP: "127.91.7.9"}}
+		members := &protocol.MemberList{Version: 1, Gateways: gateways, Stores: protocol.StoreView{Members: []protocol.StoreMember{store}}}
+		var boards []*Board
+		var all []*Sharing
+		for _, one := range append(gateways, store.Process) {
+			board := NewBoard()
+			sharing, err := Listen(board, one, port, func() *protocol.MemberList { return members })
+			So(err, ShouldBeNil)
+			go sharing.Run(t.Context())
+			boards, all = append(boards, board), append(all, sharing)
+		}
+		boards[0].Note(time.Now(), 7, "5,0,12")
+		for i := 1; i < len(boards); i++ {
+			for until := time.Now().Add(10 * time.Second); ; {
+				if load, _, known := boards[i].Known(time.Now(), 7); known {
+					So(load.Running, ShouldEqual, 5)
+					break
+				}
+				if time.Now().After(until) {
+					t.Fatalf("process %d learnt nothing", i)
+				}
+				boards[0].Note(time.Now(), 7, "5,0,12")
+				<-time.After(20 * time.Millisecond)
+			}
+		}
+		for i := range boards {
+			for until := time.Now().Add(10 * time.Second); i != 3 && boards[i].Reading(time.Now(), 9) == 0; {
+				if time.Now().After(until) {
+					t.Fatalf("process %d learnt of no prompt", i)
+				}
+				all[3].Tell(9, 40_000)
+				<-time.After(20 * time.Millisecond)
+			}
+		}
+		So(boards[3].Reading(time.Now(), 9), ShouldEqual, 0) // it knows what it sent itself
+	})
+}
