--- /dev/null
+++ b/internal/tools/ablate/main_test.go
@@ -0,0 +1,41 @@
+package main
+
+import (
+	"encoding/json"
+	"errors"
+	"os"
+	"path/filepath"
+	"testing"
+
+	. "github.com/smartystreets/goconvey/convey"
+)
+
+func TestTable(t *testing.T) {
+	Convey("Each row tells what is lost without a mechanism, over seeds", t, func() {
+		o := options{days: []string{"busy", "calm"}, seeds: []string{"1", "2"}, off: []string{"affinity"}}
+		results := []result{
+			{play: play{day: "busy", seed: "1"}, Worth: 0.8}, {play: play{day: "busy", seed: "2"}, Worth: 0.6},
+			{play: play{day: "calm", seed: "1"}, Worth: 0.9}, {play: play{day: "calm", seed: "2"}, Worth: 0.9},
+			{play: play{off: "affinity", day: "busy", seed: "1"}, Worth: 0.7}, {play: play{off: "affinity", day: "busy", seed: "2"}, Worth: 0.4,
+				Breaks: map[string]json.RawMessage{"LOST": []byte("1")}},
+			{play: play{off: "affinity", day: "calm", seed: "1"}, err: errors.New("it doesn't build")},
+		}
+		So(table(o, results), ShouldEqual, "| switched off | busy | calm |\n|---|---|---|\n"+
+			"| nothing (worth) | 0.700 ± 0.100 | 0.900 ± 0.000 |\n| affinity | -0.150 ± 0.050, broken | not played |\n")
+	})
+}
+
+func TestSwitchOff(t *testing.T) {
+	Convey("The deploy file's build line gets the tag and the name", t, func() {
+		path := filepath.Join(t.TempDir(), "system.toml")
+		So(os.WriteFile(path, []byte("build = \"go build -ldflags=-linkmode=external ./x\"\n"), 0o600), ShouldBeNil)
+		So(switchOff(path, "silence"), ShouldBeNil)
+		text, _ := os.ReadFile(path)
+		So(string(text), ShouldEqual, "build = \"go build -tags ablation -ldflags='-linkmode=external "+
+			"-X sprucelane.example/sprucelane/internal/ablation.off=silence' ./x\"\n")
+		So(switchOff(path, "silence"), ShouldNotBeNil)
+	})
+	Convey("A name that is no mechanism is told", t, func() {
+		So((&options{off: []string{"affinity", "afinity"}}).unknown(), ShouldResemble, []string{"afinity"})
+	})
+}
