--- a/internal/ablation/ablation.go
+++ b/internal/ablation/ablation.go
@@ -20,6 +20,7 @@
 	AdmissionCuts  Mechanism = "admission-cuts"  // requests are refused while a route misses its target
 	Retries        Mechanism = "retries"         // what may be repeated goes to another server
 	BatchReserve   Mechanism = "batch-reserve"   // batch items leave places of a server to live requests
+	BatchPace      Mechanism = "batch-pace"      // a store takes its part of the free places at a time
 	BatchLateLast  Mechanism = "batch-late-last" // items that can't be in time any more let others pass
 	BatchWarmth    Mechanism = "batch-warmth"    // items go where their prompts' beginnings were read
 	StoreBacklog   Mechanism = "store-backlog"   // a batch job is handed to a store at which less waits
@@ -30,6 +31,6 @@
 func All() []Mechanism {
 	return []Mechanism{
 		Affinity, CacheMemory, Announcements, ToldLoad, SharedLoad, SharedFailures, ZonePreference, Slowness, Silence, Ejection,
-		AdmissionCuts, Retries, BatchReserve, BatchLateLast, BatchWarmth, StoreBacklog, HedgedSubmit,
+		AdmissionCuts, Retries, BatchReserve, BatchPace, BatchLateLast, BatchWarmth, StoreBacklog, HedgedSubmit,
 	}
 }
--- a/internal/batch/schedule/told.go
+++ b/internal/batch/schedule/told.go
@@ -84,7 +84,8 @@
 	if p.load == nil || ablation.Off(ablation.ToldLoad) {
 		return nil, false
 	}
-	if p.pace.exhausted(now) {
+	paced := !ablation.Off(ablation.BatchPace)
+	if paced && p.pace.exhausted(now) {
 		return nil, true
 	}
 	free := 1 - p.reserve(w, now)
@@ -106,7 +107,7 @@
 			}
 		}
 	}
-	if first == nil || told && !p.pace.take(now, room/float64(max(p.stores, 1))) {
+	if first == nil || told && paced && !p.pace.take(now, room/float64(max(p.stores, 1))) {
 		return nil, told
 	}
 	if second != nil && p.toldCost(second, one, now) < p.toldCost(first, one, now) {
