--- a/internal/batch/schedule/server.go
+++ b/internal/batch/schedule/server.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"sprucelane.example/sprucelane/internal/protocol"
+	"sprucelane.example/sprucelane/internal/serverload"
 )
 
 // The limit of items on a server, as shares of its slots. Live requests of all gateways and other stores' items take the
@@ -36,8 +37,8 @@
 	cutAt    time.Duration
 	until    time.Duration // nothing is sent before
 	warm     map[string]time.Duration
-	recent   []time.Duration // when items went there, as far as its load may not tell
-	failures int             // since it served an item
+	recent   serverload.Recent // items that went there
+	failures int               // since it served an item
 }
 
 // Servers takes the present list.
@@ -79,7 +80,7 @@
 
 func (s *server) start(prefix string, now time.Duration) {
 	s.inFlight++
-	s.went(now)
+	s.recent.Went(int64(now))
 	if prefix == "" {
 		return
 	}
--- a/internal/batch/schedule/told.go
+++ b/internal/batch/schedule/told.go
@@ -33,8 +33,6 @@
 	costToldZone = 0.1
 	// readingMost is how long a server may have to read before an item goes there.
 	readingMost = 100 * time.Millisecond
-	// recentMost bounds the items that are remembered beside a server's word.
-	recentMost = 16
 )
 
 // pace holds a store to its part of the places that are free: all stores see the same ones, and learn only by the servers' next word what
@@ -123,7 +121,7 @@
 		places = max(s.Slots, 1)
 		return int((1-assumedFree)*float64(places)) + s.inFlight, places, false
 	}
-	return present + s.wentSince(at), max(places, 1), true
+	return present + s.recent.Since(int64(at)), max(places, 1), true
 }
 
 // reads tells whether a server is busy reading, so that its load as it told it is out of date.
@@ -149,20 +147,3 @@
 	}
 	return cost
 }
-
-// went notes that an item goes to a server.
-func (s *server) went(now time.Duration) {
-	if len(s.recent) == recentMost {
-		s.recent = append(s.recent[:0], s.recent[1:]...)
-	}
-	s.recent = append(s.recent, now)
-}
-
-// wentSince counts the items that went there after a moment.
-func (s *server) wentSince(moment time.Duration) int {
-	count := 0
-	for i := len(s.recent) - 1; i >= 0 && s.recent[i] > moment; i-- {
-		count++
-	}
-	return count
-}
--- a/internal/gateway/placement/load.go
+++ b/internal/gateway/placement/load.go
@@ -22,8 +22,6 @@
 	assumedShare = 0.5
 	// tellingFor is how long a service counts as one that tells its load after it did.
 	tellingFor = 3 * time.Second
-	// recentMost bounds the requests that are remembered beside a server's word.
-	recentMost = 16
 )
 
 // sample draws some servers of a service that tells its load, and adds those that a part of the prompt meets at. All are given where
@@ -77,7 +75,7 @@
 	if !known {
 		return presentAt(int(assumedShare*float64(server.Slots))+s.active, max(server.Slots, 1))
 	}
-	return presentAt(load.Present()+s.wentSince(at), load.Slots)
+	return presentAt(load.Present()+s.recent.Since(at.UnixNano()), load.Slots)
 }
 
 // presentThere gives the requests at a server by its own word, and what went there from here since.
@@ -86,7 +84,7 @@
 	if !known {
 		return 0
 	}
-	return load.Present() + s.wentSince(at)
+	return load.Present() + s.recent.Since(at.UnixNano())
 }
 
 // tells tells whether a service's servers told their load lately.
@@ -104,23 +102,6 @@
 	return cost
 }
 
-// went notes that a request goes to a server.
-func (s *state) went(now time.Time) {
-	if len(s.recent) == recentMost {
-		s.recent = append(s.recent[:0], s.recent[1:]...)
-	}
-	s.recent = append(s.recent, now)
-}
-
-// wentSince counts those that went there after a moment.
-func (s *state) wentSince(moment time.Time) int {
-	count := 0
-	for i := len(s.recent) - 1; i >= 0 && s.recent[i].After(moment); i-- {
-		count++
-	}
-	return count
-}
-
 // Taken gives the share of the places of servers that are taken and whether requests wait there, by the servers' own word; false where
 // fewer than half of them have told.
 func (p *Placer) Taken(now time.Time, list []*servers.Server) (share float64, waiting, known bool) {
--- a/internal/gateway/placement/placement.go
+++ b/internal/gateway/placement/placement.go
@@ -60,7 +60,7 @@
 	delay   float64   // milliseconds to the first sign, running mean
 	delayed time.Time // when that was learnt last
 	used    time.Time
-	recent  []time.Time // when requests went there, as far as the servers' loads may not tell
+	recent  serverload.Recent // requests that went there
 }
 
 // New gives a placer of a gateway in a zone.
@@ -212,7 +212,7 @@
 	s.waiting++
 	s.pending += t.tokens
 	s.used = now
-	s.went(now)
+	s.recent.Went(now.UnixNano())
 	if !ablation.Off(ablation.CacheMemory) {
 		s.cache.note(demand.Parts, now)
 	}
--- a/internal/tools/ablate/main.go
+++ b/internal/tools/ablate/main.go
@@ -8,8 +8,6 @@
 package main
 
 import (
-	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
@@ -19,6 +17,7 @@
 	"sync"
 
 	"sprucelane.example/sprucelane/internal/ablation"
+	"sprucelane.example/sprucelane/internal/tools/benchrun"
 )
 
 type options struct {
@@ -34,8 +33,8 @@
 // result is what came of it.
 type result struct {
 	play
-	Worth  float64                    `json:"G"`
-	Breaks map[string]json.RawMessage `json:"breaks"`
+	worth  float64
+	broken bool // a rule
 	err    error
 }
 
@@ -113,7 +112,7 @@
 		lanes.Go(func() {
 			for i := range next {
 				results[i] = playOne(o, plays[i])
-				fmt.Fprintf(os.Stderr, "%s %s [%s]: %.3f %v\n", plays[i].day, plays[i].seed, plays[i].off, results[i].Worth, results[i].err)
+				fmt.Fprintf(os.Stderr, "%s %s [%s]: %.3f %v\n", plays[i].day, plays[i].seed, plays[i].off, results[i].worth, results[i].err)
 			}
 		})
 	}
@@ -147,21 +146,17 @@
 		of.err = err
 		return of
 	}
-	path := filepath.Join(folder, "report.json")
-	arguments := []string{"run", o.site, one.day, "--report", path, "--why", fmt.Sprintf("trial, [%s] off: %s", one.off, o.why)}
+	arguments := []string{"--why", fmt.Sprintf("trial, [%s] off: %s", one.off, o.why)}
 	if one.seed != "" {
 		arguments = append(arguments, "--seed", one.seed)
 	}
-	command := exec.Command(o.bench, arguments...)
-	command.Dir = clone
-	said, playError := command.CombinedOutput()
-	text, err := os.ReadFile(path)
+	report, err := benchrun.Play(o.bench, clone, o.site, one.day, arguments...)
 	if err != nil {
-		lines := strings.Split(strings.TrimSpace(string(said)), "\n")
-		of.err = errors.Join(playError, errors.New(lines[len(lines)-1]))
+		of.err = err
 		return of
 	}
-	of.err = errors.Join(json.Unmarshal(text, &of), keepEntries(clone, before))
+	of.worth, of.broken = report.Worth, len(report.Breaks) > 0
+	of.err = keepEntries(clone, before)
 	return of
 }
 
--- a/internal/tools/ablate/main_test.go
+++ b/internal/tools/ablate/main_test.go
@@ -1,7 +1,6 @@
 package main
 
 import (
-	"encoding/json"
 	"errors"
 	"os"
 	"path/filepath"
@@ -14,10 +13,9 @@
 	Convey("Each row tells what is lost without a mechanism, over seeds", t, func() {
 		o := options{days: []string{"busy", "calm"}, seeds: []string{"1", "2"}, off: []string{"affinity"}}
 		results := []result{
-			{play: play{day: "busy", seed: "1"}, Worth: 0.8}, {play: play{day: "busy", seed: "2"}, Worth: 0.6},
-			{play: play{day: "calm", seed: "1"}, Worth: 0.9}, {play: play{day: "calm", seed: "2"}, Worth: 0.9},
-			{play: play{off: "affinity", day: "busy", seed: "1"}, Worth: 0.7}, {play: play{off: "affinity", day: "busy", seed: "2"}, Worth: 0.4,
-				Breaks: map[string]json.RawMessage{"LOST": []byte("1")}},
+			{play: play{day: "busy", seed: "1"}, worth: 0.8}, {play: play{day: "busy", seed: "2"}, worth: 0.6},
+			{play: play{day: "calm", seed: "1"}, worth: 0.9}, {play: play{day: "calm", seed: "2"}, worth: 0.9},
+			{play: play{off: "affinity", day: "busy", seed: "1"}, worth: 0.7}, {play: play{off: "affinity", day: "busy", seed: "2"}, worth: 0.4, broken: true},
 			{play: play{off: "affinity", day: "calm", seed: "1"}, err: errors.New("it doesn't build")},
 		}
 		So(table(o, results), ShouldEqual, "| switched off | busy | calm |\n|---|---|---|\n"+
--- a/internal/tools/ablate/table.go
+++ b/internal/tools/ablate/table.go
@@ -37,13 +37,13 @@
 		if with.err != nil || without.err != nil {
 			return "not played"
 		}
-		if len(without.Breaks) > 0 {
+		if without.broken {
 			broken = ", broken"
 		}
 		if off == "" {
-			values = append(values, with.Worth)
+			values = append(values, with.worth)
 		} else {
-			values = append(values, without.Worth-with.Worth)
+			values = append(values, without.worth-with.worth)
 		}
 	}
 	mean, spread := meanAndSpread(values)
--- a/internal/tools/playdays/main.go
+++ b/internal/tools/playdays/main.go
@@ -6,16 +6,15 @@
 package main
 
 import (
-	"encoding/json"
-	"errors"
 	"flag"
 	"fmt"
 	"os"
-	"os/exec"
 	"path/filepath"
 	"sort"
 	"strconv"
 	"strings"
+
+	"sprucelane.example/sprucelane/internal/tools/benchrun"
 )
 
 type options struct {
@@ -23,14 +22,6 @@
 	jobs             int
 }
 
-// report is what is read of the bench's report of a day.
-type report struct {
-	Worth  float64                    `json:"G"`
-	Served float64                    `json:"served"`
-	Fault  any                        `json:"fault"`
-	Breaks map[string]json.RawMessage `json:"breaks"`
-}
-
 func main() {
 	var o options
 	flag.StringVar(&o.bench, "bench", "", "the bench's program")
@@ -57,27 +48,13 @@
 	}
 }
 
-// play has the bench play one day and reads its report.
-func play(o options, day string) (*report, error) {
-	folder, err := os.MkdirTemp("", "playdays-")
-	if err != nil {
-		return nil, err
-	}
-	defer os.RemoveAll(folder)
-	path := filepath.Join(folder, "report.json")
-	command := exec.Command(o.bench, "run", o.site, day, "--jobs", strconv.Itoa(o.jobs), "--report", path, "--why", o.why)
-	said, playError := command.CombinedOutput()
-	text, err := os.ReadFile(path)
-	if err != nil {
-		lines := strings.Split(strings.TrimSpace(string(said)), "\n")
-		return nil, errors.Join(playError, errors.New(lines[len(lines)-1]))
-	}
-	var result report
-	return &result, json.Unmarshal(text, &result)
+// play has the bench play one day.
+func play(o options, day string) (*benchrun.Report, error) {
+	return benchrun.Play(o.bench, "", o.site, day, "--jobs", strconv.Itoa(o.jobs), "--why", o.why)
 }
 
 // describe words a day in one line, and tells whether it broke nothing.
-func describe(day string, result *report, err error) (string, bool) {
+func describe(day string, result *benchrun.Report, err error) (string, bool) {
 	name := strings.TrimSuffix(filepath.Base(day), filepath.Ext(day))
 	if err != nil {
 		return fmt.Sprintf("%-44s not played: %v", name, err), false
