Batch: a quarter of the places is left to live requests, a sixth near the due time, none at it

Hypothesis: with each store held to its part of the free places, more reserve costs batch items little and spares live requests queues.

--- a/internal/batch/schedule/told.go
+++ b/internal/batch/schedule/told.go
@@ -23,7 +23,7 @@
 const (
 	// reserveFar of a server's places are left free while the due time is far, reserveNear within slackNear of it, and reserveLast when
 	// items have to start now. Late ones leave as many as those that have time.
-	reserveFar, reserveNear, reserveLast = 0.16, 0.08, 0.0
+	reserveFar, reserveNear, reserveLast = 0.25, 0.16, 0.0
 	slackFar, slackNear                  = 3 * time.Second, time.Second
 	// assumedFree is the share of the places that are taken to be free at a server of which nothing is known, where others tell.
 	assumedFree = 0.5
