Stores tell what waits with them only where servers tell their load

Change: a batch process tells its backlog only while it hears loads; a test on loopback brings both about.

--- a/internal/serverload/backlog.go
+++ b/internal/serverload/backlog.go
@@ -9,7 +9,9 @@
 )
 
 // This file owns what batch processes tell of the work that waits with them, so that gateways hand batch jobs in where least waits. Each
-// runs what it owns, and all compete for the servers' free places alike: one that was handed more than others is late with it.
+// runs what it owns, and all compete for the servers' free places alike: one that was handed more than others is late with it. They tell it
+// only where servers tell their load: elsewhere stores don't know which places are free, and more stores with work at a time press live
+// requests harder.
 
 const (
 	// backlogFor is how long a backlog stands.
@@ -88,6 +90,9 @@
 // home. What is told doesn't change hands twice: a home of each zone hears each batch process.
 func (s *Sharing) shareBacklogs(now time.Time, known *targets) {
 	if s.waiting != nil {
+		if !s.board.hearsLoads(now) {
+			return
+		}
 		one := backlog{store: xxhash.Sum64String(s.self.Node), tokens: s.waiting()}
 		if one.tokens > 0 || s.toldWaiting {
 			s.toldWaiting = one.tokens > 0
--- a/internal/serverload/load.go
+++ b/internal/serverload/load.go
@@ -95,6 +95,13 @@
 	b.learn(server, entry{load: load, at: now, heard: now, own: true})
 }
 
+// hearsLoads tells whether servers tell their load.
+func (b *Board) hearsLoads(now time.Time) bool {
+	b.mu.RLock()
+	defer b.mu.RUnlock()
+	return now.Sub(b.told) <= validFor
+}
+
 // Invalid counts the headers that could not be read.
 func (b *Board) Invalid() int64 { return b.invalid.Load() }
 
--- a/internal/serverload/load_test.go
+++ b/internal/serverload/load_test.go
@@ -188,6 +188,39 @@
 	})
 }
 
+// TestBacklogsNeedLoads has a batch process and a home on loopback.
+func TestBacklogsNeedLoads(t *testing.T) {
+	Convey("A batch process tells what waits where servers tell their load, and not elsewhere", t, func() {
+		const port = 47392
+		home := protocol.Process{Node: "home", Zone: "z", IP: "127.91.8.1"}
+		store := protocol.Process{Node: "store", Zone: "z", IP: "127.91.8.2"}
+		members := &protocol.MemberList{Version: 1, Gateways: []protocol.Process{home}}
+		boards := map[string]*Board{}
+		sharings := map[string]*Sharing{}
+		for _, one := range []protocol.Process{home, store} {
+			boards[one.Node] = NewBoard()
+			sharing, err := Listen(boards[one.Node], one, port, func() *protocol.MemberList { return members })
+			So(err, ShouldBeNil)
+			defer sharing.conn.Close()
+			sharings[one.Node] = sharing
+		}
+		sharings["store"].Waiting(func() int64 { return 5120 })
+		sharings["store"].update()
+		known := sharings["store"].targets.Load()
+		sharings["store"].shareBacklogs(start, known)
+		So(sharings["store"].toldWaiting, ShouldBeFalse)
+		boards["store"].Note(start, 7, "1,0,12")
+		sharings["store"].shareBacklogs(start, known)
+		So(sharings["store"].toldWaiting, ShouldBeTrue)
+		var datagram [backlogsBytes]byte
+		n, _, err := sharings["home"].conn.ReadFromUDPAddrPort(datagram[:])
+		So(err, ShouldBeNil)
+		_, list, ok := decodeBacklogs(datagram[:n])
+		So(ok, ShouldBeTrue)
+		So(list[0].tokens, ShouldEqual, 5120)
+	})
+}
+
 // TestSharing has processes of two zones on loopback pass on what they heard.
 func TestSharing(t *testing.T) {
 	Convey("What one process hears, all learn", t, func() {
