Fault rig: a relay that is cut takes nothing off its line from that moment on

The relay filled its line while its accepting goroutine, which had not been scheduled since the cut, could still take connections off it; on a busy machine it did so after the line was found full. Ruled out: the kernel's length of the line, which was right. Change: from the cut on the listener has a deadline that is over, so that nobody accepts. The test is as it was.

--- a/internal/lab/faults/relay.go
+++ b/internal/lab/faults/relay.go
@@ -96,7 +96,7 @@
 		return r.plug()
 	}
 	if was == Cut && s == Open {
-		return r.line(128)
+		return errors.Join(r.listener.SetDeadline(time.Time{}), r.line(128))
 	}
 	return nil
 }
@@ -112,12 +112,13 @@
 	return errors.Join(err, short)
 }
 
-// plug fills the listener's line, which is made as short as can be, so that whoever connects hears nothing.
+// plug fills the listener's line, which is made as short as can be, so that whoever connects hears nothing. From the deadline on nothing is
+// taken off the line: the accepting goroutine may not have seen the cut yet, and on a busy machine would see it long after the line is full.
 func (r *Relay) plug() error {
-	if err := r.line(0); err != nil {
+	if err := errors.Join(r.listener.SetDeadline(time.Unix(1, 0)), r.line(0)); err != nil {
 		return err
 	}
-	for range 3 { // the accepting goroutine may take one before it sees the cut
+	for range 3 {
 		c, err := net.DialTimeout("tcp4", r.addr, 50*time.Millisecond)
 		if err != nil {
 			break // it is full
