--- a/coord/transport/simulation_test.go
+++ b/coord/transport/simulation_test.go
@@ -281,7 +281,7 @@
 	for name, injected := range map[string]injectedBugs{
 		"a reply goes to any call that waits":                                  {replyToAnyCall: true},
 		"a call counts as not sent whenever its connection ended":              {neverUncertain: true},
-		"a frame counts as handed once it has been written, instead of before": {handedOffAfterWrite: true},
+		"a frame counts as handed once it has been written, instead of before": {handedOffAfterWrite: maxRelayDelay},
 	} {
 		t.Run(name, func(t *testing.T) {
 			for seed := uint64(1); seed <= maxBugSimulations; seed++ {
--- a/coord/transport/writer.go
+++ b/coord/transport/writer.go
@@ -25,8 +25,9 @@
 			return
 		}
 		batch.release()
+		time.Sleep(l.options.injected.handedOffAfterWrite)
 		l.mutex.Lock()
-		if l.options.injected.handedOffAfterWrite {
+		if l.options.injected.handedOffAfterWrite > 0 {
 			l.handedOff = l.dequeued
 		}
 		l.writing = false
@@ -56,7 +57,7 @@
 		l.capacityFreed = nil
 	}
 	l.dequeued = l.queued
-	if !l.options.injected.handedOffAfterWrite {
+	if l.options.injected.handedOffAfterWrite == 0 {
 		l.handedOff = l.dequeued
 	}
 	l.lastSend = time.Now()
