policy: customers beyond the bound of records end no process; the oldest records go

Cause: with 20,000 records, none idle for over a second, recordFor gives none and withinQuotaHere dereferenced nil: a caller with valid credentials could end the daemon. Records of customers that ask here had no bound at all then. Change: the least recently seen records that are not in use go, a sixteenth at once; what has requests open stays counted. If all are in use a further customer is refused; an owner without room for its record decides by its own part. Evicted records leave the pending updates. A new record after an eviction starts with an empty hard limit, as before.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -20,7 +20,12 @@
 	if !(in.Units >= 0 && in.Units <= math.MaxInt32) { // NaN would make a balance NaN for good
 		in.Units = 1
 	}
-	r := &request{Request: in, arrivedAt: now, customer: g.customerFor(in)}
+	customer := g.customerFor(in)
+	if customer == nil {
+		g.host.Refuse(in.ID, 0)
+		return
+	}
+	r := &request{Request: in, arrivedAt: now, customer: customer}
 	g.retryBudget = math.Min(maxRetryBudget, g.retryBudget+retriesPerRequest)
 	g.hedgeBudget = math.Min(hedgesPerRequest*maxRetryBudget/retriesPerRequest, g.hedgeBudget+hedgesPerRequest)
 	r.owner = g.ownerOf(r.customer)
@@ -31,6 +36,7 @@
 		return
 	}
 	g.requests[in.ID] = r
+	customer.requests++
 	g.host.Timer(requestTag(in.ID, tagDeadline), in.Deadline-now-2*g.cfg.Tick)
 	if ownerDecides {
 		g.queryOwner(r)
@@ -40,11 +46,14 @@
 }
 
 // withinQuotaHere tells whether a request is within its customer's quota, by this gateway as the owner or by its copy
-// or part of the bucket.
+// or part of the bucket. An owner without room for its record of the bucket decides by its part, as if it had none.
 func (g *Gateway) withinQuotaHere(r *request) bool {
 	if r.owner == g.cfg.Self {
 		q := ownerQuery{from: g.cfg.Self, token: uint32(r.ID), customerKey: r.customer.key, units: r.Units}
-		return g.answerQuery(q).lastQueryAdmitted
+		if bucket := g.answerQuery(q); bucket != nil {
+			return bucket.lastQueryAdmitted
+		}
+		r.owner = -1
 	}
 	return g.withinQuota(r)
 }
--- a/policy/answers.go
+++ b/policy/answers.go
@@ -25,8 +25,9 @@
 	r.closed = true
 	r.setQueued(false)
 	delete(g.pendingQueries, r.queryToken)
-	if len(r.inFlight) == 0 {
+	if len(r.inFlight) == 0 && g.requests[r.ID] == r {
 		delete(g.requests, r.ID)
+		r.customer.requests--
 	}
 }
 
--- a/policy/balances.go
+++ b/policy/balances.go
@@ -53,9 +53,10 @@
 func (g *Gateway) SentElsewhere(now Time, in Request, to ServerID, first bool) {
 	g.advance(now)
 	if first {
-		c := g.customerFor(in)
-		c.addUsed(in.Units)
-		g.charge(&request{Request: in, customer: c, owner: g.ownerOf(c)}, 1)
+		if c := g.customerFor(in); c != nil {
+			c.addUsed(in.Units)
+			g.charge(&request{Request: in, customer: c, owner: g.ownerOf(c)}, 1)
+		}
 	}
 	g.countSlowStartSend(g.serversByID[to])
 }
--- a/policy/customers.go
+++ b/policy/customers.go
@@ -11,18 +11,21 @@
 const (
 	maxCustomers = 20000 // records
 	idleAfter    = time.Minute
+	// evictedShare is the part of the records, one in so many, that go together where none has been idle: the search for
+	// them is paid for once in as many new customers.
+	evictedShare = 16
 )
 
-// customerFor finds or makes the record of a request's customer and adds the request to its demand.
+// customerFor finds or makes the record of a request's customer and adds the request to its demand. It returns nil
+// where all records are in use: what they count stays counted, so none can go.
 func (g *Gateway) customerFor(in Request) *customer {
 	c := g.customersByID[in.Customer]
 	setSize := max(1, min(in.SetSize, g.cfg.Gateways))
 	in.FirstGateway = (in.FirstGateway%g.cfg.Gateways + g.cfg.Gateways) % g.cfg.Gateways
 	key := customerKey(in.Customer, in.Plan, in.FirstGateway, setSize)
 	if c == nil {
-		if len(g.customers) >= maxCustomers {
-			g.unseenFillSince = g.now
-			g.evictIdle(recentWindow)
+		if len(g.customers) >= g.maxCustomers && !g.makeRoom() {
+			return nil
 		}
 		if c = g.customersByKey[key]; c == nil || c.seenHere {
 			c = g.newCustomer(key)
@@ -71,22 +74,70 @@
 func (g *Gateway) recordFor(key uint64) *customer {
 	plan, _, setSize := splitCustomerKey(key)
 	if c := g.customersByKey[key]; c != nil || plan >= len(g.cfg.Plans) || setSize < 1 || setSize > g.cfg.Gateways ||
-		len(g.customers) >= maxCustomers {
+		len(g.customers) >= g.maxCustomers {
 		return c
 	}
 	return g.newCustomer(key)
 }
 
-// evictIdle drops the records of customers without attempts in flight that have asked nothing for longer than idle.
+// makeRoom evicts records where there are too many: those of customers that have been idle, or else the ones that were
+// least recently seen. It reports whether there is room for another one. The hard limit of a record that is made anew
+// counts as filled since now only, so that a customer gains nothing by being evicted.
+func (g *Gateway) makeRoom() bool {
+	g.unseenFillSince = g.now
+	g.evictIdle(recentWindow)
+	if len(g.customers) >= g.maxCustomers {
+		g.evictLeastRecentlySeen()
+	}
+	return len(g.customers) < g.maxCustomers
+}
+
+// inUse tells whether a customer has requests without an answer or attempts in flight, which its record counts or is to
+// count once they are sent.
+func (c *customer) inUse() bool { return c.requests > 0 }
+
+// evictIdle drops the records not in use of customers that have asked nothing for longer than idle.
 func (g *Gateway) evictIdle(idle time.Duration) {
+	g.evict(func(c *customer) bool { return g.now-c.lastSeen > idle })
+}
+
+// evictLeastRecentlySeen drops one record in evictedShare, of those not in use the least recently seen ones.
+func (g *Gateway) evictLeastRecentlySeen() {
+	left := max(1, g.maxCustomers/evictedShare) // of equally old ones some stay
+	var seen []Time
+	for _, c := range g.customers {
+		if !c.inUse() {
+			seen = append(seen, c.lastSeen)
+		}
+	}
+	if len(seen) == 0 {
+		return
+	}
+	slices.Sort(seen)
+	latest := seen[min(left, len(seen))-1]
+	g.evict(func(c *customer) bool {
+		if left == 0 || c.lastSeen > latest {
+			return false
+		}
+		left--
+		return true
+	})
+}
+
+// evict drops the records that are chosen, but for those in use.
+func (g *Gateway) evict(chosen func(*customer) bool) {
 	g.customers = slices.DeleteFunc(g.customers, func(c *customer) bool {
-		old := c.inFlight == 0 && g.now-c.lastSeen > idle
-		if old && c.seenHere {
+		if c.inUse() || !chosen(c) {
+			return false
+		}
+		if c.seenHere {
 			delete(g.customersByID, c.id)
 		}
-		if old && g.customersByKey[c.key] == c {
+		if g.customersByKey[c.key] == c {
 			delete(g.customersByKey, c.key)
 		}
-		return old
+		c.pendingPeers = 0
+		return true
 	})
+	g.dropSentUpdates()
 }
--- a/policy/peers.go
+++ b/policy/peers.go
@@ -141,6 +141,11 @@
 	for i := range g.nearby {
 		g.sendUpdate(g.nearby[i:])
 	}
+	g.dropSentUpdates()
+}
+
+// dropSentUpdates takes the customers of whom no peer is to hear any more off the pending updates.
+func (g *Gateway) dropSentUpdates() {
 	g.pendingUpdates = slices.DeleteFunc(g.pendingUpdates, func(c *customer) bool { return c.pendingPeers == 0 })
 }
 
--- a/policy/random_events_test.go
+++ b/policy/random_events_test.go
@@ -19,6 +19,12 @@
 	s.Plans = append(s.Plans, Plan{Name: "top", Rate: 30, Burst: 30, ValueMultiplier: 2, HardLimitRate: 60,
 		HardLimitBurst: 60, MaxInFlight: 8})
 	f := start(t, s, 8)
+	limitCustomers := func() {
+		if seed%3 == 0 { // fewer records than the customers that ask at once
+			f.gateway.maxCustomers = 6
+		}
+	}
+	limitCustomers()
 	type open struct {
 		send
 		class int
@@ -74,6 +80,7 @@
 			}
 			g.Attach(f)
 			f.gateway, f.timers, out = g, nil, nil
+			limitCustomers()
 			var list []ServerInfo
 			for sv := ServerID(1); sv <= 8; sv++ {
 				state := Ready
@@ -109,6 +116,7 @@
 			}
 			out = append(out, open{x, class[x.id]})
 		}
+		checkCustomers(t, f.gateway)
 		for i := max(1, int(id)-60); i <= int(id); i++ {
 			if r := RequestID(i); f.ended[r] == "" && f.now > deadline[r] {
 				t.Fatalf("seed %d: request %d has no answer at its deadline", seed, r)
--- a/policy/records.go
+++ b/policy/records.go
@@ -107,6 +107,7 @@
 	refilledAt    Time                  // balance and hardLimit are as of then
 	demand        decayingMean
 	sharedDemand  pushSum // units asked at all its gateways, and the weight
+	requests      int     // in Gateway.requests
 	inFlight      int     // attempts
 	queued        int     // requests that wait and have had no attempt
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -71,6 +71,7 @@
 	customers      []*customer
 	customersByID  map[CustomerID]*customer // those whose requests have come in here
 	customersByKey map[uint64]*customer
+	maxCustomers   int // bound of customers; less than the constant in tests
 
 	// unseenFillSince is the time since which the hard limit of a customer without a record has filled: the start, or
 	// when records were last dropped because there were too many.
@@ -106,6 +107,7 @@
 	g.classLatency = make([]decayingMean, len(cfg.Classes))
 	g.latencyByUnits = make([]decayingFit, len(cfg.Classes))
 	g.lateness = make([]decayingMean, len(cfg.Classes))
+	g.maxCustomers = maxCustomers
 	g.customersByID, g.customersByKey = map[CustomerID]*customer{}, map[uint64]*customer{}
 	g.gatewayPeers = newGatewayPeers(cfg)
 	g.groups = newGroups(cfg)
--- a/policy/state_transfer.go
+++ b/policy/state_transfer.go
@@ -288,7 +288,7 @@
 	for _, c := range from.customers {
 		name := from.cfg.Plans[c.plan].Name
 		c.plan = slices.IndexFunc(g.cfg.Plans, func(p Plan) bool { return p.Name == name })
-		if c.plan < 0 || len(g.customers) >= maxCustomers {
+		if c.plan < 0 || len(g.customers) >= g.maxCustomers {
 			continue
 		}
 		c.key = c.key&^(255<<24) | uint64(c.plan&255)<<24
