leader: a term that ends in its own role's check cancels the role

Cause: Runner.valid dropped the StopRole of Election.Observe; no later look stopped the role again, and Close waited for it. Change: valid cancels the role. Measured: TestValidCancelsEndedTerm, which waits for good on the code before.

--- a/coord/leader/leader_test.go
+++ b/coord/leader/leader_test.go
@@ -132,3 +132,33 @@
 		So(source.handed, ShouldEqual, 1)
 	})
 }
+
+// TestValidCancelsEndedTerm checks that a role whose own look at its term ends that term is cancelled: the runner's next
+// look finds no running term to stop, and Close would wait for the role for good.
+func TestValidCancelsEndedTerm(t *testing.T) {
+	source := &fakeSource{}
+	const margin = time.Hour
+	source.set(1, time.Now().Add(2*margin), true)
+	started := make(chan *Term, 1)
+	ended := make(chan struct{})
+	runner := Run(source, func(ctx context.Context, term *Term) {
+		started <- term
+		<-ctx.Done()
+		close(ended)
+	}, Options{Interval: time.Hour, Margin: margin})
+	term := <-started
+	// The lease isn't renewed and has come within its margin.
+	runner.mutex.Lock()
+	runner.startedAt = runner.startedAt.Add(-3 * margin / 2)
+	source.set(1, runner.startedAt.Add(2*margin), true)
+	runner.mutex.Unlock()
+	if term.Valid() {
+		t.Error("a term within the margin of its lease's end is valid")
+	}
+	select {
+	case <-ended:
+	case <-time.After(time.Minute):
+		t.Fatal("the role wasn't cancelled")
+	}
+	runner.Close()
+}
--- a/coord/leader/runner.go
+++ b/coord/leader/runner.go
@@ -135,8 +135,9 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	if lease.Held && lease.Epoch == epoch {
-		if _, _, running := r.election.Term(); running {
-			r.election.Observe(r.now(), lease)
+		// The election may end the term here: the role must be cancelled then, as no later look asks for it again.
+		if _, _, running := r.election.Term(); running && r.election.Observe(r.now(), lease) == StopRole {
+			r.cancel()
 		}
 	}
 	return r.election.Valid(r.now(), epoch)
