store: Close beside writers; the identity is read under the lock

Cause: ID and Epoch read the manifest without the lock; a group commit beside Close could send on the closed channel wake. Change: wake is never closed, a channel of its own ends the flusher; Write beside Close is written or gets ErrClosed. Measured: TestCloseBesideWrites, 40 stores with six writers under the race detector.

--- a/internal/daemon/store/store.go
+++ b/internal/daemon/store/store.go
@@ -74,7 +74,7 @@
 	return fmt.Sprintf("store: %s, byte %d: %s", d.File, d.Offset, d.Reason)
 }
 
-// Store is an open store. It is safe for concurrent use, but for Close.
+// Store is an open store. It is safe for concurrent use, Close included.
 type Store struct {
 	fs     FS
 	opt    Options
@@ -111,7 +111,8 @@
 	counters             Counters
 
 	flushDone   *sync.Cond    // on mu; durableSeq, writeErr or closed has changed
-	wake        chan struct{} // capacity 1; asks flushLoop for a flush; closed by Close
+	wake        chan struct{} // capacity 1; asks flushLoop for a flush; never closed, as writers may still send
+	closing     chan struct{} // closed by Close; ends flushLoop
 	flusherDone chan struct{} // closed when flushLoop has returned
 }
 
@@ -138,7 +139,7 @@
 	s := &Store{fs: fs, opt: opt.withDefaults(), unlock: unlock,
 		segmentFiles: map[uint64]File{}, segmentSizes: map[uint64]int64{}, liveBytes: map[uint64]int64{},
 		index: map[string]*indexEntry{}, group: newCommitGroup(),
-		wake: make(chan struct{}, 1), flusherDone: make(chan struct{})}
+		wake: make(chan struct{}, 1), closing: make(chan struct{}), flusherDone: make(chan struct{})}
 	s.flushDone = sync.NewCond(&s.mu)
 	began := time.Now()
 	if err := s.recover(); err != nil {
@@ -154,10 +155,18 @@
 }
 
 // ID returns the identity of the store, which all copies of its directory share.
-func (s *Store) ID() ID { return s.manifest.id }
+func (s *Store) ID() ID {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.manifest.id
+}
 
 // Epoch counts how often the store has been opened. An older copy of a directory has a smaller epoch.
-func (s *Store) Epoch() uint64 { return s.manifest.epoch }
+func (s *Store) Epoch() uint64 {
+	s.mu.RLock()
+	defer s.mu.RUnlock()
+	return s.manifest.epoch
+}
 
 // Counters returns the counters.
 func (s *Store) Counters() Counters {
@@ -168,8 +177,8 @@
 	return c
 }
 
-// Close flushes what is pending, seals the segments, writes a checkpoint and unlocks the directory. No call of Write
-// may be in progress. A second call does nothing.
+// Close flushes what is pending, seals the segments, writes a checkpoint and unlocks the directory. Calls of Write that
+// are in progress are written, or get ErrClosed. A second call does nothing.
 func (s *Store) Close() error {
 	s.mu.Lock()
 	if s.closed {
@@ -178,7 +187,7 @@
 	}
 	s.closed = true
 	s.mu.Unlock()
-	close(s.wake)
+	close(s.closing)
 	<-s.flusherDone
 	err := s.flush()
 	if err == nil {
--- a/internal/daemon/store/store_test.go
+++ b/internal/daemon/store/store_test.go
@@ -585,3 +585,44 @@
 		}
 	})
 }
+
+// TestCloseBesideWrites closes a store while writers of each durability are at work, and readers of its identity. What
+// was acknowledged is there after the next start; everything else got ErrClosed.
+func TestCloseBesideWrites(t *testing.T) {
+	for seed := range 40 {
+		fs := faultfs.New()
+		s, err := store.Open(fs, store.Options{FlushInterval: time.Millisecond, SegmentBytes: 600})
+		require.NoError(t, err)
+		var mu sync.Mutex
+		acknowledged := map[string]bool{}
+		var all sync.WaitGroup
+		for writer := range 6 {
+			all.Go(func() {
+				for i := 0; ; i++ {
+					key := fmt.Sprint(writer, "-", i)
+					var b store.Batch
+					b.Put([]byte(key), []byte("v"))
+					durability := []store.Durability{store.GroupCommit, store.Immediate, store.Buffered}[writer%3]
+					if err := s.Write(&b, durability); err != nil {
+						assert.ErrorIs(t, err, store.ErrClosed)
+						return
+					}
+					_, _ = s.ID(), s.Epoch()
+					mu.Lock()
+					acknowledged[key] = true
+					mu.Unlock()
+				}
+			})
+		}
+		time.Sleep(time.Duration(seed%5) * 200 * time.Microsecond)
+		require.NoError(t, s.Close())
+		all.Wait()
+		s, err = store.Open(fs, store.Options{})
+		require.NoError(t, err)
+		for key := range acknowledged {
+			_, found, err := s.Get([]byte(key))
+			assert.True(t, found && err == nil, "%s is not there: %v", key, err)
+		}
+		require.NoError(t, s.Close())
+	}
+}
--- a/internal/daemon/store/write.go
+++ b/internal/daemon/store/write.go
@@ -93,7 +93,7 @@
 	}
 }
 
-// wakeFlusher asks for a flush without waiting for it. It must not be called after Close.
+// wakeFlusher asks for a flush without waiting for it. After Close nobody reads it: the last flush is Close's.
 func (s *Store) wakeFlusher() {
 	select {
 	case s.wake <- struct{}{}:
@@ -102,17 +102,16 @@
 }
 
 // flushLoop flushes when a writer waits for it, and every FlushInterval otherwise, and does the maintenance that
-// follows. It ends when wake is closed.
+// follows. It ends with Close.
 func (s *Store) flushLoop() {
 	defer close(s.flusherDone)
 	tick := time.NewTicker(s.opt.FlushInterval)
 	defer tick.Stop()
 	for {
 		select {
-		case _, open := <-s.wake:
-			if !open {
-				return
-			}
+		case <-s.closing:
+			return
+		case <-s.wake:
 		case <-tick.C:
 		}
 		if s.flush() == nil {
