buffers: callers that hold bytes and wait for each other; pool: longest idle, interim responses

Causes: a caller that acquires more while it holds some of a nearly full budget waited for another that did the same, until their deadlines. evictIdle looked at the first idle connection of each server, which needn't be the one idle longest. The limit on interim responses differed by one between the daemon and the system. Changes: AcquireMore names what its caller holds; when all in use is held by waiting callers one is granted out of turn or the last one refused at once. evictIdle looks at all idle connections.

--- a/internal/buffers/budget.go
+++ b/internal/buffers/budget.go
@@ -1,6 +1,7 @@
 package buffers
 
 import (
+	"slices"
 	"sync"
 	"time"
 )
@@ -18,8 +19,10 @@
 
 // waiter is an acquisition that waits.
 type waiter struct {
-	n     int64
-	ready chan struct{} // closed once the bytes are acquired
+	n       int64
+	held    int64         // bytes of the budget that its caller holds meanwhile
+	decided chan struct{} // closed once the bytes are acquired or refused
+	refused bool          // written before decided is closed
 }
 
 // New returns a budget of so many bytes.
@@ -37,7 +40,15 @@
 // Acquire acquires n bytes, and waits for them until a deadline. It reports whether it has them. When nothing
 // is in use any number can be acquired, however low the limit is: otherwise a request larger than the limit
 // would never be served.
-func (b *Budget) Acquire(n int64, deadline time.Time) bool {
+//
+// A caller that holds bytes of the budget and keeps them while it waits uses AcquireMore.
+func (b *Budget) Acquire(n int64, deadline time.Time) bool { return b.AcquireMore(0, n, deadline) }
+
+// AcquireMore is Acquire for a caller that holds some bytes of the budget already, all of which it releases if it is
+// refused. Callers that hold bytes and wait for each other's would wait until their deadlines: once all that is in use is
+// held by callers that wait, one of them gets its bytes out of turn if they fit, or else the last one to come is refused
+// at once.
+func (b *Budget) AcquireMore(held, n int64, deadline time.Time) bool {
 	if b == nil {
 		return true
 	}
@@ -47,27 +58,26 @@
 		b.mu.Unlock()
 		return true
 	}
-	w := &waiter{n, make(chan struct{})}
+	w := &waiter{n: n, held: held, decided: make(chan struct{})}
 	b.waiters = append(b.waiters, w)
 	b.waits++
+	b.resolveDeadlock()
 	b.mu.Unlock()
 	timer := time.NewTimer(time.Until(deadline))
 	defer timer.Stop()
 	select {
-	case <-w.ready:
-		return true
+	case <-w.decided:
+		return !w.refused
 	case <-timer.C:
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	for i := range b.waiters {
-		if b.waiters[i] == w {
-			b.waiters = append(b.waiters[:i], b.waiters[i+1:]...)
-			b.grantWaiting() // those behind it may fit
-			return false
-		}
+	if i := slices.Index(b.waiters, w); i >= 0 {
+		b.waiters = slices.Delete(b.waiters, i, i+1)
+		b.grantWaiting() // those behind it may fit
+		return false
 	}
-	return true // it was granted at the same time
+	return !w.refused // it was decided at the same time
 }
 
 // fits reports whether n bytes can be acquired now. The mutex is held.
@@ -82,10 +92,45 @@
 // grantWaiting grants waiting acquisitions, in their order, as long as they fit. The mutex is held.
 func (b *Budget) grantWaiting() {
 	for len(b.waiters) > 0 && b.fits(b.waiters[0].n) {
-		b.reserve(b.waiters[0].n)
-		close(b.waiters[0].ready)
-		b.waiters = b.waiters[1:]
+		b.grant(0)
+	}
+	b.resolveDeadlock()
+}
+
+// grant grants a waiting acquisition. The mutex is held.
+func (b *Budget) grant(i int) {
+	w := b.waiters[i]
+	b.reserve(w.n)
+	b.waiters = slices.Delete(b.waiters, i, i+1)
+	close(w.decided)
+}
+
+// resolveDeadlock decides one waiting acquisition if nobody else can release anything: all bytes in use are held by
+// callers that wait. Whichever is decided, its caller releases bytes in the end, and the others go on then. The mutex is
+// held.
+func (b *Budget) resolveDeadlock() {
+	var held int64
+	for _, w := range b.waiters {
+		held += w.held
+	}
+	if held == 0 || held < b.inUse {
+		return
+	}
+	last := 0
+	for i, w := range b.waiters {
+		if w.held == 0 {
+			continue
+		}
+		if b.fits(w.n) {
+			b.grant(i)
+			return
+		}
+		last = i
 	}
+	w := b.waiters[last]
+	b.waiters = slices.Delete(b.waiters, last, last+1)
+	w.refused = true
+	close(w.decided)
 }
 
 // Release returns n bytes.
--- a/internal/buffers/budget_test.go
+++ b/internal/buffers/budget_test.go
@@ -100,3 +100,73 @@
 	assert.LessOrEqual(t, c.Peak, int64(most))
 	assert.Zero(t, b.waitingCount())
 }
+
+// TestCallersThatWaitForEachOther has callers that each hold a part of the budget want more than is left: one is refused
+// at once, long before the deadline, and the others get theirs.
+func TestCallersThatWaitForEachOther(t *testing.T) {
+	b := New(100)
+	const callers, held = 4, 25
+	for range callers {
+		require.True(t, b.Acquire(held, farDeadline()))
+	}
+	granted := make(chan bool, callers)
+	var all sync.WaitGroup
+	for range callers {
+		all.Go(func() {
+			total := int64(held)
+			ok := b.AcquireMore(held, 10, time.Now().Add(time.Hour))
+			if ok {
+				total += 10
+			}
+			granted <- ok
+			b.Release(total)
+		})
+	}
+	all.Wait()
+	refused := 0
+	for range callers {
+		if !<-granted {
+			refused++
+		}
+	}
+	assert.Equal(t, 1, refused)
+	assert.Zero(t, b.Stats().InUse)
+}
+
+// TestHolderPassesOneThatHoldsNothing: the first in line needs what a caller behind it holds, which would fit.
+func TestHolderPassesOneThatHoldsNothing(t *testing.T) {
+	b := New(100)
+	require.True(t, b.Acquire(30, farDeadline()))
+	first := make(chan bool, 1)
+	go func() { first <- b.Acquire(80, time.Now().Add(time.Hour)) }()
+	require.Eventually(t, func() bool { return b.waitingCount() == 1 }, time.Minute, time.Millisecond)
+	assert.True(t, b.AcquireMore(30, 10, time.Now().Add(time.Hour)))
+	b.Release(40)
+	assert.True(t, <-first)
+}
+
+// TestGrowingCallers: callers that grow step by step while they hold what they have never wait for their deadlines.
+func TestGrowingCallers(t *testing.T) {
+	const limit, steps = 64, 8
+	b := New(limit)
+	var all sync.WaitGroup
+	for i := range 24 {
+		rng := rand.New(rand.NewPCG(uint64(i), 3))
+		all.Go(func() {
+			for range 100 {
+				held := int64(0)
+				for range steps {
+					more := rng.Int64N(6) + 1
+					if !b.AcquireMore(held, more, time.Now().Add(time.Hour)) {
+						break
+					}
+					held += more
+				}
+				b.Release(held)
+			}
+		})
+	}
+	all.Wait()
+	assert.Zero(t, b.Stats().InUse)
+	assert.LessOrEqual(t, b.Stats().Peak, int64(limit))
+}
--- a/internal/buffers/doc.go
+++ b/internal/buffers/doc.go
@@ -2,7 +2,7 @@
 // in golang.org/x/sync/semaphore, whose limit may change and whose waits have a deadline. When the limit is
 // reached, further acquisitions wait, and fail at their deadline.
 //
-// Callers that wait while they hold bytes of the same budget can deadlock with each other, until their
-// deadlines. Request bodies and responses therefore have a budget each, since a body is held until its
-// response has been read.
+// A caller that needs more while it holds some says so (AcquireMore): where such callers wait for each other, one of
+// them is refused at once, so that none of them waits until its deadline for what the others hold. Request bodies and
+// responses of the daemon have a budget each all the same, since a body is held until its response has been read.
 package buffers
--- a/internal/daemon/front/platform/body.go
+++ b/internal/daemon/front/platform/body.go
@@ -95,7 +95,7 @@
 
 // grow enlarges the buffer to so many bytes in total.
 func (b *Body) grow(size int64, deadline time.Time) bool {
-	if !b.budget.Acquire(size-b.reserved, deadline) {
+	if !b.budget.AcquireMore(b.reserved, size-b.reserved, deadline) {
 		return false
 	}
 	b.reserved = size
--- a/internal/gateway/proxy/body.go
+++ b/internal/gateway/proxy/body.go
@@ -63,7 +63,7 @@
 		maxSize = r.ContentLength + 1 // EOF is read as well: net/http watches the connection only after that
 	}
 	for size := min(initialBufferSize, maxSize); ; size = min(2*size, maxSize) {
-		if !budget.Acquire(size-b.reserved, deadline) {
+		if !budget.AcquireMore(b.reserved, size-b.reserved, deadline) {
 			return &errorResponse{status: http.StatusServiceUnavailable, message: "body: no room for it now",
 				retryAfter: unreadyRetryAfter, closeConnection: true}
 		}
--- a/internal/gateway/proxy/buffered.go
+++ b/internal/gateway/proxy/buffered.go
@@ -70,7 +70,8 @@
 		if resp.ContentLength >= 0 {
 			size = max(size, min(resp.ContentLength+1, maxResponseBytes))
 		}
-		if !q.proxy.Bodies.Acquire(size-int64(cap(body)), q.deadline) {
+		held := q.body.reserved + int64(cap(body))
+		if !q.proxy.Bodies.AcquireMore(held, size-int64(cap(body)), q.deadline) {
 			return body, errResponseTooLarge
 		}
 		grown := make([]byte, len(body), size)
--- a/internal/pool/acquire.go
+++ b/internal/pool/acquire.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"slices"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/core"
@@ -134,16 +135,19 @@
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var from *server
+	var oldest *conn
 	for _, s := range p.servers {
-		if len(s.idle) > 0 && (from == nil || s.idle[0].idleSince.Before(from.idle[0].idleSince)) {
-			from = s
+		for _, c := range s.idle { // not in order of idleSince: releaseUnused leaves it as it was
+			if oldest == nil || c.idleSince.Before(oldest.idleSince) {
+				from, oldest = s, c
+			}
 		}
 	}
 	if from == nil {
 		return false
 	}
-	oldest := from.idle[0]
-	from.idle = from.idle[1:]
+	i := slices.Index(from.idle, oldest)
+	from.idle = slices.Delete(from.idle, i, i+1)
 	oldest.Close() // the new one is counted in its place
 	return true
 }
--- a/internal/pool/exchange.go
+++ b/internal/pool/exchange.go
@@ -102,7 +102,7 @@
 	x.conn.readLimit = maxHeadSize
 	x.bodyEnded = false
 	x.conn.SetReadDeadline(deadline)
-	for range maxInterimResponses {
+	for interim := 0; interim <= maxInterimResponses; interim++ {
 		resp, err := http.ReadResponse(x.conn.reader, &http.Request{Method: x.method})
 		if err != nil {
 			x.observeReuse(err)
--- a/internal/pool/response.go
+++ b/internal/pool/response.go
@@ -108,7 +108,7 @@
 	mayReturnEarly bool) (complete bool, err error) {
 	for size := min(limit, StreamBufferSize); ; size = min(2*size, limit) {
 		if more := size - b.reserved; more > 0 {
-			if !b.pool.options.ResponseMemory.Acquire(more, deadline) {
+			if !b.pool.options.ResponseMemory.AcquireMore(b.reserved, more, deadline) {
 				return false, os.ErrDeadlineExceeded
 			}
 			b.reserved += more
