core: the wait for authorization ends before the corrected deadline

Cause: Serve authorized with the deadline that the front had set, not the one less the time for which the request lay unread in a pause of the process. Change: answerUnauthorized takes the transaction's. Measured: TestAuthorizationEndsBeforeCorrectedDeadline.

--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -9,6 +9,7 @@
 	"github.com/stretchr/testify/assert"
 	"github.com/stretchr/testify/require"
 
+	"sprucelane.example/sprucelane/internal/recovery"
 	"sprucelane.example/sprucelane/policy"
 )
 
@@ -122,3 +123,24 @@
 		time.Millisecond)
 	assert.Contains(t, c.Counters().String(), "answered_served=0")
 }
+
+// TestAuthorizationEndsBeforeCorrectedDeadline: a request that lay unread while the process was paused has less time left
+// than its front believes, and so has the wait for its client's authorization.
+func TestAuthorizationEndsBeforeCorrectedDeadline(t *testing.T) {
+	c, _ := start(t, func(*Attempt) (End, Answer) { return EndErrored, Answer{} })
+	const pause, patience = 5 * time.Second, 20 * time.Second
+	now := c.Now()
+	c.mu.Lock()
+	c.recovery.Event(now)
+	assert.Equal(t, pause, c.recovery.Event(now+pause))
+	c.recovery.Received(recovery.Discovery) // nothing else is to be waited for
+	c.mu.Unlock()
+	var until policy.Time
+	deadline := c.Now() + patience
+	c.Serve(context.Background(), Request{Request: policy.Request{Units: 1, SetSize: 1, Deadline: deadline},
+		Authorize: func(by policy.Time) (Verdict, time.Duration) {
+			until = by
+			return Inactive, 0
+		}})
+	assert.Equal(t, deadline-pause-authorizeMargin, until)
+}
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -62,7 +62,7 @@
 	if refused, wait := c.stormVerdict(tx); refused {
 		return c.countAnswer(Answer{Kind: Refused, RetryAfter: wait})
 	}
-	if answer, over := c.answerUnauthorized(ctx, tx, in.Deadline); over {
+	if answer, over := c.answerUnauthorized(ctx, tx); over {
 		return c.countAnswer(answer)
 	}
 	c.handle(func(now Time) { tx.generation.gateway.Request(now, tx.Request.Request) })
@@ -87,12 +87,12 @@
 }
 
 // answerUnauthorized gives the final answer of a transaction whose client has left or isn't authorized; over is false
-// where the client is. Policy doesn't hear of such a transaction: it draws no units. The deadline is the one that the
-// front has set.
-func (c *Core) answerUnauthorized(ctx context.Context, tx *transaction, deadline Time) (answer Answer, over bool) {
+// where the client is. Policy doesn't hear of such a transaction: it draws no units. The wait for a verdict ends with the
+// deadline as register has corrected it.
+func (c *Core) answerUnauthorized(ctx context.Context, tx *transaction) (answer Answer, over bool) {
 	verdict, wait := Active, time.Duration(0)
 	if tx.Authorize != nil {
-		verdict, wait = tx.Authorize(deadline - authorizeMargin)
+		verdict, wait = tx.Authorize(tx.Deadline - authorizeMargin)
 	}
 	gone := ctx.Err() != nil
 	if !gone && verdict == Active {
