batch: an ended batch job isn't forgotten while a copy without its end may run

Deeper: a store that was away could return with such a copy, and replicas dropped copies of jobs still open after twice the retention. Change: the owner tells stores that leave a set within an epoch until they have no copy; a closed job goes once all replicas know of its end and no such store is left; the end is kept for the lifetime of the route's items and margins for clocks. Two faults of transfers to and from retiring stores, shown by the stricter simulations, are mended with it.

--- a/internal/batch/replica/cluster_test.go
+++ b/internal/batch/replica/cluster_test.go
@@ -21,6 +21,7 @@
 
 // cluster is some nodes with a view.
 type cluster struct {
+	itemLifetime      time.Duration // 0 for no limit
 	replicationFactor int
 	now               time.Duration
 	epoch             uint64
@@ -271,6 +272,8 @@
 
 func (n *clusterNode) QueueLimit(string) (int64, bool) { return n.cluster.tokenLimit, true }
 
+func (n *clusterNode) ItemLifetime(string) (time.Duration, bool) { return n.cluster.itemLifetime, true }
+
 func (n *clusterNode) Stop(string) {}
 
 func (n *clusterNode) Write(record []byte, _ bool) (uint64, wal.Location) {
--- a/internal/batch/replica/environment.go
+++ b/internal/batch/replica/environment.go
@@ -36,4 +36,8 @@
 	// QueueLimit gives the number of tokens of one tenant that may be queued on a route, 0 for no limit. It is
 	// not known while the configuration doesn't have the route yet.
 	QueueLimit(route string) (tokens int64, known bool)
+	// ItemLifetime gives the time after a batch job's first submission, by this store's time of day, from which on no
+	// store starts an item of the route any more, whatever its own clock says; 0 for no such time. It is not known while
+	// the configuration doesn't have the route.
+	ItemLifetime(route string) (lifetime time.Duration, known bool)
 }
--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -96,6 +96,7 @@
 	m.noteInheritedTokens(j)
 	m.revokeReconciled() // it has to be fully replicated first
 	delete(m.owners, j.id)
+	delete(m.transfers, j.id) // a batch job that was transferred to the retiring store falls to this one again
 	j.setReplicas(j.version, j.replicas, m.self)
 	m.announceOwner(j.id, m.self)
 	m.replicateJob(j)
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -107,12 +107,13 @@
 }
 
 // ReplicationRequest brings a replica up to the owner's state. Without Content, Results and Ended it asks for
-// the replica's state. A store that is to release a copy sends such a question to the owner, too.
+// the replica's state; with Replicas it tells a store that left the set of the newer version. A store that is to release a
+// copy sends such a question to the owner, too.
 type ReplicationRequest struct {
 	Stamp
 	Job      string
 	Version  Version
-	Replicas []protocol.Process // with Content
+	Replicas []protocol.Process // with Content, and where the receiver has left the set
 	Content  []byte             // encoded; nil where the replica has it
 	Start    int                // position of the first of Results; 0 with Content
 	Results  []Result
--- a/internal/batch/replica/model_test.go
+++ b/internal/batch/replica/model_test.go
@@ -197,6 +197,9 @@
 func (s *modelStore) WallClock() int64                { return s.model.now.Milliseconds() }
 func (s *modelStore) QueueLimit(string) (int64, bool) { return 0, true }
 
+// ItemLifetime is without limit.
+func (s *modelStore) ItemLifetime(string) (time.Duration, bool) { return 0, true }
+
 func (s *modelStore) FreeBytes() int64 { return 1 << 40 }
 func (s *modelStore) Start(string)     {}
 func (s *modelStore) Stop(string)      {}
--- a/internal/batch/replica/ownership.go
+++ b/internal/batch/replica/ownership.go
@@ -91,7 +91,7 @@
 // there.
 func (m *StateMachine) followOwner(j *storedJob) {
 	j.owned, j.replicated = false, false
-	j.peers = nil
+	j.peers, j.replaced = nil, nil
 	j.content, j.uncommitted = nil, nil
 	m.env.Stop(j.id)
 	m.redirectPending(j)
--- a/internal/batch/replica/ownershiptransfer.go
+++ b/internal/batch/replica/ownershiptransfer.go
@@ -96,6 +96,9 @@
 		return
 	}
 	j := m.jobs[message.Job]
+	if j != nil && j.handedOver && m.owners[j.id] == placement.KeyOf(from) {
+		j = m.takeBack(j)
+	}
 	if j == nil || !j.owned && j.version != message.Version { // what the inventory listed was dropped or replaced
 		m.env.Send(from, ReplicationResponse{Stamp: m.stamp(), Job: message.Job, Version: message.Version})
 		return
@@ -114,6 +117,18 @@
 	m.retryParkedCalls()
 }
 
+// takeBack decides about a copy that was handed over to a store which has none any more: it dropped the batch job, if that
+// has expired, and so is this copy, or else its copy is gone and this one is needed again. The result is nil if the copy
+// was dropped.
+func (m *StateMachine) takeBack(j *storedJob) *storedJob {
+	if m.isExpired(j) {
+		m.discard(j)
+		return nil
+	}
+	j.handedOver = false
+	return j
+}
+
 // checkTransferRejected matches inventories anew if the store that a batch job was transferred to doesn't
 // hold the version any more. One that has taken over may have yet to write a newer version.
 func (m *StateMachine) checkTransferRejected(from placement.Key, message ReplicationResponse) {
--- a/internal/batch/replica/replication.go
+++ b/internal/batch/replica/replication.go
@@ -1,9 +1,11 @@
 package replica
 
 import (
+	"slices"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
 )
 
 // How does an owner bring the other replicas up to its state, and when is a result committed?
@@ -27,6 +29,7 @@
 	for i := range j.peers {
 		m.replicateTo(j, &j.peers[i])
 	}
+	m.notifyReplaced(j)
 }
 
 // replicateTo sends a peer what it lacks, unless an answer of it is awaited.
@@ -128,8 +131,12 @@
 		m.handleHandoverResponse(j, from, message)
 		return
 	}
+	if message.Version != j.version {
+		return
+	}
 	p := j.peer(from)
-	if p == nil || message.Version != j.version {
+	if p == nil {
+		j.replaced = slices.DeleteFunc(j.replaced, func(one protocol.Process) bool { return placement.KeyOf(one) == from })
 		return
 	}
 	p.reported, p.awaitsResponse = true, false
--- a/internal/batch/replica/replicationmember.go
+++ b/internal/batch/replica/replicationmember.go
@@ -19,6 +19,8 @@
 		m.appendResults(j, from, message)
 	case j != nil && j.version > message.Version:
 		m.sendOwnerNotice(from, message.Job) // who has the newer version
+	case message.Content == nil && j != nil && isReplacedBy(m.self, message):
+		m.noteSuperseded(j, placement.KeyOf(from))
 	case message.Content == nil: // no sound copy of that version is here
 		m.sendOwnerNotice(from, message.Job)
 		none := j == nil && m.reconciled && m.owners[message.Job] == ""
@@ -28,6 +30,11 @@
 	}
 }
 
+// isReplacedBy reports whether an owner's request tells of a set that a store isn't in.
+func isReplacedBy(key placement.Key, message ReplicationRequest) bool {
+	return len(message.Replicas) > 0 && !placement.Contains(message.Replicas, key)
+}
+
 // installCopy writes a whole copy, in place of what was stored.
 func (m *StateMachine) installCopy(from protocol.Process, message ReplicationRequest) {
 	record := encodeCopy(message.Job, message.Version, message.Replicas, message.Ended, message.Content, message.Results)
--- a/internal/batch/replica/simulatedstore_test.go
+++ b/internal/batch/replica/simulatedstore_test.go
@@ -435,6 +435,11 @@
 // QueueLimit is the same at all stores.
 func (s *simulatedStore) QueueLimit(string) (int64, bool) { return s.sim.tokenLimit, true }
 
+// ItemLifetime covers stores whose clocks differ, and a run that starts at the end.
+func (s *simulatedStore) ItemLifetime(string) (time.Duration, bool) {
+	return s.sim.itemLifetime + 4*maxClockSkew, true
+}
+
 // Now is the simulation's monotonic clock.
 func (s *simulatedStore) Now() time.Duration { return s.sim.now }
 
--- a/internal/batch/replica/storedjob.go
+++ b/internal/batch/replica/storedjob.go
@@ -64,8 +64,10 @@
 	replicated        bool
 	committedResults  int // of results, durable on all replicas; only these are shown
 	peers             []peer
+	replaced          []protocol.Process // members of earlier sets of this epoch that may not know yet that theirs is superseded
 	content           []byte             // encoded, in memory until it is replicated
 	uncommitted       map[int]*Result    // by position, in memory until they are committed
+	notifyReplacedAt  time.Duration      // when those of replaced are told next
 	handoverReplicas  []protocol.Process // the set to hand over to, while this store retires
 	replaceReplicasAt time.Duration      // when replicas that haven't confirmed a new batch job are replaced; 0 for never
 	// capacityUnconfirmed: ownership fell to this store, and the account's counter has not confirmed since that
@@ -180,6 +182,15 @@
 // allFinished reports whether all items have results.
 func (j *storedJob) allFinished() bool { return len(j.results) == len(j.items) }
 
+// isClosed reports whether a client ended the batch job, or all items are finished.
+func (j *storedJob) isClosed() bool { return j.ended || j.allFinished() }
+
+// closedOnAllReplicas reports whether all replicas are known to know that the batch job is closed.
+func (j *storedJob) closedOnAllReplicas() bool {
+	copied, results, ended := j.onAllReplicas()
+	return copied && (ended || results == len(j.items))
+}
+
 // account returns the account that limits the batch job's queued tokens.
 func (j *storedJob) account() queuedtokens.Account {
 	return queuedtokens.Account{Tenant: j.tenant, Route: j.route}
@@ -195,8 +206,17 @@
 	return nil
 }
 
-// setReplicas installs a replica set of which self is the owner. Nothing is known of the others yet.
+// setReplicas installs a replica set of which self is the owner. Nothing is known of the others yet. Those that
+// leave the set may have a copy, or write one later: they are to learn that it is superseded.
 func (j *storedJob) setReplicas(version Version, replicas []protocol.Process, self placement.Key) {
+	former := append(j.replaced, j.replicas...)
+	j.replaced = nil
+	for _, replica := range former {
+		key := placement.KeyOf(replica)
+		if key != self && !placement.Contains(replicas, key) && !placement.Contains(j.replaced, key) {
+			j.replaced = append(j.replaced, replica)
+		}
+	}
 	j.version, j.replicas = version, replicas
 	j.peers = nil
 	for _, replica := range replicas {
--- a/internal/batch/replica/superseded.go
+++ b/internal/batch/replica/superseded.go
@@ -4,16 +4,17 @@
 	"slices"
 
 	"sprucelane.example/sprucelane/internal/batch/placement"
+	"sprucelane.example/sprucelane/internal/protocol"
 )
 
 // When may a copy of an older version be dropped?
 
 // queryOwners asks owners whether their sets are fully replicated, so that the copies here can be released:
-// of all copies while this store retires, else of superseded ones.
+// of all copies while this store retires, else of superseded and of expired ones: an expired one may lack the end.
 func (m *StateMachine) queryOwners() {
 	now := m.env.Now()
 	for _, j := range m.jobsInOrder {
-		releasing := j.awaitsRelease() || j.superseded && m.isExpired(j) || m.retiring && !j.handedOver
+		releasing := j.awaitsRelease() || m.isExpired(j) || m.retiring && !j.handedOver
 		if j.owned || !releasing || now-j.ownerQueriedAt < inventoryRetry {
 			continue
 		}
@@ -40,10 +41,42 @@
 	m.checkAllReconciled()
 }
 
-// expiredAtOwner reports whether the owner of a batch job of which a superseded copy is here has dropped it,
-// as it expired. The copy here may not know that the batch job was ended.
+// notifyReplaced tells the stores that left the replica set in this epoch of the newer version, until they have no copy. A
+// view that changes tells them by its inventories; within an epoch nobody else does, and a copy that isn't known to be
+// superseded stays behind and may be the last one.
+func (m *StateMachine) notifyReplaced(j *storedJob) {
+	now := m.env.Now()
+	if now < j.notifyReplacedAt || !m.awaitsReplaced(j) {
+		return
+	}
+	j.notifyReplacedAt = now + replicationRetry
+	for _, replaced := range j.replaced {
+		m.env.Send(replaced, ReplicationRequest{Stamp: m.stamp(), Job: j.id, Version: j.version, Replicas: j.replicas})
+	}
+}
+
+// awaitsReplaced reports whether a member of the view that left the replica set in this epoch may still have a copy.
+func (m *StateMachine) awaitsReplaced(j *storedJob) bool {
+	return slices.ContainsFunc(j.replaced, func(replaced protocol.Process) bool {
+		_, present := placement.MemberOf(m.view, placement.KeyOf(replaced))
+		return present
+	})
+}
+
+// noteSuperseded takes the owner's notice of a newer version than the copy here, which isn't a replica any more. It isn't
+// answered: the owner keeps the batch job until this copy has been released.
+func (m *StateMachine) noteSuperseded(j *storedJob, owner placement.Key) {
+	if _, present := placement.MemberOf(m.view, owner); present && owner != m.self {
+		m.owners[j.id] = owner
+	}
+	j.superseded = true
+}
+
+// expiredAtOwner reports whether the owner of a batch job of which a copy is here has dropped it, as it expired. The copy
+// here may not know that the batch job was ended. An owner that has nothing of it had it in this epoch, as it listed it
+// or was designated by the inventory of this store.
 func (m *StateMachine) expiredAtOwner(j *storedJob, from placement.Key, message ReplicationResponse) bool {
-	return j.superseded && !j.owned && from == m.owners[j.id] && message.None && m.isExpired(j)
+	return !j.owned && from == m.owners[j.id] && message.None && m.isExpired(j)
 }
 
 // dropSuperseded drops releasable copies. One that is kept for longer than the newer ones could be taken for
--- a/internal/batch/replica/view.go
+++ b/internal/batch/replica/view.go
@@ -55,6 +55,7 @@
 		if j.owned && !(consecutive && m.hasActiveReplicas(j)) {
 			m.disown(j)
 		}
+		j.replaced = nil // all inventories are exchanged, which tell the same
 		if !present {
 			m.failPendingCalls(j)
 		}
@@ -101,7 +102,7 @@
 func (m *StateMachine) disown(j *storedJob) {
 	j.owned, j.replicated = false, false
 	j.handoverReplicas = nil
-	j.peers = nil
+	j.peers, j.replaced = nil, nil
 	j.replaceReplicasAt = 0
 }
 
--- a/internal/control/deployment_store_test.go
+++ b/internal/control/deployment_store_test.go
@@ -132,6 +132,9 @@
 // QueueLimit sets no limit.
 func (l *storeProcessRun) QueueLimit(string) (int64, bool) { return 0, true }
 
+// ItemLifetime sets no limit.
+func (l *storeProcessRun) ItemLifetime(string) (time.Duration, bool) { return 0, true }
+
 func (l *storeProcessRun) open() error {
 	var err error
 	l.wal, err = wal.OpenFS(l.store.disk.Mount(), wal.Options{SegmentSize: storeSegment}, l.machine.Replay, l.durable)
