gateway: the part of a server's connections grows only on evidence of fewer gateways

Cause: each gateway divided max-conns by the number of gateways in control's list; a control process that has just started lists few or none, so that each gateway took itself for one of a few. And at least two connections each were 510 of 500 at 255 gateways. Change: connectionshare divides by a number that rises at once and falls only after complete lists (GatewaysComplete: the sender has confirmed its state for 4 s without a gap) had fewer gateways for liveness-ms, in contact; the remainder goes by rank. Before the first complete list a gateway uses one connection a server.

--- a/internal/control/memberlist.go
+++ b/internal/control/memberlist.go
@@ -24,9 +24,11 @@
 // refreshMembers brings the member list up to date.
 func (c *Control) refreshMembers() {
 	next := protocol.MemberList{Control: c.controlMembers(), QuotaAddress: c.quotaAddress()}
+	_, confirms := c.staleness()
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	next.Stores = c.state.Stores()
+	c.members.noteConfirmation(c.now(), confirms)
 	c.members.update(next, c.now(), c.liveness.Gateways)
 }
 
--- a/internal/control/membertable.go
+++ b/internal/control/membertable.go
@@ -4,6 +4,7 @@
 	"reflect"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/control/liveness"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -16,6 +17,18 @@
 type memberTable struct {
 	list             protocol.MemberList
 	gatewaysListedAt time.Duration // when list.Gateways was taken from liveness
+	countingSince    time.Duration // since when this process has confirmed its state without a gap
+}
+
+// gatewaysKnownAfter is the time of confirming the state after which all gateways are known: one that polled at a
+// control process which is gone turns to another, and is reported from there, well within it.
+const gatewaysKnownAfter = liveness.GatewayTimeout + time.Second
+
+// noteConfirmation records whether this process could confirm its state at a time.
+func (t *memberTable) noteConfirmation(now time.Duration, confirms bool) {
+	if !confirms {
+		t.countingSince = now
+	}
 }
 
 // update replaces the list by next if that differs. Its gateways are taken from a function, at most once in
@@ -30,6 +43,7 @@
 		next.Gateways = gateways(now)
 		t.gatewaysListedAt = now
 	}
+	next.GatewaysComplete = t.gatewaysListedAt-t.countingSince >= gatewaysKnownAfter
 	next.Version = t.list.Version
 	if next.Version > 0 && reflect.DeepEqual(next, t.list) {
 		return
--- a/internal/fake/faultyserver/simulation.go
+++ b/internal/fake/faultyserver/simulation.go
@@ -57,9 +57,13 @@
 // fixedControl is a control client whose configuration never changes.
 type fixedControl struct{ snapshot *configuration.Snapshot }
 
-func (c fixedControl) Configuration() *configuration.Snapshot                       { return c.snapshot }
-func (c fixedControl) Members() *protocol.MemberList                                { return nil }
-func (c fixedControl) KeyLeaseValid(time.Time) bool                                 { return true }
+func (c fixedControl) Configuration() *configuration.Snapshot { return c.snapshot }
+func (c fixedControl) Members() *protocol.MemberList          { return nil }
+func (c fixedControl) KeyLeaseValid(time.Time) bool           { return true }
+
+// ConfirmedSince implements proxy.ControlState.
+func (c fixedControl) ConfirmedSince(time.Time) bool { return true }
+
 func (c fixedControl) AwaitConfirmation(context.Context, time.Time, time.Time) bool { return true }
 
 func document() configuration.Document {
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -18,6 +18,7 @@
 	"sprucelane.example/sprucelane/internal/buffers"
 	"sprucelane.example/sprucelane/internal/front"
 	"sprucelane.example/sprucelane/internal/gateway/batchproxy"
+	"sprucelane.example/sprucelane/internal/gateway/connectionshare"
 	"sprucelane.example/sprucelane/internal/gateway/endpoints"
 	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/proxy"
@@ -80,16 +81,17 @@
 	g.admitter.members = g.subscription.Members
 	g.batch = batchproxy.New(settings, options, g.subscription.Members, selector.Loads())
 	g.proxy = &proxy.Proxy{
-		Control:   g.subscription,
-		Servers:   g.servers,
-		Pool:      g.pool,
-		Selector:  selector,
-		Admission: g.admitter,
-		Batch:     g.batch,
-		Bodies:    buffers.New(int64(bodyShare * float64(settings.Limits.MemoryMB) * (1 << 20))),
-		Outcomes:  outcomes.New(),
-		Log:       log,
-		ExitTime:  g.state.ExitDeadline,
+		Control:         g.subscription,
+		ConnectionShare: connectionshare.New(settings.NodeName, settings.Bounds.Liveness),
+		Servers:         g.servers,
+		Pool:            g.pool,
+		Selector:        selector,
+		Admission:       g.admitter,
+		Batch:           g.batch,
+		Bodies:          buffers.New(int64(bodyShare * float64(settings.Limits.MemoryMB) * (1 << 20))),
+		Outcomes:        outcomes.New(),
+		Log:             log,
+		ExitTime:        g.state.ExitDeadline,
 	}
 	return g
 }
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -9,6 +9,7 @@
 
 	"sprucelane.example/sprucelane/internal/buffers"
 	"sprucelane.example/sprucelane/internal/configuration"
+	"sprucelane.example/sprucelane/internal/gateway/connectionshare"
 	"sprucelane.example/sprucelane/internal/gateway/endpoints"
 	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/serverselection"
@@ -24,6 +25,8 @@
 	Members() *protocol.MemberList
 	// KeyLeaseValid reports whether API keys of the configuration in force may still be acted on.
 	KeyLeaseValid(now time.Time) bool
+	// ConfirmedSince reports whether control has confirmed since a moment that the state held is the latest.
+	ConfirmedSince(moment time.Time) bool
 	// AwaitConfirmation asks control at once, and waits until it has confirmed, no earlier than now, that the
 	// state held is the latest. It returns false if that doesn't happen until by, or ctx ends.
 	AwaitConfirmation(ctx context.Context, now, by time.Time) bool
@@ -42,6 +45,8 @@
 	Selector  *serverselection.Selector
 	Admission Admission
 	Batch     BatchCaller
+	// ConnectionShare is this gateway's part of the servers' connections.
+	ConnectionShare *connectionshare.Share
 	// Bodies bounds the memory that the bodies of requests and buffered responses take together.
 	Bodies *buffers.Budget
 	Log    zerolog.Logger
--- a/internal/gateway/proxy/selection.go
+++ b/internal/gateway/proxy/selection.go
@@ -10,6 +10,9 @@
 // connectionShare is the part of a server's max-conns that all gateways together use.
 const connectionShare = 0.9
 
+// maxContactAge is the greatest age of control's last confirmation with which the member list counts as current.
+const maxContactAge = time.Second
+
 // selectServer reserves a place at a server for the next attempt. It returns nil if no server is left.
 func (q *request) selectServer() *serverselection.Reservation {
 	table := q.proxy.Servers.Current()
@@ -32,9 +35,11 @@
 	if backend == nil || backend.MaxConns <= 0 {
 		return 0
 	}
-	gateways := 1
-	if members := q.proxy.Control.Members(); members != nil {
-		gateways = max(1, len(members.Gateways))
-	}
-	return max(2, int(connectionShare*float64(backend.MaxConns))/gateways)
+	return q.proxy.connectionPart(time.Now(), int(connectionShare*float64(backend.MaxConns)))
+}
+
+// connectionPart returns this gateway's part of a number of connections of a server, at least one.
+func (p *Proxy) connectionPart(now time.Time, connections int) int {
+	p.ConnectionShare.Observe(now, p.Control.Members(), p.Control.ConfirmedSince(now.Add(-maxContactAge)))
+	return p.ConnectionShare.Part(connections)
 }
--- a/internal/gateway/proxy/testgateway_test.go
+++ b/internal/gateway/proxy/testgateway_test.go
@@ -37,6 +37,9 @@
 func (c *fakeControl) Members() *protocol.MemberList          { return c.members }
 func (c *fakeControl) KeyLeaseValid(time.Time) bool           { return !c.leaseExpired.Load() }
 
+// ConfirmedSince implements proxy.ControlState.
+func (c *fakeControl) ConfirmedSince(time.Time) bool { return true }
+
 func (c *fakeControl) AwaitConfirmation(_ context.Context, now, by time.Time) bool {
 	c.waited = by.Sub(now)
 	if c.onAwait != nil {
--- a/internal/node/settings.go
+++ b/internal/node/settings.go
@@ -126,9 +126,12 @@
 	// Batch processes keep it for twice SkewMax more. A larger value fills more of the disk. Default: 120 s.
 	Status time.Duration
 
+	// Liveness (bounds.liveness-ms) is the time within which failures are noticed. A gateway raises its part of servers'
+	// max-conns only after fewer gateways were listed for so long. Default: 3 s.
+	Liveness time.Duration
+
 	SeedLag            time.Duration // bounds.seed-lag-s, default 3 s; not used
 	ReuseAfter         time.Duration // bounds.reuse-after-s, default 2 s; not used
-	Liveness           time.Duration // bounds.liveness-ms, default 3 s; not used
 	CatchUp            time.Duration // bounds.catch-up-s, default 5 s; not used
 	Drain              time.Duration // bounds.drain-ms, default 3 s; not used
 	LossSlack          time.Duration // bounds.loss-slack-ms, default 200 ms; not used
--- a/internal/protocol/members.go
+++ b/internal/protocol/members.go
@@ -14,6 +14,10 @@
 	// QuotaAddress is where the allocator takes a QuotaRequest ("ip:port"), empty where there is none at the
 	// moment.
 	QuotaAddress string
+	// GatewaysComplete says that the sender has confirmed its state, without a gap, for long enough that every gateway
+	// which polls at some control process is in Gateways. One that has just started knows few or none. False from
+	// earlier versions.
+	GatewaysComplete bool
 }
 
 // ControlMember is a control process.
