control: the retirement of a lost machine ends; deadline-s is checked and told when it passes

Cause: a machine that was lost while it retired left the membership and its retirement stayed active for ever. Change: once all members have reconciled without it (Settle: all that it held is on f + 1 others) the retirement is completed.

--- a/cmd/sprucelanectl/retire.go
+++ b/cmd/sprucelanectl/retire.go
@@ -22,15 +22,15 @@
 // retireStart is the command "retire start".
 type retireStart struct {
 	Remote    controlOptions `group:"Control options"`
-	Deadline  float64        `long:"deadline" default:"60" value-name:"SECONDS" description:"the time by which the machine is to be empty"`
+	Deadline  float64        `long:"deadline" default:"60" value-name:"SECONDS" description:"the time after which control logs that the machine isn't empty yet"`
 	Arguments struct {
 		Node string `positional-arg-name:"NODE" description:"the store machine's name"`
 	} `positional-args:"yes" required:"yes"`
 	printer *printer
 }
 
-// Execute asks for a store machine to be drained. Control ignores the deadline: the retirement ends when the
-// machine holds nothing that others need.
+// Execute asks for a store machine to be drained. The retirement ends when the machine holds nothing that others need,
+// also after the deadline: control logs then that it is late.
 func (c *retireStart) Execute([]string) error {
 	body, err := json.Marshal(map[string]float64{"deadline-s": c.Deadline})
 	if err != nil {
--- a/internal/control/operatorapi/api_test.go
+++ b/internal/control/operatorapi/api_test.go
@@ -366,6 +366,16 @@
 		So(err, ShouldBeNil)
 		chain.state.Apply(1, raw)
 		So(send(api, "POST", "/retire/s9", "", `{"deadline-s":10}`).Code, ShouldEqual, 404)
+		for body, message := range map[string]string{
+			`{"deadline-s":-1}`:     "deadline-s: -1 is not above 0",
+			`{"deadline-s":"soon"}`: "deadline-s",
+			`[]`:                    "the body is no retirement",
+		} {
+			rejected := send(api, "POST", "/retire/s1", "", body)
+			So(rejected.Code, ShouldEqual, 400)
+			So(rejected.Body.String(), ShouldContainSubstring, message)
+		}
+		So(send(api, "GET", "/retire/s1", "", "").Code, ShouldEqual, 404) // nothing was begun
 		So(send(api, "GET", "/retire/s1", "", "").Code, ShouldEqual, 404)
 		So(send(api, "POST", "/retire/s1", "", `{"deadline-s":10}`).Body.String(), ShouldContainSubstring, `"active"`)
 		So(send(api, "POST", "/retire/s1", "", `{"deadline-s":10}`).Code, ShouldEqual, 200)
--- a/internal/control/operatorapi/retire.go
+++ b/internal/control/operatorapi/retire.go
@@ -1,10 +1,13 @@
 package operatorapi
 
 import (
+	"bytes"
 	"context"
 	"crypto/rand"
 	"encoding/hex"
+	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"net/http"
 	"time"
@@ -14,16 +17,49 @@
 	"sprucelane.example/sprucelane/internal/control/statemachine"
 )
 
-// maxRetireBodyBytes limits the body of a retirement. Its content is ignored: a retirement ends when the
-// machine is drained, at no deadline.
+// maxRetireBodyBytes limits the body of a retirement.
 const maxRetireBodyBytes = 64 << 10
 
+// maxRetireDeadline is the longest deadline of a retirement.
+const maxRetireDeadline = 30 * 24 * time.Hour
+
+// retireRequest is the body of a retirement. An empty body has no deadline.
+type retireRequest struct {
+	// DeadlineSeconds is the time within which the operator expects the machine to be drained. The retirement ends when
+	// that is so, also later: this process logs that it is late (store_retirement_overdue).
+	DeadlineSeconds *float64 `json:"deadline-s"`
+}
+
+// parseRetireRequest returns the deadline that a body has, 0 for none.
+func parseRetireRequest(body []byte) (time.Duration, error) {
+	if len(bytes.TrimSpace(body)) == 0 {
+		return 0, nil
+	}
+	var request retireRequest
+	if err := json.Unmarshal(body, &request); err != nil {
+		return 0, fmt.Errorf("the body is no retirement: %w", err)
+	}
+	if request.DeadlineSeconds == nil {
+		return 0, nil
+	}
+	seconds := *request.DeadlineSeconds
+	if seconds <= 0 || seconds > maxRetireDeadline.Seconds() {
+		return 0, fmt.Errorf("deadline-s: %v is not above 0 and at most %v", seconds, maxRetireDeadline.Seconds())
+	}
+	return time.Duration(seconds * float64(time.Second)), nil
+}
+
 // handleRetire handles POST /retire/:node.
 func (a *API) handleRetire(c echo.Context) error {
 	arrived := time.Now()
-	if _, err := io.Copy(io.Discard, io.LimitReader(c.Request().Body, maxRetireBodyBytes)); err != nil {
+	body, err := io.ReadAll(io.LimitReader(c.Request().Body, maxRetireBodyBytes))
+	if err != nil {
 		return writeBodyError(c, err)
 	}
+	deadline, err := parseRetireRequest(body)
+	if err != nil {
+		return c.JSON(http.StatusBadRequest, responseBody{Message: err.Error()})
+	}
 	name := c.Param("node")
 	outcome, err := a.retireNode(name, arrived)
 	if err != nil {
@@ -35,10 +71,25 @@
 		return c.JSON(http.StatusNotFound, responseBody{Message: "no such store machine"})
 	case statemachine.StoreTooFew:
 		return c.JSON(http.StatusConflict, responseBody{Message: "too few store machines would remain"})
+	case statemachine.StoreChanged:
+		a.watchRetirement(name, deadline)
 	}
 	return a.writeRetirement(c, name)
 }
 
+// watchRetirement logs if a machine isn't drained at the deadline of its retirement, 0 for none. A process that ends
+// before logs nothing.
+func (a *API) watchRetirement(name string, deadline time.Duration) {
+	if deadline == 0 {
+		return
+	}
+	time.AfterFunc(deadline, func() {
+		if a.options.State.Retirement(name) == statemachine.RetirementActive {
+			a.options.Log.Warn().Str("store", name).Dur("deadline", deadline).Msg("store_retirement_overdue")
+		}
+	})
+}
+
 // retireNode proposes a retirement until its outcome is known. Repeating it is harmless: a retirement under
 // way isn't changed by it.
 func (a *API) retireNode(name string, arrived time.Time) (statemachine.StoreOutcome, error) {
--- a/internal/control/statemachine/membership.go
+++ b/internal/control/statemachine/membership.go
@@ -156,6 +156,7 @@
 	}
 	s.reconciled = true
 	s.departed = nil
+	s.completeDeparted()
 	return StoreChanged
 }
 
--- a/internal/control/statemachine/retirement.go
+++ b/internal/control/statemachine/retirement.go
@@ -56,6 +56,20 @@
 	return s.setState(at, protocol.StoreRetired)
 }
 
+// completeDeparted completes the retirements of machines that left the membership before they were drained, lost or for
+// good partitioned: all members have reconciled without them, so each batch job that they held is on f + 1 others. One that
+// comes back on the same disk doesn't join any more; one that comes back on another disk joins only after it has polled
+// for liveness.RejoinAfter, as after any completed retirement, and not while the operator takes the machine away.
+func (s *membership) completeDeparted() {
+	retirements := slices.Clone(s.retirements)
+	for i := range retirements {
+		node := retirements[i].Node
+		member := slices.ContainsFunc(s.members, func(one protocol.StoreMember) bool { return one.Node == node })
+		retirements[i].Completed = retirements[i].Completed || !member
+	}
+	s.retirements = retirements
+}
+
 // retirementState returns the state of a node's last retirement.
 func (s *membership) retirementState(node string) Retirement {
 	record := s.retirementOf(node)
--- a/internal/control/statemachine/statemachine_test.go
+++ b/internal/control/statemachine/statemachine_test.go
@@ -232,6 +232,30 @@
 		So(join(m, process(1, 1)).Store, ShouldEqual, StoreUnchanged)
 		So(join(m, process(1, 2)).Store, ShouldEqual, StoreChanged)
 	})
+	Convey("A retirement of a machine that was lost is completed once all others have reconciled without it", t, func() {
+		m := New()
+		join(m, process(1, 0), process(2, 0), process(3, 0))
+		retire := Command{Retire: &Retire{Node: "s1", Remain: 2}}
+		So(apply(m, retire).Store, ShouldEqual, StoreChanged)
+		So(apply(m, Command{Evict: &Evict{Node: "s1", Incarnation: "0"}}).Store, ShouldEqual, StoreChanged)
+		So(m.Retirement("s1"), ShouldEqual, RetirementActive)
+
+		Convey("and the lost disk doesn't join again", func() {
+			So(apply(m, Command{Settle: &Settle{Epoch: m.Stores().Epoch}}).Store, ShouldEqual, StoreChanged)
+			So(m.Retirement("s1"), ShouldEqual, RetirementCompleted)
+			So(m.MayJoin(process(1, 0)), ShouldBeFalse)
+			So(m.MayJoin(process(1, 1)), ShouldBeTrue) // after liveness.RejoinAfter
+		})
+		Convey("but goes on if it comes back before, with its disk or another", func() {
+			for incarnation := range 2 {
+				join(m, process(1, incarnation))
+				So(m.Retirement("s1"), ShouldEqual, RetirementActive)
+				So(m.Stores().Members[len(m.Stores().Members)-1].State, ShouldEqual, protocol.StoreRetiring)
+				So(apply(m, Command{Settle: &Settle{Epoch: m.Stores().Epoch}}).Store, ShouldEqual, StoreChanged)
+				So(m.Retirement("s1"), ShouldEqual, RetirementActive)
+			}
+		})
+	})
 	Convey("A machine that replaced one that was retired can be retired in its turn", t, func() {
 		m := New()
 		retire := Command{Retire: &Retire{Node: "s1", Remain: 2}}
