Logs: outcomes and operations as words, one name for one thing, no repeated key

Cause: outcome and operation were bare numbers; settings_reloaded and reloaded, ended and shutdown_complete said the same; store_membership_changed repeated the key joins, of which a JSON reader keeps one.

--- a/cmd/sprucelane-batch/main.go
+++ b/cmd/sprucelane-batch/main.go
@@ -31,7 +31,7 @@
 	go watchSignals(signals, stop, opened, p)
 	s, err := server.Open(ctx, p.Settings, p.Log)
 	if errors.Is(err, context.Canceled) {
-		p.Log.Info().Msg("ended")
+		p.Log.Info().Msg("shutdown_complete")
 		return program.ExitOK
 	}
 	if err != nil {
@@ -43,7 +43,7 @@
 		p.Log.Error().Err(err).Msg("failed")
 		return program.ExitFailed
 	}
-	p.Log.Info().Msg("ended")
+	p.Log.Info().Msg("shutdown_complete")
 	return program.ExitOK
 }
 
--- a/internal/batch/server/calls.go
+++ b/internal/batch/server/calls.go
@@ -27,7 +27,7 @@
 	if call, ok := message.(protocol.BatchCall); ok {
 		started := time.Now()
 		answer := s.call(ctx, call)
-		s.log.Debug().Int("operation", int(call.Operation)).Str("batch_job", call.BatchJob).
+		s.log.Debug().Stringer("operation", call.Operation).Str("batch_job", call.BatchJob).
 			Int("status", answer.Status).Str("owner", answer.Owner).Dur("took", time.Since(started)).Msg("call")
 		return answer, nil
 	}
--- a/internal/control/operatorapi/retire.go
+++ b/internal/control/operatorapi/retire.go
@@ -65,7 +65,7 @@
 	if err != nil {
 		return writeUnavailable(c, "the retirement can't be ordered here now: "+err.Error())
 	}
-	a.options.Log.Info().Str("store", name).Int("outcome", int(outcome)).Msg("store_retirement_requested")
+	a.options.Log.Info().Str("store", name).Stringer("outcome", outcome).Msg("store_retirement_requested")
 	switch outcome {
 	case statemachine.StoreUnknown:
 		return c.JSON(http.StatusNotFound, responseBody{Message: "no such store machine"})
--- a/internal/control/statemachine/command.go
+++ b/internal/control/statemachine/command.go
@@ -90,6 +90,21 @@
 	StoreTooFew  // fewer active members would remain than Retire.Remain
 )
 
+// String returns the outcome's name in log lines.
+func (o StoreOutcome) String() string {
+	switch o {
+	case StoreUnchanged:
+		return "unchanged"
+	case StoreChanged:
+		return "changed"
+	case StoreUnknown:
+		return "unknown_store"
+	case StoreTooFew:
+		return "too_few_remain"
+	}
+	return "unknown"
+}
+
 // Encode returns the command as the chain carries it.
 func (c Command) Encode() ([]byte, error) { return encode(c) }
 
--- a/internal/control/storemembership.go
+++ b/internal/control/storemembership.go
@@ -86,7 +86,7 @@
 
 // proposeStoreCommand proposes a command on the store membership and waits until it is committed, up to
 // proposeTimeout. The log line says which command was committed: one that no longer fitted the membership
-// changed nothing, and the line has the epoch from before. A join of several processes repeats its key.
+// changed nothing, and the line has the epoch from before.
 func (c *Control) proposeStoreCommand(command statemachine.Command) {
 	encoded, err := command.Encode()
 	if err != nil {
@@ -103,9 +103,11 @@
 	event := c.log.Info()
 	switch {
 	case command.Join != nil:
+		nodes := make([]string, 0, len(command.Join.Processes))
 		for _, process := range command.Join.Processes {
-			event = event.Str("joins", process.Node)
+			nodes = append(nodes, process.Node)
 		}
+		event = event.Strs("joins", nodes)
 	case command.Suspect != nil:
 		event = event.Str("suspected", command.Suspect.Node).Bool("over", command.Suspect.Over)
 	case command.Evict != nil:
--- a/internal/node/program/program.go
+++ b/internal/node/program/program.go
@@ -100,5 +100,5 @@
 		return
 	}
 	apply(settings)
-	p.Log.Info().Msg("reloaded")
+	p.Log.Info().Msg("settings_reloaded")
 }
--- a/internal/protocol/batch.go
+++ b/internal/protocol/batch.go
@@ -25,6 +25,21 @@
 	BatchEnd                              // cancel
 )
 
+// String returns the operation's name in log lines and metrics.
+func (o BatchOperation) String() string {
+	switch o {
+	case BatchSubmit:
+		return "submit"
+	case BatchRead:
+		return "read"
+	case BatchBody:
+		return "body"
+	case BatchEnd:
+		return "end"
+	}
+	return "unknown"
+}
+
 // BatchAnswer is the answer for the client, or the process to ask instead.
 type BatchAnswer struct {
 	// Status is the HTTP status: 200, 202, 400, 404, 429; 503, which says that nothing was done; or 504, which
