--- a/coord/leader/leader_test.go
+++ b/coord/leader/leader_test.go
@@ -133,8 +133,8 @@
 	})
 }
 
-// TestValidCancelsEndedTerm checks that a role whose own look at its term ends that term is cancelled: the runner's next
-// look finds no running term to stop, and Close would wait for the role for good.
+// TestValidCancelsEndedTerm checks that a role whose own look at its term ends that term is cancelled: the runner's
+// next look finds no running term to stop, and Close would wait for the role for good.
 func TestValidCancelsEndedTerm(t *testing.T) {
 	source := &fakeSource{}
 	const margin = time.Hour
--- a/internal/batch/replica/claims_test.go
+++ b/internal/batch/replica/claims_test.go
@@ -22,8 +22,8 @@
 // itemTokens returns the tokens of a batch job's item.
 func itemTokens(index int) int { return 20 + 37*index%50 }
 
-// queuedTokens sums the tokens of accepted items that no server has finished and that can't have been given up, in batch
-// jobs whose end nobody has requested.
+// queuedTokens sums the tokens of accepted items that no server has finished and that can't have been given up, in
+// batch jobs whose end nobody has requested.
 func (c *clients) queuedTokens() int64 {
 	sum := int64(0)
 	for _, j := range c.order {
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -106,9 +106,9 @@
 	Owner placement.Key
 }
 
-// ReplicationRequest brings a replica up to the owner's state. Without Content, Results and Ended it asks for
-// the replica's state; with Replicas it tells a store that left the set of the newer version. A store that is to release a
-// copy sends such a question to the owner, too.
+// ReplicationRequest brings a replica up to the owner's state. Without Content, Results and Ended it asks for the
+// replica's state; with Replicas it tells a store that left the set of the newer version. A store that is to release
+// a copy sends such a question to the owner, too.
 type ReplicationRequest struct {
 	Stamp
 	Job      string
--- a/internal/batch/replica/ownershiptransfer.go
+++ b/internal/batch/replica/ownershiptransfer.go
@@ -117,9 +117,9 @@
 	m.retryParkedCalls()
 }
 
-// takeBack decides about a copy that was handed over to a store which has none any more: it dropped the batch job, if that
-// has expired, and so is this copy, or else its copy is gone and this one is needed again. The result is nil if the copy
-// was dropped.
+// takeBack decides about a copy that was handed over to a store which has none any more: it dropped the batch job,
+// if that has expired, and so is this copy, or else its copy is gone and this one is needed again. The result is nil
+// if the copy was dropped.
 func (m *StateMachine) takeBack(j *storedJob) *storedJob {
 	if m.isExpired(j) {
 		m.discard(j)
--- a/internal/batch/replica/retention.go
+++ b/internal/batch/replica/retention.go
@@ -7,16 +7,16 @@
 
 // When is a batch job forgotten, and which segments of the log may go?
 
-// unansweredFactor is how many times the time for which a closed batch job is kept a copy is kept where other stores don't
-// answer what has become of it.
+// unansweredFactor is how many times the time for which a closed batch job is kept a copy is kept where other stores
+// don't answer what has become of it.
 const unansweredFactor = 2
 
 // dropExpired drops batch jobs that needn't be kept any more.
 //
-// An owner drops a closed one once all replicas know that it is closed and no other store is left in this epoch that may
-// hold a copy without knowing. Stores outside of its set drop theirs when they know that it is closed. The others ask the
-// owner about expired copies (queryOwners) and drop them once it has none any more: they may lack the end, and a replica
-// that dropped its copy first would be sent another.
+// An owner drops a closed one once all replicas know that it is closed and no other store is left in this epoch that
+// may hold a copy without knowing. Stores outside of its set drop theirs when they know that it is closed. The
+// others ask the owner about expired copies (queryOwners) and drop them once it has none any more: they may lack the
+// end, and a replica that dropped its copy first would be sent another.
 //
 // A store that was away may still return with a copy that lacks the end: it runs nothing, as the end is kept until no
 // store starts an item of the batch job any more (keepFor). Where some store doesn't answer, a copy is dropped after
--- a/internal/batch/replica/retention_test.go
+++ b/internal/batch/replica/retention_test.go
@@ -12,8 +12,8 @@
 // clusterRetention is Options.Retention in a cluster.
 const clusterRetention = time.Hour
 
-// replaceReplica submits a batch job whose first replica writes its copy and is not heard, so that it is replaced within the
-// epoch. Notices to it are dropped while unnotified is set.
+// replaceReplica submits a batch job whose first replica writes its copy and is not heard, so that it is replaced
+// within the epoch. Notices to it are dropped while unnotified is set.
 func replaceReplica(c *cluster, unnotified *bool) (owner, replaced *clusterNode) {
 	var silent placement.Key
 	c.drops = func(m clusterMessage) bool {
--- a/internal/batch/replica/simulation_test.go
+++ b/internal/batch/replica/simulation_test.go
@@ -66,7 +66,8 @@
 
 func newStoreSimulation(seed uint64, count, copies int, bug string) *storeSimulation {
 	sim := &storeSimulation{
-		seed: seed, random: simulation.NewRand(seed), replicationFactor: copies, retention: time.Hour, itemLifetime: time.Hour, segmentSize: 4000,
+		seed: seed, random: simulation.NewRand(seed), replicationFactor: copies, retention: time.Hour,
+		itemLifetime: time.Hour, segmentSize: 4000,
 		control: statemachine.New(), table: liveness.New(), partitions: map[[2]string]int{},
 		bug: bug, tracing: os.Getenv("TRACE") != "",
 	}
--- a/internal/batch/replica/storedjob.go
+++ b/internal/batch/replica/storedjob.go
@@ -64,7 +64,7 @@
 	replicated        bool
 	committedResults  int // of results, durable on all replicas; only these are shown
 	peers             []peer
-	replaced          []protocol.Process // members of earlier sets of this epoch that may not know yet that theirs is superseded
+	replaced          []protocol.Process // left the set in this epoch, and may not know that their copies are superseded
 	content           []byte             // encoded, in memory until it is replicated
 	uncommitted       map[int]*Result    // by position, in memory until they are committed
 	notifyReplacedAt  time.Duration      // when those of replaced are told next
--- a/internal/batch/replica/superseded.go
+++ b/internal/batch/replica/superseded.go
@@ -41,9 +41,9 @@
 	m.checkAllReconciled()
 }
 
-// notifyReplaced tells the stores that left the replica set in this epoch of the newer version, until they have no copy. A
-// view that changes tells them by its inventories; within an epoch nobody else does, and a copy that isn't known to be
-// superseded stays behind and may be the last one.
+// notifyReplaced tells the stores that left the replica set in this epoch of the newer version, until they have no
+// copy. A view that changes tells them by its inventories; within an epoch nobody else does, and a copy that isn't
+// known to be superseded stays behind and may be the last one.
 func (m *StateMachine) notifyReplaced(j *storedJob) {
 	now := m.env.Now()
 	if now < j.notifyReplacedAt || !m.awaitsReplaced(j) {
@@ -63,8 +63,8 @@
 	})
 }
 
-// noteSuperseded takes the owner's notice of a newer version than the copy here, which isn't a replica any more. It isn't
-// answered: the owner keeps the batch job until this copy has been released.
+// noteSuperseded takes the owner's notice of a newer version than the copy here, which isn't a replica any more. It
+// isn't answered: the owner keeps the batch job until this copy has been released.
 func (m *StateMachine) noteSuperseded(j *storedJob, owner placement.Key) {
 	if _, present := placement.MemberOf(m.view, owner); present && owner != m.self {
 		m.owners[j.id] = owner
@@ -72,9 +72,9 @@
 	j.superseded = true
 }
 
-// expiredAtOwner reports whether the owner of a batch job of which a copy is here has dropped it, as it expired. The copy
-// here may not know that the batch job was ended. An owner that has nothing of it had it in this epoch, as it listed it
-// or was designated by the inventory of this store.
+// expiredAtOwner reports whether the owner of a batch job of which a copy is here has dropped it, as it expired. The
+// copy here may not know that the batch job was ended. An owner that has nothing of it had it in this epoch, as it
+// listed it or was designated by the inventory of this store.
 func (m *StateMachine) expiredAtOwner(j *storedJob, from placement.Key, message ReplicationResponse) bool {
 	return !j.owned && from == m.owners[j.id] && message.None && m.isExpired(j)
 }
--- a/internal/batch/server/environment.go
+++ b/internal/batch/server/environment.go
@@ -64,12 +64,12 @@
 	return found.MaxQueuedTokens, true
 }
 
-// itemLifetimeMargin is how many times the most that clocks differ is added to a route's retention: runners give items up
-// twice that after it, by clocks that are late by one more, and an item may just have been started then.
+// itemLifetimeMargin is how many times the most that clocks differ is added to a route's retention: runners give
+// items up twice that after it, by clocks that are late by one more, and an item may just have been started then.
 const itemLifetimeMargin = 4
 
-// ItemLifetime returns the time after which no store starts an item of a route any more, 0 for no such time; false while
-// the route isn't known.
+// ItemLifetime returns the time after which no store starts an item of a route any more, 0 for no such time; false
+// while the route isn't known.
 func (s *Server) ItemLifetime(route string) (lifetime time.Duration, known bool) {
 	snapshot := s.Configuration()
 	if snapshot == nil {
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -110,6 +110,7 @@
 	tasks.Go(func() { s.subscription.Run(ctx) })
 	tasks.Go(func() { s.runner.Run(ctx) })
 	tasks.Go(func() { s.runTicks(ctx) })
+	tasks.Go(func() { s.serveMetrics(ctx) })
 	s.shareLoads(ctx)
 	s.log.Info().Str("incarnation", s.process.Incarnation).Msg("serving")
 	select {
--- a/internal/buffers/budget.go
+++ b/internal/buffers/budget.go
@@ -45,9 +45,9 @@
 func (b *Budget) Acquire(n int64, deadline time.Time) bool { return b.AcquireMore(0, n, deadline) }
 
 // AcquireMore is Acquire for a caller that holds some bytes of the budget already, all of which it releases if it is
-// refused. Callers that hold bytes and wait for each other's would wait until their deadlines: once all that is in use is
-// held by callers that wait, one of them gets its bytes out of turn if they fit, or else the last one to come is refused
-// at once.
+// refused. Callers that hold bytes and wait for each other's would wait until their deadlines: once all that is in
+// use is held by callers that wait, one of them gets its bytes out of turn if they fit, or else the last one to come
+// is refused at once.
 func (b *Budget) AcquireMore(held, n int64, deadline time.Time) bool {
 	if b == nil {
 		return true
@@ -106,8 +106,8 @@
 }
 
 // resolveDeadlock decides one waiting acquisition if nobody else can release anything: all bytes in use are held by
-// callers that wait. Whichever is decided, its caller releases bytes in the end, and the others go on then. The mutex is
-// held.
+// callers that wait. Whichever is decided, its caller releases bytes in the end, and the others go on then. The
+// mutex is held.
 func (b *Budget) resolveDeadlock() {
 	var held int64
 	for _, w := range b.waiters {
--- a/internal/buffers/budget_test.go
+++ b/internal/buffers/budget_test.go
@@ -101,8 +101,8 @@
 	assert.Zero(t, b.waitingCount())
 }
 
-// TestCallersThatWaitForEachOther has callers that each hold a part of the budget want more than is left: one is refused
-// at once, long before the deadline, and the others get theirs.
+// TestCallersThatWaitForEachOther has callers that each hold a part of the budget want more than is left: one is
+// refused at once, long before the deadline, and the others get theirs.
 func TestCallersThatWaitForEachOther(t *testing.T) {
 	b := New(100)
 	const callers, held = 4, 25
--- a/internal/control/connectionshare_test.go
+++ b/internal/control/connectionshare_test.go
@@ -35,8 +35,9 @@
 	confirmedAt time.Time
 }
 
-// shareSimulation is control processes that are killed, all of them twice within two seconds as well, with gateways that
-// stay. It checks at each step that the gateways' parts of a server's connections sum to no more than there are.
+// shareSimulation is control processes that are killed, all of them twice within two seconds as well, with gateways
+// that stay. It checks at each step that the gateways' parts of a server's connections sum to no more than there
+// are.
 type shareSimulation struct {
 	*simulatedSystem
 	random     *rand.Rand
@@ -143,8 +144,8 @@
 func simulateShares(t *testing.T, seed uint64) *shareSimulation {
 	var w *shareSimulation
 	synctest.Test(t, func(t *testing.T) {
-		w = &shareSimulation{simulatedSystem: newSimulatedSystem(t, seed, injectedBug{}), random: rand.New(rand.NewPCG(seed, 7)),
-			end: time.Now().Add(shareSpan)}
+		w = &shareSimulation{simulatedSystem: newSimulatedSystem(t, seed, injectedBug{}),
+			random: rand.New(rand.NewPCG(seed, 7)), end: time.Now().Add(shareSpan)}
 		if status := w.put(t, "PUT", "0", quotaDocument); status != 200 {
 			t.Fatal(status)
 		}
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -23,6 +23,7 @@
 	"sprucelane.example/sprucelane/internal/control/quotaservice"
 	"sprucelane.example/sprucelane/internal/control/statemachine"
 	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/node/metrics"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -219,7 +220,7 @@
 		Str("data", c.settings.DataDir).
 		Bool("bootstrap", c.settings.Bootstrap).
 		Uint64("store_epoch", c.state.Stores().Epoch).
-		Msg("started")
+		Msg("serving")
 	return nil
 }
 
@@ -240,6 +241,7 @@
 		Bounds:          c.settings.Bounds,
 		MaxBodyBytes:    c.settings.Limits.MemoryMB << 20 / bodyMemoryFraction,
 		MinActiveStores: c.settings.Tolerance.Machines + 1,
+		Metrics:         metrics.Handler(func() []metrics.Metric { return Metrics(c) }),
 		Log:             c.log.With().Str("part", "operator").Logger(),
 	})
 }
@@ -288,5 +290,5 @@
 	c.peers.close()
 	c.replica.Close()
 	c.loops.Wait()
-	c.log.Info().Msg("stopped")
+	c.log.Info().Msg("shutdown_complete")
 }
--- a/internal/control/operatorapi/api.go
+++ b/internal/control/operatorapi/api.go
@@ -49,7 +49,9 @@
 	// MinActiveStores is the least number of active store machines that must remain when one retires: the number
 	// of replicas of a batch job, f + 1.
 	MinActiveStores int
-	Log             zerolog.Logger
+	// Metrics serves GET /metrics. Nil: there is none.
+	Metrics http.Handler
+	Log     zerolog.Logger
 }
 
 // API answers the operator's requests. It is safe for concurrent use.
@@ -80,6 +82,9 @@
 	router.GET("/config", a.handleRead)
 	router.POST("/retire/:node", a.handleRetire)
 	router.GET("/retire/:node", a.handleRetirement)
+	if a.options.Metrics != nil {
+		router.GET("/metrics", echo.WrapHandler(a.options.Metrics))
+	}
 	return router
 }
 
--- a/internal/control/replica.go
+++ b/internal/control/replica.go
@@ -8,6 +8,8 @@
 	"strconv"
 	"time"
 
+	"github.com/rs/zerolog"
+
 	"sprucelane.example/sprucelane/coord/replica"
 	"sprucelane.example/sprucelane/coord/view"
 	"sprucelane.example/sprucelane/internal/control/operatorapi"
@@ -21,6 +23,7 @@
 	Read(ctx context.Context) (uint64, error)
 	Staleness() (age time.Duration, ok bool)
 	View() view.View
+	Applied() uint64
 	Self() view.Member
 	Members() []replica.Peer
 	LeaderLease() (epoch uint64, until time.Time, ok bool)
@@ -31,6 +34,16 @@
 	Close()
 }
 
+// chainEventLevel returns the level of an event of the chain: an error where acknowledged data was lost or can't be
+// written.
+func chainEventLevel(event string) zerolog.Level {
+	switch event {
+	case "disk_corrupt", "disk_write_failed":
+		return zerolog.ErrorLevel
+	}
+	return zerolog.InfoLevel
+}
+
 // replicaOptions are the settings of this process's member of the chain.
 func (c *Control) replicaOptions() replica.Options {
 	s := c.settings
@@ -46,7 +59,7 @@
 		Tolerance:    s.Tolerance.Machines,
 		StateMachine: c.state,
 		Log: func(event string, fields ...any) {
-			c.log.Info().Fields(fields).Str("part", "chain").Msg(event)
+			c.log.WithLevel(chainEventLevel(event)).Fields(fields).Str("part", "chain").Msg(event)
 		},
 	}
 }
--- a/internal/control/statemachine/retirement.go
+++ b/internal/control/statemachine/retirement.go
@@ -56,10 +56,11 @@
 	return s.setState(at, protocol.StoreRetired)
 }
 
-// completeDeparted completes the retirements of machines that left the membership before they were drained, lost or for
-// good partitioned: all members have reconciled without them, so each batch job that they held is on f + 1 others. One that
-// comes back on the same disk doesn't join any more; one that comes back on another disk joins only after it has polled
-// for liveness.RejoinAfter, as after any completed retirement, and not while the operator takes the machine away.
+// completeDeparted completes the retirements of machines that left the membership before they were drained, lost or
+// for good partitioned: all members have reconciled without them, so each batch job that they held is on f + 1
+// others. One that comes back on the same disk doesn't join any more; one that comes back on another disk joins only
+// after it has polled for liveness.RejoinAfter, as after any completed retirement, and not while the operator takes
+// the machine away.
 func (s *membership) completeDeparted() {
 	retirements := slices.Clone(s.retirements)
 	for i := range retirements {
@@ -82,6 +83,17 @@
 	return RetirementActive
 }
 
+// countRetirements returns the number of remembered retirements in a state.
+func (s *membership) countRetirements(state Retirement) int {
+	count := 0
+	for i := range s.retirements {
+		if s.retirements[i].Completed == (state == RetirementCompleted) {
+			count++
+		}
+	}
+	return count
+}
+
 // retirementOf returns the record of a node's last retirement, nil if there is none.
 func (s *membership) retirementOf(node string) *retirement {
 	at := slices.IndexFunc(s.retirements, func(one retirement) bool { return one.Node == node })
--- a/internal/control/statemachine/statemachine.go
+++ b/internal/control/statemachine/statemachine.go
@@ -171,6 +171,13 @@
 	return m.stores.retirementState(node)
 }
 
+// CountRetirements returns the number of remembered retirements that are active, or completed.
+func (m *StateMachine) CountRetirements(state Retirement) int {
+	m.mutex.RLock()
+	defer m.mutex.RUnlock()
+	return m.stores.countRetirements(state)
+}
+
 // Grantor returns the process that may grant quota.
 func (m *StateMachine) Grantor() Grantor {
 	m.mutex.RLock()
--- a/internal/core/core_test.go
+++ b/internal/core/core_test.go
@@ -124,8 +124,8 @@
 	assert.Contains(t, c.Counters().String(), "answered_served=0")
 }
 
-// TestAuthorizationEndsBeforeCorrectedDeadline: a request that lay unread while the process was paused has less time left
-// than its front believes, and so has the wait for its client's authorization.
+// TestAuthorizationEndsBeforeCorrectedDeadline: a request that lay unread while the process was paused has less time
+// left than its front believes, and so has the wait for its client's authorization.
 func TestAuthorizationEndsBeforeCorrectedDeadline(t *testing.T) {
 	c, _ := start(t, func(*Attempt) (End, Answer) { return EndErrored, Answer{} })
 	const pause, patience = 5 * time.Second, 20 * time.Second
--- a/internal/core/transaction.go
+++ b/internal/core/transaction.go
@@ -86,9 +86,9 @@
 	}
 }
 
-// answerUnauthorized gives the final answer of a transaction whose client has left or isn't authorized; over is false
-// where the client is. Policy doesn't hear of such a transaction: it draws no units. The wait for a verdict ends with the
-// deadline as register has corrected it.
+// answerUnauthorized gives the final answer of a transaction whose client has left or isn't authorized; over is
+// false where the client is. Policy doesn't hear of such a transaction: it draws no units. The wait for a verdict
+// ends with the deadline as register has corrected it.
 func (c *Core) answerUnauthorized(ctx context.Context, tx *transaction) (answer Answer, over bool) {
 	verdict, wait := Active, time.Duration(0)
 	if tx.Authorize != nil {
--- a/internal/gateway/connectionshare/connectionshare.go
+++ b/internal/gateway/connectionshare/connectionshare.go
@@ -1,10 +1,10 @@
 // Package connectionshare decides how many of a server's connections one gateway may use, so that all gateways together
 // stay within the server's bound (max-conns) without asking each other.
 //
-// Each gateway takes an equal part, by the number of gateways in the member list of control. A number that is too low is
-// what does harm: gateways that each take themselves for one of a few open many times the bound. A control process that
-// has just started, or was without a majority, knows few gateways or none, so the number may rise at once and falls only
-// on evidence:
+// Each gateway takes an equal part, by the number of gateways in the member list of control. A number that is too
+// low is what does harm: gateways that each take themselves for one of a few open many times the bound. A control
+// process that has just started, or was without a majority, knows few gateways or none, so the number may rise at
+// once and falls only on evidence:
 //
 //   - the list says that its sender has counted for long enough to know all (protocol.MemberList.GatewaysComplete);
 //   - the gateway is in contact with control: lists that it was sent before may be outdated;
@@ -12,10 +12,11 @@
 //
 // Until the first complete list a gateway knows nothing of the others and uses one connection a server.
 //
-// The remainder of the division goes to the gateways of the lowest ranks, one connection each: rounded up, the parts of
-// hundreds of gateways would be beyond the bound, and rounded down half of it would lie idle. A rank is taken only from a
-// complete list of as many gateways as are divided by. Lists of one number and other members give some rank twice, so
-// that the sum may be above what is divided by as many connections as gateways changed; the caller divides nine tenths of the bound.
+// The remainder of the division goes to the gateways of the lowest ranks, one connection each: rounded up, the parts
+// of hundreds of gateways would be beyond the bound, and rounded down half of it would lie idle. A rank is taken
+// only from a complete list of as many gateways as are divided by. Lists of one number and other members give some
+// rank twice, so that the sum may be above what is divided by as many connections as gateways changed; the caller
+// divides nine tenths of the bound.
 package connectionshare
 
 import (
@@ -41,14 +42,14 @@
 	highest   int        // highest number since then
 }
 
-// New returns the share of the gateway of a node. The number of gateways falls after it was lower for fallAfter, in which
-// a gateway that was away would have come back: liveness-ms.
+// New returns the share of the gateway of a node. The number of gateways falls after it was lower for fallAfter, in
+// which a gateway that was away would have come back: liveness-ms.
 func New(node string, fallAfter time.Duration) *Share {
 	return &Share{node: node, fallAfter: fallAfter}
 }
 
-// Observe takes in the newest member list, nil for none. inContact says that control confirmed its state lately. It must
-// be called again while a list stays the same, as time passes.
+// Observe takes in the newest member list, nil for none. inContact says that control confirmed its state lately. It
+// must be called again while a list stays the same, as time passes.
 func (s *Share) Observe(now time.Time, list *protocol.MemberList, inContact bool) {
 	if s == nil || list == nil {
 		return
--- a/internal/gateway/connectionshare/connectionshare_test.go
+++ b/internal/gateway/connectionshare/connectionshare_test.go
@@ -75,8 +75,8 @@
 	}
 }
 
-// TestRandomLists shows random lists to all gateways of a fleet that loses and gains members, in which control begins to
-// count anew now and then. The sum of the parts of those that live never exceeds the bound.
+// TestRandomLists shows random lists to all gateways of a fleet that loses and gains members, in which control
+// begins to count anew now and then. The sum of the parts of those that live never exceeds the bound.
 func TestRandomLists(t *testing.T) {
 	const fleet, divided, bound, step = 40, 450, 500, 200 * time.Millisecond
 	for seed := range uint64(200) {
--- a/internal/gateway/endpoints/registry.go
+++ b/internal/gateway/endpoints/registry.go
@@ -39,6 +39,15 @@
 // changed.
 func (t *Table) ForBackend(backend string) []*Server { return t.backends[backend] }
 
+// CountByBackend returns the number of servers of each backend.
+func (t *Table) CountByBackend() map[string]int {
+	counts := make(map[string]int, len(t.backends))
+	for backend, servers := range t.backends {
+		counts[backend] = len(servers)
+	}
+	return counts
+}
+
 // ByNumber returns the server with a number, or nil if it was removed or is draining.
 func (t *Table) ByNumber(number policy.ServerID) *Server { return t.numbers[number] }
 
--- a/internal/gateway/gateway.go
+++ b/internal/gateway/gateway.go
@@ -25,6 +25,7 @@
 	"sprucelane.example/sprucelane/internal/gateway/serverselection"
 	"sprucelane.example/sprucelane/internal/gateway/subscription"
 	"sprucelane.example/sprucelane/internal/node"
+	"sprucelane.example/sprucelane/internal/node/metrics"
 	"sprucelane.example/sprucelane/internal/pool"
 	"sprucelane.example/sprucelane/internal/protocol"
 	"sprucelane.example/sprucelane/internal/serverload"
@@ -59,6 +60,7 @@
 	batch        *batchproxy.Caller
 	admitter     *admitter
 	proxy        *proxy.Proxy
+	metrics      http.Handler                 // of Metrics
 	clients      atomic.Pointer[front.Server] // nil until the front port is served
 }
 
@@ -93,6 +95,7 @@
 		Log:             log,
 		ExitTime:        g.state.ExitDeadline,
 	}
+	g.metrics = metrics.Handler(func() []metrics.Metric { return Metrics(g) })
 	return g
 }
 
--- a/internal/gateway/outcomes/outcomes.go
+++ b/internal/gateway/outcomes/outcomes.go
@@ -5,8 +5,6 @@
 
 import (
 	"cmp"
-	"fmt"
-	"io"
 	"maps"
 	"slices"
 	"sync"
@@ -19,8 +17,7 @@
 type Outcome string
 
 // Outcomes. A request counts once, by its final response; a late one by what it waited for. Truncated is
-// counted in addition, as the beginning of the response has been counted already. A stream that could be
-// resumed in principle, and for which no server was found in time, isn't counted as truncated.
+// counted in addition, as the beginning of the response has been counted already.
 const (
 	InTime           Outcome = "in_time"
 	LateRetried      Outcome = "late_retried"     // earlier attempts took the time
@@ -33,7 +30,7 @@
 	NoServer         Outcome = "no_server"        // no server took it, and none ran it
 	ServerFailed     Outcome = "server_failed"    // a server responded that it failed
 	Lost             Outcome = "lost"             // it may have run, and no response came
-	Truncated        Outcome = "cut"              // its stream broke off, and can't be resumed
+	Truncated        Outcome = "cut"              // its stream broke off, and wasn't resumed
 	ClientLeft       Outcome = "client_left"      // its client closed the connection before the response
 )
 
@@ -72,16 +69,36 @@
 
 // Counts are totals since the start. They are safe for concurrent use.
 type Counts struct {
-	mu       sync.Mutex // guards what follows
-	totals   map[key]uint64
-	reported map[key]uint64 // totals at the last Delta
+	mu         sync.Mutex // guards what follows
+	totals     map[key]uint64
+	reported   map[key]uint64 // totals at the last Delta
+	latencies  map[string]*Latencies
+	batchCalls map[BatchCall]uint64
+}
+
+// LatencyBounds are the upper bounds, in seconds, of the buckets of Latencies.
+var LatencyBounds = []float64{0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.6, 1, 2.5, 5, 10}
+
+// Latencies is a histogram of the latencies of a route's answered requests.
+type Latencies struct {
+	Buckets [12]uint64 // by LatencyBounds; the last one has what is above all of them
+	Sum     float64    // seconds
+}
+
+// BatchCall is what calls of the batch interface are counted by.
+type BatchCall struct {
+	Operation string
+	Status    int // of the answer
 }
 
 // maxKeys bounds the keys, as routes come and go all day. Requests beyond it count under an empty route.
 const maxKeys = 4096
 
 // New returns empty counts.
-func New() *Counts { return &Counts{totals: map[key]uint64{}, reported: map[key]uint64{}} }
+func New() *Counts {
+	return &Counts{totals: map[key]uint64{}, reported: map[key]uint64{}, latencies: map[string]*Latencies{},
+		batchCalls: map[BatchCall]uint64{}}
+}
 
 // Add counts a request.
 func (c *Counts) Add(route string, outcome Outcome) {
@@ -94,6 +111,55 @@
 	c.totals[labels]++
 }
 
+// maxRoutes bounds the routes whose latencies are counted apart. Those beyond it count under an empty route.
+const maxRoutes = 512
+
+// AddLatency counts the latency of a request that was answered: to the first event of a stream, or to the response.
+func (c *Counts) AddLatency(route string, latency time.Duration) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	histogram := c.latencies[route]
+	if histogram == nil {
+		if len(c.latencies) >= maxRoutes {
+			route = ""
+		}
+		histogram = &Latencies{}
+		if known := c.latencies[route]; known != nil {
+			histogram = known
+		}
+		c.latencies[route] = histogram
+	}
+	seconds := latency.Seconds()
+	bucket, _ := slices.BinarySearch(LatencyBounds, seconds)
+	histogram.Buckets[bucket]++
+	histogram.Sum += seconds
+}
+
+// RouteLatencies returns a copy of the histograms, by route.
+func (c *Counts) RouteLatencies() map[string]Latencies {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	list := make(map[string]Latencies, len(c.latencies))
+	for route, histogram := range c.latencies {
+		list[route] = *histogram
+	}
+	return list
+}
+
+// AddBatchCall counts an answer of the batch interface.
+func (c *Counts) AddBatchCall(operation string, status int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.batchCalls[BatchCall{Operation: operation, Status: status}]++
+}
+
+// BatchCalls returns the counts of the batch interface.
+func (c *Counts) BatchCalls() map[BatchCall]uint64 {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return maps.Clone(c.batchCalls)
+}
+
 // RouteCount is the number of a route's requests with one outcome.
 type RouteCount struct {
 	Route   string
@@ -133,19 +199,3 @@
 	})
 	return list
 }
-
-// WritePrometheus writes the totals in Prometheus' text format.
-func (c *Counts) WritePrometheus(w io.Writer) error {
-	const name = "sprucelane_requests_total"
-	_, err := fmt.Fprintf(w, "# HELP %s Clients' requests by what became of them.\n# TYPE %s counter\n", name, name)
-	if err != nil {
-		return err
-	}
-	for _, total := range c.Totals() {
-		_, err := fmt.Fprintf(w, "%s{route=%q,outcome=%q} %d\n", name, total.Route, total.Outcome, total.Count)
-		if err != nil {
-			return err
-		}
-	}
-	return nil
-}
--- a/internal/gateway/outcomes/outcomes_test.go
+++ b/internal/gateway/outcomes/outcomes_test.go
@@ -36,9 +36,7 @@
 		c.Add("b", Lost)
 		So(c.Delta(), ShouldResemble, []RouteCount{{"b", Lost, 1}})
 		So(c.Delta(), ShouldBeEmpty)
-		var text strings.Builder
-		So(c.WritePrometheus(&text), ShouldBeNil)
-		So(text.String(), ShouldContainSubstring, "sprucelane_requests_total{route=\"b\",outcome=\"lost\"} 2\n")
+		So(c.Totals(), ShouldResemble, []RouteCount{{"a", InTime, 2}, {"b", Lost, 2}})
 	})
 	Convey("The number of keys is bounded", t, func() {
 		c := New()
@@ -48,3 +46,28 @@
 		So(len(c.Totals()), ShouldBeLessThanOrEqualTo, maxKeys+1)
 	})
 }
+
+func TestLatencies(t *testing.T) {
+	Convey("Latencies are counted by route, in the bucket of the least bound that is not below them", t, func() {
+		c := New()
+		So(len(Latencies{}.Buckets), ShouldEqual, len(LatencyBounds)+1)
+		c.AddLatency("a", 25*time.Millisecond)
+		c.AddLatency("a", 26*time.Millisecond)
+		c.AddLatency("a", time.Hour)
+		found := c.RouteLatencies()["a"]
+		So(found.Buckets, ShouldResemble, [12]uint64{0: 1, 1: 1, 11: 1})
+		So(found.Sum, ShouldAlmostEqual, 3600.051)
+	})
+	Convey("The number of routes is bounded", t, func() {
+		c := New()
+		for i := range 3 * maxRoutes {
+			c.AddLatency(strings.Repeat("r", i), time.Second)
+		}
+		So(len(c.RouteLatencies()), ShouldBeLessThanOrEqualTo, maxRoutes+1)
+		total := uint64(0)
+		for _, one := range c.RouteLatencies() {
+			total += one.Buckets[7]
+		}
+		So(total, ShouldEqual, 3*maxRoutes)
+	})
+}
--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -8,6 +8,7 @@
 	"sprucelane.example/sprucelane/internal/ablation"
 	"sprucelane.example/sprucelane/internal/core"
 	"sprucelane.example/sprucelane/internal/front"
+	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/retry"
 	"sprucelane.example/sprucelane/internal/gateway/serverselection"
 	"sprucelane.example/sprucelane/internal/pool"
@@ -112,6 +113,7 @@
 	case q.streamStarted || q.history.MayHaveRun(): // 503 would promise that nothing has run
 		q.giveUp()
 	default:
+		q.count(outcomes.Unready)
 		q.reject(http.StatusServiceUnavailable, unreadyRetryAfter)
 	}
 	return true
--- a/internal/gateway/proxy/batch.go
+++ b/internal/gateway/proxy/batch.go
@@ -60,6 +60,7 @@
 func (q *request) callBatch() {
 	call, failure := q.parseBatchCall()
 	if failure != nil {
+		q.countBatchCall(failure.status)
 		failure.write(q.w)
 		return
 	}
@@ -70,6 +71,7 @@
 	ctx, cancel := context.WithDeadline(q.r.Context(), deadline)
 	defer cancel()
 	if !q.keyValid(time.Now()) {
+		q.countBatchCall(http.StatusServiceUnavailable)
 		q.reject(http.StatusServiceUnavailable, unreadyRetryAfter)
 		return
 	}
@@ -111,6 +113,7 @@
 	if q.r.Context().Err() != nil {
 		panic(http.ErrAbortHandler)
 	}
+	q.countBatchCall(answer.Status)
 	header := q.w.Header()
 	if answer.ContentType != "" {
 		header.Set(headerContentType, answer.ContentType)
--- a/internal/gateway/proxy/gateway_responses.go
+++ b/internal/gateway/proxy/gateway_responses.go
@@ -56,13 +56,15 @@
 }
 
 // giveUp ends a request that no attempt answered: with the status that its history allows, or by aborting the
-// connection if the client has left or its stream has started. A started stream isn't counted again: it stays
-// counted by its beginning.
+// connection if the client has left or its stream has started.
 func (q *request) giveUp() {
-	if q.r.Context().Err() != nil || q.streamStarted {
+	if q.r.Context().Err() != nil {
 		q.count(outcomes.ClientLeft) // has no effect on a started stream
 		panic(http.ErrAbortHandler)
 	}
+	if q.streamStarted {
+		q.abortStream()
+	}
 	status := q.history.FinalStatus(!time.Now().Before(q.deadline))
 	if q.proxy.bugs.alwaysPromisesNotRun {
 		status = http.StatusServiceUnavailable
@@ -75,3 +77,10 @@
 	q.count(outcomes.Lost)
 	writeResponse(q.w, status, 0, "")
 }
+
+// abortStream ends a started stream that no server goes on with, by aborting the client's connection: it must not look
+// complete.
+func (q *request) abortStream() {
+	q.proxy.countStreamEnd(q.route.Name, outcomes.Truncated)
+	panic(http.ErrAbortHandler)
+}
--- a/internal/gateway/proxy/outcome.go
+++ b/internal/gateway/proxy/outcome.go
@@ -45,6 +45,13 @@
 	}
 }
 
+// countBatchCall counts the answer to a call of the batch interface.
+func (q *request) countBatchCall(status int) {
+	if q.proxy.Outcomes != nil {
+		q.proxy.Outcomes.AddBatchCall(q.operation.String(), status)
+	}
+}
+
 // countUnready counts a request that got 503 before it was read completely: the gateway isn't ready, shuts
 // down, or has no memory for its body. It is counted without a route, as that may not be known.
 func (p *Proxy) countUnready(failure *errorResponse) {
@@ -63,6 +70,9 @@
 		InFlight: reservation.ReportedInFlight(), Queued: load.Waiting, Slots: load.Slots}
 	outcome := outcomes.Classify(attempt)
 	q.count(outcome)
+	if q.proxy.Outcomes != nil {
+		q.proxy.Outcomes.AddLatency(q.route.Name, attempt.Latency)
+	}
 	if outcome == outcomes.InTime {
 		return
 	}
--- a/internal/gateway/proxy/resumption.go
+++ b/internal/gateway/proxy/resumption.go
@@ -1,10 +1,8 @@
 package proxy
 
 import (
-	"net/http"
 	"strconv"
 
-	"sprucelane.example/sprucelane/internal/gateway/outcomes"
 	"sprucelane.example/sprucelane/internal/gateway/serverselection"
 	"sprucelane.example/sprucelane/internal/gateway/sse"
 )
@@ -19,8 +17,7 @@
 	}
 	last, numbered := q.scanner.LastID()
 	if !q.route.Resumable || !numbered {
-		q.proxy.countStreamEnd(q.route.Name, outcomes.Truncated)
-		panic(http.ErrAbortHandler)
+		q.abortStream()
 	}
 	if !q.proxy.bugs.omitLastEventID {
 		q.lastEventID = strconv.FormatUint(last, 10)
--- a/internal/gateway/proxy/stream.go
+++ b/internal/gateway/proxy/stream.go
@@ -53,7 +53,7 @@
 			}
 			if q.scanner.Gap() {
 				q.handleLost(a.reservation)
-				panic(http.ErrAbortHandler) // events are missing that no server will send again
+				q.abortStream() // events are missing that no server will send again
 			}
 			q.flushEvents(a.response)
 		}
--- a/internal/gateway/ready_port.go
+++ b/internal/gateway/ready_port.go
@@ -16,7 +16,7 @@
 func (g *Gateway) serveReady(w http.ResponseWriter, r *http.Request) {
 	switch {
 	case r.URL.Path == "/metrics":
-		g.serveMetrics(w)
+		g.metrics.ServeHTTP(w, r)
 	case r.URL.Path != "/readyz":
 		http.NotFound(w, r)
 	case g.Ready():
@@ -26,12 +26,6 @@
 	}
 }
 
-// serveMetrics serves the outcomes of clients' requests, in Prometheus' text format.
-func (g *Gateway) serveMetrics(w http.ResponseWriter) {
-	w.Header().Set("Content-Type", "text/plain; version=0.0.4")
-	_ = g.proxy.Outcomes.WritePrometheus(w) // the client has left
-}
-
 // logOutcomes logs the outcomes of clients' requests periodically.
 func (g *Gateway) logOutcomes(ctx context.Context) {
 	ticker := time.NewTicker(outcomesInterval)
--- a/internal/node/ports.go
+++ b/internal/node/ports.go
@@ -18,6 +18,9 @@
 	PortBatch                       // gateways and batch processes to batch processes
 	PortLoad                        // gateways and batch processes with each other: load that servers reported
 	numPorts                        // the least size of a range
+
+	// PortMetrics is where a batch process serves its metrics, if the range has the port.
+	PortMetrics = numPorts
 )
 
 // Port returns the port of a use.
--- a/internal/pool/idle_test.go
+++ b/internal/pool/idle_test.go
@@ -42,8 +42,8 @@
 	assert.False(t, p.evictIdle())
 }
 
-// TestInterimResponses: a response of the daemon and one of the system are both found behind maxInterimResponses interim
-// ones, and neither behind more.
+// TestInterimResponses: a response of the daemon and one of the system are both found behind maxInterimResponses
+// interim ones, and neither behind more.
 func TestInterimResponses(t *testing.T) {
 	p := New(Options{MaxConnections: 9, IdleTimeout: time.Hour, ConnectTimeout: time.Second})
 	t.Cleanup(p.Close)
@@ -57,7 +57,8 @@
 		exchange := &Exchange{pool: p, conn: connect(), method: http.MethodGet}
 		_, err := exchange.ReadHead(time.Now().Add(time.Minute))
 		assert.Equal(t, found, err == nil, "%d interim responses: %v", interim, err)
-		end, _, _ := connect().readResponse(p, &core.Attempt{Until: time.Now().Add(time.Minute)}, &Message{Method: http.MethodGet})
+		attempt := &core.Attempt{Until: time.Now().Add(time.Minute)}
+		end, _, _ := connect().readResponse(p, attempt, &Message{Method: http.MethodGet})
 		assert.Equal(t, found, end != core.EndReset, "%d interim responses end as %v", interim, end)
 	}
 }
--- a/policy/customers_test.go
+++ b/policy/customers_test.go
@@ -45,9 +45,9 @@
 	}
 }
 
-// TestTooManyCustomers sends requests of more customers than there are records for, within a second, of plans whose buckets
-// this gateway owns or shares. None of them has been idle: the least recently seen ones go, and what is in flight stays
-// counted.
+// TestTooManyCustomers sends requests of more customers than there are records for, within a second, of plans whose
+// buckets this gateway owns or shares. None of them has been idle: the least recently seen ones go, and what is in
+// flight stays counted.
 func TestTooManyCustomers(t *testing.T) {
 	for name, setSize := range map[string]int{"buckets kept by an owner": 60, "shared buckets": 2, "own buckets": 1} {
 		t.Run(name, func(t *testing.T) {
@@ -82,7 +82,8 @@
 	if len(f.sent) != 3 || f.ended[4] != "refused" {
 		t.Fatalf("%d sent, the fourth was %q", len(f.sent), f.ended[4])
 	}
-	f.gateway.SentElsewhere(f.now, Request{Customer: 9, SetSize: 1, Units: 1}, 1, true) // there is no record to count it in
+	// There is no record to count this one in.
+	f.gateway.SentElsewhere(f.now, Request{Customer: 9, SetSize: 1, Units: 1}, 1, true)
 	checkCustomers(t, f.gateway)
 	f.done(f.sent[0], Served, ms)
 	f.ask(5, nil)
