batch: the owners of a batch job count an item's failures together

Change: the runner tells its store each count; the owner sends it to its replicas with what it replicates, and a new or restarted owner takes the highest that its replicas know before it runs anything.

--- a/internal/batch/replica/handover.go
+++ b/internal/batch/replica/handover.go
@@ -56,6 +56,7 @@
 		}
 		message.Replicas = j.handoverReplicas
 	}
+	message.Failures = j.listFailures()
 	p.awaitsResponse, p.sentAt = true, now
 	m.env.Send(p.process, message)
 }
--- a/internal/batch/replica/items.go
+++ b/internal/batch/replica/items.go
@@ -19,6 +19,7 @@
 	Index int
 	At    wal.Location // of its encoding, see job.DecodeItem
 	Progress
+	Failures Failures // over all owners so far
 }
 
 // Progress is the output of an unfinished item that this store kept, on its own disk only. After a restart
@@ -38,7 +39,9 @@
 	work := Job{ID: j.id, Tenant: j.tenant, Route: j.route, FirstSent: j.firstSent}
 	for i := range j.items {
 		if !j.items[i].finished {
-			work.Items = append(work.Items, JobItem{Index: i, At: j.itemLocation(i), Progress: j.progressOfItem(i)})
+			work.Items = append(work.Items, JobItem{
+				Index: i, At: j.itemLocation(i), Progress: j.progressOfItem(i), Failures: j.failures[i],
+			})
 		}
 	}
 	return work, true
--- a/internal/batch/replica/messages.go
+++ b/internal/batch/replica/messages.go
@@ -118,6 +118,13 @@
 	Start    int                // position of the first of Results; 0 with Content
 	Results  []Result
 	Ended    bool
+	Failures []ItemFailures // of unfinished items; earlier versions send none
+}
+
+// ItemFailures is how often servers failed an item.
+type ItemFailures struct {
+	Item int // index in the batch job
+	Failures
 }
 
 // Result is the result of one item.
@@ -138,6 +145,8 @@
 	None    bool // the sender has no copy and, as far as it is reconciled, knows of no owner
 	Stands  bool // the sender owns the batch job, and it is fully replicated
 	Whole   bool // Stands, and the receiver isn't one of the replicas
+	// Failures is what the sender knows of unfinished items; earlier versions send none.
+	Failures []ItemFailures
 }
 
 // ReconciledNotice reports the newest epoch in which the sender had reconciled.
--- a/internal/batch/replica/replication.go
+++ b/internal/batch/replica/replication.go
@@ -50,9 +50,11 @@
 			return
 		}
 		message.Ended = j.endedDurable
+	case p.failuresKnown < j.failuresVersion:
 	default:
 		return
 	}
+	message.Failures, p.failuresSent = j.listFailures(), j.failuresVersion
 	p.awaitsResponse, p.sentAt = true, now
 	m.env.Send(p.process, message)
 }
@@ -140,6 +142,8 @@
 		return
 	}
 	p.reported, p.awaitsResponse = true, false
+	p.failuresKnown = p.failuresSent
+	j.mergeFailures(message.Failures)
 	p.hasCopy = p.hasCopy || message.Held // what is on its disk stays there: a response that says less is an earlier one
 	p.durableResults = max(p.durableResults, message.Count)
 	p.ended = p.ended || message.Ended
--- a/internal/batch/replica/replicationmember.go
+++ b/internal/batch/replica/replicationmember.go
@@ -12,6 +12,9 @@
 // for the owner.
 func (m *StateMachine) handleReplicationRequest(from protocol.Process, message ReplicationRequest) {
 	j := m.jobs[message.Job]
+	if j != nil {
+		j.mergeFailures(message.Failures)
+	}
 	switch {
 	case j != nil && j.owned: // a store that is to release its copy asks whether the batch job is fully replicated
 		m.sendReplicationResponse(j, from)
@@ -45,7 +48,9 @@
 	if old := m.jobs[message.Job]; old != nil {
 		m.followOwner(old)
 		j.previousAt = old.oldestLocation()
+		j.mergeFailures(old.listFailures())
 	}
+	j.mergeFailures(message.Failures)
 	at := m.write(record, true, func() {
 		j.versionDurable, j.previousAt = true, nil
 		j.durableResults = max(j.durableResults, len(message.Results))
@@ -91,5 +96,6 @@
 		Stamp: m.stamp(), Job: j.id, Version: j.version,
 		Held: j.versionDurable, Count: j.durableResults, Ended: j.endedDurable,
 		Stands: replicated, Whole: replicated && !placement.Contains(j.replicas, placement.KeyOf(to)),
+		Failures: j.listFailures(),
 	})
 }
--- a/internal/batch/replica/storedjob.go
+++ b/internal/batch/replica/storedjob.go
@@ -78,6 +78,9 @@
 
 	progress map[int]Progress // by item, from an earlier incarnation of the process
 
+	failures        map[int]Failures // by item; at replicas as the owner has sent them
+	failuresVersion uint64           // counts the changes of failures
+
 	pendingReads       []pendingRead
 	pendingSubmissions []CallID // answered once it is on all replicas
 	pendingEnds        []CallID
@@ -105,7 +108,9 @@
 	hasCopy        bool // it has the present version on its disk
 	durableResults int  // durable there
 	ended          bool
-	awaitsResponse bool // to the message of sentAt
+	failuresSent   uint64 // storedJob.failuresVersion of the last message
+	failuresKnown  uint64 // of the last one that was answered
+	awaitsResponse bool   // to the message of sentAt
 	sentAt         time.Duration
 	copySentAt     time.Duration // a full copy was handed over
 }
--- a/internal/batch/runner/failures.go
+++ b/internal/batch/runner/failures.go
@@ -2,6 +2,7 @@
 
 import (
 	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/replica"
 	"sprucelane.example/sprucelane/internal/batch/scheduler"
 	"sprucelane.example/sprucelane/internal/batch/serverclient"
 )
@@ -10,24 +11,30 @@
 // of its batch job at this store, as the batch job may come back: the store leaves the view for a moment,
 // or hands the batch job over and gets it back. So the failures of stopped batch jobs are remembered.
 
+// Other stores count together with this one: it tells its own of each failure (Store.Failures), and what Work
+// returns has the failures that other owners have told (internal/batch/replica).
+
 // failureRecord counts the answers of servers that an item failed.
-type failureRecord struct {
-	count         int  // answers of 500
-	unprocessable bool // an answer of 422
-}
+type failureRecord replica.Failures
 
 // record counts a result. Others than Failed and Unprocessable say nothing about the item.
 func (f *failureRecord) record(result serverclient.Result, bugs injectedBugs) {
 	switch {
 	case result == serverclient.Failed && !bugs.forgetFailures:
-		f.count++
+		f.Count++
 	case result == serverclient.Unprocessable && !bugs.retryUnprocessable:
-		f.unprocessable = true
+		f.Unprocessable = true
 	}
 }
 
+// merge takes over a record of the same item that is higher.
+func (f *failureRecord) merge(other failureRecord) {
+	f.Count = max(f.Count, other.Count)
+	f.Unprocessable = f.Unprocessable || other.Unprocessable
+}
+
 // exhausted reports whether an item that may be attempted so often is to be given up.
-func (f *failureRecord) exhausted(attempts int) bool { return f.unprocessable || f.count >= attempts }
+func (f *failureRecord) exhausted(attempts int) bool { return f.Unprocessable || f.Count >= attempts }
 
 // maxStoppedJobs bounds the batch jobs whose failures are remembered. Beyond it all are forgotten, which
 // costs further attempts of items that fail, but no memory.
@@ -50,11 +57,12 @@
 	f[id][index] = failures
 }
 
-// record counts the result of an attempt that outlasted the stop of its batch job.
-func (f failureRecords) record(id string, index int, result serverclient.Result) {
+// record counts the result of an attempt that outlasted the stop of its batch job, and returns the item's failures.
+func (f failureRecords) record(id string, index int, result serverclient.Result) failureRecord {
 	failures := f[id][index]
 	failures.record(result, injectedBugs{})
 	f.put(id, index, failures)
+	return failures
 }
 
 // restoreFailures gives a batch job the failures that are remembered of its items, finishes items that are
@@ -68,7 +76,7 @@
 	attempts := r.maxAttempts(batch)
 	for _, task := range tasks {
 		progress := batch.items[task.Index]
-		progress.failureRecord = remembered[task.Index]
+		progress.merge(remembered[task.Index])
 		if progress.exhausted(attempts) {
 			batch.results = append(batch.results, itemResult{index: task.Index, state: job.DeadLetter})
 			continue
--- a/internal/batch/runner/job.go
+++ b/internal/batch/runner/job.go
@@ -92,6 +92,9 @@
 // If they can't be read the item starts from its beginning.
 func (r *Runner) restoreProgress(id string, item replica.JobItem) *itemProgress {
 	progress := &itemProgress{location: item.At, lastEventID: -1}
+	if !r.bugs.forgetOtherOwners {
+		progress.failureRecord = failureRecord(item.Failures)
+	}
 	if item.Last < 0 {
 		return progress
 	}
--- a/internal/batch/runner/outcome.go
+++ b/internal/batch/runner/outcome.go
@@ -7,6 +7,7 @@
 	"github.com/cespare/xxhash/v2"
 
 	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/batch/replica"
 	"sprucelane.example/sprucelane/internal/batch/scheduler"
 	"sprucelane.example/sprucelane/internal/batch/serverclient"
 )
@@ -17,8 +18,20 @@
 	longRetryDelay = 300 * time.Millisecond // what keeps it from running is likely to last
 )
 
-// handleOutcome takes in how an attempt ended. It reports whether there are results to submit.
+// handleOutcome takes in how an attempt ended. It reports whether there are results to submit. The store is told of
+// failures without the mutex: it calls the runner while it holds its own.
 func (r *Runner) handleOutcome(batch *batchJob, assignment scheduler.Assignment, outcome serverclient.Outcome) bool {
+	submit, failures := r.applyOutcome(batch, assignment, outcome)
+	if failures != (failureRecord{}) {
+		r.store.Failures(batch.ID, assignment.Index, replica.Failures(failures))
+	}
+	return submit
+}
+
+// applyOutcome is handleOutcome with the mutex. It returns the item's failures as well, if the attempt was one.
+func (r *Runner) applyOutcome(
+	batch *batchJob, assignment scheduler.Assignment, outcome serverclient.Outcome,
+) (submit bool, failures failureRecord) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	now := r.now()
@@ -29,17 +42,20 @@
 	}
 	progress := batch.items[assignment.Index]
 	if r.jobs[batch.ID] != batch { // it was stopped, and perhaps started again
-		r.stoppedFailures.record(batch.ID, assignment.Index, outcome.Result)
-		return false
+		return false, r.stoppedFailures.record(batch.ID, assignment.Index, outcome.Result)
 	}
 	if progress == nil {
-		return false
+		return false, failures
 	}
 	if !r.bugs.forgetEvents {
 		progress.events = append(progress.events, outcome.Events...)
 	}
 	progress.lastEventID = outcome.LastEventID
-	return r.decideNext(batch, progress, assignment, outcome, now)
+	submit = r.decideNext(batch, progress, assignment, outcome, now)
+	if outcome.Result == serverclient.Failed || outcome.Result == serverclient.Unprocessable {
+		failures = progress.failureRecord
+	}
+	return submit, failures
 }
 
 // recordServerResult records what a result says of the server, for this process and for those that loads
--- a/internal/batch/runner/runner.go
+++ b/internal/batch/runner/runner.go
@@ -32,6 +32,8 @@
 	// Progress saves events of a running item: those after the event with the id after, up to that with the
 	// id last.
 	Progress(id string, index int, after, last int64, events [][]byte)
+	// Failures records how often servers have failed an item so far.
+	Failures(id string, index int, failures replica.Failures)
 	// Finish adds an item's result to its batch job. If it returns false the result is submitted again.
 	Finish(id string, index int, state job.State, text []byte) bool
 }
--- a/internal/batch/runner/runner_test.go
+++ b/internal/batch/runner/runner_test.go
@@ -38,6 +38,7 @@
 func (s *fakeStore) ReadEvents([]wal.Location) ([][]byte, error)  { return nil, nil }
 func (s *fakeStore) MayRun(string, int) bool                      { return false }
 func (s *fakeStore) Progress(string, int, int64, int64, [][]byte) {}
+func (s *fakeStore) Failures(string, int, replica.Failures)       {}
 func (s *fakeStore) Configuration() *configuration.Snapshot       { return testConfiguration() }
 func (s *fakeStore) Servers(string) []protocol.Server             { return nil }
 
--- a/internal/batch/runner/simulation_test.go
+++ b/internal/batch/runner/simulation_test.go
@@ -71,7 +71,8 @@
 	mutex      sync.Mutex
 	items      [simItems]itemHistory
 	attempts   [simItems]int
-	offers     map[int]int // results submitted, by item
+	offers     map[int]int              // results submitted, by item
+	failures   map[int]replica.Failures // as the owners of the batch job have told, where it moves between them
 	violations []string
 }
 
@@ -105,6 +106,7 @@
 		if s.items[index].finished == 0 {
 			work.Items = append(work.Items, replica.JobItem{
 				Index: index, At: wal.Location{Offset: uint32(index)}, Progress: replica.Progress{Last: -1},
+				Failures: s.failures[index],
 			})
 		}
 	}
@@ -125,6 +127,18 @@
 
 func (s *itemSimulation) Progress(string, int, int64, int64, [][]byte) {}
 
+// moves reports whether each stop of the batch job is a change of its owner. Otherwise it comes back to the same store.
+func (s *itemSimulation) moves() bool { return s.seed%2 == 1 }
+
+// Failures keeps what an owner tells for the next one.
+func (s *itemSimulation) Failures(_ string, index int, failures replica.Failures) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.moves() {
+		s.failures[index] = failures
+	}
+}
+
 func (s *itemSimulation) Finish(_ string, index int, state job.State, text []byte) bool {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
@@ -267,20 +281,11 @@
 	synctest.Test(t, func(t *testing.T) {
 		s := &itemSimulation{
 			seed: seed, began: time.Now(), calmFrom: time.Now().Add(faultPhase), offers: map[int]int{},
+			failures: map[int]replica.Failures{},
 		}
-		r := New("z", time.Second, s, s, zerolog.Nop())
-		r.client = s
-		if inject != nil {
-			inject(r)
-		}
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() {
-			defer close(ended)
-			r.Run(ctx)
-		}()
-		r.Start("job")
-		s.stopAndStart(r)
+		owner := s.startRunner(inject)
+		owner.Start("job")
+		owner = s.stopAndStart(owner, inject)
 		time.Sleep(time.Until(s.calmFrom.Add(calmPhase)))
 		synctest.Wait()
 		s.mutex.Lock()
@@ -288,22 +293,55 @@
 			s.checkItem(index)
 		}
 		s.mutex.Unlock()
-		cancel()
-		<-ended
+		owner.end()
 		violations = s.violations
 	})
 	return violations
 }
 
-// stopAndStart stops the batch job at this store and starts it again, a few times in the fault phase.
-func (s *itemSimulation) stopAndStart(r *Runner) {
+// simulatedOwner is a runner that runs until end.
+type simulatedOwner struct {
+	*Runner
+	cancel context.CancelFunc
+	ended  chan struct{}
+}
+
+// startRunner starts a runner on the simulation's store.
+func (s *itemSimulation) startRunner(inject func(*Runner)) *simulatedOwner {
+	owner := &simulatedOwner{Runner: New("z", time.Second, s, s, zerolog.Nop()), ended: make(chan struct{})}
+	owner.client = s
+	if inject != nil {
+		inject(owner.Runner)
+	}
+	var ctx context.Context
+	ctx, owner.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(owner.ended)
+		owner.Run(ctx)
+	}()
+	return owner
+}
+
+func (o *simulatedOwner) end() {
+	o.cancel()
+	<-o.ended
+}
+
+// stopAndStart stops the batch job at its store and starts it again there, or at another one, a few times in the fault
+// phase. It returns the last owner.
+func (s *itemSimulation) stopAndStart(owner *simulatedOwner, inject func(*Runner)) *simulatedOwner {
 	random := s.random(3)
 	for range random.IntN(6) {
 		time.Sleep(time.Duration(random.IntN(1200)) * time.Millisecond)
-		r.Stop("job")
+		owner.Stop("job")
 		time.Sleep(time.Duration(1+random.IntN(100)) * time.Millisecond) // what ran has ended by then
-		r.Start("job")
+		if s.moves() {
+			owner.end()
+			owner = s.startRunner(inject)
+		}
+		owner.Start("job")
 	}
+	return owner
 }
 
 // checkItem checks an item when all should be finished.
@@ -347,6 +385,7 @@
 		"failures are not counted":                 {forgetFailures: true},
 		"a 422 is tried again":                     {retryUnprocessable: true},
 		"failures of a stopped job are forgotten":  {forgetStopped: true},
+		"failures at other owners are forgotten":   {forgetOtherOwners: true},
 		"events of an interrupted stream are lost": {forgetEvents: true},
 		"a result that isn't accepted is dropped":  {dropUnacceptedResult: true},
 	} {
--- a/internal/batch/server/runnerstore.go
+++ b/internal/batch/server/runnerstore.go
@@ -52,6 +52,13 @@
 	s.stateMachine.SaveProgress(id, index, after, last, events)
 }
 
+// Failures records how often servers have failed an item of a batch job, for this store and the next owner.
+func (s *Server) Failures(id string, index int, failures replica.Failures) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.stateMachine.RecordFailures(id, index, failures)
+}
+
 // MayRun reports whether this store may send an item to a server now.
 func (s *Server) MayRun(id string, index int) bool {
 	s.mutex.Lock()
