control: what a corrupt disk held is kept and can be verified; config check names the file

Cause: a start on a corrupt disk empties it, so that disk verify had nothing to examine; config check spoke of a file "body" where the input isn't JSON. The finding of no JSON has the file and the position.

--- a/cmd/sprucelanectl/disk.go
+++ b/cmd/sprucelanectl/disk.go
@@ -8,12 +8,14 @@
 
 	"github.com/jessevdk/go-flags"
 
+	"sprucelane.example/sprucelane/coord/replica"
 	"sprucelane.example/sprucelane/coord/slots"
 )
 
 // diskVerify is the command "disk verify": it reads the log and snapshots in the data folder of a control
 // process.
 type diskVerify struct {
+	Corrupt   bool `long:"corrupt" description:"read what the process kept of a corrupt disk when it last emptied it (disk_corrupt in its log)"`
 	Arguments struct {
 		Folder string `positional-arg-name:"DIR" description:"the data folder of a control process (data-dir of its settings)"`
 	} `positional-args:"yes" required:"yes"`
@@ -37,10 +39,17 @@
 	if _, err := os.Stat(c.Arguments.Folder); err != nil {
 		return err
 	}
-	found, err := slots.Verify(slots.Directory(c.Arguments.Folder), slots.Options{})
+	options := slots.Options{}
+	if c.Corrupt {
+		options.Prefix = replica.CorruptPrefix
+	}
+	found, err := slots.Verify(slots.Directory(c.Arguments.Folder), options)
 	if err != nil && !errors.Is(err, slots.ErrCorrupt) {
 		return err
 	}
+	if err == nil && !found.Found && c.Corrupt {
+		return fmt.Errorf("%s has nothing that was kept of a corrupt disk", c.Arguments.Folder)
+	}
 	if err == nil && !found.Found {
 		return fmt.Errorf("%s holds no store of a control process", c.Arguments.Folder)
 	}
--- a/cmd/sprucelanectl/main_test.go
+++ b/cmd/sprucelanectl/main_test.go
@@ -9,6 +9,7 @@
 
 	. "github.com/smartystreets/goconvey/convey"
 
+	"sprucelane.example/sprucelane/coord/replica"
 	"sprucelane.example/sprucelane/coord/slots"
 )
 
@@ -92,6 +93,25 @@
 		So(result.Intact, ShouldBeFalse)
 		So(result.Findings, ShouldNotBeEmpty)
 		So(result.Findings[0].Place, ShouldContainSubstring, "log-")
+
+		So(call("disk", "verify", "--corrupt", folder).code, ShouldEqual, exitFailed) // nothing was kept yet
+		So(slots.Copy(slots.Directory(folder), slots.Options{}, replica.CorruptPrefix, 1<<20), ShouldBeNil)
+		So(slots.Wipe(slots.Directory(folder), slots.Options{}), ShouldBeNil)
+		So(call("disk", "verify", folder).code, ShouldEqual, exitFailed) // it is empty
+		got = call("disk", "verify", "--corrupt", folder)
+		So(got.code, ShouldEqual, exitFindings)
+		So(got.out, ShouldContainSubstring, "corrupt-log-")
+	})
+}
+
+// TestConfigCheckOfNoJSON names the file and the position, and no name that is ours.
+func TestConfigCheckOfNoJSON(t *testing.T) {
+	Convey("Input that isn't JSON", t, func() {
+		path := file(t, "broken.json", "{no json")
+		got := call("config", "check", path)
+		So(got.code, ShouldEqual, exitFindings)
+		So(got.out+got.errOut, ShouldContainSubstring, path+": (line 1, column 2): invalid JSON")
+		So(got.out+got.errOut, ShouldNotContainSubstring, "for file")
 	})
 }
 
--- a/coord/replica/store.go
+++ b/coord/replica/store.go
@@ -39,6 +39,13 @@
 	return opened, recovered, nil
 }
 
+// CorruptPrefix starts the names of the files that are kept of a corrupt disk when it is emptied, in its folder. They
+// stay until the next time.
+const CorruptPrefix = "corrupt-"
+
+// maxCorruptCopyBytes bounds what is kept of a corrupt disk, which may be small and is needed for what comes.
+const maxCorruptCopyBytes = 8 << 20
+
 // openDisk opens the disk of a starting node. A disk that lost data that it had acknowledged is emptied: its
 // member is lost, votes included, and a new one joins in its place. Continuing with what is left could break
 // promises that this member has made as an acceptor.
@@ -51,6 +58,9 @@
 	if errors.Is(err, slots.ErrCorrupt) || errors.Is(err, errCorruptRecord) {
 		n.options.Log("disk_corrupt", "error", err.Error())
 		n.options.Bootstrap = false
+		if err := slots.Copy(fs, slots.Options{}, CorruptPrefix, maxCorruptCopyBytes); err != nil {
+			n.options.Log("disk_copy_failed", "error", err.Error())
+		}
 		if err := slots.Wipe(fs, slots.Options{}); err != nil {
 			return nil, fmt.Errorf("replica: empty the damaged disk: %w", err)
 		}
--- a/coord/slots/wipe.go
+++ b/coord/slots/wipe.go
@@ -38,11 +38,9 @@
 // removeAll removes the files, which are empty by now.
 func (s *Store) removeAll() error {
 	var failures []error
-	for number := range 2 {
-		for _, name := range []string{slotName(s.prefix, number), logName(s.prefix, number)} {
-			if err := s.fs.Remove(name); err != nil && !isNotExist(err) {
-				failures = append(failures, err)
-			}
+	for _, name := range storeFileNames(s.prefix) {
+		if err := s.fs.Remove(name); err != nil && !isNotExist(err) {
+			failures = append(failures, err)
 		}
 	}
 	failures = append(failures, s.fs.SyncDir())
--- a/internal/control/schema/schema.go
+++ b/internal/control/schema/schema.go
@@ -28,6 +28,9 @@
 // all.
 const maxCheckedBytes = 512 << 10
 
+// documentName is the file name of a checked document in positions of CUE. It isn't shown: the caller knows the file.
+const documentName = "document"
+
 // Check returns what is wrong with the shape of a document or, where patch is set, of a patch. Each call uses
 // a CUE context of its own, as a context keeps everything that it has compiled.
 func Check(body []byte, patch bool) node.Findings {
@@ -36,7 +39,7 @@
 	}
 	context := cuecontext.New()
 	definitions := context.CompileString(source, cue.Filename("configuration.cue"))
-	expression, err := cuejson.Extract("body", body)
+	expression, err := cuejson.Extract(documentName, body)
 	if err != nil {
 		return findings(err)
 	}
@@ -81,13 +84,14 @@
 	if at, found := bodyPosition(err); found {
 		place = strings.TrimSpace(fmt.Sprintf("%s (line %d, column %d)", place, at.Line(), at.Column()))
 	}
-	return node.Finding{Place: place, Text: fmt.Sprintf(format, arguments...)}
+	text := strings.TrimSuffix(fmt.Sprintf(format, arguments...), ` for file "`+documentName+`"`)
+	return node.Finding{Place: place, Text: text}
 }
 
 // bodyPosition returns the position in the operator's text among those of an error.
 func bodyPosition(err errors.Error) (token.Pos, bool) {
 	for _, at := range errors.Positions(err) {
-		if at.Filename() == "body" {
+		if at.Filename() == documentName {
 			return at, true
 		}
 	}
