--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -60,6 +60,7 @@
 	AnnouncePrefill func(server uint64, tokens int)
 
 	lateResponses logSampler
+	splits        trafficSplits
 	bugs          injectedBugs
 }
 
--- a/internal/gateway/proxy/routing.go
+++ b/internal/gateway/proxy/routing.go
@@ -2,7 +2,6 @@
 
 import (
 	"cmp"
-	"math/rand/v2"
 	"net/http"
 	"strings"
 	"time"
@@ -57,25 +56,10 @@
 	return q.authenticate()
 }
 
-// chooseBackend returns the route's backend, or one drawn by the weights of its traffic split.
+// chooseBackend returns the route's backend, or one by the weights of its traffic split.
 func (q *request) chooseBackend() string {
 	if len(q.route.TrafficSplit) == 0 {
 		return q.route.Backend
 	}
-	sum := 0.0
-	for _, split := range q.route.TrafficSplit {
-		sum += split.Weight
-	}
-	point := rand.Float64() * sum
-	name := q.route.Backend
-	for _, split := range q.route.TrafficSplit {
-		if split.Weight <= 0 {
-			continue
-		}
-		name = split.Backend
-		if point -= split.Weight; point < 0 {
-			break
-		}
-	}
-	return name
+	return splitBackend(q.route, q.proxy.splits.next(q.route.Name))
 }
