control: the record that all stores have reconciled waits for no interval

Cause: after a repair the next loss of disks is borne once control has recorded that all stores reconciled; the store's poll (0.4 s), the report to the head (0.4 s) and the head's round (0.2 s) each waited for their interval. Change: a store polls at once when it has reconciled or is drained, the polled process reports that to the head (at most each 40 ms), and the head decides at once.

--- a/coord/replica/corequota_test.go
+++ b/coord/replica/corequota_test.go
@@ -9,8 +9,8 @@
 	"sprucelane.example/sprucelane/coord/chain"
 )
 
-// The share of a core may be a quota: a process runs at full speed until it is spent and then stands still for the rest of
-// a tenth of a second, again and again.
+// The share of a core may be a quota: a process runs at full speed until it is spent and then stands still for the
+// rest of a tenth of a second, again and again.
 const (
 	quotaPeriod   = 100 * time.Millisecond
 	quotaSpan     = 20 * time.Second
@@ -34,8 +34,8 @@
 	sim.after(time.Duration(sim.random.Int64N(int64(quotaPeriod))), period)
 }
 
-// TestCoreQuota runs all members under quotas of a core. Nobody is suspected for its own standstill: the view stays, the
-// head keeps its lease, and commands are acknowledged.
+// TestCoreQuota runs all members under quotas of a core. Nobody is suspected for its own standstill: the view stays,
+// the head keeps its lease, and commands are acknowledged.
 func TestCoreQuota(t *testing.T) {
 	for _, runs := range []time.Duration{50 * time.Millisecond, 20 * time.Millisecond, 10 * time.Millisecond} {
 		var latencies []time.Duration
--- a/internal/batch/replica/status.go
+++ b/internal/batch/replica/status.go
@@ -48,6 +48,17 @@
 	return status
 }
 
+// ReconciliationProgress is what control waits for of a store.
+type ReconciliationProgress struct {
+	ReconciledEpoch uint64 // newest epoch in which it reconciled
+	Drained         bool   // it retires, and nothing depends on it any more
+}
+
+// Progress returns how far this store has got with what control waits for.
+func (m *StateMachine) Progress() ReconciliationProgress {
+	return ReconciliationProgress{ReconciledEpoch: m.reconciledEpoch, Drained: m.drained()}
+}
+
 // Report returns what this store reports to control with each poll.
 func (m *StateMachine) Report() protocol.BatchReport {
 	return protocol.BatchReport{
--- a/internal/batch/server/server.go
+++ b/internal/batch/server/server.go
@@ -153,6 +153,7 @@
 	timer := time.NewTimer(tickInterval)
 	defer timer.Stop()
 	removedAt, loggedAt := time.Now(), time.Now()
+	var reported replica.ReconciliationProgress
 	for {
 		select {
 		case <-timer.C:
@@ -162,7 +163,12 @@
 		s.mutex.Lock()
 		s.stateMachine.Tick()
 		urgent := s.stateMachine.NeedsFastTick()
+		status := s.stateMachine.Progress()
 		s.mutex.Unlock()
+		if status != reported { // control waits for it, and the next loss is tolerated only then
+			reported = status
+			s.subscription.PollSoon()
+		}
 		timer.Reset(tickInterval)
 		if urgent {
 			timer.Reset(urgentTickInterval)
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -70,6 +70,7 @@
 	wakePush      chan struct{} // something that subscribers are sent has changed
 	wakeRoles     chan struct{}
 	wakeDiscovery chan struct{}
+	wakeReport    chan struct{} // the head should learn of a poll here at once
 
 	// mutex guards the fields below. Whoever processes a message calls checkPause first. Lock order: peers.mutex
 	// before mutex.
@@ -138,6 +139,7 @@
 		wakePush:      make(chan struct{}, 1),
 		wakeRoles:     make(chan struct{}, 1),
 		wakeDiscovery: make(chan struct{}, 1),
+		wakeReport:    make(chan struct{}, 1),
 		liveness:      liveness.New(),
 		subscribers:   map[*transport.Session]*subscriber{},
 		peerSessions:  map[*transport.Session]*peerSession{},
--- a/internal/control/liveness/table.go
+++ b/internal/control/liveness/table.go
@@ -66,7 +66,8 @@
 }
 
 // Observe records a poll, received here or reported by another control process; one that is older than the
-// newest known one is ignored. It reports whether the process or its incarnation is new.
+// newest known one is ignored. It reports whether something follows from it that shouldn't wait: the process or its
+// incarnation is new, or a batch process has reconciled further or was drained.
 func (t *Table) Observe(contact Contact) bool {
 	key := processKey{contact.Process.Node, contact.Process.Role}
 	newest, known := t.contacts[key]
@@ -79,7 +80,15 @@
 		contact.firstPollAt = newest.firstPollAt
 	}
 	t.contacts[key] = contact
-	return !same
+	return !same || advanced(newest.Batch, contact.Batch)
+}
+
+// advanced reports whether a report of a batch process has what members of the membership are waited for.
+func advanced(before, now *protocol.BatchReport) bool {
+	if before == nil || now == nil {
+		return before != now
+	}
+	return now.Settled > before.Settled || now.DrainedDown && !before.DrainedDown || now.Missing < before.Missing
 }
 
 // LastContact returns the newest poll of an incarnation of a process. It reports false if none is known.
--- a/internal/control/peers.go
+++ b/internal/control/peers.go
@@ -13,7 +13,10 @@
 // Intervals of the reports between control processes.
 const (
 	// reportInterval is that of reports to the head of the chain, which keeps the store membership.
-	reportInterval      = 400 * time.Millisecond
+	reportInterval = 400 * time.Millisecond
+	// minReportInterval is the least time between two of them: when the view changes, all batch processes poll with
+	// news in a short time.
+	minReportInterval   = 40 * time.Millisecond
 	reportsPerBroadcast = 2 // reports to the head for each one to the others
 )
 
@@ -169,24 +172,44 @@
 	return servers, table.version
 }
 
-// reportLoop reports who polls here to the other control processes.
+// reportLoop reports who polls here to the other control processes, in intervals, and to the head at once when it waits
+// for what was polled.
 func (c *Control) reportLoop() {
 	ticker := time.NewTicker(reportInterval)
 	defer ticker.Stop()
-	for round := 0; ; round++ {
+	reportedAt := c.now()
+	for round := 0; ; {
+		toAll := false
 		select {
 		case <-ticker.C:
+			toAll = round%reportsPerBroadcast == 0
+			round++
+		case <-c.wakeReport:
+			if c.now()-reportedAt < minReportInterval {
+				c.sleep(minReportInterval - (c.now() - reportedAt))
+			}
 		case <-c.ctx.Done():
 			return
 		}
+		reportedAt = c.now()
 		c.peers.refresh()
 		gateways, batch := c.pollers()
 		head := hostOf(c.replica.View().Head().Address)
-		c.peers.report(head, round%reportsPerBroadcast == 0, gateways, batch)
+		c.peers.report(head, toAll, gateways, batch)
 		wake(c.wakePush) // gateways may have timed out, and leave the member list
 	}
 }
 
+// sleep waits for a time, or until the process ends.
+func (c *Control) sleep(wait time.Duration) {
+	timer := time.NewTimer(wait)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-c.ctx.Done():
+	}
+}
+
 // pollers returns the gateways that poll here, by node, and the batch processes that do, with their newest
 // reports.
 func (c *Control) pollers() (map[string]protocol.Process, []peerBatch) {
--- a/internal/control/peersessions.go
+++ b/internal/control/peersessions.go
@@ -32,13 +32,13 @@
 		c.mutex.Unlock()
 		return
 	}
-	joined := report.Presence && c.mergePollers(peer, report, now)
+	urgent := report.Presence && c.mergePollers(peer, report, now)
 	if report.Presence {
 		c.liveness.ReportReceived(hostOf(from.Address), now)
 	}
 	changed := report.Servers != nil && c.mergeServers(peer, report.Servers, now)
 	c.mutex.Unlock()
-	if joined {
+	if urgent {
 		wake(c.wakeRoles)
 	}
 	if changed {
@@ -69,8 +69,8 @@
 	delete(c.peerSessions, session)
 }
 
-// mergePollers records who polls at another control process, and reports whether a process or incarnation
-// among them is new. It is called with the mutex held.
+// mergePollers records who polls at another control process, and reports whether something follows from it that
+// shouldn't wait (see liveness.Table.Observe). It is called with the mutex held.
 func (c *Control) mergePollers(peer *peerSession, report *peerReport, now time.Duration) bool {
 	if report.All {
 		clear(peer.gateways)
@@ -81,9 +81,9 @@
 	for _, node := range report.Gone {
 		delete(peer.gateways, node)
 	}
-	joined := false
+	urgent := false
 	for _, process := range peer.gateways {
-		joined = c.liveness.Observe(liveness.Contact{Process: process, At: now}) || joined
+		urgent = c.liveness.Observe(liveness.Contact{Process: process, At: now}) || urgent
 	}
 	for _, one := range report.Batch {
 		contact := liveness.Contact{
@@ -92,9 +92,9 @@
 			Batch:   one.Report,
 			At:      now - max(one.Ago, 0),
 		}
-		joined = c.liveness.Observe(contact) || joined
+		urgent = c.liveness.Observe(contact) || urgent
 	}
-	return joined
+	return urgent
 }
 
 // mergeServers applies a server list that another control process has read, and reports whether it changed
--- a/internal/control/subscriptions.go
+++ b/internal/control/subscriptions.go
@@ -54,7 +54,7 @@
 	c.mutex.Lock()
 	c.checkPause()
 	sub := c.subscribe(session, poll)
-	joined := c.trustsSession(session) &&
+	urgent := c.trustsSession(session) &&
 		c.liveness.Observe(liveness.Contact{Process: poll.Process, Ready: poll.Ready, Batch: poll.Batch, At: c.now()})
 	sub.configuration = poll.Configuration
 	if poll.WholeServers {
@@ -64,8 +64,9 @@
 	update := protocol.Update{Sequence: poll.Sequence, Fresh: fresh, Age: age}
 	c.setListAge(&update)
 	c.mutex.Unlock()
-	if joined {
+	if urgent {
 		wake(c.wakeRoles)
+		wake(c.wakeReport)
 	}
 	if poll.Process.Role == protocol.RoleBatch {
 		update.Store = c.storeGrant(poll.Process, fresh, age)
--- a/internal/gateway/proxy/trafficsplit.go
+++ b/internal/gateway/proxy/trafficsplit.go
@@ -11,9 +11,9 @@
 
 // Which backend of a traffic split does a request go to?
 
-// goldenRatioStep is the step of an additive recurrence whose points fill the unit interval as evenly as possible at any
-// length (Weyl's sequence of the golden ratio). Independent draws would miss a share by several hundredths in some
-// hundred requests; this misses it by about one request.
+// goldenRatioStep is the step of an additive recurrence whose points fill the unit interval as evenly as possible at
+// any length (Weyl's sequence of the golden ratio). Independent draws would miss a share by several hundredths in
+// some hundred requests; this misses it by about one request.
 const goldenRatioStep = math.Phi - 1
 
 // trafficSplits holds the position in the sequence of each route that splits its traffic. The zero value is ready.
@@ -39,8 +39,8 @@
 	return point
 }
 
-// splitBackend returns the backend at a point in [0, 1) of a route's traffic split: each takes a part of the interval by
-// its weight.
+// splitBackend returns the backend at a point in [0, 1) of a route's traffic split: each takes a part of the
+// interval by its weight.
 func splitBackend(route *configuration.Route, point float64) string {
 	sum := 0.0
 	for _, split := range route.TrafficSplit {
--- a/internal/gateway/proxy/trafficsplit_test.go
+++ b/internal/gateway/proxy/trafficsplit_test.go
@@ -7,8 +7,8 @@
 	"sprucelane.example/sprucelane/internal/configuration"
 )
 
-// TestTrafficSplit sends the requests of a fleet by a traffic split and compares the shares with the weights, in any 200
-// requests on the way and in all.
+// TestTrafficSplit sends the requests of a fleet by a traffic split and compares the shares with the weights, in any
+// 200 requests on the way and in all.
 func TestTrafficSplit(t *testing.T) {
 	route := &configuration.Route{Name: "r", Backend: "none", TrafficSplit: []configuration.Split{
 		{Backend: "new", Weight: 3}, {Backend: "off", Weight: 0}, {Backend: "old", Weight: 17},
--- a/internal/gateway/subscription/subscription.go
+++ b/internal/gateway/subscription/subscription.go
@@ -110,6 +110,14 @@
 	return s.Complete(now) && s.ConfirmedSince(now.Add(-maxReadyStaleness))
 }
 
+// PollSoon asks control without waiting for the next poll to be due, as what Options.Report tells has changed.
+func (s *Subscription) PollSoon() {
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+}
+
 // AwaitConfirmation asks control at once, and waits until it has confirmed the state in the answer to a poll
 // that was sent at now or later. It returns false if that doesn't happen until by, or ctx ends.
 func (s *Subscription) AwaitConfirmation(ctx context.Context, now, by time.Time) bool {
@@ -122,10 +130,7 @@
 		if s.ConfirmedSince(now) {
 			return true
 		}
-		select {
-		case s.wake <- struct{}{}:
-		default:
-		}
+		s.PollSoon()
 		select {
 		case <-confirmed:
 		case <-timer.C:
