batch: a store with an incomplete log accepts nothing; damage is accounted for once

And old damage made the log incomplete after each start: unknown jobs got 503. Change: the mark ends only when its listed time does; such a store sends submissions to others; the places of findings that all have reconciled with are recorded with the view, at the end of its record, which earlier versions pass over.

--- a/internal/batch/replica/accept.go
+++ b/internal/batch/replica/accept.go
@@ -28,7 +28,10 @@
 	capacity    capacityState // within the limit of the account
 }
 
-// startAcceptance begins to accept a batch job that isn't known here.
+// startAcceptance begins to accept a batch job that isn't known here. A store whose log is incomplete accepts none
+// until all members have reconciled: it may hold the batch job without knowing. The arbiters would let it, as they
+// take it for the owner, or gave it their votes before its restart in the same epoch, and what was shown would be
+// listed anew.
 func (m *StateMachine) startAcceptance(p parkedCall) {
 	id := p.call.BatchJob
 	if a := m.acceptances[id]; a != nil {
@@ -39,7 +42,7 @@
 		a.calls = append(a.calls, p)
 		return
 	}
-	if m.retiring || m.diskLags() {
+	if m.retiring || m.diskLags() || m.incompleteLog {
 		m.redirectToActive(p)
 		return
 	}
--- a/internal/batch/replica/departures.go
+++ b/internal/batch/replica/departures.go
@@ -150,11 +150,14 @@
 			m.reconciled = false // what they may have held is decided anew
 		}
 	}
+	// The own log is noted with the first reconciliation only. Until then it isn't known to anybody, and stays incomplete.
+	_, noted := m.departures.incompleteLogs[m.self]
 	maps.DeleteFunc(m.departures.incompleteLogs, func(_ placement.Key, at time.Duration) bool {
 		return now-at > m.options.Retention
 	})
-	_, noted := m.departures.incompleteLogs[m.self]
-	m.incompleteLog = m.incompleteLog && noted
+	if _, remains := m.departures.incompleteLogs[m.self]; noted && !remains {
+		m.incompleteLog = false
+	}
 }
 
 // forgetIncompleteLogs stops counting incomplete logs: all members have reconciled, so what those held is
@@ -164,11 +167,15 @@
 		m.departures.uncertainUntil = m.env.Now() + m.options.Retention
 	}
 	clear(m.departures.incompleteLogs)
-	m.incompleteLog = false
+	if m.incompleteLog {
+		m.incompleteLog = false
+		m.findingPlaces.close()
+		m.writeViewRecord()
+	}
 }
 
 // writeViewRecord writes the epoch that this store acts in.
 func (m *StateMachine) writeViewRecord() {
 	var at wal.Location
-	at = m.write(m.departures.encode(), true, func() { m.departures.viewRecordAt = &at })
+	at = m.write(m.encodeView(), true, func() { m.departures.viewRecordAt = &at })
 }
--- a/internal/batch/replica/record.go
+++ b/internal/batch/replica/record.go
@@ -78,7 +78,11 @@
 	return record
 }
 
-// encode encodes the record of the view: the epoch acted in, and since when this store has been a member.
+// encodeView encodes the record of the view: the epoch acted in, since when this store has been a member, and the
+// findings that have been accounted for.
+func (m *StateMachine) encodeView() []byte { return m.findingPlaces.appendTo(m.departures.encode()) }
+
+// encode encodes the epoch acted in, and since when this store has been a member.
 // Earlier versions wrote the departed stores, too, in what is empty here.
 func (d *departureSet) encode() []byte {
 	out := binary.AppendUvarint([]byte{recordView}, 0)
--- a/internal/batch/replica/recovery.go
+++ b/internal/batch/replica/recovery.go
@@ -50,7 +50,8 @@
 func (m *StateMachine) noteFinding(finding *Finding) {
 	m.findings++
 	if finding.mayHideJobs() {
-		m.incompleteLog = true
+		m.findingPlaces.note(finding.At)
+		m.incompleteLog = m.findingPlaces.open()
 	}
 	if j := m.jobs[finding.Job]; j != nil && finding.corruptsJob() {
 		j.corrupt = true
@@ -63,7 +64,7 @@
 		return &Finding{Problem: ProblemKind}
 	}
 	if record[0] == recordView {
-		return m.departures.replay(at, record)
+		return m.replayView(at, record)
 	}
 	r := &job.Decoder{Remaining: record[1:]}
 	id := r.Text()
@@ -208,9 +209,25 @@
 	return nil
 }
 
-// replay applies the record of the view.
-func (d *departureSet) replay(at wal.Location, record []byte) *Finding {
+// replayView applies the record of the view, and what it says of findings before it.
+func (m *StateMachine) replayView(at wal.Location, record []byte) *Finding {
 	r := &job.Decoder{Remaining: record[1:]}
+	if finding := m.departures.replay(at, r); finding != nil {
+		return finding
+	}
+	if len(r.Remaining) == 0 { // earlier versions end here
+		return nil
+	}
+	m.findingPlaces.read(r)
+	if r.Failed {
+		return &Finding{Problem: ProblemRecord, Kind: recordView}
+	}
+	m.incompleteLog = m.findingPlaces.open()
+	return nil
+}
+
+// replay applies the record of the view.
+func (d *departureSet) replay(at wal.Location, r *job.Decoder) *Finding {
 	skipKeys(r)
 	if !r.Failed && len(r.Remaining) > 0 { // the earliest versions end here
 		r.Take(1)
--- a/internal/batch/replica/recovery_test.go
+++ b/internal/batch/replica/recovery_test.go
@@ -447,6 +447,17 @@
 		findings, corruptJobs = owner.machine.Corruption()
 		So(findings, ShouldEqual, 1)
 		So(corruptJobs, ShouldEqual, 0)
+
+		owner.losePower() // the same damage is found again, and has been accounted for
+		owner.start()
+		So(owner.findings, ShouldHaveLength, 1)
+		So(owner.machine.incompleteLog, ShouldBeFalse)
+
+		owner.kill() // further damage in the same segment counts
+		So(owner.disk.FlipBit("segment-00000001", 300, 0), ShouldBeTrue)
+		owner.start()
+		So(len(owner.findings), ShouldBeGreaterThan, 1)
+		So(owner.machine.incompleteLog, ShouldBeTrue)
 	})
 }
 
--- a/internal/batch/replica/statemachine.go
+++ b/internal/batch/replica/statemachine.go
@@ -64,8 +64,9 @@
 	departures    departureSet
 	lastExpiry    time.Duration
 
-	findings      int        // records of the log that could not be used at the start
-	incompleteLog bool       // because of them, this store may lack batch jobs that it can't name
+	findings      int  // records of the log that could not be used at the start
+	incompleteLog bool // because of them, this store may lack batch jobs that it can't name
+	findingPlaces accountedFindings
 	violations    Violations // since the start of the process
 }
 
