--- a/internal/batch/server/environment.go
+++ b/internal/batch/server/environment.go
@@ -7,6 +7,7 @@
 	"sprucelane.example/sprucelane/internal/batch/placement"
 	"sprucelane.example/sprucelane/internal/batch/replica"
 	"sprucelane.example/sprucelane/internal/batch/wal"
+	"sprucelane.example/sprucelane/internal/configuration"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
@@ -53,17 +54,22 @@
 
 // QueueLimit returns a route's max-queued-tokens, 0 for no limit; false while the route isn't known.
 func (s *Server) QueueLimit(route string) (tokens int64, known bool) {
-	snapshot := s.Configuration()
-	if snapshot == nil {
-		return 0, false
-	}
-	found := snapshot.RouteByName(route)
+	found := s.routeByName(route)
 	if found == nil {
 		return 0, false
 	}
 	return found.MaxQueuedTokens, true
 }
 
+// routeByName returns a route of the configuration in force, nil while it isn't known.
+func (s *Server) routeByName(name string) *configuration.Route {
+	snapshot := s.Configuration()
+	if snapshot == nil {
+		return nil
+	}
+	return snapshot.RouteByName(name)
+}
+
 // itemLifetimeMargin is how many times the most that clocks differ is added to a route's retention: runners give
 // items up twice that after it, by clocks that are late by one more, and an item may just have been started then.
 const itemLifetimeMargin = 4
@@ -71,11 +77,7 @@
 // ItemLifetime returns the time after which no store starts an item of a route any more, 0 for no such time; false
 // while the route isn't known.
 func (s *Server) ItemLifetime(route string) (lifetime time.Duration, known bool) {
-	snapshot := s.Configuration()
-	if snapshot == nil {
-		return 0, false
-	}
-	found := snapshot.RouteByName(route)
+	found := s.routeByName(route)
 	if found == nil {
 		return 0, false
 	}
