batch: expired copies of open batch jobs ask their owner each 5 s

Cause: since an expired copy that may lack the end asks its owner, a replica of a batch job whose items may run for ever asked four times a second for as long as that was open. Change: an interval of its own; superseded copies and those of a retiring store ask as before.

--- a/internal/batch/replica/retention_test.go
+++ b/internal/batch/replica/retention_test.go
@@ -76,6 +76,9 @@
 			c.installView(c.except(replaced)...)
 			c.now += clusterRetention
 			c.quiesce()
+			So(c.owner("job"), ShouldBeNil)
+			c.now += expiredQueryInterval // of the other replica, which asks the owner
+			c.quiesce()
 			So(owner.machine.jobs["job"], ShouldBeNil)
 		})
 	})
--- a/internal/batch/replica/superseded.go
+++ b/internal/batch/replica/superseded.go
@@ -2,6 +2,7 @@
 
 import (
 	"slices"
+	"time"
 
 	"sprucelane.example/sprucelane/internal/batch/placement"
 	"sprucelane.example/sprucelane/internal/protocol"
@@ -9,13 +10,17 @@
 
 // When may a copy of an older version be dropped?
 
+// expiredQueryInterval is the time between questions about an expired copy. Nothing waits for the answer but its
+// bytes, and a batch job whose items may run for ever can be open for long after it has expired.
+const expiredQueryInterval = 5 * time.Second
+
 // queryOwners asks owners whether their sets are fully replicated, so that the copies here can be released:
 // of all copies while this store retires, else of superseded and of expired ones: an expired one may lack the end.
 func (m *StateMachine) queryOwners() {
 	now := m.env.Now()
 	for _, j := range m.jobsInOrder {
-		releasing := j.awaitsRelease() || m.isExpired(j) || m.retiring && !j.handedOver
-		if j.owned || !releasing || now-j.ownerQueriedAt < inventoryRetry {
+		interval, due := m.ownerQueryInterval(j)
+		if j.owned || !due || now-j.ownerQueriedAt < interval {
 			continue
 		}
 		j.ownerQueriedAt = now
@@ -26,6 +31,15 @@
 	}
 }
 
+// ownerQueryInterval returns how often the owner is asked about a copy; due is false if there is nothing to ask.
+func (m *StateMachine) ownerQueryInterval(j *storedJob) (interval time.Duration, due bool) {
+	expired := m.isExpired(j)
+	if j.awaitsRelease() || j.superseded && expired || m.retiring && !j.handedOver {
+		return inventoryRetry, true
+	}
+	return expiredQueryInterval, expired
+}
+
 // noteReplicatedElsewhere takes the owner's confirmation that a batch job is on all of its replicas: nothing
 // of it depends on this store any more. It must be the owner's own, of this epoch. The ReconciledNotices of
 // all stores aren't of one moment: an owner that has just taken over may have reported before that it had
