gateway: one that has just started uses six connections a server, not one

Change: until the first complete list six connections, and no more than the part by the gateways listed so far.

--- a/internal/gateway/connectionshare/connectionshare.go
+++ b/internal/gateway/connectionshare/connectionshare.go
@@ -10,7 +10,11 @@
 //   - the gateway is in contact with control: lists that it was sent before may be outdated;
 //   - both have held without a gap for Options.FallAfter, and the number falls to the highest one of that time.
 //
-// Until the first complete list a gateway knows nothing of the others and uses one connection a server.
+// Until the first complete list a gateway doesn't know how many others there are. It uses few connections a server
+// (unknownPart), and no more than its part by the gateways that are listed so far. One connection was too few: after a
+// loss of all power every gateway is in that state for some seconds, and refused what its servers had places for. Only
+// where more gateways than the bound over unknownPart start in the same second may their parts exceed it for that
+// second, if each has as many requests for one server.
 //
 // The remainder of the division goes to the gateways of the lowest ranks, one connection each: rounded up, the parts
 // of hundreds of gateways would be beyond the bound, and rounded down half of it would lie idle. A rank is taken
@@ -27,8 +31,8 @@
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
-// unknownPart is the part of a gateway that doesn't know how many others there are.
-const unknownPart = 1
+// unknownPart is the most connections a server of a gateway that doesn't know how many others there are.
+const unknownPart = 6
 
 // Share is one gateway's part. It is safe for concurrent use. A nil Share is that of the only gateway.
 type Share struct {
@@ -37,6 +41,7 @@
 
 	mutex     sync.Mutex // guards the fields below
 	divisor   int        // number of gateways that is divided by; 0: not known yet
+	listed    int        // number of gateways in the newest list, this one included
 	rank      int        // of this gateway by node, among those of a complete list; -1: not known for the divisor
 	lowerFrom time.Time  // since when complete lists have had fewer gateways; zero: they have not
 	highest   int        // highest number since then
@@ -61,6 +66,7 @@
 	if rank < 0 {
 		count++ // this one
 	}
+	s.listed = count
 	switch {
 	case s.divisor == 0:
 		if evidence {
@@ -102,7 +108,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	if s.divisor == 0 {
-		return min(unknownPart, connections)
+		return max(1, min(unknownPart, connections/max(1, s.listed)))
 	}
 	part := connections / s.divisor
 	if s.rank >= 0 && s.rank < connections%s.divisor {
