--- a/review/standin2/lab/lab.go
+++ b/review/standin2/lab/lab.go
@@ -141,7 +141,22 @@
 	return nil
 }
 
-// start starts one process: "control-0", "gateway-2", "batch-1".
+// Restart starts a process again that has ended, on its disk. The settings say that the system has been started before.
+func (l *Lab) Restart(process string) error {
+	path := filepath.Join(l.folder, process) + ".conf"
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return err
+	}
+	text = bytes.ReplaceAll(text, []byte("bootstrap=true"), []byte("bootstrap=false"))
+	if err := os.WriteFile(path, text, 0o600); err != nil {
+		return err
+	}
+	l.Logf("%s is started again", process)
+	return l.run(process, process[:strings.IndexByte(process, '-')])
+}
+
+// start writes the settings of one process ("control-0", "gateway-2", "batch-1") and starts it.
 func (l *Lab) start(process, role, node, zone, ip string, seeds []string) error {
 	data := filepath.Join(l.folder, process)
 	if err := os.MkdirAll(data, 0o755); err != nil {
@@ -175,16 +190,22 @@
 	}
 	line("cloud.address", fmt.Sprintf("%s:%d", l.Address(1), portPlatform))
 	b.WriteString(fixedSettings)
-	path := data + ".conf"
-	if err := os.WriteFile(path, []byte(b.String()), 0o600); err != nil {
+	if err := os.WriteFile(data+".conf", []byte(b.String()), 0o600); err != nil {
 		return err
 	}
-	log, err := os.Create(data + ".log")
+	return l.run(process, role)
+}
+
+// run starts a process whose settings are written.
+func (l *Lab) run(process, role string) error {
+	path := filepath.Join(l.folder, process)
+	log, err := os.OpenFile(path+".log", os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
 	if err != nil {
 		return err
 	}
+	defer log.Close()
 	command := exec.Command("target/sprucelane-" + role) // the run line of deploy/system.toml
-	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SPRUCELANE_SETTINGS=" + path}
+	command.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "SPRUCELANE_SETTINGS=" + path + ".conf"}
 	command.Stdout, command.Stderr = log, log
 	command.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := command.Start(); err != nil {
