batch: refuse items that can't be sent as an HTTP request

It was accepted with 202, and servers ran the request within, under an id that no client sent, for another tenant, about three times a second until retention-s.

Cause: items come as JSON strings, and nothing checked that they are parts of a request. encodeHeader wrote path, id and names of headers as they were.

--- a/internal/batch/job/job_test.go
+++ b/internal/batch/job/job_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"encoding/json"
 	"errors"
 	"fmt"
 	"testing"
@@ -35,6 +36,42 @@
 	})
 }
 
+// A line end or a space within an item would let a client send servers a request of its own making, for another tenant.
+func TestItemsThatCannotBeSent(t *testing.T) {
+	Convey("A submission with an item that can't be sent as an HTTP request is rejected whole, with the place", t, func() {
+		const smuggled = "/p HTTP/1.1\r\nHost: h\r\nX-Tenant: other\r\nContent-Length: 0\r\n\r\nPOST /p"
+		for name, hostile := range map[string]submittedItem{
+			"path with a request":         {ID: "b", Path: smuggled},
+			"path with a line feed":       {ID: "b", Path: "/p\n"},
+			"path with a space":           {ID: "b", Path: "/p q"},
+			"path of another host":        {ID: "b", Path: "http://other.example/p"},
+			"path without a slash":        {ID: "b", Path: "p"},
+			"id with a header":            {ID: "b\r\nX-Tenant: other", Path: "/p"},
+			"id that a server would trim": {ID: "b ", Path: "/p"},
+			"header name with a header":   {ID: "b", Path: "/p", Headers: map[string]string{"A: b\r\nX-Tenant": "other"}},
+			"header name with a space":    {ID: "b", Path: "/p", Headers: map[string]string{"X-Tenant ": "other"}},
+			"header name without text":    {ID: "b", Path: "/p", Headers: map[string]string{"": "other"}},
+			"header value with a header":  {ID: "b", Path: "/p", Headers: map[string]string{"A": "b\r\nX-Tenant: other"}},
+			"header value with a NUL":     {ID: "b", Path: "/p", Headers: map[string]string{"A": "b\x00"}},
+		} {
+			text, err := json.Marshal(submission{Requests: []submittedItem{{ID: "a", Path: "/p"}, hostile}})
+			So(err, ShouldBeNil)
+			items, err := ParseSubmission(text)
+			So(fmt.Sprint(name, errors.Is(err, ErrInvalid), len(items)), ShouldEqual, name+"true 0")
+			So(err.Error(), ShouldContainSubstring, "requests[1]")
+		}
+	})
+	Convey("What a client may send as a request of its own may be in an item", t, func() {
+		text, err := json.Marshal(submission{Requests: []submittedItem{{
+			ID: "night shift/7 é", Path: "/p/%20/é?a=b&c=%2F", Headers: map[string]string{"X-Note": " a\tb, é "},
+		}}})
+		So(err, ShouldBeNil)
+		items, err := ParseSubmission(text)
+		So(err, ShouldBeNil)
+		So(items, ShouldHaveLength, 1)
+	})
+}
+
 func drawContent(t *rapid.T) *Content {
 	content := &Content{
 		ID: rapid.String().Draw(t, "id"), Tenant: rapid.String().Draw(t, "tenant"),
--- a/internal/batch/job/submission.go
+++ b/internal/batch/job/submission.go
@@ -5,6 +5,10 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"maps"
+	"slices"
+
+	"sprucelane.example/sprucelane/internal/httpsyntax"
 )
 
 // ErrInvalid is wrapped by all errors of ParseSubmission.
@@ -12,17 +16,21 @@
 
 // submission is the JSON body that a client submits.
 type submission struct {
-	Requests []struct {
-		ID      string            `json:"id"`
-		Path    string            `json:"path"`
-		Headers map[string]string `json:"headers"`
-		Body    string            `json:"body"` // base64
-		Tokens  int               `json:"tokens"`
-	} `json:"requests"`
+	Requests []submittedItem `json:"requests"`
+}
+
+// submittedItem is one item in the JSON body that a client submits.
+type submittedItem struct {
+	ID      string            `json:"id"`
+	Path    string            `json:"path"`
+	Headers map[string]string `json:"headers"`
+	Body    string            `json:"body"` // base64
+	Tokens  int               `json:"tokens"`
 }
 
 // ParseSubmission parses the JSON body of a client's submission and returns the items of the batch job. Errors wrap
-// ErrInvalid, and name the invalid item if there is one.
+// ErrInvalid, and name the invalid item if there is one. A batch job with an item that can't be sent as an HTTP request
+// is invalid as a whole.
 func ParseSubmission(text []byte) ([]Item, error) {
 	var parsed submission
 	if err := json.Unmarshal(text, &parsed); err != nil {
@@ -34,23 +42,48 @@
 	items := make([]Item, 0, len(parsed.Requests))
 	seen := make(map[string]bool, len(parsed.Requests))
 	for i := range parsed.Requests {
-		request := &parsed.Requests[i]
-		if request.ID == "" || request.Path == "" || seen[request.ID] {
-			return nil, fmt.Errorf("%w: item %d has no path, or its id is empty or a duplicate", ErrInvalid, i)
-		}
-		seen[request.ID] = true
-		if request.Tokens < 0 || request.Tokens > MaxItemTokens {
-			return nil, fmt.Errorf("%w: item %d has %d tokens: negative or above the limit", ErrInvalid, i, request.Tokens)
-		}
-		body, err := base64.StdEncoding.DecodeString(request.Body)
+		item, err := parsed.Requests[i].item()
 		if err != nil {
-			return nil, fmt.Errorf("%w: body of item %d: %w", ErrInvalid, i, err)
+			return nil, fmt.Errorf("%w: requests[%d]: %w", ErrInvalid, i, err)
 		}
-		item := Item{ID: request.ID, Path: request.Path, Body: body, Tokens: request.Tokens}
-		for name, value := range request.Headers {
-			item.Headers = append(item.Headers, Header{Name: name, Value: value})
+		if seen[item.ID] {
+			return nil, fmt.Errorf("%w: requests[%d]: id %q: is the id of an earlier item", ErrInvalid, i, item.ID)
 		}
+		seen[item.ID] = true
 		items = append(items, item)
 	}
 	return items, nil
 }
+
+// item checks a submitted item and returns it with its body decoded.
+func (s *submittedItem) item() (Item, error) {
+	if s.Tokens < 0 || s.Tokens > MaxItemTokens {
+		return Item{}, fmt.Errorf("tokens: %d is negative or above the limit of %d", s.Tokens, MaxItemTokens)
+	}
+	body, err := base64.StdEncoding.DecodeString(s.Body)
+	if err != nil {
+		return Item{}, fmt.Errorf("body: %w", err)
+	}
+	item := Item{ID: s.ID, Path: s.Path, Body: body, Tokens: s.Tokens}
+	for _, name := range slices.Sorted(maps.Keys(s.Headers)) {
+		item.Headers = append(item.Headers, Header{Name: name, Value: s.Headers[name]})
+	}
+	return item, item.CheckSyntax()
+}
+
+// CheckSyntax checks that the item's id, path and headers can be sent within an HTTP request and are received as they
+// are. Errors wrap httpsyntax.ErrMalformed.
+func (i *Item) CheckSyntax() error {
+	if err := httpsyntax.CheckIdentifier("id", i.ID); err != nil {
+		return err
+	}
+	if err := httpsyntax.CheckTarget(i.Path); err != nil {
+		return err
+	}
+	for _, header := range i.Headers {
+		if err := httpsyntax.CheckHeader(header.Name, header.Value); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/batch/runner/outcome.go
+++ b/internal/batch/runner/outcome.go
@@ -16,6 +16,9 @@
 const (
 	retryDelay     = 20 * time.Millisecond  // another server may well accept the item
 	longRetryDelay = 300 * time.Millisecond // the reason why the item didn't run is likely to last
+	// malformedRetryDelay applies to items that can't be sent. Most never can, and expire; only a change of the route's
+	// host or another server may help.
+	malformedRetryDelay = 10 * time.Second
 )
 
 // handleOutcome processes the outcome of an attempt. It reports whether there are results to submit. It passes
@@ -118,6 +121,9 @@
 	case serverclient.NotSent:
 		r.planner.Unreachable(instance, now)
 		r.planner.Requeue(assignment.Task, now+retryDelay, instance)
+	case serverclient.Malformed:
+		r.log.Warn().Err(outcome.Cause).Str("batch_job", batch.ID).Int("index", assignment.Index).Msg("item_malformed")
+		r.planner.Requeue(assignment.Task, now+malformedRetryDelay, instance)
 	case serverclient.Canceled:
 		r.planner.Requeue(assignment.Task, now+longRetryDelay, "")
 	}
--- a/internal/batch/server/calls.go
+++ b/internal/batch/server/calls.go
@@ -51,14 +51,15 @@
 }
 
 // call passes a client's call to the state machine and waits for its answer. It answers an invalid submission
-// with 400, and a call that isn't answered in time with 504.
+// with 400 and the reason, and a call that isn't answered in time with 504.
 func (s *Server) call(ctx context.Context, call protocol.BatchCall) protocol.BatchAnswer {
 	var items []job.Item
 	if call.Operation == protocol.BatchSubmit {
 		parsed, err := job.ParseSubmission(call.Body)
 		if err != nil {
 			s.log.Info().Err(err).Str("batch_job", call.BatchJob).Msg("batch_job_invalid")
-			return protocol.BatchAnswer{Status: http.StatusBadRequest}
+			return protocol.BatchAnswer{Status: http.StatusBadRequest, ContentType: "text/plain; charset=utf-8",
+				Body: []byte(err.Error() + "\n")}
 		}
 		items = parsed
 	}
--- a/internal/batch/server/server_test.go
+++ b/internal/batch/server/server_test.go
@@ -12,6 +12,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sprucelane.example/sprucelane/coord/transport"
+	"sprucelane.example/sprucelane/internal/batch/job"
 	"sprucelane.example/sprucelane/internal/gateway/batchproxy"
 	"sprucelane.example/sprucelane/internal/node"
 	"sprucelane.example/sprucelane/internal/protocol"
@@ -98,6 +99,24 @@
 	}
 }
 
+// submitUnchecked submits items to the stores without the checks of a submission's syntax, as stores of earlier versions
+// accepted them. It asks one store after the other and returns the last status.
+func submitUnchecked(stores []*runningStore, call protocol.BatchCall, items []job.Item) (status int) {
+	for _, store := range stores {
+		answered := make(chan protocol.BatchAnswer, 1)
+		s := store.server
+		s.mutex.Lock()
+		s.lastCall++
+		s.pendingCalls[s.lastCall] = answered
+		s.stateMachine.Call(s.lastCall, call, items)
+		s.mutex.Unlock()
+		if status = (<-answered).Status; status == 202 {
+			return status
+		}
+	}
+	return status
+}
+
 // resultsPage is the body of the answer to a read.
 type resultsPage struct {
 	Total   int `json:"total"`
@@ -197,6 +216,32 @@
 			map[string]string{"plain-5": completed("plain-5"), "interrupted-2": completed("interrupted-2")})
 		So(readAllResults(t, caller, "job-1", len(ids)), ShouldResemble, found)
 	})
+	Convey("An item that holds a request for another tenant is refused, and isn't sent if a disk holds it already", t, func() {
+		hostile := job.Item{ID: "hostile-1", Path: "/p/1 HTTP/1.1\r\nHost: host.example\r\nX-Request-Id: smuggled-1\r\n" +
+			"X-Tenant: tenant\r\nX-Expect-Instance: i-1\r\nContent-Length: 0\r\n\r\nPOST /p/1"}
+		submit := call(protocol.BatchSubmit, "job-4")
+		submit.Body, _ = json.Marshal(map[string]any{"requests": []any{map[string]any{"id": hostile.ID, "path": hostile.Path}}})
+		answer := callUntil(t, caller, submit, 400)
+		So(string(answer.Body), ShouldContainSubstring, "requests[0]: path")
+		callUntil(t, caller, call(protocol.BatchRead, "job-4"), 404)
+
+		stored := call(protocol.BatchSubmit, "job-5")
+		for submitUnchecked(stores, stored, []job.Item{hostile, {ID: "plain-6", Path: "/p/1"}}) != 202 {
+			time.Sleep(20 * time.Millisecond)
+		}
+		read := call(protocol.BatchRead, "job-5")
+		read.WaitMs = 500
+		var page resultsPage
+		for len(page.Results) == 0 {
+			So(json.Unmarshal(callUntil(t, caller, read, 200).Body, &page), ShouldBeNil)
+		}
+		So(page.Results, ShouldHaveLength, 1)
+		So(page.Results[0].ID, ShouldEqual, "plain-6")
+		model.mutex.Lock()
+		defer model.mutex.Unlock()
+		So(model.counts["smuggled-1"], ShouldEqual, 0)
+		So(model.counts["hostile-1"], ShouldEqual, 0)
+	})
 	for _, store := range stores {
 		store.stop(t)
 	}
--- a/internal/batch/serverclient/client.go
+++ b/internal/batch/serverclient/client.go
@@ -36,6 +36,13 @@
 // failed, or soon after the context has ended.
 func (c *Client) Run(ctx context.Context, request *Request) Outcome {
 	outcome := Outcome{LastEventID: request.LastEventID}
+	cleaned := *request
+	cleaned.Item = withoutLineEnds(request.Item)
+	request = &cleaned
+	if err := request.checkSyntax(); err != nil {
+		outcome.Result, outcome.Cause = Malformed, err
+		return outcome
+	}
 	conn, reused, err := c.connect(ctx, request)
 	if err != nil {
 		outcome.Result = NotSent
--- a/internal/batch/serverclient/client_test.go
+++ b/internal/batch/serverclient/client_test.go
@@ -14,6 +14,7 @@
 	. "github.com/smartystreets/goconvey/convey"
 
 	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/httpsyntax"
 )
 
 // serveAnswers starts a server and returns its address. The server sends the answers one by one, each on a new
@@ -109,6 +110,47 @@
 	})
 }
 
+// Stores of earlier versions accepted items whose path, id or headers hold a request for another tenant. No byte of them
+// may reach a server.
+func TestMalformedItemsAreNotSent(t *testing.T) {
+	const smuggled = " HTTP/1.1\r\nHost: h\r\nX-Tenant: other\r\n\r\nPOST /p"
+	header := func(name, value string) job.Item {
+		return job.Item{ID: "item", Path: "/p", Headers: []job.Header{{Name: name, Value: value}}}
+	}
+	Convey("A request that would be read as another one, or as two, isn't sent", t, func() {
+		for _, change := range []func(*Request){
+			func(r *Request) { r.Item = &job.Item{ID: "item", Path: "/p" + smuggled} },
+			func(r *Request) { r.Item = &job.Item{ID: "item\r\nX-Tenant: other", Path: "/p"} },
+			func(r *Request) { item := header("A: b\r\nX-Tenant", "other"); r.Item = &item },
+			func(r *Request) { item := header("A", "b\x00"); r.Item = &item },
+			func(r *Request) { r.Host = "h\r\nX-Tenant: other" },
+			func(r *Request) { r.Tenant = "other " },
+			func(r *Request) { r.Instance = "i\nX-Tenant: other" },
+		} {
+			dialed := false
+			client := NewClient()
+			client.dial = func(context.Context, string) (net.Conn, error) {
+				dialed = true
+				return nil, errors.New("not to be dialed")
+			}
+			r := request("server")
+			change(r)
+			outcome := client.Run(context.Background(), r)
+			So(outcome.Result, ShouldEqual, Malformed)
+			So(errors.Is(outcome.Cause, httpsyntax.ErrMalformed), ShouldBeTrue)
+			So(dialed, ShouldBeFalse)
+		}
+	})
+	Convey("A stored item with line ends in a header's value still runs, without them", t, func() {
+		r := request(serveAnswers(t, chunked+chunk("id: 1\ndata: a\n\n")+"0\r\n\r\n"))
+		item := header("X-Note", "b\r\nX-Tenant: other")
+		r.Item = &item
+		So(string(encodeHeader(&Request{Item: withoutLineEnds(&item)}, -1)), ShouldContainSubstring,
+			"X-Note: bX-Tenant: other\r\n")
+		So(NewClient().Run(context.Background(), r).Result, ShouldEqual, Completed)
+	})
+}
+
 func TestLongStream(t *testing.T) {
 	Convey("A stream may last longer than the stall timeout", t, func() {
 		listener, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/batch/serverclient/request.go
+++ b/internal/batch/serverclient/request.go
@@ -1,11 +1,14 @@
 package serverclient
 
 import (
+	"fmt"
+	"slices"
 	"strconv"
 	"strings"
 	"time"
 
 	"sprucelane.example/sprucelane/internal/batch/job"
+	"sprucelane.example/sprucelane/internal/httpsyntax"
 )
 
 // Request is an item to send to a server. The callbacks are called from the goroutine of Client.Run.
@@ -43,6 +46,7 @@
 	Interrupted                 // the connection broke, or the bytes received on it can't be trusted any further
 	NotSent                     // no byte was written, because the server couldn't be reached
 	Canceled                    // the gate returned false, or the context ended
+	Malformed                   // no byte was written, because the item can't be expressed as an HTTP request
 )
 
 // Outcome is the outcome of a request. Events and LastEventID are valid with every result.
@@ -55,7 +59,44 @@
 	Cause       error         // why the request was interrupted, for the log; may be nil
 }
 
-// encodeHeader returns the header of an HTTP request for an item.
+// withoutLineEnds returns the item with CR and LF removed from its headers' values. Stores of earlier versions accepted
+// such items, and sent them in this form.
+func withoutLineEnds(item *job.Item) *job.Item {
+	if !slices.ContainsFunc(item.Headers, func(h job.Header) bool { return strings.ContainsAny(h.Value, "\r\n") }) {
+		return item
+	}
+	cleaned := *item
+	cleaned.Headers = slices.Clone(item.Headers)
+	for i := range cleaned.Headers {
+		cleaned.Headers[i].Value = lineEnds.Replace(cleaned.Headers[i].Value)
+	}
+	return &cleaned
+}
+
+// lineEnds removes CR and LF.
+var lineEnds = strings.NewReplacer("\r", "", "\n", "")
+
+// checkSyntax checks everything that goes into the request's header, whatever has accepted it. Errors wrap
+// httpsyntax.ErrMalformed.
+func (r *Request) checkSyntax() error {
+	if err := r.Item.CheckSyntax(); err != nil {
+		return fmt.Errorf("serverclient: item: %w", err)
+	}
+	if err := httpsyntax.CheckHost(r.Host); err != nil {
+		return fmt.Errorf("serverclient: route: %w", err)
+	}
+	if r.Tenant != "" { // empty on routes without keys
+		if err := httpsyntax.CheckIdentifier("tenant", r.Tenant); err != nil {
+			return fmt.Errorf("serverclient: %w", err)
+		}
+	}
+	if err := httpsyntax.CheckIdentifier("instance", r.Instance); err != nil {
+		return fmt.Errorf("serverclient: server: %w", err)
+	}
+	return nil
+}
+
+// encodeHeader returns the header of an HTTP request for an item. checkSyntax has returned nil for the request.
 func encodeHeader(request *Request, lastEventID int64) []byte {
 	item := request.Item
 	out := make([]byte, 0, 512)
@@ -84,21 +125,17 @@
 func isReservedHeader(name string) bool {
 	switch strings.ToLower(name) {
 	case "host", "x-request-id", "x-tenant", "x-expect-instance", "x-deadline-ms", "last-event-id", "content-length",
-		"transfer-encoding", "connection", "keep-alive", "expect", "upgrade", "te", "trailer", "api-key":
+		"transfer-encoding", "connection", "keep-alive", "expect", "upgrade", "te", "trailer", "api-key",
+		"proxy-authenticate", "proxy-authorization", "proxy-connection":
 		return true
 	}
 	return false
 }
 
-// appendHeader appends a header line. It removes CR and LF from the value, because a client could inject headers
-// with them.
+// appendHeader appends a header line.
 func appendHeader(out []byte, name, value string) []byte {
 	out = append(out, name...)
 	out = append(out, ": "...)
-	for i := range len(value) {
-		if value[i] != '\r' && value[i] != '\n' {
-			out = append(out, value[i])
-		}
-	}
+	out = append(out, value...)
 	return append(out, "\r\n"...)
 }
