gateway, control: keep names that would add headers out of requests

A line end in one adds headers; a tenant named "one " is read by servers as "one".

Neither makes a configuration invalid by PROTOCOL.md, so it isn't refused: requests of such a tenant get 503 and reach no server, its batch jobs can still be read and ended. Servers with such an id are left out of the list and counted in server_list_changed.

--- a/internal/control/discovery/discovery_test.go
+++ b/internal/control/discovery/discovery_test.go
@@ -106,6 +106,16 @@
 		So(err, ShouldBeNil)
 		So(again.Digest, ShouldEqual, list.Digest)
 	})
+	Convey("A server whose id would add headers to requests, or arrive there changed, is left out", t, func() {
+		reader := serve(func(w http.ResponseWriter, _ *http.Request) {
+			fmt.Fprintf(w, `{"instances":[%s,{"id":"i-2\r\nX-Tenant: other"},{"id":" i-3"},{"id":""}],"next-token":null}`,
+				instance(1, "ready"))
+		})
+		list, err := reader.Read(context.Background())
+		So(err, ShouldBeNil)
+		So(list.Servers, ShouldHaveLength, 1)
+		So(list.Malformed, ShouldEqual, 3)
+	})
 	Convey("One failing page fails the whole read", t, func() {
 		for _, answer := range []string{"", "{}", `{"instances":null}`, `{"instances":[`, `[]`} {
 			reader := serve(func(w http.ResponseWriter, r *http.Request) {
--- a/internal/control/discovery/list.go
+++ b/internal/control/discovery/list.go
@@ -14,6 +14,9 @@
 type List struct {
 	Servers []protocol.Server // sorted by id
 	Digest  uint64            // of the content except the remaining warm-up times, which change by themselves
+	// Malformed is the number of servers that were left out because of their ids, which gateways and batch processes write
+	// into the heads of requests (X-Expect-Instance).
+	Malformed int
 }
 
 // NewList sorts servers by id and computes their digest. It modifies its argument. A server that is listed
--- a/internal/control/discovery/reader.go
+++ b/internal/control/discovery/reader.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/httpsyntax"
 	"sprucelane.example/sprucelane/internal/protocol"
 )
 
@@ -63,10 +64,11 @@
 	return "discovery: the platform rejected a call with status 429: rate limit exceeded"
 }
 
-// Read reads all pages. If a page can't be read, it returns an error and no list. The error is a *RateLimitError
+// Read reads all pages. Servers whose id can't be sent in a header are left out. If a page can't be read, it returns an error and no list. The error is a *RateLimitError
 // if the platform rejected a call with 429, and wraps ctx.Err() if ctx ended.
 func (r *Reader) Read(ctx context.Context) (List, error) {
 	var servers []protocol.Server
+	malformed := 0
 	token := ""
 	for range maxPages {
 		next, err := r.readPageLimited(ctx, token)
@@ -74,10 +76,17 @@
 			return List{}, err
 		}
 		for i := range next.Instances {
-			servers = append(servers, next.Instances[i].server())
+			server := next.Instances[i].server()
+			if httpsyntax.CheckIdentifier("id", server.ID) != nil {
+				malformed++
+				continue
+			}
+			servers = append(servers, server)
 		}
 		if next.NextToken == nil || *next.NextToken == "" {
-			return NewList(servers), nil
+			list := NewList(servers)
+			list.Malformed = malformed
+			return list, nil
 		}
 		if *next.NextToken == token {
 			return List{}, errors.New("discovery: the platform's list repeats a page: its next-token is its own token")
--- a/internal/control/serverdiscovery.go
+++ b/internal/control/serverdiscovery.go
@@ -52,7 +52,7 @@
 	c.mutex.Unlock()
 	c.peers.sendServers()
 	if changed {
-		c.log.Info().Int("servers", len(list.Servers)).Msg("server_list_changed")
+		c.log.Info().Int("servers", len(list.Servers)).Int("malformed", list.Malformed).Msg("server_list_changed")
 		wake(c.wakePush)
 	}
 }
--- a/internal/gateway/proxy/authentication.go
+++ b/internal/gateway/proxy/authentication.go
@@ -3,10 +3,15 @@
 import (
 	"net/http"
 	"time"
+
+	"sprucelane.example/sprucelane/internal/httpsyntax"
+	"sprucelane.example/sprucelane/internal/protocol"
 )
 
 // authenticate finds the tenant by its API key. It returns 401 if the key is missing or unknown, unless the
-// route is public or the configuration has no tenants.
+// route is public or the configuration has no tenants. It returns 503 if servers can't be told the tenant's name
+// unchanged: a line end within it would add headers, and one with whitespace at an end would be read as another tenant.
+// Batch jobs of such a tenant can still be read and ended.
 func (q *request) authenticate() *errorResponse {
 	q.tenant = nil
 	keys := q.r.Header.Values(headerAPIKey)
@@ -16,6 +21,11 @@
 	if q.tenant == nil && !q.route.Public && len(q.configuration.Tenants) > 0 {
 		return &errorResponse{status: http.StatusUnauthorized, message: "unknown key"}
 	}
+	reachesServers := q.operation == 0 || q.operation == protocol.BatchSubmit
+	if q.tenant != nil && reachesServers && httpsyntax.CheckIdentifier("tenant", q.tenant.Name) != nil {
+		return &errorResponse{status: http.StatusServiceUnavailable, message: "tenant: its name can't be sent in a header",
+			retryAfter: unreadyRetryAfter}
+	}
 	return nil
 }
 
