gateway: no route takes the calls for batch jobs away

Cause: a route was looked up by prefix first; the fixed paths /lots/ID and /items/ID counted only if no live route matched. Why the fix works: they come first now, on every host. A request with an X-Request-Id, which may be live, goes to its live route once the stores have answered 404, so that routes that cover these paths lose nothing.

--- a/internal/gateway/proxy/batch.go
+++ b/internal/gateway/proxy/batch.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"context"
 	"net/http"
 	"strconv"
@@ -26,23 +27,57 @@
 // access the job for as long as it is stored.
 var removedRoute = &configuration.Route{Type: configuration.RouteBatch}
 
-// resolveBatch finds the route of a call for an existing batch job. The path of such a call names no route, so
-// the first of the host's batch routes is used. If there is none, removedRoute is used if the member list is known
-// and has stores; otherwise the route stays nil, and the request gets 404.
-func (q *request) resolveBatch(path string) {
+// resolveBatch finds out whether the request is a call of the batch interface, and sets operation and route if it is.
+// Before, route is the one with the longest matching prefix, or nil.
+//
+// The paths of existing batch jobs and their items are fixed: they name no route, and no route takes them away, so that a
+// batch job stays accessible whatever routes are added after its acceptance. A live request may have such a path, too,
+// if its route's prefix covers it. It has an X-Request-Id, which calls for existing batch jobs need not have. With one,
+// the request is a call if there is such a batch job; liveRoute is what it falls back to otherwise.
+func (q *request) resolveBatch(path string) *errorResponse {
 	operation := batchOperation(q.r.Method, path)
-	if operation == 0 {
-		return
+	if q.route != nil && q.route.Type == configuration.RouteBatch {
+		q.operation = cmp.Or(operation, protocol.BatchSubmit)
+		return nil
 	}
+	live := q.route
+	if operation == 0 || live != nil && q.hasID() && !namesBatchJob(path) {
+		return nil
+	}
+	batchRoute := q.batchRoute()
+	switch {
+	case batchRoute != nil:
+		q.route, q.operation = batchRoute, operation
+		if q.hasID() {
+			q.liveRoute = live
+		}
+	case live != nil && !q.hasID() && q.proxy.Control.Members() == nil:
+		return &errorResponse{status: http.StatusServiceUnavailable, message: "batch: no member list yet",
+			retryAfter: unreadyRetryAfter}
+	}
+	return nil
+}
+
+// batchRoute returns the route for calls for existing batch jobs: the first of the host's batch routes or, if it has
+// none, removedRoute. It returns nil if the host has none and no store is known.
+func (q *request) batchRoute() *configuration.Route {
 	for _, route := range q.configuration.RoutesForHost(q.r.Host) {
 		if route.Type == configuration.RouteBatch {
-			q.route, q.operation = route, operation
-			return
+			return route
 		}
 	}
 	if members := q.proxy.Control.Members(); members != nil && len(members.Stores.Members) > 0 {
-		q.route, q.operation = removedRoute, operation
+		return removedRoute
 	}
+	return nil
+}
+
+// becomeLive makes a request that is no call for a batch job a request of its live route.
+func (q *request) becomeLive() { q.route, q.liveRoute, q.operation = q.liveRoute, nil, 0 }
+
+// namesBatchJob reports whether a path with the prefix batchJobsPath or itemsPath continues with an id alone.
+func namesBatchJob(path string) bool {
+	return strings.Count(path, "/") == strings.Count(batchJobsPath, "/") && !strings.HasSuffix(path, "/")
 }
 
 // batchOperation returns the operation on an existing batch job that a method and a path denote, or 0 if they
@@ -59,13 +94,12 @@
 	return 0
 }
 
-// callBatch forwards a call for a batch job to a batch process, and the answer to the client.
-func (q *request) callBatch() {
+// callBatch forwards a call for a batch job to a batch process, and the answer to the client. It returns false, and has
+// answered nothing, if there is no such batch job and the request has a live route, which it then belongs to.
+func (q *request) callBatch() (answered bool) {
 	call, failure := q.parseBatchCall()
 	if failure != nil {
-		q.countBatchCall(failure.status)
-		failure.write(q.w)
-		return
+		return q.denyBatchCall(failure)
 	}
 	deadline := q.deadline
 	if call.Operation != protocol.BatchSubmit {
@@ -76,9 +110,26 @@
 	if !q.keyValid(time.Now()) {
 		q.countBatchCall(http.StatusServiceUnavailable)
 		q.reject(http.StatusServiceUnavailable, unreadyRetryAfter)
-		return
+		return true
+	}
+	answer := q.proxy.Batch.Call(ctx, call)
+	if answer.Status == http.StatusNotFound && q.liveRoute != nil {
+		q.becomeLive()
+		return false
+	}
+	q.writeBatchAnswer(answer)
+	return true
+}
+
+// denyBatchCall answers a call that can't be made, as callBatch does.
+func (q *request) denyBatchCall(failure *errorResponse) (answered bool) {
+	if q.liveRoute != nil {
+		q.becomeLive()
+		return false
 	}
-	q.writeBatchAnswer(q.proxy.Batch.Call(ctx, call))
+	q.countBatchCall(failure.status)
+	failure.write(q.w)
+	return true
 }
 
 // parseBatchCall returns the call for a batch job that the request makes, or an error response.
--- a/internal/gateway/proxy/proxy.go
+++ b/internal/gateway/proxy/proxy.go
@@ -78,8 +78,14 @@
 	}
 	defer q.release()
 	if q.operation != 0 {
-		q.callBatch()
-		return
+		if q.callBatch() {
+			return
+		}
+		if failure := q.beginLive(); failure != nil {
+			p.countUnready(failure)
+			failure.write(w)
+			return
+		}
 	}
 	q.prepare()
 	if rejection := p.Admission.Admit(r.Context(), q.admission); rejection.Status != 0 {
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -43,6 +43,7 @@
 	route         *configuration.Route
 	tenant        *configuration.Tenant   // nil if the request has none; see authenticate
 	operation     protocol.BatchOperation // 0: a live request, not a call for a batch job
+	liveRoute     *configuration.Route    // route of a request that turns out to be no call for a batch job; nil: none
 	leaseExpired  bool                    // the key lease wasn't valid right before configuration was loaded
 
 	admission   AdmissionRequest
@@ -83,14 +84,12 @@
 			retryAfter: unreadyRetryAfter}
 	}
 	if q.operation == 0 || q.operation == protocol.BatchSubmit {
-		if ids := r.Header.Values(headerID); len(ids) != 1 || q.id == "" || len(q.id) > maxRequestIDBytes {
+		if !q.hasID() {
 			return nil, &errorResponse{status: http.StatusBadRequest, message: headerID + ": missing or malformed"}
 		}
 	}
-	q.deadline = q.arrived.Add(q.timeLimit())
-	if !p.runsUntil(q.arrived, q.deadline) {
-		return nil, &errorResponse{status: http.StatusServiceUnavailable, message: "ending",
-			retryAfter: noServerRetryAfter, closeConnection: true}
+	if failure := q.setDeadline(); failure != nil {
+		return nil, failure
 	}
 	if failure := q.body.read(w, r, q.configuration.Limits.MaxBodyBytes, p.Bodies, q.deadline); failure != nil {
 		return nil, failure
@@ -98,6 +97,29 @@
 	return q, nil
 }
 
+// hasID reports whether the request has an X-Request-Id that is fit for a live request or a submission.
+func (q *request) hasID() bool {
+	return len(q.r.Header.Values(headerID)) == 1 && q.id != "" && len(q.id) <= maxRequestIDBytes
+}
+
+// setDeadline sets the request's deadline by its route. It returns 503 if the process exits before that.
+func (q *request) setDeadline() *errorResponse {
+	q.deadline = q.arrived.Add(q.timeLimit())
+	if !q.proxy.runsUntil(q.arrived, q.deadline) {
+		return &errorResponse{status: http.StatusServiceUnavailable, message: "ending",
+			retryAfter: noServerRetryAfter, closeConnection: true}
+	}
+	return nil
+}
+
+// beginLive prepares a request for its live route after it was taken for a call for a batch job.
+func (q *request) beginLive() *errorResponse {
+	if failure := q.authenticate(); failure != nil {
+		return failure
+	}
+	return q.setDeadline()
+}
+
 // headerBytes returns the size of a request's head: its target, host, and the names and values of its
 // headers.
 func headerBytes(r *http.Request) int {
--- a/internal/gateway/proxy/routing.go
+++ b/internal/gateway/proxy/routing.go
@@ -1,13 +1,9 @@
 package proxy
 
 import (
-	"cmp"
 	"net/http"
 	"strings"
 	"time"
-
-	"sprucelane.example/sprucelane/internal/configuration"
-	"sprucelane.example/sprucelane/internal/protocol"
 )
 
 // resolveConfirmed finds the route and the tenant. It returns 404 or 401 only after control has confirmed that
@@ -44,17 +40,19 @@
 			retryAfter: unreadyRetryAfter}
 	}
 	path, _, _ := strings.Cut(q.r.RequestURI, "?")
-	q.operation = 0
-	if q.route = q.configuration.RouteFor(q.r.Host, path); q.route != nil && q.route.Type == configuration.RouteBatch {
-		q.operation = cmp.Or(batchOperation(q.r.Method, path), protocol.BatchSubmit)
-	}
-	if q.route == nil {
-		q.resolveBatch(path)
+	q.route, q.liveRoute, q.operation = q.configuration.RouteFor(q.r.Host, path), nil, 0
+	if failure := q.resolveBatch(path); failure != nil {
+		return failure
 	}
 	if q.route == nil {
 		return &errorResponse{status: http.StatusNotFound, message: "no such route"}
 	}
-	return q.authenticate()
+	failure := q.authenticate()
+	if failure != nil && q.liveRoute != nil { // without a key it can't be a call for a batch job
+		q.becomeLive()
+		failure = q.authenticate()
+	}
+	return failure
 }
 
 // chooseBackend returns the route's backend or, if the route has a traffic split, one of the split's backends
