batch: batch jobs without a tenant stay accessible once there are tenants

Once tenants are added every call carries one, and read, body and end got 404, which PROTOCOL.md gives only where there is no such batch job.

Such a batch job belongs to nobody and could be read by everybody before; now it can be read and ended by every tenant, too. Batch jobs of a tenant stay closed to the others.

--- a/internal/batch/replica/accept.go
+++ b/internal/batch/replica/accept.go
@@ -36,7 +36,7 @@
 func (m *StateMachine) startAcceptance(p parkedCall) {
 	id := p.call.BatchJob
 	if a := m.acceptances[id]; a != nil {
-		if a.content.Tenant != p.call.Tenant {
+		if !mayAccess(p.call.Tenant, a.content.Tenant) {
 			m.answer(p.callID, notFound())
 			return
 		}
--- a/internal/batch/replica/calls.go
+++ b/internal/batch/replica/calls.go
@@ -68,13 +68,17 @@
 // notFound returns the answer that the batch job doesn't exist for this tenant.
 func notFound() protocol.BatchAnswer { return protocol.BatchAnswer{Status: http.StatusNotFound} }
 
+// mayAccess reports whether a tenant may read and end a batch job of owner. A batch job without a tenant was accepted
+// without a key, from a public route or before the configuration had tenants, and is accessible to all.
+func mayAccess(tenant, owner string) bool { return owner == "" || tenant == owner }
+
 // dispatch answers a call, redirects it to another store or parks it.
 func (m *StateMachine) dispatch(p parkedCall) {
 	j := m.jobs[p.call.BatchJob]
 	switch {
 	case j == nil:
 		m.dispatchNotOwned(p)
-	case j.tenant != p.call.Tenant:
+	case !mayAccess(p.call.Tenant, j.tenant):
 		m.answer(p.callID, notFound())
 	case j.handedOver || !j.owned:
 		m.dispatchNotOwned(p)
