gateway: a silent server keeps its request until another one has responded

Cause: awaitData ended the attempt if the request's budget allowed one more server; whether one would take the request was found out afterwards. Why the fix works: the request is hedged. The silent server's attempt ends only when another server's response has arrived (of a stream: its first part), when it breaks off, or at the deadline.

--- a/internal/gateway/proxy/attempt.go
+++ b/internal/gateway/proxy/attempt.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"context"
 	"net/http"
 	"time"
 
@@ -19,8 +20,22 @@
 type attempt struct {
 	reservation *serverselection.Reservation
 	startedAt   time.Time
-	exchange    *pool.Exchange // request and response on the server's connection
-	response    *http.Response // head only; the body is read from exchange
+	sentAt      time.Time      // when sending it ended
+	exchange    *pool.Exchange // request and response on the server's connection; nil: the request wasn't sent
+	unsent      core.End       // why it wasn't
+	response    *http.Response // head only, nil until it has arrived; the body is read from exchange
+	cancel      func()         // ends the context of a hedged attempt; nil for others
+}
+
+// close ends the exchange and the reservation. It has no effect on what has been recorded of them before.
+func (a *attempt) close() {
+	if a.exchange != nil {
+		a.exchange.Close()
+	}
+	if a.cancel != nil {
+		a.cancel()
+	}
+	a.reservation.Done(time.Now(), serverselection.Abandoned)
 }
 
 // prepare sets, before admission, the fields of the request that admission and the attempts use.
@@ -36,53 +51,79 @@
 // runAttempts sends the request to one server after another until the client has its final response, and gives
 // up if no further attempt is possible.
 func (q *request) runAttempts() {
-	for q.r.Context().Err() == nil && q.history.MayRetry(time.Until(q.deadline)) {
-		reservation := q.selectServer()
-		if reservation == nil {
+	defer q.abandonHedges()
+	for q.r.Context().Err() == nil {
+		a := q.awaitHedge()
+		if a == nil {
+			a = q.nextAttempt()
+		}
+		if a == nil {
 			break
 		}
-		if q.send(reservation) {
+		if q.handle(a) {
 			return
 		}
 	}
+	q.abandonHedges() // they count as runs in the final status
 	q.giveUp()
 }
 
-// send sends the request to the reservation's server and handles the response. It reports whether the client
-// has its final response; if not, the attempt's outcome has been recorded in the request's history, which
-// determines whether another attempt may follow.
-func (q *request) send(reservation *serverselection.Reservation) (final bool) {
-	a := attempt{reservation: reservation, startedAt: time.Now()}
-	server := reservation.Server
-	q.tried = append(q.tried, server.Number)
-	defer func() { reservation.Done(time.Now(), serverselection.Abandoned) }() // no effect if Done was called before
-	exchange, end := q.proxy.Pool.Send(q.r.Context(), &pool.Request{
+// nextAttempt sends the request to a server. It returns nil if no further attempt is permitted, or no server is left.
+func (q *request) nextAttempt() *attempt {
+	if !q.history.MayRetry(time.Until(q.deadline)) {
+		return nil
+	}
+	reservation := q.selectServer(q.tried)
+	if reservation == nil {
+		return nil
+	}
+	a := &attempt{reservation: reservation, startedAt: time.Now()}
+	q.tried = append(q.tried, reservation.Server.Number)
+	q.send(q.r.Context(), a, func() bool { return !q.clientLeft() && q.maySend(time.Now()) })
+	if a.exchange != nil {
+		q.proxy.Admission.Sent(q.admission, q.history.MayHaveRun())
+	}
+	return a
+}
+
+// send sends the request to the attempt's server and sets exchange, or unsent if the request wasn't sent.
+func (q *request) send(ctx context.Context, a *attempt, maySend func() bool) {
+	server, lastEventID := a.reservation.Server, q.lastEventID
+	a.exchange, a.unsent = q.proxy.Pool.Send(ctx, &pool.Request{
 		Server: server.Number, Deadline: q.deadline, Method: q.r.Method, Body: q.body.bytes,
-		WriteHead: func(b *bytes.Buffer) { q.writeRequestHead(b, server.ID) },
-		MaySend:   func() bool { return !q.clientLeft() && q.maySend(time.Now()) },
+		WriteHead: func(b *bytes.Buffer) { q.writeRequestHead(b, server.ID, lastEventID) },
+		MaySend:   maySend,
 	})
-	if exchange == nil {
-		return q.handleUnsent(reservation, end)
+	a.sentAt = time.Now()
+}
+
+// handle handles the end of sending the request, and the response. It reports whether the client has its final
+// response; if not, the attempt's outcome has been recorded in the request's history, which determines whether another
+// attempt may follow.
+func (q *request) handle(a *attempt) (final bool) {
+	defer a.close()
+	if a.exchange == nil {
+		return q.handleUnsent(a)
 	}
-	defer exchange.Close()
-	a.exchange = exchange
-	q.sentAt = time.Now()
-	q.proxy.Admission.Sent(q.admission, q.history.MayHaveRun())
-	var err error
-	if a.response, err = q.readResponseHead(&a); err != nil {
-		q.observeLatency(&a)
-		return q.handleLost(reservation)
+	q.sentAt = a.sentAt
+	if a.response == nil {
+		var err error
+		a.response, err = q.readResponseHead(a.exchange, func() error { return q.awaitData(a) })
+		if err != nil {
+			q.observeLatency(a)
+			return q.handleLost(a.reservation)
+		}
 	}
-	q.proxy.Selector.Loads().Observe(time.Now(), server.Hash, a.response.Header.Get(serverload.Header))
+	q.proxy.Selector.Loads().Observe(time.Now(), a.reservation.Server.Hash, a.response.Header.Get(serverload.Header))
 	switch {
 	case notExecuted(a.response):
-		return q.handleNotExecuted(&a)
+		return q.handleNotExecuted(a)
 	case !credible(a.response):
-		return q.handleLost(reservation)
+		return q.handleLost(a.reservation)
 	case isEventStream(a.response):
-		return q.forwardStream(&a)
+		return q.forwardStream(a)
 	}
-	return q.forwardBuffered(&a)
+	return q.forwardBuffered(a)
 }
 
 // clientLeft reports whether the client has closed its connection. net/http's background read cancels the
@@ -101,15 +142,11 @@
 }
 
 // handleUnsent ends an attempt whose request wasn't written completely: the server has not run it.
-func (q *request) handleUnsent(reservation *serverselection.Reservation, end core.End) (final bool) {
-	result := serverselection.Abandoned
-	if end == core.EndNoConnect || end == core.EndWriteFailed {
-		result = serverselection.Unreachable
-	}
-	reservation.Done(time.Now(), result)
+func (q *request) handleUnsent(a *attempt) (final bool) {
+	a.reservation.Done(time.Now(), unsentResult(a.unsent))
 	q.history.Record(retry.NotSent)
 	switch {
-	case end != core.EndUnauthorized:
+	case a.unsent != core.EndUnauthorized:
 		return false
 	case q.streamStarted || q.history.MayHaveRun(): // 503 would promise that no server has run the request
 		q.giveUp()
@@ -120,18 +157,30 @@
 	return true
 }
 
+// unsentResult returns what the reason why a request wasn't sent says about the server.
+func unsentResult(end core.End) serverselection.Result {
+	if end == core.EndNoConnect || end == core.EndWriteFailed {
+		return serverselection.Unreachable
+	}
+	return serverselection.Abandoned
+}
+
 // handleNotExecuted ends an attempt whose server responded that it has not run the request.
 func (q *request) handleNotExecuted(a *attempt) (final bool) {
 	drain(a.exchange)
-	result := serverselection.Rejected
-	if a.response.StatusCode == http.StatusMisdirectedRequest {
-		result = serverselection.Unreachable // another server responds at its address
-	}
-	a.reservation.Done(time.Now(), result)
+	a.reservation.Done(time.Now(), rejectionResult(a.response))
 	q.history.Record(retry.NotExecuted)
 	return false
 }
 
+// rejectionResult returns what a response with which a request wasn't executed says about the server.
+func rejectionResult(response *http.Response) serverselection.Result {
+	if response.StatusCode == http.StatusMisdirectedRequest {
+		return serverselection.Unreachable // another server responds at its address
+	}
+	return serverselection.Rejected
+}
+
 // handleLost ends an attempt that got no usable response; the server may have run the request.
 func (q *request) handleLost(reservation *serverselection.Reservation) (final bool) {
 	result := serverselection.Broken
@@ -142,44 +191,3 @@
 	q.history.Record(retry.Lost)
 	return false
 }
-
-const (
-	// minStallWait is the minimum time that an idempotent request waits for data from a server before it is
-	// sent to another one, unless the server has stalled for all requests of this gateway.
-	minStallWait = 1200 * time.Millisecond
-	// stallCheckInterval is the time between checks whether the server has stalled for all requests of this
-	// gateway.
-	stallCheckInterval = 150 * time.Millisecond
-)
-
-// awaitData waits until more of the response has arrived.
-//
-// A request that may be sent to another server doesn't wait for a stalled one until its deadline. It gives up
-// after minStallWait (longer on routes with a long latency target), or earlier if the server has sent nothing
-// to any request of this gateway. A stream that has started on a route that isn't resumable can't continue at
-// another server, so it waits until its deadline.
-func (q *request) awaitData(a *attempt) error {
-	if !q.history.MayAbandon(time.Until(q.deadline)) ||
-		q.streamStarted && !q.route.Resumable && !q.proxy.bugs.abandonStartedStreams {
-		return a.exchange.Wait(q.deadline)
-	}
-	wait := minStallWait
-	if !q.streamStarted {
-		wait = max(wait, 3*q.route.TargetLatency())
-	}
-	giveUpAt := time.Now().Add(wait)
-	if giveUpAt.After(q.deadline) {
-		giveUpAt = q.deadline
-	}
-	for {
-		next := time.Now().Add(stallCheckInterval)
-		if next.After(giveUpAt) {
-			next = giveUpAt
-		}
-		err := a.exchange.Wait(next)
-		now := time.Now()
-		if err == nil || !pool.TimedOut(err) || !now.Before(giveUpAt) || a.reservation.Stalled(now) {
-			return err
-		}
-	}
-}
--- a/internal/gateway/proxy/batch.go
+++ b/internal/gateway/proxy/batch.go
@@ -30,10 +30,10 @@
 // resolveBatch finds out whether the request is a call of the batch interface, and sets operation and route if it is.
 // Before, route is the one with the longest matching prefix, or nil.
 //
-// The paths of existing batch jobs and their items are fixed: they name no route, and no route takes them away, so that a
-// batch job stays accessible whatever routes are added after its acceptance. A live request may have such a path, too,
-// if its route's prefix covers it. It has an X-Request-Id, which calls for existing batch jobs need not have. With one,
-// the request is a call if there is such a batch job; liveRoute is what it falls back to otherwise.
+// The paths of existing batch jobs and their items are fixed: they name no route, and no route takes them away, so
+// that a batch job stays accessible whatever routes are added after its acceptance. A live request may have such a
+// path, too, if its route's prefix covers it. It has an X-Request-Id, which calls for existing batch jobs need not
+// have. With one, the request is a call if there is such a batch job; liveRoute is what it falls back to otherwise.
 func (q *request) resolveBatch(path string) *errorResponse {
 	operation := batchOperation(q.r.Method, path)
 	if q.route != nil && q.route.Type == configuration.RouteBatch {
--- a/internal/gateway/proxy/buffered.go
+++ b/internal/gateway/proxy/buffered.go
@@ -19,14 +19,17 @@
 // forwardBuffered reads a response completely before it forwards any of it to the client, so that a truncated
 // response or a server's failure can still be replaced by another server's response.
 func (q *request) forwardBuffered(a *attempt) (final bool) {
+	status := a.response.StatusCode
+	failed := status >= http.StatusInternalServerError
+	if !failed {
+		q.abandonHedges()
+	}
 	body, err := q.readResponseBody(a.exchange, a.response)
 	defer q.proxy.Bodies.Release(int64(cap(body)))
 	if err != nil {
 		return q.handleLost(a.reservation)
 	}
 	now := time.Now()
-	status := a.response.StatusCode
-	failed := status >= http.StatusInternalServerError
 	a.reservation.FirstResponse(now)
 	if failed {
 		a.reservation.Done(now, serverselection.Failed)
--- a/internal/gateway/proxy/deadline_test.go
+++ b/internal/gateway/proxy/deadline_test.go
@@ -56,7 +56,7 @@
 			for _, later := range []time.Duration{0, 700 * time.Millisecond, 600 * time.Millisecond} {
 				time.Sleep(later)
 				var head bytes.Buffer
-				q.writeRequestHead(&head, "i-1")
+				q.writeRequestHead(&head, "i-1", "")
 				seen, err := http.ReadRequest(bufio.NewReader(&head))
 				require.NoError(t, err)
 				require.Len(t, seen.Header[headerDeadline], 1)
--- a/internal/gateway/proxy/headers.go
+++ b/internal/gateway/proxy/headers.go
@@ -79,7 +79,7 @@
 
 // writeRequestHead writes the request's head for one attempt. It is called right before the head is sent, so
 // that X-Deadline-Ms is the time left until the deadline at that moment.
-func (q *request) writeRequestHead(b *bytes.Buffer, instance string) {
+func (q *request) writeRequestHead(b *bytes.Buffer, instance, lastEventID string) {
 	b.WriteString(q.r.Method)
 	b.WriteByte(' ')
 	b.WriteString(q.r.RequestURI)
@@ -97,8 +97,8 @@
 	if q.tenant != nil {
 		line = appendHeaderLine(line, headerTenant, q.tenant.Name)
 	}
-	if q.lastEventID != "" {
-		line = appendHeaderLine(line, headerLastEventID, q.lastEventID)
+	if lastEventID != "" {
+		line = appendHeaderLine(line, headerLastEventID, lastEventID)
 	}
 	if len(q.body.bytes) > 0 || q.r.Method == http.MethodPost {
 		line = appendHeaderLine(line, headerContentLength, strconv.Itoa(len(q.body.bytes)))
--- a/internal/gateway/proxy/random_test.go
+++ b/internal/gateway/proxy/random_test.go
@@ -37,6 +37,8 @@
 	trailing       string
 	script         []fake.Reply
 	rejections     atomic.Int64 // attempts that servers reported as not run
+	abandoned      atomic.Int64 // attempts that ended while their server was about to respond
+	responses      atomic.Int64 // servers that sent a response other than a rejection
 	latency        time.Duration
 }
 
@@ -65,7 +67,7 @@
 // reply draws a server's reply to an attempt.
 func (d *randomExchange) reply(r *rand.Rand) fake.Reply {
 	wait := time.Duration(r.IntN(400)) * time.Millisecond
-	switch r.IntN(9) {
+	switch r.IntN(10) {
 	case 0:
 		return neverResponds
 	case 1, 2:
@@ -73,18 +75,44 @@
 	case 3:
 		return respondsAfter(wait, writesText("", false))
 	case 4:
-		return respondsAfter(wait, responds(500, signatureLine, ""))
+		return respondsAfter(wait, d.response(responds(500, signatureLine, "")))
 	case 5:
-		return respondsAfter(wait, streams(r.IntN(6), "id: 9\nda", false))
+		return respondsAfter(wait, d.response(streams(r.IntN(6), "id: 9\nda", false)))
 	case 6:
-		return sendsEventsSlowly(wait, r.IntN(40), "")
+		return d.response(sendsEventsSlowly(wait, r.IntN(40), ""))
 	case 7:
 		return respondsAfter(wait, writesText("HTTP/1.1 200 OK\r\nX-Requ", false))
+	case 8:
+		return d.silence(5 * wait)
 	}
+	return respondsAfter(wait, d.response(d.goodReply()))
+}
+
+// goodReply returns the complete response of the exchange's route.
+func (d *randomExchange) goodReply() fake.Reply {
 	if d.route == "stream" || d.route == "resume" {
-		return respondsAfter(wait, goodStream)
+		return goodStream
+	}
+	return good
+}
+
+// response returns a reply that is counted as a response.
+func (d *randomExchange) response(reply fake.Reply) fake.Reply {
+	return func(p *fake.Peer, c net.Conn, s fake.Seen) bool {
+		d.responses.Add(1)
+		return reply(p, c, s)
+	}
+}
+
+// silence returns a reply that is complete after a pause, and counts it as abandoned if its connection ends before that.
+func (d *randomExchange) silence(pause time.Duration) fake.Reply {
+	return func(p *fake.Peer, c net.Conn, s fake.Seen) bool {
+		if !respondsAfter(pause, keepsConnection)(p, c, s) {
+			d.abandoned.Add(1)
+			return false
+		}
+		return d.response(d.goodReply())(p, c, s)
 	}
-	return respondsAfter(wait, good)
 }
 
 // rejection returns a reply that rejects an attempt after a while and counts it as rejected.
@@ -109,6 +137,7 @@
 		if d.clientDeadline > 0 {
 			deadlineMs = strconv.FormatInt(d.clientDeadline.Milliseconds(), 10)
 		}
+		sendingAt := time.Now() // the gateway counts the deadline from the head
 		conn := w.send(d.route, deadlineMs, strings.Repeat("b", d.bodySize), d.trailing)
 		defer conn.Close()
 		w.began = time.Now()
@@ -116,6 +145,9 @@
 		if d.leavesAfter == 0 {
 			_, _ = io.Copy(io.Discard, throughFirstResponse(conn))
 			assert.LessOrEqual(w.check, time.Since(w.began), d.timeLimit()+ruleMargin/2, what)
+			if time.Since(sendingAt) < d.timeLimit()-2*transitMargin && d.responses.Load() == 0 {
+				assert.Zero(w.check, d.abandoned.Load(), "%s: a silent server was given up, and no other one responded", what)
+			}
 		} else {
 			go io.Copy(io.Discard, conn)
 			time.Sleep(d.leavesAfter)
@@ -177,6 +209,7 @@
 		"each attempt forwards the first one's deadline": {keepFirstDeadline: true},
 		"servers don't learn that a client has left":     {ignoreDisconnect: true},
 		"a request that isn't idempotent is retried":     {retryNonIdempotent: true},
+		"a silent server ends a request":                 {abandonSilentServers: true},
 	} {
 		found := false
 		for seed := uint64(0); seed < defaultExchanges && !found; seed++ {
--- a/internal/gateway/proxy/request.go
+++ b/internal/gateway/proxy/request.go
@@ -54,10 +54,12 @@
 	tried   []policy.ServerID // servers of the attempts, in order, including attempts whose request was not sent
 	sentAt  time.Time         // when the latest attempt was sent
 	counted bool              // the outcome has been counted
+	hedges  hedges
 
 	scanner       *sse.Scanner // nil: no attempt has returned a stream
 	streamBuffer  *[]byte      // the scanner's buffer, from streamBuffers
 	streamStarted bool         // the head of an event stream has been sent to the client
+	startedBy     *attempt     // attempt whose head was sent to the client
 	lastEventID   string       // the client's Last-Event-Id; for a resumption, the id of the last event sent to the client
 }
 
--- a/internal/gateway/proxy/resumption.go
+++ b/internal/gateway/proxy/resumption.go
@@ -1,8 +1,6 @@
 package proxy
 
 import (
-	"strconv"
-
 	"sprucelane.example/sprucelane/internal/gateway/serverselection"
 	"sprucelane.example/sprucelane/internal/gateway/sse"
 )
@@ -15,13 +13,10 @@
 	if !q.streamStarted {
 		return false
 	}
-	last, numbered := q.scanner.LastID()
-	if !q.route.Resumable || !numbered {
+	if _, numbered := q.scanner.LastID(); !q.route.Resumable || !numbered {
 		q.abortStream()
 	}
-	if !q.proxy.bugs.omitLastEventID {
-		q.lastEventID = strconv.FormatUint(last, 10)
-	}
+	q.resumeAfterLastEvent()
 	return false
 }
 
--- a/internal/gateway/proxy/selection.go
+++ b/internal/gateway/proxy/selection.go
@@ -5,6 +5,7 @@
 
 	"sprucelane.example/sprucelane/internal/gateway/serverselection"
 	"sprucelane.example/sprucelane/internal/serverload"
+	"sprucelane.example/sprucelane/policy"
 )
 
 // connectionShare is the fraction of a server's max-conns that all gateways together use.
@@ -13,15 +14,15 @@
 // maxConfirmationAge is the maximum age of control's last confirmation for the member list to count as current.
 const maxConfirmationAge = time.Second
 
-// selectServer selects a server for the next attempt and reserves capacity there. It returns nil if no server
-// is available.
-func (q *request) selectServer() *serverselection.Reservation {
+// selectServer selects a server for the next attempt, other than the excluded ones, and reserves capacity there. It
+// returns nil if no server is available.
+func (q *request) selectServer(excluded []policy.ServerID) *serverselection.Reservation {
 	table := q.proxy.Servers.Current()
 	if table == nil {
 		return nil
 	}
 	reservation := q.proxy.Selector.Pick(time.Now(), &serverselection.Criteria{Workload: q.admission.Workload,
-		Servers: table.ForBackend(q.admission.Backend), Exclude: q.tried, MaxInFlight: q.maxInFlight()})
+		Servers: table.ForBackend(q.admission.Backend), Exclude: excluded, MaxInFlight: q.maxInFlight()})
 	if reservation != nil && reservation.PrefillTokens() >= serverload.MinAnnouncedTokens &&
 		q.proxy.AnnouncePrefill != nil {
 		q.proxy.AnnouncePrefill(reservation.Server.Hash, reservation.PrefillTokens())
--- a/internal/gateway/proxy/stream.go
+++ b/internal/gateway/proxy/stream.go
@@ -55,7 +55,7 @@
 				q.handleLost(a.reservation)
 				q.abortStream() // no server will send the missing events again
 			}
-			q.flushEvents(a.response)
+			q.flushEvents(a)
 		}
 		switch {
 		case ended && a.exchange.Delimited():
@@ -76,8 +76,9 @@
 }
 
 // flushEvents sends the complete events to the client, and before the first ones the head of the response.
-func (q *request) flushEvents(resp *http.Response) {
-	q.startStream(resp)
+func (q *request) flushEvents(a *attempt) {
+	q.abandonHedges() // another server would send these events again
+	q.startStream(a)
 	if _, err := q.w.Write(q.scanner.Complete()); err != nil {
 		panic(http.ErrAbortHandler) // the client has left or stopped reading
 	}
@@ -88,13 +89,13 @@
 }
 
 // startStream sends the head of the response to the client, unless a head has been sent already.
-func (q *request) startStream(resp *http.Response) {
+func (q *request) startStream(a *attempt) {
 	if q.streamStarted {
 		return
 	}
-	copyResponseHeaders(q.w.Header(), resp.Header)
-	q.w.WriteHeader(resp.StatusCode)
-	q.streamStarted = true
+	copyResponseHeaders(q.w.Header(), a.response.Header)
+	q.w.WriteHeader(a.response.StatusCode)
+	q.streamStarted, q.startedBy = true, a
 	grace := writeGrace
 	if q.proxy.bugs.longWriteDeadline {
 		grace = time.Minute
@@ -106,9 +107,8 @@
 // resumed stream, because the client has received the beginning of that stream from another server.
 func (q *request) finishStream(a *attempt) (final bool) {
 	a.reservation.Done(time.Now(), serverselection.Succeeded)
-	resumed := q.streamStarted && q.history.MayHaveRun()
-	q.startStream(a.response)
-	if rest := q.scanner.Partial(); len(rest) > 0 && !resumed {
+	q.startStream(a)
+	if rest := q.scanner.Partial(); len(rest) > 0 && q.startedBy == a {
 		_, _ = q.w.Write(rest) // fails only if the client has left
 	}
 	return true
--- a/internal/gateway/proxy/timing_test.go
+++ b/internal/gateway/proxy/timing_test.go
@@ -180,7 +180,8 @@
 		rule func(ruleCheck)
 	}{
 		"each attempt forwards the first one's deadline":  {injectedBugs{keepFirstDeadline: true}, checkForwardedDeadlines},
-		"a stalled server ends a stream that has started": {injectedBugs{abandonStartedStreams: true}, checkAnswerAtTimeout},
+		"a stalled server ends a stream that has started": {injectedBugs{abandonSilentServers: true}, checkAnswerAtTimeout},
+		"a silent server ends a request":                  {injectedBugs{abandonSilentServers: true}, checkSilentServerKeepsRequest},
 		"a client may take long to read":                  {injectedBugs{longWriteDeadline: true}, checkStalledClient},
 		"servers don't learn that a client has left":      {injectedBugs{ignoreDisconnect: true}, checkDisconnectPropagation},
 		"a request is written though its client has left": {injectedBugs{ignoreDisconnect: true}, checkDisconnectWhileDialling},
--- a/internal/gateway/proxy/validation.go
+++ b/internal/gateway/proxy/validation.go
@@ -21,21 +21,21 @@
 // id, several ids or none.
 var errMismatchedID = errors.New("proxy: none of the responses read has exactly this request's X-Request-Id")
 
-// readResponseHead reads the head of the response to this request. A response with another id is a late
-// response to an earlier request on the connection; it is skipped together with its body.
-func (q *request) readResponseHead(a *attempt) (*http.Response, error) {
+// readResponseHead reads the head of the response to this request, for which it waits with await. A response with
+// another id is a late response to an earlier request on the connection; it is skipped together with its body.
+func (q *request) readResponseHead(exchange *pool.Exchange, await func() error) (*http.Response, error) {
 	for range maxResponseHeads {
-		if err := q.awaitData(a); err != nil {
+		if err := await(); err != nil {
 			return nil, err
 		}
-		resp, err := a.exchange.ReadHead(q.deadline)
+		resp, err := exchange.ReadHead(q.deadline)
 		if err != nil {
 			return nil, err
 		}
 		if q.matchesID(resp) {
 			return resp, nil
 		}
-		if len(resp.Header[headerID]) > 1 || !a.exchange.Delimited() || !drain(a.exchange) {
+		if len(resp.Header[headerID]) > 1 || !exchange.Delimited() || !drain(exchange) {
 			break
 		}
 	}
--- a/internal/gateway/retry/history.go
+++ b/internal/gateway/retry/history.go
@@ -78,10 +78,10 @@
 	return h.possibleRuns == 0 || h.Idempotent && h.possibleRuns < max(1, h.MaxServers)
 }
 
-// MayAbandon reports whether the attempt in progress may be given up in favor of another server when left
-// remains before the deadline.
-func (h *History) MayAbandon(left time.Duration) bool {
-	return left >= MinTimeLeft && h.Idempotent && h.possibleRuns+1 < h.MaxServers
+// MayHedge reports whether the request may be sent to another server beside the attempts in flight, of which there are
+// inFlight, when left remains before the deadline. Each of them counts as a run.
+func (h *History) MayHedge(left time.Duration, inFlight int) bool {
+	return left >= MinTimeLeft && h.Idempotent && h.possibleRuns+inFlight < h.MaxServers
 }
 
 // FinalStatus returns the HTTP status for a request that is given up. late says that its deadline has passed.
--- a/internal/gateway/retry/history_test.go
+++ b/internal/gateway/retry/history_test.go
@@ -48,3 +48,20 @@
 		So(func() { h.Record(Lost) }, ShouldPanic)
 	})
 }
+
+func TestMayHedge(t *testing.T) {
+	Convey("Attempts in flight count as runs", t, func() {
+		h := History{Idempotent: true, MaxServers: 3}
+		So(h.MayHedge(time.Second, 1), ShouldBeTrue)
+		So(h.MayHedge(time.Second, 2), ShouldBeTrue)
+		So(h.MayHedge(time.Second, 3), ShouldBeFalse)
+		So(h.MayHedge(MinTimeLeft-1, 1), ShouldBeFalse)
+		h.Record(Lost)
+		So(h.MayHedge(time.Second, 1), ShouldBeTrue)
+		So(h.MayHedge(time.Second, 2), ShouldBeFalse)
+		h.Record(NotExecuted)
+		So(h.MayHedge(time.Second, 1), ShouldBeTrue)
+		So((&History{MaxServers: 3}).MayHedge(time.Second, 1), ShouldBeFalse)
+		So((&History{Idempotent: true}).MayHedge(time.Second, 1), ShouldBeFalse)
+	})
+}
