--- a/cmd/sprucelab/soak.go
+++ b/cmd/sprucelab/soak.go
@@ -59,7 +59,8 @@
 	f.Uint64Var(&plan.Seed, "seed", plan.Seed, "what all chance follows from")
 	f.IntVar(&seeds, "seeds", 1, "how many seeds are played, one after the other, each one more than that before")
 	f.StringSliceVar(&plan.Zones, "zones", plan.Zones, "the zones")
-	f.IntVar(&plan.FrontMachines, "fronts", plan.FrontMachines, "machines with control and gateway")
+	f.IntVar(&plan.FrontMachines, "fronts", plan.FrontMachines, "machines with a gateway")
+	f.IntVar(&plan.ControlMachines, "controls", plan.ControlMachines, "front machines that have a control process, too; 0: all")
 	f.IntVar(&plan.StoreMachines, "stores", plan.StoreMachines, "machines with batch processes")
 	f.IntVar(&plan.MaxLostDisks, "lost", plan.MaxLostDisks, "disks that may be lost at once")
 	f.Float64Var(&plan.StreamRate, "rate", plan.StreamRate, "streams a second")
@@ -77,6 +78,7 @@
 	}
 	line.add("disks", "%d", result.DisksWiped)
 	line.add("requests", "%d", result.Streams)
+	line.add("hostile", "%d", result.HostileValues)
 	line.add("accepted", "%d", result.Accepted)
 	line.add("refused", "%d", result.Rejected)
 	line.add("ended", "%d", result.Ended)
--- a/internal/fake/modelserver/executionlog.go
+++ b/internal/fake/modelserver/executionlog.go
@@ -23,8 +23,32 @@
 
 // ExecutionLog records the executions of all servers, in order of their start.
 type ExecutionLog struct {
-	mu         sync.Mutex // guards executions
+	mu         sync.Mutex // guards the fields below
 	executions []Execution
+	brokenOff  map[string]bool // by request id: a server broke off an execution
+}
+
+func (l *ExecutionLog) recordBrokenOff(id string) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if l.brokenOff == nil {
+		l.brokenOff = map[string]bool{}
+	}
+	l.brokenOff[id] = true
+}
+
+// BrokenOff returns whether a server broke off an execution of a request of its own accord.
+func (l *ExecutionLog) BrokenOff(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.brokenOff[id]
+}
+
+// Executed returns whether a server began to work on a request.
+func (l *ExecutionLog) Executed(id string) bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return slices.ContainsFunc(l.executions, func(e Execution) bool { return e.RequestID == id })
 }
 
 func (l *ExecutionLog) record(s *Server, r *http.Request, parsed *request) {
--- a/internal/fake/modelserver/generate.go
+++ b/internal/fake/modelserver/generate.go
@@ -14,8 +14,9 @@
 // generate reads the prompt and sends the events one after the other.
 func (s *Server) generate(ctx context.Context, w http.ResponseWriter, r *request) {
 	uncached := s.cache.insert(r.parts)
-	if !s.sleep(ctx, time.Duration(float64(uncached)/s.options.PrefillRate*float64(time.Second))) {
-		s.abort(ctx, w)
+	prefill := time.Duration(float64(uncached) / s.options.PrefillRate * float64(time.Second))
+	if !s.sleep(ctx, prefill+s.currentFaults().PauseBefore) {
+		s.abort(ctx, w, r)
 		return
 	}
 	if s.options.FailStatus != nil {
@@ -31,17 +32,30 @@
 	w.WriteHeader(http.StatusOK)
 	control := http.NewResponseController(w)
 	for n := r.afterEvent + 1; n <= r.events; n++ {
+		if n == (r.events+1)/2 && !s.injectWithin(ctx, r) {
+			s.abort(ctx, w, r)
+			return
+		}
 		fmt.Fprintf(w, "id: %d\ndata: %s\n\n", n, EventData(r.id, n))
 		if control.Flush() != nil {
 			return // the client closed the connection, which cancels the request
 		}
 		if n < r.events && !s.sleep(ctx, s.eventInterval()) {
-			s.abort(ctx, w)
+			s.abort(ctx, w, r)
 			return
 		}
 	}
 }
 
+// injectWithin injects the faults within a response. It returns false as sleep does.
+func (s *Server) injectWithin(ctx context.Context, r *request) bool {
+	faults := s.currentFaults()
+	if faults.BreakOff {
+		s.breakOff(r)
+	}
+	return faults.PauseWithin == 0 || s.sleep(ctx, faults.PauseWithin)
+}
+
 // eventInterval is the time to the next event: requests that run together slow each other down.
 func (s *Server) eventInterval() time.Duration {
 	occupancy := float64(len(s.slots)) / float64(s.options.Slots)
@@ -64,11 +78,14 @@
 
 // abort ends an incomplete response: with 504 where the deadline has passed and nothing was sent, else by
 // closing the connection.
-func (s *Server) abort(ctx context.Context, w http.ResponseWriter) {
+func (s *Server) abort(ctx context.Context, w http.ResponseWriter, r *request) {
 	if errors.Is(ctx.Err(), context.DeadlineExceeded) && w.Header().Get(headerSignature) == "" {
 		w.WriteHeader(http.StatusGatewayTimeout)
 		return
 	}
+	if ctx.Err() == nil { // the server was stopped
+		s.breakOff(r)
+	}
 	panic(http.ErrAbortHandler)
 }
 
--- a/internal/fake/modelserver/request.go
+++ b/internal/fake/modelserver/request.go
@@ -54,7 +54,7 @@
 	}
 	ctx, cancel := context.WithTimeout(r.Context(), requestDeadline(r))
 	defer cancel()
-	if !s.acquireSlot(ctx) {
+	if s.currentFaults().Reject || !s.acquireSlot(ctx) {
 		s.reject(w, http.StatusServiceUnavailable)
 		return
 	}
--- a/internal/fake/modelserver/server.go
+++ b/internal/fake/modelserver/server.go
@@ -76,6 +76,7 @@
 	slots    chan struct{} // holds an element for each running request
 	queued   atomic.Int64
 	draining atomic.Bool
+	faults   atomic.Pointer[Faults] // nil: none
 	cache    *prefixCache
 }
 
--- a/internal/fake/modelserver/server_test.go
+++ b/internal/fake/modelserver/server_test.go
@@ -152,3 +152,33 @@
 		}
 	}
 }
+
+func TestFaults(t *testing.T) {
+	server, executions := start(t, nil)
+	Convey("A server rejects, is silent before and within a response, and breaks off, while it is told to", t, func() {
+		server.SetFaults(Faults{Reject: true})
+		response, _, err := send(server, headerRequest, "r1", headerTokenUsage, "20,30")
+		So(err, ShouldBeNil)
+		So(response.Header.Get(headerNotExecuted), ShouldNotBeEmpty)
+		So(executions.Executed("r1"), ShouldBeFalse)
+		const pause = 50 * time.Millisecond
+		for _, faults := range []Faults{{PauseBefore: pause}, {PauseWithin: pause}} {
+			server.SetFaults(faults)
+			began := time.Now()
+			_, text, err := send(server, headerRequest, "r2", headerTokenUsage, "20,30")
+			So(err, ShouldBeNil)
+			So(strings.Count(text, "data:"), ShouldEqual, 3)
+			So(time.Since(began), ShouldBeGreaterThanOrEqualTo, pause)
+			So(executions.BrokenOff("r2"), ShouldBeFalse)
+		}
+		server.SetFaults(Faults{BreakOff: true})
+		_, text, err := send(server, headerRequest, "r3", headerTokenUsage, "20,30")
+		So(err, ShouldNotBeNil)
+		So(strings.Count(text, "data:"), ShouldEqual, 1)
+		So(executions.BrokenOff("r3"), ShouldBeTrue)
+		server.SetFaults(Faults{})
+		_, _, err = send(server, headerRequest, "r4", headerTokenUsage, "20,30")
+		So(err, ShouldBeNil)
+		So(executions.Executed("r4"), ShouldBeTrue)
+	})
+}
--- a/internal/lab/soak/checker.go
+++ b/internal/lab/soak/checker.go
@@ -23,6 +23,8 @@
 	RuleAnswer Rule = "answer"
 	// RuleBelongs holds that a response is the complete one of the request that it answers.
 	RuleBelongs Rule = "belongs"
+	// RuleHostile holds that a server runs nothing but requests that clients sent, as they sent them, for their tenant.
+	RuleHostile Rule = "hostile"
 	// RuleConfiguration holds that an acknowledged change is read back, and is acknowledged again when it is repeated.
 	RuleConfiguration Rule = "configuration"
 	// RuleRecovery holds that the system is well again RecoveryTimeout after the last fault.
--- a/internal/lab/soak/doc.go
+++ b/internal/lab/soak/doc.go
@@ -5,15 +5,18 @@
 //
 // A run ([Run]) starts a [system.Cluster] and has four kinds of activity go on at the same time:
 //
-//   - load: clients send streams and batch jobs, and some of them close the connection before the response;
+//   - load: clients send streams and batch jobs, and some of them close the connection before the response, or use
+//     one connection until its gateway is gone; others send values that must not reach a server;
 //   - an operator, who changes the configuration through any control process, repeats old changes, and reads
-//     back;
-//   - fault injection: kills, pauses, partitions, lost disks, a loss of power, retirements of stores;
+//     back, beside a rival;
+//   - fault injection: kills, pauses, partitions, lost disks, a loss of power, retirements of stores, signals, and
+//     model servers that are silent, reject, break off or are replaced;
 //   - checking: the [Rule] values say what is held. A broken rule is a [Violation], reported with the faults
 //     around it.
 //
-// Faults come in rounds. A round injects several faults at a time, mostly ends with a loss of all power and
-// of some disks, and is followed by a recovery: all faults are healed, and the system has to be well again
+// Faults come in rounds. Some rounds are planned work alone: signals, beside changes of the configuration and faults of
+// model servers. The others inject several faults at a time, mostly end with a loss of all power and
+// of some disks. Each round is followed by a recovery: all faults are healed, and the system has to be well again
 // within [RecoveryTimeout]. After the last round every batch job is read back at every gateway.
 //
 // # What the checker may rely on
--- a/internal/lab/soak/random.go
+++ b/internal/lab/soak/random.go
@@ -18,6 +18,12 @@
 	randomStreams        randomStream = 104
 	randomJobs           randomStream = 105
 	randomFinalPowerLoss randomStream = 106
+	randomSignals        randomStream = 107
+	randomServerFaults   randomStream = 108
+	randomKeptClients    randomStream = 109
+	randomHostileValues  randomStream = 110
+	randomRivalChanges   randomStream = 111
+	randomPlannedRounds  randomStream = 112
 	randomFaults         randomStream = 200 // of the first injector; the others follow
 )
 
@@ -26,6 +32,15 @@
 	return rand.New(rand.NewPCG(o.Seed, uint64(stream)))
 }
 
+// randomSources returns n sources that follow from a stream.
+func (o Options) randomSources(stream randomStream, n int) (sources []*rand.Rand) {
+	seeds := o.randomSource(stream)
+	for range n {
+		sources = append(sources, o.randomSource(randomStream(seeds.Uint64())))
+	}
+	return sources
+}
+
 // randomDuration returns a duration between two bounds, uniformly distributed.
 func randomDuration(random *rand.Rand, shortest, longest time.Duration) time.Duration {
 	return shortest + time.Duration(random.Float64()*float64(longest-shortest))
--- a/internal/lab/soak/readback.go
+++ b/internal/lab/soak/readback.go
@@ -4,10 +4,12 @@
 	"context"
 	"fmt"
 	"slices"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/fake/modelserver"
 	"sprucelane.example/sprucelane/internal/lab/system"
 )
 
@@ -50,10 +52,11 @@
 	return results == j.items
 }
 
-// checkExecutions compares what servers executed with what clients got: nothing of a batch job that was only
-// rejected, and at least one execution for each result.
+// checkExecutions compares what servers executed with what clients got: nothing that no client sent, nothing of a batch
+// job that was only rejected, and at least one execution for each result.
 func (r *run) checkExecutions() {
 	executions := map[string]int{} // by batch job
+	r.checkOrigins()
 	for _, execution := range r.cluster.ExecutionLog.Executions() {
 		if name, found := cutItemNumber(execution.RequestID); found {
 			executions[name]++
@@ -72,6 +75,55 @@
 	}
 }
 
+// checkOrigins checks that servers executed only requests that clients sent, as they sent them and for their tenant.
+func (r *run) checkOrigins() {
+	jobs := map[string]bool{}
+	for _, j := range r.jobs.all() {
+		jobs[j.name] = true
+	}
+	for _, execution := range r.cluster.ExecutionLog.Executions() {
+		if problem := checkOrigin(execution, jobs); problem != "" {
+			r.checker.violated(RuleHostile, "%s executed a request %s: id %q, path %q, tenant %q, host %q", execution.ServerID,
+				problem, execution.RequestID, execution.Path, execution.Tenant, execution.Host)
+		}
+	}
+}
+
+// checkOrigin returns what is wrong with an execution, given the names of the batch jobs that clients sent; empty:
+// nothing.
+func checkOrigin(execution modelserver.Execution, jobs map[string]bool) (problem string) {
+	if execution.Tenant != system.TenantName {
+		return "for another tenant than the client's"
+	}
+	if execution.APIKey != "" {
+		return "with the client's key"
+	}
+	if execution.Path == system.StreamPath && execution.Host == system.StreamHost {
+		if !isStreamID(execution.RequestID) {
+			return "that no client sent"
+		}
+		return ""
+	}
+	job, found := cutItemNumber(execution.RequestID)
+	if !found || !jobs[job] || execution.Host != system.BatchHost {
+		return "that no client sent"
+	}
+	item := execution.RequestID[len(job)+1:]
+	if number, err := strconv.Atoi(item); err != nil || execution.Path != system.ItemPath(number) {
+		return "with another path than the client's"
+	}
+	return ""
+}
+
+// isStreamID returns whether an id is one of the streaming requests that clients send. Ids of hostile requests are, and
+// those of items of hostile batch jobs aren't.
+func isStreamID(id string) bool {
+	if number, found := strings.CutPrefix(id, hostilePrefix); found {
+		return !strings.Contains(number, "-")
+	}
+	return strings.HasPrefix(id, "stream-") || strings.HasPrefix(id, "kept-") || strings.HasPrefix(id, "first-")
+}
+
 // cutItemNumber returns the batch job of an item's id; see system.ItemID.
 func cutItemNumber(id string) (job string, found bool) {
 	at := strings.LastIndex(id, "-")
--- a/internal/lab/soak/recovery.go
+++ b/internal/lab/soak/recovery.go
@@ -61,7 +61,7 @@
 
 // awaitControl waits for all control processes to return the acknowledged configuration.
 func (r *run) awaitControl(ctx context.Context) bool {
-	late := slices.Clone(r.frontMachines)
+	late := slices.Clone(r.controls)
 	for {
 		late = slices.DeleteFunc(late, func(m system.Machine) bool { return r.operator.checkRead(ctx, m) })
 		if len(late) == 0 {
--- a/internal/lab/soak/retirement.go
+++ b/internal/lab/soak/retirement.go
@@ -55,7 +55,7 @@
 func (r *run) requestRetirement(ctx context.Context, random *rand.Rand, store *target,
 	method string) (state retirementState,
 	conclusive bool) {
-	m := r.randomFrontMachine(random)
+	m := r.randomControl(random)
 	request := operatorRequest{method: method, path: "/retire/" + store.machine.Name}
 	if method == http.MethodPost {
 		request.body = []byte("{}")
--- a/internal/lab/soak/run.go
+++ b/internal/lab/soak/run.go
@@ -27,7 +27,8 @@
 	options       Options
 	cluster       *system.Cluster
 	targets       []*target        // all processes
-	frontMachines []system.Machine // those with a control process and a gateway
+	frontMachines []system.Machine // those with a gateway
+	controls      []system.Machine // those with a control process
 	partitions    *partitionSet
 	timeline      *timeline
 	checker       *checker
@@ -37,6 +38,7 @@
 	operator      *operator
 	client        *system.Client
 	streams       atomic.Int64 // streaming requests sent
+	hostileValues atomic.Int64 // calls with values that must not reach a server
 
 	// powerLoss is held for writing while a loss of power kills all processes, and for reading while a
 	// process is started: no process may come up while the others are being killed.
@@ -52,20 +54,22 @@
 	}
 	r.checker = newChecker(r.timeline, options.Output)
 	r.cluster, err = system.Open(system.Options{
-		Programs:      options.Programs,
-		Zones:         options.Zones,
-		ModelServers:  modelServers,
-		FrontMachines: options.FrontMachines,
-		StoreMachines: options.StoreMachines,
-		MaxLostDisks:  options.MaxLostDisks,
-		JobRetention:  options.FaultDuration + extraRetention,
-		Folder:        folder,
-		Environment:   r.partitions.environment,
+		Programs:        options.Programs,
+		Zones:           options.Zones,
+		ModelServers:    modelServers,
+		FrontMachines:   options.FrontMachines,
+		ControlMachines: options.ControlMachines,
+		StoreMachines:   options.StoreMachines,
+		MaxLostDisks:    options.MaxLostDisks,
+		JobRetention:    options.FaultDuration + extraRetention,
+		Folder:          folder,
+		Environment:     r.partitions.environment,
 	})
 	if err != nil {
 		return nil, err
 	}
 	r.frontMachines = r.cluster.FrontMachines()
+	r.controls = r.cluster.MachinesOf(system.RoleControl)
 	for _, machine := range r.cluster.Machines {
 		for _, role := range machine.Roles {
 			r.targets = append(r.targets, &target{cluster: r.cluster, timeline: r.timeline, machine: machine, role: role})
@@ -87,7 +91,7 @@
 	if err := r.cluster.StartAll(); err != nil {
 		return err
 	}
-	if err := r.cluster.PutConfiguration(ctx, 0, documentAt(1)); err != nil {
+	if err := r.cluster.PutConfiguration(ctx, 0, firstRevision.document()); err != nil {
 		return err
 	}
 	return r.cluster.WaitServing(ctx, system.NewClient(system.TenantKey))
@@ -104,6 +108,8 @@
 	activities.Go(func() { r.monitorProcesses(monitorCtx) })
 	activities.Go(func() { r.monitorHost(monitorCtx) })
 	activities.Go(func() { r.generateStreams(loadCtx) })
+	activities.Go(func() { r.generateKeptStreams(loadCtx) })
+	activities.Go(func() { r.generateHostileValues(loadCtx) })
 	activities.Go(func() { r.generateJobs(loadCtx, monitorCtx) })
 	activities.Go(func() { r.operator.generateChanges(loadCtx) })
 	activities.Go(func() { r.operator.readBack(loadCtx) })
@@ -150,11 +156,16 @@
 	panic("soak: " + machine.Name + " has no " + string(role))
 }
 
-// randomFrontMachine returns a random machine with a control process and a gateway.
+// randomFrontMachine returns a random machine with a gateway.
 func (r *run) randomFrontMachine(random *rand.Rand) system.Machine {
 	return r.frontMachines[random.IntN(len(r.frontMachines))]
 }
 
+// randomControl returns a random machine with a control process.
+func (r *run) randomControl(random *rand.Rand) system.Machine {
+	return r.controls[random.IntN(len(r.controls))]
+}
+
 // stopSystem ends all processes. One that doesn't exit with 0 when it is asked to breaks RuleProcesses.
 func (r *run) stopSystem() {
 	if err := r.cluster.Close(); err != nil {
@@ -168,6 +179,7 @@
 		Faults:               r.timeline.countKinds(),
 		DisksWiped:           r.budget.wiped(),
 		Streams:              int(r.streams.Load()),
+		HostileValues:        int(r.hostileValues.Load()),
 		ConfigurationChanges: r.operator.changeCount(),
 	}
 	result.Violations, result.OmittedViolations = r.checker.violations()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -22,8 +22,10 @@
 	FaultDuration time.Duration
 	// Zones are the failure domains over which machines are spread.
 	Zones []string
-	// FrontMachines is the number of machines with a control process and a gateway.
+	// FrontMachines is the number of machines with a gateway.
 	FrontMachines int
+	// ControlMachines is the number of front machines that have a control process, too. 0: all.
+	ControlMachines int
 	// StoreMachines is the number of machines with a batch process.
 	StoreMachines int
 	// MaxLostDisks is the number of disks that the system is configured to lose at once, and the most that
@@ -63,6 +65,7 @@
 	Faults               map[EventKind]int // how often each kind was injected
 	DisksWiped           int
 	Streams              int // streaming requests sent
+	HostileValues        int // calls with values that must not reach a server
 	Accepted             int // batch jobs that got 202
 	Rejected             int // batch jobs that got nothing but rejections, and were given up
 	Ended                int // batch jobs that clients ended, acknowledged
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -21,8 +21,8 @@
 		"sprucelane-batch"))
 }
 
-// shortSoak is how long faults are injected in the test.
-const shortSoak = 15 * time.Second
+// shortSoak is how long faults are injected in the test: a few rounds, some with planned work alone.
+const shortSoak = time.Minute
 
 func TestSoak(t *testing.T) {
 	Convey("A short soak breaks no rule, and injects faults under load", t, func() {
@@ -38,6 +38,8 @@
 		So(result.Accepted, ShouldBeGreaterThan, 0)
 		So(result.Streams, ShouldBeGreaterThan, 0)
 		So(result.ConfigurationChanges, ShouldBeGreaterThan, 0)
+		So(result.HostileValues, ShouldBeGreaterThan, 0)
+		So(result.Faults[KindTerminate], ShouldBeGreaterThan, 0)
 		faults := 0
 		for _, kind := range FaultKinds {
 			faults += result.Faults[kind]
--- a/internal/lab/soak/target.go
+++ b/internal/lab/soak/target.go
@@ -7,6 +7,7 @@
 	"syscall"
 	"time"
 
+	"sprucelane.example/sprucelane/internal/lab/process"
 	"sprucelane.example/sprucelane/internal/lab/system"
 )
 
@@ -22,8 +23,10 @@
 	// mu guards the fields below and the process's state: signals, starts and wipes of one process don't overlap.
 	mu          sync.Mutex
 	down        bool
-	endDowntime func() // ends the disturbance by a kill, on the timeline
-	endPause    func() // ends that by a pause; nil while the process isn't paused
+	endDowntime func()    // ends the disturbance by a kill, on the timeline
+	endPause    func()    // ends that by a pause; nil while the process isn't paused
+	terminating bool      // it was asked to exit
+	exitedAt    time.Time // when it last exited after it was asked to; zero: never
 }
 
 func (t *target) name() string { return t.machine.Name + "-" + string(t.role) }
@@ -53,6 +56,66 @@
 	return t.cluster.WipeDisk(t.machine, t.role)
 }
 
+// exitTimeout is how long a process may take to exit after SIGTERM: the settings' bound (bounds.grace-s).
+const exitTimeout = 8 * time.Second
+
+// terminate asks the process to exit (SIGTERM), and waits until it has. The error tells that it exited with another
+// code than 0 or not in time, although nothing else was done to it meanwhile.
+func (t *target) terminate() error {
+	began := time.Now()
+	asked := t.beginTermination()
+	if asked == nil {
+		return nil
+	}
+	err := asked.Stop(exitTimeout)
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.terminating = false
+	if t.down { // killed meanwhile
+		return nil
+	}
+	disturbed := t.timeline.disturbed(t.name(), began)
+	t.down = true
+	t.exitedAt = time.Now()
+	t.clearPauseLocked()
+	if err == nil {
+		t.endDowntime = t.timeline.exitGracefully(t.name())
+		return nil
+	}
+	t.endDowntime = t.timeline.disturb(t.name())
+	if disturbed {
+		return nil
+	}
+	return fmt.Errorf("%s after SIGTERM: %w: %s", t.name(), err, asked.LogTail())
+}
+
+// beginTermination returns the process if it runs, and has it count as terminating.
+func (t *target) beginTermination() *process.Process {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.down || t.terminating || t.endPause != nil {
+		return nil
+	}
+	t.terminating = true
+	return t.cluster.Process(t.machine, t.role)
+}
+
+// wasExiting returns whether the process was exiting, as it was asked to, at any time between from and now.
+func (t *target) wasExiting(from time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.terminating || t.exitedAt.After(from)
+}
+
+// reload has the process read its settings again (SIGHUP).
+func (t *target) reload() {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if !t.down {
+		_ = t.cluster.Process(t.machine, t.role).Signal(syscall.SIGHUP) // as in pause
+	}
+}
+
 // start starts the process again.
 func (t *target) start() error {
 	t.mu.Lock()
@@ -108,15 +171,15 @@
 func (t *target) detectExit() (exited bool, reason string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	process := t.cluster.Process(t.machine, t.role)
-	ended, err := process.Ended()
-	if t.down || !ended {
+	latest := t.cluster.Process(t.machine, t.role)
+	ended, err := latest.Ended()
+	if t.down || t.terminating || !ended {
 		return false, ""
 	}
 	t.down = true
 	t.endDowntime = t.timeline.disturb(t.name())
 	t.clearPauseLocked()
-	return true, fmt.Sprintf("%v: %s", err, process.LogTail())
+	return true, fmt.Sprintf("%v: %s", err, latest.LogTail())
 }
 
 // running returns whether the process is neither down nor paused.
@@ -128,9 +191,14 @@
 
 // forEachConcurrently calls do for each target, all at once, and waits.
 func forEachConcurrently(targets []*target, do func(i int, t *target)) {
+	forEachIndex(len(targets), func(i int) { do(i, targets[i]) })
+}
+
+// forEachIndex calls do for each index below n, all at once, and waits.
+func forEachIndex(n int, do func(i int)) {
 	var calls sync.WaitGroup
-	for i, t := range targets {
-		calls.Go(func() { do(i, t) })
+	for i := range n {
+		calls.Go(func() { do(i) })
 	}
 	calls.Wait()
 }
--- a/internal/lab/soak/timeline.go
+++ b/internal/lab/soak/timeline.go
@@ -21,9 +21,16 @@
 	KindWipe            EventKind = "wipe"     // one process is killed and loses its disk
 	KindPowerLoss       EventKind = "blackout" // all processes are killed, and some may lose their disks
 	KindRetire          EventKind = "retire"
-	kindHostStall       EventKind = "host-stall" // the machine that runs the test was stalled
-	kindHealed          EventKind = "healed"     // the last fault of a round is over
-	kindRecovered       EventKind = "recovered"  // the system is well again after it
+	KindTerminate       EventKind = "terminate"     // SIGTERM
+	KindReload          EventKind = "reload"        // SIGHUP
+	KindServerSilence   EventKind = "server-silent" // model servers are silent for a while before or within responses
+	KindServerRejection EventKind = "server-full"   // model servers reject
+	KindServerBreakOff  EventKind = "server-cut"    // model servers break off
+	KindServerReplaced  EventKind = "server-drain"  // a model server drains, and another one takes its place
+	kindHostStall       EventKind = "host-stall"    // the machine that runs the test was stalled
+	kindPlanned         EventKind = "planned"       // a round of planned work begins
+	kindHealed          EventKind = "healed"        // the last fault of a round is over
+	kindRecovered       EventKind = "recovered"     // the system is well again after it
 )
 
 // FaultKinds are the kinds of faults, in the order of a summary.
@@ -35,6 +42,12 @@
 	KindWipe,
 	KindPowerLoss,
 	KindRetire,
+	KindTerminate,
+	KindReload,
+	KindServerSilence,
+	KindServerRejection,
+	KindServerBreakOff,
+	KindServerReplaced,
 	kindHostStall,
 }
 
@@ -48,6 +61,7 @@
 // disturbance is a time in which a process was down or paused.
 type disturbance struct {
 	from, to time.Time // to is zero while it lasts
+	graceful bool      // the process exited as it was asked to, and owed complete responses until then
 }
 
 // timeline records what was done to the system, and when which processes were disturbed.
@@ -86,8 +100,16 @@
 func (t *timeline) note(kind EventKind) { t.add(kind, "")() }
 
 // disturb records that a process is disturbed from now on, and returns the function that ends it.
-func (t *timeline) disturb(process string) (end func()) {
-	d := &disturbance{from: time.Now()}
+func (t *timeline) disturb(process string) (end func()) { return t.addDisturbance(process, false) }
+
+// exitGracefully records that a process has just exited as it was asked to, and returns the function that ends its
+// downtime.
+func (t *timeline) exitGracefully(process string) (end func()) {
+	return t.addDisturbance(process, true)
+}
+
+func (t *timeline) addDisturbance(process string, graceful bool) (end func()) {
+	d := &disturbance{from: time.Now(), graceful: graceful}
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.disturbances[process] = append(t.disturbances[process], d)
@@ -112,12 +134,14 @@
 	t.events = append(t.events, &event{kind: kindHostStall, from: from, to: now})
 }
 
-// disturbed returns whether a process was disturbed at any time between from and now.
+// disturbed returns whether a process was disturbed at any time between from and now. A graceful exit disturbs only what
+// began after it.
 func (t *timeline) disturbed(process string, from time.Time) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	for _, d := range slices.Concat(t.disturbances[process], t.disturbances[everyProcess]) {
-		if d.to.IsZero() || d.to.After(from) {
+		overlaps := d.to.IsZero() || d.to.After(from)
+		if overlaps && !(d.graceful && d.from.After(from)) {
 			return true
 		}
 	}
--- a/internal/lab/soak/timeline_test.go
+++ b/internal/lab/soak/timeline_test.go
@@ -23,3 +23,18 @@
 		})
 	})
 }
+
+func TestGracefulExit(t *testing.T) {
+	Convey("A process that exits as it was asked to owes responses to what began before its exit", t, func() {
+		timeline := newTimeline()
+		before := time.Now()
+		started := timeline.exitGracefully("gateway")
+		So(timeline.disturbed("gateway", before), ShouldBeFalse)
+		So(timeline.disturbed("gateway", time.Now()), ShouldBeTrue)
+		started()
+		So(timeline.disturbed("gateway", time.Now()), ShouldBeFalse)
+		So(timeline.disturbed("gateway", before), ShouldBeFalse)
+		timeline.disturb("gateway")()
+		So(timeline.disturbed("gateway", before), ShouldBeTrue)
+	})
+}
--- a/internal/lab/system/batchclient.go
+++ b/internal/lab/system/batchclient.go
@@ -16,8 +16,8 @@
 // resultsWait is how long a read of results may wait for more (X-Wait-Ms).
 const resultsWait = 500 * time.Millisecond
 
-// batchItem is an item of a batch job as clients submit it.
-type batchItem struct {
+// BatchItem is an item of a batch job as clients submit it.
+type BatchItem struct {
 	ID      string            `json:"id"`
 	Path    string            `json:"path"`
 	Headers map[string]string `json:"headers"`
@@ -54,6 +54,9 @@
 // ItemID returns the id of an item of a batch job.
 func ItemID(job string, item int) string { return fmt.Sprintf("%s-%04d", job, item) }
 
+// ItemPath returns the path of an item.
+func ItemPath(item int) string { return BatchPrefix + "3/" + strconv.Itoa(item) }
+
 // ItemBody returns the body of an item.
 func ItemBody(job string, item int) []byte { return []byte("log of " + ItemID(job, item)) }
 
@@ -65,17 +68,27 @@
 
 // TrySubmit submits a batch job as Submit does, and returns why there was no response.
 func (c *Client) TrySubmit(ctx context.Context, m Machine, job string, items int) (int, error) {
-	list := make([]batchItem, items)
+	list := make([]BatchItem, items)
 	for i := range list {
-		list[i] = batchItem{
-			ID:      ItemID(job, i),
-			Path:    BatchPrefix + "3/" + strconv.Itoa(i),
-			Headers: promptHeaders(ItemID(job, i), 0),
-			Body:    base64.StdEncoding.EncodeToString(ItemBody(job, i)),
-			Tokens:  sharedTokens + ownTokens + outputTokens,
-		}
+		list[i] = NewBatchItem(job, i)
+	}
+	return c.TrySubmitItems(ctx, m, job, list)
+}
+
+// NewBatchItem returns an item as Submit submits it.
+func NewBatchItem(job string, item int) BatchItem {
+	return BatchItem{
+		ID:      ItemID(job, item),
+		Path:    ItemPath(item),
+		Headers: promptHeaders(ItemID(job, item), 0),
+		Body:    base64.StdEncoding.EncodeToString(ItemBody(job, item)),
+		Tokens:  sharedTokens + ownTokens + outputTokens,
 	}
-	body, err := json.Marshal(map[string][]batchItem{"requests": list})
+}
+
+// TrySubmitItems submits a batch job of any items as TrySubmit does.
+func (c *Client) TrySubmitItems(ctx context.Context, m Machine, job string, items []BatchItem) (int, error) {
+	body, err := json.Marshal(map[string][]BatchItem{"requests": items})
 	if err != nil {
 		panic(err) // unreachable: the type above can be encoded
 	}
--- a/internal/lab/system/cluster.go
+++ b/internal/lab/system/cluster.go
@@ -41,9 +41,10 @@
 	ModelServers int
 	// FailStatus returns the status with which a model server fails a request after it ran, or 0. Nil: none fails.
 	FailStatus func(request string) int
-	// FrontMachines is the number of machines with a control process and a gateway, spread over the zones. 0:
-	// one in each zone.
+	// FrontMachines is the number of machines with a gateway, spread over the zones. 0: one in each zone.
 	FrontMachines int
+	// ControlMachines is the number of front machines that have a control process, too. 0: all.
+	ControlMachines int
 	// StoreMachines is the number of machines with a batch process, spread over the zones. 0: one in each zone.
 	StoreMachines int
 	// MaxLostDisks is the number of disks that may be lost at once without loss of data. 0: one.
@@ -147,30 +148,75 @@
 
 func (c *Cluster) ipAddress(number int) string { return fmt.Sprintf("%s.%d", c.networkPrefix, number) }
 
+// The last numbers of the first addresses. Many machines of a kind push those of the next kinds up. Disks hold the
+// addresses of members, so the numbers of small clusters must stay.
+const (
+	firstFrontNumber       = 10
+	firstStoreNumber       = 30
+	firstModelServerNumber = 50
+)
+
+// storeNumber returns the last number of the address of the store with an index.
+func (o Options) storeNumber(index int) int {
+	fronts, _ := o.machineCounts()
+	return max(firstStoreNumber, firstFrontNumber+fronts) + index
+}
+
+// modelServerNumber returns the last number of the address of the model server with an index.
+func (o Options) modelServerNumber(index int) int {
+	_, stores := o.machineCounts()
+	return max(firstModelServerNumber, o.storeNumber(stores)) + index
+}
+
 // placeMachines spreads front and store machines over the zones in turn.
 func (c *Cluster) placeMachines() {
-	const firstFront, firstStore = 10, 30 // the last numbers of their addresses
-	zones := len(c.Options.Zones)
-	fronts, stores := cmp.Or(c.Options.FrontMachines, zones), cmp.Or(c.Options.StoreMachines, zones)
+	fronts, stores := c.Options.machineCounts()
 	for i := range max(fronts, stores) {
-		zone, number := c.Options.Zones[i%zones], i/zones+1
 		if i < fronts {
-			front := Machine{Name: fmt.Sprintf("front-%s-%d", zone, number), Class: ClassFront, Zone: zone,
-				IP: c.ipAddress(firstFront + i), Roles: []Role{RoleControl, RoleGateway}}
-			c.Machines = append(c.Machines, front)
-			c.settings.seeds = append(c.settings.seeds, front.IP)
+			c.placeFront(i)
 		}
 		if i < stores {
-			store := Machine{Name: fmt.Sprintf("store-%s-%d", zone, number), Class: ClassStore, Zone: zone,
-				IP: c.ipAddress(firstStore + i), Roles: []Role{RoleBatch}}
-			c.Machines = append(c.Machines, store)
+			c.placeStore(i)
 		}
 	}
 }
 
-// FrontMachines returns the machines with a control process and a gateway.
-func (c *Cluster) FrontMachines() []Machine {
-	return slices.DeleteFunc(slices.Clone(c.Machines), func(m Machine) bool { return m.Class != ClassFront })
+// machineCounts returns the numbers of front machines and stores.
+func (o Options) machineCounts() (fronts, stores int) {
+	return cmp.Or(o.FrontMachines, len(o.Zones)), cmp.Or(o.StoreMachines, len(o.Zones))
+}
+
+// zoneOf returns the zone of the machine with an index among those of its class, and its number within the zone.
+func (c *Cluster) zoneOf(index int) (zone string, number int) {
+	zones := c.Options.Zones
+	return zones[index%len(zones)], index/len(zones) + 1
+}
+
+// placeFront places a front machine; the first ones have a control process.
+func (c *Cluster) placeFront(index int) {
+	zone, number := c.zoneOf(index)
+	front := Machine{Name: fmt.Sprintf("front-%s-%d", zone, number), Class: ClassFront, Zone: zone,
+		IP: c.ipAddress(firstFrontNumber + index), Roles: []Role{RoleGateway}}
+	if c.Options.ControlMachines == 0 || index < c.Options.ControlMachines {
+		front.Roles = []Role{RoleControl, RoleGateway}
+		c.settings.seeds = append(c.settings.seeds, front.IP)
+	}
+	c.Machines = append(c.Machines, front)
+}
+
+// placeStore places a machine with a batch process.
+func (c *Cluster) placeStore(index int) {
+	zone, number := c.zoneOf(index)
+	c.Machines = append(c.Machines, Machine{Name: fmt.Sprintf("store-%s-%d", zone, number), Class: ClassStore, Zone: zone,
+		IP: c.ipAddress(c.Options.storeNumber(index)), Roles: []Role{RoleBatch}})
+}
+
+// FrontMachines returns the machines with a gateway.
+func (c *Cluster) FrontMachines() []Machine { return c.MachinesOf(RoleGateway) }
+
+// MachinesOf returns the machines with a role.
+func (c *Cluster) MachinesOf(role Role) []Machine {
+	return slices.DeleteFunc(slices.Clone(c.Machines), func(m Machine) bool { return !slices.Contains(m.Roles, role) })
 }
 
 // Machine returns the first machine with a role in a zone, which must have one.
--- a/internal/lab/system/configuration.go
+++ b/internal/lab/system/configuration.go
@@ -16,6 +16,7 @@
 	StreamRoute  = "assist"
 	StreamHost   = "assist.example"
 	StreamPrefix = "/assist/"
+	StreamPath   = StreamPrefix + "2f" // of all streaming requests
 	BatchRoute   = "tagging"
 	BatchHost    = "tagging.example"
 	BatchPrefix  = "/tagging/"
--- a/internal/lab/system/machine.go
+++ b/internal/lab/system/machine.go
@@ -25,7 +25,7 @@
 
 // The kinds of machines.
 const (
-	ClassFront Class = "front" // with a control process and a gateway
+	ClassFront Class = "front" // with a gateway, and mostly a control process
 	ClassStore Class = "store" // with a batch process and a disk for batch jobs
 )
 
--- a/internal/lab/system/modelservers.go
+++ b/internal/lab/system/modelservers.go
@@ -21,14 +21,13 @@
 
 // AddModelServer starts a model server in the next zone and lists it at the platform.
 func (c *Cluster) AddModelServer() (*modelserver.Server, error) {
-	const firstModelServer = 50 // the last number of its address
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	number := len(c.modelServers)
 	server, err := modelserver.Start(modelserver.Options{
 		ID:             fmt.Sprintf("i-%04d", number+1),
 		Service:        ServiceName,
-		Address:        hostPort(c.ipAddress(firstModelServer+number), portModelServer),
+		Address:        hostPort(c.ipAddress(c.Options.modelServerNumber(number)), portModelServer),
 		Slots:          engineSlots,
 		MaxConnections: engineConns,
 		KVTokens:       engineKVTokens,
@@ -47,6 +46,15 @@
 	return server, nil
 }
 
+// DrainModelServer has a model server drain: the platform lists it as leaving, and it goes on serving.
+func (c *Cluster) DrainModelServer(server *modelserver.Server) {
+	c.mu.Lock()
+	number := slices.Index(c.modelServers, server)
+	c.mu.Unlock()
+	server.Drain()
+	c.Platform.Put(server, c.Options.Zones[number%len(c.Options.Zones)])
+}
+
 // ModelServers returns the model servers.
 func (c *Cluster) ModelServers() []*modelserver.Server {
 	c.mu.Lock()
--- a/internal/lab/system/streamclient.go
+++ b/internal/lab/system/streamclient.go
@@ -31,15 +31,7 @@
 func (c *Client) Stream(ctx context.Context, m Machine, id string, session int) Outcome {
 	ctx, cancel := context.WithTimeout(ctx, c.timeout())
 	defer cancel()
-	headers := promptHeaders(id, session)
-	headers["X-Request-Id"] = id
-	request, err := c.httpRequest(ctx, m, clientRequest{
-		method:  http.MethodPost,
-		host:    StreamHost,
-		path:    StreamPrefix + "2f",
-		headers: headers,
-		body:    []byte("a log to read"),
-	})
+	request, err := c.streamRequest(ctx, m, id, session)
 	if err != nil {
 		return Outcome{Problem: err.Error()}
 	}
@@ -49,13 +41,31 @@
 		return Outcome{Problem: err.Error(), Err: err}
 	}
 	defer response.Body.Close()
+	return readStream(response, id, began)
+}
+
+// streamRequest returns a request on the streaming route.
+func (c *Client) streamRequest(ctx context.Context, m Machine, id string, session int) (*http.Request, error) {
+	headers := promptHeaders(id, session)
+	headers["X-Request-Id"] = id
+	return c.httpRequest(ctx, m, clientRequest{
+		method:  http.MethodPost,
+		host:    StreamHost,
+		path:    StreamPath,
+		headers: headers,
+		body:    []byte("a log to read"),
+	})
+}
+
+// readStream reads the body of a response to a request that was sent at a time, and checks it.
+func readStream(response *http.Response, id string, sentAt time.Time) Outcome {
 	outcome := Outcome{Status: response.StatusCode}
 	first := make([]byte, 1)
 	if _, err := io.ReadFull(response.Body, first); err != nil && !errors.Is(err, io.EOF) {
 		outcome.Problem, outcome.Err = err.Error(), err
 		return outcome
 	}
-	outcome.FirstEvent = time.Since(began)
+	outcome.FirstEvent = time.Since(sentAt)
 	rest, err := io.ReadAll(io.LimitReader(response.Body, maxResponseBytes))
 	if err != nil {
 		outcome.Problem, outcome.Err = err.Error(), err
