node: settings with durations that can't be represented are errors

Durations are bounded by 100 years now, and the finding names the line.

Evidence: TestSettings got no error for 9.3e9 s before.

--- a/internal/node/parse.go
+++ b/internal/node/parse.go
@@ -204,9 +204,7 @@
 	return value
 }
 
-// nonNegative parses a number of 0 or more. NaN is invalid, and so are numbers of 1e15 or more, because they are too
-// large for a duration in seconds. That bound is far above the about 9.2e9 s that a time.Duration holds: the check
-// doesn't find durations between the two.
+// nonNegative parses a number of 0 or more. NaN is invalid, and so are numbers of 1e15 or more.
 func (p *fileParser) nonNegative(key string, defaultValue float64) float64 {
 	text := p.text(key, false)
 	if text == "" {
@@ -221,12 +219,25 @@
 
 // seconds parses a duration in seconds.
 func (p *fileParser) seconds(key string, defaultValue float64) time.Duration {
-	return time.Duration(p.nonNegative(key, defaultValue) * float64(time.Second))
+	return p.duration(key, defaultValue, time.Second)
 }
 
 // milliseconds parses a duration in milliseconds.
 func (p *fileParser) milliseconds(key string, defaultValue float64) time.Duration {
-	return time.Duration(p.nonNegative(key, defaultValue) * float64(time.Millisecond))
+	return p.duration(key, defaultValue, time.Millisecond)
+}
+
+// maxDuration bounds durations, so that they can be multiplied and added to times without an overflow.
+const maxDuration = 100 * 365 * 24 * time.Hour
+
+// duration parses a duration in a unit, of at most maxDuration.
+func (p *fileParser) duration(key string, defaultValue float64, unit time.Duration) time.Duration {
+	value := p.nonNegative(key, defaultValue)
+	if value > float64(maxDuration/unit) {
+		p.findings.Addf(p.location(key), "%v is above the limit of %d", value, int64(maxDuration/unit))
+		return maxDuration
+	}
+	return time.Duration(value * float64(unit))
 }
 
 // ports parses a range of ports, "FIRST,LAST".
--- a/internal/node/settings_test.go
+++ b/internal/node/settings_test.go
@@ -67,6 +67,16 @@
 		So(err.Error(), ShouldContainSubstring, `settings.conf:5: ip: "here" is no IP address`)
 		So(err.Error(), ShouldContainSubstring, "settings.conf: zone: is missing")
 	})
+	Convey("A duration that can't be represented is an error, not another duration", t, func() {
+		for _, value := range []string{"9.3e9", "1e12", "9.9e14"} {
+			_, err := Parse("settings.conf", []byte(strings.Replace(sample, "catch-up-s=5.1", "catch-up-s="+value, 1)))
+			So(err, ShouldNotBeNil)
+			So(err.Error(), ShouldContainSubstring, "settings.conf:21: bounds.catch-up-s")
+		}
+		s, err := Parse("settings.conf", []byte(strings.Replace(sample, "catch-up-s=5.1", "catch-up-s=3e9", 1)))
+		So(err, ShouldBeNil)
+		So(s.Bounds.CatchUp, ShouldEqual, 3e9*time.Second)
+	})
 }
 
 func TestLogger(t *testing.T) {
