control: a command that isn't committed at shutdown isn't logged as committed

store_membership_changed was logged where the process shut down before its command was committed. Nothing is logged now. No test: the line is only read by people, and at the end of a process.

--- a/internal/control/storemembership.go
+++ b/internal/control/storemembership.go
@@ -96,7 +96,10 @@
 	ctx, cancel := context.WithTimeout(c.ctx, proposeTimeout)
 	defer cancel()
 	_, err = c.replica.Propose(ctx, "stores-"+randomName(), encoded)
-	if err != nil && !errors.Is(err, replica.ErrClosed) {
+	if errors.Is(err, replica.ErrClosed) {
+		return // the process is shutting down
+	}
+	if err != nil {
 		c.log.Warn().Err(err).Msg("store_command_not_committed")
 		return
 	}
