--- a/coord/replica/cpuquota_test.go
+++ b/coord/replica/cpuquota_test.go
@@ -34,9 +34,9 @@
 	sim.after(time.Duration(sim.random.Int64N(int64(quotaPeriod))), period)
 }
 
-// TestCoreQuota runs all members under CPU quotas. The stops at the end of each period must not cause suspicions: the
+// TestCPUQuota runs all members under CPU quotas. The stops at the end of each period must not cause suspicions: the
 // view doesn't change, so that the head keeps its lease, and commands are acknowledged within maxQuotaLatency.
-func TestCoreQuota(t *testing.T) {
+func TestCPUQuota(t *testing.T) {
 	for _, runs := range []time.Duration{50 * time.Millisecond, 20 * time.Millisecond, 10 * time.Millisecond} {
 		var latencies []time.Duration
 		for seed := uint64(0); seed < 10; seed++ {
--- a/internal/batch/replica/itemfailures.go
+++ b/internal/batch/replica/itemfailures.go
@@ -16,8 +16,8 @@
 	Unprocessable bool // a server answered with status 422
 }
 
-// merge returns the higher of two counts of one item.
-func (f Failures) merge(other Failures) Failures {
+// Merge returns the higher of two counts of one item.
+func (f Failures) Merge(other Failures) Failures {
 	return Failures{Count: max(f.Count, other.Count), Unprocessable: f.Unprocessable || other.Unprocessable}
 }
 
@@ -39,7 +39,7 @@
 		if one.Item < 0 || one.Item >= len(j.items) || j.items[one.Item].finished {
 			continue
 		}
-		merged := j.failures[one.Item].merge(one.Failures)
+		merged := j.failures[one.Item].Merge(one.Failures)
 		if merged == j.failures[one.Item] {
 			continue
 		}
--- a/internal/batch/runner/failures.go
+++ b/internal/batch/runner/failures.go
@@ -31,8 +31,7 @@
 
 // merge raises the record to another record of the same item where that one is higher.
 func (f *failureRecord) merge(other failureRecord) {
-	f.Count = max(f.Count, other.Count)
-	f.Unprocessable = f.Unprocessable || other.Unprocessable
+	*f = failureRecord(replica.Failures(*f).Merge(replica.Failures(other)))
 }
 
 // exhausted reports whether an item with this record, of which the route allows a number of attempts, must
