--- a/internal/control/discovery/reader.go
+++ b/internal/control/discovery/reader.go
@@ -64,9 +64,9 @@
 	return "discovery: the platform rejected a call with status 429: rate limit exceeded"
 }
 
-// Read reads all pages. Servers whose id can't be sent in a header are left out. If a page can't be read, it returns an
-// error and no list. The error is a *RateLimitError if the platform rejected a call with 429, and wraps ctx.Err() if ctx
-// ended.
+// Read reads all pages. Servers whose id can't be sent in a header are left out. If a page can't be read, it returns
+// an error and no list. The error is a *RateLimitError if the platform rejected a call with 429, and wraps ctx.Err()
+// if ctx ended.
 func (r *Reader) Read(ctx context.Context) (List, error) {
 	var servers []protocol.Server
 	malformed := 0
